Add the design, the Maven workspace and the agreed interfaces

Cause: the features are built side by side and need fixed interfaces, one build and one design page first. Change: docs/design.md, 22 modules by lifetime, ids, outcomes, platform and peer interfaces, budget, claims, scheduling and configuration types, fakes for tests, ./verify with ktlint, detekt and tests. Conclusion: features can start; the two binaries are not implemented yet and say so.

--- /dev/null
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/CancelAnswer.kt
@@ -0,0 +1,10 @@
+package org.lycheemount.backend
+
+import kotlinx.serialization.Serializable
+
+/** Answer of `POST /v1/cancel`; [generatedTokens] counts the output tokens made before the cancellation. */
+@Serializable
+data class CancelAnswer(
+    val found: Boolean,
+    val generatedTokens: Int = 0,
+)
--- /dev/null
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/EngineCommand.kt
@@ -0,0 +1,28 @@
+package org.lycheemount.backend
+
+import kotlinx.serialization.Serializable
+import org.lycheemount.common.ModelId
+
+/** Body of `POST /v1/commands`. */
+@Serializable
+data class EngineCommand(
+    val fencingToken: Long,
+    val action: EngineAction,
+    val modelId: ModelId,
+    val version: String,
+    val adapter: String? = null,
+)
+
+/** What a command asks of an engine. */
+@Serializable
+enum class EngineAction {
+    LOAD,
+    UNLOAD,
+}
+
+/** Answer to a command; [accepted] is false when the engine has seen a greater fencing token. */
+@Serializable
+data class CommandAnswer(
+    val accepted: Boolean,
+    val highestFencingToken: Long,
+)
--- /dev/null
+++ b/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
@@ -0,0 +1,16 @@
+package org.lycheemount.measure
+
+import kotlin.system.exitProcess
+
+private val measurements: List<Measurement> = listOf()
+
+/** Runs the measurement named by the first argument and prints `name=value` lines. */
+fun main(arguments: Array<String>) {
+    val measurement = measurements.find { it.name == arguments.firstOrNull() }
+    if (measurement == null) {
+        System.err.println("usage: measure NAME, with NAME one of: ${measurements.joinToString(" ") { it.name }}")
+        exitProcess(2)
+    }
+    measurement.run().forEach { (name, value) -> println("$name=$value") }
+    exitProcess(0)
+}
--- /dev/null
+++ b/measure/src/main/kotlin/org/lycheemount/measure/Measurement.kt
@@ -0,0 +1,10 @@
+package org.lycheemount.measure
+
+/** One measurement that `bin/measure` can run. */
+interface Measurement {
+    /** Argument that selects this measurement. */
+    val name: String
+
+    /** Runs the measurement and returns the figures in the order in which they are printed, last lines of the output. */
+    fun run(): List<Pair<String, Any>>
+}
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/ReservationOutcome.kt
@@ -0,0 +1,16 @@
+package org.lycheemount.budget
+
+import org.lycheemount.common.Refusal
+
+/** Outcome of a reservation or of its extension. */
+sealed interface ReservationOutcome {
+    /** The request may use up to [reservedTokens] in all. */
+    data class Reserved(
+        val reservedTokens: Long,
+    ) : ReservationOutcome
+
+    /** The grants held here do not cover the request. */
+    data class Refused(
+        val refusal: Refusal,
+    ) : ReservationOutcome
+}
--- /dev/null
+++ b/process/common/src/main/kotlin/org/lycheemount/common/BackendServer.kt
@@ -0,0 +1,21 @@
+package org.lycheemount.common
+
+import kotlinx.serialization.Serializable
+
+/**
+ * A backend server as the VM list describes it.
+ *
+ * @property host IP address.
+ * @property targets models or services that it can serve.
+ * @property leaving true once the platform has announced its shutdown; it gets no new work.
+ */
+@Serializable
+data class BackendServer(
+    val backendServerId: BackendServerId,
+    val vmId: VmId,
+    val zoneId: ZoneId,
+    val host: String,
+    val port: Int,
+    val targets: Set<BackendTarget>,
+    val leaving: Boolean = false,
+)
--- /dev/null
+++ b/process/common/src/main/kotlin/org/lycheemount/common/RefusalReason.kt
@@ -0,0 +1,35 @@
+package org.lycheemount.common
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Machine-readable reasons of refusals, as sent to callers.
+ *
+ * @property wireName value of the `reason` field.
+ * @property httpStatus status code of the response.
+ */
+@Serializable
+enum class RefusalReason(
+    val wireName: String,
+    val httpStatus: Int,
+) {
+    INVALID_REQUEST("invalid_request", 400),
+    UNAUTHENTICATED("unauthenticated", 401),
+    FORBIDDEN("forbidden", 403),
+    UNKNOWN_MODEL("unknown_model", 404),
+    UNKNOWN_SERVICE("unknown_service", 404),
+    IDEMPOTENCY_CONFLICT("idempotency_conflict", 409),
+    BUDGET_EXHAUSTED("budget_exhausted", 429),
+    BUDGET_UNAVAILABLE("budget_unavailable", 503),
+    RATE_LIMITED("rate_limited", 429),
+    CONCURRENCY_LIMITED("concurrency_limited", 429),
+    QUEUE_SHARE_EXCEEDED("queue_share_exceeded", 429),
+    TARGET_UNREACHABLE("target_unreachable", 503),
+    DEADLINE_PAST("deadline_past", 503),
+    NO_BACKEND_SERVER("no_backend_server", 503),
+    BACKEND_FAILED("backend_failed", 502),
+    DRAINING("draining", 503),
+    NOT_READY("not_ready", 503),
+    CLAIM_UNAVAILABLE("claim_unavailable", 503),
+    CALLER_GONE("caller_gone", 499),
+}
--- /dev/null
+++ b/process/platform/src/main/kotlin/org/lycheemount/platform/TableRow.kt
@@ -0,0 +1,15 @@
+package org.lycheemount.platform
+
+import kotlinx.serialization.Serializable
+
+/**
+ * One row of the table.
+ *
+ * @property version raised by the table on each write of the row; 0 stands for an absent row.
+ */
+@Serializable
+data class TableRow(
+    val key: String,
+    val value: String,
+    val version: Long,
+)
--- /dev/null
+++ b/process/platform/src/main/kotlin/org/lycheemount/platform/TableSnapshot.kt
@@ -0,0 +1,17 @@
+package org.lycheemount.platform
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Rows read at one point of the table's history.
+ *
+ * @property tableTimeMs the table's clock when the rows were read.
+ */
+@Serializable
+data class TableSnapshot(
+    val rows: List<TableRow>,
+    val tableTimeMs: Long,
+) {
+    /** Returns the row under [key], or null when it was absent. */
+    fun find(key: String): TableRow? = rows.firstOrNull { it.key == key }
+}
--- /dev/null
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakePeerNetwork.kt
@@ -0,0 +1,123 @@
+package org.lycheemount.testing
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.peer.PeerChannel
+import org.lycheemount.peer.PeerHandler
+import org.lycheemount.peer.PeerMessenger
+import org.lycheemount.peer.PeerReply
+import kotlin.random.Random
+
+/**
+ * Network between routers in memory, on the virtual time of [scope].
+ *
+ * @param latencyMs delay of a message one way.
+ */
+class FakePeerNetwork(
+    private val scope: CoroutineScope,
+    private val latencyMs: Long = 1,
+    seed: Int = 1,
+) {
+    private val random = Random(seed)
+    private val messengers = linkedMapOf<RouterId, FakePeerMessenger>()
+    private val cuts = mutableSetOf<Set<RouterId>>()
+
+    /** Share of messages that are lost, from 0 to 1. */
+    var lossShare: Double = 0.0
+
+    /** Share of messages that arrive twice, from 0 to 1. */
+    var duplicateShare: Double = 0.0
+
+    /** Adds a router and returns its messenger. */
+    fun join(identity: RouterIdentity): PeerMessenger = FakePeerMessenger(identity).also { messengers[identity.routerId] = it }
+
+    /** Removes a router, as its death does. */
+    fun leave(routerId: RouterId) {
+        messengers.remove(routerId)
+    }
+
+    /** Separates the routers of [left] from those of [right]. */
+    fun cut(
+        left: Collection<RouterId>,
+        right: Collection<RouterId>,
+    ) {
+        for (one in left) for (other in right) cuts += setOf(one, other)
+    }
+
+    /** Ends all partitions. */
+    fun heal() = cuts.clear()
+
+    private fun reachable(
+        from: RouterId,
+        to: RouterId,
+    ): FakePeerMessenger? = messengers[to].takeIf { from in messengers && setOf(from, to) !in cuts }
+
+    private inner class FakePeerMessenger(
+        override val self: RouterIdentity,
+    ) : PeerMessenger {
+        private val handlers = mutableMapOf<PeerChannel, PeerHandler>()
+
+        override fun connectedPeers(): List<RouterIdentity> =
+            messengers.values.filter { it !== this && reachable(self.routerId, it.self.routerId) != null }.map { it.self }
+
+        override suspend fun call(
+            to: RouterId,
+            channel: PeerChannel,
+            payload: ByteArray,
+            timeoutMs: Long,
+        ): PeerReply {
+            if (reachable(self.routerId, to) == null) return PeerReply.NotDelivered
+            val answer = withTimeoutOrNull(timeoutMs) { exchange(to, channel, payload) }
+            return if (answer == null) PeerReply.Unknown else PeerReply.Answered(answer)
+        }
+
+        override fun send(
+            to: RouterId,
+            channel: PeerChannel,
+            payload: ByteArray,
+        ): Boolean {
+            if (reachable(self.routerId, to) == null) return false
+            scope.launch { deliver(to, channel, payload) }
+            return true
+        }
+
+        override fun register(
+            channel: PeerChannel,
+            handler: PeerHandler,
+        ) {
+            check(handlers.put(channel, handler) == null) { "channel ${channel.value} has a handler" }
+        }
+
+        private suspend fun exchange(
+            to: RouterId,
+            channel: PeerChannel,
+            payload: ByteArray,
+        ): ByteArray? {
+            val answer = deliver(to, channel, payload)
+            delay(latencyMs)
+            val lost = random.nextDouble() < lossShare || reachable(to, self.routerId) == null
+            return if (lost || answer == null) awaitNothing() else answer
+        }
+
+        private suspend fun deliver(
+            to: RouterId,
+            channel: PeerChannel,
+            payload: ByteArray,
+        ): ByteArray? {
+            delay(latencyMs)
+            if (random.nextDouble() < lossShare) return null
+            val handler = reachable(self.routerId, to)?.handlers?.get(channel) ?: return null
+            if (random.nextDouble() < duplicateShare) handler.handle(self, payload)
+            return handler.handle(self, payload)
+        }
+
+        private suspend fun awaitNothing(): ByteArray? {
+            delay(Long.MAX_VALUE)
+            return null
+        }
+    }
+}
--- /dev/null
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableService.kt
@@ -0,0 +1,80 @@
+package org.lycheemount.testing
+
+import org.lycheemount.common.Clock
+import org.lycheemount.platform.CommitOutcome
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.TableRow
+import org.lycheemount.platform.TableService
+import org.lycheemount.platform.TableSnapshot
+import org.lycheemount.platform.TableTransaction
+import org.lycheemount.platform.TransactionStatus
+
+/** Table in memory with switches for the faults of the platform. */
+class FakeTableService(
+    private val clock: Clock,
+) : TableService {
+    private val rows = sortedMapOf<String, TableRow>()
+    private val decided = mutableMapOf<String, CommitOutcome>()
+    private var lastVersion = 0L
+
+    /** While false, every call is answered as unavailable. */
+    var available: Boolean = true
+
+    /** Number of coming commits that take effect but whose answer is lost. */
+    var loseNextAnswers: Int = 0
+
+    /** Commits that took effect. */
+    var commitCount: Int = 0
+        private set
+
+    override suspend fun read(keys: List<String>): TableResult<TableSnapshot> = answer { TableSnapshot(keys.mapNotNull(rows::get), now()) }
+
+    override suspend fun scan(
+        prefix: String,
+        afterKey: String?,
+        limit: Int,
+    ): TableResult<TableSnapshot> =
+        answer {
+            val matching = rows.values.filter { it.key.startsWith(prefix) && (afterKey == null || it.key > afterKey) }
+            TableSnapshot(matching.take(limit), now())
+        }
+
+    override suspend fun commit(transaction: TableTransaction): TableResult<CommitOutcome> {
+        if (!available) return TableResult.Unavailable("table is down")
+        val outcome = decided.getOrPut(transaction.transactionId) { decide(transaction) }
+        if (loseNextAnswers > 0) {
+            loseNextAnswers--
+            return TableResult.Unknown("answer lost")
+        }
+        return TableResult.Answered(outcome)
+    }
+
+    override suspend fun findTransaction(transactionId: String): TableResult<TransactionStatus> =
+        answer { TransactionStatus(decided[transactionId], now()) }
+
+    /** Returns a copy of all rows, for a later [restore]. */
+    fun copyRows(): List<TableRow> = rows.values.toList()
+
+    /** Puts the table back to an older state, as a restored backup does. */
+    fun restore(older: List<TableRow>) {
+        rows.clear()
+        older.forEach { rows[it.key] = it }
+    }
+
+    private fun decide(transaction: TableTransaction): CommitOutcome {
+        val failed = transaction.checks.filter { (rows[it.key]?.version ?: 0L) != it.expectedVersion }
+        if (failed.isNotEmpty()) return CommitOutcome.Conflict(failed.mapNotNull { rows[it.key] }, now())
+        lastVersion++
+        commitCount++
+        for (write in transaction.writes) {
+            val value = write.value
+            if (value == null) rows.remove(write.key) else rows[write.key] = TableRow(write.key, value, lastVersion)
+        }
+        return CommitOutcome.Committed(transaction.writes.associate { it.key to lastVersion }, now())
+    }
+
+    private fun <T> answer(value: () -> T): TableResult<T> =
+        if (available) TableResult.Answered(value()) else TableResult.Unavailable("table is down")
+
+    private fun now() = clock.wallClockMs()
+}
--- /dev/null
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/SchedulerAction.kt
@@ -0,0 +1,21 @@
+package org.lycheemount.scheduling
+
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RequestId
+
+/** What the owner of the scheduler has to do. */
+sealed interface SchedulerAction {
+    /** Send the request to the backend server with the engine [priority]; a lower value is more urgent. */
+    data class Start(
+        val requestId: RequestId,
+        val backendServerId: BackendServerId,
+        val priority: Int,
+    ) : SchedulerAction
+
+    /** Refuse a queued request that did not run. */
+    data class Drop(
+        val requestId: RequestId,
+        val refusal: Refusal,
+    ) : SchedulerAction
+}
--- /dev/null
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/WorkItem.kt
@@ -0,0 +1,29 @@
+package org.lycheemount.scheduling
+
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.BackendTarget
+import org.lycheemount.common.RequestId
+import org.lycheemount.common.TeamId
+import org.lycheemount.common.WorkClassId
+
+/**
+ * A request as the scheduler sees it.
+ *
+ * @property prefixHashes chained hashes of the prompt's blocks, from the start; empty for plain services.
+ * @property deadlineAtMs monotonic time after which the caller no longer wants the answer; null when it states none.
+ * @property queueShare greatest share of the queue that the team may hold.
+ * @property excludedServers servers on which an earlier attempt failed.
+ */
+data class WorkItem(
+    val requestId: RequestId,
+    val teamId: TeamId,
+    val workClassId: WorkClassId,
+    val target: BackendTarget,
+    val promptTokens: Int,
+    val maxOutputTokens: Int,
+    val prefixHashes: List<Long>,
+    val arrivedAtMs: Long,
+    val deadlineAtMs: Long? = null,
+    val queueShare: Double = 1.0,
+    val excludedServers: Set<BackendServerId> = emptySet(),
+)
--- /dev/null
+++ b/version/config/src/main/kotlin/org/lycheemount/config/ConfigurationSnapshot.kt
@@ -0,0 +1,21 @@
+package org.lycheemount.config
+
+import kotlinx.serialization.Serializable
+import org.lycheemount.common.ModelId
+import org.lycheemount.common.ServiceId
+import org.lycheemount.common.TeamId
+import org.lycheemount.common.WorkClassId
+
+/**
+ * One immutable state of the whole configuration.
+ *
+ * @property sequence number of the last change contained; never goes back within a router.
+ */
+@Serializable
+data class ConfigurationSnapshot(
+    val sequence: Long = 0,
+    val teams: Map<TeamId, Team> = emptyMap(),
+    val workClasses: Map<WorkClassId, WorkClass> = emptyMap(),
+    val models: Map<ModelId, Model> = emptyMap(),
+    val services: Map<ServiceId, PlainService> = emptyMap(),
+)
