--- a/process/common/src/main/kotlin/org/lycheemount/common/RefusalReason.kt
+++ b/process/common/src/main/kotlin/org/lycheemount/common/RefusalReason.kt
@@ -18,7 +18,10 @@
     FORBIDDEN("forbidden", 403),
     UNKNOWN_MODEL("unknown_model", 404),
     UNKNOWN_SERVICE("unknown_service", 404),
+    UNKNOWN_REQUEST("unknown_request", 404),
+    REQUEST_TIMEOUT("request_timeout", 408),
     IDEMPOTENCY_CONFLICT("idempotency_conflict", 409),
+    REQUEST_TOO_LARGE("request_too_large", 413),
     BUDGET_EXHAUSTED("budget_exhausted", 429),
     BUDGET_UNAVAILABLE("budget_unavailable", 503),
     RATE_LIMITED("rate_limited", 429),
@@ -31,5 +34,6 @@
     DRAINING("draining", 503),
     NOT_READY("not_ready", 503),
     CLAIM_UNAVAILABLE("claim_unavailable", 503),
+    PEER_UNREACHABLE("peer_unreachable", 503),
     CALLER_GONE("caller_gone", 499),
 }
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/BodyReader.kt
@@ -0,0 +1,29 @@
+package org.lycheemount.caller
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.contentLength
+import io.ktor.server.request.receiveChannel
+import io.ktor.utils.io.readRemaining
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.io.readByteArray
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RefusalReason
+
+/** Reads request bodies within bounds of size and time. */
+internal class BodyReader(
+    private val limits: CallerLimits,
+) {
+    suspend fun read(call: ApplicationCall): Result<ByteArray, Refusal> {
+        if ((call.request.contentLength() ?: 0) > limits.maxBodyBytes) return tooLarge()
+        val body =
+            withTimeoutOrNull(limits.bodyTimeoutMs) {
+                call.receiveChannel().readRemaining(limits.maxBodyBytes + 1L).readByteArray()
+            } ?: return Err(Refusal(RefusalReason.REQUEST_TIMEOUT, "the body did not arrive within ${limits.bodyTimeoutMs} ms"))
+        return if (body.size > limits.maxBodyBytes) tooLarge() else Ok(body)
+    }
+
+    private fun tooLarge() = Err(Refusal(RefusalReason.REQUEST_TOO_LARGE, "body: accepted are 0 to ${limits.maxBodyBytes} bytes"))
+}
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/CallerServices.kt
@@ -0,0 +1,38 @@
+package org.lycheemount.caller
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.CoroutineScope
+import org.lycheemount.backend.ModelEngineClient
+import org.lycheemount.backend.PlainServiceClient
+import org.lycheemount.budget.BudgetLedger
+import org.lycheemount.claims.ClaimRegistry
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.StateDumpSource
+import org.lycheemount.config.ConfigurationView
+import org.lycheemount.peer.PeerMessenger
+
+/**
+ * What the callers' interface works with.
+ *
+ * @property scope lives as long as the process; carries work that outlasts its caller.
+ * @property stateSources further parts of the process that `/state` shows.
+ * @property notReadyReasons reasons why `/health/ready` must fail; empty when the process is ready.
+ */
+class CallerServices(
+    val clock: Clock,
+    val configuration: ConfigurationView,
+    val ledger: BudgetLedger,
+    val claims: ClaimRegistry,
+    val dispatcher: WorkDispatcher,
+    val engine: ModelEngineClient,
+    val plainServices: PlainServiceClient,
+    val peers: PeerMessenger,
+    val eventLog: EventLog,
+    val metricsRegistry: PrometheusRegistry,
+    val scope: CoroutineScope,
+    val drain: DrainState = DrainState(),
+    val limits: CallerLimits = CallerLimits(),
+    val stateSources: List<StateDumpSource> = emptyList(),
+    val notReadyReasons: () -> List<String> = { emptyList() },
+)
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/CallerShared.kt
@@ -0,0 +1,49 @@
+package org.lycheemount.caller
+
+import io.ktor.server.application.ApplicationCall
+import kotlinx.coroutines.launch
+import org.lycheemount.claims.RecordedOutcome
+import org.lycheemount.common.IdempotencyKey
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RequestId
+import org.lycheemount.common.TeamId
+
+/** Parts that all handlers of the callers' interface share. */
+internal class CallerShared(
+    private val services: CallerServices,
+) {
+    val authenticator = TeamAuthenticator(services.configuration)
+    val bodyReader = BodyReader(services.limits)
+    val requestIds = RequestIdFactory(services.peers.self)
+    val gate = RequestGate(services.drain, services.clock)
+    val openRequests = OpenRequests()
+    val claims = ClaimGuard(services.claims, services.clock)
+    val metrics = CallerMetrics(services.metricsRegistry, services.drain)
+
+    suspend fun refuse(
+        call: ApplicationCall,
+        kind: String,
+        refusal: Refusal,
+        outcome: WireOutcome = WireOutcome.NOT_RUN,
+    ) {
+        metrics.requests.labelValues(kind, outcome.wireName, refusal.reason.wireName).inc()
+        call.refuse(refusal, outcome)
+    }
+
+    /** Records the outcome of a claimed request without holding back its answer. */
+    fun recordInBackground(
+        teamId: TeamId,
+        key: IdempotencyKey,
+        requestId: RequestId,
+        outcome: RecordedOutcome,
+    ) {
+        services.drain.extend()
+        services.scope.launch {
+            try {
+                services.claims.finish(teamId, key, requestId, outcome)
+            } finally {
+                services.drain.leave()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ChatResponseWriter.kt
@@ -0,0 +1,74 @@
+package org.lycheemount.caller
+
+import kotlinx.serialization.json.JsonPrimitive
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RequestId
+
+/**
+ * Renders answers in the shapes of OpenAI's chat completions. The parts that do not change are rendered once,
+ * because a chunk is rendered for each token.
+ */
+internal class ChatResponseWriter(
+    requestId: RequestId,
+    model: String,
+    createdAtSeconds: Long,
+    private val includeUsageChunk: Boolean,
+) {
+    private val id = JsonPrimitive(requestId.value).toString()
+    private val modelName = JsonPrimitive(model).toString()
+    private val head = """"id":$id,"created":$createdAtSeconds,"model":$modelName"""
+    private val chunkHead = """data: {$head,"object":"chat.completion.chunk","choices":["""
+    private var roleSent = false
+
+    /** Renders [tokens] as one server-sent event. */
+    fun tokens(tokens: List<String>): String {
+        val role = if (roleSent) "" else """"role":"assistant","""
+        roleSent = true
+        val content = JsonPrimitive(if (tokens.size == 1) tokens[0] else tokens.joinToString("")).toString()
+        return """$chunkHead{"index":0,"delta":{$role"content":$content},"finish_reason":null}]}$EVENT_END"""
+    }
+
+    /** Renders the end of a stream: finish reason, usage, `[DONE]`. */
+    fun streamEnd(
+        finishReason: String,
+        usage: Usage,
+    ): String {
+        val finish = """{"index":0,"delta":{},"finish_reason":${JsonPrimitive(finishReason)}}"""
+        val last =
+            if (includeUsageChunk) {
+                """$chunkHead$finish]}$EVENT_END$chunkHead],"usage":${usage.render()}}$EVENT_END"""
+            } else {
+                """$chunkHead$finish],"usage":${usage.render()}}$EVENT_END"""
+            }
+        return last + "data: [DONE]$EVENT_END"
+    }
+
+    /** Renders an error after which the stream ends without `[DONE]`. */
+    fun streamError(refusal: Refusal): String = "data: ${errorBody(refusal, WireOutcome.RAN)}$EVENT_END"
+
+    /** Renders a whole answer. */
+    fun whole(
+        content: String,
+        finishReason: String,
+        usage: Usage,
+    ): String {
+        val message = """{"role":"assistant","content":${JsonPrimitive(content)}}"""
+        val choice = """{"index":0,"message":$message,"finish_reason":${JsonPrimitive(finishReason)}}"""
+        return """{$head,"object":"chat.completion","choices":[$choice],"usage":${usage.render()}}"""
+    }
+
+    private companion object {
+        private const val EVENT_END = "\n\n"
+    }
+}
+
+/** Billed tokens as shown to the caller. */
+internal class Usage(
+    private val promptTokens: Int,
+    private val completionTokens: Int,
+    private val cachedPromptTokens: Int,
+) {
+    fun render(): String =
+        """{"prompt_tokens":$promptTokens,"completion_tokens":$completionTokens,"total_tokens":${promptTokens + completionTokens},""" +
+            """"prompt_tokens_details":{"cached_tokens":$cachedPromptTokens}}"""
+}
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ClaimGuard.kt
@@ -0,0 +1,86 @@
+package org.lycheemount.caller
+
+import kotlinx.coroutines.delay
+import org.lycheemount.claims.ClaimOutcome
+import org.lycheemount.claims.ClaimRegistry
+import org.lycheemount.claims.RecordedOutcome
+import org.lycheemount.common.Clock
+import org.lycheemount.common.IdempotencyKey
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RefusalReason
+import org.lycheemount.common.RequestId
+import org.lycheemount.common.TeamId
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/** Claims idempotency keys and waits for the outcome of an earlier request with the same key. */
+internal class ClaimGuard(
+    private val claims: ClaimRegistry,
+    private val clock: Clock,
+) {
+    suspend fun claim(
+        teamId: TeamId,
+        key: IdempotencyKey,
+        requestId: RequestId,
+        fingerprint: String,
+        deadlineAtMs: Long?,
+    ): ClaimDecision {
+        val waitUntilMs = minOf(deadlineAtMs ?: Long.MAX_VALUE, clock.monotonicMs() + MAX_WAIT_MS)
+        var waitMs = FIRST_WAIT_MS
+        while (true) {
+            when (val outcome = claims.claim(teamId, key, requestId, fingerprint)) {
+                ClaimOutcome.Granted -> return ClaimDecision.Run
+                is ClaimOutcome.Finished -> return replay(outcome.outcome)
+                is ClaimOutcome.Refused -> return ClaimDecision.Refuse(outcome.refusal, WireOutcome.NOT_RUN)
+                is ClaimOutcome.AlreadyRunning -> if (clock.monotonicMs() + waitMs > waitUntilMs) return stillRunning(outcome.holder)
+            }
+            delay(waitMs)
+            waitMs = (waitMs * 2).coerceAtMost(LONGEST_WAIT_MS)
+        }
+    }
+
+    private fun replay(outcome: RecordedOutcome): ClaimDecision =
+        when (outcome) {
+            is RecordedOutcome.Ran -> ClaimDecision.Replay(outcome)
+            is RecordedOutcome.NotRun -> ClaimDecision.Refuse(outcome.refusal, WireOutcome.NOT_RUN)
+            is RecordedOutcome.Unknown -> ClaimDecision.Refuse(outcome.refusal, WireOutcome.UNKNOWN)
+        }
+
+    private fun stillRunning(holder: RequestId): ClaimDecision {
+        val detail = "request ${holder.value} with this idempotency key has not finished"
+        return ClaimDecision.Refuse(Refusal(RefusalReason.IDEMPOTENCY_CONFLICT, detail, LONGEST_WAIT_MS), WireOutcome.UNKNOWN)
+    }
+
+    private companion object {
+        private const val FIRST_WAIT_MS = 50L
+        private const val LONGEST_WAIT_MS = 1_000L
+
+        // Longer than most completions, shorter than the idle timeout of common HTTP clients.
+        private const val MAX_WAIT_MS = 30_000L
+    }
+}
+
+/** What to do with a request that carries an idempotency key. */
+internal sealed interface ClaimDecision {
+    data object Run : ClaimDecision
+
+    class Replay(
+        val outcome: RecordedOutcome.Ran,
+    ) : ClaimDecision
+
+    class Refuse(
+        val refusal: Refusal,
+        val outcome: WireOutcome,
+    ) : ClaimDecision
+}
+
+/** Identifies a request for the comparison of retries: method, path and body. */
+internal fun requestFingerprint(
+    method: String,
+    pathAndQuery: String,
+    body: ByteArray,
+): String {
+    val digest = MessageDigest.getInstance("SHA-256")
+    digest.update("$method $pathAndQuery\n".encodeToByteArray())
+    return HexFormat.of().formatHex(digest.digest(body))
+}
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/DrainState.kt
@@ -0,0 +1,50 @@
+package org.lycheemount.caller
+
+import kotlinx.coroutines.CompletableDeferred
+
+/** Counts the requests in progress and ends admission at shutdown. Safe to call from any thread. */
+class DrainState {
+    private val idle = CompletableDeferred<Unit>()
+    private var inProgress = 0
+    private var draining = false
+
+    /** Requests that have been admitted and are not settled. */
+    @get:Synchronized
+    val requestsInProgress: Int get() = inProgress
+
+    /** Whether new work is refused. */
+    @get:Synchronized
+    val isDraining: Boolean get() = draining
+
+    /** Admits one request, which [leave] must follow; false once draining has begun. */
+    @Synchronized
+    fun enter(): Boolean {
+        if (draining) return false
+        inProgress++
+        return true
+    }
+
+    /** Keeps the process from exiting for work that follows an admitted request, such as a cancellation. */
+    @Synchronized
+    fun extend() {
+        inProgress++
+    }
+
+    /** Ends one admitted request. */
+    @Synchronized
+    fun leave() {
+        check(inProgress > 0) { "no request in progress" }
+        inProgress--
+        if (draining && inProgress == 0) idle.complete(Unit)
+    }
+
+    /** Refuses new work from now on. */
+    @Synchronized
+    fun begin() {
+        draining = true
+        if (inProgress == 0) idle.complete(Unit)
+    }
+
+    /** Waits until no request is in progress after [begin]. */
+    suspend fun awaitIdle() = idle.await()
+}
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/OperationsHandler.kt
@@ -0,0 +1,74 @@
+package org.lycheemount.caller
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.respondBytes
+import io.ktor.server.response.respondText
+import io.prometheus.metrics.config.EscapingScheme
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonArray
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.lycheemount.common.StateDumpSource
+import java.io.ByteArrayOutputStream
+
+/** Serves `/metrics`, `/state`, `/health/live` and `/health/ready`, which need no key. */
+internal class OperationsHandler(
+    private val services: CallerServices,
+    private val shared: CallerShared,
+) {
+    private val metricsWriter = PrometheusTextFormatWriter.create()
+
+    suspend fun metrics(call: ApplicationCall) {
+        val bytes = ByteArrayOutputStream()
+        metricsWriter.write(bytes, services.metricsRegistry.scrape(), EscapingScheme.DEFAULT)
+        call.respondBytes(bytes.toByteArray(), ContentType.parse(metricsWriter.contentType))
+    }
+
+    suspend fun state(call: ApplicationCall) {
+        val sources = services.stateSources + listOf(services.dispatcher, shared.openRequests)
+        val state =
+            buildJsonObject {
+                put("process", processState())
+                sources.forEach { put(it.name, dump(it)) }
+            }
+        call.respondText(state.toString(), ContentType.Application.Json)
+    }
+
+    suspend fun ready(call: ApplicationCall) {
+        val reasons = services.notReadyReasons() + if (services.drain.isDraining) listOf("draining") else emptyList()
+        val body =
+            buildJsonObject {
+                put("ready", reasons.isEmpty())
+                put("reasons", buildJsonArray { reasons.forEach { add(JsonPrimitive(it)) } })
+            }
+        val status = if (reasons.isEmpty()) HttpStatusCode.OK else HttpStatusCode.ServiceUnavailable
+        call.respondText(body.toString(), ContentType.Application.Json, status)
+    }
+
+    suspend fun live(call: ApplicationCall) = call.respondText("""{"live":true}""", ContentType.Application.Json)
+
+    private fun processState(): JsonObject =
+        buildJsonObject {
+            put("routerId", services.peers.self.routerId.value)
+            put("vmId", services.peers.self.vmId.value)
+            put("zoneId", services.peers.self.zoneId.value)
+            put("incarnation", services.peers.self.incarnation)
+            put("draining", services.drain.isDraining)
+            put("requestsInProgress", services.drain.requestsInProgress)
+            put("configurationSequence", services.configuration.current().sequence)
+            put("connectedPeers", services.peers.connectedPeers().size)
+            shared.gate.runningRequests().forEach { (team, count) -> put("runningRequests:${team.value}", count) }
+        }
+
+    private fun dump(source: StateDumpSource): JsonObject =
+        try {
+            source.dumpState()
+        } catch (exception: RuntimeException) {
+            // A fault in one part must not hide the others from an operator.
+            buildJsonObject { put("error", exception.toString()) }
+        }
+}
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/RequestGate.kt
@@ -0,0 +1,59 @@
+package org.lycheemount.caller
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import org.lycheemount.common.Clock
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RefusalReason
+import org.lycheemount.common.TeamId
+import org.lycheemount.config.Team
+import java.util.concurrent.atomic.AtomicBoolean
+
+/** Admits requests by the limits of their team, until the process drains. Safe to call from any thread. */
+internal class RequestGate(
+    private val drain: DrainState,
+    private val clock: Clock,
+) {
+    private val limiter = TeamLimiter()
+    private val retryBudgets = HashMap<Pair<TeamId, String>, RetryBudget>()
+
+    fun enter(
+        team: Team,
+        route: String,
+    ): Result<Entry, Refusal> {
+        if (!drain.enter()) return Err(Refusal(RefusalReason.DRAINING, "this router is shutting down", retryAfterMs = 1_000))
+        val refusal =
+            synchronized(this) {
+                limiter.enter(team.teamId, team.limits, clock.monotonicMs()) ?: null.also { retryBudget(team.teamId, route).onRequest() }
+            }
+        if (refusal == null) return Ok(Entry(team, route))
+        drain.leave()
+        return Err(refusal)
+    }
+
+    @Synchronized
+    fun runningRequests(): Map<TeamId, Int> = limiter.runningRequests()
+
+    private fun retryBudget(
+        teamId: TeamId,
+        route: String,
+    ) = retryBudgets.getOrPut(teamId to route) { RetryBudget() }
+
+    /** One admitted request. */
+    inner class Entry(
+        val team: Team,
+        private val route: String,
+    ) {
+        private val left = AtomicBoolean()
+
+        fun tryRetry(): Boolean = synchronized(this@RequestGate) { retryBudget(team.teamId, route).tryRetry() }
+
+        /** Ends the request; further calls have no effect. */
+        fun leave() {
+            if (!left.compareAndSet(false, true)) return
+            synchronized(this@RequestGate) { limiter.leave(team.teamId) }
+            drain.leave()
+        }
+    }
+}
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceHandler.kt
@@ -0,0 +1,143 @@
+package org.lycheemount.caller
+
+import com.github.michaelbull.result.getOrElse
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.uri
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytes
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.async
+import org.lycheemount.backend.ServiceCallOutcome
+import org.lycheemount.claims.RecordedOutcome
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RefusalReason
+import org.lycheemount.common.RunOutcome
+import org.lycheemount.common.ServiceId
+
+/** Serves `/services/{service}/...`. */
+internal class ServiceHandler(
+    private val services: CallerServices,
+    private val shared: CallerShared,
+) {
+    suspend fun handle(call: ApplicationCall) {
+        val arrivedAtMs = services.clock.monotonicMs()
+        val team = shared.authenticator.authenticate(call.request.headers["Authorization"]).getOrElse { return refuse(call, it) }
+        val serviceId = ServiceId(call.parameters["service"].orEmpty())
+        val snapshot = services.configuration.current()
+        val service =
+            snapshot.services[serviceId]
+                ?: return refuse(call, Refusal(RefusalReason.UNKNOWN_SERVICE, "service ${serviceId.value} is not known"))
+        val terms = parseWorkTerms(call.request.headers, service.defaultWorkClassId, snapshot, arrivedAtMs).getOrElse { return refuse(call, it) }
+        val body = shared.bodyReader.read(call).getOrElse { return refuse(call, it) }
+        services.dispatcher.onWorkClasses(snapshot.workClasses)
+        val method = call.request.httpMethod.value
+        val pathAndQuery = call.request.uri.removePrefix("/services/${serviceId.value}").let { if (it.startsWith('/')) it else "/$it" }
+        val repeatable = isRepeatable(service, method, pathAndQuery.substringBefore('?'))
+        val entry = shared.gate.enter(team, ROUTE_PREFIX + serviceId.value).getOrElse { return refuse(call, it) }
+        val requestId = shared.requestIds.next()
+        call.identify(requestId)
+        val work =
+            ServiceWork(requestId, entry, service, terms, arrivedAtMs, repeatable, method, pathAndQuery, passedHeaders(call), body)
+        try {
+            decide(call, work)
+        } finally {
+            entry.leave()
+        }
+    }
+
+    private suspend fun decide(
+        call: ApplicationCall,
+        work: ServiceWork,
+    ) {
+        val key = work.terms.idempotencyKey ?: return respond(call, execute(work))
+        val fingerprint = requestFingerprint(work.method, call.request.uri, work.body)
+        when (val decision = shared.claims.claim(work.entry.team.teamId, key, work.requestId, fingerprint, work.terms.deadlineAtMs)) {
+            is ClaimDecision.Refuse -> refuse(call, decision.refusal, decision.outcome)
+            is ClaimDecision.Replay -> call.replay(decision.outcome)
+            ClaimDecision.Run -> respond(call, execute(work))
+        }
+    }
+
+    /** Runs the call apart from its caller, so that a caller that leaves does not make the outcome of a started call unknown. */
+    private suspend fun execute(work: ServiceWork): RunOutcome<ServiceCallOutcome.Answered> {
+        val execution = ServiceExecution(services, shared.metrics, work)
+        shared.openRequests.add(execution)
+        services.drain.extend()
+        val running =
+            services.scope.async {
+                try {
+                    val outcome = execution.run()
+                    work.terms.idempotencyKey?.let { shared.recordInBackground(execution.teamId, it, work.requestId, recorded(outcome)) }
+                    outcome
+                } finally {
+                    shared.openRequests.remove(work.requestId)
+                    services.drain.leave()
+                }
+            }
+        try {
+            return running.await()
+        } catch (exception: CancellationException) {
+            execution.abandon()
+            throw exception
+        }
+    }
+
+    private suspend fun respond(
+        call: ApplicationCall,
+        outcome: RunOutcome<ServiceCallOutcome.Answered>,
+    ) {
+        when (outcome) {
+            is RunOutcome.NotRun -> refuse(call, outcome.refusal)
+            is RunOutcome.Unknown -> refuse(call, outcome.refusal, WireOutcome.UNKNOWN)
+            is RunOutcome.Ran -> {
+                shared.metrics.requests.labelValues(KIND, WireOutcome.RAN.wireName, "ok").inc()
+                call.response.header(OUTCOME_HEADER, WireOutcome.RAN.wireName)
+                val answer = outcome.value
+                call.respondBytes(answer.body, answer.contentType?.let(ContentType::parse), HttpStatusCode.fromValue(answer.httpStatus))
+            }
+        }
+    }
+
+    private fun recorded(outcome: RunOutcome<ServiceCallOutcome.Answered>): RecordedOutcome =
+        when (outcome) {
+            is RunOutcome.Ran -> RecordedOutcome.Ran(outcome.value.httpStatus, outcome.value.contentType, outcome.value.body)
+            is RunOutcome.NotRun -> RecordedOutcome.NotRun(outcome.refusal)
+            is RunOutcome.Unknown -> RecordedOutcome.Unknown(outcome.refusal)
+        }
+
+    private fun passedHeaders(call: ApplicationCall): List<Pair<String, String>> =
+        call.request.headers
+            .entries()
+            .filter { (name, _) -> name.lowercase() !in OWN_HEADERS && !name.startsWith("x-lycheemount-", ignoreCase = true) }
+            .flatMap { (name, values) -> values.map { name to it } }
+
+    private suspend fun refuse(
+        call: ApplicationCall,
+        refusal: Refusal,
+        outcome: WireOutcome = WireOutcome.NOT_RUN,
+    ) = shared.refuse(call, KIND, refusal, outcome)
+
+    private companion object {
+        private const val KIND = "service"
+        private const val ROUTE_PREFIX = "service:"
+
+        // Headers of one connection, and the bearer key, which is a secret between the team and the router.
+        private val OWN_HEADERS =
+            setOf(
+                "authorization",
+                "connection",
+                "content-length",
+                "expect",
+                "host",
+                "keep-alive",
+                "proxy-authorization",
+                "te",
+                "trailer",
+                "transfer-encoding",
+                "upgrade",
+            )
+    }
+}
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/TeamAuthenticator.kt
@@ -0,0 +1,45 @@
+package org.lycheemount.caller
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RefusalReason
+import org.lycheemount.config.ConfigurationSnapshot
+import org.lycheemount.config.ConfigurationView
+import org.lycheemount.config.Team
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/** Finds the team of a bearer key by the key's SHA-256. Safe to call from any thread. */
+internal class TeamAuthenticator(
+    private val configuration: ConfigurationView,
+) {
+    @Volatile
+    private var index = KeyIndex(configuration.current())
+
+    fun authenticate(authorization: String?): Result<Team, Refusal> {
+        val key = authorization?.takeIf { it.startsWith(SCHEME, ignoreCase = true) }?.substring(SCHEME.length)?.trim()
+        if (key.isNullOrEmpty()) return refused("a bearer key is required")
+        val hash = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray()))
+        return currentIndex().teams[hash]?.let(::Ok) ?: refused("the bearer key is not known")
+    }
+
+    private fun currentIndex(): KeyIndex {
+        val snapshot = configuration.current()
+        if (index.snapshot !== snapshot) index = KeyIndex(snapshot)
+        return index
+    }
+
+    private fun refused(detail: String) = Err(Refusal(RefusalReason.UNAUTHENTICATED, detail))
+
+    private class KeyIndex(
+        val snapshot: ConfigurationSnapshot,
+    ) {
+        val teams = snapshot.teams.values.flatMap { team -> team.keyHashes.map { it to team } }.toMap()
+    }
+
+    private companion object {
+        private const val SCHEME = "Bearer "
+    }
+}
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/WorkDispatcher.kt
@@ -0,0 +1,189 @@
+package org.lycheemount.caller
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.lycheemount.backend.AttemptFailure
+import org.lycheemount.common.BackendServer
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.Clock
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RefusalReason
+import org.lycheemount.common.RequestId
+import org.lycheemount.common.StateDumpSource
+import org.lycheemount.config.WorkClass
+import org.lycheemount.scheduling.CacheEvents
+import org.lycheemount.scheduling.FailureKind
+import org.lycheemount.scheduling.LoadReport
+import org.lycheemount.scheduling.RequestScheduler
+import org.lycheemount.scheduling.SchedulerAction
+import org.lycheemount.scheduling.ServiceEvent
+import org.lycheemount.scheduling.SubmitOutcome
+import org.lycheemount.scheduling.WorkItem
+import org.lycheemount.stream.AttemptPermit
+
+/**
+ * Owns the scheduler: makes calls to it one at a time and hands its decisions to the waiting requests.
+ * Safe to call from any thread.
+ */
+class WorkDispatcher(
+    private val scheduler: RequestScheduler,
+    private val clock: Clock,
+) : StateDumpSource {
+    private val waiting = HashMap<RequestId, CompletableDeferred<AttemptPermit>>()
+    private val wakeUp = Channel<Unit>(Channel.CONFLATED)
+    private var servers = emptyMap<BackendServerId, BackendServer>()
+    private var workClasses: Map<out Any, WorkClass> = emptyMap<Any, WorkClass>()
+    private var armedAtMs = Long.MAX_VALUE
+
+    override val name: String get() = "dispatcher"
+
+    /** Wakes the scheduler at the times that it asks for, until [scope] ends. */
+    fun start(scope: CoroutineScope) {
+        scope.launch {
+            while (true) {
+                val waitMs = waitMs()
+                if (waitMs == null) wakeUp.receive() else withTimeoutOrNull(waitMs) { wakeUp.receive() }
+                // Spreads wake-ups when the scheduler asks for one at once, so that a fault cannot spin a core.
+                if (waitMs == 0L) delay(1)
+                operate { }
+            }
+        }
+    }
+
+    /** Queues [item] and waits for its server. */
+    suspend fun acquire(item: WorkItem): AttemptPermit {
+        val permit = CompletableDeferred<AttemptPermit>()
+        operate { nowMs ->
+            waiting[item.requestId] = permit
+            val outcome = scheduler.submit(item, nowMs)
+            if (outcome is SubmitOutcome.Refused) {
+                waiting.remove(item.requestId)
+                permit.complete(AttemptPermit.Refused(outcome.refusal))
+            }
+        }
+        try {
+            return permit.await()
+        } catch (exception: CancellationException) {
+            cancel(item.requestId)
+            throw exception
+        }
+    }
+
+    /** Drops a request whose caller is gone. */
+    fun cancel(requestId: RequestId) =
+        operate { nowMs ->
+            waiting.remove(requestId)
+            scheduler.cancel(requestId, nowMs)
+        }
+
+    /** Ends the wait of a queued request with [refusal]; false when it does not wait. */
+    fun abandon(
+        requestId: RequestId,
+        refusal: Refusal,
+    ): Boolean {
+        var permit: CompletableDeferred<AttemptPermit>? = null
+        operate { nowMs ->
+            permit = waiting.remove(requestId)
+            if (permit != null) scheduler.cancel(requestId, nowMs)
+        }
+        return permit?.complete(AttemptPermit.Refused(refusal)) ?: false
+    }
+
+    /** Reports the progress of a started request. */
+    fun onServiceEvent(
+        requestId: RequestId,
+        event: ServiceEvent,
+    ) = operate { nowMs -> scheduler.onServiceEvent(requestId, event, nowMs) }
+
+    /** Reports a failed attempt. */
+    fun onFailure(
+        requestId: RequestId,
+        failure: AttemptFailure,
+    ) = onServiceEvent(requestId, ServiceEvent.Failed(failureKind(failure)))
+
+    /** Replaces the known backend servers. */
+    fun onBackendServers(current: List<BackendServer>) =
+        operate { nowMs ->
+            servers = current.associateBy { it.backendServerId }
+            scheduler.onBackendServers(current, nowMs)
+        }
+
+    /** Takes in a load report. */
+    fun onLoadReport(report: LoadReport) = operate { nowMs -> scheduler.onLoadReport(report, nowMs) }
+
+    /** Takes in prefix cache events. */
+    fun onCacheEvents(events: CacheEvents) = operate { nowMs -> scheduler.onCacheEvents(events, nowMs) }
+
+    /** Replaces the classes of work when they have changed. */
+    fun onWorkClasses(current: Map<out Any, WorkClass>) {
+        if (current === workClasses) return
+        operate {
+            workClasses = current
+            scheduler.onWorkClasses(current.values)
+        }
+    }
+
+    /** Returns the servers of the VM list as they were passed in last. */
+    @Synchronized
+    fun backendServers(): Collection<BackendServer> = servers.values
+
+    /** Whether the VM list no longer has [backendServerId]. */
+    @Synchronized
+    fun isGone(backendServerId: BackendServerId): Boolean = backendServerId !in servers
+
+    @Synchronized
+    override fun dumpState(): JsonObject =
+        buildJsonObject {
+            put("waitingRequests", waiting.size)
+            put("backendServers", servers.size)
+            put("leavingBackendServers", servers.values.count { it.leaving })
+        }
+
+    private fun operate(operation: (Long) -> Unit) {
+        val decided =
+            synchronized(this) {
+                val nowMs = clock.monotonicMs()
+                operation(nowMs)
+                val permits = scheduler.poll(nowMs).mapNotNull(::decide)
+                val dueMs = scheduler.nextWakeUpMs(nowMs) ?: Long.MAX_VALUE
+                if (dueMs < armedAtMs) wakeUp.trySend(Unit)
+                armedAtMs = dueMs
+                permits
+            }
+        decided.forEach { (permit, outcome) -> permit.complete(outcome) }
+    }
+
+    private fun decide(action: SchedulerAction): Pair<CompletableDeferred<AttemptPermit>, AttemptPermit>? =
+        when (action) {
+            is SchedulerAction.Start -> waiting.remove(action.requestId)?.let { it to permitFor(action) }
+            is SchedulerAction.Drop -> waiting.remove(action.requestId)?.let { it to AttemptPermit.Refused(action.refusal) }
+        }
+
+    private fun permitFor(start: SchedulerAction.Start): AttemptPermit {
+        val server = servers[start.backendServerId]
+        if (server != null) return AttemptPermit.Granted(server, start.priority)
+        scheduler.cancel(start.requestId, clock.monotonicMs())
+        return AttemptPermit.Refused(Refusal(RefusalReason.NO_BACKEND_SERVER, "the backend server has left", retryAfterMs = 1_000))
+    }
+
+    @Synchronized
+    private fun waitMs(): Long? = armedAtMs.takeIf { it != Long.MAX_VALUE }?.let { (it - clock.monotonicMs()).coerceAtLeast(0) }
+
+    private fun failureKind(failure: AttemptFailure): FailureKind =
+        when (failure) {
+            AttemptFailure.CONNECT_FAILED -> FailureKind.CONNECT_FAILED
+            AttemptFailure.REFUSED_BUSY -> FailureKind.REFUSED_BUSY
+            AttemptFailure.REFUSED_LEAVING -> FailureKind.REFUSED_LEAVING
+            AttemptFailure.TIMED_OUT -> FailureKind.TIMED_OUT
+            AttemptFailure.BROKEN_CONNECTION -> FailureKind.BROKEN_STREAM
+            AttemptFailure.SERVER_ERROR -> FailureKind.SERVER_ERROR
+        }
+}
