Add the engine model and the HTTP clients of platform and backend servers

Cause: the routing measurement needs an engine in virtual time, and the router needs its HTTP clients. The platform and backend clients open a connection for each request, so that a failure to connect is certain to have had no effect.

--- /dev/null
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendHttp.kt
@@ -0,0 +1,109 @@
+package org.lycheemount.backend
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.request
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.HttpMethod
+import io.ktor.http.contentType
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.Json
+import org.lycheemount.common.BackendServer
+import java.net.ConnectException
+import java.nio.channels.UnresolvedAddressException
+
+/** HTTP client for backend servers; it never repeats a request. */
+class BackendHttp(
+    connectTimeoutMs: Long = DEFAULT_CONNECT_TIMEOUT_MS,
+    private val controlTimeoutMs: Long = DEFAULT_CONTROL_TIMEOUT_MS,
+) : AutoCloseable {
+    internal val json = Json { ignoreUnknownKeys = true }
+
+    // Each request has its own connection, so that a failure to connect is certain to have had no effect.
+    internal val client =
+        HttpClient(CIO) {
+            expectSuccess = false
+            followRedirects = false
+            engine {
+                requestTimeout = 0
+                maxConnectionsCount = MAX_CONNECTIONS
+                endpoint {
+                    connectTimeout = connectTimeoutMs
+                    maxConnectionsPerRoute = MAX_CONNECTIONS
+                }
+            }
+        }
+
+    /** Sends a short control request; returns the body of a successful answer, or null. */
+    internal suspend fun control(
+        server: BackendServer,
+        httpMethod: HttpMethod,
+        path: String,
+        body: String? = null,
+        timeoutMs: Long = controlTimeoutMs,
+    ): String? =
+        try {
+            withTimeoutOrNull(timeoutMs) {
+                val response =
+                    client.request(urlOf(server, path)) {
+                        method = httpMethod
+                        if (body != null) setJson(body)
+                    }
+                response.bodyAsText().takeIf { response.status.value in SUCCESS_STATUSES }
+            }
+        } catch (failure: Exception) {
+            currentCoroutineContext().ensureActive()
+            null
+        }
+
+    override fun close() = client.close()
+
+    /** Defaults and limits. */
+    companion object {
+        private const val DEFAULT_CONNECT_TIMEOUT_MS = 1_000L
+        private const val DEFAULT_CONTROL_TIMEOUT_MS = 1_000L
+        private const val MAX_CONNECTIONS = 4_096
+        private val SUCCESS_STATUSES = 200..299
+    }
+}
+
+internal fun urlOf(
+    server: BackendServer,
+    pathAndQuery: String,
+): String = "http://${server.host}:${server.port}$pathAndQuery"
+
+internal fun HttpRequestBuilder.setJson(body: String) {
+    contentType(ContentType.Application.Json)
+    setBody(body)
+}
+
+internal fun toAttemptFailure(failure: Throwable): AttemptFailure {
+    val causes = generateSequence(failure) { it.cause }.take(MAX_CAUSES)
+    val connectFailed = causes.any { it is ConnectException || it is UnresolvedAddressException }
+    return if (connectFailed) AttemptFailure.CONNECT_FAILED else AttemptFailure.BROKEN_CONNECTION
+}
+
+/** Header in which a backend server states that it refused a request before it ran. */
+const val REFUSED_HEADER: String = "x-refused"
+
+/** Value of [REFUSED_HEADER] of a server whose shutdown has begun. */
+const val REFUSED_LEAVING: String = "leaving"
+
+/** Value of [REFUSED_HEADER] of a server that has no room, or not the model. */
+const val REFUSED_BUSY: String = "busy"
+
+/** Reads [REFUSED_HEADER]; null when the server did not refuse. */
+internal fun refusalOf(headerValue: String?): AttemptFailure? =
+    when (headerValue) {
+        null -> null
+        REFUSED_LEAVING -> AttemptFailure.REFUSED_LEAVING
+        else -> AttemptFailure.REFUSED_BUSY
+    }
+
+private const val MAX_CAUSES = 8
--- /dev/null
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/EngineBodies.kt
@@ -0,0 +1,26 @@
+package org.lycheemount.backend
+
+import kotlinx.serialization.Serializable
+import org.lycheemount.common.ModelId
+import org.lycheemount.common.RequestId
+
+/** Body of `POST /v1/cancel`. */
+@Serializable
+data class CancelBody(
+    val requestId: RequestId,
+)
+
+/** Body of `POST /v1/import-cache`: the engine fetches the blocks of [prefixHashes] from the engine at [host]:[port]. */
+@Serializable
+data class MoveCacheBody(
+    val host: String,
+    val port: Int,
+    val modelId: ModelId,
+    val prefixHashes: List<Long>,
+)
+
+/** Answer of `POST /v1/import-cache` and of `POST /v1/export-cache`. */
+@Serializable
+data class MoveCacheAnswer(
+    val movedBlocks: Int,
+)
--- /dev/null
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/DefaultVmDirectory.kt
@@ -0,0 +1,15 @@
+package org.lycheemount.platform.http
+
+import io.ktor.http.HttpMethod
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.VmDirectory
+import org.lycheemount.platform.VmList
+
+/** VM list over HTTP: `GET` of [vmListUrl]. */
+internal class DefaultVmDirectory(
+    private val http: PlatformHttp,
+    private val vmListUrl: String,
+) : VmDirectory {
+    override suspend fun list(): TableResult<VmList> =
+        http.toResult(http.exchange(HttpMethod.Get, vmListUrl), repeatable = true) { http.decodeJson(it, VmList.serializer()) }
+}
--- /dev/null
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
@@ -0,0 +1,121 @@
+package org.lycheemount.platform.http
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.request.request
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsBytes
+import io.ktor.http.ContentType
+import io.ktor.http.HttpMethod
+import io.ktor.http.contentType
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.lycheemount.platform.TableResult
+import java.net.ConnectException
+import java.nio.channels.UnresolvedAddressException
+
+/** Sends requests to the platform without retries and tells certain failures from uncertain ones. */
+internal class PlatformHttp(
+    private val callTimeoutMs: Long,
+) : AutoCloseable {
+    val json = Json { ignoreUnknownKeys = true }
+
+    // Each request has its own connection: one that is kept open and closed by the platform meanwhile would turn a
+    // certain failure into an uncertain one.
+    private val client =
+        HttpClient(CIO) {
+            expectSuccess = false
+            engine {
+                requestTimeout = 0
+                endpoint { connectTimeout = callTimeoutMs }
+            }
+        }
+
+    suspend fun exchange(
+        httpMethod: HttpMethod,
+        url: String,
+        body: ByteArray? = null,
+        bodyType: ContentType = ContentType.Application.Json,
+    ): PlatformExchange =
+        try {
+            withTimeoutOrNull(callTimeoutMs) { send(httpMethod, url, body, bodyType) }
+                ?: PlatformExchange.Lost("no response within $callTimeoutMs ms")
+        } catch (failure: Exception) {
+            currentCoroutineContext().ensureActive()
+            if (isConnectFailure(failure)) PlatformExchange.NotSent("cannot connect") else PlatformExchange.Lost("connection broken")
+        }
+
+    /** Decodes a response; [repeatable] requests have no effect, so that a lost response counts as unavailable. */
+    fun <T> toResult(
+        exchange: PlatformExchange,
+        repeatable: Boolean,
+        decode: (PlatformExchange.Answered) -> T,
+    ): TableResult<T> =
+        when (exchange) {
+            is PlatformExchange.NotSent -> TableResult.Unavailable(exchange.detail)
+            is PlatformExchange.Lost -> lost(exchange.detail, repeatable)
+            is PlatformExchange.Answered -> decodeAnswer(exchange, repeatable, decode)
+        }
+
+    fun <T> decodeJson(
+        answer: PlatformExchange.Answered,
+        deserializer: DeserializationStrategy<T>,
+    ): T = json.decodeFromString(deserializer, answer.body.decodeToString())
+
+    override fun close() = client.close()
+
+    private suspend fun send(
+        httpMethod: HttpMethod,
+        url: String,
+        body: ByteArray?,
+        bodyType: ContentType,
+    ): PlatformExchange {
+        val response =
+            client.request(url) {
+                method = httpMethod
+                if (body != null) {
+                    contentType(bodyType)
+                    setBody(body)
+                }
+            }
+        return PlatformExchange.Answered(response.status.value, response.bodyAsBytes())
+    }
+
+    private fun <T> decodeAnswer(
+        answer: PlatformExchange.Answered,
+        repeatable: Boolean,
+        decode: (PlatformExchange.Answered) -> T,
+    ): TableResult<T> {
+        if (answer.httpStatus in STATUSES_WITHOUT_EFFECT) return TableResult.Unavailable("HTTP status ${answer.httpStatus}")
+        if (answer.httpStatus !in SUCCESS_STATUSES && answer.httpStatus != NOT_FOUND_STATUS) {
+            return lost("HTTP status ${answer.httpStatus}", repeatable)
+        }
+        return try {
+            TableResult.Answered(decode(answer))
+        } catch (failure: SerializationException) {
+            lost("malformed response", repeatable)
+        }
+    }
+
+    private fun lost(
+        detail: String,
+        repeatable: Boolean,
+    ): TableResult<Nothing> = if (repeatable) TableResult.Unavailable(detail) else TableResult.Unknown(detail)
+
+    private fun isConnectFailure(failure: Throwable): Boolean =
+        generateSequence(failure) { it.cause }.take(MAX_CAUSES).any { it is ConnectException || it is UnresolvedAddressException }
+
+    internal companion object {
+        const val NOT_FOUND_STATUS = 404
+        private const val MAX_CAUSES = 8
+        private val SUCCESS_STATUSES = 200..299
+
+        /** The platform answers these before it looks at a request. */
+        private val STATUSES_WITHOUT_EFFECT = setOf(400, 413, 429, 503)
+    }
+}
--- /dev/null
+++ b/standin/engine-model/src/main/kotlin/org/lycheemount/standin/enginemodel/EngineModel.kt
@@ -0,0 +1,281 @@
+package org.lycheemount.standin.enginemodel
+
+import org.lycheemount.common.ModelId
+import org.lycheemount.common.RequestId
+import java.util.TreeSet
+import kotlin.random.Random
+
+/**
+ * Model engine with continuous batching in virtual time.
+ *
+ * Pure state machine: each call passes the time in microseconds, which must not go back. Not thread-safe.
+ * [advance] returns what happened; the owner calls it at [nextEventUs] and before it reads any state.
+ *
+ * @param reportEachToken false reports only the first token of each attempt, which makes long simulations cheaper.
+ */
+class EngineModel(
+    val parameters: EngineParameters = EngineParameters(),
+    loadedModels: Map<ModelId, String>,
+    startUs: Long = 0,
+    seed: Int = 1,
+    private val reportEachToken: Boolean = true,
+) {
+    private val queue = TreeSet(Sequence.SERVING_ORDER)
+    private val running = ArrayList<Sequence>()
+    private val byRequest = HashMap<RequestId, Sequence>()
+    private val ended = LinkedHashMap<RequestId, Int>()
+    private val cacheLog = CacheEventLog(parameters, Random(seed))
+    private val cache = PrefixCache(parameters.cacheBlocks, { logCache(it, true) }, { logCache(it, false) })
+    private val loads = LoadHistory(parameters, startUs)
+    private val timed = TimedChanges()
+    private val models = HashMap(loadedModels)
+    private val events = ArrayList<EngineEvent>()
+    private var nowUs = startUs
+    private var arrivals = 0L
+    private var stepEndUs: Long? = null
+    private var pausedSinceUs: Long? = null
+
+    /** Factor on the duration of each step from the next one on; 1 is normal speed. */
+    var slowdown: Double = 1.0
+
+    /** While true, submissions are refused; running and queued requests go on. */
+    var leaving: Boolean = false
+
+    /** Whether commands with an older fencing token than the highest seen are refused. */
+    var checksFencingToken: Boolean = true
+
+    /** Share of cache events that are never published, from 0 to 1. */
+    var cacheEventLossShare: Double by cacheLog::lossShare
+
+    /** Greatest fencing token seen in a command. */
+    var highestFencingToken: Long = 0
+        private set
+
+    /** Sequences in the batch now; unlike [load] not delayed. */
+    val slotsHeld: Int get() = running.size
+
+    /** Requests that wait for a slot now. */
+    val queuedRequests: Int get() = queue.size
+
+    /** Output tokens made since the start. */
+    var generatedTokens: Long = 0
+        private set
+
+    /** Blocks in the prefix cache now. */
+    val cachedBlocks: Int get() = cache.size
+
+    /** Takes in a request. */
+    fun submit(
+        job: EngineJob,
+        nowUs: Long,
+    ): EngineAdmission {
+        runTo(nowUs)
+        if (leaving) return EngineAdmission.LEAVING
+        if (job.modelId !in models) return EngineAdmission.MODEL_NOT_LOADED
+        if (job.requestId in byRequest) return EngineAdmission.DUPLICATE
+        if (queue.size + running.size >= parameters.slots + parameters.queueLimit) return EngineAdmission.QUEUE_FULL
+        val sequence = Sequence(job, arrivals++)
+        queue += sequence
+        byRequest[job.requestId] = sequence
+        if (stepEndUs == null) startStep()
+        return EngineAdmission.ACCEPTED
+    }
+
+    /** Ends a request and frees its slot at once. Also answers for requests that ended a short time ago. */
+    fun cancel(
+        requestId: RequestId,
+        nowUs: Long,
+    ): EngineCancellation {
+        runTo(nowUs)
+        val sequence = byRequest.remove(requestId) ?: return EngineCancellation(requestId in ended, ended[requestId] ?: 0)
+        queue.remove(sequence)
+        running.remove(sequence)
+        end(sequence, REASON_CANCELLED)
+        return EngineCancellation(true, sequence.nextToken)
+    }
+
+    /** Moves the time on and returns all events since the last call, in order. */
+    fun advance(nowUs: Long): List<EngineEvent> {
+        runTo(nowUs)
+        val happened = ArrayList(events)
+        events.clear()
+        return happened
+    }
+
+    /** Returns the time of the next step's end or other change of requests, or null while idle. */
+    fun nextEventUs(): Long? = if (events.isNotEmpty()) nowUs else stepEndUs.takeIf { pausedSinceUs == null }
+
+    /** Returns the load as published at [nowUs]. */
+    fun load(nowUs: Long): EngineLoadView {
+        runTo(nowUs)
+        val sample = loads.published(nowUs)
+        return EngineLoadView(
+            ageUs = nowUs - sample.takenAtUs,
+            runningRequests = sample.running,
+            queuedRequests = sample.queued,
+            capacity = parameters.slots,
+            leaving = leaving,
+            loadedModels = models.toMap(),
+            highestFencingToken = highestFencingToken,
+        )
+    }
+
+    /** Returns the published cache events after [afterSequence]. */
+    fun cacheEvents(
+        afterSequence: Long,
+        nowUs: Long,
+    ): CacheEventView {
+        runTo(nowUs)
+        return cacheLog.read(afterSequence, nowUs)
+    }
+
+    /** Returns how many leading blocks of [prefixHashes] can be exported. */
+    fun exportableBlocks(prefixHashes: List<Long>): Int = cache.countCached(prefixHashes)
+
+    /** Starts the import of [prefixHashes] from another engine and returns the time at which the blocks are usable. */
+    fun importBlocks(
+        prefixHashes: List<Long>,
+        nowUs: Long,
+    ): Long {
+        runTo(nowUs)
+        val readyAtUs = nowUs + parameters.cacheMoveBaseUs + prefixHashes.size * parameters.cacheMovePerBlockUs
+        timed.add(readyAtUs) { cache.store(prefixHashes) }
+        return readyAtUs
+    }
+
+    /** Starts to load [version] of [modelId], which is usable after the load time; false when the fencing token is stale. */
+    fun loadModel(
+        modelId: ModelId,
+        version: String,
+        fencingToken: Long,
+        nowUs: Long,
+    ): Boolean {
+        runTo(nowUs)
+        if (!acceptToken(fencingToken)) return false
+        if (models[modelId] != version) timed.add(nowUs + parameters.weightLoadUs) { models[modelId] = version }
+        return true
+    }
+
+    /** Unloads [modelId] at once; requests that run go on. False when the fencing token is stale. */
+    fun unloadModel(
+        modelId: ModelId,
+        fencingToken: Long,
+        nowUs: Long,
+    ): Boolean {
+        runTo(nowUs)
+        if (!acceptToken(fencingToken)) return false
+        models.remove(modelId)
+        return true
+    }
+
+    /** Stops all progress, as a hung device does, until [resume]. */
+    fun pause(nowUs: Long) {
+        runTo(nowUs)
+        if (pausedSinceUs == null) pausedSinceUs = nowUs
+    }
+
+    /** Goes on after [pause]. */
+    fun resume(nowUs: Long) {
+        runTo(nowUs)
+        val since = pausedSinceUs ?: return
+        pausedSinceUs = null
+        stepEndUs = stepEndUs?.plus(nowUs - since)
+    }
+
+    private fun acceptToken(fencingToken: Long): Boolean {
+        if (checksFencingToken && fencingToken < highestFencingToken) return false
+        highestFencingToken = maxOf(highestFencingToken, fencingToken)
+        return true
+    }
+
+    private fun runTo(targetUs: Long) {
+        check(targetUs >= nowUs) { "time went back from $nowUs to $targetUs" }
+        while (true) {
+            val stepEnd = stepEndUs.takeIf { pausedSinceUs == null } ?: Long.MAX_VALUE
+            val change = timed.nextUs() ?: Long.MAX_VALUE
+            val next = minOf(stepEnd, change)
+            if (next > targetUs) break
+            loads.skipTo(next - 1, running.size, queue.size)
+            nowUs = next
+            if (change <= stepEnd) timed.runNext() else endStep()
+        }
+        loads.skipTo(targetUs, running.size, queue.size)
+        nowUs = targetUs
+    }
+
+    private fun startStep() {
+        while (running.size <
+            parameters.slots
+        ) {
+            running += queue.pollFirst()?.also { it.start(cache.useCached(it.job.prefixHashes)) } ?: break
+        }
+        if (running.isEmpty()) {
+            stepEndUs = null
+            return
+        }
+        var budget = parameters.prefillTokensPerStep
+        var decoding = 0
+        for (sequence in running) {
+            val share = minOf(budget, sequence.prefillLeft)
+            sequence.prefillLeft -= share
+            budget -= share
+            sequence.decodesInStep = sequence.prefillLeft == 0
+            if (sequence.decodesInStep) decoding++
+        }
+        val prefilled = parameters.prefillTokensPerStep - budget
+        val durationUs =
+            parameters.stepBaseUs + decoding * parameters.stepPerSequenceUs + prefilled * parameters.prefillPerTokenUs
+        stepEndUs = nowUs + maxOf(1L, (durationUs * slowdown).toLong())
+    }
+
+    private fun endStep() {
+        val iterator = running.iterator()
+        while (iterator.hasNext()) {
+            val sequence = iterator.next()
+            if (!sequence.decodesInStep) continue
+            decode(sequence)
+            if (sequence.nextToken < sequence.totalTokens) continue
+            iterator.remove()
+            byRequest.remove(sequence.job.requestId)
+            end(sequence, if (sequence.totalTokens < sequence.job.naturalTokens) REASON_LENGTH else REASON_STOP)
+        }
+        startStep()
+    }
+
+    private fun decode(sequence: Sequence) {
+        val first = sequence.nextToken == sequence.job.startAtToken
+        if (first) cache.store(sequence.job.prefixHashes)
+        if (sequence.nextToken >= sequence.totalTokens) return
+        if (first || reportEachToken) events += EngineEvent.Token(sequence.job.requestId, nowUs, sequence.nextToken, first)
+        sequence.nextToken++
+        generatedTokens++
+    }
+
+    private fun end(
+        sequence: Sequence,
+        reason: String,
+    ) {
+        ended[sequence.job.requestId] = sequence.nextToken
+        if (ended.size > REMEMBERED_ENDED_REQUESTS) ended.remove(ended.keys.first())
+        events += EngineEvent.Finished(sequence.job.requestId, nowUs, reason, sequence.nextToken, sequence.cachedTokens)
+    }
+
+    private fun logCache(
+        hash: Long,
+        stored: Boolean,
+    ) = cacheLog.append(hash, stored, nowUs)
+
+    /** Finish reasons. */
+    companion object {
+        /** The answer ended by itself. */
+        const val REASON_STOP: String = "stop"
+
+        /** The answer reached the request's limit. */
+        const val REASON_LENGTH: String = "length"
+
+        /** The request was cancelled. */
+        const val REASON_CANCELLED: String = "cancelled"
+
+        private const val REMEMBERED_ENDED_REQUESTS = 4_096
+    }
+}
--- /dev/null
+++ b/standin/engine-model/src/main/kotlin/org/lycheemount/standin/enginemodel/LoadHistory.kt
@@ -0,0 +1,45 @@
+package org.lycheemount.standin.enginemodel
+
+/** Samples of the load at fixed intervals, published with a delay. */
+internal class LoadHistory(
+    private val parameters: EngineParameters,
+    startUs: Long,
+) {
+    class Sample(
+        val takenAtUs: Long,
+        val running: Int,
+        val queued: Int,
+    )
+
+    private val samples = ArrayDeque(listOf(Sample(startUs, 0, 0)))
+
+    var nextSampleUs: Long = startUs + parameters.loadReportIntervalUs
+        private set
+
+    fun record(
+        running: Int,
+        queued: Int,
+    ) {
+        samples.addLast(Sample(nextSampleUs, running, queued))
+        nextSampleUs += parameters.loadReportIntervalUs
+        val newest = samples.last().takenAtUs
+        while (samples.size > 1 && samples[1].takenAtUs + parameters.loadReportDelayUs <= newest) samples.removeFirst()
+    }
+
+    /** Skips the samples before [nowUs] of an engine whose load has not changed since. */
+    fun skipTo(
+        nowUs: Long,
+        running: Int,
+        queued: Int,
+    ) {
+        val missed = (nowUs - nextSampleUs) / parameters.loadReportIntervalUs
+        if (missed > MAX_SAMPLES_WHILE_IDLE) nextSampleUs += (missed - MAX_SAMPLES_WHILE_IDLE) * parameters.loadReportIntervalUs
+        while (nextSampleUs <= nowUs) record(running, queued)
+    }
+
+    fun published(nowUs: Long): Sample = samples.lastOrNull { it.takenAtUs + parameters.loadReportDelayUs <= nowUs } ?: samples.first()
+
+    private companion object {
+        private const val MAX_SAMPLES_WHILE_IDLE = 16
+    }
+}
--- /dev/null
+++ b/standin/engine-model/src/main/kotlin/org/lycheemount/standin/enginemodel/OutputTokens.kt
@@ -0,0 +1,45 @@
+package org.lycheemount.standin.enginemodel
+
+/**
+ * The modelled engine's answer to a prompt.
+ *
+ * A function of the prompt and the token's index alone, so that a resumed stream can be checked.
+ */
+object OutputTokens {
+    private const val MIN_NATURAL_TOKENS = 16
+    private const val NATURAL_TOKENS_RANGE = 112
+    private const val VOCABULARY = 9_973
+    private val STATED_LENGTH = Regex("""\[\[tokens=(\d{1,6})]]""")
+
+    /** Returns the number that selects the answer to [prompt]. */
+    fun seedOf(prompt: String): Long = prompt.fold(1_125_899_906_842_597L) { hash, char -> 31 * hash + char.code }
+
+    /** Returns the text of the token at [index] of the answer with [seed]. */
+    fun token(
+        seed: Long,
+        index: Int,
+    ): String = "w${Math.floorMod(mix(seed + index), VOCABULARY)} "
+
+    /** Returns the length of the whole answer in tokens; a prompt states it as `[[tokens=N]]`, or else it follows from the prompt. */
+    fun naturalLength(prompt: String): Int =
+        STATED_LENGTH
+            .find(prompt)
+            ?.groupValues
+            ?.get(1)
+            ?.toInt()
+            ?: (MIN_NATURAL_TOKENS + Math.floorMod(mix(seedOf(prompt)), NATURAL_TOKENS_RANGE))
+
+    /** Returns tokens [from] until [until] of the answer to [prompt]. */
+    fun tokens(
+        prompt: String,
+        from: Int,
+        until: Int,
+    ): List<String> = seedOf(prompt).let { seed -> (from until until).map { token(seed, it) } }
+
+    private fun mix(value: Long): Long {
+        var mixed = value * -0x61c8864680b583ebL
+        mixed = (mixed xor (mixed ushr 30)) * -0x40a7b892e31b1a47L
+        mixed = (mixed xor (mixed ushr 27)) * -0x6b2fb644ecceee15L
+        return mixed xor (mixed ushr 31)
+    }
+}
