Schedule by targets: slack queue, admission, health, prefix affinity

Cause: least in flight ignores targets, teams, caches and faults. Change: the queue of each target is ordered by latest useful start among teams within their fair share; admission compares the expected wait, from learned service times and the slots that the open servers give this router, with the targets; dead work is dropped before it is started; servers are chosen by expected cost from own load, age-discounted reports, prefix index, zone and health, as the better of two random near-best ones. A server's limit adapts to its time to first token; failing, hung and slow servers are ejected and readmitted by probes.

--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -2,46 +2,83 @@
 
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.BackendTarget
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.RefusalReason
 import org.lycheemount.common.RequestId
+import org.lycheemount.common.WorkClassId
 import org.lycheemount.common.ZoneId
 import org.lycheemount.config.WorkClass
+import java.util.TreeSet
 import kotlin.random.Random
 
-private const val NO_SERVER_RETRY_MS = 1_000L
+// A request that may wait leaves this much of a server free for requests that may not.
+private const val PATIENT_RESERVE = 2.0
+private const val PATIENT_SLACK_MS = 5_000L
 
-/** Assigns queued requests to the live backend server with the fewest requests in flight from this router. */
+// An engine serves by priority, so a request about to miss its target may wait there for the next free slot.
+private const val URGENT_EXCESS = 2.0
+private const val URGENT_SLACK_MS = 300L
+private const val PRIORITY_STEP_MS = 50L
+private const val MAX_PRIORITY = 10_000L
+
+/** Composes queue, admission, server selection and health into the scheduler of one router. */
 internal class DefaultRequestScheduler(
-    private val zoneId: ZoneId,
+    zoneId: ZoneId,
     seed: Long,
+    weights: SelectorWeights = SelectorWeights(),
 ) : RequestScheduler {
     private val random = Random(seed)
-    private val queue = LinkedHashMap<RequestId, WorkItem>()
-    private val inFlight = HashMap<RequestId, BackendServerId>()
-    private var servers: List<BackendServer> = emptyList()
+    private val selector = ServerSelector(zoneId, random, weights)
+    private val admission = AdmissionControl(random)
+    private val workClasses = HashMap<WorkClassId, WorkClass>()
+    private val lanes = LinkedHashMap<BackendTarget, TargetQueue>()
+    private val servers = LinkedHashMap<BackendServerId, ServerState>()
+    private val queued = HashMap<RequestId, QueuedRequest>()
+    private val dropOrder = TreeSet<QueuedRequest>(compareBy({ it.dropAtMs }, { it.sequence }))
+    private val started = HashMap<RequestId, StartedRequest>()
+    private var lastSequence = 0L
 
-    override fun onWorkClasses(workClasses: Collection<WorkClass>) = Unit
+    override fun onWorkClasses(workClasses: Collection<WorkClass>) {
+        this.workClasses.clear()
+        workClasses.associateByTo(this.workClasses) { it.workClassId }
+    }
 
     override fun onBackendServers(
         servers: List<BackendServer>,
         nowMs: Long,
     ) {
-        this.servers = servers
+        val listed = servers.associateBy { it.backendServerId }
+        // A server that is gone is kept while requests of this router still run on it, so that their ends are counted.
+        for (state in this.servers.values) {
+            if (state.id !in listed) state.server = state.server.copy(leaving = true)
+        }
+        this.servers.values.removeIf { it.id !in listed && it.ownInFlight == 0 }
+        for (server in servers) {
+            val known = this.servers[server.backendServerId]
+            when {
+                known == null || known.server.vmId != server.vmId -> this.servers[server.backendServerId] = ServerState(server)
+                else -> known.server = server
+            }
+        }
     }
 
     override fun submit(
         item: WorkItem,
         nowMs: Long,
     ): SubmitOutcome {
-        if (isPastDeadline(item, nowMs)) {
-            return SubmitOutcome.Refused(Refusal(RefusalReason.DEADLINE_PAST, "the deadline has passed"))
-        }
-        if (servers.none { accepts(it, item) }) {
-            val refusal = Refusal(RefusalReason.NO_BACKEND_SERVER, "no backend server is live", NO_SERVER_RETRY_MS)
-            return SubmitOutcome.Refused(refusal)
-        }
-        queue[item.requestId] = item
+        val lane = lanes.getOrPut(item.target) { TargetQueue(item.target) }
+        val candidates = servers.values.filter { serves(it, item) && !it.server.leaving && !it.health.isLeaving(nowMs) }
+        if (candidates.isEmpty()) return SubmitOutcome.Refused(admission.noServer())
+        val workClass = workClasses[item.workClassId] ?: defaultWorkClass(item.workClassId)
+        val estimate = lane.estimator.estimate(item, bestCachedTokens(candidates, item, nowMs))
+        val dueAtMs = dueAtMs(item, workClass, estimate, lane.estimator.firstTokenStretch)
+        val waitMs = lane.waitMs(item, dueAtMs, candidates.filter { it.isOpen(nowMs) }, nowMs)
+        admission.refusal(item, workClass, lane, waitMs, dueAtMs, nowMs)?.let { return SubmitOutcome.Refused(it) }
+        enqueue(
+            lane,
+            QueuedRequest(item, workClass, ++lastSequence, nowMs, estimate.serviceMs, dueAtMs, dropAtMs(item, workClass, dueAtMs), waitMs),
+        )
         return SubmitOutcome.Queued
     }
 
@@ -49,8 +86,9 @@
         requestId: RequestId,
         nowMs: Long,
     ) {
-        queue.remove(requestId)
-        inFlight.remove(requestId)
+        queued[requestId]?.let(::dequeue)
+        val request = started.remove(requestId) ?: return
+        servers[request.serverId]?.end(request, answered = false, nowMs)
     }
 
     override fun onServiceEvent(
@@ -58,58 +96,216 @@
         event: ServiceEvent,
         nowMs: Long,
     ) {
-        if (event != ServiceEvent.FirstToken) inFlight.remove(requestId)
+        val request = started[requestId] ?: return
+        val state = servers[request.serverId]
+        val lane = lanes.getValue(request.item.target)
+        when (event) {
+            ServiceEvent.FirstToken -> onFirstToken(request, state, lane, nowMs)
+            is ServiceEvent.Completed -> onCompleted(request, state, lane, event, nowMs)
+            is ServiceEvent.Failed -> onFailed(request, state, event.kind, nowMs)
+        }
     }
 
     override fun onLoadReport(
         report: LoadReport,
         nowMs: Long,
-    ) = Unit
+    ) {
+        val state = servers[report.backendServerId] ?: return
+        state.reported.onReport(report, nowMs)
+        state.reported.capacity?.let(state.limit::onCapacity)
+    }
 
     override fun onCacheEvents(
         events: CacheEvents,
         nowMs: Long,
-    ) = Unit
+    ) {
+        val prefixes = servers[events.backendServerId]?.prefixes ?: return
+        if (events.gap) prefixes.onGap(nowMs)
+        prefixes.evict(events.evictedPrefixHashes)
+        prefixes.store(events.storedPrefixHashes, nowMs)
+    }
 
     override fun poll(nowMs: Long): List<SchedulerAction> {
         val actions = ArrayList<SchedulerAction>()
-        val iterator = queue.values.iterator()
-        while (iterator.hasNext()) {
-            val item = iterator.next()
-            val action = decide(item, nowMs) ?: continue
-            iterator.remove()
-            actions += action
+        for (state in servers.values) {
+            if (state.hangAtMs()?.let { it <= nowMs } == true) state.health.onHang(nowMs)
         }
+        dropDeadWork(nowMs, actions)
+        for (lane in lanes.values) startReady(lane, nowMs, actions)
         return actions
     }
 
-    override fun nextWakeUpMs(nowMs: Long): Long? = queue.values.mapNotNull { it.deadlineAtMs }.minOrNull()
+    override fun nextWakeUpMs(nowMs: Long): Long? {
+        val times = ArrayList<Long>()
+        dropOrder.firstOrNull()?.dropAtMs?.let(times::add)
+        for (state in servers.values) {
+            val hangAt = state.hangAtMs()
+            if (hangAt != null && state.health.allowedRequests(nowMs) > 0) times += hangAt
+            if (queued.isNotEmpty()) {
+                state.health
+                    .probeAtMs()
+                    ?.takeIf { it > nowMs }
+                    ?.let(times::add)
+            }
+        }
+        return times.minOrNull()?.let { maxOf(it, nowMs) }
+    }
 
-    private fun decide(
-        item: WorkItem,
+    private fun startReady(
+        lane: TargetQueue,
         nowMs: Long,
-    ): SchedulerAction? {
-        if (isPastDeadline(item, nowMs)) {
-            return SchedulerAction.Drop(item.requestId, Refusal(RefusalReason.DEADLINE_PAST, "the deadline passed in the queue"))
+        actions: MutableList<SchedulerAction>,
+    ) {
+        while (lane.queue.size > 0) {
+            val open = servers.values.filter { lane.target in it.server.targets && it.room(nowMs) > -URGENT_EXCESS && it.isOpen(nowMs) }
+            if (open.isEmpty()) return
+            val request = lane.queue.select { candidate -> open.any { takes(it, candidate, nowMs) } } ?: return
+            val choice = selector.choose(open.filter { takes(it, request, nowMs) }, request.item, lane.estimator, nowMs) ?: return
+            actions += start(lane, request, choice, nowMs)
         }
-        val server = servers.filter { accepts(it, item) }.minWithOrNull(choiceOrder()) ?: return null
-        inFlight[item.requestId] = server.backendServerId
-        return SchedulerAction.Start(item.requestId, server.backendServerId, priority = 0)
     }
 
-    private fun choiceOrder(): Comparator<BackendServer> {
-        val counts = inFlight.values.groupingBy { it }.eachCount()
-        val ties = servers.associate { it.backendServerId to random.nextInt() }
-        return compareBy({ counts[it.backendServerId] ?: 0 }, { it.zoneId != zoneId }, { ties[it.backendServerId] })
+    private fun start(
+        lane: TargetQueue,
+        request: QueuedRequest,
+        choice: ScoredServer,
+        nowMs: Long,
+    ): SchedulerAction {
+        lane.queue.start(request)
+        dequeue(request)
+        lane.onStarted(request, nowMs)
+        val item = request.item
+        val estimate = lane.estimator.estimate(item, cachedTokens(item, choice.matchedBlocks))
+        val running = StartedRequest(item, choice.state.id, nowMs, choice.matchedBlocks, estimate, choice.state.load(nowMs) + 1)
+        started[item.requestId] = running
+        choice.state.start(running, nowMs)
+        val priority = ((request.dueAtMs - nowMs) / PRIORITY_STEP_MS).coerceIn(0, MAX_PRIORITY).toInt()
+        return SchedulerAction.Start(item.requestId, choice.state.id, priority)
+    }
+
+    private fun takes(
+        state: ServerState,
+        request: QueuedRequest,
+        nowMs: Long,
+    ): Boolean {
+        if (state.id in request.item.excludedServers) return false
+        if (state.health.allowedRequests(nowMs) <= state.ownInFlight) return false
+        val slackMs = request.dueAtMs - nowMs
+        val needed =
+            when {
+                slackMs < URGENT_SLACK_MS -> -URGENT_EXCESS
+                slackMs < PATIENT_SLACK_MS -> 1.0
+                else -> 1.0 + PATIENT_RESERVE
+            }
+        return state.room(nowMs) >= minOf(needed, state.limit.limit)
+    }
+
+    private fun dropDeadWork(
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        while (true) {
+            val request = dropOrder.firstOrNull() ?: return
+            val dropAt = request.dropAtMs ?: error("a request without drop time is in the drop order")
+            if (dropAt > nowMs) return
+            dequeue(request)
+            val past = request.item.deadlineAtMs?.let { it <= nowMs } ?: false
+            val refusal = if (past) Refusal(RefusalReason.DEADLINE_PAST, "the deadline passed in the queue") else admission.expired()
+            actions += SchedulerAction.Drop(request.item.requestId, refusal)
+        }
     }
 
-    private fun accepts(
-        server: BackendServer,
+    private fun onFirstToken(
+        request: StartedRequest,
+        state: ServerState?,
+        lane: TargetQueue,
+        nowMs: Long,
+    ) {
+        if (state == null || request.firstTokenAtMs != null) return
+        state.onFirstToken(request, nowMs)
+        val elapsedMs = nowMs - request.startedAtMs
+        state.limit.onFirstToken(elapsedMs, request.estimate.firstTokenMs, request.loadAtStart, nowMs)
+        lane.estimator.onFirstToken(request.item, request.predictedCachedTokens, elapsedMs)
+    }
+
+    private fun onCompleted(
+        request: StartedRequest,
+        state: ServerState?,
+        lane: TargetQueue,
+        event: ServiceEvent.Completed,
+        nowMs: Long,
+    ) {
+        started.remove(request.item.requestId)
+        if (state == null) return
+        onFirstToken(request, state, lane, nowMs)
+        val firstTokenAt = request.firstTokenAtMs ?: nowMs
+        lane.estimator.onCompleted(request.item, event.outputTokens, nowMs - firstTokenAt)
+        val decodeMs = event.outputTokens * lane.estimator.decodeMsPerToken
+        val ratio = (nowMs - request.startedAtMs) / maxOf(1.0, request.estimate.firstTokenMs + decodeMs)
+        state.end(request, answered = true, nowMs)
+        state.health.onSuccess(ratio, peerSlowness(state, request.item), nowMs)
+        observeCache(request, state, event.cachedPromptTokens)
+    }
+
+    private fun onFailed(
+        request: StartedRequest,
+        state: ServerState?,
+        kind: FailureKind,
+        nowMs: Long,
+    ) {
+        started.remove(request.item.requestId)
+        if (state == null) return
+        state.end(request, answered = kind == FailureKind.REFUSED_BUSY, nowMs)
+        state.health.onFailure(kind, nowMs)
+        if (kind == FailureKind.REFUSED_BUSY) state.limit.onRefusedBusy(request.loadAtStart, nowMs)
+    }
+
+    private fun observeCache(
+        request: StartedRequest,
+        state: ServerState,
+        cachedPromptTokens: Int,
+    ) {
+        val item = request.item
+        if (item.promptTokens == 0) return
+        val blocks = (cachedPromptTokens.toLong() * item.prefixHashes.size / item.promptTokens).toInt()
+        state.prefixes.onObserved(request.predictedBlocks, blocks)
+    }
+
+    private fun peerSlowness(
+        state: ServerState,
         item: WorkItem,
-    ) = !server.leaving && item.target in server.targets && server.backendServerId !in item.excludedServers
+    ): Double {
+        val peers =
+            servers.values
+                .filter { it !== state && item.target in it.server.targets }
+                .map { it.health.slowness }
+                .sorted()
+        return if (peers.isEmpty()) Double.MAX_VALUE else peers[peers.size / 2]
+    }
 
-    private fun isPastDeadline(
+    private fun bestCachedTokens(
+        candidates: List<ServerState>,
         item: WorkItem,
         nowMs: Long,
-    ) = item.deadlineAtMs?.let { it <= nowMs } ?: false
+    ) = cachedTokens(item, candidates.maxOf { it.prefixes.matchedBlocks(item.prefixHashes, nowMs) })
+
+    private fun serves(
+        state: ServerState,
+        item: WorkItem,
+    ) = item.target in state.server.targets && state.id !in item.excludedServers
+
+    private fun enqueue(
+        lane: TargetQueue,
+        request: QueuedRequest,
+    ) {
+        lane.queue.add(request)
+        queued[request.item.requestId] = request
+        if (request.dropAtMs != null) dropOrder += request
+    }
+
+    private fun dequeue(request: QueuedRequest) {
+        lanes.getValue(request.item.target).queue.remove(request)
+        queued.remove(request.item.requestId)
+        if (request.dropAtMs != null) dropOrder.remove(request)
+    }
 }
--- /dev/null
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ReportedLoad.kt
@@ -0,0 +1,66 @@
+package org.lycheemount.scheduling
+
+import kotlin.math.exp
+
+private const val AGE_SCALE_MS = 4_000.0
+private const val MEAN_GAIN = 0.2
+private const val HISTORY_MS = 15_000L
+
+/**
+ * Estimates the load that other routers put on one backend server from its lagged load reports.
+ *
+ * A report loses weight with its age in favour of the mean of earlier reports, so that an old one neither attracts nor
+ * repels work for long.
+ */
+internal class ReportedLoad {
+    private val ownHistory = ArrayDeque<OwnLoad>()
+    private var measuredAtMs = 0L
+    private var othersAtReport = 0.0
+    private var meanOthers = 0.0
+    private var reports = 0
+
+    /** Requests that the server says it can run at once; null before the first report. */
+    var capacity: Int? = null
+        private set
+
+    var queuedAtReport: Int = 0
+        private set
+
+    /** Remembers this router's own requests in flight, to be taken off later reports. */
+    fun onOwnLoad(
+        inFlight: Int,
+        nowMs: Long,
+    ) {
+        ownHistory.addLast(OwnLoad(nowMs, inFlight))
+        while (ownHistory.size > 1 && ownHistory[1].atMs < nowMs - HISTORY_MS) ownHistory.removeFirst()
+    }
+
+    fun onReport(
+        report: LoadReport,
+        nowMs: Long,
+    ) {
+        val atMs = nowMs - report.ageMs
+        if (reports > 0 && atMs < measuredAtMs) return
+        measuredAtMs = atMs
+        val own = ownHistory.lastOrNull { it.atMs <= atMs }?.inFlight ?: 0
+        othersAtReport = maxOf(0, report.runningRequests + report.queuedRequests - own).toDouble()
+        meanOthers = if (reports == 0) othersAtReport else meanOthers + MEAN_GAIN * (othersAtReport - meanOthers)
+        queuedAtReport = report.queuedRequests
+        if (report.capacity > 0) capacity = report.capacity
+        reports++
+    }
+
+    /** Expected requests of other routers on the server. */
+    fun others(nowMs: Long): Double {
+        if (reports == 0) return 0.0
+        val weight = exp(-(nowMs - measuredAtMs) / AGE_SCALE_MS)
+        return weight * othersAtReport + (1 - weight) * meanOthers
+    }
+
+    fun ageMs(nowMs: Long): Long? = if (reports == 0) null else nowMs - measuredAtMs
+
+    private class OwnLoad(
+        val atMs: Long,
+        val inFlight: Int,
+    )
+}
--- /dev/null
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
@@ -0,0 +1,103 @@
+package org.lycheemount.scheduling
+
+import org.lycheemount.common.ZoneId
+import kotlin.random.Random
+
+// One hop between zones costs about 1 ms each way, so the zone only decides between otherwise equal servers.
+private const val OTHER_ZONE_MS = 2.0
+
+/** A server together with the cost of sending one request there. */
+internal class ScoredServer(
+    val state: ServerState,
+    val matchedBlocks: Int,
+    val costMs: Double,
+)
+
+/**
+ * Weights of the choice of a backend server; found by `bin/measure routing`.
+ *
+ * @property load cost of a full server relative to the request's decode time.
+ * @property prefillSharing share of the running requests that a prefill delays.
+ * @property home preference for the home server of a prefix, relative to the prefill of the whole prompt.
+ * @property bandShare servers within this share of the best cost count as equally good.
+ */
+internal data class SelectorWeights(
+    val load: Double = 0.5,
+    val prefillSharing: Double = 0.3,
+    val home: Double = 0.3,
+    val bandShare: Double = 0.1,
+)
+
+/** Chooses the backend server of one request. */
+internal class ServerSelector(
+    private val zoneId: ZoneId,
+    private val random: Random,
+    private val weights: SelectorWeights,
+) {
+    /**
+     * Returns the better of two random ones among the servers whose cost is close to the best, so that routers with the
+     * same stale reports spread their choices.
+     */
+    fun choose(
+        candidates: List<ServerState>,
+        item: WorkItem,
+        estimator: ServiceEstimator,
+        nowMs: Long,
+    ): ScoredServer? {
+        if (candidates.isEmpty()) return null
+        val home = homeOf(candidates, item)
+        val scored = candidates.map { score(it, it === home, item, estimator, nowMs) }
+        val best = scored.minOf { it.costMs }
+        val band = scored.filter { it.costMs <= best + maxOf(OTHER_ZONE_MS, weights.bandShare * best) }
+        val first = band[random.nextInt(band.size)]
+        val second = band[random.nextInt(band.size)]
+        return if (first.costMs <= second.costMs) first else second
+    }
+
+    private fun score(
+        state: ServerState,
+        isHome: Boolean,
+        item: WorkItem,
+        estimator: ServiceEstimator,
+        nowMs: Long,
+    ): ScoredServer {
+        val matched = state.prefixes.matchedBlocks(item.prefixHashes, nowMs)
+        val uncached = item.promptTokens - cachedTokens(item, matched)
+        val load = state.load(nowMs)
+        val relativeLoad = load / maxOf(1.0, state.limit.limit)
+        val estimate = estimator.estimate(item, cachedTokens(item, matched))
+        val queueMs = estimator.prefillMs(state.pendingPrefillTokens)
+        val sharedMs = weights.prefillSharing * load * (estimator.prefillMs(uncached) - estimator.prefillMs(0))
+        val loadMs = weights.load * relativeLoad * maxOf(estimate.serviceMs, 1.0)
+        val homeMs = if (isHome) weights.home * (estimator.prefillMs(item.promptTokens) - estimator.prefillMs(0)) else 0.0
+        val zoneMs = if (state.server.zoneId == zoneId) 0.0 else OTHER_ZONE_MS
+        val slowness = maxOf(1.0, state.health.slowness)
+        val costMs = slowness * (estimate.firstTokenMs + queueMs + sharedMs + loadMs) - homeMs + zoneMs
+        return ScoredServer(state, matched, costMs)
+    }
+
+    /** All routers agree on the home of a prefix without talking, so that its first requests meet on one server. */
+    private fun homeOf(
+        candidates: List<ServerState>,
+        item: WorkItem,
+    ): ServerState? {
+        val root = item.prefixHashes.firstOrNull() ?: return null
+        return candidates.maxByOrNull {
+            mix(
+                root xor
+                    mix(
+                        it.id.value
+                            .hashCode()
+                            .toLong(),
+                    ),
+            )
+        }
+    }
+
+    private fun mix(value: Long): Long {
+        var mixed = value * -0x61c8864680b583ebL
+        mixed = (mixed xor (mixed ushr 30)) * -0x40a7b892e31b1a47L
+        mixed = (mixed xor (mixed ushr 27)) * -0x6b2fb644ecceee15L
+        return mixed xor (mixed ushr 31)
+    }
+}
--- /dev/null
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
@@ -0,0 +1,79 @@
+package org.lycheemount.scheduling
+
+import org.lycheemount.common.BackendServer
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.RequestId
+
+private const val HANG_FLOOR_MS = 2_000L
+private const val HANG_FACTOR = 8.0
+
+/** What this router knows of one backend server. */
+internal class ServerState(
+    var server: BackendServer,
+) {
+    val health = ServerHealth()
+    val limit = ConcurrencyLimit()
+    val reported = ReportedLoad()
+    val prefixes = PrefixIndex()
+    private val inFlight = LinkedHashMap<RequestId, StartedRequest>()
+    private var lastProgressAtMs = Long.MIN_VALUE
+
+    /** Prompt tokens sent to the server that have not led to a first token yet. */
+    var pendingPrefillTokens = 0
+        private set
+
+    val id: BackendServerId get() = server.backendServerId
+    val ownInFlight: Int get() = inFlight.size
+
+    fun load(nowMs: Long): Double = ownInFlight + reported.others(nowMs)
+
+    /** Whether the server may get work at all. */
+    fun isOpen(nowMs: Long): Boolean = !server.leaving && !health.isLeaving(nowMs) && health.allowedRequests(nowMs) > 0
+
+    /** Further requests that the server can take now; may be a fraction or negative. */
+    fun room(nowMs: Long): Double =
+        if (isOpen(nowMs)) minOf(limit.limit - load(nowMs), (health.allowedRequests(nowMs) - ownInFlight).toDouble()) else 0.0
+
+    /** Concurrent requests that this router can count on here. */
+    fun ownShare(nowMs: Long): Double = if (isOpen(nowMs)) maxOf(0.0, ownInFlight + room(nowMs)) else 0.0
+
+    fun start(
+        request: StartedRequest,
+        nowMs: Long,
+    ) {
+        inFlight[request.item.requestId] = request
+        pendingPrefillTokens += pendingTokens(request)
+        prefixes.store(request.item.prefixHashes, nowMs)
+        reported.onOwnLoad(ownInFlight, nowMs)
+    }
+
+    fun onFirstToken(
+        request: StartedRequest,
+        nowMs: Long,
+    ) {
+        if (request.firstTokenAtMs != null) return
+        request.firstTokenAtMs = nowMs
+        pendingPrefillTokens -= pendingTokens(request)
+        lastProgressAtMs = nowMs
+    }
+
+    fun end(
+        request: StartedRequest,
+        answered: Boolean,
+        nowMs: Long,
+    ) {
+        if (inFlight.remove(request.item.requestId) == null) return
+        if (request.firstTokenAtMs == null) pendingPrefillTokens -= pendingTokens(request)
+        if (answered) lastProgressAtMs = nowMs
+        reported.onOwnLoad(ownInFlight, nowMs)
+    }
+
+    /** When the server counts as hung if nothing comes from it until then, or null when it owes no first token. */
+    fun hangAtMs(): Long? {
+        val waiting = inFlight.values.firstOrNull { it.firstTokenAtMs == null } ?: return null
+        val patienceMs = maxOf(HANG_FLOOR_MS, (HANG_FACTOR * waiting.estimate.firstTokenMs).toLong())
+        return maxOf(waiting.startedAtMs, lastProgressAtMs) + patienceMs
+    }
+
+    private fun pendingTokens(request: StartedRequest) = request.item.promptTokens - request.predictedCachedTokens
+}
--- /dev/null
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServiceEstimator.kt
@@ -0,0 +1,90 @@
+package org.lycheemount.scheduling
+
+import org.lycheemount.common.BackendTarget
+import org.lycheemount.common.WorkClassId
+
+private const val INITIAL_PREFILL_MS_PER_TOKEN = 0.2
+private const val INITIAL_DECODE_MS_PER_TOKEN = 25.0
+private const val INITIAL_SERVICE_MS = 20.0
+private const val INITIAL_OUTPUT_SHARE = 0.5
+private const val MIN_PREFILL_SAMPLE_TOKENS = 64
+
+// A time to first token contains queueing at the engine, so the estimate follows low samples faster than high ones.
+private const val LOW_SAMPLE_GAIN = 0.2
+private const val HIGH_SAMPLE_GAIN = 0.02
+private const val MEAN_GAIN = 0.1
+
+/** Expected times of one request at an average backend server. */
+internal data class ServiceEstimate(
+    val firstTokenMs: Double,
+    val decodeMs: Double,
+) {
+    val serviceMs: Double get() = firstTokenMs + decodeMs
+}
+
+/** Learns from observed service how long work takes at a target. */
+internal class ServiceEstimator(
+    private val target: BackendTarget,
+) {
+    private val outputTokens = HashMap<WorkClassId, Double>()
+    private val serviceCallMs = HashMap<WorkClassId, Double>()
+    private var prefillMsPerToken = INITIAL_PREFILL_MS_PER_TOKEN
+
+    /** Mean time of one output token; rises with the load of the engines. */
+    var decodeMsPerToken = INITIAL_DECODE_MS_PER_TOKEN
+        private set
+
+    /** Mean ratio of the time to first token to its estimate; above 1 while prefills delay each other. */
+    var firstTokenStretch = 1.0
+        private set
+
+    fun estimate(
+        item: WorkItem,
+        cachedTokens: Int,
+    ): ServiceEstimate {
+        if (target is BackendTarget.Service) {
+            return ServiceEstimate(serviceCallMs[item.workClassId] ?: INITIAL_SERVICE_MS, decodeMs = 0.0)
+        }
+        return ServiceEstimate(prefillMs(item.promptTokens - cachedTokens), expectedOutputTokens(item) * decodeMsPerToken)
+    }
+
+    fun prefillMs(tokens: Int): Double = decodeMsPerToken + maxOf(0, tokens) * prefillMsPerToken
+
+    fun expectedOutputTokens(item: WorkItem): Double {
+        val learned = outputTokens[item.workClassId] ?: return item.maxOutputTokens * INITIAL_OUTPUT_SHARE
+        return minOf(learned, item.maxOutputTokens.toDouble())
+    }
+
+    fun onFirstToken(
+        item: WorkItem,
+        cachedTokens: Int,
+        elapsedMs: Long,
+    ) {
+        if (target is BackendTarget.Service) {
+            serviceCallMs[item.workClassId] = lowMean(serviceCallMs[item.workClassId] ?: elapsedMs.toDouble(), elapsedMs.toDouble())
+            return
+        }
+        val uncached = item.promptTokens - cachedTokens
+        if (uncached < MIN_PREFILL_SAMPLE_TOKENS) return
+        val ratio = elapsedMs / maxOf(1.0, prefillMs(uncached))
+        firstTokenStretch = maxOf(1.0, firstTokenStretch + MEAN_GAIN * (ratio - firstTokenStretch))
+        val sample = maxOf(0.0, elapsedMs - decodeMsPerToken) / uncached
+        prefillMsPerToken = lowMean(prefillMsPerToken, sample)
+    }
+
+    fun onCompleted(
+        item: WorkItem,
+        tokens: Int,
+        decodeMs: Long,
+    ) {
+        if (target is BackendTarget.Service || tokens <= 0) return
+        val previous = outputTokens[item.workClassId] ?: tokens.toDouble()
+        outputTokens[item.workClassId] = previous + MEAN_GAIN * (tokens - previous)
+        decodeMsPerToken += MEAN_GAIN * (decodeMs.toDouble() / tokens - decodeMsPerToken)
+    }
+
+    private fun lowMean(
+        mean: Double,
+        sample: Double,
+    ) = mean + (if (sample < mean) LOW_SAMPLE_GAIN else HIGH_SAMPLE_GAIN) * (sample - mean)
+}
--- /dev/null
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/TargetQueue.kt
@@ -0,0 +1,46 @@
+package org.lycheemount.scheduling
+
+import org.lycheemount.common.BackendTarget
+
+private const val TEAM_LEAD_MS = 20_000.0
+private const val WAIT_GAIN = 0.1
+private const val MIN_CALIBRATED_WAIT_MS = 50.0
+private const val MIN_CALIBRATION = 0.3
+private const val MAX_CALIBRATION = 3.0
+
+/** Queue of one model or service with the estimates that admission is based on. */
+internal class TargetQueue(
+    val target: BackendTarget,
+) {
+    val queue = FairQueue(TEAM_LEAD_MS)
+    val estimator = ServiceEstimator(target)
+    private var calibration = 1.0
+    private var meanServiceMs = 0.0
+
+    /** Expected time in the queue of a new request, given what the open servers can run for this router. */
+    fun waitMs(
+        item: WorkItem,
+        dueAtMs: Long,
+        servers: List<ServerState>,
+        nowMs: Long,
+    ): Double {
+        val aheadMs = queue.workAheadMs(item.teamId, dueAtMs)
+        val room = servers.sumOf { maxOf(0.0, it.room(nowMs)) }
+        if (aheadMs <= 0.0 && room >= 1.0) return 0.0
+        val slots = servers.sumOf { it.ownShare(nowMs) }
+        if (slots <= 0.0) return Double.MAX_VALUE
+        // Requests ahead that find room now do not delay this one.
+        val delayingMs = maxOf(0.0, aheadMs + meanServiceMs - maxOf(0.0, room) * meanServiceMs)
+        return calibration * delayingMs / slots
+    }
+
+    fun onStarted(
+        request: QueuedRequest,
+        nowMs: Long,
+    ) {
+        meanServiceMs = if (meanServiceMs == 0.0) request.serviceMs else meanServiceMs + WAIT_GAIN * (request.serviceMs - meanServiceMs)
+        if (request.workClass.mustFinish || request.predictedWaitMs < MIN_CALIBRATED_WAIT_MS) return
+        val ratio = (nowMs - request.submittedAtMs) * calibration / request.predictedWaitMs
+        calibration = (calibration + WAIT_GAIN * (ratio - calibration)).coerceIn(MIN_CALIBRATION, MAX_CALIBRATION)
+    }
+}
