--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ChatHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ChatHandler.kt
@@ -33,7 +33,13 @@
         val model =
             snapshot.models[ModelId(request.model)]
                 ?: return refuse(call, Refusal(RefusalReason.UNKNOWN_MODEL, "model: accepted are those of GET /v1/models"))
-        val terms = parseWorkTerms(call.request.headers, model.defaultWorkClassId, snapshot, arrivedAtMs).getOrElse { return refuse(call, it) }
+        val terms =
+            parseWorkTerms(
+                call.request.headers,
+                model.defaultWorkClassId,
+                snapshot,
+                arrivedAtMs,
+            ).getOrElse { return refuse(call, it) }
         services.dispatcher.onWorkClasses(snapshot.workClasses)
         val entry = shared.gate.enter(team, ROUTE_PREFIX + model.modelId.value).getOrElse { return refuse(call, it) }
         try {
@@ -200,7 +206,9 @@
 
     private fun succeeded(call: ApplicationCall) {
         call.response.header(OUTCOME_HEADER, WireOutcome.RAN.wireName)
-        shared.metrics.requests.labelValues(KIND, WireOutcome.RAN.wireName, "ok").inc()
+        shared.metrics.requests
+            .labelValues(KIND, WireOutcome.RAN.wireName, "ok")
+            .inc()
     }
 
     private suspend fun refuse(
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ChatRequest.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ChatRequest.kt
@@ -54,12 +54,19 @@
         } catch (exception: IllegalArgumentException) {
             return invalid("body is not a chat completion request: ${exception.message?.lineSequence()?.first()}")
         }
-    if (request.messages.isEmpty()) return invalid("messages: accepted are 1 or more")
-    if (request.n != null && request.n != 1) return invalid("n: accepted is 1")
+    val fault = findFault(request)
+    return if (fault == null) Ok(request) else invalid(fault)
+}
+
+private fun findFault(request: ChatRequest): String? {
     val maxTokens = request.maxCompletionTokens ?: request.maxTokens
-    if (maxTokens != null && maxTokens < 1) return invalid("max_tokens: accepted are 1 or more")
-    if (request.messages.any { it.text() == null }) return invalid("messages: accepted are text parts only")
-    return Ok(request)
+    return when {
+        request.messages.isEmpty() -> "messages: accepted are 1 or more"
+        request.n != null && request.n != 1 -> "n: accepted is 1"
+        maxTokens != null && maxTokens < 1 -> "max_tokens: accepted are 1 or more"
+        request.messages.any { it.text() == null } -> "messages: accepted are text parts only"
+        else -> null
+    }
 }
 
 /** Returns the text of a message given as a string or as a list of text parts; null for parts of another type. */
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/DrainState.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/DrainState.kt
@@ -6,15 +6,16 @@
 class DrainState {
     private val idle = CompletableDeferred<Unit>()
     private var inProgress = 0
+    private var announced = false
     private var draining = false
 
     /** Requests that have been admitted and are not settled. */
     @get:Synchronized
     val requestsInProgress: Int get() = inProgress
 
-    /** Whether new work is refused. */
+    /** Whether shutdown has been announced. */
     @get:Synchronized
-    val isDraining: Boolean get() = draining
+    val isDraining: Boolean get() = announced
 
     /** Admits one request, which [leave] must follow; false once draining has begun. */
     @Synchronized
@@ -38,9 +39,16 @@
         if (draining && inProgress == 0) idle.complete(Unit)
     }
 
+    /** Fails the readiness check, so that the load balancer sends new work elsewhere before [begin] refuses it. */
+    @Synchronized
+    fun announce() {
+        announced = true
+    }
+
     /** Refuses new work from now on. */
     @Synchronized
     fun begin() {
+        announced = true
         draining = true
         if (inProgress == 0) idle.complete(Unit)
     }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceHandler.kt
@@ -30,11 +30,20 @@
         val service =
             snapshot.services[serviceId]
                 ?: return refuse(call, Refusal(RefusalReason.UNKNOWN_SERVICE, "service ${serviceId.value} is not known"))
-        val terms = parseWorkTerms(call.request.headers, service.defaultWorkClassId, snapshot, arrivedAtMs).getOrElse { return refuse(call, it) }
+        val terms =
+            parseWorkTerms(
+                call.request.headers,
+                service.defaultWorkClassId,
+                snapshot,
+                arrivedAtMs,
+            ).getOrElse { return refuse(call, it) }
         val body = shared.bodyReader.read(call).getOrElse { return refuse(call, it) }
         services.dispatcher.onWorkClasses(snapshot.workClasses)
         val method = call.request.httpMethod.value
-        val pathAndQuery = call.request.uri.removePrefix("/services/${serviceId.value}").let { if (it.startsWith('/')) it else "/$it" }
+        val pathAndQuery =
+            call.request.uri
+                .removePrefix("/services/${serviceId.value}")
+                .let { if (it.startsWith('/')) it else "/$it" }
         val repeatable = isRepeatable(service, method, pathAndQuery.substringBefore('?'))
         val entry = shared.gate.enter(team, ROUTE_PREFIX + serviceId.value).getOrElse { return refuse(call, it) }
         val requestId = shared.requestIds.next()
@@ -93,7 +102,9 @@
             is RunOutcome.NotRun -> refuse(call, outcome.refusal)
             is RunOutcome.Unknown -> refuse(call, outcome.refusal, WireOutcome.UNKNOWN)
             is RunOutcome.Ran -> {
-                shared.metrics.requests.labelValues(KIND, WireOutcome.RAN.wireName, "ok").inc()
+                shared.metrics.requests
+                    .labelValues(KIND, WireOutcome.RAN.wireName, "ok")
+                    .inc()
                 call.response.header(OUTCOME_HEADER, WireOutcome.RAN.wireName)
                 val answer = outcome.value
                 call.respondBytes(answer.body, answer.contentType?.let(ContentType::parse), HttpStatusCode.fromValue(answer.httpStatus))
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/TeamAuthenticator.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/TeamAuthenticator.kt
@@ -36,7 +36,10 @@
     private class KeyIndex(
         val snapshot: ConfigurationSnapshot,
     ) {
-        val teams = snapshot.teams.values.flatMap { team -> team.keyHashes.map { it to team } }.toMap()
+        val teams =
+            snapshot.teams.values
+                .flatMap { team -> team.keyHashes.map { it to team } }
+                .toMap()
     }
 
     private companion object {
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/TeamLimiter.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/TeamLimiter.kt
@@ -20,7 +20,11 @@
         val usage = usages.getOrPut(teamId) { Usage(burst, nowMs) }
         usage.refill(limits.requestsPerSecond, burst, nowMs)
         if (usage.running >= limits.concurrentRequests) {
-            return Refusal(RefusalReason.CONCURRENCY_LIMITED, "limit is ${limits.concurrentRequests} concurrent requests", CONCURRENCY_RETRY_MS)
+            return Refusal(
+                RefusalReason.CONCURRENCY_LIMITED,
+                "limit is ${limits.concurrentRequests} concurrent requests",
+                CONCURRENCY_RETRY_MS,
+            )
         }
         if (usage.permits < 1) {
             val waitMs = ceil((1 - usage.permits) * MS_PER_SECOND / limits.requestsPerSecond).toLong()
--- a/request/stream/src/main/kotlin/org/lycheemount/stream/AnswerStream.kt
+++ b/request/stream/src/main/kotlin/org/lycheemount/stream/AnswerStream.kt
@@ -35,6 +35,7 @@
     private val excluded = mutableSetOf<BackendServerId>()
     private var events: ReceiveChannel<GenerateEvent>? = null
     private var cachedPromptTokens = 0
+
     /** Whether an attempt failed in a way that leaves open whether it ran. */
     @Volatile
     var mayHaveRun: Boolean = false
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/FieldRule.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/FieldRule.kt
@@ -59,7 +59,14 @@
     rules: Map<String, FieldRule>,
     path: String = "",
 ): List<SettingsFault> {
-    val unknown = (section.keys - rules.keys).map { SettingsFault(path + it, "an unknown field", "one of ${rules.keys.joinToString(", ")}") }
+    val unknown =
+        (section.keys - rules.keys).map {
+            SettingsFault(
+                path + it,
+                "an unknown field",
+                "one of ${rules.keys.joinToString(", ")}",
+            )
+        }
     return rules.flatMap { (name, rule) -> findFaults(section[name], rule, path + name) } + unknown
 }
 
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/RequestSettings.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/RequestSettings.kt
@@ -11,6 +11,7 @@
  * @property firstChunkTimeoutMs time from the start of an attempt to its first chunk, which includes the engine's queue.
  * @property chunkTimeoutMs silence between two chunks after which a stream counts as hung.
  * @property reservationStepTokens output tokens reserved at a time when the budget does not cover the worst case.
+ * @property drainNoticeMs time between the failing readiness check and the refusal of new work at shutdown.
  */
 @Serializable
 data class RequestSettings(
@@ -20,4 +21,5 @@
     val firstChunkTimeoutMs: Long = 600_000,
     val chunkTimeoutMs: Long = 5_000,
     val reservationStepTokens: Int = 256,
+    val drainNoticeMs: Long = 2_000,
 )
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/SettingsLoader.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/SettingsLoader.kt
@@ -33,7 +33,18 @@
         try {
             Json.parseToJsonElement(json) as? JsonObject
         } catch (exception: SerializationException) {
-            return Err(listOf(SettingsFault("(document)", exception.message.orEmpty().lineSequence().first(), "a JSON object")))
+            return Err(
+                listOf(
+                    SettingsFault(
+                        "(document)",
+                        exception.message
+                            .orEmpty()
+                            .lineSequence()
+                            .first(),
+                        "a JSON object",
+                    ),
+                ),
+            )
         }
     if (document == null) return Err(listOf(SettingsFault("(document)", "another JSON value", "a JSON object")))
     val faults = findFaults(document, routerSettingsRules)
@@ -135,6 +146,7 @@
                     "firstChunkTimeoutMs" to FieldRule.Number(100L..86_400_000L),
                     "chunkTimeoutMs" to FieldRule.Number(100L..600_000L),
                     "reservationStepTokens" to FieldRule.Number(16L..65_536L),
+                    "drainNoticeMs" to FieldRule.Number(0L..600_000L),
                 ),
                 required = false,
             ),
--- a/version/settings/src/test/kotlin/org/lycheemount/settings/SettingsLoaderTest.kt
+++ b/version/settings/src/test/kotlin/org/lycheemount/settings/SettingsLoaderTest.kt
@@ -1,7 +1,7 @@
 package org.lycheemount.settings
 
-import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
 import org.junit.jupiter.api.Nested
 import kotlin.io.path.createTempDirectory
 import kotlin.io.path.writeText
