--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BillFlusher.kt
@@ -0,0 +1,124 @@
+package org.lycheemount.budget
+
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.platform.RowCheck
+import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.TableTransaction
+
+/** Writes bills, and the ceilings of grants, in batches. */
+internal class BillFlusher(
+    private val accounts: BudgetAccounts,
+    private val bills: BillQueue,
+    private val writer: TableWriter,
+    private val session: TableSession,
+    private val clock: Clock,
+    private val options: BudgetOptions,
+    private val log: EventLog,
+) {
+    /** Called with bills that are in the table. */
+    var onWritten: (List<Bill>) -> Unit = {}
+
+    /** Writes one batch. False when the table gave no answer. */
+    suspend fun flush(): Boolean {
+        repeat(RACE_ATTEMPTS) {
+            val attempt = plan() ?: return true
+            when (writer.run(attempt)) {
+                AttemptResult.COMMITTED -> return true
+                AttemptResult.NO_ANSWER -> return false
+                AttemptResult.LOST_RACE -> Unit
+            }
+        }
+        return true
+    }
+
+    private fun plan(): Attempt? {
+        val batch = bills.oldest(options.billsPerTransaction)
+        val byGrant = batch.groupBy { it.grant }.entries.take(options.rowsPerTransaction)
+        val stale = staleGrants().filter { (_, grant) -> grant !in byGrant.map { it.key } }.take(options.rowsPerTransaction - byGrant.size)
+        val transactionId = session.nextTransactionId()
+        val billed =
+            byGrant.mapNotNull { (grant, ofGrant) ->
+                propose(ofGrant.first().account, grant, transactionId, ofGrant.sumOf { it.bill.charge.totalTokens })?.let { it to ofGrant }
+            }
+        val refreshed = stale.mapNotNull { (account, grant) -> propose(account, grant, transactionId, 0) }
+        val rows = billed.map { it.first } + refreshed
+        if (rows.isEmpty()) return null
+        return attempt(transactionId, rows, billed.flatMap { it.second })
+    }
+
+    private fun propose(
+        account: BudgetAccount,
+        grant: Grant,
+        transactionId: String,
+        billedTokens: Long,
+    ): GrantWrite? = synchronized(account) { writer.proposeRow(account, grant, transactionId, billedDelta = billedTokens) }
+
+    private fun attempt(
+        transactionId: String,
+        rows: List<GrantWrite>,
+        written: List<UnwrittenBill>,
+    ): Attempt {
+        val rowChecks = rows.map { RowCheck(it.key, it.grant.rowVersion) }
+        val billKeys = written.map { billKey(it.bill.budgetId, it.bill.requestId) }
+        val billWrites = written.zip(billKeys) { bill, key -> writeRow(key, BillRow(bill.bill, bill.grant.grantId)) }
+        val rowWrites: List<RowWrite> = rows.map { writeRow(it.key, it.row) }
+        return Attempt(
+            transaction = TableTransaction(transactionId, rowChecks + billKeys.map { RowCheck(it, 0) }, rowWrites + billWrites),
+            grants = rows,
+            onCommitted = { finish(written) },
+            onFailed = { current -> finish(written.zip(billKeys).filter { it.second in current.orEmpty() }.map { it.first }) },
+        )
+    }
+
+    /** Bills in the table, whether this router or the one with their copies wrote them, are done. */
+    private fun finish(written: List<UnwrittenBill>) {
+        if (written.isEmpty()) return
+        bills.remove(written)
+        val forgetAtMs = clock.monotonicMs() + options.settledMemoryMs
+        for (bill in written) {
+            bill.reservation.forgetAtMs = forgetAtMs
+            synchronized(bill.account) { bill.grant.unwrittenBills-- }
+        }
+        for (account in written.map { it.account }.distinct()) dropSettledClosedGrants(account)
+        onWritten(written.map { it.bill })
+    }
+
+    private fun dropSettledClosedGrants(account: BudgetAccount) =
+        synchronized(account) {
+            val done = account.closedGrants.filter { it.unwrittenBills == 0 && it.reservedTokens == 0L }
+            account.closedGrants.removeAll(done)
+            for (grant in done) log.info("closed_grant_settled", "budget" to account.budgetId.value, "grant" to grant.grantId)
+        }
+
+    private fun staleGrants(): List<Pair<BudgetAccount, Grant>> {
+        val nowMs = clock.monotonicMs()
+        return accounts.all().mapNotNull { account ->
+            synchronized(account) { account.grant?.takeIf { isStale(account, it, nowMs) }?.let { account to it } }
+        }
+    }
+
+    private fun isStale(
+        account: BudgetAccount,
+        grant: Grant,
+        nowMs: Long,
+    ): Boolean {
+        if (grant.closed || grant.hasPendingRow || account.closing) return false
+        val row = grant.row ?: return grant.capacityTokens > 0
+        if (row.sentTokens != grant.sentTokens || row.receivedTokens != grant.receivedTokens ||
+            row.holderListed != writer.listed
+        ) {
+            return true
+        }
+        if (nowMs - grant.rowWrittenAtMs >= options.outageGraceMs / ROW_WRITES_PER_GRACE) return true
+        val headroom = ceilingHeadroomTokens(account.meter, grant.reservedTokens, options)
+        val spare = row.ceilingTokens - grant.usedTokens
+        val raisable = row.ceilingTokens < grant.capacityTokens
+        return (raisable && spare < headroom / 2) || spare > headroom * 2 + account.meter.largestReservation
+    }
+
+    private companion object {
+        private const val RACE_ATTEMPTS = 4
+        private const val ROW_WRITES_PER_GRACE = 4
+    }
+}
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetLedger.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetLedger.kt
@@ -16,6 +16,19 @@
         nowMs: Long,
     ): ReservationOutcome
 
+    /**
+     * Sets aside between [minimumTokens] and [maximumTokens], the worst case, for [requestId]: the worst case while tokens are
+     * plentiful, a first step when they run short. The request must not use more than the reserved tokens before it has extended
+     * its reservation.
+     */
+    fun reserveUpTo(
+        requestId: RequestId,
+        budgetId: BudgetId,
+        minimumTokens: Long,
+        maximumTokens: Long,
+        nowMs: Long,
+    ): ReservationOutcome = reserve(requestId, budgetId, maximumTokens, nowMs)
+
     /** Adds [additionalTokens] to the reservation of [requestId]; a refusal leaves the reservation as it was. */
     fun extend(
         requestId: RequestId,
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
@@ -0,0 +1,51 @@
+package org.lycheemount.budget
+
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.StateDumpSource
+import org.lycheemount.peer.PeerMessenger
+import org.lycheemount.platform.TableService
+import org.lycheemount.platform.VmDirectory
+import kotlin.random.Random
+
+/**
+ * Budgets of one router.
+ *
+ * @property ledger reservations and settlements of requests.
+ * @property maintenance background work, to be started and drained by the owner; also waits for tokens.
+ */
+class BudgetModule(
+    val ledger: BudgetLedger,
+    val maintenance: BudgetMaintenance,
+    val stateDump: StateDumpSource,
+)
+
+/** Creates the ledger of the router [peers] belongs to; nothing runs before [BudgetMaintenance.start]. */
+fun createBudgetLedgerModule(
+    table: TableService,
+    vmDirectory: VmDirectory,
+    peers: PeerMessenger,
+    clock: Clock,
+    log: EventLog,
+    options: BudgetOptions = BudgetOptions(),
+    random: Random = Random.Default,
+): BudgetModule {
+    val self = peers.self
+    val accounts = BudgetAccounts()
+    val bills = BillQueue()
+    val signals = WorkSignals()
+    val session = TableSession(table, clock, "budget-${self.routerId.value}-${self.incarnation}")
+    val writer = TableWriter(self, session, clock, options, log)
+    val keeper = GrantKeeper(writer, session, clock, options, log) { peers.connectedPeers().size + 1 }
+    val flusher = BillFlusher(accounts, bills, writer, session, clock, options, log)
+    val reclaimer = GrantReclaimer(vmDirectory, writer, session, clock, options, log)
+    val ledger = DefaultBudgetLedger(self.routerId, accounts, bills, clock, signals)
+    val parts = BudgetParts(accounts, bills, ledger, writer, keeper, flusher, reclaimer, signals)
+    return BudgetModule(ledger, BudgetMaintenance(parts, clock, options, random, log), BudgetStateDump(parts, session, clock))
+}
+
+/** Creates the administration of budgets; [newTransactionId] returns an id that no other call returns. */
+fun createBudgetAdministration(
+    table: TableService,
+    newTransactionId: () -> String,
+): BudgetAdministration = DefaultBudgetAdministration(table, newTransactionId)
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetOptions.kt
@@ -0,0 +1,43 @@
+package org.lycheemount.budget
+
+/**
+ * Policy of grants, flushes and transfers.
+ *
+ * @property expectedOutageMs length of a table outage that a grant should outlast.
+ * @property outageGraceMs time after the table contact named in a grant row from which its holder may exceed the row's ceiling;
+ *   the same on every router of a fleet.
+ * @property driftMarginMs part of the grace that reclaim gives up for clocks that run at different speeds.
+ * @property flushIntervalMs time between two writes of bills.
+ * @property tickIntervalMs longest time between two passes of the background work.
+ * @property billsPerTransaction most bills in one transaction.
+ * @property rowsPerTransaction most grant rows in one transaction.
+ * @property retryDelayMs first delay after a failed table call; doubles up to [retryDelayMaxMs].
+ * @property peerTimeoutMs time to wait for the answer of a peer.
+ * @property vmListIntervalMs time between two reads of the VM list.
+ * @property idleReturnMs time without a request after which a router returns its whole grant.
+ * @property replicaPatienceMs age from which a replicated bill is written although its owner still exists.
+ * @property drainTimeoutMs longest time that [BudgetMaintenance.drain] waits for the table.
+ * @property settledMemoryMs time for which a written bill is remembered, so that a second settlement returns it.
+ */
+data class BudgetOptions(
+    val expectedOutageMs: Long = 3_600_000,
+    val outageGraceMs: Long = 120_000,
+    val driftMarginMs: Long = 12_000,
+    val flushIntervalMs: Long = 1_000,
+    val tickIntervalMs: Long = 250,
+    val billsPerTransaction: Int = 256,
+    val rowsPerTransaction: Int = 64,
+    val retryDelayMs: Long = 250,
+    val retryDelayMaxMs: Long = 5_000,
+    val peerTimeoutMs: Long = 1_000,
+    val vmListIntervalMs: Long = 5_000,
+    val idleReturnMs: Long = 600_000,
+    val replicaPatienceMs: Long = 300_000,
+    val drainTimeoutMs: Long = 30_000,
+    val settledMemoryMs: Long = 60_000,
+) {
+    init {
+        require(driftMarginMs in 0 until outageGraceMs) { "driftMarginMs must be below outageGraceMs" }
+        require(flushIntervalMs in 1 until outageGraceMs / 2) { "flushIntervalMs must be below half of outageGraceMs" }
+    }
+}
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetRows.kt
@@ -0,0 +1,95 @@
+package org.lycheemount.budget
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.lycheemount.common.BudgetId
+import org.lycheemount.common.RequestId
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.platform.RowWrite
+
+/**
+ * Totals of a budget. `unallocatedTokens + closedTokens + transferTokens` plus the granted tokens of all open grants is `limitTokens`.
+ *
+ * @property closedTokens tokens charged to grants that are closed.
+ * @property transferTokens tokens that closed grants sent to peers, less those that closed grants received.
+ */
+@Serializable
+internal data class BudgetRow(
+    val limitTokens: Long,
+    val unallocatedTokens: Long,
+    val closedTokens: Long = 0,
+    val transferTokens: Long = 0,
+)
+
+/**
+ * Tokens set aside for one router process.
+ *
+ * @property settledTokens sum of the written bills of this grant.
+ * @property sentTokens tokens transferred to peers; part of the use that [ceilingTokens] bounds.
+ * @property ceilingTokens bound on spent, reserved and sent tokens until [lastAckedTableTimeMs] plus the outage grace.
+ * @property lastAckedTableTimeMs table time of the last response that the holder had received when it wrote this row.
+ * @property holderListed true once the holder has seen its own VM in the VM list; without it, absence proves nothing.
+ * @property holderTransactionId last transaction of the holder that wrote this row; tells a lost answer from a failed check.
+ * @property closed true once another router reclaimed the grant; [chargedTokens] then stays charged to the budget.
+ */
+@Serializable
+internal data class GrantRow(
+    val grantId: String,
+    val budgetId: BudgetId,
+    val holder: RouterIdentity,
+    val grantedTokens: Long,
+    val settledTokens: Long = 0,
+    val sentTokens: Long = 0,
+    val receivedTokens: Long = 0,
+    val ceilingTokens: Long = 0,
+    val lastAckedTableTimeMs: Long = 0,
+    val holderListed: Boolean = false,
+    val holderTransactionId: String = "",
+    val closed: Boolean = false,
+    val chargedTokens: Long = 0,
+)
+
+/** A written bill and the grant that it was charged to. */
+@Serializable
+internal data class BillRow(
+    val bill: Bill,
+    val grantId: String,
+)
+
+@Serializable
+internal data class TopUpRow(
+    val tokens: Long,
+)
+
+internal val rowJson = Json { encodeDefaults = true }
+
+internal const val BUDGET_PREFIX = "budget/"
+internal const val GRANT_PREFIX = "grant/"
+
+internal fun budgetKey(budgetId: BudgetId) = "$BUDGET_PREFIX${budgetId.value}"
+
+internal fun grantPrefix(budgetId: BudgetId) = "$GRANT_PREFIX${budgetId.value}/"
+
+internal fun grantKey(
+    budgetId: BudgetId,
+    grantId: String,
+) = grantPrefix(budgetId) + grantId
+
+internal fun billPrefix(budgetId: BudgetId) = "bill/${budgetId.value}/"
+
+internal fun billKey(
+    budgetId: BudgetId,
+    requestId: RequestId,
+) = billPrefix(budgetId) + requestId.value
+
+internal fun topUpKey(
+    budgetId: BudgetId,
+    topUpId: String,
+) = "topup/${budgetId.value}/$topUpId"
+
+internal inline fun <reified T> decodeRow(value: String): T = rowJson.decodeFromString(value)
+
+internal inline fun <reified T> writeRow(
+    key: String,
+    value: T,
+) = RowWrite(key, rowJson.encodeToString(value))
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetStateDump.kt
@@ -0,0 +1,56 @@
+package org.lycheemount.budget
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonObjectBuilder
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
+import org.lycheemount.common.Clock
+import org.lycheemount.common.StateDumpSource
+
+/** Describes every grant of this router. */
+internal class BudgetStateDump(
+    private val parts: BudgetParts,
+    private val session: TableSession,
+    private val clock: Clock,
+) : StateDumpSource {
+    override val name: String = "budgets"
+
+    override fun dumpState(): JsonObject {
+        val nowMs = clock.monotonicMs()
+        return buildJsonObject {
+            put("unwrittenBills", parts.bills.size())
+            put("openReservations", parts.ledger.openReservations())
+            put("transactionInDoubt", parts.writer.inDoubt)
+            put("lastContactAgeMs", session.lastContact?.let { nowMs - it.receivedAtMs })
+            putJsonObject("budgets") {
+                for (account in parts.accounts.all()) putJsonObject(account.budgetId.value) { putAccount(account, nowMs) }
+            }
+        }
+    }
+
+    private fun JsonObjectBuilder.putAccount(
+        account: BudgetAccount,
+        nowMs: Long,
+    ) = synchronized(account) {
+        put("usableTokens", account.usableTokens(nowMs))
+        put("wantedTokens", account.wantedTokens)
+        put("spendTokensPerSecond", account.meter.ratePerMs * 1_000)
+        put("useSharePermille", (account.meter.useShare * 1_000).toLong())
+        put("remainingTokens", account.knowledge?.remainingTokens)
+        put("remainingAgeMs", account.knowledge?.let { nowMs - it.readAtMs })
+        for (grant in account.allGrants()) putJsonObject(grant.grantId) { putGrant(grant) }
+    }
+
+    private fun JsonObjectBuilder.putGrant(grant: Grant) {
+        put("capacityTokens", grant.capacityTokens)
+        put("spentTokens", grant.spentTokens)
+        put("reservedTokens", grant.reservedTokens)
+        put("sentTokens", grant.sentTokens)
+        put("receivedTokens", grant.receivedTokens)
+        put("ceilingTokens", grant.row?.ceilingTokens)
+        put("lastAckedTableTimeMs", grant.row?.lastAckedTableTimeMs)
+        put("unwrittenBills", grant.unwrittenBills)
+        put("closed", grant.closed)
+    }
+}
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetAdministration.kt
@@ -0,0 +1,200 @@
+package org.lycheemount.budget
+
+import org.lycheemount.common.BudgetId
+import org.lycheemount.platform.CommitOutcome
+import org.lycheemount.platform.RowCheck
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.TableRow
+import org.lycheemount.platform.TableService
+import org.lycheemount.platform.TableTransaction
+
+/** Administration on the rows of the table; holds no state. */
+internal class DefaultBudgetAdministration(
+    private val table: TableService,
+    private val newTransactionId: () -> String,
+) : BudgetAdministration {
+    override suspend fun create(budgetId: BudgetId): BudgetChange {
+        invalidId("budgetId", budgetId.value)?.let { return it }
+        val key = budgetKey(budgetId)
+        return change(listOf(key)) { rows ->
+            val existing = rows[key]
+            if (existing !=
+                null
+            ) {
+                return@change Decided(BudgetChange.Applied(decodeRow<BudgetRow>(existing.value).limitTokens, repeated = true))
+            }
+            Write(
+                TableTransaction(newTransactionId(), listOf(RowCheck(key, 0)), listOf(writeRow(key, BudgetRow(0, 0)))),
+                BudgetChange.Applied(0, repeated = false),
+            )
+        }
+    }
+
+    override suspend fun topUp(
+        budgetId: BudgetId,
+        topUpId: String,
+        tokens: Long,
+    ): BudgetChange {
+        invalidId("budgetId", budgetId.value)?.let { return it }
+        invalidId("topUpId", topUpId)?.let { return it }
+        if (tokens !in 1..BudgetAdministration.MAX_TOP_UP_TOKENS) {
+            return BudgetChange.Invalid("tokens", "1..${BudgetAdministration.MAX_TOP_UP_TOKENS}")
+        }
+        val key = budgetKey(budgetId)
+        val topUp = topUpKey(budgetId, topUpId)
+        return change(listOf(key, topUp)) { rows ->
+            val row = rows[key] ?: return@change Decided(BudgetChange.NotFound)
+            planTopUp(row, decodeRow(row.value), topUp, rows[topUp]?.let { decodeRow<TopUpRow>(it.value) }, tokens)
+        }
+    }
+
+    private fun planTopUp(
+        row: TableRow,
+        budget: BudgetRow,
+        topUpKey: String,
+        earlier: TopUpRow?,
+        tokens: Long,
+    ): Step {
+        if (earlier != null && earlier.tokens != tokens) return Decided(BudgetChange.IdReused(earlier.tokens))
+        if (earlier != null) return Decided(BudgetChange.Applied(budget.limitTokens, repeated = true))
+        if (budget.limitTokens > Long.MAX_VALUE / 4) return Decided(BudgetChange.Invalid("tokens", "limit reached"))
+        val changed = budget.copy(limitTokens = budget.limitTokens + tokens, unallocatedTokens = budget.unallocatedTokens + tokens)
+        return Write(
+            TableTransaction(
+                newTransactionId(),
+                listOf(RowCheck(row.key, row.version), RowCheck(topUpKey, 0)),
+                listOf(writeRow(row.key, changed), writeRow(topUpKey, TopUpRow(tokens))),
+            ),
+            BudgetChange.Applied(changed.limitTokens, repeated = false),
+        )
+    }
+
+    override suspend fun status(budgetId: BudgetId): BudgetStatusResult {
+        // Grants first: a grant taken between the two reads then lacks from the holders, and the budget is never shown too large.
+        val grants =
+            scanAll(grantPrefix(budgetId)) ?: return BudgetStatusResult.Unavailable("the table gave no answer")
+        val result = table.read(listOf(budgetKey(budgetId)) + grants.map { it.key })
+        if (result !is TableResult.Answered) return BudgetStatusResult.Unavailable("the table gave no answer")
+        val budget = result.value.find(budgetKey(budgetId)) ?: return BudgetStatusResult.NotFound
+        val rows =
+            result.value.rows
+                .filter { it.key != budget.key }
+                .map { decodeRow<GrantRow>(it.value) }
+        return BudgetStatusResult.Found(statusOf(budgetId, decodeRow(budget.value), rows, result.value.tableTimeMs))
+    }
+
+    override suspend fun bills(
+        budgetId: BudgetId,
+        afterRequestId: String?,
+        limit: Int,
+    ): BillsResult {
+        val prefix = billPrefix(budgetId)
+        val page = table.scan(prefix, afterRequestId?.let { prefix + it }, limit + 1)
+        if (page !is TableResult.Answered) return BillsResult.Unavailable("the table gave no answer")
+        val rows = page.value.rows
+        return BillsResult.Page(rows.take(limit).map { decodeRow<BillRow>(it.value).bill }, rows.size > limit)
+    }
+
+    private suspend fun scanAll(prefix: String): List<TableRow>? {
+        val rows = mutableListOf<TableRow>()
+        while (true) {
+            val page = table.scan(prefix, rows.lastOrNull()?.key)
+            if (page !is TableResult.Answered) return null
+            rows += page.value.rows
+            if (page.value.rows.size < TableService.DEFAULT_SCAN_LIMIT) return rows
+        }
+    }
+
+    private fun statusOf(
+        budgetId: BudgetId,
+        budget: BudgetRow,
+        grants: List<GrantRow>,
+        tableTimeMs: Long,
+    ): BudgetStatus {
+        val open = grants.filter { !it.closed }
+        return BudgetStatus(
+            budgetId = budgetId,
+            limitTokens = budget.limitTokens,
+            unallocatedTokens = budget.unallocatedTokens,
+            grantedTokens = open.sumOf { it.grantedTokens },
+            settledTokens = budget.closedTokens + open.sumOf { it.settledTokens },
+            closedTokens = budget.closedTokens,
+            transferTokens = budget.transferTokens,
+            holders = grants.map(::holderOf),
+            asOfTableTimeMs = tableTimeMs,
+        )
+    }
+
+    private fun holderOf(row: GrantRow) =
+        BudgetHolder(
+            routerId = row.holder.routerId,
+            grantId = row.grantId,
+            grantedTokens = row.grantedTokens,
+            settledTokens = row.settledTokens,
+            sentTokens = row.sentTokens,
+            receivedTokens = row.receivedTokens,
+            ceilingTokens = row.ceilingTokens,
+            lastAckedTableTimeMs = row.lastAckedTableTimeMs,
+            reclaimed = row.closed,
+            chargedTokens = row.chargedTokens,
+        )
+
+    private fun invalidId(
+        field: String,
+        value: String,
+    ): BudgetChange.Invalid? = if (ID_PATTERN.matches(value)) null else BudgetChange.Invalid(field, ID_PATTERN.pattern)
+
+    /** Reads [keys], plans and commits, and starts again after a lost race. */
+    private suspend fun change(
+        keys: List<String>,
+        plan: (Map<String, TableRow>) -> Step,
+    ): BudgetChange {
+        repeat(RACE_ATTEMPTS) {
+            val snapshot = table.read(keys)
+            if (snapshot !is TableResult.Answered) return BudgetChange.Unavailable("the table gave no answer")
+            when (val step = plan(snapshot.value.rows.associateBy { it.key })) {
+                is Decided -> return step.change
+                is Write -> commit(step)?.let { return it }
+            }
+        }
+        return BudgetChange.Unavailable("lost $RACE_ATTEMPTS races against other changes of the budget")
+    }
+
+    /** Null after a lost race. */
+    private suspend fun commit(step: Write): BudgetChange? =
+        when (val result = table.commit(step.transaction)) {
+            is TableResult.Answered -> step.applied.takeIf { result.value is CommitOutcome.Committed }
+            is TableResult.Unavailable -> BudgetChange.Unavailable(result.detail)
+            is TableResult.Unknown ->
+                when (tookEffect(step.transaction)) {
+                    true -> step.applied
+                    false -> null
+                    null -> BudgetChange.Unknown(result.detail)
+                }
+        }
+
+    /** Null when it cannot be told now; a transaction that is not known is decided by sending it again under its id. */
+    private suspend fun tookEffect(transaction: TableTransaction): Boolean? {
+        val found = table.findTransaction(transaction.transactionId)
+        if (found !is TableResult.Answered) return null
+        found.value.outcome?.let { return it is CommitOutcome.Committed }
+        val again = table.commit(transaction)
+        return if (again is TableResult.Answered) again.value is CommitOutcome.Committed else null
+    }
+
+    private sealed interface Step
+
+    private class Decided(
+        val change: BudgetChange,
+    ) : Step
+
+    private class Write(
+        val transaction: TableTransaction,
+        val applied: BudgetChange,
+    ) : Step
+
+    private companion object {
+        private const val RACE_ATTEMPTS = 20
+        private val ID_PATTERN = Regex("[A-Za-z0-9._:-]{1,128}")
+    }
+}
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetLedger.kt
@@ -0,0 +1,150 @@
+package org.lycheemount.budget
+
+import org.lycheemount.common.BudgetId
+import org.lycheemount.common.Clock
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RefusalReason
+import org.lycheemount.common.RequestId
+import org.lycheemount.common.RouterId
+import java.util.concurrent.ConcurrentHashMap
+
+/** Ledger over the grants of this router. The times that it receives are monotonic; bills carry the wall clock. */
+internal class DefaultBudgetLedger(
+    private val routerId: RouterId,
+    private val accounts: BudgetAccounts,
+    private val bills: BillQueue,
+    private val clock: Clock,
+    private val signals: WorkSignals,
+) : BudgetLedger {
+    private val reservations = ConcurrentHashMap<RequestId, Reservation>()
+
+    override fun reserve(
+        requestId: RequestId,
+        budgetId: BudgetId,
+        tokens: Long,
+        nowMs: Long,
+    ): ReservationOutcome = reserveUpTo(requestId, budgetId, tokens, tokens, nowMs)
+
+    override fun reserveUpTo(
+        requestId: RequestId,
+        budgetId: BudgetId,
+        minimumTokens: Long,
+        maximumTokens: Long,
+        nowMs: Long,
+    ): ReservationOutcome {
+        require(minimumTokens in 0..maximumTokens) { "minimumTokens must be in 0..maximumTokens" }
+        val account = accounts.getOrCreate(budgetId)
+        synchronized(account) {
+            check(!reservations.containsKey(requestId)) { "request ${requestId.value} has a reservation" }
+            account.meter.recordReservation(maximumTokens, nowMs)
+            val usable = account.usableTokens(nowMs)
+            val grant = account.grant
+            if (grant == null || usable < minimumTokens) return refuse(account, minimumTokens, nowMs)
+            val tokens = reservationTokens(usable, minimumTokens, maximumTokens, account.meter.useShare)
+            grant.reserve(tokens)
+            reservations[requestId] = Reservation(account, grant, tokens, maximumTokens)
+            signalIfLow(account, usable - tokens)
+            return ReservationOutcome.Reserved(tokens)
+        }
+    }
+
+    override fun extend(
+        requestId: RequestId,
+        additionalTokens: Long,
+        nowMs: Long,
+    ): ReservationOutcome {
+        require(additionalTokens >= 0) { "additionalTokens must not be negative" }
+        val reservation = reservations[requestId] ?: error("request ${requestId.value} has no reservation")
+        synchronized(reservation.account) {
+            check(reservation.bill == null) { "request ${requestId.value} is settled" }
+            val grant = reservation.grant
+            val usable = if (grant.closed) 0 else grant.usableTokens(nowMs)
+            if (usable < additionalTokens) return refuse(reservation.account, additionalTokens, nowMs)
+            grant.reserve(additionalTokens)
+            reservation.tokens += additionalTokens
+            signalIfLow(reservation.account, usable - additionalTokens)
+            return ReservationOutcome.Reserved(reservation.tokens)
+        }
+    }
+
+    override fun settle(
+        requestId: RequestId,
+        charge: Charge,
+        nowMs: Long,
+    ): Bill {
+        val reservation = reservations[requestId] ?: error("request ${requestId.value} has no reservation")
+        val account = reservation.account
+        synchronized(account) {
+            reservation.bill?.let { return it }
+            val charged = charge.totalTokens
+            check(
+                charged in 0..reservation.tokens,
+            ) { "charge $charged of ${requestId.value} exceeds its reservation ${reservation.tokens}" }
+            val bill = Bill(requestId, account.budgetId, routerId, charge, clock.wallClockMs())
+            reservation.bill = bill
+            reservation.grant.settle(reservation.tokens, charged)
+            account.meter.recordUse(charged, reservation.worstCaseTokens)
+            bills.add(UnwrittenBill(bill, reservation.grant, account, reservation))
+            account.wakeWaiters(nowMs)
+            signals.replicate()
+            return bill
+        }
+    }
+
+    override fun release(
+        requestId: RequestId,
+        nowMs: Long,
+    ) {
+        val reservation = reservations[requestId] ?: return
+        synchronized(reservation.account) {
+            if (reservation.bill != null || !reservations.remove(requestId, reservation)) return
+            reservation.grant.release(reservation.tokens)
+            reservation.account.wakeWaiters(nowMs)
+        }
+    }
+
+    /** Forgets written bills whose time of remembrance is over. */
+    fun forgetWritten(nowMs: Long) {
+        reservations.values.removeIf { it.forgetAtMs <= nowMs }
+    }
+
+    fun openReservations(): Int = reservations.values.count { it.bill == null }
+
+    private fun signalIfLow(
+        account: BudgetAccount,
+        usableAfter: Long,
+    ) {
+        if (usableAfter < LOW_RESERVATIONS * account.meter.largestReservation) signals.work()
+    }
+
+    private fun refuse(
+        account: BudgetAccount,
+        tokens: Long,
+        nowMs: Long,
+    ): ReservationOutcome {
+        account.want(tokens, nowMs)
+        signals.work()
+        return ReservationOutcome.Refused(refusalFor(account, tokens, nowMs))
+    }
+
+    private companion object {
+        private const val LOW_RESERVATIONS = 4
+    }
+}
+
+/** Exhausted only on fresh knowledge that no router and no top-up so far covers [tokens]; unavailable otherwise. */
+internal fun refusalFor(
+    account: BudgetAccount,
+    tokens: Long,
+    nowMs: Long,
+): Refusal {
+    val budget = account.budgetId.value
+    val knowledge = account.knowledge?.takeIf { nowMs - it.readAtMs <= KNOWLEDGE_FRESH_MS }
+    if (knowledge != null && knowledge.remainingTokens < tokens) {
+        return Refusal(RefusalReason.BUDGET_EXHAUSTED, "budget $budget has ${knowledge.remainingTokens} tokens left, $tokens are needed")
+    }
+    return Refusal(RefusalReason.BUDGET_UNAVAILABLE, "this router has too few tokens of budget $budget now", RETRY_AFTER_MS)
+}
+
+private const val KNOWLEDGE_FRESH_MS = 5_000L
+private const val RETRY_AFTER_MS = 1_000L
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantKeeper.kt
@@ -0,0 +1,236 @@
+package org.lycheemount.budget
+
+import org.lycheemount.common.BudgetId
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.platform.RowCheck
+import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.TableTransaction
+
+/** Takes tokens of a budget from the table and gives them back. */
+internal class GrantKeeper(
+    private val writer: TableWriter,
+    private val session: TableSession,
+    private val clock: Clock,
+    private val options: BudgetOptions,
+    private val log: EventLog,
+    private val routerCount: () -> Int,
+) {
+    private var grantCount = 0L
+
+    /** Refills the grant of [account] if it is below its low-water mark. False when the table gave no answer. */
+    suspend fun refill(account: BudgetAccount): Boolean {
+        repeat(RACE_ATTEMPTS) {
+            if (!needsRefill(account)) return true
+            if (account.budgetRow == null && !readBudget(account)) return false
+            val attempt = planRefill(account) ?: return true
+            when (writer.run(attempt)) {
+                AttemptResult.COMMITTED -> return true
+                AttemptResult.NO_ANSWER -> return false
+                AttemptResult.LOST_RACE -> Unit
+            }
+        }
+        return true
+    }
+
+    /**
+     * Reads the budget and all of its grants, so that refusals can tell an exhausted budget from tokens held elsewhere.
+     * False when the table gave no answer.
+     */
+    suspend fun learnRemaining(account: BudgetAccount): Boolean {
+        val grants = session.scanAll(grantPrefix(account.budgetId)) ?: return false
+        if (!readBudget(account)) return false
+        synchronized(account) {
+            val budget = account.budgetRow ?: ABSENT_BUDGET
+            val open = grants.map { decodeRow<GrantRow>(it.value) }.filter { !it.closed }
+            val held = open.sumOf { it.grantedTokens - it.settledTokens } + budget.transferTokens
+            account.knowledge = BudgetKnowledge(budget.unallocatedTokens + held, clock.monotonicMs())
+        }
+        return true
+    }
+
+    /** Gives [tokens] of free tokens back. False when that did not happen now. */
+    suspend fun giveBack(
+        account: BudgetAccount,
+        tokens: (Grant) -> Long,
+    ): Boolean {
+        if (account.budgetRow == null && !readBudget(account)) return false
+        val attempt = synchronized(account) { planReturn(account, tokens) } ?: return false
+        return writer.run(attempt) == AttemptResult.COMMITTED
+    }
+
+    /** Ends the grant of [account] when nothing of it is in use any more. False when that did not happen now. */
+    suspend fun close(account: BudgetAccount): Boolean {
+        if (account.closing) return verifyClose(account)
+        if (account.budgetRow == null && !readBudget(account)) return false
+        val attempt = synchronized(account) { planClose(account) } ?: return false
+        return writer.run(attempt) == AttemptResult.COMMITTED
+    }
+
+    /** Only its holder deletes a grant row, so the absence of the row shows that a close whose answer was lost took effect. */
+    private suspend fun verifyClose(account: BudgetAccount): Boolean {
+        val grant = synchronized(account) { account.grant } ?: return true
+        val key = grantKey(account.budgetId, grant.grantId)
+        val snapshot = session.read(listOf(key)) ?: return false
+        synchronized(account) {
+            val row = snapshot.find(key)
+            account.closing = false
+            if (row == null) account.grant = null else grant.adopt(decodeRow(row.value), row.version)
+            account.retireClosedGrant()
+            return row == null
+        }
+    }
+
+    private fun needsRefill(account: BudgetAccount): Boolean =
+        synchronized(account) {
+            val grant = account.grant
+            if (account.closing || grant?.hasPendingRow == true) return false
+            refillTokens(demandOf(account, grant), Long.MAX_VALUE / 2, options) > 0
+        }
+
+    private fun demandOf(
+        account: BudgetAccount,
+        grant: Grant?,
+    ) = GrantDemand(
+        freeTokens = grant?.freeTokens ?: 0,
+        ratePerMs = account.meter.ratePerMs,
+        largestReservation = account.meter.largestReservation,
+        wantedTokens = account.wantedTokens,
+        routers = routerCount(),
+    )
+
+    private suspend fun readBudget(account: BudgetAccount): Boolean {
+        val snapshot = session.read(listOf(budgetKey(account.budgetId))) ?: return false
+        val row = snapshot.find(budgetKey(account.budgetId))
+        synchronized(account) {
+            account.budgetRow = row?.let { decodeRow<BudgetRow>(it.value) } ?: ABSENT_BUDGET
+            account.budgetVersion = row?.version ?: 0
+        }
+        return true
+    }
+
+    private fun planRefill(account: BudgetAccount): Attempt? =
+        synchronized(account) {
+            account.retireClosedGrant()
+            val budget = account.budgetRow ?: return null
+            val tokens = refillTokens(demandOf(account, account.grant), budget.unallocatedTokens, options)
+            if (tokens <= 0) return null
+            val grant = account.grant ?: Grant(account.budgetId, nextGrantId()).also { account.grant = it }
+            val transactionId = session.nextTransactionId()
+            val write = writer.proposeRow(account, grant, transactionId, grantedDelta = tokens) ?: return null
+            val changed = budget.copy(unallocatedTokens = budget.unallocatedTokens - tokens)
+            budgetAttempt(write, transactionId, changed) {
+                account.lastRefillAtMs = clock.monotonicMs()
+                log.info("grant_refilled", "budget" to account.budgetId.value, "grant" to grant.grantId, "tokens" to tokens)
+            }
+        }
+
+    private fun planReturn(
+        account: BudgetAccount,
+        amount: (Grant) -> Long,
+    ): Attempt? {
+        val grant = account.grant ?: return null
+        val budget = account.budgetRow ?: return null
+        val row = grant.row ?: return null
+        if (grant.closed || grant.hasPendingRow || account.closing) return null
+        val tokens = minOf(amount(grant), grant.freeTokens, row.grantedTokens)
+        if (tokens <= 0) return null
+        val transactionId = session.nextTransactionId()
+        val write = writer.proposeRow(account, grant, transactionId, grantedDelta = -tokens) ?: return null
+        val changed = budget.copy(unallocatedTokens = budget.unallocatedTokens + tokens)
+        return budgetAttempt(write, transactionId, changed) {
+            log.info("grant_reduced", "budget" to account.budgetId.value, "grant" to grant.grantId, "tokens" to tokens)
+        }
+    }
+
+    private fun planClose(account: BudgetAccount): Attempt? {
+        val grant = account.grant ?: return null
+        val budget = account.budgetRow ?: return null
+        val row = grant.row ?: return null
+        val busy = grant.reservedTokens > 0 || grant.unwrittenBills > 0 || account.unackedTransfers > 0
+        if (grant.closed || grant.hasPendingRow || account.closing || busy) return null
+        check(row.settledTokens == grant.spentTokens) { "grant ${grant.grantId} has written ${row.settledTokens} of ${grant.spentTokens}" }
+        account.closing = true
+        val changed =
+            budget.copy(
+                unallocatedTokens = budget.unallocatedTokens + grant.freeTokens,
+                closedTokens = budget.closedTokens + grant.spentTokens,
+                transferTokens = budget.transferTokens + grant.sentTokens - grant.receivedTokens,
+            )
+        val key = grantKey(account.budgetId, grant.grantId)
+        val transactionId = session.nextTransactionId()
+        return Attempt(
+            transaction =
+                TableTransaction(
+                    transactionId,
+                    listOf(RowCheck(budgetKey(account.budgetId), account.budgetVersion), RowCheck(key, grant.rowVersion)),
+                    listOf(writeRow(budgetKey(account.budgetId), changed), RowWrite(key, null)),
+                ),
+            grants = emptyList(),
+            onCommitted = { versions -> closed(account, grant, changed, versions) },
+            onFailed = { current ->
+                synchronized(account) {
+                    noteBudgetRow(account, current.orEmpty())
+                    account.closing = current != null
+                }
+            },
+        )
+    }
+
+    private fun closed(
+        account: BudgetAccount,
+        grant: Grant,
+        changed: BudgetRow,
+        versions: Map<String, Long>,
+    ) = synchronized(account) {
+        account.closing = false
+        account.grant = null
+        noteBudget(account, changed, versions[budgetKey(account.budgetId)])
+        log.info("grant_returned", "budget" to account.budgetId.value, "grant" to grant.grantId, "spentTokens" to grant.spentTokens)
+    }
+
+    private fun budgetAttempt(
+        write: GrantWrite,
+        transactionId: String,
+        changed: BudgetRow,
+        onCommitted: () -> Unit,
+    ): Attempt {
+        val account = write.account
+        val key = budgetKey(account.budgetId)
+        val checks = listOf(RowCheck(key, account.budgetVersion), RowCheck(write.key, write.grant.rowVersion))
+        return Attempt(
+            transaction = TableTransaction(transactionId, checks, listOf(writeRow(key, changed), writeRow(write.key, write.row))),
+            grants = listOf(write),
+            onCommitted = { versions ->
+                synchronized(account) { noteBudget(account, changed, versions[key]) }
+                onCommitted()
+            },
+            onFailed = { current -> synchronized(account) { noteBudgetRow(account, current.orEmpty()) } },
+        )
+    }
+
+    private fun noteBudget(
+        account: BudgetAccount,
+        row: BudgetRow,
+        version: Long?,
+    ) {
+        account.budgetRow = row.takeIf { version != null }
+        account.budgetVersion = version ?: 0
+    }
+
+    private fun noteBudgetRow(
+        account: BudgetAccount,
+        current: Map<String, CurrentRow>,
+    ) {
+        val row = current[budgetKey(account.budgetId)] ?: return
+        account.budgetRow = decodeRow(row.value)
+        account.budgetVersion = row.version
+    }
+
+    private fun nextGrantId(): String = "${writer.self.routerId.value}-${writer.self.incarnation}-${grantCount++}"
+
+    private companion object {
+        private const val RACE_ATTEMPTS = 4
+        private val ABSENT_BUDGET = BudgetRow(0, 0)
+    }
+}
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
@@ -0,0 +1,130 @@
+package org.lycheemount.budget
+
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.platform.RowCheck
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.TableRow
+import org.lycheemount.platform.TableTransaction
+import org.lycheemount.platform.VmDirectory
+import org.lycheemount.platform.VmList
+
+/** Gives back to budgets what routers whose VM is gone certainly did not spend. */
+internal class GrantReclaimer(
+    private val vmDirectory: VmDirectory,
+    private val writer: TableWriter,
+    private val session: TableSession,
+    private val clock: Clock,
+    private val options: BudgetOptions,
+    private val log: EventLog,
+) {
+    private val evidence = VmEvidence()
+    private var scanDueAtMs: Long? = null
+    private var scannedOnce = false
+
+    /** Reads the VM list and plans a scan of the grants when a router's VM has gone. */
+    suspend fun readVmList() {
+        val list = list() ?: return
+        val gone = evidence.note(list)
+        writer.listed = writer.listed || list.routers.any { it.vmId == writer.self.vmId }
+        if (gone.isEmpty() && scannedOnce) return
+        // Few routers scan, one after the other, so that a failure at 600 routers does not make all of them read every grant.
+        val order = list.routers.map { it.vmId }.sortedBy { mixedHash(it.value, gone.joinToString { vm -> vm.value }) }
+        val rank = order.indexOf(writer.self.vmId)
+        scannedOnce = true
+        if (rank in
+            0 until SCANNING_ROUTERS
+        ) {
+            scanDueAtMs = minOf(scanDueAtMs ?: Long.MAX_VALUE, clock.monotonicMs() + rank * SCAN_STAGGER_MS)
+        }
+    }
+
+    /** Reclaims if a scan is due. False when the table gave no answer; the scan stays due then. */
+    suspend fun reclaimIfDue(): Boolean {
+        val dueAtMs = scanDueAtMs ?: return true
+        if (clock.monotonicMs() < dueAtMs) return true
+        val rows = session.scanAll(GRANT_PREFIX) ?: return false
+        val open = rows.map { it to decodeRow<GrantRow>(it.value) }.filter { (_, grant) -> !grant.closed }
+        val list = list() ?: return false
+        for ((_, grant) in open) if (grant.holderListed) evidence.noteAbsent(grant.holder.vmId, list)
+        for ((row, grant) in open) if (mayReclaim(grant) && !reclaim(row, grant)) return false
+        scanDueAtMs = null
+        return true
+    }
+
+    /**
+     * The holder stayed within its ceiling until the outage grace after the contact that the row names. It was gone before, so it
+     * never spent more. Both times are the table's; the margin covers a holder whose clock runs faster than the table's.
+     */
+    private fun mayReclaim(grant: GrantRow): Boolean {
+        val goneAtTableTimeMs = evidence.goneAt(grant.holder.vmId) ?: return false
+        return goneAtTableTimeMs <= grant.lastAckedTableTimeMs + options.outageGraceMs - options.driftMarginMs
+    }
+
+    private suspend fun reclaim(
+        row: TableRow,
+        grant: GrantRow,
+    ): Boolean {
+        repeat(RACE_ATTEMPTS) {
+            val snapshot = session.read(listOf(budgetKey(grant.budgetId), row.key)) ?: return false
+            val current = snapshot.find(row.key) ?: return true
+            val budget = snapshot.find(budgetKey(grant.budgetId)) ?: return true
+            val held = decodeRow<GrantRow>(current.value)
+            if (held.closed || !mayReclaim(held)) return true
+            when (writer.run(reclaimAttempt(budget, current, held))) {
+                AttemptResult.COMMITTED -> return true
+                AttemptResult.NO_ANSWER -> return false
+                AttemptResult.LOST_RACE -> Unit
+            }
+        }
+        return true
+    }
+
+    private fun reclaimAttempt(
+        budgetRow: TableRow,
+        grantRow: TableRow,
+        grant: GrantRow,
+    ): Attempt {
+        val budget = decodeRow<BudgetRow>(budgetRow.value)
+        val reclaimed = grant.grantedTokens + grant.receivedTokens - grant.ceilingTokens
+        val charged = grant.ceilingTokens - grant.sentTokens
+        val changed =
+            budget.copy(
+                unallocatedTokens = budget.unallocatedTokens + reclaimed,
+                closedTokens = budget.closedTokens + charged,
+                transferTokens = budget.transferTokens + grant.sentTokens - grant.receivedTokens,
+            )
+        val closed = grant.copy(closed = true, chargedTokens = charged)
+        return Attempt(
+            TableTransaction(
+                session.nextTransactionId(),
+                listOf(RowCheck(budgetRow.key, budgetRow.version), RowCheck(grantRow.key, grantRow.version)),
+                listOf(writeRow(budgetRow.key, changed), writeRow(grantRow.key, closed)),
+            ),
+            grants = emptyList(),
+            onCommitted = {
+                log.info("grant_reclaimed", "grant" to grant.grantId, "reclaimedTokens" to reclaimed, "chargedTokens" to charged)
+            },
+        )
+    }
+
+    private suspend fun list(): VmList? = (vmDirectory.list() as? TableResult.Answered)?.value
+
+    private companion object {
+        private const val SCANNING_ROUTERS = 3
+        private const val SCAN_STAGGER_MS = 5_000L
+        private const val RACE_ATTEMPTS = 4
+    }
+}
+
+/** Order of routers for a task, the same on each of them and different for each [salt]. */
+internal fun mixedHash(
+    value: String,
+    salt: String,
+): Int {
+    val hash = (value + salt).hashCode() * GOLDEN_RATIO
+    return hash xor (hash ushr HALF_INT)
+}
+
+private const val GOLDEN_RATIO = -1_640_531_527
+private const val HALF_INT = 16
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
@@ -0,0 +1,77 @@
+package org.lycheemount.budget
+
+import kotlin.math.ceil
+
+/**
+ * What a router needs of one budget.
+ *
+ * @property freeTokens tokens of its grant that nothing uses.
+ * @property wantedTokens tokens that a refused request needs; 0 for none.
+ * @property routers number of routers that may draw on the budget.
+ */
+internal data class GrantDemand(
+    val freeTokens: Long,
+    val ratePerMs: Double,
+    val largestReservation: Long,
+    val wantedTokens: Long,
+    val routers: Int,
+)
+
+/** Tokens that a router wants to hold free, to outlast an outage of the expected length. */
+internal fun targetFreeTokens(
+    demand: GrantDemand,
+    options: BudgetOptions,
+): Long {
+    val outage = ceil(demand.ratePerMs * options.expectedOutageMs * OUTAGE_FACTOR).toLong()
+    return maxOf(outage, demand.largestReservation * RESERVATIONS_HELD, demand.wantedTokens * WANTED_FACTOR)
+}
+
+/**
+ * Tokens to take from [unallocatedTokens] now; 0 above the low-water mark. Each router takes at most its share of what is left, so
+ * that grants shrink towards the end of the budget and no router takes the rest of it ahead of need.
+ */
+internal fun refillTokens(
+    demand: GrantDemand,
+    unallocatedTokens: Long,
+    options: BudgetOptions,
+): Long {
+    val target = targetFreeTokens(demand, options)
+    val lacking = target - demand.freeTokens
+    val urgent = (demand.wantedTokens - demand.freeTokens).coerceAtLeast(0)
+    if (urgent == 0L && demand.freeTokens >= target * LOW_WATER_SHARE) return 0
+    val share = unallocatedTokens / (demand.routers + 1)
+    val planned = minOf(lacking, share - (demand.freeTokens - share).coerceAtLeast(0)).coerceAtLeast(0)
+    if (urgent == 0L && planned < demand.largestReservation) return 0
+    return minOf(maxOf(planned, urgent), unallocatedTokens)
+}
+
+/** Ceiling above the present use: covers the spend until a router without contact may ignore it, with some reservations to spare. */
+internal fun ceilingHeadroomTokens(
+    meter: SpendMeter,
+    reservedTokens: Long,
+    options: BudgetOptions,
+): Long {
+    val spend = ceil(meter.ratePerMs * options.outageGraceMs * CEILING_FACTOR).toLong()
+    return spend + reservedTokens + meter.largestReservation * CEILING_RESERVATIONS
+}
+
+/** Size of a reservation: the worst case while tokens are plentiful, otherwise a first step of about twice the usual use. */
+internal fun reservationTokens(
+    usableTokens: Long,
+    minimumTokens: Long,
+    maximumTokens: Long,
+    useShare: Double,
+): Long {
+    if (usableTokens >= maximumTokens * PLENTIFUL_FACTOR) return maximumTokens
+    val step = minimumTokens + ceil((maximumTokens - minimumTokens) * minOf(1.0, useShare * STEP_FACTOR)).toLong()
+    return minOf(usableTokens, step, maximumTokens)
+}
+
+private const val OUTAGE_FACTOR = 1.5
+private const val RESERVATIONS_HELD = 8L
+private const val WANTED_FACTOR = 4L
+private const val LOW_WATER_SHARE = 0.7
+private const val CEILING_FACTOR = 2.0
+private const val CEILING_RESERVATIONS = 8L
+private const val PLENTIFUL_FACTOR = 16L
+private const val STEP_FACTOR = 2.0
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/SpendMeter.kt
@@ -0,0 +1,63 @@
+package org.lycheemount.budget
+
+import kotlin.math.exp
+import kotlin.math.max
+
+/** Measures how fast a router spends one budget and how callers' worst cases compare with their use. */
+internal class SpendMeter {
+    private var tokensSinceTick = 0L
+    private var lastTickMs: Long? = null
+    private var fastPerMs = 0.0
+    private var slowPerMs = 0.0
+
+    /** Share of the reserved worst case that requests use, averaged; 1 until known. */
+    var useShare = 1.0
+        private set
+
+    /** Largest reservation seen lately. */
+    var largestReservation = 0L
+        private set
+    var lastUseAtMs = Long.MIN_VALUE / 2
+        private set
+
+    /** Spend rate in tokens per millisecond: the greater of a one-minute and a ten-minute average, so that lulls do not shrink grants. */
+    val ratePerMs: Double get() = max(fastPerMs, slowPerMs)
+
+    /** Rate of the last minute. */
+    val recentRatePerMs: Double get() = fastPerMs
+
+    fun recordReservation(
+        tokens: Long,
+        nowMs: Long,
+    ) {
+        largestReservation = max(largestReservation, tokens)
+        lastUseAtMs = max(lastUseAtMs, nowMs)
+    }
+
+    fun recordUse(
+        tokens: Long,
+        worstCaseTokens: Long,
+    ) {
+        tokensSinceTick += tokens
+        if (worstCaseTokens > 0) useShare += USE_SHARE_WEIGHT * (tokens.toDouble() / worstCaseTokens - useShare)
+    }
+
+    fun tick(nowMs: Long) {
+        val elapsedMs = nowMs - (lastTickMs ?: nowMs)
+        if (lastTickMs != null && elapsedMs < TICK_MS) return
+        lastTickMs = nowMs
+        if (elapsedMs <= 0) return
+        val perMs = tokensSinceTick.toDouble() / elapsedMs
+        tokensSinceTick = 0
+        fastPerMs += (1 - exp(-elapsedMs / FAST_MS)) * (perMs - fastPerMs)
+        slowPerMs += (1 - exp(-elapsedMs / SLOW_MS)) * (perMs - slowPerMs)
+        largestReservation = (largestReservation * exp(-elapsedMs / SLOW_MS)).toLong()
+    }
+
+    private companion object {
+        private const val TICK_MS = 1_000L
+        private const val FAST_MS = 60_000.0
+        private const val SLOW_MS = 600_000.0
+        private const val USE_SHARE_WEIGHT = 0.05
+    }
+}
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
@@ -0,0 +1,109 @@
+package org.lycheemount.budget
+
+import kotlinx.coroutines.delay
+import org.lycheemount.common.Clock
+import org.lycheemount.platform.CommitOutcome
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.TableRow
+import org.lycheemount.platform.TableService
+import org.lycheemount.platform.TableSnapshot
+import org.lycheemount.platform.TableTransaction
+
+/** What is known of a transaction after all attempts to learn its outcome. */
+internal sealed interface CommitResult {
+    data class Committed(
+        val versions: Map<String, Long>,
+    ) : CommitResult
+
+    /** Nothing was written under this attempt; an earlier attempt with the same id may show in [current]. */
+    data class Conflict(
+        val current: List<TableRow>,
+    ) : CommitResult
+
+    data object NoEffect : CommitResult
+
+    /** May have taken effect or still take effect. */
+    data object Unresolved : CommitResult
+}
+
+/** Calls of the table with the last contact kept in both time scales. Used by one coroutine at a time. */
+internal class TableSession(
+    private val table: TableService,
+    private val clock: Clock,
+    transactionPrefix: String,
+) {
+    private val prefix = "$transactionPrefix-"
+    private var transactionCount = 0L
+
+    /** Last response that this router received, null before the first. */
+    @Volatile
+    var lastContact: TableContact? = null
+        private set
+
+    fun nextTransactionId(): String = prefix + transactionCount++
+
+    suspend fun read(keys: List<String>): TableSnapshot? = table.read(keys).snapshot()
+
+    suspend fun scan(
+        prefix: String,
+        afterKey: String?,
+    ): TableSnapshot? = table.scan(prefix, afterKey).snapshot()
+
+    /** All rows under [prefix], or null when a page could not be read. */
+    suspend fun scanAll(prefix: String): List<TableRow>? {
+        val rows = mutableListOf<TableRow>()
+        while (true) {
+            val page = scan(prefix, rows.lastOrNull()?.key) ?: return null
+            rows += page.rows
+            if (page.rows.size < TableService.DEFAULT_SCAN_LIMIT) return rows
+        }
+    }
+
+    suspend fun commit(transaction: TableTransaction): CommitResult =
+        when (val result = table.commit(transaction)) {
+            is TableResult.Answered -> decided(result.value)
+            is TableResult.Unavailable -> CommitResult.NoEffect
+            is TableResult.Unknown -> resolve(transaction)
+        }
+
+    /**
+     * Learns the outcome of [transaction] after a lost answer. When the table does not know its id, the transaction is sent again
+     * under the same id: the first attempt may still be under way, and only a decided id cannot take effect later.
+     */
+    suspend fun resolve(transaction: TableTransaction): CommitResult {
+        repeat(RESOLVE_ATTEMPTS) { attempt ->
+            if (attempt > 0) delay(RESOLVE_DELAY_MS)
+            val found = table.findTransaction(transaction.transactionId)
+            if (found is TableResult.Answered) {
+                noteContact(found.value.tableTimeMs)
+                found.value.outcome?.let { return decided(it) }
+                val again = table.commit(transaction)
+                if (again is TableResult.Answered) return decided(again.value)
+            }
+        }
+        return CommitResult.Unresolved
+    }
+
+    private fun decided(outcome: CommitOutcome): CommitResult =
+        when (outcome) {
+            is CommitOutcome.Committed -> CommitResult.Committed(outcome.versions).also { noteContact(outcome.tableTimeMs) }
+            is CommitOutcome.Conflict -> CommitResult.Conflict(outcome.current).also { noteContact(outcome.tableTimeMs) }
+        }
+
+    private fun TableResult<TableSnapshot>.snapshot(): TableSnapshot? {
+        if (this !is TableResult.Answered) return null
+        noteContact(value.tableTimeMs)
+        return value
+    }
+
+    private fun noteContact(tableTimeMs: Long) {
+        // A found transaction reports the time of its decision, which may be older than the last contact.
+        val last = lastContact
+        if (last == null || tableTimeMs > last.tableTimeMs) lastContact = TableContact(tableTimeMs, clock.monotonicMs())
+    }
+
+    private companion object {
+        private const val RESOLVE_ATTEMPTS = 2
+        private const val RESOLVE_DELAY_MS = 50L
+    }
+}
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableWriter.kt
@@ -0,0 +1,174 @@
+package org.lycheemount.budget
+
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.platform.TableTransaction
+
+/** One row of a grant within a transaction. */
+internal class GrantWrite(
+    val account: BudgetAccount,
+    val grant: Grant,
+    val row: GrantRow,
+) {
+    val key: String get() = grantKey(grant.budgetId, grant.grantId)
+}
+
+/**
+ * A transaction of this router and what to do once it is decided.
+ *
+ * @property onCommitted gets the new versions; rows that may have changed since are left out.
+ * @property onFailed gets the rows that differed, or null when the transaction did not reach a decision.
+ */
+internal class Attempt(
+    val transaction: TableTransaction,
+    val grants: List<GrantWrite>,
+    val onCommitted: (versions: Map<String, Long>) -> Unit = {},
+    val onFailed: (current: Map<String, CurrentRow>?) -> Unit = {},
+)
+
+internal enum class AttemptResult { COMMITTED, LOST_RACE, NO_ANSWER }
+
+/** A row as the table reported it with a conflict. */
+internal class CurrentRow(
+    val value: String,
+    val version: Long,
+)
+
+/**
+ * Runs this router's transactions one after the other. A transaction whose outcome stays unknown blocks the following ones until
+ * it is resolved, so at most one row of each grant is in doubt.
+ */
+internal class TableWriter(
+    val self: RouterIdentity,
+    private val session: TableSession,
+    private val clock: Clock,
+    private val options: BudgetOptions,
+    private val log: EventLog,
+) {
+    private var unresolved: Attempt? = null
+
+    /** True once this router has seen its own VM in the VM list. */
+    var listed = false
+
+    val inDoubt: Boolean get() = unresolved != null
+
+    /** Resolves the transaction in doubt, if any; false while it remains in doubt. */
+    suspend fun resolvePending(): Boolean {
+        val attempt = unresolved ?: return true
+        finish(attempt, session.resolve(attempt.transaction))
+        return unresolved == null
+    }
+
+    /** Runs [attempt] to its decision, or leaves it in doubt. */
+    suspend fun run(attempt: Attempt): AttemptResult {
+        check(unresolved == null) { "a transaction is in doubt" }
+        return finish(attempt, session.commit(attempt.transaction))
+    }
+
+    /**
+     * Proposes the next row of [grant]: a ceiling above the present use, and the last contact as the start of the grace.
+     * Call under the monitor of [account]. Null without any contact with the table so far.
+     */
+    fun proposeRow(
+        account: BudgetAccount,
+        grant: Grant,
+        transactionId: String,
+        grantedDelta: Long = 0,
+        billedDelta: Long = 0,
+    ): GrantWrite? {
+        val contact = session.lastContact ?: return null
+        val base = grant.row ?: GrantRow(grant.grantId, grant.budgetId, self, grantedTokens = 0)
+        val granted = base.grantedTokens + grantedDelta
+        val headroom = ceilingHeadroomTokens(account.meter, grant.reservedTokens, options)
+        val ceiling = minOf(grant.usedTokens + headroom, granted + grant.receivedTokens)
+        val proposed =
+            base.copy(
+                grantedTokens = granted,
+                settledTokens = base.settledTokens + billedDelta,
+                sentTokens = grant.sentTokens,
+                receivedTokens = grant.receivedTokens,
+                ceilingTokens = if (base.closed) base.ceilingTokens else ceiling,
+                lastAckedTableTimeMs = contact.tableTimeMs,
+                holderListed = listed,
+                holderTransactionId = transactionId,
+            )
+        if (!base.closed) grant.propose(proposed, contact.receivedAtMs + options.outageGraceMs)
+        return GrantWrite(account, grant, proposed)
+    }
+
+    private fun finish(
+        attempt: Attempt,
+        result: CommitResult,
+    ): AttemptResult {
+        unresolved = null
+        when (result) {
+            is CommitResult.Committed -> {
+                committed(attempt, result.versions)
+                return AttemptResult.COMMITTED
+            }
+            is CommitResult.Conflict -> return conflict(attempt, result)
+            is CommitResult.NoEffect -> failed(attempt, null)
+            is CommitResult.Unresolved -> unresolved = attempt
+        }
+        return AttemptResult.NO_ANSWER
+    }
+
+    private fun committed(
+        attempt: Attempt,
+        versions: Map<String, Long>,
+    ) {
+        val nowMs = clock.monotonicMs()
+        for (write in attempt.grants) {
+            val version = versions.getValue(write.key)
+            synchronized(write.account) {
+                if (write.grant.hasPendingRow) write.grant.confirm(version, nowMs) else write.grant.adopt(write.row, version)
+            }
+        }
+        attempt.onCommitted(versions)
+        wake(attempt)
+    }
+
+    /** The table forgets ids after some time; a row that carries this transaction's id shows that it had taken effect before. */
+    private fun conflict(
+        attempt: Attempt,
+        result: CommitResult.Conflict,
+    ): AttemptResult {
+        val current = result.current.associate { it.key to CurrentRow(it.value, it.version) }
+        val rows = attempt.grants.mapNotNull { write -> current[write.key]?.let { write to decodeRow<GrantRow>(it.value) } }
+        val hadEffect = rows.any { (_, row) -> row.holderTransactionId == attempt.transaction.transactionId }
+        if (hadEffect) {
+            committed(attempt, attempt.grants.associate { it.key to current.getValue(it.key).version })
+        } else {
+            failed(attempt, current)
+        }
+        for ((write, row) in rows) adopt(write, row, current.getValue(write.key).version)
+        return if (hadEffect) AttemptResult.COMMITTED else AttemptResult.LOST_RACE
+    }
+
+    private fun failed(
+        attempt: Attempt,
+        current: Map<String, CurrentRow>?,
+    ) {
+        for (write in attempt.grants) synchronized(write.account) { write.grant.abandon() }
+        attempt.onFailed(current)
+        wake(attempt)
+    }
+
+    private fun adopt(
+        write: GrantWrite,
+        row: GrantRow,
+        version: Long,
+    ) = synchronized(write.account) {
+        if (row.closed && !write.grant.closed) {
+            log.warn("grant_closed_by_peer", "budget" to row.budgetId.value, "grant" to row.grantId, "chargedTokens" to row.chargedTokens)
+        }
+        write.grant.adopt(row, version)
+        write.account.retireClosedGrant()
+    }
+
+    private fun wake(attempt: Attempt) {
+        val nowMs = clock.monotonicMs()
+        for (write in attempt.grants) synchronized(write.account) { write.account.wakeWaiters(nowMs) }
+    }
+}
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/WorkSignals.kt
@@ -0,0 +1,26 @@
+package org.lycheemount.budget
+
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Wakes the background work; several signals before it wakes count as one. */
+internal class WorkSignals {
+    private val work = Channel<Unit>(Channel.CONFLATED)
+    private val replicate = Channel<Unit>(Channel.CONFLATED)
+
+    fun work() {
+        work.trySend(Unit)
+    }
+
+    fun replicate() {
+        replicate.trySend(Unit)
+    }
+
+    suspend fun awaitWork(timeoutMs: Long) {
+        withTimeoutOrNull(timeoutMs) { work.receive() }
+    }
+
+    suspend fun awaitReplicate(timeoutMs: Long) {
+        withTimeoutOrNull(timeoutMs) { replicate.receive() }
+    }
+}
--- /dev/null
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
@@ -0,0 +1,162 @@
+package org.lycheemount.budget
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.plus
+import kotlinx.coroutines.test.TestCoroutineScheduler
+import kotlinx.coroutines.test.TestScope
+import org.lycheemount.common.BackendTarget
+import org.lycheemount.common.BudgetId
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.ModelId
+import org.lycheemount.common.RegionId
+import org.lycheemount.common.RequestId
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.TeamId
+import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
+import org.lycheemount.testing.FakePeerNetwork
+import org.lycheemount.testing.FakeTableLink
+import org.lycheemount.testing.FakeTableService
+import org.lycheemount.testing.FakeVmDirectory
+import kotlin.random.Random
+
+internal val BUDGET = BudgetId("assessments")
+
+/** Routers with the real budget code over fakes of the table, the VM list and the network, in virtual time. */
+internal class BudgetFleet(
+    private val scope: CoroutineScope,
+    scheduler: TestCoroutineScheduler,
+    private val options: BudgetOptions = BudgetOptions(),
+    private val seed: Int = 1,
+) {
+    val clock =
+        object : Clock {
+            override fun monotonicMs() = scheduler.currentTime
+
+            override fun wallClockMs() = TABLE_EPOCH_MS + scheduler.currentTime
+        }
+    val table = FakeTableService(clock)
+    val vms = FakeVmDirectory(clock)
+    val network = FakePeerNetwork(scope, seed = seed)
+    val routers = linkedMapOf<String, Router>()
+    private var transactions = 0
+    val administration = createBudgetAdministration(table) { "admin-${transactions++}" }
+
+    fun start(
+        name: String,
+        incarnation: Long = 1,
+    ): Router {
+        val identity = RouterIdentity(RouterId(name), VmId("vm-$name-$incarnation"), RegionId("region"), ZoneId("zone"), incarnation)
+        return Router(identity).also { routers[name] = it }
+    }
+
+    suspend fun fund(
+        tokens: Long,
+        topUpId: String = "first",
+        budgetId: BudgetId = BUDGET,
+    ) {
+        administration.create(budgetId)
+        administration.topUp(budgetId, topUpId, tokens)
+    }
+
+    suspend fun status(budgetId: BudgetId = BUDGET): BudgetStatus = (administration.status(budgetId) as BudgetStatusResult.Found).status
+
+    /** Bills in the table, by request. */
+    suspend fun writtenBills(budgetId: BudgetId = BUDGET): Map<RequestId, Bill> =
+        (administration.bills(budgetId, limit = Int.MAX_VALUE - 1) as BillsResult.Page).bills.associateBy { it.requestId }
+
+    inner class Router(
+        val identity: RouterIdentity,
+    ) {
+        private val job = Job(scope.coroutineContext[Job])
+        private val ownScope = scope + job
+        val link = FakeTableLink(table, scope, random = Random(seed + identity.incarnation.toInt()))
+        private val module =
+            createBudgetLedgerModule(link, vms, network.join(identity), clock, SilentLog, options, Random(seed + identity.hashCode()))
+        val ledger = module.ledger
+        val maintenance = module.maintenance
+        val dump = module.stateDump
+
+        init {
+            vms.add(identity)
+            module.maintenance.start(ownScope)
+        }
+
+        fun reserve(
+            request: String,
+            tokens: Long,
+            budgetId: BudgetId = BUDGET,
+        ) = ledger.reserve(RequestId(request), budgetId, tokens, clock.monotonicMs())
+
+        fun settle(
+            request: String,
+            tokens: Long,
+        ) = ledger.settle(RequestId(request), charge(tokens), clock.monotonicMs())
+
+        /** Reserves with a wait and settles at once; false when refused. */
+        suspend fun spend(
+            request: String,
+            tokens: Long,
+            budgetId: BudgetId = BUDGET,
+        ): Boolean {
+            if (reserve(request, tokens, budgetId) is ReservationOutcome.Refused) {
+                maintenance.awaitTokens(budgetId, tokens, AWAIT_MS)
+                if (reserve(request, tokens, budgetId) is ReservationOutcome.Refused) return false
+            }
+            settle(request, tokens)
+            return true
+        }
+
+        /** Ends the process without any further message. */
+        fun kill() {
+            job.cancel()
+            network.leave(identity.routerId)
+            routers.remove(identity.routerId.value)
+        }
+
+        /** Ends the process and takes its VM off the list after [lagMs]. */
+        suspend fun killAndUnlist(lagMs: Long = 10_000) {
+            kill()
+            delay(lagMs)
+            vms.remove(identity)
+        }
+    }
+
+    private companion object {
+        private const val TABLE_EPOCH_MS = 1_700_000_000_000
+        private const val AWAIT_MS = 2_000L
+    }
+}
+
+internal fun charge(tokens: Long) = Charge(TeamId("team"), BackendTarget.Model(ModelId("loft-model")), 0, tokens)
+
+internal object SilentLog : EventLog {
+    override fun info(
+        event: String,
+        vararg fields: Pair<String, Any?>,
+    ) = Unit
+
+    override fun warn(
+        event: String,
+        vararg fields: Pair<String, Any?>,
+    ) = Unit
+}
+
+/** Runs [body] with a fleet whose background work ends with the test. */
+internal fun fleetTest(
+    options: BudgetOptions = BudgetOptions(),
+    seed: Int = 1,
+    body: suspend TestScope.(BudgetFleet) -> Unit,
+) = kotlinx.coroutines.test.runTest {
+    val fleetScope = CoroutineScope(coroutineContext + Job())
+    try {
+        body(BudgetFleet(fleetScope, testScheduler, options, seed))
+    } finally {
+        fleetScope.cancel()
+    }
+}
--- /dev/null
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/DefaultBudgetLedgerTest.kt
@@ -0,0 +1,82 @@
+package org.lycheemount.budget
+
+import kotlinx.coroutines.delay
+import org.junit.jupiter.api.Nested
+import org.lycheemount.common.RefusalReason
+import org.lycheemount.common.RequestId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class DefaultBudgetLedgerTest {
+    @Nested
+    inner class `a single router` {
+        @Test
+        fun `bills once and returns the rest when it drains, guarding against tokens lost at shutdown`() =
+            fleetTest { fleet ->
+                fleet.fund(100_000)
+                val router = fleet.start("a")
+                assertTrue(router.spend("r1", 300))
+
+                val drained = router.maintenance.drain()
+
+                assertTrue(drained)
+                assertEquals(setOf(RequestId("r1")), fleet.writtenBills().keys)
+                val status = fleet.status()
+                assertEquals(99_700, status.unallocatedTokens)
+                assertEquals(300, status.settledTokens)
+                assertEquals(emptyList(), status.holders)
+            }
+
+        @Test
+        fun `settles a request twice with one bill, guarding against double billing by a retry`() =
+            fleetTest { fleet ->
+                fleet.fund(100_000)
+                val router = fleet.start("a")
+                router.spend("r1", 300)
+
+                val again = router.settle("r1", 200)
+                delay(5_000)
+
+                assertEquals(300, again.charge.totalTokens)
+                assertEquals(300, fleet.status().settledTokens)
+            }
+    }
+
+    @Nested
+    inner class `a refusal` {
+        @Test
+        fun `says exhausted only once the whole budget is known to be used, guarding against a 429 for tokens held elsewhere`() =
+            fleetTest { fleet ->
+                fleet.fund(1_000)
+                val router = fleet.start("a")
+                val first = assertIs<ReservationOutcome.Refused>(router.reserve("r1", 900))
+                delay(1_000)
+                assertTrue(router.spend("r2", 900))
+                router.reserve("r3", 900)
+                delay(4_000)
+
+                val last = assertIs<ReservationOutcome.Refused>(router.reserve("r3", 900))
+
+                assertEquals(RefusalReason.BUDGET_UNAVAILABLE, first.refusal.reason)
+                assertEquals(RefusalReason.BUDGET_EXHAUSTED, last.refusal.reason)
+            }
+    }
+
+    @Nested
+    inner class `a refill whose answer is lost` {
+        @Test
+        fun `is resolved by its transaction id, guarding against tokens counted twice or not at all`() =
+            fleetTest { fleet ->
+                fleet.fund(100_000)
+                val router = fleet.start("a")
+                fleet.table.loseNextAnswers = 1
+
+                assertTrue(router.spend("r1", 300))
+                router.maintenance.drain()
+
+                assertEquals(99_700, fleet.status().unallocatedTokens)
+            }
+    }
+}
--- /dev/null
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableLink.kt
@@ -0,0 +1,73 @@
+package org.lycheemount.testing
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.lycheemount.platform.CommitOutcome
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.TableService
+import org.lycheemount.platform.TableSnapshot
+import org.lycheemount.platform.TableTransaction
+import org.lycheemount.platform.TransactionStatus
+import kotlin.random.Random
+
+/**
+ * One router's connection to a shared table, with the faults of the way there.
+ *
+ * @param scope runs commits that arrive after their caller has given up.
+ * @param latencyMs delay one way.
+ */
+class FakeTableLink(
+    private val table: TableService,
+    private val scope: CoroutineScope,
+    private val latencyMs: Long = 2,
+    private val random: Random = Random(1),
+) : TableService {
+    /** While true, no call reaches the table. */
+    var cut: Boolean = false
+
+    /** Share of commits whose answer is lost after they took effect, from 0 to 1. */
+    var lostAnswerShare: Double = 0.0
+
+    /** Share of commits that take effect only after their caller has got no answer, from 0 to 1. */
+    var lateCommitShare: Double = 0.0
+
+    override suspend fun read(keys: List<String>): TableResult<TableSnapshot> = exchange { table.read(keys) }
+
+    override suspend fun scan(
+        prefix: String,
+        afterKey: String?,
+        limit: Int,
+    ): TableResult<TableSnapshot> = exchange { table.scan(prefix, afterKey, limit) }
+
+    override suspend fun findTransaction(transactionId: String): TableResult<TransactionStatus> =
+        exchange { table.findTransaction(transactionId) }
+
+    override suspend fun commit(transaction: TableTransaction): TableResult<CommitOutcome> {
+        if (cut) return TableResult.Unavailable("link is cut")
+        if (random.nextDouble() < lateCommitShare) {
+            scope.launch {
+                delay(LATE_COMMIT_MS)
+                table.commit(transaction)
+            }
+            return TableResult.Unknown("no answer in time")
+        }
+        delay(latencyMs)
+        val result = table.commit(transaction)
+        delay(latencyMs)
+        val lost = cut || random.nextDouble() < lostAnswerShare
+        return if (lost && result is TableResult.Answered) TableResult.Unknown("answer lost") else result
+    }
+
+    private suspend fun <T> exchange(call: suspend () -> TableResult<T>): TableResult<T> {
+        if (cut) return TableResult.Unavailable("link is cut")
+        delay(latencyMs)
+        val result = call()
+        delay(latencyMs)
+        return if (cut) TableResult.Unavailable("link is cut") else result
+    }
+
+    private companion object {
+        private const val LATE_COMMIT_MS = 3_000L
+    }
+}
--- a/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableService.kt
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableService.kt
@@ -35,8 +35,14 @@
         limit: Int,
     ): TableResult<TableSnapshot> =
         answer {
-            val matching = rows.values.filter { it.key.startsWith(prefix) && (afterKey == null || it.key > afterKey) }
-            TableSnapshot(matching.take(limit), now())
+            val matching =
+                rows
+                    .tailMap(prefix)
+                    .values
+                    .asSequence()
+                    .takeWhile { it.key.startsWith(prefix) }
+                    .filter { afterKey == null || it.key > afterKey }
+            TableSnapshot(matching.take(limit).toList(), now())
         }
 
     override suspend fun commit(transaction: TableTransaction): TableResult<CommitOutcome> {
--- /dev/null
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakeVmDirectory.kt
@@ -0,0 +1,35 @@
+package org.lycheemount.testing
+
+import org.lycheemount.common.Clock
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.platform.RouterVm
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.VmDirectory
+import org.lycheemount.platform.VmList
+
+/** VM list of routers that a test changes; the platform's lag is the test's delay before it does so. */
+class FakeVmDirectory(
+    private val clock: Clock,
+) : VmDirectory {
+    private val vms = linkedMapOf<String, RouterVm>()
+
+    /** While false, every call is answered as unavailable. */
+    var available: Boolean = true
+
+    /** Lists the VM of [identity]. */
+    fun add(identity: RouterIdentity) {
+        vms[identity.vmId.value] = RouterVm(identity.vmId, identity.routerId, identity.regionId, identity.zoneId, "127.0.0.1", 0)
+    }
+
+    /** Takes the VM of [identity] off the list, as the platform does some time after its end. */
+    fun remove(identity: RouterIdentity) {
+        vms.remove(identity.vmId.value)
+    }
+
+    override suspend fun list(): TableResult<VmList> =
+        if (available) {
+            TableResult.Answered(VmList(vms.values.toList(), emptyList(), clock.wallClockMs()))
+        } else {
+            TableResult.Unavailable("VM list is down")
+        }
+}
