Add the peer messenger over Ktor sockets with CBOR frames and TLS

Cause: features need calls and messages between routers over authenticated links. Change: connection/peer holds DefaultPeerMessenger: length-prefixed CBOR frames, a versioned hello with mutual HMAC proofs over both nonces and identities, calls with correlation ids, bounded send queues, one link per pair, redial with jittered backoff, on-demand links to routers that are no neighbours. TLS runs by SSLEngine over the same sockets because Ktor has no server side for them (decision 0020). Conclusion: the interface PeerMessenger is unchanged.

--- /dev/null
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/ByteStream.kt
@@ -0,0 +1,50 @@
+package org.lycheemount.peer.socket
+
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.readAvailable
+import io.ktor.utils.io.writeFully
+
+/** Two-way stream of bytes, plain or encrypted. One reader and one writer may use it at the same time. */
+internal interface ByteStream {
+    /** Reads between 1 and [length] bytes into [into]; returns -1 at the end of the stream. */
+    suspend fun readSome(
+        into: ByteArray,
+        offset: Int,
+        length: Int,
+    ): Int
+
+    /** Writes [bytes] without flushing. */
+    suspend fun write(bytes: ByteArray)
+
+    /** Hands everything written so far to the network. */
+    suspend fun flush()
+
+    /** Closes the connection; pending reads and writes fail. */
+    fun close()
+}
+
+internal class PlainByteStream(
+    private val socket: Socket,
+) : ByteStream {
+    private val input = socket.openReadChannel()
+    private val output = socket.openWriteChannel(autoFlush = false)
+
+    override suspend fun readSome(
+        into: ByteArray,
+        offset: Int,
+        length: Int,
+    ): Int {
+        while (true) {
+            val count = input.readAvailable(into, offset, length)
+            if (count != 0) return count
+        }
+    }
+
+    override suspend fun write(bytes: ByteArray) = output.writeFully(bytes)
+
+    override suspend fun flush() = output.flush()
+
+    override fun close() = socket.close()
+}
--- /dev/null
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
@@ -0,0 +1,279 @@
+package org.lycheemount.peer.socket
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.StateDumpSource
+import org.lycheemount.peer.PeerChannel
+import org.lycheemount.peer.PeerHandler
+import org.lycheemount.peer.PeerMessenger
+import org.lycheemount.peer.PeerReply
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+
+/**
+ * Peer messenger over TCP. [start] binds the listener and runs all links in the scope that it is given.
+ *
+ * Links to neighbours stay open and are dialed again with jittered backoff; a call to any other known router dials on demand.
+ *
+ * @param tls null sends plain text; frames are then authenticated only by the handshake.
+ */
+class DefaultPeerMessenger(
+    override val self: RouterIdentity,
+    private val secret: PeerSecret,
+    private val log: EventLog,
+    private val settings: PeerLinkSettings = PeerLinkSettings(),
+    tls: ReloadingTlsContext? = null,
+    private val random: Random = Random.Default,
+) : PeerMessenger,
+    StateDumpSource {
+    private val transport = if (tls == null) PlainTransport() else TlsTransport(tls)
+    private val handshake = Handshake(self, secret)
+    private val links = LinkTable(self)
+    private val handlers = ConcurrentHashMap<PeerChannel, PeerHandler>()
+    private val endpoints = ConcurrentHashMap<RouterId, PeerEndpoint>()
+    private val neighbourJobs = mutableMapOf<RouterId, Job>()
+    private val dialLocks = ConcurrentHashMap<RouterId, Mutex>()
+    private val pendingHandshakes = AtomicInteger()
+    private val selector = SelectorManager(Dispatchers.IO)
+    private lateinit var scope: CoroutineScope
+
+    /** Bytes sent and received over all links. */
+    val traffic: LinkTraffic = LinkTraffic()
+
+    override val name: String = "peer_links"
+
+    /** Binds [host]:[port], starts the background work in [scope] and returns the bound port; 0 takes a free one. */
+    suspend fun start(
+        scope: CoroutineScope,
+        host: String,
+        port: Int,
+    ): Int {
+        this.scope = scope
+        val server = aSocket(selector).tcp().bind(InetSocketAddress(host, port)) { reuseAddress = true }
+        scope.launch { acceptLoop(server) }.invokeOnCompletion {
+            server.close()
+            links.all().forEach { it.close() }
+            selector.close()
+        }
+        scope.launch { closeUnusedLinks() }
+        return (server.localAddress as InetSocketAddress).port
+    }
+
+    /**
+     * Sets the routers that can be called and those that keep a link open.
+     *
+     * @param known every router that may be called, by the newest list.
+     * @param neighbours routers of [known] to which a link is kept.
+     */
+    @Synchronized
+    fun setPeers(
+        known: Collection<PeerEndpoint>,
+        neighbours: Set<RouterId>,
+    ) {
+        val byId = known.filter { it.routerId != self.routerId }.associateBy { it.routerId }
+        endpoints.keys.retainAll(byId.keys)
+        endpoints.putAll(byId)
+        val wanted = neighbours intersect byId.keys
+        (neighbourJobs.keys - wanted).forEach { neighbourJobs.remove(it)?.cancel() }
+        for (routerId in wanted - neighbourJobs.keys) neighbourJobs[routerId] = scope.launch { keepLinked(routerId) }
+    }
+
+    override fun connectedPeers(): List<RouterIdentity> = links.all().map { it.peer }
+
+    override suspend fun call(
+        to: RouterId,
+        channel: PeerChannel,
+        payload: ByteArray,
+        timeoutMs: Long,
+    ): PeerReply {
+        val startedMs = System.nanoTime() / NANOS_PER_MS
+        val link = links.find(to) ?: withTimeoutOrNull(timeoutMs) { dialOnDemand(to) } ?: return PeerReply.NotDelivered
+        val leftMs = timeoutMs - (System.nanoTime() / NANOS_PER_MS - startedMs)
+        return if (leftMs <= 0) PeerReply.NotDelivered else link.call(channel, payload, leftMs)
+    }
+
+    override fun send(
+        to: RouterId,
+        channel: PeerChannel,
+        payload: ByteArray,
+    ): Boolean = links.find(to)?.send(channel, payload) ?: false
+
+    override fun register(
+        channel: PeerChannel,
+        handler: PeerHandler,
+    ) {
+        check(handlers.putIfAbsent(channel, handler) == null) { "channel ${channel.value} has a handler" }
+    }
+
+    override fun dumpState(): JsonObject =
+        buildJsonObject {
+            put("sent_bytes", traffic.sentBytes)
+            put("received_bytes", traffic.receivedBytes)
+            put("known_peers", endpoints.size)
+            putJsonArray("links") {
+                for (link in links.all()) {
+                    addJsonObject {
+                        put("router_id", link.peer.routerId.value)
+                        put("vm_id", link.peer.vmId.value)
+                        put("incarnation", link.peer.incarnation)
+                        put("dialed_here", link.dialedHere)
+                        put("queued_bytes", link.queuedFrameBytes)
+                        put("pending_calls", link.pendingCalls)
+                    }
+                }
+            }
+        }
+
+    private suspend fun acceptLoop(server: ServerSocket) {
+        while (true) {
+            val socket = server.accept()
+            if (pendingHandshakes.get() >= settings.maxPendingHandshakes) {
+                socket.close()
+                continue
+            }
+            pendingHandshakes.incrementAndGet()
+            scope.launch { acceptLink(socket) }
+        }
+    }
+
+    private suspend fun acceptLink(socket: Socket) {
+        val link =
+            try {
+                openLink(socket, asClient = false) { frames ->
+                    val peer = handshake.accept(frames)
+                    val link = newLink(peer, dialedHere = false, frames)
+                    if (!links.add(link)) throw LinkFailure("another link to ${peer.routerId.value} is preferred")
+                    confirm(link, frames)
+                    link
+                }
+            } finally {
+                pendingHandshakes.decrementAndGet()
+            }
+        if (link != null) runLink(link)
+    }
+
+    private suspend fun dial(endpoint: PeerEndpoint): PeerLink? {
+        val socket =
+            try {
+                withTimeout(
+                    settings.handshakeTimeoutMs,
+                ) { aSocket(selector).tcp().connect(endpoint.host, endpoint.port) { noDelay = true } }
+            } catch (failure: Exception) {
+                rethrowIfCancelled(failure)
+                return null
+            }
+        val link =
+            openLink(socket, asClient = true) { frames ->
+                val peer = handshake.dial(frames, endpoint)
+                handshake.awaitReady(frames)
+                newLink(peer, dialedHere = true, frames)
+            } ?: return null
+        if (!links.add(link)) {
+            link.close()
+            return null
+        }
+        scope.launch { runLink(link) }
+        return link
+    }
+
+    private suspend fun confirm(
+        link: PeerLink,
+        frames: FrameStream,
+    ) {
+        var confirmed = false
+        try {
+            frames.writeAndFlush(WireFrame.Ready)
+            confirmed = true
+        } finally {
+            if (!confirmed) links.remove(link)
+        }
+    }
+
+    private suspend fun openLink(
+        socket: Socket,
+        asClient: Boolean,
+        authenticate: suspend (FrameStream) -> PeerLink,
+    ): PeerLink? =
+        try {
+            withTimeout(settings.handshakeTimeoutMs) { authenticate(FrameStream(transport.open(socket, asClient), traffic)) }
+        } catch (failure: Exception) {
+            socket.close()
+            rethrowIfCancelled(failure)
+            log.info("peer_link_refused", "remote" to remoteOf(socket), "dialed" to asClient, "reason" to failure.message)
+            null
+        }
+
+    private fun newLink(
+        peer: RouterIdentity,
+        dialedHere: Boolean,
+        frames: FrameStream,
+    ) = PeerLink(peer, dialedHere, frames, settings, handlers, log)
+
+    private suspend fun runLink(link: PeerLink) {
+        log.info("peer_link_opened", "peer" to link.peer.routerId.value, "dialed" to link.dialedHere)
+        val reason =
+            try {
+                link.run()
+            } finally {
+                links.remove(link)
+            }
+        log.info("peer_link_closed", "peer" to link.peer.routerId.value, "reason" to reason)
+    }
+
+    private suspend fun dialOnDemand(to: RouterId): PeerLink? {
+        val endpoint = endpoints[to] ?: return null
+        return dialLocks.getOrPut(to) { Mutex() }.withLock { links.find(to) ?: dial(endpoint) ?: links.find(to) }
+    }
+
+    private suspend fun keepLinked(routerId: RouterId) {
+        // The larger id waits for the other side to dial first, so that the two rarely dial at the same moment.
+        if (self.routerId.value > routerId.value) delay(settings.firstRetryMs + random.nextLong(settings.firstRetryMs))
+        var retryMs = settings.firstRetryMs
+        while (true) {
+            retryMs = if (dialOnDemand(routerId) != null) settings.firstRetryMs else minOf(retryMs * 2, settings.maxRetryMs)
+            delay(retryMs / 2 + random.nextLong(retryMs / 2 + 1))
+        }
+    }
+
+    private suspend fun closeUnusedLinks() {
+        while (scope.isActive) {
+            delay(settings.unusedLinkMs)
+            val kept = synchronized(this) { neighbourJobs.keys.toSet() }
+            links.all().filter { it.dialedHere && it.peer.routerId !in kept && !it.wasUsed() }.forEach { it.close() }
+        }
+    }
+
+    private fun remoteOf(socket: Socket): String = runCatching { socket.remoteAddress.toString() }.getOrDefault("closed")
+
+    private suspend fun rethrowIfCancelled(failure: Exception) {
+        if (failure is CancellationException && !currentCoroutineContext().isActive) throw failure
+    }
+
+    private companion object {
+        private const val NANOS_PER_MS = 1_000_000L
+    }
+}
--- /dev/null
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/FrameStream.kt
@@ -0,0 +1,62 @@
+package org.lycheemount.peer.socket
+
+import java.util.concurrent.atomic.AtomicLong
+
+/** Bytes that passed over all links of a process. */
+class LinkTraffic {
+    internal val sent = AtomicLong()
+    internal val received = AtomicLong()
+
+    /** Bytes written, frame lengths included. */
+    val sentBytes: Long get() = sent.get()
+
+    /** Bytes read, frame lengths included. */
+    val receivedBytes: Long get() = received.get()
+}
+
+/** Frames of a four-byte length and a CBOR body over a [ByteStream]. */
+internal class FrameStream(
+    private val stream: ByteStream,
+    private val traffic: LinkTraffic,
+) {
+    private val lengthBytes = ByteArray(LENGTH_BYTES)
+
+    /** Reads the next frame; throws [LinkFailure] when it is longer than [maxBytes] or malformed. */
+    suspend fun read(maxBytes: Int): WireFrame {
+        readFully(lengthBytes)
+        val length = lengthBytes.fold(0) { value, byte -> (value shl 8) or (byte.toInt() and 0xff) }
+        if (length !in 1..maxBytes) throw LinkFailure("frame length $length is not in 1..$maxBytes")
+        val body = ByteArray(length)
+        readFully(body)
+        return decodeFrame(body)
+    }
+
+    suspend fun write(body: ByteArray) {
+        stream.write(lengthPrefix(body.size))
+        stream.write(body)
+        traffic.sent.addAndGet((body.size + LENGTH_BYTES).toLong())
+    }
+
+    suspend fun writeAndFlush(frame: WireFrame) {
+        write(encodeFrame(frame))
+        flush()
+    }
+
+    suspend fun flush() = stream.flush()
+
+    fun close() = stream.close()
+
+    private suspend fun readFully(into: ByteArray) {
+        var offset = 0
+        while (offset < into.size) {
+            val count = stream.readSome(into, offset, into.size - offset)
+            if (count < 0) throw LinkFailure("connection closed by peer")
+            offset += count
+        }
+        traffic.received.addAndGet(into.size.toLong())
+    }
+
+    private companion object {
+        private const val LENGTH_BYTES = 4
+    }
+}
--- /dev/null
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/PeerLink.kt
@@ -0,0 +1,209 @@
+package org.lycheemount.peer.socket
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.peer.PeerChannel
+import org.lycheemount.peer.PeerHandler
+import org.lycheemount.peer.PeerReply
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+
+/** One authenticated connection to [peer]. */
+internal class PeerLink(
+    val peer: RouterIdentity,
+    val dialedHere: Boolean,
+    private val frames: FrameStream,
+    private val settings: PeerLinkSettings,
+    private val handlers: Map<PeerChannel, PeerHandler>,
+    private val log: EventLog,
+) {
+    private val outbound = Channel<Outbound>(settings.sendQueueFrames)
+    private val queuedBytes = AtomicLong()
+    private val calls = ConcurrentHashMap<Long, CompletableDeferred<PeerReply>>()
+    private val callIds = AtomicLong()
+    private val handling = AtomicInteger()
+    private val closed = AtomicBoolean()
+
+    /** Counts calls and messages since the last look, so that an unused link can be closed. */
+    private val uses = AtomicLong()
+
+    val isOpen: Boolean get() = !closed.get()
+
+    val queuedFrameBytes: Long get() = queuedBytes.get()
+
+    val pendingCalls: Int get() = calls.size
+
+    /** Reads, writes and keeps the link alive until it fails or is closed; returns the reason. */
+    suspend fun run(): String {
+        val reason =
+            try {
+                coroutineScope {
+                    launch { writeLoop() }
+                    launch { keepAliveLoop() }
+                    readLoop(this)
+                }
+            } catch (timeout: TimeoutCancellationException) {
+                "no complete frame within ${settings.idleTimeoutMs} ms"
+            } catch (failure: Exception) {
+                failure.message ?: failure.javaClass.simpleName
+            } finally {
+                close()
+            }
+        return reason
+    }
+
+    fun close() {
+        if (!closed.compareAndSet(false, true)) return
+        frames.close()
+        outbound.close()
+        while (true) outbound.tryReceive().getOrNull()?.also { it.withdraw() } ?: break
+        calls.keys.toList().forEach { calls.remove(it)?.complete(PeerReply.Unknown) }
+    }
+
+    suspend fun call(
+        channel: PeerChannel,
+        payload: ByteArray,
+        timeoutMs: Long,
+    ): PeerReply {
+        val callId = callIds.incrementAndGet()
+        val reply = CompletableDeferred<PeerReply>()
+        val message = Outbound(encodeFrame(WireFrame.Call(callId, channel.value, payload)))
+        calls[callId] = reply
+        try {
+            if (!enqueue(message)) return PeerReply.NotDelivered
+            uses.incrementAndGet()
+            val answer = withTimeoutOrNull(timeoutMs) { reply.await() } ?: PeerReply.Unknown
+            // A frame that the writer has not claimed can be withdrawn, so the call was certainly not sent.
+            return if (answer is PeerReply.Unknown && message.withdraw()) PeerReply.NotDelivered else answer
+        } finally {
+            message.withdraw()
+            calls.remove(callId)
+        }
+    }
+
+    fun send(
+        channel: PeerChannel,
+        payload: ByteArray,
+    ): Boolean {
+        uses.incrementAndGet()
+        return enqueue(Outbound(encodeFrame(WireFrame.Message(channel.value, payload))))
+    }
+
+    /** Returns whether the link carried calls or messages of this process since the last call of this function. */
+    fun wasUsed(): Boolean = uses.getAndSet(0) > 0 || calls.isNotEmpty() || handling.get() > 0
+
+    private fun enqueue(message: Outbound): Boolean {
+        if (closed.get() || message.body.size > settings.maxFrameBytes) return false
+        if (queuedBytes.addAndGet(message.body.size.toLong()) > settings.sendQueueBytes || !outbound.trySend(message).isSuccess) {
+            queuedBytes.addAndGet(-message.body.size.toLong())
+            return false
+        }
+        if (closed.get()) message.withdraw()
+        return true
+    }
+
+    private suspend fun writeLoop() {
+        for (first in outbound) {
+            withTimeoutOrNull(settings.idleTimeoutMs) { writeBatch(first) }
+                ?: throw LinkFailure("peer read nothing for ${settings.idleTimeoutMs} ms")
+        }
+    }
+
+    private suspend fun writeBatch(first: Outbound) {
+        var next: Outbound? = first
+        while (next != null) {
+            writeUnlessWithdrawn(next)
+            next = outbound.tryReceive().getOrNull()
+        }
+        frames.flush()
+    }
+
+    private suspend fun writeUnlessWithdrawn(message: Outbound) {
+        queuedBytes.addAndGet(-message.body.size.toLong())
+        if (message.claim()) frames.write(message.body)
+    }
+
+    private suspend fun keepAliveLoop() {
+        while (true) {
+            delay(settings.keepAliveMs)
+            enqueue(Outbound(encodeFrame(WireFrame.KeepAlive)))
+        }
+    }
+
+    private suspend fun readLoop(scope: CoroutineScope): Nothing {
+        while (true) {
+            when (val frame = withTimeout(settings.idleTimeoutMs) { frames.read(settings.maxFrameBytes) }) {
+                is WireFrame.Call -> handle(scope, frame.callId, frame.channel, frame.payload)
+                is WireFrame.Message -> handle(scope, null, frame.channel, frame.payload)
+                is WireFrame.Answer -> calls.remove(frame.callId)?.complete(PeerReply.Answered(frame.payload))
+                is WireFrame.Rejected -> calls.remove(frame.callId)?.complete(PeerReply.NotDelivered)
+                is WireFrame.KeepAlive -> Unit
+                else -> throw LinkFailure("unexpected handshake frame")
+            }
+        }
+    }
+
+    private fun handle(
+        scope: CoroutineScope,
+        callId: Long?,
+        channel: String,
+        payload: ByteArray,
+    ) {
+        val handler = handlers[PeerChannel(channel)]
+        if (handler == null || handling.get() >= settings.maxHandlersPerLink) {
+            if (callId != null) enqueue(Outbound(encodeFrame(WireFrame.Rejected(callId))))
+            return
+        }
+        handling.incrementAndGet()
+        scope.launch {
+            try {
+                val answer = handler.handle(peer, payload)
+                if (callId != null && answer != null) answer(callId, answer)
+            } catch (cancelled: CancellationException) {
+                throw cancelled
+            } catch (failure: Exception) {
+                log.warn("peer_handler_failed", "peer" to peer.routerId.value, "channel" to channel, "error" to failure.toString())
+            } finally {
+                handling.decrementAndGet()
+            }
+        }
+    }
+
+    private fun answer(
+        callId: Long,
+        payload: ByteArray,
+    ) {
+        val frame = Outbound(encodeFrame(WireFrame.Answer(callId, payload)))
+        if (!enqueue(frame)) log.warn("peer_answer_dropped", "peer" to peer.routerId.value, "bytes" to payload.size)
+    }
+
+    /** A frame in the queue: either the writer claims it or its sender withdraws it, never both. */
+    private class Outbound(
+        val body: ByteArray,
+    ) {
+        private val state = AtomicInteger(QUEUED)
+
+        fun claim(): Boolean = state.compareAndSet(QUEUED, CLAIMED)
+
+        /** Returns whether the frame is certain not to be written. */
+        fun withdraw(): Boolean = state.compareAndSet(QUEUED, WITHDRAWN) || state.get() == WITHDRAWN
+    }
+
+    private companion object {
+        private const val QUEUED = 0
+        private const val CLAIMED = 1
+        private const val WITHDRAWN = 2
+    }
+}
--- /dev/null
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/PeerLinkSettings.kt
@@ -0,0 +1,24 @@
+package org.lycheemount.peer.socket
+
+/**
+ * Limits of the links between routers.
+ *
+ * @property maxFrameBytes greatest length of a frame after authentication.
+ * @property sendQueueFrames frames that may wait on one link; further ones are refused.
+ * @property idleTimeoutMs a link without a complete frame for this long is closed.
+ * @property unusedLinkMs a link that was dialed for one call and is not a neighbour's is closed after this long without a call.
+ * @property maxPendingHandshakes inbound connections that may be unauthenticated at the same time.
+ */
+data class PeerLinkSettings(
+    val maxFrameBytes: Int = 1 shl 20,
+    val sendQueueFrames: Int = 1024,
+    val sendQueueBytes: Long = 8L shl 20,
+    val maxHandlersPerLink: Int = 256,
+    val handshakeTimeoutMs: Long = 5_000,
+    val keepAliveMs: Long = 5_000,
+    val idleTimeoutMs: Long = 15_000,
+    val unusedLinkMs: Long = 60_000,
+    val firstRetryMs: Long = 100,
+    val maxRetryMs: Long = 5_000,
+    val maxPendingHandshakes: Int = 64,
+)
--- /dev/null
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/ReloadingTlsContext.kt
@@ -0,0 +1,100 @@
+package org.lycheemount.peer.socket
+
+import org.lycheemount.common.EventLog
+import java.nio.file.Files
+import java.nio.file.Path
+import java.security.KeyFactory
+import java.security.KeyStore
+import java.security.PrivateKey
+import java.security.cert.Certificate
+import java.security.cert.CertificateFactory
+import java.security.spec.PKCS8EncodedKeySpec
+import java.util.Base64
+import javax.net.ssl.KeyManagerFactory
+import javax.net.ssl.SSLContext
+import javax.net.ssl.SSLEngine
+import javax.net.ssl.TrustManagerFactory
+
+/** PEM files of one certificate: its chain, its PKCS #8 private key and the certificates that are trusted. */
+data class TlsFiles(
+    val certificateFile: Path,
+    val privateKeyFile: Path,
+    val trustedCertificatesFile: Path,
+)
+
+/**
+ * TLS context that is built again when one of [files] changes. Connections that are open keep the certificate they began with.
+ * A change that cannot be read keeps the former certificate and is reported. Safe to call from any thread.
+ */
+class ReloadingTlsContext(
+    private val files: TlsFiles,
+    private val log: EventLog,
+) {
+    private var fingerprint = fingerprint()
+    private var context = load()
+
+    /** Returns the context of the files as they are now. */
+    @Synchronized
+    fun current(): SSLContext {
+        val seen = fingerprint()
+        if (seen == fingerprint) return context
+        fingerprint = seen
+        try {
+            context = load()
+            log.info("certificate_reloaded", "file" to files.certificateFile)
+        } catch (failure: Exception) {
+            log.warn("certificate_not_reloaded", "file" to files.certificateFile, "error" to failure.toString())
+        }
+        return context
+    }
+
+    /** Returns an engine for the accepting side of a new connection. */
+    fun serverEngine(needClientCertificate: Boolean): SSLEngine =
+        newEngine().apply {
+            useClientMode = false
+            needClientAuth = needClientCertificate
+        }
+
+    /** Returns an engine for the connecting side; the peer's certificate must be issued by a trusted one. */
+    fun clientEngine(): SSLEngine = newEngine().apply { useClientMode = true }
+
+    private fun newEngine(): SSLEngine = current().createSSLEngine().apply { enabledProtocols = arrayOf("TLSv1.3", "TLSv1.2") }
+
+    private fun fingerprint(): List<Any> =
+        listOf(files.certificateFile, files.privateKeyFile, files.trustedCertificatesFile).map { file ->
+            runCatching { Files.getLastModifiedTime(file).toMillis() to Files.size(file) }.getOrDefault(0L to -1L)
+        }
+
+    private fun load(): SSLContext {
+        val chain = readCertificates(files.certificateFile)
+        val keys = emptyKeyStore().apply { setKeyEntry("own", readPrivateKey(files.privateKeyFile), PASSWORD, chain.toTypedArray()) }
+        val trusted = emptyKeyStore()
+        readCertificates(files.trustedCertificatesFile).forEachIndexed { index, one -> trusted.setCertificateEntry("trusted-$index", one) }
+        val keyManagers = KeyManagerFactory.getInstance(KeyManagerFactory.getDefaultAlgorithm()).apply { init(keys, PASSWORD) }
+        val trustManagers = TrustManagerFactory.getInstance(TrustManagerFactory.getDefaultAlgorithm()).apply { init(trusted) }
+        return SSLContext.getInstance("TLS").apply { init(keyManagers.keyManagers, trustManagers.trustManagers, null) }
+    }
+
+    private fun emptyKeyStore(): KeyStore = KeyStore.getInstance("PKCS12").apply { load(null, PASSWORD) }
+
+    private fun readCertificates(file: Path): List<Certificate> =
+        Files.newInputStream(file).use { CertificateFactory.getInstance("X.509").generateCertificates(it).toList() }
+
+    private fun readPrivateKey(file: Path): PrivateKey {
+        val body =
+            Files
+                .readString(file)
+                .lines()
+                .filterNot { it.startsWith("-----") }
+                .joinToString("")
+        val spec = PKCS8EncodedKeySpec(Base64.getDecoder().decode(body))
+        return KEY_ALGORITHMS.firstNotNullOfOrNull { runCatching { KeyFactory.getInstance(it).generatePrivate(spec) }.getOrNull() }
+            ?: throw java.security.InvalidKeyException("$file holds no PKCS #8 private key of ${KEY_ALGORITHMS.joinToString()}")
+    }
+
+    private companion object {
+        // The in-memory key store needs a password by its interface; it protects nothing.
+        private val PASSWORD = "memory".toCharArray()
+        private val KEY_ALGORITHMS = listOf("RSA", "EC", "Ed25519")
+    }
+}
--- /dev/null
+++ b/connection/peer/src/test/kotlin/org/lycheemount/peer/socket/PeerFixtures.kt
@@ -0,0 +1,100 @@
+package org.lycheemount.peer.socket
+
+import io.ktor.network.tls.certificates.buildKeyStore
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.lycheemount.common.DefaultEventLog
+import org.lycheemount.common.RegionId
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
+import org.lycheemount.peer.PeerChannel
+import org.lycheemount.peer.PeerReply
+import java.nio.file.Files
+import java.nio.file.Path
+import java.security.KeyStore
+import java.util.Base64
+import javax.security.auth.x500.X500Principal
+
+internal val echo = PeerChannel("echo")
+internal val fleetSecret = "a secret of the fleet under test".toByteArray()
+
+internal fun identity(
+    id: String,
+    vm: String = "vm-$id",
+    incarnation: Long = 1,
+) = RouterIdentity(RouterId(id), VmId(vm), RegionId("bc-west"), ZoneId("fraser"), incarnation)
+
+/** Runs messengers on loopback for one test and stops them afterwards. */
+internal class PeerBench(
+    private val settings: PeerLinkSettings = PeerLinkSettings(firstRetryMs = 20, maxRetryMs = 100),
+) {
+    val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+
+    suspend fun start(
+        identity: RouterIdentity,
+        secret: ByteArray = fleetSecret,
+        tls: ReloadingTlsContext? = null,
+    ): Pair<DefaultPeerMessenger, PeerEndpoint> {
+        val messenger = DefaultPeerMessenger(identity, PeerSecret(secret), DefaultEventLog("peer"), settings, tls)
+        messenger.register(echo) { _, payload -> payload }
+        val port = messenger.start(scope, "127.0.0.1", 0)
+        return messenger to PeerEndpoint(identity.routerId, identity.vmId, "127.0.0.1", port)
+    }
+}
+
+internal fun onBench(
+    settings: PeerLinkSettings = PeerLinkSettings(firstRetryMs = 20, maxRetryMs = 100),
+    body: suspend PeerBench.() -> Unit,
+) {
+    val bench = PeerBench(settings)
+    try {
+        runBlocking(Dispatchers.Default) { withTimeout(30_000) { bench.body() } }
+    } finally {
+        bench.scope.cancel()
+    }
+}
+
+internal suspend fun DefaultPeerMessenger.echoOnce(to: PeerEndpoint): PeerReply = call(to.routerId, echo, "ping".toByteArray(), 3_000)
+
+internal suspend fun until(condition: () -> Boolean) {
+    while (!condition()) delay(5)
+}
+
+/** Certificate files of one router; every certificate generated is added to the trusted ones. */
+internal class CertificateFiles(
+    private val directory: Path,
+) {
+    val files = TlsFiles(directory.resolve("own.pem"), directory.resolve("own.key"), directory.resolve("trusted.pem"))
+
+    fun generate(commonName: String): KeyStore {
+        val store =
+            buildKeyStore {
+                certificate("own") {
+                    password = "changeit"
+                    subject = X500Principal("CN=$commonName")
+                }
+            }
+        Files.writeString(files.certificateFile, pem("CERTIFICATE", store.getCertificate("own").encoded))
+        Files.writeString(files.privateKeyFile, pem("PRIVATE KEY", store.getKey("own", "changeit".toCharArray()).encoded))
+        return store
+    }
+
+    fun trust(vararg stores: KeyStore) {
+        Files.writeString(files.trustedCertificatesFile, stores.joinToString("") { pem("CERTIFICATE", it.getCertificate("own").encoded) })
+    }
+
+    private fun pem(
+        label: String,
+        content: ByteArray,
+    ) = "-----BEGIN $label-----\n${Base64.getMimeEncoder(
+        64,
+        byteArrayOf('\n'.code.toByte()),
+    ).encodeToString(content)}\n-----END $label-----\n"
+}
