Test the request path over real sockets against faults

Cause: resume, cancellation, drain and at-most-once had no tests. Change: a scripted backend server on raw sockets brings about engines that die or hang, disturbed chunks, callers that leave, cancellation at another router, drain with an open stream, lost answers and faulty input. The ledger of process/budget, its steps and its wait for a first grant are in use, and routers link to each other. A request that failed at a server reports that failure instead of the lack of a further server. Conclusion: the failure modes of the callers' interface are covered.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -10,10 +10,13 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.serialization.json.Json
 import org.lycheemount.backend.BackendHttp
 import org.lycheemount.backend.DefaultModelEngineClient
 import org.lycheemount.backend.DefaultPlainServiceClient
+import org.lycheemount.budget.BudgetOptions
+import org.lycheemount.budget.createBudgetLedgerModule
 import org.lycheemount.caller.BackendObserver
 import org.lycheemount.caller.CallerInterface
 import org.lycheemount.caller.CallerLimits
@@ -25,11 +28,18 @@
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.config.ConfigurationSnapshot
 import org.lycheemount.config.ConfigurationView
+import org.lycheemount.peer.socket.DefaultPeerMessenger
+import org.lycheemount.peer.socket.PeerEndpoint
+import org.lycheemount.peer.socket.PeerSecret
+import org.lycheemount.peer.socket.ReloadingTlsContext
+import org.lycheemount.peer.socket.TlsFiles
+import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.http.createPlatformClients
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.settings.RouterSettings
 import org.lycheemount.stream.StreamTimeouts
 import java.nio.file.Path
+import kotlin.io.path.readBytes
 import kotlin.io.path.readText
 
 /** One router: creates the parts by [settings], connects them, starts them and ends them in order. */
@@ -49,6 +59,8 @@
     private val dispatcher = WorkDispatcher(createRequestScheduler(settings.zoneId, seed = identity.incarnation), clock)
     private val observer = BackendObserver(platform.vmDirectory, engine, plainServices, dispatcher, eventLog)
     private val drain = DrainState()
+    private val peers = DefaultPeerMessenger(identity, PeerSecret(Path.of(settings.peerSecretFile).readBytes()), eventLog, tls = peerTls())
+    private val budgets = createBudgetLedgerModule(platform.table, platform.vmDirectory, peers, clock, eventLog, budgetOptions())
     private val configuration = readConfiguration()
     private val callers = CallerInterface(callerServices())
     private val server = createServer()
@@ -57,6 +69,10 @@
     suspend fun start(): Int {
         dispatcher.start(scope)
         observer.start(scope)
+        peers.start(scope, settings.peers.host, settings.peers.port)
+        scope.launch { linkPeers() }
+        scope.launch { prepareBudgets() }
+        budgets.maintenance.start(scope)
         server.start(wait = false)
         val port =
             server.engine
@@ -74,6 +90,7 @@
         delay(settings.requests.drainNoticeMs)
         drain.begin()
         drain.awaitIdle()
+        budgets.maintenance.drain()
         server.stop(STOP_GRACE_MS, STOP_TIMEOUT_MS)
         scope.cancel()
         backendHttp.close()
@@ -85,20 +102,50 @@
         CallerServices(
             clock = clock,
             configuration = configuration,
-            ledger = TemporaryLedger(identity.routerId, clock, eventLog),
+            ledger = budgets.ledger,
+            replenisher = budgets.maintenance,
             claims = TemporaryClaims(),
             dispatcher = dispatcher,
             engine = engine,
             plainServices = plainServices,
-            peers = TemporaryMessenger(identity),
+            peers = peers,
             eventLog = eventLog,
             metricsRegistry = PrometheusRegistry(),
             scope = scope,
             drain = drain,
             limits = callerLimits(),
+            stateSources = listOf(budgets.stateDump, peers),
             notReadyReasons = { if (observer.hasList) emptyList() else listOf("vm_list_not_read") },
         )
 
+    private suspend fun linkPeers() {
+        while (true) {
+            val list = platform.vmDirectory.list()
+            if (list is TableResult.Answered) {
+                val endpoints = list.value.routers.map { PeerEndpoint(it.routerId, it.vmId, it.host, it.peerPort) }
+                peers.setPeers(endpoints, endpoints.mapTo(HashSet()) { it.routerId })
+            }
+            delay(PEER_INTERVAL_MS)
+        }
+    }
+
+    private suspend fun prepareBudgets() {
+        while (true) {
+            budgets.maintenance.prepare(configuration.current().teams.values.mapTo(HashSet()) { it.budgetId })
+            delay(PEER_INTERVAL_MS)
+        }
+    }
+
+    private fun budgetOptions() =
+        settings.budget.run {
+            BudgetOptions(expectedOutageMs, outageGraceMs, driftMarginMs = outageGraceMs / 10, flushIntervalMs = flushIntervalMs)
+        }
+
+    private fun peerTls() =
+        settings.peers.tls?.let {
+            ReloadingTlsContext(TlsFiles(Path.of(it.certificateFile), Path.of(it.privateKeyFile), Path.of(it.trustedCertificatesFile)), eventLog)
+        }
+
     private fun callerLimits() =
         settings.requests.run {
             CallerLimits(
@@ -131,5 +178,6 @@
         // No request is in progress any more; the grace only lets last bytes leave.
         private const val STOP_GRACE_MS = 100L
         private const val STOP_TIMEOUT_MS = 1_000L
+        private const val PEER_INTERVAL_MS = 1_000L
     }
 }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/CallerServices.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/CallerServices.kt
@@ -5,6 +5,7 @@
 import org.lycheemount.backend.ModelEngineClient
 import org.lycheemount.backend.PlainServiceClient
 import org.lycheemount.budget.BudgetLedger
+import org.lycheemount.budget.BudgetReplenisher
 import org.lycheemount.claims.ClaimRegistry
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
@@ -23,6 +24,7 @@
     val clock: Clock,
     val configuration: ConfigurationView,
     val ledger: BudgetLedger,
+    val replenisher: BudgetReplenisher,
     val claims: ClaimRegistry,
     val dispatcher: WorkDispatcher,
     val engine: ModelEngineClient,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ChatExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ChatExecution.kt
@@ -1,5 +1,6 @@
 package org.lycheemount.caller
 
+import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.JsonObject
@@ -65,10 +66,17 @@
             scope,
         )
 
-    /** Reserves the worst case, or the first step when the budget does not cover it; returns the refusal of both. */
-    fun reserve(): Refusal? {
-        if (tryReserve(work.maxOutputTokens) == null) return null
-        return tryReserve(minOf(work.maxOutputTokens, services.limits.reservationStepTokens))
+    /** Reserves the worst case, or a first step when the budget runs short; returns the refusal of both. */
+    suspend fun reserve(reserver: Reserver): Refusal? {
+        val promptTokens = work.prompt.promptTokens.toLong()
+        val step = minOf(work.maxOutputTokens, services.limits.reservationStepTokens)
+        val budgetId = work.entry.team.budgetId
+        val reserved =
+            reserver
+                .reserve(requestId, budgetId, promptTokens + step, promptTokens + work.maxOutputTokens)
+                .getOrElse { return it }
+        reservedOutputTokens = (reserved - promptTokens).toInt()
+        return null
     }
 
     override fun extend(): Boolean {
@@ -147,14 +155,6 @@
             put("reservedOutputTokens", reservedOutputTokens)
         }
 
-    private fun tryReserve(outputTokens: Int): Refusal? {
-        val tokens = work.prompt.promptTokens.toLong() + outputTokens
-        return when (val outcome = services.ledger.reserve(requestId, work.entry.team.budgetId, tokens, services.clock.monotonicMs())) {
-            is ReservationOutcome.Refused -> outcome.refusal
-            is ReservationOutcome.Reserved -> null.also { reservedOutputTokens = outputTokens }
-        }
-    }
-
     private fun workItem(excluded: Set<BackendServerId>) =
         WorkItem(
             requestId = requestId,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ChatHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ChatHandler.kt
@@ -93,7 +93,7 @@
         transcript: Transcript?,
     ) = coroutineScope {
         val execution = ChatExecution(services, shared.metrics, canceller, work, this)
-        val refusal = execution.reserve()
+        val refusal = execution.reserve(shared.reserver)
         if (refusal != null) {
             transcript?.end(RecordedOutcome.NotRun(refusal))
             refuse(call, refusal)
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/Reserver.kt
@@ -0,0 +1,45 @@
+package org.lycheemount.caller
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import org.lycheemount.budget.ReservationOutcome
+import org.lycheemount.common.BudgetId
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RequestId
+
+/** Reserves tokens from the grants of this router; waits for a grant only where the request would be refused otherwise. */
+internal class Reserver(
+    private val services: CallerServices,
+) {
+    /** Reserves between [minimumTokens] and [maximumTokens] and returns the number. */
+    suspend fun reserve(
+        requestId: RequestId,
+        budgetId: BudgetId,
+        minimumTokens: Long,
+        maximumTokens: Long,
+    ): Result<Long, Refusal> {
+        val first = attempt(requestId, budgetId, minimumTokens, maximumTokens)
+        if (first.isOk) return first
+        if (!services.replenisher.awaitTokens(budgetId, minimumTokens, GRANT_WAIT_MS)) return first
+        return attempt(requestId, budgetId, minimumTokens, maximumTokens)
+    }
+
+    private fun attempt(
+        requestId: RequestId,
+        budgetId: BudgetId,
+        minimumTokens: Long,
+        maximumTokens: Long,
+    ): Result<Long, Refusal> {
+        val nowMs = services.clock.monotonicMs()
+        return when (val outcome = services.ledger.reserveUpTo(requestId, budgetId, minimumTokens, maximumTokens, nowMs)) {
+            is ReservationOutcome.Reserved -> Ok(outcome.reservedTokens)
+            is ReservationOutcome.Refused -> Err(outcome.refusal)
+        }
+    }
+
+    private companion object {
+        // A table that is up grants within two round trips; waiting longer would only delay an honest refusal.
+        private const val GRANT_WAIT_MS = 1_500L
+    }
+}
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceExecution.kt
@@ -1,5 +1,6 @@
 package org.lycheemount.caller
 
+import com.github.michaelbull.result.getOrElse
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
@@ -7,7 +8,6 @@
 import org.lycheemount.backend.ServiceCall
 import org.lycheemount.backend.ServiceCallOutcome
 import org.lycheemount.budget.Charge
-import org.lycheemount.budget.ReservationOutcome
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.BackendTarget
@@ -39,6 +39,7 @@
 internal class ServiceExecution(
     private val services: CallerServices,
     private val metrics: CallerMetrics,
+    private val reserver: Reserver,
     private val work: ServiceWork,
 ) : OpenRequest {
     private val target = BackendTarget.Service(work.service.serviceId)
@@ -50,9 +51,8 @@
 
     /** Runs the call, with retries only where they cannot run it twice, and settles it. */
     suspend fun run(): RunOutcome<ServiceCallOutcome.Answered> {
-        val reservation =
-            services.ledger.reserve(requestId, work.entry.team.budgetId, work.service.callPriceTokens, services.clock.monotonicMs())
-        if (reservation is ReservationOutcome.Refused) return RunOutcome.NotRun(reservation.refusal)
+        val price = work.service.callPriceTokens
+        reserver.reserve(requestId, work.entry.team.budgetId, price, price).getOrElse { return RunOutcome.NotRun(it) }
         val outcome = runAttempts()
         when (outcome) {
             is RunOutcome.Ran -> settle(outcomeKnown = true)
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceHandler.kt
@@ -72,7 +72,7 @@
 
     /** Runs the call apart from its caller, so that a caller that leaves does not make the outcome of a started call unknown. */
     private suspend fun execute(work: ServiceWork): RunOutcome<ServiceCallOutcome.Answered> {
-        val execution = ServiceExecution(services, shared.metrics, work)
+        val execution = ServiceExecution(services, shared.metrics, shared.reserver, work)
         shared.openRequests.add(execution)
         services.drain.extend()
         val running =
--- /dev/null
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/AdmissionTest.kt
@@ -0,0 +1,174 @@
+package org.lycheemount.caller
+
+import io.ktor.client.request.bearerAuth
+import io.ktor.client.request.get
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpHeaders
+import io.ktor.utils.io.readRemaining
+import io.ktor.utils.io.readUTF8Line
+import kotlinx.coroutines.runBlocking
+import kotlinx.io.readString
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.lycheemount.caller.RouterFixture.Companion.expectedTokens
+import org.lycheemount.common.RefusalReason
+import org.lycheemount.common.TeamId
+import org.lycheemount.config.TeamLimits
+import java.net.Socket
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class AdmissionTest {
+    private val router = RouterFixture(limits = CallerLimits(maxBodyBytes = 2_000, bodyTimeoutMs = 200))
+    private val engine =
+        ScriptedEngine("e1") { listOf(ScriptStep.Send(0, 2), ScriptStep.AwaitGate, ScriptStep.Send(2, 5), ScriptStep.Finish("stop")) }
+
+    @AfterEach
+    fun close() = listOf(router, engine).forEach { it.close() }
+
+    @Nested
+    inner class `a shutdown with an open stream` {
+        @Test
+        fun `fails readiness, refuses new work as not run and lets the stream finish`() =
+            runBlocking<Unit> {
+                router.serve(engine)
+
+                router.openStream().execute { response ->
+                    val channel = response.bodyAsChannel()
+                    val start = channel.readUTF8Line().orEmpty()
+                    router.drain.announce()
+                    assertEquals(
+                        503,
+                        router.client
+                            .get(router.url("/health/ready"))
+                            .status.value,
+                    )
+                    router.drain.begin()
+                    val refused = router.chat()
+                    assertEquals(503 to "not-run", refused.status.value to refused.headers[OUTCOME_HEADER])
+                    assertContains(refused.bodyAsText(), "\"reason\":\"draining\"")
+
+                    engine.openGate()
+
+                    assertEquals(expectedTokens(5), deltas(start + channel.readRemaining().readString()))
+                }
+                router.drain.awaitIdle()
+                assertEquals(1, router.ledger.bills.size)
+            }
+    }
+
+    @Nested
+    inner class `limits of a team` {
+        @Test
+        fun `refuse with 429 and a time to retry, and do not count against other teams`() =
+            runBlocking<Unit> {
+                RouterFixture(teamLimits = TeamLimits(concurrentRequests = 1)).use { limited ->
+                    limited.serve(engine)
+
+                    limited.openStream().execute { response ->
+                        response.bodyAsChannel().readUTF8Line()
+                        val refused = limited.chat()
+                        assertEquals(429 to "1", refused.status.value to refused.headers[HttpHeaders.RetryAfter])
+                        engine.openGate()
+                        assertEquals(200, limited.chat(key = "key2").status.value)
+                    }
+                }
+            }
+
+        @Test
+        fun `follow the rate with one second's burst`() {
+            val limiter = TeamLimiter()
+            val limits = TeamLimits(requestsPerSecond = 2.0, concurrentRequests = 10)
+            val team = TeamId("t")
+
+            val atOnce = List(3) { limiter.enter(team, limits, nowMs = 0) }
+
+            assertEquals(listOf(null, null, RefusalReason.RATE_LIMITED), atOnce.map { it?.reason })
+            assertEquals(500, atOnce.last()?.retryAfterMs)
+            assertNull(limiter.enter(team, limits, nowMs = 500))
+        }
+    }
+
+    @Nested
+    inner class `retries when every server fails` {
+        @Test
+        fun `stay within a fifth of the requests, so that they do not multiply the load`() {
+            val budget = RetryBudget()
+
+            val retries = (1..1_000).count { budget.onRequest().let { budget.tryRetry() } }
+
+            assertTrue(retries in 200..211, "retries: $retries")
+        }
+    }
+
+    @Nested
+    inner class `input that breaks the rules` {
+        @Test
+        fun `is refused with the field and the accepted range`() =
+            runBlocking<Unit> {
+                val tooFew = """{"model":"m1","messages":[{"role":"user"}],"max_tokens":0}"""
+                val bodies = listOf("{", """{"model":"m1","messages":[]}""", tooFew)
+
+                val responses = bodies.map { post(it) }
+
+                assertEquals(listOf(400, 400, 400), responses.map { it.status.value })
+                assertContains(responses[2].bodyAsText(), "max_tokens: accepted are 1 or more")
+            }
+
+        @Test
+        fun `by size closes only the connection it came on`() =
+            runBlocking<Unit> {
+                val response = post("x".repeat(3_000))
+
+                assertEquals(413, response.status.value)
+                assertEquals(
+                    200,
+                    router.client
+                        .get(router.url("/health/live"))
+                        .status.value,
+                )
+            }
+
+        @Test
+        fun `by slowness is answered in time and closes only the connection it came on`() =
+            runBlocking<Unit> {
+                Socket("127.0.0.1", router.port()).use { socket ->
+                    val headers = "Host: x\r\nAuthorization: Bearer key1\r\nContent-Length: 500\r\n\r\n"
+                    socket.getOutputStream().write("POST ${RouterFixture.CHAT} HTTP/1.1\r\n$headers{".encodeToByteArray())
+                    val answer = socket.getInputStream().readAllBytes().decodeToString()
+                    assertContains(answer, "408")
+                }
+                assertEquals(
+                    200,
+                    router.client
+                        .get(router.url("/health/live"))
+                        .status.value,
+                )
+            }
+    }
+
+    @Nested
+    inner class `the state dump` {
+        @Test
+        fun `holds no bearer key and no key hash`() =
+            runBlocking<Unit> {
+                val state = router.client.get(router.url("/state")).bodyAsText()
+
+                assertContains(state, "\"requestsInProgress\":0")
+                assertFalse("key1" in state.replace("team-key1", ""))
+            }
+    }
+
+    private suspend fun post(body: String) =
+        router.client.post(router.url(RouterFixture.CHAT)) {
+            bearerAuth("key1")
+            setBody(body)
+        }
+}
--- /dev/null
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/ChatStreamTest.kt
@@ -0,0 +1,165 @@
+package org.lycheemount.caller
+
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.client.statement.bodyAsText
+import io.ktor.utils.io.readUTF8Line
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.lycheemount.caller.RouterFixture.Companion.PROMPT_TOKENS
+import org.lycheemount.caller.RouterFixture.Companion.expectedTokens
+import java.util.concurrent.TimeUnit
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class ChatStreamTest {
+    private val router = RouterFixture()
+    private val engines = mutableListOf<ScriptedEngine>()
+
+    @AfterEach
+    fun close() {
+        router.close()
+        engines.forEach { it.close() }
+    }
+
+    @Nested
+    inner class `an engine that dies in mid-stream` {
+        @Test
+        fun `is replaced at the offset, with no token missing or doubled, and billed once`() =
+            runBlocking<Unit> {
+                val dying = engine("e1") { listOf(ScriptStep.Send(0, 3), ScriptStep.Send(3, 5), ScriptStep.Die) }
+                val healthy = engine("e2") { listOf(ScriptStep.Send(it.startAtToken, 9), ScriptStep.Finish("stop")) }
+                router.serve(dying, healthy)
+
+                val events = router.chat(stream = true).bodyAsText()
+
+                assertEquals(expectedTokens(9), deltas(events))
+                assertTrue(events.endsWith("data: [DONE]\n\n"))
+                assertEquals(5, healthy.requests.single().startAtToken)
+                assertEquals(9, bill().completionTokens)
+                awaitUntil("the abandoned attempt is cancelled") { dying.cancels.size == 1 }
+                assertEquals(0, router.ledger.bills.size)
+            }
+
+        @Test
+        fun `without another server ends with an error that says that it ran, and bills what was delivered`() =
+            runBlocking<Unit> {
+                router.serve(engine("e1") { listOf(ScriptStep.Send(0, 4), ScriptStep.Die) })
+
+                val events = router.chat(stream = true).bodyAsText()
+
+                assertEquals(expectedTokens(4), deltas(events))
+                assertContains(events, "\"outcome\":\"ran\"")
+                assertTrue("[DONE]" !in events)
+                assertEquals(4, bill().completionTokens)
+            }
+
+        @Test
+        fun `before its first token leaves the outcome unknown and is charged in full`() =
+            runBlocking<Unit> {
+                router.serve(engine("e1") { listOf(ScriptStep.Die) })
+
+                val response = router.chat(maxTokens = 50)
+
+                assertEquals(502 to "unknown", response.status.value to response.headers[OUTCOME_HEADER])
+                val charge = bill()
+                assertEquals(PROMPT_TOKENS + 50 to false, charge.totalTokens to charge.outcomeKnown)
+            }
+    }
+
+    @Nested
+    inner class `chunks` {
+        @Test
+        fun `that come doubled, late and out of order give the complete answer`() =
+            runBlocking<Unit> {
+                val script =
+                    listOf(4 to 6, 0 to 2, 0 to 2, 2 to 4, 1 to 5, 8 to 9, 6 to 8, 4 to 6).map { (from, until) ->
+                        ScriptStep.Send(from, until)
+                    }
+                router.serve(engine("e1") { script + ScriptStep.Finish("stop") })
+
+                val body = router.chat().bodyAsText()
+
+                assertContains(body, "\"content\":\"${expectedTokens(9)}\"")
+                assertEquals(9, bill().completionTokens)
+            }
+    }
+
+    @Nested
+    inner class `an engine that hangs in mid-stream` {
+        @Test
+        fun `is found by the silence between chunks, cancelled and replaced`() =
+            runBlocking<Unit> {
+                val hanging = engine("e1") { listOf(ScriptStep.Send(0, 3), ScriptStep.AwaitCancel) }
+                val healthy = engine("e2") { listOf(ScriptStep.Send(it.startAtToken, 6), ScriptStep.Finish("stop")) }
+                router.serve(hanging, healthy)
+
+                val events = router.chat(stream = true).bodyAsText()
+
+                assertEquals(expectedTokens(6), deltas(events))
+                awaitUntil("the hung slot is freed") { hanging.heldSlots.isEmpty() }
+            }
+    }
+
+    @Nested
+    inner class `a caller that leaves` {
+        @Test
+        fun `in mid-stream frees the engine's slot and pays for what was generated`() =
+            runBlocking<Unit> {
+                val engine = engine("e1") { listOf(ScriptStep.Send(0, 2), ScriptStep.Send(2, 5), ScriptStep.AwaitCancel) }
+                router.serve(engine)
+
+                router.openStream().execute { it.bodyAsChannel().readUTF8Line() }
+
+                awaitUntil("the slot is freed") { engine.cancels.size == 1 && engine.heldSlots.isEmpty() }
+                assertEquals(5, bill().completionTokens)
+            }
+
+        @Test
+        fun `while the whole answer is generated frees the engine's slot and pays for what was generated`() =
+            runBlocking<Unit> {
+                val engine = engine("e1") { listOf(ScriptStep.Send(0, 3), ScriptStep.AwaitCancel) }
+                router.serve(engine)
+
+                coroutineScope {
+                    val request = async { router.chat() }
+                    awaitUntil("the generation has started") { engine.requests.size == 1 }
+                    request.cancel()
+                }
+
+                awaitUntil("the slot is freed") { engine.cancels.isNotEmpty() && engine.heldSlots.isEmpty() }
+                assertEquals(3, bill().completionTokens)
+            }
+    }
+
+    @Nested
+    inner class `a budget below the worst case` {
+        @Test
+        fun `is used in steps, and the answer ends with length when the next step is refused`() =
+            runBlocking<Unit> {
+                val small = FakeLedger(availableTokens = PROMPT_TOKENS + 25)
+                RouterFixture(ledger = small, limits = CallerLimits(reservationStepTokens = 10)).use { poor ->
+                    val engine = engine("e1") { listOf(ScriptStep.Send(it.startAtToken, it.maxOutputTokens), ScriptStep.Finish("length")) }
+                    poor.serve(engine)
+
+                    val body = poor.chat(maxTokens = 100).bodyAsText()
+
+                    assertContains(body, "\"finish_reason\":\"length\"")
+                    assertContains(body, "\"content\":\"${expectedTokens(20)}\"")
+                    assertEquals(listOf(10, 20), engine.requests.map { it.maxOutputTokens })
+                    assertEquals(5, small.available())
+                }
+            }
+    }
+
+    private fun engine(
+        name: String,
+        script: (org.lycheemount.backend.GenerateRequest) -> List<ScriptStep>,
+    ) = ScriptedEngine(name, script).also { engines += it }
+
+    private fun bill() = checkNotNull(router.ledger.bills.poll(20, TimeUnit.SECONDS)) { "no bill came" }.charge
+}
--- /dev/null
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/FakeScheduler.kt
@@ -0,0 +1,80 @@
+package org.lycheemount.caller
+
+import org.lycheemount.common.BackendServer
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RefusalReason
+import org.lycheemount.common.RequestId
+import org.lycheemount.config.WorkClass
+import org.lycheemount.scheduling.CacheEvents
+import org.lycheemount.scheduling.LoadReport
+import org.lycheemount.scheduling.RequestScheduler
+import org.lycheemount.scheduling.SchedulerAction
+import org.lycheemount.scheduling.ServiceEvent
+import org.lycheemount.scheduling.SubmitOutcome
+import org.lycheemount.scheduling.WorkItem
+
+/** Starts each request at once on the first server that serves its target, unless [held]. */
+internal class FakeScheduler : RequestScheduler {
+    private var servers = emptyList<BackendServer>()
+    private val queued = mutableListOf<WorkItem>()
+
+    /** While true, requests stay in the queue. */
+    @Volatile
+    var held = false
+
+    override fun onWorkClasses(workClasses: Collection<WorkClass>) = Unit
+
+    override fun onBackendServers(
+        servers: List<BackendServer>,
+        nowMs: Long,
+    ) {
+        this.servers = servers
+    }
+
+    override fun submit(
+        item: WorkItem,
+        nowMs: Long,
+    ): SubmitOutcome {
+        if (find(item) == null) return SubmitOutcome.Refused(Refusal(RefusalReason.NO_BACKEND_SERVER, "no server"))
+        queued += item
+        return SubmitOutcome.Queued
+    }
+
+    override fun cancel(
+        requestId: RequestId,
+        nowMs: Long,
+    ) {
+        queued.removeIf { it.requestId == requestId }
+    }
+
+    override fun onServiceEvent(
+        requestId: RequestId,
+        event: ServiceEvent,
+        nowMs: Long,
+    ) = Unit
+
+    override fun onLoadReport(
+        report: LoadReport,
+        nowMs: Long,
+    ) = Unit
+
+    override fun onCacheEvents(
+        events: CacheEvents,
+        nowMs: Long,
+    ) = Unit
+
+    override fun poll(nowMs: Long): List<SchedulerAction> {
+        if (held) return emptyList()
+        val started = queued.map { SchedulerAction.Start(it.requestId, checkNotNull(find(it)).backendServerId, priority = 0) }
+        queued.clear()
+        return started
+    }
+
+    override fun nextWakeUpMs(nowMs: Long): Long? = null
+
+    private fun find(item: WorkItem) =
+        servers.firstOrNull {
+            !it.leaving && item.target in it.targets &&
+                it.backendServerId !in item.excludedServers
+        }
+}
--- /dev/null
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/ServiceCallTest.kt
@@ -0,0 +1,127 @@
+package org.lycheemount.caller
+
+import io.ktor.client.request.bearerAuth
+import io.ktor.client.request.header
+import io.ktor.client.request.request
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpMethod
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import java.util.concurrent.TimeUnit
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class ServiceCallTest {
+    private val router = RouterFixture()
+    private val first = ScriptedEngine("e1") { emptyList() }
+    private val second = ScriptedEngine("e2") { emptyList() }
+
+    @AfterEach
+    fun close() = listOf(router, first, second).forEach { it.close() }
+
+    @Nested
+    inner class `a call whose answer is lost` {
+        @Test
+        fun `is not repeated when it is not idempotent, and is charged as unknown`() =
+            runBlocking<Unit> {
+                router.serve(first, second)
+                first.serviceAnswer = null
+
+                val response = call("POST", "/orders")
+
+                assertEquals(502 to "unknown", response.status.value to response.headers[OUTCOME_HEADER])
+                assertEquals(1 to 0, first.serviceCalls.size to second.serviceCalls.size)
+                assertEquals(7L to false, bill().let { it.totalTokens to it.outcomeKnown })
+            }
+
+        @Test
+        fun `is repeated on another server when it is idempotent, and billed once`() =
+            runBlocking<Unit> {
+                router.serve(first, second)
+                first.serviceAnswer = null
+
+                val response = call("GET", "/records/1")
+
+                assertEquals(200 to "ran", response.status.value to response.headers[OUTCOME_HEADER])
+                assertEquals(1 to 1, first.serviceCalls.size to second.serviceCalls.size)
+                assertEquals(7L, bill().totalTokens)
+                assertEquals(0, router.ledger.bills.size)
+            }
+
+        @Test
+        fun `under an idempotency key stays unknown for every retry and does not run again`() =
+            runBlocking<Unit> {
+                router.serve(first, second)
+                first.serviceAnswer = null
+
+                val responses = List(2) { call("POST", "/orders", key = "order-1") }
+
+                assertEquals(listOf("unknown", "unknown"), responses.map { it.headers[OUTCOME_HEADER] })
+                assertEquals(1 to 0, first.serviceCalls.size to second.serviceCalls.size)
+            }
+    }
+
+    @Nested
+    inner class `a server that is certain not to have run the call` {
+        @Test
+        fun `is replaced even for calls that must not run twice`() =
+            runBlocking<Unit> {
+                router.serve(first, second)
+                first.close()
+
+                val response = call("POST", "/orders")
+
+                assertEquals(200, response.status.value)
+                assertEquals(listOf("POST /orders body"), second.serviceCalls.toList())
+            }
+    }
+
+    @Nested
+    inner class `concurrent calls with one idempotency key` {
+        @Test
+        fun `run once, and all callers get the answer of that run`() =
+            runBlocking<Unit> {
+                router.serve(first)
+
+                val bodies = coroutineScope { List(8) { async { call("POST", "/orders", key = "order-2").bodyAsText() } }.awaitAll() }
+
+                assertEquals(List(8) { "done" }, bodies)
+                assertEquals(1, first.serviceCalls.size)
+                assertEquals(7L, bill().totalTokens)
+                assertEquals(0, router.ledger.bills.size)
+            }
+    }
+
+    @Nested
+    inner class `a leaving server` {
+        @Test
+        fun `gets no new work`() =
+            runBlocking<Unit> {
+                router.dispatcher.onBackendServers(listOf(first.describe().copy(leaving = true), second.describe()))
+
+                repeat(5) { call("GET", "/records/$it") }
+
+                assertEquals(0 to 5, first.serviceCalls.size to second.serviceCalls.size)
+            }
+    }
+
+    private suspend fun call(
+        method: String,
+        path: String,
+        key: String? = null,
+    ): HttpResponse =
+        router.client.request(router.url("/services/s1$path")) {
+            this.method = HttpMethod(method)
+            bearerAuth("key1")
+            key?.let { header("idempotency-key", it) }
+            if (method == "POST") setBody("body")
+        }
+
+    private fun bill() = checkNotNull(router.ledger.bills.poll(20, TimeUnit.SECONDS)) { "no bill came" }.charge
+}
--- a/request/stream/src/main/kotlin/org/lycheemount/stream/AnswerStream.kt
+++ b/request/stream/src/main/kotlin/org/lycheemount/stream/AnswerStream.kt
@@ -35,6 +35,7 @@
     private val excluded = mutableSetOf<BackendServerId>()
     private var events: ReceiveChannel<GenerateEvent>? = null
     private var cachedPromptTokens = 0
+    private var lastFailure: AttemptFailure? = null
 
     /** Whether an attempt failed in a way that leaves open whether it ran. */
     @Volatile
@@ -70,7 +71,7 @@
     private suspend fun openAttempt(): AnswerStep.End? =
         when (val permit = attempts.acquire(excluded)) {
             is AttemptPermit.Refused -> {
-                end(permit.refusal)
+                end(if (mayHaveRun) failed(checkNotNull(lastFailure)) else permit.refusal)
             }
 
             is AttemptPermit.Granted -> {
@@ -141,10 +142,13 @@
             mayHaveRun = true
             canceller.cancelAbandoned(failed, terms.requestId)
         }
-        if (attempts.tryRetry()) return null
-        return end(Refusal(RefusalReason.BACKEND_FAILED, "attempt failed: ${failure.name.lowercase()}", RETRY_AFTER_MS))
+        lastFailure = failure
+        return if (attempts.tryRetry()) null else end(failed(failure))
     }
 
+    private fun failed(failure: AttemptFailure) =
+        Refusal(RefusalReason.BACKEND_FAILED, "attempt failed: ${failure.name.lowercase()}", RETRY_AFTER_MS)
+
     private fun end(refusal: Refusal): AnswerStep.End =
         if (mayHaveRun || assembler.deliveredTokens > 0) {
             AnswerStep.Broken(refusal, assembler.deliveredTokens)
