Transfer tokens between routers and keep a second copy of each bill

Cause: tokens in idle routers refuse requests elsewhere, and a bill in one memory is lost with its router. Change: a router that refuses a request asks peers one after the other; the donor subtracts first and repeats the transfer until it is answered; the receiver decides each transfer once. Each unwritten bill has a copy at a peer of another zone, which writes it when the VM list or a newer incarnation shows that the owner ended, or when the bill is old.

--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BillFlusher.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BillFlusher.kt
@@ -67,10 +67,23 @@
             transaction = TableTransaction(transactionId, rowChecks + billKeys.map { RowCheck(it, 0) }, rowWrites + billWrites),
             grants = rows,
             onCommitted = { finish(written) },
-            onFailed = { current -> finish(written.zip(billKeys).filter { it.second in current.orEmpty() }.map { it.first }) },
+            onFailed = { current -> finishWrittenElsewhere(written.zip(billKeys), current.orEmpty()) },
         )
     }
 
+    private fun finishWrittenElsewhere(
+        bills: List<Pair<UnwrittenBill, String>>,
+        current: Map<String, CurrentRow>,
+    ) {
+        val (found, ofOthers) =
+            bills
+                .mapNotNull { (bill, key) -> current[key]?.let { bill to decodeRow<BillRow>(it.value) } }
+                .partition { (bill, row) -> row.grantId == bill.grant.grantId }
+        // Another router billed the same request from its own grant; it counts once.
+        for ((bill, _) in ofOthers) synchronized(bill.account) { bill.grant.unspend(bill.bill.charge.totalTokens) }
+        finish((found + ofOthers).map { it.first })
+    }
+
     /** Bills in the table, whether this router or the one with their copies wrote them, are done. */
     private fun finish(written: List<UnwrittenBill>) {
         if (written.isEmpty()) return
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccount.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccount.kt
@@ -17,6 +17,7 @@
     /** Row of the budget as last seen, with its version; null before the first read and after a lost race. */
     var budgetRow: BudgetRow? = null
     var budgetVersion = 0L
+    var budgetReadAtMs = Long.MIN_VALUE / 2
 
     /** Tokens of the whole budget that no bill or reservation is known to use; null while that is not known. */
     var knowledge: BudgetKnowledge? = null
@@ -34,14 +35,43 @@
 
     fun usableTokens(nowMs: Long): Long = if (closing) 0 else grant?.usableTokens(nowMs) ?: 0
 
+    /** Time of the first refusal since the wanted tokens were last there. */
+    var wantedSinceMs = 0L
+        private set
+    var nextAskAtMs = Long.MIN_VALUE / 2
+        private set
+    private var askDelayMs = ASK_DELAY_MS
+
     fun want(
         tokens: Long,
         nowMs: Long,
     ) {
+        if (wantedTokens == 0L) wantedSinceMs = nowMs
         wantedTokens = maxOf(wantedTokens, tokens)
         wantedAtMs = nowMs
     }
 
+    /** Peers that had nothing to give are asked again after a growing delay. */
+    fun noteAsked(
+        nowMs: Long,
+        promised: Boolean,
+    ) {
+        askDelayMs = if (promised) ASK_DELAY_MS else minOf(askDelayMs * 2, ASK_DELAY_MAX_MS)
+        nextAskAtMs = nowMs + askDelayMs
+    }
+
+    /** True when fresh knowledge says that no router holds [tokens] for a request. */
+    fun knownExhausted(
+        tokens: Long,
+        nowMs: Long,
+    ): Boolean = knowledge?.let { nowMs - it.readAtMs <= KNOWLEDGE_FRESH_MS && it.remainingTokens < tokens } ?: false
+
+    fun demand(routers: Int): GrantDemand =
+        GrantDemand(grant?.freeTokens ?: 0, meter.ratePerMs, meter.largestReservation, wantedTokens, routers)
+
+    /** Tokens that a refused request still lacks here. */
+    fun lackingTokens(nowMs: Long): Long = (wantedTokens - usableTokens(nowMs)).coerceAtLeast(0)
+
     /** Completes the waiters whose tokens are there, in order of arrival. */
     fun wakeWaiters(nowMs: Long) {
         var usable = usableTokens(nowMs)
@@ -71,6 +101,12 @@
         val tokens: Long,
         val granted: CompletableDeferred<Boolean>,
     )
+
+    private companion object {
+        private const val ASK_DELAY_MS = 20L
+        private const val ASK_DELAY_MAX_MS = 640L
+        private const val KNOWLEDGE_FRESH_MS = 5_000L
+    }
 }
 
 /**
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetMaintenance.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetMaintenance.kt
@@ -4,56 +4,47 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
-import kotlin.random.Random
 
-/** Background work of the ledger: refills, flushes and returns of grants. Runs from [start] to [drain] in the given scope. */
+/** Background work of the ledger: refills, flushes, transfers and returns. Runs from [start] to [drain] in the given scope. */
 class BudgetMaintenance internal constructor(
     private val parts: BudgetParts,
+    private val tableWork: TableWork,
     private val clock: Clock,
     private val options: BudgetOptions,
-    private val random: Random,
     private val log: EventLog,
 ) : BudgetReplenisher {
     private var job: Job? = null
-    private var nextFlushAtMs = 0L
-    private var nextAttemptAtMs = 0L
-    private var nextVmListAtMs = 0L
-    private var failures = 0
-    private var draining = false
 
     /** Starts the background work in [scope]. */
     fun start(scope: CoroutineScope) {
         check(job == null) { "background work is running" }
         job =
             scope.launch {
-                while (isActive) {
-                    pass()
-                    parts.signals.awaitWork(options.tickIntervalMs)
-                }
+                launch { tableLoop() }
+                launch { replicationLoop() }
+                launch { transferLoop() }
+                launch { askLoop() }
             }
     }
 
     /**
-     * Stops the background work, writes all bills and returns all grants. The caller has settled or released all requests before.
-     * Gives up after [BudgetOptions.drainTimeoutMs] without the table; false when bills or grants were left.
+     * Writes all bills, returns all grants and stops the background work. The caller has settled or released all requests before.
+     * Gives up after [BudgetOptions.drainTimeoutMs]; false when bills or grants were left. A peer then writes the bills.
      */
     suspend fun drain(): Boolean {
-        job?.cancelAndJoin()
-        draining = true
-        val done =
-            withTimeoutOrNull(options.drainTimeoutMs) {
-                while (!drained()) {
-                    pass()
-                    parts.signals.awaitWork(DRAIN_PASS_MS)
-                }
-                true
-            } ?: false
+        val running = checkNotNull(job) { "background work is not running" }
+        parts.transfers.draining = true
+        tableWork.draining = true
+        parts.signals.work()
+        val done = withTimeoutOrNull(options.drainTimeoutMs) { tableWork.drained.await() } != null
+        running.cancelAndJoin()
         log.info("budgets_drained", "complete" to done, "unwrittenBills" to parts.bills.size())
         return done
     }
@@ -68,10 +59,12 @@
         synchronized(account) {
             val nowMs = clock.monotonicMs()
             if (account.usableTokens(nowMs) >= tokens) return true
+            if (account.knownExhausted(tokens, nowMs)) return false
             account.want(tokens, nowMs)
             account.waiters += waiter
         }
         parts.signals.work()
+        parts.signals.ask()
         val granted = withTimeoutOrNull(timeoutMs) { waiter.granted.await() } ?: false
         synchronized(account) { account.waiters -= waiter }
         return granted
@@ -81,93 +74,68 @@
         for (budgetId in budgetIds) {
             val account = parts.accounts.getOrCreate(budgetId)
             synchronized(account) {
-                if (account.grant ==
-                    null
-                ) {
-                    account.meter.recordReservation(FIRST_RESERVATION_TOKENS, clock.monotonicMs())
-                }
+                if (account.grant == null) account.meter.recordReservation(FIRST_RESERVATION_TOKENS, clock.monotonicMs())
             }
         }
         parts.signals.work()
     }
 
-    private fun drained(): Boolean = parts.bills.size() == 0 && parts.accounts.all().all { synchronized(it) { it.grant == null } }
-
-    private suspend fun pass() {
-        val nowMs = clock.monotonicMs()
-        tickMeters(nowMs)
-        if (nowMs >= nextVmListAtMs) {
-            parts.reclaimer.readVmList()
-            nextVmListAtMs = nowMs + options.vmListIntervalMs / 2 + random.nextLong(options.vmListIntervalMs)
-        }
-        if (nowMs < nextAttemptAtMs) return
-        if (work(nowMs)) {
-            failures = 0
-            return
+    private suspend fun tableLoop() =
+        coroutineScope {
+            while (isActive) {
+                tableWork.pass()
+                parts.signals.awaitWork(if (tableWork.draining) DRAIN_PASS_MS else options.tickIntervalMs)
+            }
         }
-        val delayMs = minOf(options.retryDelayMaxMs, options.retryDelayMs shl minOf(failures, MAX_DOUBLINGS))
-        failures++
-        // Jitter keeps the routers of a fleet from returning to the table at the same moment.
-        nextAttemptAtMs = nowMs + delayMs / 2 + random.nextLong(delayMs / 2 + 1)
-    }
 
-    /** One pass over the table: grants before bills before returns. False when the table gave no answer. */
-    private suspend fun work(nowMs: Long): Boolean {
-        if (!parts.writer.resolvePending()) return false
-        if (!draining) for (account in parts.accounts.all()) if (!refill(account, nowMs)) return false
-        if (draining || nowMs >= nextFlushAtMs || parts.needsFlush(nowMs)) {
-            if (!parts.flusher.flush()) return false
-            nextFlushAtMs = nowMs + flushDelayMs()
-        }
-        for (account in parts.accounts.all()) {
-            if (synchronized(account) { account.closing } || draining || isIdle(account, nowMs)) parts.keeper.close(account)
-            if (parts.writer.inDoubt) return false
+    private suspend fun replicationLoop() =
+        coroutineScope {
+            while (isActive) {
+                if (!parts.replication.replicate()) parts.signals.awaitReplicate(REPLICATE_RETRY_MS)
+            }
         }
-        return parts.reclaimer.reclaimIfDue()
-    }
 
-    private suspend fun refill(
-        account: BudgetAccount,
-        nowMs: Long,
-    ): Boolean {
-        if (!parts.keeper.refill(account)) return false
-        val learn =
-            synchronized(account) {
-                val stale = nowMs - (account.knowledge?.readAtMs ?: Long.MIN_VALUE / 2) >= KNOWLEDGE_INTERVAL_MS
-                if (nowMs - account.wantedAtMs > WANT_MEMORY_MS) account.wantedTokens = 0
-                account.wantedTokens > 0 && stale
+    private suspend fun transferLoop() =
+        coroutineScope {
+            while (isActive) {
+                parts.transfers.sendOpenTransfers(this)
+                parts.signals.awaitTransfer(TRANSFER_RETRY_MS)
             }
-        return !learn || parts.keeper.learnRemaining(account)
-    }
-
-    /** A backlog is written faster than usual, but at a bounded rate. */
-    private fun flushDelayMs(): Long {
-        val backlog = parts.bills.size() > options.billsPerTransaction
-        val delayMs = if (backlog) options.flushIntervalMs / BACKLOG_SPEEDUP else options.flushIntervalMs
-        return delayMs - random.nextLong(delayMs / JITTER_PARTS + 1)
-    }
+        }
 
-    private fun isIdle(
-        account: BudgetAccount,
-        nowMs: Long,
-    ): Boolean =
-        synchronized(account) {
-            val lastMs = maxOf(account.meter.lastUseAtMs, account.lastRefillAtMs)
-            account.grant != null && nowMs - lastMs > options.idleReturnMs
+    private suspend fun askLoop() =
+        coroutineScope {
+            while (isActive) {
+                for (account in parts.accounts.all()) if (!tableWork.draining) askPeers(account)
+                parts.signals.awaitAsk(ASK_PASS_MS)
+            }
         }
 
-    private fun tickMeters(nowMs: Long) {
-        for (account in parts.accounts.all()) synchronized(account) { account.meter.tick(nowMs) }
-        parts.ledger.forgetWritten(nowMs)
+    private suspend fun askPeers(account: BudgetAccount) {
+        val nowMs = clock.monotonicMs()
+        val planned =
+            synchronized(account) {
+                val lacking = account.lackingTokens(nowMs)
+                val ahead = if (tableWork.inOutage) plannedTransferTokens(account.meter, account.usableTokens(nowMs), options) else 0
+                val fromTable = !tableWork.inOutage && (account.budgetRow?.unallocatedTokens ?: Long.MAX_VALUE) >= lacking
+                val soon = fromTable && nowMs - account.wantedSinceMs < TABLE_FIRST_MS
+                if (lacking == 0L && ahead == 0L) return
+                if (soon || nowMs < account.nextAskAtMs || account.knownExhausted(account.wantedTokens, nowMs)) return
+                ahead + lacking * PLANNED_FACTOR
+            }
+        val promised = parts.transfers.askPeers(account, planned)
+        synchronized(account) { account.noteAsked(clock.monotonicMs(), promised > 0) }
     }
 
     private companion object {
         private const val DRAIN_PASS_MS = 50L
-        private const val MAX_DOUBLINGS = 5
+        private const val REPLICATE_RETRY_MS = 500L
+        private const val TRANSFER_RETRY_MS = 1_000L
+        private const val ASK_PASS_MS = 100L
         private const val FIRST_RESERVATION_TOKENS = 2_000L
-        private const val KNOWLEDGE_INTERVAL_MS = 2_000L
-        private const val WANT_MEMORY_MS = 5_000L
-        private const val BACKLOG_SPEEDUP = 4L
-        private const val JITTER_PARTS = 5L
+        private const val PLANNED_FACTOR = 4L
+
+        /** A refill from the table takes one or two round trips; peers are asked only when it takes longer. */
+        private const val TABLE_FIRST_MS = 100L
     }
 }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
@@ -40,8 +40,18 @@
     val flusher = BillFlusher(accounts, bills, writer, session, clock, options, log)
     val reclaimer = GrantReclaimer(vmDirectory, writer, session, clock, options, log)
     val ledger = DefaultBudgetLedger(self.routerId, accounts, bills, clock, signals)
-    val parts = BudgetParts(accounts, bills, ledger, writer, keeper, flusher, reclaimer, signals)
-    return BudgetModule(ledger, BudgetMaintenance(parts, clock, options, random, log), BudgetStateDump(parts, session, clock))
+    val transfers = TransferDesk(peers, accounts, clock, options, signals, keeper::newGrant, log)
+    val replication = BillReplication(peers, bills, options)
+    val replicas = ReplicaWriter(peers, writer, session, reclaimer, clock, options, log)
+    flusher.onWritten = replication::noteWritten
+    transfers.register()
+    replicas.register()
+    val parts = BudgetParts(accounts, bills, ledger, writer, keeper, flusher, reclaimer, transfers, replication, replicas, signals)
+    return BudgetModule(
+        ledger,
+        BudgetMaintenance(parts, TableWork(parts, clock, options, random), clock, options, log),
+        BudgetStateDump(parts, session, clock),
+    )
 }
 
 /** Creates the administration of budgets; [newTransactionId] returns an id that no other call returns. */
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetParts.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetParts.kt
@@ -9,6 +9,9 @@
     val keeper: GrantKeeper,
     val flusher: BillFlusher,
     val reclaimer: GrantReclaimer,
+    val transfers: TransferDesk,
+    val replication: BillReplication,
+    val replicas: ReplicaWriter,
     val signals: WorkSignals,
 ) {
     /** True when a ceiling is about to hold back requests although the grant would cover them. */
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetStateDump.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetStateDump.kt
@@ -21,6 +21,14 @@
         return buildJsonObject {
             put("unwrittenBills", parts.bills.size())
             put("openReservations", parts.ledger.openReservations())
+            put("keptPeerBills", parts.replicas.keptBills())
+            put(
+                "billCopiesAt",
+                parts.replication.keeper
+                    ?.routerId
+                    ?.value,
+            )
+            put("openTransfers", parts.transfers.openTransfers())
             put("transactionInDoubt", parts.writer.inDoubt)
             put("lastContactAgeMs", session.lastContact?.let { nowMs - it.receivedAtMs })
             putJsonObject("budgets") {
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetLedger.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetLedger.kt
@@ -124,6 +124,7 @@
     ): ReservationOutcome {
         account.want(tokens, nowMs)
         signals.work()
+        signals.ask()
         return ReservationOutcome.Refused(refusalFor(account, tokens, nowMs))
     }
 
@@ -139,12 +140,11 @@
     nowMs: Long,
 ): Refusal {
     val budget = account.budgetId.value
-    val knowledge = account.knowledge?.takeIf { nowMs - it.readAtMs <= KNOWLEDGE_FRESH_MS }
-    if (knowledge != null && knowledge.remainingTokens < tokens) {
-        return Refusal(RefusalReason.BUDGET_EXHAUSTED, "budget $budget has ${knowledge.remainingTokens} tokens left, $tokens are needed")
+    if (account.knownExhausted(tokens, nowMs)) {
+        val remaining = account.knowledge?.remainingTokens
+        return Refusal(RefusalReason.BUDGET_EXHAUSTED, "budget $budget has $remaining tokens left, $tokens are needed")
     }
     return Refusal(RefusalReason.BUDGET_UNAVAILABLE, "this router has too few tokens of budget $budget now", RETRY_AFTER_MS)
 }
 
-private const val KNOWLEDGE_FRESH_MS = 5_000L
 private const val RETRY_AFTER_MS = 1_000L
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/Grant.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/Grant.kt
@@ -69,6 +69,11 @@
         unwrittenBills++
     }
 
+    /** Takes back the charge of a request that another router has billed. */
+    fun unspend(tokens: Long) {
+        spentTokens -= tokens
+    }
+
     fun send(tokens: Long) {
         sentTokens += tokens
     }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantKeeper.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantKeeper.kt
@@ -6,6 +6,7 @@
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.RowWrite
 import org.lycheemount.platform.TableTransaction
+import java.util.concurrent.atomic.AtomicLong
 
 /** Takes tokens of a budget from the table and gives them back. */
 internal class GrantKeeper(
@@ -16,14 +17,18 @@
     private val log: EventLog,
     private val routerCount: () -> Int,
 ) {
-    private var grantCount = 0L
+    private val grantCount = AtomicLong()
+
+    /** A grant of this router without tokens; it has no row yet. */
+    fun newGrant(budgetId: BudgetId): Grant =
+        Grant(budgetId, "${writer.self.routerId.value}-${writer.self.incarnation}-${grantCount.getAndIncrement()}")
 
     /** Refills the grant of [account] if it is below its low-water mark. False when the table gave no answer. */
     suspend fun refill(account: BudgetAccount): Boolean {
         repeat(RACE_ATTEMPTS) {
             if (!needsRefill(account)) return true
             if (account.budgetRow == null && !readBudget(account)) return false
-            val attempt = planRefill(account) ?: return true
+            val attempt = planRefill(account) ?: return rereadBudget(account)
             when (writer.run(attempt)) {
                 AttemptResult.COMMITTED -> return true
                 AttemptResult.NO_ANSWER -> return false
@@ -85,19 +90,14 @@
         synchronized(account) {
             val grant = account.grant
             if (account.closing || grant?.hasPendingRow == true) return false
-            refillTokens(demandOf(account, grant), Long.MAX_VALUE / 2, options) > 0
+            refillTokens(account.demand(routerCount()), Long.MAX_VALUE / 2, options) > 0
         }
 
-    private fun demandOf(
-        account: BudgetAccount,
-        grant: Grant?,
-    ) = GrantDemand(
-        freeTokens = grant?.freeTokens ?: 0,
-        ratePerMs = account.meter.ratePerMs,
-        largestReservation = account.meter.largestReservation,
-        wantedTokens = account.wantedTokens,
-        routers = routerCount(),
-    )
+    /** Notices a top-up or a return while the tokens seen last do not suffice. */
+    private suspend fun rereadBudget(account: BudgetAccount): Boolean {
+        val intervalMs = synchronized(account) { if (account.wantedTokens > 0) WANTED_REREAD_MS else REREAD_MS }
+        return clock.monotonicMs() - account.budgetReadAtMs < intervalMs || readBudget(account)
+    }
 
     private suspend fun readBudget(account: BudgetAccount): Boolean {
         val snapshot = session.read(listOf(budgetKey(account.budgetId))) ?: return false
@@ -105,6 +105,7 @@
         synchronized(account) {
             account.budgetRow = row?.let { decodeRow<BudgetRow>(it.value) } ?: ABSENT_BUDGET
             account.budgetVersion = row?.version ?: 0
+            account.budgetReadAtMs = clock.monotonicMs()
         }
         return true
     }
@@ -113,9 +114,9 @@
         synchronized(account) {
             account.retireClosedGrant()
             val budget = account.budgetRow ?: return null
-            val tokens = refillTokens(demandOf(account, account.grant), budget.unallocatedTokens, options)
+            val tokens = refillTokens(account.demand(routerCount()), budget.unallocatedTokens, options)
             if (tokens <= 0) return null
-            val grant = account.grant ?: Grant(account.budgetId, nextGrantId()).also { account.grant = it }
+            val grant = account.grant ?: newGrant(account.budgetId).also { account.grant = it }
             val transactionId = session.nextTransactionId()
             val write = writer.proposeRow(account, grant, transactionId, grantedDelta = tokens) ?: return null
             val changed = budget.copy(unallocatedTokens = budget.unallocatedTokens - tokens)
@@ -227,10 +228,10 @@
         account.budgetVersion = row.version
     }
 
-    private fun nextGrantId(): String = "${writer.self.routerId.value}-${writer.self.incarnation}-${grantCount++}"
-
     private companion object {
         private const val RACE_ATTEMPTS = 4
+        private const val WANTED_REREAD_MS = 500L
+        private const val REREAD_MS = 5_000L
         private val ABSENT_BUDGET = BudgetRow(0, 0)
     }
 }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
@@ -2,6 +2,7 @@
 
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
+import org.lycheemount.common.VmId
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.TableRow
@@ -22,6 +23,8 @@
     private var scanDueAtMs: Long? = null
     private var scannedOnce = false
 
+    fun isGone(vmId: VmId): Boolean = evidence.goneAt(vmId) != null
+
     /** Reads the VM list and plans a scan of the grants when a router's VM has gone. */
     suspend fun readVmList() {
         val list = list() ?: return
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/ReplicaWriter.kt
@@ -0,0 +1,152 @@
+package org.lycheemount.budget
+
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.RequestId
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.peer.PeerMessenger
+import org.lycheemount.platform.RowCheck
+import org.lycheemount.platform.TableSnapshot
+import org.lycheemount.platform.TableTransaction
+
+/** Keeps copies of peers' bills and writes them when their owner no longer can. */
+internal class ReplicaWriter(
+    private val peers: PeerMessenger,
+    private val writer: TableWriter,
+    private val session: TableSession,
+    private val reclaimer: GrantReclaimer,
+    private val clock: Clock,
+    private val options: BudgetOptions,
+    private val log: EventLog,
+) {
+    private val copies = LinkedHashMap<RouterIdentity, LinkedHashMap<RequestId, Copy>>()
+
+    fun register() = peers.register(BILLS_CHANNEL) { from, payload -> keep(from, peerCbor.decodeFromByteArray(payload)) }
+
+    fun keptBills(): Int = synchronized(copies) { copies.values.sumOf { it.size } }
+
+    /** Writes one batch of bills whose owner is gone, was replaced or has been silent for long. False without an answer. */
+    suspend fun writeDue(): Boolean {
+        val batch = dueBatch()
+        if (batch.isEmpty()) return true
+        val budgets = batch.map { it.row.bill.budgetId }.distinct()
+        val grants = batch.map { grantKey(it.row.bill.budgetId, it.row.grantId) }.distinct()
+        val snapshot = session.read(batch.map { it.key } + grants + budgets.map(::budgetKey)) ?: return false
+        val missing = batch.filter { snapshot.find(it.key) == null }
+        val writable = missing.filter { it.ownerEnded || snapshot.find(it.grantKey) != null }
+        drop(batch - missing.toSet())
+        if (writable.isEmpty()) return true
+        return writer.run(attempt(writable, snapshot)) != AttemptResult.NO_ANSWER
+    }
+
+    private fun keep(
+        from: RouterIdentity,
+        message: BillCopies,
+    ): ByteArray {
+        val nowMs = clock.monotonicMs()
+        synchronized(copies) {
+            val ofOwner = copies.getOrPut(from) { LinkedHashMap() }
+            for (row in message.kept) ofOwner.putIfAbsent(row.bill.requestId, Copy(from, row, nowMs))
+            for (requestId in message.written) ofOwner.remove(requestId)
+        }
+        return peerCbor.encodeToByteArray(BillCopiesAnswer(peers.self.incarnation))
+    }
+
+    private fun dueBatch(): List<Copy> {
+        val nowMs = clock.monotonicMs()
+        val connected = peers.connectedPeers().associateBy { it.routerId }
+        synchronized(copies) {
+            copies.values.removeIf { it.isEmpty() }
+            for ((owner, ofOwner) in copies) {
+                val ended = reclaimer.isGone(owner.vmId) || (connected[owner.routerId]?.incarnation ?: 0) > owner.incarnation
+                val due = ofOwner.values.asSequence().filter { ended || nowMs - it.receivedAtMs >= options.replicaPatienceMs }
+                val batch = due.take(options.billsPerTransaction).toList()
+                batch.forEach { it.ownerEnded = ended }
+                if (batch.isNotEmpty()) return batch
+            }
+        }
+        return emptyList()
+    }
+
+    private fun attempt(
+        missing: List<Copy>,
+        snapshot: TableSnapshot,
+    ): Attempt {
+        val plan = ReplicaPlan(snapshot)
+        missing.groupBy { it.grantKey }.forEach { (key, ofGrant) -> plan.charge(key, ofGrant) }
+        val checks = missing.map { RowCheck(it.key, 0) } + plan.checks
+        val writes = missing.map { writeRow(it.key, it.row) } + plan.writes()
+        return Attempt(
+            TableTransaction(session.nextTransactionId(), checks, writes),
+            grants = emptyList(),
+            onCommitted = {
+                log.info(
+                    "peer_bills_written",
+                    "owner" to
+                        missing
+                            .first()
+                            .owner.routerId.value,
+                    "bills" to missing.size,
+                )
+                drop(missing)
+            },
+        )
+    }
+
+    private fun drop(done: List<Copy>) =
+        synchronized(copies) {
+            for (copy in done) copies[copy.owner]?.remove(copy.row.bill.requestId)
+        }
+
+    internal class Copy(
+        val owner: RouterIdentity,
+        val row: BillRow,
+        val receivedAtMs: Long,
+    ) {
+        var ownerEnded = false
+        val key = billKey(row.bill.budgetId, row.bill.requestId)
+        val grantKey = grantKey(row.bill.budgetId, row.grantId)
+        val tokens = row.bill.charge.totalTokens
+    }
+}
+
+/** Rows to change so that late bills are counted once. */
+internal class ReplicaPlan(
+    private val snapshot: TableSnapshot,
+) {
+    val checks = mutableListOf<RowCheck>()
+    private val grants = LinkedHashMap<String, GrantRow>()
+    private val budgets = LinkedHashMap<String, BudgetRow>()
+
+    /**
+     * Counts bills in the row of their grant. For a closed grant they fall under the amount that is charged already. Without a
+     * row, the owner spent tokens that it had received from a peer: they move from the transferred to the closed tokens.
+     */
+    fun charge(
+        grantKey: String,
+        bills: List<ReplicaWriter.Copy>,
+    ) {
+        val tokens = bills.sumOf { it.tokens }
+        val row = snapshot.find(grantKey)
+        checks += RowCheck(grantKey, row?.version ?: 0)
+        if (row != null) {
+            val grant = decodeRow<GrantRow>(row.value)
+            grants[grantKey] = grant.copy(settledTokens = grant.settledTokens + tokens)
+            return
+        }
+        val budgetKey =
+            budgetKey(
+                bills
+                    .first()
+                    .row.bill.budgetId,
+            )
+        val budgetRow = snapshot.find(budgetKey) ?: return
+        if (budgetKey !in budgets) checks += RowCheck(budgetKey, budgetRow.version)
+        val budget = budgets.getOrPut(budgetKey) { decodeRow(budgetRow.value) }
+        budgets[budgetKey] = budget.copy(closedTokens = budget.closedTokens + tokens, transferTokens = budget.transferTokens - tokens)
+    }
+
+    fun writes() = grants.map { writeRow(it.key, it.value) } + budgets.map { writeRow(it.key, it.value) }
+}
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableWork.kt
@@ -0,0 +1,110 @@
+package org.lycheemount.budget
+
+import kotlinx.coroutines.CompletableDeferred
+import org.lycheemount.common.Clock
+import kotlin.random.Random
+
+/** The part of the background work that uses the table: one pass at a time, at a bounded rate. */
+internal class TableWork(
+    private val parts: BudgetParts,
+    private val clock: Clock,
+    private val options: BudgetOptions,
+    private val random: Random,
+) {
+    private var nextFlushAtMs = 0L
+    private var nextAttemptAtMs = 0L
+    private var nextVmListAtMs = 0L
+    private var failures = 0
+
+    /** Completes once all bills are written and all grants returned. */
+    val drained = CompletableDeferred<Unit>()
+
+    @Volatile
+    var draining = false
+
+    /** True while the last call of the table had no answer. */
+    val inOutage: Boolean get() = failures > 0
+
+    suspend fun pass() {
+        val nowMs = clock.monotonicMs()
+        for (account in parts.accounts.all()) synchronized(account) { account.meter.tick(nowMs) }
+        parts.ledger.forgetWritten(nowMs)
+        if (nowMs >= nextVmListAtMs) {
+            nextVmListAtMs = nowMs + options.vmListIntervalMs / 2 + random.nextLong(options.vmListIntervalMs)
+            parts.reclaimer.readVmList()
+        }
+        if (nowMs < nextAttemptAtMs) return
+        if (work(nowMs)) {
+            failures = 0
+            if (draining && isDrained()) drained.complete(Unit)
+            return
+        }
+        val delayMs = minOf(options.retryDelayMaxMs, options.retryDelayMs shl minOf(failures, MAX_DOUBLINGS))
+        failures++
+        // Jitter keeps the routers of a fleet from returning to the table at the same moment.
+        nextAttemptAtMs = nowMs + delayMs / 2 + random.nextLong(delayMs / 2 + 1)
+    }
+
+    /** One pass: grants before bills before the rest. False when the table gave no answer. */
+    private suspend fun work(nowMs: Long): Boolean {
+        if (!parts.writer.resolvePending()) return false
+        if (!draining) for (account in parts.accounts.all()) if (!refill(account, nowMs)) return false
+        if (draining || nowMs >= nextFlushAtMs || parts.needsFlush(nowMs)) {
+            if (!parts.flusher.flush()) return false
+            nextFlushAtMs = nowMs + flushDelayMs()
+        }
+        for (account in parts.accounts.all()) if (!reduce(account, nowMs)) return false
+        return parts.reclaimer.reclaimIfDue() && parts.replicas.writeDue()
+    }
+
+    private suspend fun refill(
+        account: BudgetAccount,
+        nowMs: Long,
+    ): Boolean {
+        if (!parts.keeper.refill(account)) return false
+        val learn =
+            synchronized(account) {
+                if (nowMs - account.wantedAtMs > WANT_MEMORY_MS) account.wantedTokens = 0
+                account.wantedTokens > 0 && nowMs - (account.knowledge?.readAtMs ?: Long.MIN_VALUE / 2) >= KNOWLEDGE_INTERVAL_MS
+            }
+        return !learn || parts.keeper.learnRemaining(account)
+    }
+
+    /** Returns the grant of an idle budget, and what a grant holds far above its target. */
+    private suspend fun reduce(
+        account: BudgetAccount,
+        nowMs: Long,
+    ): Boolean {
+        val (end, excess) =
+            synchronized(account) {
+                val grant = account.grant ?: return true
+                val lastMs = maxOf(account.meter.lastUseAtMs, account.lastRefillAtMs)
+                val end = account.closing || draining || nowMs - lastMs > options.idleReturnMs
+                val target = targetFreeTokens(account.demand(routers = 1), options)
+                val above = grant.freeTokens > target * EXCESS_FACTOR && nowMs - account.lastRefillAtMs > EXCESS_PATIENCE_MS
+                end to if (above) grant.freeTokens - target else 0
+            }
+        if (end) parts.keeper.close(account)
+        if (!end && excess > 0) parts.keeper.giveBack(account) { excess }
+        return !parts.writer.inDoubt
+    }
+
+    /** A backlog is written faster than usual, but at a bounded rate. */
+    private fun flushDelayMs(): Long {
+        val backlog = parts.bills.size() > options.billsPerTransaction
+        val delayMs = if (backlog) options.flushIntervalMs / BACKLOG_SPEEDUP else options.flushIntervalMs
+        return delayMs - random.nextLong(delayMs / JITTER_PARTS + 1)
+    }
+
+    private fun isDrained(): Boolean = parts.bills.size() == 0 && parts.accounts.all().all { synchronized(it) { it.grant == null } }
+
+    private companion object {
+        private const val MAX_DOUBLINGS = 5
+        private const val KNOWLEDGE_INTERVAL_MS = 1_000L
+        private const val WANT_MEMORY_MS = 3_000L
+        private const val BACKLOG_SPEEDUP = 4L
+        private const val JITTER_PARTS = 5L
+        private const val EXCESS_FACTOR = 2
+        private const val EXCESS_PATIENCE_MS = 30_000L
+    }
+}
