--- a/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
@@ -1,8 +1,9 @@
 package org.lycheemount.measure
 
+import org.lycheemount.measure.routing.RoutingMeasurement
 import kotlin.system.exitProcess
 
-private val measurements: List<Measurement> = listOf()
+private val measurements: List<Measurement> = listOf(RoutingMeasurement())
 
 /** Runs the measurement named by the first argument and prints `name=value` lines. */
 fun main(arguments: Array<String>) {
--- /dev/null
+++ b/measure/src/main/kotlin/org/lycheemount/measure/routing/BaselineScheduler.kt
@@ -0,0 +1,107 @@
+package org.lycheemount.measure.routing
+
+import org.lycheemount.common.BackendServer
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RefusalReason
+import org.lycheemount.common.RequestId
+import org.lycheemount.config.WorkClass
+import org.lycheemount.scheduling.CacheEvents
+import org.lycheemount.scheduling.LoadReport
+import org.lycheemount.scheduling.RequestScheduler
+import org.lycheemount.scheduling.SchedulerAction
+import org.lycheemount.scheduling.ServiceEvent
+import org.lycheemount.scheduling.SubmitOutcome
+import org.lycheemount.scheduling.WorkItem
+
+/** Order in which a baseline takes servers. */
+internal enum class BaselineChoice {
+    ROUND_ROBIN,
+    LEAST_IN_FLIGHT,
+}
+
+/** Sends each request at once to a live server, in turn or to the one with the fewest requests of this router. */
+internal class BaselineScheduler(
+    private val choice: BaselineChoice,
+    firstTurn: Int,
+) : RequestScheduler {
+    private val waiting = LinkedHashMap<RequestId, WorkItem>()
+    private val inFlight = HashMap<RequestId, BackendServerId>()
+    private val counts = HashMap<BackendServerId, Int>()
+    private var servers: List<BackendServer> = emptyList()
+    private var turn = firstTurn
+
+    override fun onWorkClasses(workClasses: Collection<WorkClass>) = Unit
+
+    override fun onBackendServers(
+        servers: List<BackendServer>,
+        nowMs: Long,
+    ) {
+        this.servers = servers.filterNot { it.leaving }
+    }
+
+    override fun submit(
+        item: WorkItem,
+        nowMs: Long,
+    ): SubmitOutcome {
+        if (eligible(item).isEmpty()) return SubmitOutcome.Refused(Refusal(RefusalReason.NO_BACKEND_SERVER, "no server"))
+        waiting[item.requestId] = item
+        return SubmitOutcome.Queued
+    }
+
+    override fun cancel(
+        requestId: RequestId,
+        nowMs: Long,
+    ) {
+        waiting.remove(requestId)
+        release(requestId)
+    }
+
+    override fun onServiceEvent(
+        requestId: RequestId,
+        event: ServiceEvent,
+        nowMs: Long,
+    ) {
+        if (event != ServiceEvent.FirstToken) release(requestId)
+    }
+
+    override fun onLoadReport(
+        report: LoadReport,
+        nowMs: Long,
+    ) = Unit
+
+    override fun onCacheEvents(
+        events: CacheEvents,
+        nowMs: Long,
+    ) = Unit
+
+    override fun poll(nowMs: Long): List<SchedulerAction> {
+        val actions = waiting.values.map { start(it) }
+        waiting.clear()
+        return actions
+    }
+
+    override fun nextWakeUpMs(nowMs: Long): Long? = null
+
+    private fun start(item: WorkItem): SchedulerAction {
+        val eligible = eligible(item)
+        turn++
+        val server =
+            when (choice) {
+                BaselineChoice.ROUND_ROBIN -> eligible[turn % eligible.size]
+                BaselineChoice.LEAST_IN_FLIGHT ->
+                    eligible.indices
+                        .map { eligible[(it + turn) % eligible.size] }
+                        .minBy { counts[it.backendServerId] ?: 0 }
+            }
+        inFlight[item.requestId] = server.backendServerId
+        counts.merge(server.backendServerId, 1, Int::plus)
+        return SchedulerAction.Start(item.requestId, server.backendServerId, priority = 0)
+    }
+
+    private fun release(requestId: RequestId) {
+        inFlight.remove(requestId)?.let { counts.merge(it, -1, Int::plus) }
+    }
+
+    private fun eligible(item: WorkItem) = servers.filter { item.target in it.targets && it.backendServerId !in item.excludedServers }
+}
--- /dev/null
+++ b/measure/src/main/kotlin/org/lycheemount/measure/routing/RoutingMeasurement.kt
@@ -0,0 +1,69 @@
+package org.lycheemount.measure.routing
+
+import org.lycheemount.measure.Measurement
+import org.lycheemount.scheduling.RequestScheduler
+import org.lycheemount.scheduling.createRequestScheduler
+import org.lycheemount.standin.enginemodel.EngineParameters
+import java.util.Locale
+
+private const val TRACE_SEED = 20_261L
+private const val SCHEDULER_SEED = 77L
+private const val BURST_TEAM = 0
+private const val BURST_FACTOR = 5.0
+private const val BURST_US = 20 * SECOND_US
+
+/** Compares the scheduler with round robin and least in flight on the same traces and engine models, in virtual time. */
+internal class RoutingMeasurement : Measurement {
+    override val name = "routing"
+    private val parameters = EngineParameters()
+
+    override fun run(): List<Pair<String, Any>> {
+        val figures = ArrayList<Pair<String, Any>>()
+        for (deployment in deployments) {
+            for (scenario in scenarios) figures += compare(deployment, scenario)
+        }
+        return figures
+    }
+
+    private fun compare(
+        deployment: Deployment,
+        scenario: Scenario,
+    ): List<Pair<String, Any>> {
+        val burst = if (scenario.fault == Fault.BURST) burstOf(scenario) else null
+        val trace =
+            TraceGenerator(
+                deployment,
+                parameters,
+                WORKER_SLOTS,
+                TRACE_SEED,
+            ).generate(scenario.load, Scenario.ARRIVALS_UNTIL_US, burst)
+        val own = simulate(deployment, scenario, trace) { createRequestScheduler(deployment.routerZone(it), SCHEDULER_SEED + it) }
+        val roundRobin = simulate(deployment, scenario, trace) { BaselineScheduler(BaselineChoice.ROUND_ROBIN, it) }
+        val leastInFlight = simulate(deployment, scenario, trace) { BaselineScheduler(BaselineChoice.LEAST_IN_FLIGHT, it) }
+        val prefix = "${deployment.name}_${scenario.name}"
+        val gain = gainPercent(own.goodputTokens, maxOf(roundRobin.goodputTokens, leastInFlight.goodputTokens))
+        val requestGain = gainPercent(own.goodputRequests, maxOf(roundRobin.goodputRequests, leastInFlight.goodputRequests))
+        return own.print(prefix) +
+            roundRobin.print("baseline_round_robin_$prefix") +
+            leastInFlight.print("baseline_least_in_flight_$prefix") +
+            listOf("${prefix}_goodput_tokens_gain_percent" to gain, "${prefix}_goodput_requests_gain_percent" to requestGain)
+    }
+
+    private fun simulate(
+        deployment: Deployment,
+        scenario: Scenario,
+        trace: List<TraceRequest>,
+        createScheduler: (Int) -> RequestScheduler,
+    ): RunFigures {
+        val simulation = FleetSimulation(deployment, trace, createScheduler)
+        FleetDriver(simulation, scenario, parameters).prepare()
+        return RunFigures(scenario, simulation.run())
+    }
+
+    private fun burstOf(scenario: Scenario) = Burst(scenario.faultUntilUs - BURST_US, scenario.faultUntilUs, BURST_TEAM, BURST_FACTOR)
+
+    private fun gainPercent(
+        own: Double,
+        baseline: Double,
+    ) = String.format(Locale.ROOT, "%.1f", 100 * (own / maxOf(baseline, 1e-9) - 1))
+}
--- /dev/null
+++ b/measure/src/main/kotlin/org/lycheemount/measure/routing/Worker.kt
@@ -0,0 +1,145 @@
+package org.lycheemount.measure.routing
+
+import org.lycheemount.common.BackendServer
+import org.lycheemount.common.BackendTarget
+import org.lycheemount.common.RequestId
+import org.lycheemount.scheduling.FailureKind
+import org.lycheemount.standin.enginemodel.EngineAdmission
+import org.lycheemount.standin.enginemodel.EngineEvent
+import org.lycheemount.standin.enginemodel.EngineJob
+import org.lycheemount.standin.enginemodel.EngineModel
+import org.lycheemount.standin.enginemodel.EngineParameters
+import java.util.PriorityQueue
+
+internal const val WORKER_SLOTS = 2
+private const val WORKER_QUEUE_LIMIT = 256
+
+/** What the simulation needs of a backend server: the engine model, or a plain service's worker. */
+internal sealed class Worker(
+    val server: BackendServer,
+) {
+    /** False once the VM is gone or cut off. */
+    var reachable = true
+    var leaving = false
+    abstract val slots: Int
+    abstract val held: Int
+    abstract val waiting: Int
+
+    abstract fun nextEventUs(): Long?
+
+    abstract fun advance(nowUs: Long): List<EngineEvent>
+
+    /** Returns why the worker refuses the attempt, or null. */
+    abstract fun submit(
+        attempt: Attempt,
+        nowUs: Long,
+    ): FailureKind?
+
+    /** Returns the output tokens made. */
+    abstract fun cancel(
+        attemptId: RequestId,
+        nowUs: Long,
+    ): Int
+
+    /** Slots that a new request could use at once. */
+    fun freeSlots(): Int = if (reachable && !leaving) maxOf(0, slots - held - waiting) else 0
+}
+
+internal class EngineWorker(
+    server: BackendServer,
+    val engine: EngineModel,
+    private val parameters: EngineParameters,
+) : Worker(server) {
+    override val slots: Int get() = parameters.slots
+    override val held: Int get() = engine.slotsHeld
+    override val waiting: Int get() = engine.queuedRequests
+
+    override fun nextEventUs(): Long? = if (reachable) engine.nextEventUs() else null
+
+    override fun advance(nowUs: Long): List<EngineEvent> = engine.advance(nowUs)
+
+    override fun submit(
+        attempt: Attempt,
+        nowUs: Long,
+    ): FailureKind? {
+        val request = attempt.request.trace
+        val job =
+            EngineJob(
+                attempt.id,
+                (request.target as BackendTarget.Model).modelId,
+                request.promptTokens,
+                request.prefixHashes,
+                request.naturalTokens,
+                maxOutputTokens = request.naturalTokens,
+                priority = attempt.priority,
+                startAtToken = attempt.request.generatedTokens,
+            )
+        engine.leaving = leaving
+        return when (engine.submit(job, nowUs)) {
+            EngineAdmission.ACCEPTED -> null
+            EngineAdmission.QUEUE_FULL -> FailureKind.REFUSED_BUSY
+            EngineAdmission.LEAVING -> FailureKind.REFUSED_LEAVING
+            EngineAdmission.MODEL_NOT_LOADED, EngineAdmission.DUPLICATE -> error("the simulation sent an invalid job")
+        }
+    }
+
+    override fun cancel(
+        attemptId: RequestId,
+        nowUs: Long,
+    ): Int = engine.cancel(attemptId, nowUs).generatedTokens
+}
+
+/** Worker of a plain service: a few slots, first come first served. */
+internal class ServiceWorker(
+    server: BackendServer,
+) : Worker(server) {
+    private class Running(
+        val attempt: Attempt,
+        val endUs: Long,
+    )
+
+    private val running = PriorityQueue<Running>(compareBy({ it.endUs }, { it.attempt.id.value }))
+    private val queue = ArrayDeque<Attempt>()
+
+    override val slots: Int get() = WORKER_SLOTS
+    override val held: Int get() = running.size
+    override val waiting: Int get() = queue.size
+
+    override fun nextEventUs(): Long? = if (reachable) running.peek()?.endUs else null
+
+    override fun advance(nowUs: Long): List<EngineEvent> {
+        val events = ArrayList<EngineEvent>()
+        while (running.isNotEmpty() && running.peek().endUs <= nowUs) {
+            val ended = running.remove()
+            events += EngineEvent.Finished(ended.attempt.id, ended.endUs, EngineModel.REASON_STOP, 0, 0)
+            queue.removeFirstOrNull()?.let { start(it, ended.endUs) }
+        }
+        return events
+    }
+
+    override fun submit(
+        attempt: Attempt,
+        nowUs: Long,
+    ): FailureKind? {
+        if (leaving) return FailureKind.REFUSED_LEAVING
+        if (queue.size >= WORKER_QUEUE_LIMIT) return FailureKind.REFUSED_BUSY
+        if (running.size < WORKER_SLOTS) start(attempt, nowUs) else queue.addLast(attempt)
+        return null
+    }
+
+    override fun cancel(
+        attemptId: RequestId,
+        nowUs: Long,
+    ): Int {
+        // A running call of a plain service cannot be stopped.
+        queue.removeAll { it.id == attemptId }
+        return 0
+    }
+
+    private fun start(
+        attempt: Attempt,
+        nowUs: Long,
+    ) {
+        running += Running(attempt, nowUs + attempt.request.trace.serviceTimeUs)
+    }
+}
