Shorten two parameter lists of the routing measurement

Cause: detekt rejected two functions with more than six parameters. Change: traffic classes are built directly; the target follows from the class. Measured: ./verify passes.

--- a/measure/src/main/kotlin/org/lycheemount/measure/routing/Trace.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/routing/Trace.kt
@@ -105,7 +105,7 @@
         val session = Session(start.promptTokens + ownBlocks * BLOCK_TOKENS, hashes, start.turn + 1)
         if (session.turn < MAX_TURNS) open.addLast(session)
         if (open.size > OPEN_SESSIONS) open.removeFirst()
-        return request(atUs, team, traffic, deployment.model, session, maxOf(2, size(traffic.outputTokens)), 0)
+        return request(atUs, team, traffic, session, maxOf(2, size(traffic.outputTokens)), 0)
     }
 
     private fun newSession(
@@ -120,14 +120,13 @@
 
     private fun serviceRequest(atUs: Long): TraceRequest {
         val serviceUs = maxOf(1_000L, (SERVICE_CALL_MEAN_US * sizeFactor()).toLong())
-        return request(atUs, pickTeam(), serviceClass, deployment.service, Session(0, emptyList(), 0), 0, serviceUs)
+        return request(atUs, pickTeam(), serviceClass, Session(0, emptyList(), 0), 0, serviceUs)
     }
 
     private fun request(
         atUs: Long,
         team: Int,
         traffic: TrafficClass,
-        target: BackendTarget,
         session: Session,
         naturalTokens: Int,
         serviceTimeUs: Long,
@@ -137,7 +136,7 @@
         random.nextInt(deployment.routerCount),
         TeamId("team-$team"),
         traffic,
-        target,
+        if (traffic === serviceClass) deployment.service else deployment.model,
         session.promptTokens,
         session.hashes,
         naturalTokens,
--- a/measure/src/main/kotlin/org/lycheemount/measure/routing/TrafficClass.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/routing/TrafficClass.kt
@@ -30,27 +30,19 @@
 
 internal val trafficClasses =
     listOf(
-        traffic("counter", 0.60, 1_000, 8_000, template = 1_600, own = 300, output = 80, followUps = 0.4),
-        traffic("drafting", 0.25, 2_500, 30_000, template = 1_600, own = 500, output = 250, followUps = 0.3),
-        traffic("intake", 0.10, 20_000, 90_000, template = 1_000, own = 2_000, output = 200, followUps = 0.0),
-        traffic("assessment", 0.05, 60_000, 180_000, template = 2_000, own = 4_000, output = 900, followUps = 0.0, mustFinish = true),
-        TrafficClass(WorkClass(WorkClassId("lookup"), 800, 1_000), 0.0, 0, 0, 0, 0.0),
+        TrafficClass(workClass("counter", 1_000, 8_000), 0.60, 1_600, 300, 80, 0.4),
+        TrafficClass(workClass("drafting", 2_500, 30_000), 0.25, 1_600, 500, 250, 0.3),
+        TrafficClass(workClass("intake", 20_000, 90_000), 0.10, 1_000, 2_000, 200, 0.0),
+        TrafficClass(workClass("assessment", 60_000, 180_000, mustFinish = true), 0.05, 2_000, 4_000, 900, 0.0),
+        TrafficClass(workClass("lookup", 800, 1_000), 0.0, 0, 0, 0, 0.0),
     )
 
 internal val modelClasses = trafficClasses.filter { it.share > 0 }
 internal val serviceClass = trafficClasses.single { it.share == 0.0 }
 
-private fun traffic(
+private fun workClass(
     name: String,
-    share: Double,
     firstTokenTargetMs: Long,
     completionTargetMs: Long,
-    template: Int,
-    own: Int,
-    output: Int,
-    followUps: Double,
     mustFinish: Boolean = false,
-): TrafficClass {
-    val workClass = WorkClass(WorkClassId(name), firstTokenTargetMs, completionTargetMs, mustFinish = mustFinish)
-    return TrafficClass(workClass, share, template, own, output, followUps)
-}
+) = WorkClass(WorkClassId(name), firstTokenTargetMs, completionTargetMs, mustFinish = mustFinish)
