Bound servers by stated capacity and weigh prefix affinity by its cost

A limit on the load of all routers, shrunk by slow first tokens, locked out the routers that shrank first: some had no request on a server where others had thirty. Change: reported capacity is the limit; a request may use 0.3 of its slack in the queue of a server; reports lose weight by the service time of the server; a missed prefix costs its prefill for every running request; requests that can start at once are never refused.

--- a/measure/src/main/kotlin/org/lycheemount/measure/routing/RoutingMeasurement.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/routing/RoutingMeasurement.kt
@@ -5,7 +5,13 @@
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.standin.enginemodel.EngineParameters
 import java.util.Locale
+import java.util.concurrent.Callable
+import java.util.concurrent.Executors
 
+private const val THREADS = 4
+
+/** Comma-separated names of the scenarios to run; all of them when it is not set. */
+private const val SCENARIO_PROPERTY = "routing.scenarios"
 private const val TRACE_SEED = 20_261L
 private const val SCHEDULER_SEED = 77L
 private const val BURST_TEAM = 0
@@ -18,11 +24,11 @@
     private val parameters = EngineParameters()
 
     override fun run(): List<Pair<String, Any>> {
-        val figures = ArrayList<Pair<String, Any>>()
-        for (deployment in deployments) {
-            for (scenario in scenarios) figures += compare(deployment, scenario)
-        }
-        return figures
+        val selected = scenarios.filter { System.getProperty(SCENARIO_PROPERTY)?.split(',')?.contains(it.name) ?: true }
+        val runs = deployments.flatMap { deployment -> selected.map { scenario -> Callable { compare(deployment, scenario) } } }
+        val threads = Executors.newFixedThreadPool(THREADS)
+        // Runs share nothing, so their figures do not depend on the number of threads.
+        return threads.invokeAll(runs).flatMap { it.get() }.also { threads.shutdown() }
     }
 
     private fun compare(
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/AdmissionControl.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/AdmissionControl.kt
@@ -21,7 +21,7 @@
         workClass: WorkClass,
         lane: TargetQueue,
         waitMs: Double,
-        dueAtMs: Long,
+        hopelessAtMs: Long,
         nowMs: Long,
     ): Refusal? {
         if (item.deadlineAtMs != null && item.deadlineAtMs <= nowMs) {
@@ -32,8 +32,8 @@
             return Refusal(RefusalReason.QUEUE_SHARE_EXCEEDED, "the team has $teamLimit requests queued", retryAfterMs(waitMs))
         }
         if (workClass.mustFinish && item.deadlineAtMs == null) return null
-        if (waitMs <= 0.0 || nowMs + waitMs <= dueAtMs) return null
-        val excessMs = waitMs - (dueAtMs - nowMs)
+        if (waitMs <= 0.0 || nowMs + waitMs <= hopelessAtMs) return null
+        val excessMs = waitMs - (hopelessAtMs - nowMs)
         return Refusal(
             RefusalReason.TARGET_UNREACHABLE,
             "the expected wait of ${waitText(waitMs)} misses the target",
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ConcurrencyLimit.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ConcurrencyLimit.kt
@@ -2,15 +2,18 @@
 
 private const val INITIAL_LIMIT = 8.0
 private const val MIN_LIMIT = 1.0
+
+// The limit bounds the load of all routers together, so a router that went lower than the others would be shut out.
+private const val MIN_SHARE_OF_CAPACITY = 1.0
 private const val UNREPORTED_MAX_LIMIT = 1024.0
 private const val SHRINK_FACTOR = 0.85
 private const val SHRINK_INTERVAL_MS = 500L
 
-// Prefills of other requests delay a first token by a few times its own prefill on a busy but not overloaded engine.
-private const val CONGESTED_FACTOR = 4.0
-private const val CONGESTED_MARGIN_MS = 200.0
+// Long prefills of other requests delay a first token by up to a second on an engine with free slots, so only a time that
+// endangers the target of the class counts as congestion.
+private const val CONGESTED_TARGET_SHARE = 0.8
 
-/** Adaptive bound on the requests that one backend server has at once, by the time to first token that it achieves. */
+/** Adaptive bound on the requests that one backend server has at once, by the times to first token that it achieves. */
 internal class ConcurrencyLimit {
     private var maxLimit = UNREPORTED_MAX_LIMIT
     private var lastShrinkAtMs = Long.MIN_VALUE / 2
@@ -30,11 +33,11 @@
 
     fun onFirstToken(
         elapsedMs: Long,
-        expectedMs: Double,
+        targetMs: Long,
         load: Double,
         nowMs: Long,
     ) {
-        if (elapsedMs > CONGESTED_FACTOR * expectedMs + CONGESTED_MARGIN_MS) {
+        if (elapsedMs > CONGESTED_TARGET_SHARE * targetMs) {
             shrink(load, nowMs)
         } else if (load >= limit - 1) {
             limit = minOf(maxLimit, limit + 1 / limit)
@@ -53,6 +56,7 @@
         // The answers of one congested spell count once, since they all saw the same queue.
         if (nowMs - lastShrinkAtMs < SHRINK_INTERVAL_MS) return
         lastShrinkAtMs = nowMs
-        limit = maxOf(MIN_LIMIT, minOf(limit, load) * SHRINK_FACTOR)
+        val floor = if (reported) maxOf(MIN_LIMIT, maxLimit * MIN_SHARE_OF_CAPACITY) else MIN_LIMIT
+        limit = maxOf(floor, minOf(limit, load) * SHRINK_FACTOR)
     }
 }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -16,9 +16,10 @@
 private const val PATIENT_RESERVE = 2.0
 private const val PATIENT_SLACK_MS = 5_000L
 
-// An engine serves by priority, so a request about to miss its target may wait there for the next free slot.
-private const val URGENT_EXCESS = 2.0
-private const val URGENT_SLACK_MS = 300L
+// Share of its slack that a request may spend in the queue of a backend server, where the next free slot takes it at once
+// although reports lag.
+private const val SERVER_QUEUE_SLACK_SHARE = 0.3
+private const val MAX_SERVER_QUEUE_SHARE = 1.0
 private const val PRIORITY_STEP_MS = 50L
 private const val MAX_PRIORITY = 10_000L
 
@@ -72,13 +73,10 @@
         if (candidates.isEmpty()) return SubmitOutcome.Refused(admission.noServer())
         val workClass = workClasses[item.workClassId] ?: defaultWorkClass(item.workClassId)
         val estimate = lane.estimator.estimate(item, bestCachedTokens(candidates, item, nowMs))
-        val dueAtMs = dueAtMs(item, workClass, estimate, lane.estimator.firstTokenStretch)
-        val waitMs = lane.waitMs(item, dueAtMs, candidates.filter { it.isOpen(nowMs) }, nowMs)
-        admission.refusal(item, workClass, lane, waitMs, dueAtMs, nowMs)?.let { return SubmitOutcome.Refused(it) }
-        enqueue(
-            lane,
-            QueuedRequest(item, workClass, ++lastSequence, nowMs, estimate.serviceMs, dueAtMs, dropAtMs(item, workClass, dueAtMs), waitMs),
-        )
+        val latest = LatestStart(item, workClass, estimate, lane.estimator.firstTokenStretch)
+        val waitMs = lane.waitMs(item, latest.dueAtMs, candidates.filter { it.isOpen(nowMs) }, nowMs)
+        admission.refusal(item, workClass, lane, waitMs, latest.hopelessAtMs, nowMs)?.let { return SubmitOutcome.Refused(it) }
+        enqueue(lane, QueuedRequest(item, workClass, ++lastSequence, nowMs, estimate.serviceMs, latest, waitMs))
         return SubmitOutcome.Queued
     }
 
@@ -130,8 +128,8 @@
         for (state in servers.values) {
             if (state.hangAtMs()?.let { it <= nowMs } == true) state.health.onHang(nowMs)
         }
-        dropDeadWork(nowMs, actions)
         for (lane in lanes.values) startReady(lane, nowMs, actions)
+        dropDeadWork(nowMs, actions)
         return actions
     }
 
@@ -157,7 +155,7 @@
         actions: MutableList<SchedulerAction>,
     ) {
         while (lane.queue.size > 0) {
-            val open = servers.values.filter { lane.target in it.server.targets && it.room(nowMs) > -URGENT_EXCESS && it.isOpen(nowMs) }
+            val open = servers.values.filter { lane.target in it.server.targets && it.isOpen(nowMs) }
             if (open.isEmpty()) return
             val request = lane.queue.select { candidate -> open.any { takes(it, candidate, nowMs) } } ?: return
             val choice = selector.choose(open.filter { takes(it, request, nowMs) }, request.item, lane.estimator, nowMs) ?: return
@@ -188,16 +186,13 @@
         request: QueuedRequest,
         nowMs: Long,
     ): Boolean {
-        if (state.id in request.item.excludedServers) return false
+        if (state.id in request.item.excludedServers || request.isPastDeadline(nowMs)) return false
         if (state.health.allowedRequests(nowMs) <= state.ownInFlight) return false
         val slackMs = request.dueAtMs - nowMs
-        val needed =
-            when {
-                slackMs < URGENT_SLACK_MS -> -URGENT_EXCESS
-                slackMs < PATIENT_SLACK_MS -> 1.0
-                else -> 1.0 + PATIENT_RESERVE
-            }
-        return state.room(nowMs) >= minOf(needed, state.limit.limit)
+        val limit = state.limit.limit
+        if (slackMs >= PATIENT_SLACK_MS) return state.room(nowMs) >= minOf(1.0 + PATIENT_RESERVE, limit)
+        val queueable = SERVER_QUEUE_SLACK_SHARE * limit * maxOf(0L, slackMs) / state.meanServiceMs
+        return state.room(nowMs) >= 1.0 - minOf(queueable, MAX_SERVER_QUEUE_SHARE * limit)
     }
 
     private fun dropDeadWork(
@@ -209,8 +204,15 @@
             val dropAt = request.dropAtMs ?: error("a request without drop time is in the drop order")
             if (dropAt > nowMs) return
             dequeue(request)
-            val past = request.item.deadlineAtMs?.let { it <= nowMs } ?: false
-            val refusal = if (past) Refusal(RefusalReason.DEADLINE_PAST, "the deadline passed in the queue") else admission.expired()
+            val refusal =
+                if (request.isPastDeadline(
+                        nowMs,
+                    )
+                ) {
+                    Refusal(RefusalReason.DEADLINE_PAST, "the deadline passed in the queue")
+                } else {
+                    admission.expired()
+                }
             actions += SchedulerAction.Drop(request.item.requestId, refusal)
         }
     }
@@ -224,7 +226,8 @@
         if (state == null || request.firstTokenAtMs != null) return
         state.onFirstToken(request, nowMs)
         val elapsedMs = nowMs - request.startedAtMs
-        state.limit.onFirstToken(elapsedMs, request.estimate.firstTokenMs, request.loadAtStart, nowMs)
+        val workClass = workClasses[request.item.workClassId] ?: defaultWorkClass(request.item.workClassId)
+        state.limit.onFirstToken(elapsedMs, workClass.firstTokenTargetMs, request.loadAtStart, nowMs)
         lane.estimator.onFirstToken(request.item, request.predictedCachedTokens, elapsedMs)
     }
 
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/QueuedRequest.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/QueuedRequest.kt
@@ -7,8 +7,7 @@
  *
  * @property sequence order of submission, which breaks ties.
  * @property serviceMs expected time on a backend server.
- * @property dueAtMs latest start that is expected to meet the targets; the queue is ordered by it.
- * @property dropAtMs start of the time at which the request is dead work; null for work that must finish and has no deadline.
+ * @property predictedWaitMs expected time in the queue when the request was accepted.
  */
 internal class QueuedRequest(
     val item: WorkItem,
@@ -16,9 +15,13 @@
     val sequence: Long,
     val submittedAtMs: Long,
     val serviceMs: Double,
-    val dueAtMs: Long,
-    val dropAtMs: Long?,
+    private val latestStart: LatestStart,
     val predictedWaitMs: Double,
 ) : Comparable<QueuedRequest> {
+    val dueAtMs: Long get() = latestStart.dueAtMs
+    val dropAtMs: Long? get() = latestStart.dropAtMs
+
+    fun isPastDeadline(nowMs: Long): Boolean = item.deadlineAtMs?.let { it <= nowMs } ?: false
+
     override fun compareTo(other: QueuedRequest): Int = compareValuesBy(this, other, QueuedRequest::dueAtMs, QueuedRequest::sequence)
 }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ReportedLoad.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ReportedLoad.kt
@@ -2,7 +2,6 @@
 
 import kotlin.math.exp
 
-private const val AGE_SCALE_MS = 4_000.0
 private const val MEAN_GAIN = 0.2
 private const val HISTORY_MS = 15_000L
 
@@ -50,10 +49,17 @@
         reports++
     }
 
-    /** Expected requests of other routers on the server. */
-    fun others(nowMs: Long): Double {
+    /**
+     * Expected requests of other routers on the server.
+     *
+     * A report says nothing of requests that came after it, so it is worth less the shorter requests run there.
+     */
+    fun others(
+        meanServiceMs: Double,
+        nowMs: Long,
+    ): Double {
         if (reports == 0) return 0.0
-        val weight = exp(-(nowMs - measuredAtMs) / AGE_SCALE_MS)
+        val weight = exp(-(nowMs - measuredAtMs) / maxOf(1.0, meanServiceMs))
         return weight * othersAtReport + (1 - weight) * meanOthers
     }
 
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
@@ -22,9 +22,9 @@
  * @property bandShare servers within this share of the best cost count as equally good.
  */
 internal data class SelectorWeights(
-    val load: Double = 0.5,
-    val prefillSharing: Double = 0.3,
-    val home: Double = 0.3,
+    val load: Double = 0.4,
+    val prefillSharing: Double = 1.0,
+    val home: Double = 0.2,
     val bandShare: Double = 0.1,
 )
 
@@ -69,7 +69,8 @@
         val queueMs = estimator.prefillMs(state.pendingPrefillTokens)
         val sharedMs = weights.prefillSharing * load * (estimator.prefillMs(uncached) - estimator.prefillMs(0))
         val loadMs = weights.load * relativeLoad * maxOf(estimate.serviceMs, 1.0)
-        val homeMs = if (isHome) weights.home * (estimator.prefillMs(item.promptTokens) - estimator.prefillMs(0)) else 0.0
+        val wholePrefillMs = estimator.prefillMs(item.promptTokens) - estimator.prefillMs(0)
+        val homeMs = if (isHome) weights.home * (1 + weights.prefillSharing * load) * wholePrefillMs else 0.0
         val zoneMs = if (state.server.zoneId == zoneId) 0.0 else OTHER_ZONE_MS
         val slowness = maxOf(1.0, state.health.slowness)
         val costMs = slowness * (estimate.firstTokenMs + queueMs + sharedMs + loadMs) - homeMs + zoneMs
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
@@ -6,6 +6,8 @@
 
 private const val HANG_FLOOR_MS = 2_000L
 private const val HANG_FACTOR = 8.0
+private const val INITIAL_SERVICE_MS = 2_000.0
+private const val MEAN_GAIN = 0.1
 
 /** What this router knows of one backend server. */
 internal class ServerState(
@@ -22,10 +24,14 @@
     var pendingPrefillTokens = 0
         private set
 
+    /** Mean time of a request on the server. */
+    var meanServiceMs = INITIAL_SERVICE_MS
+        private set
+
     val id: BackendServerId get() = server.backendServerId
     val ownInFlight: Int get() = inFlight.size
 
-    fun load(nowMs: Long): Double = ownInFlight + reported.others(nowMs)
+    fun load(nowMs: Long): Double = ownInFlight + reported.others(meanServiceMs, nowMs)
 
     /** Whether the server may get work at all. */
     fun isOpen(nowMs: Long): Boolean = !server.leaving && !health.isLeaving(nowMs) && health.allowedRequests(nowMs) > 0
@@ -64,7 +70,10 @@
     ) {
         if (inFlight.remove(request.item.requestId) == null) return
         if (request.firstTokenAtMs == null) pendingPrefillTokens -= pendingTokens(request)
-        if (answered) lastProgressAtMs = nowMs
+        if (answered) {
+            lastProgressAtMs = nowMs
+            meanServiceMs += MEAN_GAIN * (nowMs - request.startedAtMs - meanServiceMs)
+        }
         reported.onOwnLoad(ownInFlight, nowMs)
     }
 
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/Targets.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/Targets.kt
@@ -5,28 +5,44 @@
 
 private const val DEFAULT_FIRST_TOKEN_TARGET_MS = 2_000L
 private const val DEFAULT_COMPLETION_TARGET_MS = 60_000L
+private const val MAX_STRETCHED_SHARE = 0.5
 
 /** Class of requests whose class this router does not know yet. */
 internal fun defaultWorkClass(workClassId: WorkClassId): WorkClass =
     WorkClass(workClassId, DEFAULT_FIRST_TOKEN_TARGET_MS, DEFAULT_COMPLETION_TARGET_MS)
 
-/** Latest start of [item] that is expected to meet both targets of its class and its deadline. */
-internal fun dueAtMs(
+/** Latest starts of a request that are expected to meet both targets of its class and its deadline. */
+internal class LatestStart(
     item: WorkItem,
     workClass: WorkClass,
     estimate: ServiceEstimate,
     firstTokenStretch: Double,
-): Long {
-    val firstTokenMs = firstTokenStretch * estimate.firstTokenMs
-    val serviceMs = firstTokenMs + estimate.decodeMs
-    val byTargets = minOf(workClass.firstTokenTargetMs - firstTokenMs, workClass.completionTargetMs - serviceMs)
-    val byDeadline = item.deadlineAtMs?.let { it - item.arrivedAtMs - serviceMs } ?: Double.MAX_VALUE
-    return item.arrivedAtMs + minOf(byTargets, byDeadline).toLong()
-}
+) {
+    /** Latest start under the present contention; the queue is ordered by it. */
+    val dueAtMs: Long
 
-/** When [item] becomes dead work in the queue, or null when it never does. */
-internal fun dropAtMs(
-    item: WorkItem,
-    workClass: WorkClass,
-    dueAtMs: Long,
-): Long? = if (workClass.mustFinish) item.deadlineAtMs else minOf(dueAtMs, item.deadlineAtMs ?: Long.MAX_VALUE)
+    /** Latest start on a server that gives the request its full speed; later, the request is dead work unless it must finish. */
+    val hopelessAtMs: Long
+
+    /** When the request becomes dead work in the queue, or null when it never does. */
+    val dropAtMs: Long?
+
+    init {
+        // A stretch beyond half of the target would make all work look due at once and leave no order.
+        val stretchedMs = minOf(firstTokenStretch * estimate.firstTokenMs, workClass.firstTokenTargetMs * MAX_STRETCHED_SHARE)
+        dueAtMs = latest(item, workClass, maxOf(estimate.firstTokenMs, stretchedMs), estimate.decodeMs)
+        hopelessAtMs = latest(item, workClass, estimate.firstTokenMs, estimate.decodeMs)
+        dropAtMs = if (workClass.mustFinish) item.deadlineAtMs else minOf(hopelessAtMs, item.deadlineAtMs ?: Long.MAX_VALUE)
+    }
+
+    private fun latest(
+        item: WorkItem,
+        workClass: WorkClass,
+        firstTokenMs: Double,
+        decodeMs: Double,
+    ): Long {
+        val byTargets = minOf(workClass.firstTokenTargetMs - firstTokenMs, workClass.completionTargetMs - firstTokenMs - decodeMs)
+        val byDeadline = item.deadlineAtMs?.let { it - item.arrivedAtMs - firstTokenMs - decodeMs } ?: Double.MAX_VALUE
+        return item.arrivedAtMs + minOf(byTargets, byDeadline).toLong()
+    }
+}
