Share free slots among routers by a window for each server

Cause: every router filled the free slots that all of them saw in the same report, and plain calls were refused because stale reports of short calls counted in full. Change: each server has a window for this router's requests; a new report moves it by the router's share of the gap between load and capacity. Free slots beyond it are taken by the same share.

--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -16,10 +16,6 @@
 private const val PATIENT_RESERVE = 2.0
 private const val PATIENT_SLACK_MS = 5_000L
 
-// Share of its slack that a request may spend in the queue of a backend server, where the next free slot takes it at once
-// although reports lag.
-private const val SERVER_QUEUE_SLACK_SHARE = 0.3
-private const val MAX_SERVER_QUEUE_SHARE = 1.0
 private const val PRIORITY_STEP_MS = 50L
 private const val MAX_PRIORITY = 10_000L
 
@@ -109,8 +105,10 @@
         nowMs: Long,
     ) {
         val state = servers[report.backendServerId] ?: return
-        state.reported.onReport(report, nowMs)
-        state.reported.capacity?.let(state.limit::onCapacity)
+        for (target in state.server.targets) {
+            val lane = lanes.getOrPut(target) { TargetQueue(target) }
+            if (state.onReport(report, lane.fleetShare, nowMs)) lane.onReport(state.reported.ownAtReport, state.reported.totalAtReport)
+        }
     }
 
     override fun onCacheEvents(
@@ -157,8 +155,8 @@
         while (lane.queue.size > 0) {
             val open = servers.values.filter { lane.target in it.server.targets && it.isOpen(nowMs) }
             if (open.isEmpty()) return
-            val request = lane.queue.select { candidate -> open.any { takes(it, candidate, nowMs) } } ?: return
-            val choice = selector.choose(open.filter { takes(it, request, nowMs) }, request.item, lane.estimator, nowMs) ?: return
+            val request = lane.queue.select { candidate -> open.any { takes(it, lane, candidate, nowMs) } } ?: return
+            val choice = selector.choose(open.filter { takes(it, lane, request, nowMs) }, request.item, lane.estimator, nowMs) ?: return
             actions += start(lane, request, choice, nowMs)
         }
     }
@@ -183,16 +181,14 @@
 
     private fun takes(
         state: ServerState,
+        lane: TargetQueue,
         request: QueuedRequest,
         nowMs: Long,
     ): Boolean {
         if (state.id in request.item.excludedServers || request.isPastDeadline(nowMs)) return false
         if (state.health.allowedRequests(nowMs) <= state.ownInFlight) return false
-        val slackMs = request.dueAtMs - nowMs
-        val limit = state.limit.limit
-        if (slackMs >= PATIENT_SLACK_MS) return state.room(nowMs) >= minOf(1.0 + PATIENT_RESERVE, limit)
-        val queueable = SERVER_QUEUE_SLACK_SHARE * limit * maxOf(0L, slackMs) / state.meanServiceMs
-        return state.room(nowMs) >= 1.0 - minOf(queueable, MAX_SERVER_QUEUE_SHARE * limit)
+        val room = state.room(lane.fleetShare, nowMs)
+        return if (request.dueAtMs - nowMs >= PATIENT_SLACK_MS) room > PATIENT_RESERVE * lane.fleetShare else room > 0
     }
 
     private fun dropDeadWork(
@@ -260,7 +256,7 @@
         if (state == null) return
         state.end(request, answered = kind == FailureKind.REFUSED_BUSY, nowMs)
         state.health.onFailure(kind, nowMs)
-        if (kind == FailureKind.REFUSED_BUSY) state.limit.onRefusedBusy(request.loadAtStart, nowMs)
+        if (kind == FailureKind.REFUSED_BUSY) state.limit.onRefusedBusy(state.ownInFlight + 1, nowMs)
     }
 
     private fun observeCache(
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ReportedLoad.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ReportedLoad.kt
@@ -22,7 +22,12 @@
     var capacity: Int? = null
         private set
 
-    var queuedAtReport: Int = 0
+    /** Requests of all routers in the last report. */
+    var totalAtReport: Int = 0
+        private set
+
+    /** Requests of this router when the last report was measured. */
+    var ownAtReport: Int = 0
         private set
 
     /** Remembers this router's own requests in flight, to be taken off later reports. */
@@ -34,19 +39,21 @@
         while (ownHistory.size > 1 && ownHistory[1].atMs < nowMs - HISTORY_MS) ownHistory.removeFirst()
     }
 
+    /** Takes in [report] and returns false when it is no newer than the last one. */
     fun onReport(
         report: LoadReport,
         nowMs: Long,
-    ) {
+    ): Boolean {
         val atMs = nowMs - report.ageMs
-        if (reports > 0 && atMs < measuredAtMs) return
+        if (reports > 0 && atMs <= measuredAtMs) return false
         measuredAtMs = atMs
-        val own = ownHistory.lastOrNull { it.atMs <= atMs }?.inFlight ?: 0
-        othersAtReport = maxOf(0, report.runningRequests + report.queuedRequests - own).toDouble()
+        ownAtReport = ownHistory.lastOrNull { it.atMs <= atMs }?.inFlight ?: 0
+        totalAtReport = report.runningRequests + report.queuedRequests
+        othersAtReport = maxOf(0, totalAtReport - ownAtReport).toDouble()
         meanOthers = if (reports == 0) othersAtReport else meanOthers + MEAN_GAIN * (othersAtReport - meanOthers)
-        queuedAtReport = report.queuedRequests
         if (report.capacity > 0) capacity = report.capacity
         reports++
+        return true
     }
 
     /**
@@ -63,8 +70,6 @@
         return weight * othersAtReport + (1 - weight) * meanOthers
     }
 
-    fun ageMs(nowMs: Long): Long? = if (reports == 0) null else nowMs - measuredAtMs
-
     private class OwnLoad(
         val atMs: Long,
         val inFlight: Int,
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
@@ -36,12 +36,38 @@
     /** Whether the server may get work at all. */
     fun isOpen(nowMs: Long): Boolean = !server.leaving && !health.isLeaving(nowMs) && health.allowedRequests(nowMs) > 0
 
-    /** Further requests that the server can take now; may be a fraction or negative. */
-    fun room(nowMs: Long): Double =
-        if (isOpen(nowMs)) minOf(limit.limit - load(nowMs), (health.allowedRequests(nowMs) - ownInFlight).toDouble()) else 0.0
+    /**
+     * Further requests that the server can take now, as a fraction; more than 0 allows one.
+     *
+     * Free slots beyond the window are taken by [fleetShare] too, so that a burst need not wait for the next report.
+     */
+    fun room(
+        fleetShare: Double,
+        nowMs: Long,
+    ): Double {
+        if (!isOpen(nowMs)) return 0.0
+        val byLoad = (limit.limit - load(nowMs)) * fleetShare
+        return minOf(maxOf(limit.window - ownInFlight, byLoad), (health.allowedRequests(nowMs) - ownInFlight).toDouble())
+    }
 
     /** Concurrent requests that this router can count on here. */
-    fun ownShare(nowMs: Long): Double = if (isOpen(nowMs)) maxOf(0.0, ownInFlight + room(nowMs)) else 0.0
+    fun ownShare(
+        fleetShare: Double,
+        nowMs: Long,
+    ): Double = if (isOpen(nowMs)) maxOf(0.0, ownInFlight + room(fleetShare, nowMs)) else 0.0
+
+    /** Share of the server's capacity that no router is expected to use. */
+    fun idleShare(nowMs: Long): Double = 1 - load(nowMs) / limit.limit
+
+    fun onReport(
+        report: LoadReport,
+        fleetShare: Double,
+        nowMs: Long,
+    ): Boolean {
+        if (!reported.onReport(report, nowMs)) return false
+        reported.capacity?.let { limit.onReport(reported.totalAtReport, reported.ownAtReport, it, fleetShare) }
+        return true
+    }
 
     fun start(
         request: StartedRequest,
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/TargetQueue.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/TargetQueue.kt
@@ -3,6 +3,8 @@
 import org.lycheemount.common.BackendTarget
 
 private const val TEAM_LEAD_MS = 20_000.0
+private const val MIN_FLEET_SHARE = 0.02
+private const val SHARE_GAIN = 0.01
 private const val WAIT_GAIN = 0.1
 private const val MIN_CALIBRATED_WAIT_MS = 50.0
 private const val MIN_CALIBRATION = 0.3
@@ -16,6 +18,19 @@
     val estimator = ServiceEstimator(target)
     private var calibration = 1.0
     private var meanServiceMs = 0.0
+    private var ownMean = 0.0
+    private var totalMean = 0.0
+
+    /** This router's share of the load of all servers of the target; 1 before the first report. */
+    val fleetShare: Double get() = if (totalMean <= 0.0) 1.0 else (ownMean / totalMean).coerceIn(MIN_FLEET_SHARE, 1.0)
+
+    fun onReport(
+        own: Int,
+        total: Int,
+    ) {
+        ownMean += SHARE_GAIN * (own - ownMean)
+        totalMean += SHARE_GAIN * (maxOf(own, total) - totalMean)
+    }
 
     /** Expected time in the queue of a new request, given what the open servers can run for this router. */
     fun waitMs(
@@ -25,9 +40,9 @@
         nowMs: Long,
     ): Double {
         val aheadMs = queue.workAheadMs(item.teamId, dueAtMs)
-        val room = servers.sumOf { maxOf(0.0, it.room(nowMs)) }
-        if (aheadMs <= 0.0 && room >= 1.0) return 0.0
-        val slots = servers.sumOf { it.ownShare(nowMs) }
+        val room = servers.sumOf { maxOf(0.0, it.room(fleetShare, nowMs)) }
+        if (aheadMs <= 0.0 && room > 0.0) return 0.0
+        val slots = servers.sumOf { it.ownShare(fleetShare, nowMs) }
         if (slots <= 0.0) return Double.MAX_VALUE
         // Requests ahead that find room now do not delay this one.
         val delayingMs = maxOf(0.0, aheadMs + meanServiceMs - maxOf(0.0, room) * meanServiceMs)
