Keep requests with the servers that hold their prefix while they can wait

Cause: on a full fleet a request went to whichever server had a free slot, and the repeated prefills lowered what the fleet could do. Change: on a server with less than a fifth of its slots idle, a request starts only where most of its prefix is, until half of its slack is used.

--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -16,6 +16,9 @@
 private const val PATIENT_RESERVE = 2.0
 private const val PATIENT_SLACK_MS = 5_000L
 
+// On a server that is busier than this, a prompt is prefilled only when its own servers have had no room for a while:
+// prefills that a cache would have saved are what turns a full fleet into an overloaded one.
+private const val IDLE_SHARE = 0.2
 private const val PRIORITY_STEP_MS = 50L
 private const val MAX_PRIORITY = 10_000L
 
@@ -155,8 +158,9 @@
         while (lane.queue.size > 0) {
             val open = servers.values.filter { lane.target in it.server.targets && it.isOpen(nowMs) }
             if (open.isEmpty()) return
-            val request = lane.queue.select { candidate -> open.any { takes(it, lane, candidate, nowMs) } } ?: return
-            val choice = selector.choose(open.filter { takes(it, lane, request, nowMs) }, request.item, lane.estimator, nowMs) ?: return
+            val request = lane.queue.select { candidate -> open.any { takes(it, lane, open, candidate, nowMs) } } ?: return
+            val choice =
+                selector.choose(open.filter { takes(it, lane, open, request, nowMs) }, request.item, lane.estimator, nowMs) ?: return
             actions += start(lane, request, choice, nowMs)
         }
     }
@@ -182,13 +186,18 @@
     private fun takes(
         state: ServerState,
         lane: TargetQueue,
+        open: List<ServerState>,
         request: QueuedRequest,
         nowMs: Long,
     ): Boolean {
         if (state.id in request.item.excludedServers || request.isPastDeadline(nowMs)) return false
         if (state.health.allowedRequests(nowMs) <= state.ownInFlight) return false
         val room = state.room(lane.fleetShare, nowMs)
-        return if (request.dueAtMs - nowMs >= PATIENT_SLACK_MS) room > PATIENT_RESERVE * lane.fleetShare else room > 0
+        if (room <= 0) return false
+        if (request.dueAtMs - nowMs >= PATIENT_SLACK_MS && room <= PATIENT_RESERVE * lane.fleetShare) return false
+        if (request.item.prefixHashes.isEmpty() || state.idleShare(nowMs) > IDLE_SHARE || !request.canChoose(nowMs)) return true
+        val affine = request.affineServers(nowMs) { selector.affine(open, request.item, nowMs) }
+        return affine.isEmpty() || state.id in affine
     }
 
     private fun dropDeadWork(
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/QueuedRequest.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/QueuedRequest.kt
@@ -1,7 +1,11 @@
 package org.lycheemount.scheduling
 
+import org.lycheemount.common.BackendServerId
 import org.lycheemount.config.WorkClass
 
+private const val AFFINITY_REFRESH_MS = 500L
+private const val CHOICE_SLACK_SHARE = 0.5
+
 /**
  * A request that waits for a backend server.
  *
@@ -21,6 +25,24 @@
     val dueAtMs: Long get() = latestStart.dueAtMs
     val dropAtMs: Long? get() = latestStart.dropAtMs
 
+    private var affineServers: Set<BackendServerId> = emptySet()
+    private var affineAtMs = Long.MIN_VALUE / 2
+
+    /** Servers that hold most of the prompt's prefix; looked up anew by [find] when the last look is old. */
+    fun affineServers(
+        nowMs: Long,
+        find: () -> Set<BackendServerId>,
+    ): Set<BackendServerId> {
+        if (nowMs - affineAtMs >= AFFINITY_REFRESH_MS) {
+            affineServers = find()
+            affineAtMs = nowMs
+        }
+        return affineServers
+    }
+
+    /** Whether the request has used up so little of its slack that it can wait for a better server. */
+    fun canChoose(nowMs: Long): Boolean = dueAtMs - nowMs > CHOICE_SLACK_SHARE * (dueAtMs - submittedAtMs)
+
     fun isPastDeadline(nowMs: Long): Boolean = item.deadlineAtMs?.let { it <= nowMs } ?: false
 
     override fun compareTo(other: QueuedRequest): Int = compareValuesBy(this, other, QueuedRequest::dueAtMs, QueuedRequest::sequence)
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
@@ -1,10 +1,12 @@
 package org.lycheemount.scheduling
 
+import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.ZoneId
 import kotlin.random.Random
 
 // One hop between zones costs about 1 ms each way, so the zone only decides between otherwise equal servers.
 private const val OTHER_ZONE_MS = 2.0
+private const val AFFINE_SHARE = 0.7
 
 /** A server together with the cost of sending one request there. */
 internal class ScoredServer(
@@ -54,6 +56,18 @@
         return if (first.costMs <= second.costMs) first else second
     }
 
+    /** Servers among [candidates] that hold most of the cached prefix of [item], or its home when none holds any. */
+    fun affine(
+        candidates: List<ServerState>,
+        item: WorkItem,
+        nowMs: Long,
+    ): Set<BackendServerId> {
+        val matched = candidates.associate { it.id to it.prefixes.matchedBlocks(item.prefixHashes, nowMs) }
+        val most = matched.values.maxOrNull() ?: 0
+        if (most == 0) return setOfNotNull(homeOf(candidates, item)?.id)
+        return matched.filterValues { it >= AFFINE_SHARE * most }.keys
+    }
+
     private fun score(
         state: ServerState,
         isHome: Boolean,
