Add stand-ins of platform, engine and plain service with fault switches

Cause: routers are tested and run on loopback against stand-ins of the platform and of backend servers. Change: bin/standin platform|engines|services, each server also startable from code, with faults over HTTP and from code. The engine client times out when no response head arrives; the test of a hung engine had waited for ever.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultModelEngineClient.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultModelEngineClient.kt
@@ -6,11 +6,16 @@
 import io.ktor.http.HttpMethod
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readUTF8Line
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.FlowCollector
 import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import org.lycheemount.common.BackendServer
@@ -89,7 +94,24 @@
             http.client.preparePost(urlOf(server, "/v1/generate")) {
                 setJson(http.json.encodeToString(GenerateRequest.serializer(), request))
             }
-        return statement.execute { response -> refusedBy(response) ?: readLines(response.bodyAsChannel()) }
+        var silent = false
+        return try {
+            coroutineScope {
+                val headTimer =
+                    launch {
+                        delay(silenceTimeoutMs)
+                        silent = true
+                        this@coroutineScope.cancel()
+                    }
+                statement.execute { response ->
+                    headTimer.cancel()
+                    refusedBy(response) ?: readLines(response.bodyAsChannel())
+                }
+            }
+        } catch (failure: CancellationException) {
+            currentCoroutineContext().ensureActive()
+            if (silent) GenerateEvent.Failed(AttemptFailure.TIMED_OUT) else throw failure
+        }
     }
 
     private fun refusedBy(response: HttpResponse): GenerateEvent? {
--- /dev/null
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/EngineRoutes.kt
@@ -0,0 +1,191 @@
+package org.lycheemount.standin
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.routing
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.serialization.Serializable
+import org.lycheemount.backend.CacheEventPage
+import org.lycheemount.backend.CancelAnswer
+import org.lycheemount.backend.CancelBody
+import org.lycheemount.backend.CommandAnswer
+import org.lycheemount.backend.EngineAction
+import org.lycheemount.backend.EngineCommand
+import org.lycheemount.backend.EngineLoad
+import org.lycheemount.backend.GenerateRequest
+import org.lycheemount.backend.MoveCacheAnswer
+import org.lycheemount.backend.MoveCacheBody
+import org.lycheemount.backend.REFUSED_BUSY
+import org.lycheemount.backend.REFUSED_HEADER
+import org.lycheemount.backend.REFUSED_LEAVING
+import org.lycheemount.common.ModelId
+import org.lycheemount.standin.enginemodel.EngineAdmission
+import org.lycheemount.standin.enginemodel.EngineEvent
+import org.lycheemount.standin.enginemodel.EngineJob
+import org.lycheemount.standin.enginemodel.OutputTokens
+
+/**
+ * Answer of `GET /counters` of an engine.
+ *
+ * @property acceptances number of times each request id was accepted.
+ */
+@Serializable
+internal data class EngineCounters(
+    val slotsHeld: Int,
+    val queuedRequests: Int,
+    val generatedTokens: Long,
+    val acceptances: Map<String, Int>,
+)
+
+internal fun Application.engineRoutes(engine: EngineStandIn) =
+    routing {
+        post("/v1/generate") {
+            engine.awaitProgress()
+            generate(engine, call.receiveJson(GenerateRequest.serializer()) ?: return@post)
+        }
+        post("/v1/cancel") {
+            engine.awaitProgress()
+            val body = call.receiveJson(CancelBody.serializer()) ?: return@post
+            val answer = engine.driver.use { model, nowUs -> model.cancel(body.requestId, nowUs) }
+            call.respondJson(CancelAnswer.serializer(), CancelAnswer(answer.found, answer.generatedTokens))
+        }
+        get("/v1/load") {
+            engine.awaitProgress()
+            call.respondJson(EngineLoad.serializer(), loadOf(engine))
+        }
+        get("/v1/cache-events") {
+            engine.awaitProgress()
+            val after = call.request.queryParameters["after"]?.toLongOrNull() ?: 0
+            val page = engine.driver.use { model, nowUs -> model.cacheEvents(after, nowUs) }
+            val answer = CacheEventPage(page.lastSequence, page.storedPrefixHashes, page.evictedPrefixHashes, page.gap)
+            call.respondJson(CacheEventPage.serializer(), answer)
+        }
+        post("/v1/commands") {
+            engine.awaitProgress()
+            val command = call.receiveJson(EngineCommand.serializer()) ?: return@post
+            call.respondJson(CommandAnswer.serializer(), carryOut(engine, command))
+        }
+        cacheMoveRoutes(engine)
+        engineControlRoutes(engine)
+    }
+
+private suspend fun io.ktor.server.routing.RoutingContext.generate(
+    engine: EngineStandIn,
+    request: GenerateRequest,
+) {
+    val events = Channel<EngineEvent>(Channel.UNLIMITED)
+    when (engine.driver.submit(jobOf(request), events)) {
+        EngineAdmission.ACCEPTED -> {
+            engine.countAcceptance(request.requestId)
+            call.respondBytesWriter(ContentType.Application.Json) { EngineStream(engine, request, events, this).write() }
+        }
+        EngineAdmission.LEAVING -> call.refuse(REFUSED_LEAVING)
+        EngineAdmission.QUEUE_FULL, EngineAdmission.MODEL_NOT_LOADED, EngineAdmission.DUPLICATE -> call.refuse(REFUSED_BUSY)
+    }
+}
+
+private fun jobOf(request: GenerateRequest) =
+    EngineJob(
+        requestId = request.requestId,
+        modelId = request.modelId,
+        promptTokens = request.promptTokens,
+        prefixHashes = request.prefixHashes,
+        naturalTokens = OutputTokens.naturalLength(request.prompt),
+        maxOutputTokens = request.maxOutputTokens,
+        priority = request.priority,
+        startAtToken = request.startAtToken,
+    )
+
+private fun loadOf(engine: EngineStandIn): EngineLoad {
+    val load = engine.driver.use { model, nowUs -> model.load(nowUs) }
+    return EngineLoad(
+        ageMs = load.ageUs / US_PER_MS,
+        runningRequests = load.runningRequests,
+        queuedRequests = load.queuedRequests,
+        capacity = load.capacity,
+        leaving = load.leaving,
+        loadedModels = load.loadedModels,
+        fencingToken = load.highestFencingToken,
+    )
+}
+
+/** An adapter is loaded as a model of its own, under the name `model:adapter`. */
+private fun carryOut(
+    engine: EngineStandIn,
+    command: EngineCommand,
+): CommandAnswer =
+    engine.driver.use { model, nowUs ->
+        val name = command.adapter?.let { ModelId("${command.modelId.value}:$it") } ?: command.modelId
+        val accepted =
+            when (command.action) {
+                EngineAction.LOAD -> model.loadModel(name, command.version, command.fencingToken, nowUs)
+                EngineAction.UNLOAD -> model.unloadModel(name, command.fencingToken, nowUs)
+            }
+        CommandAnswer(accepted, model.highestFencingToken)
+    }
+
+private fun Route.cacheMoveRoutes(engine: EngineStandIn) {
+    post("/v1/export-cache") {
+        engine.awaitProgress()
+        val body = call.receiveJson(MoveCacheBody.serializer()) ?: return@post
+        val blocks = engine.driver.use { model, _ -> model.exportableBlocks(body.prefixHashes) }
+        call.respondJson(MoveCacheAnswer.serializer(), MoveCacheAnswer(blocks))
+    }
+    post("/v1/import-cache") {
+        engine.awaitProgress()
+        val body = call.receiveJson(MoveCacheBody.serializer()) ?: return@post
+        val blocks = askForExport(body)
+        val waitMs =
+            engine.driver.use { model, nowUs -> (model.importBlocks(body.prefixHashes.take(blocks), nowUs) - nowUs) / US_PER_MS }
+        delay(waitMs + 1)
+        call.respondJson(MoveCacheAnswer.serializer(), MoveCacheAnswer(blocks))
+    }
+}
+
+private suspend fun askForExport(body: MoveCacheBody): Int =
+    HttpClient(CIO).use { client ->
+        val text =
+            client
+                .post("http://${body.host}:${body.port}/v1/export-cache") {
+                    setBody(standInJson.encodeToString(MoveCacheBody.serializer(), body))
+                }.bodyAsText()
+        standInJson.decodeFromString(MoveCacheAnswer.serializer(), text).movedBlocks
+    }
+
+private fun Route.engineControlRoutes(engine: EngineStandIn) {
+    get("/faults") { call.respondJson(EngineFaults.serializer(), engine.faults) }
+    post("/faults") {
+        engine.faults = call.receiveChanges(EngineFaults.serializer(), engine.faults) ?: return@post
+        call.respondJson(EngineFaults.serializer(), engine.faults)
+    }
+    get("/counters") {
+        val acceptances = engine.acceptances().mapKeys { it.key.value }
+        val counters =
+            engine.driver.use { model, _ ->
+                EngineCounters(model.slotsHeld, model.queuedRequests, model.generatedTokens, acceptances)
+            }
+        call.respondJson(EngineCounters.serializer(), counters)
+    }
+}
+
+/** Refuses a request before it has any effect. */
+internal suspend fun ApplicationCall.refuse(reason: String) {
+    response.header(REFUSED_HEADER, reason)
+    respondText(reason, status = HttpStatusCode.ServiceUnavailable)
+}
+
+private const val US_PER_MS = 1_000L
--- /dev/null
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/EngineStream.kt
@@ -0,0 +1,90 @@
+package org.lycheemount.standin
+
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeStringUtf8
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ChannelResult
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.lycheemount.backend.EngineChunk
+import org.lycheemount.backend.GenerateRequest
+import org.lycheemount.standin.enginemodel.EngineEvent
+import org.lycheemount.standin.enginemodel.OutputTokens
+import kotlin.random.Random
+
+/** Writes one answer as lines, with the faults of the engine. */
+internal class EngineStream(
+    private val engine: EngineStandIn,
+    private val request: GenerateRequest,
+    private val events: Channel<EngineEvent>,
+    private val output: ByteWriteChannel,
+) {
+    private val seed = OutputTokens.seedOf(request.prompt)
+    private val random = Random(request.requestId.hashCode())
+    private var heldBack: EngineChunk? = null
+    private var sentTokens = 0
+
+    suspend fun write() {
+        while (true) {
+            val result = withTimeoutOrNull(KEEP_ALIVE_MS) { events.receiveCatching() }
+            engine.awaitProgress()
+            if (result == null) {
+                send(EngineChunk(request.requestId, request.startAtToken + sentTokens))
+            } else if (!handle(result)) {
+                return
+            }
+        }
+    }
+
+    private suspend fun handle(result: ChannelResult<EngineEvent>): Boolean {
+        when (val event = result.getOrNull() ?: return false) {
+            is EngineEvent.Token -> sendToken(event)
+            is EngineEvent.Finished -> sendEnd(event)
+        }
+        return true
+    }
+
+    private suspend fun sendToken(event: EngineEvent.Token) {
+        breakIfDue()
+        val faults = engine.faults
+        val chunk = EngineChunk(request.requestId, event.index, listOf(OutputTokens.token(seed, event.index)))
+        if (heldBack == null && random.nextDouble() < faults.swappedChunkShare) {
+            heldBack = chunk
+            return
+        }
+        if (random.nextDouble() < faults.lateChunkShare) delay(faults.lateChunkMs)
+        send(chunk)
+        if (random.nextDouble() < faults.duplicateChunkShare) send(chunk)
+        sendHeldBack()
+        sentTokens++
+    }
+
+    private suspend fun sendEnd(event: EngineEvent.Finished) {
+        sendHeldBack()
+        send(EngineChunk(request.requestId, event.totalTokens, emptyList(), event.reason, event.cachedPromptTokens))
+    }
+
+    private suspend fun sendHeldBack() {
+        heldBack?.let { send(it) }
+        heldBack = null
+    }
+
+    private suspend fun send(chunk: EngineChunk) {
+        output.writeStringUtf8(standInJson.encodeToString(EngineChunk.serializer(), chunk) + "\n")
+        output.flush()
+    }
+
+    private fun breakIfDue() {
+        val faults = engine.faults
+        if (faults.dieAfterTokens != null && sentTokens >= faults.dieAfterTokens) {
+            engine.dieSoon()
+            throw LostAnswerException()
+        }
+        if (faults.breakStreamsAfterTokens != null && sentTokens >= faults.breakStreamsAfterTokens) throw LostAnswerException()
+    }
+
+    private companion object {
+        /** A client takes a longer silence for a hung engine. */
+        private const val KEEP_ALIVE_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/PlatformStandIn.kt
@@ -0,0 +1,135 @@
+package org.lycheemount.standin
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.delay
+import org.lycheemount.common.Clock
+import org.lycheemount.common.DefaultClock
+import org.lycheemount.common.ZoneId
+import org.lycheemount.platform.http.PlatformClients
+import org.lycheemount.platform.http.createPlatformClients
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
+
+/** Platform over HTTP on loopback: table, object store, VM list and weight store, with fault switches. */
+class PlatformStandIn internal constructor(
+    private val settings: PlatformStandInSettings,
+    internal val clock: Clock = DefaultClock(),
+) : AutoCloseable {
+    /** Rows of the table. */
+    val table = TableState(clock).apply { seed(settings.rows) }
+
+    /** The VM list. */
+    val vms = VmListState(settings.vms, clock)
+
+    internal val objects = ConcurrentHashMap<String, ByteArray>()
+    internal val counts = PlatformCounts()
+    private val writes = RateLimit(MS_PER_SECOND)
+    private val reads = RateLimit(MS_PER_SECOND)
+    private val weightLoads = RateLimit(MS_PER_MINUTE)
+    private val random = Random(settings.seed)
+    private val faultsLock = Any()
+    private var hangEnd = CompletableDeferred<Unit>()
+    private var currentFaults = settings.faults
+    private val main = RestartableServer(settings.host, settings.port) { platformRoutes(this@PlatformStandIn, null) }
+    private val zones =
+        settings.zonePorts.mapValues { (zoneId, port) ->
+            RestartableServer(settings.host, port) { platformRoutes(this@PlatformStandIn, zoneId) }
+        }
+
+    /** Port of the main listener, which no zone partition cuts off. */
+    val port: Int get() = main.port
+
+    /** Faults in force. */
+    var faults: PlatformFaults
+        get() = synchronized(faultsLock) { currentFaults }
+        set(value) =
+            synchronized(faultsLock) {
+                currentFaults = value
+                if (!value.hanging) {
+                    hangEnd.complete(Unit)
+                    hangEnd = CompletableDeferred()
+                }
+            }
+
+    /** Changes some faults. */
+    fun changeFaults(edit: PlatformFaults.() -> PlatformFaults) {
+        synchronized(faultsLock) { faults = faults.edit() }
+    }
+
+    /** Returns the port of the listener for [zoneId]. */
+    fun portOf(zoneId: ZoneId): Int = zones.getValue(zoneId).port
+
+    /** Base URL of the listener for [zoneId], or of the main one. */
+    fun url(zoneId: ZoneId? = null): String = "http://${settings.host}:${if (zoneId == null) port else portOf(zoneId)}"
+
+    /** Creates clients of this stand-in. */
+    fun clients(
+        zoneId: ZoneId? = null,
+        callTimeoutMs: Long = 2_000,
+    ): PlatformClients = url(zoneId).let { createPlatformClients("$it/table", "$it/objects", "$it/vms", "$it/weights", callTimeoutMs) }
+
+    override fun close() {
+        main.stop()
+        zones.values.forEach { it.stop() }
+    }
+
+    internal fun start() {
+        main.start()
+        zones.values.forEach { it.start() }
+    }
+
+    /** Applies the faults that come before a call takes effect; returns the status of a refusal, or null. */
+    internal suspend fun refusalBefore(
+        write: Boolean,
+        zoneId: ZoneId?,
+    ): Int? {
+        val before = faults
+        if (before.delayMs > 0) delay(before.delayMs)
+        if (faults.hanging) awaitHangEnd()
+        val now = faults
+        if (now.down || (zoneId != null && zoneId in now.cutZones)) return STATUS_UNAVAILABLE
+        val limit = if (write) now.writesPerSecond else now.readsPerSecond
+        if ((if (write) writes else reads).take(limit, clock.monotonicMs()) > 0) {
+            counts.refused.incrementAndGet()
+            return STATUS_TOO_MANY_REQUESTS
+        }
+        (if (write) counts.writes else counts.reads).incrementAndGet()
+        return null
+    }
+
+    /** Decides whether the answer of a write that took effect is lost. */
+    internal fun losesAnswer(): Boolean =
+        synchronized(faultsLock) {
+            if (currentFaults.loseNextAnswers > 0) {
+                currentFaults = currentFaults.copy(loseNextAnswers = currentFaults.loseNextAnswers - 1)
+                return true
+            }
+            currentFaults.loseAnswerShare > 0 && random.nextDouble() < currentFaults.loseAnswerShare
+        }
+
+    /** Takes a permit of the weight store; returns the wait in milliseconds, 0 when granted. */
+    internal fun takeWeightLoad(): Long = weightLoads.take(faults.weightLoadsPerMinute, clock.monotonicMs())
+
+    private suspend fun awaitHangEnd() = synchronized(faultsLock) { hangEnd }.await()
+
+    internal companion object {
+        private const val MS_PER_SECOND = 1_000L
+        private const val MS_PER_MINUTE = 60_000L
+        private const val STATUS_UNAVAILABLE = 503
+        private const val STATUS_TOO_MANY_REQUESTS = 429
+    }
+}
+
+/** Calls that the platform stand-in has answered or refused by its rate limit. */
+internal class PlatformCounts {
+    val reads = AtomicLong()
+    val writes = AtomicLong()
+    val refused = AtomicLong()
+}
+
+/** Starts a platform stand-in and returns it when it accepts connections. */
+fun startPlatformStandIn(
+    settings: PlatformStandInSettings = PlatformStandInSettings(),
+    clock: Clock = DefaultClock(),
+): PlatformStandIn = PlatformStandIn(settings, clock).apply { start() }
--- /dev/null
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/RestartableServer.kt
@@ -0,0 +1,60 @@
+package org.lycheemount.standin
+
+import io.ktor.server.application.Application
+import io.ktor.server.cio.CIO
+import io.ktor.server.cio.CIOApplicationEngine
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import kotlinx.coroutines.runBlocking
+
+/** HTTP server that can die and come back on the same port. */
+internal class RestartableServer(
+    private val host: String,
+    port: Int,
+    private val module: Application.() -> Unit,
+) {
+    private var running: EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration>? = null
+
+    /** Port in use; taken from the system at the first start when 0 was asked for. */
+    var port: Int = port
+        private set
+
+    @Synchronized
+    fun start() {
+        check(running == null) { "server on port $port already runs" }
+        val server =
+            embeddedServer(
+                CIO,
+                configure = {
+                    reuseAddress = true
+                    connectionIdleTimeoutSeconds = IDLE_TIMEOUT_SECONDS
+                    connector {
+                        host = this@RestartableServer.host
+                        port = this@RestartableServer.port
+                    }
+                },
+                module = module,
+            )
+        server.start(wait = false)
+        port =
+            runBlocking {
+                server.engine
+                    .resolvedConnectors()
+                    .first()
+                    .port
+            }
+        running = server
+    }
+
+    /** Closes the listener and all connections at once. */
+    @Synchronized
+    fun stop() {
+        running?.stop(gracePeriodMillis = 0, timeoutMillis = 0)
+        running = null
+    }
+
+    private companion object {
+        private const val IDLE_TIMEOUT_SECONDS = 60
+    }
+}
--- /dev/null
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/ServiceFaults.kt
@@ -0,0 +1,25 @@
+package org.lycheemount.standin
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Faults of a service stand-in, as `GET /faults` shows and `POST /faults` changes them.
+ *
+ * @property hanging calls run but are not answered until the switch is cleared.
+ * @property delayMs further time before a call runs.
+ * @property leaving calls are refused before they run.
+ * @property busy calls are refused before they run, as by a full server.
+ * @property failing calls are answered 500 after they ran.
+ * @property loseNextAnswers number of coming calls that run but whose answer is lost.
+ * @property loseAnswerShare share of calls that run but whose answer is lost, from 0 to 1.
+ */
+@Serializable
+data class ServiceFaults(
+    val hanging: Boolean = false,
+    val delayMs: Long = 0,
+    val leaving: Boolean = false,
+    val busy: Boolean = false,
+    val failing: Boolean = false,
+    val loseNextAnswers: Int = 0,
+    val loseAnswerShare: Double = 0.0,
+)
--- /dev/null
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/ServiceStandIn.kt
@@ -0,0 +1,102 @@
+package org.lycheemount.standin
+
+import kotlinx.coroutines.CompletableDeferred
+import org.lycheemount.common.BackendServer
+import org.lycheemount.common.BackendTarget
+import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+
+/** One server of a plain service over HTTP on loopback, with fault switches. */
+class ServiceStandIn internal constructor(
+    internal val settings: ServiceStandInSettings,
+    internal val records: ServiceRecords,
+) : AutoCloseable {
+    private val server = RestartableServer(settings.host, settings.port) { serviceRoutes(this@ServiceStandIn) }
+    private val random = Random(settings.seed)
+    private var currentFaults = settings.faults
+    private var hangEnd = CompletableDeferred<Unit>()
+    internal val runningCalls = AtomicInteger()
+
+    /** Whether the server accepts connections. */
+    @Volatile
+    var alive: Boolean = false
+        private set
+
+    /** Name of this backend server. */
+    val backendServerId = settings.backendServerId
+
+    /** Port in use, also after a restart. */
+    val port: Int get() = server.port
+
+    /** Faults in force. */
+    @get:Synchronized
+    var faults: ServiceFaults
+        get() = currentFaults
+
+        @Synchronized set(value) {
+            currentFaults = value
+            if (!value.hanging) {
+                hangEnd.complete(Unit)
+                hangEnd = CompletableDeferred()
+            }
+        }
+
+    /** What this server and the others that share its records have executed. */
+    fun counters(): ServiceCounters = records.counters()
+
+    /** Changes some faults. */
+    @Synchronized
+    fun changeFaults(edit: ServiceFaults.() -> ServiceFaults) {
+        faults = faults.edit()
+    }
+
+    /** Breaks all connections and closes the port. */
+    @Synchronized
+    fun die() {
+        if (alive) server.stop()
+        alive = false
+    }
+
+    /** Comes back on the same port; the records stay. */
+    @Synchronized
+    fun restart() {
+        die()
+        start()
+    }
+
+    /** Describes this server as the VM list does. */
+    fun describe(
+        zoneId: ZoneId = ZoneId("zone"),
+        vmId: VmId = VmId("vm-${backendServerId.value}"),
+    ) = BackendServer(backendServerId, vmId, zoneId, settings.host, port, setOf(BackendTarget.Service(settings.serviceId)))
+
+    override fun close() = die()
+
+    @Synchronized
+    internal fun start() {
+        server.start()
+        alive = true
+    }
+
+    internal suspend fun awaitHangEnd() {
+        val end = synchronized(this) { hangEnd.takeIf { currentFaults.hanging } }
+        end?.await()
+    }
+
+    @Synchronized
+    internal fun losesAnswer(): Boolean {
+        if (currentFaults.loseNextAnswers > 0) {
+            currentFaults = currentFaults.copy(loseNextAnswers = currentFaults.loseNextAnswers - 1)
+            return true
+        }
+        return currentFaults.loseAnswerShare > 0 && random.nextDouble() < currentFaults.loseAnswerShare
+    }
+}
+
+/** Starts a service stand-in and returns it when it accepts connections; servers of one service share [records]. */
+fun startServiceStandIn(
+    settings: ServiceStandInSettings,
+    records: ServiceRecords = ServiceRecords(),
+): ServiceStandIn = ServiceStandIn(settings, records).apply { start() }
--- /dev/null
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/ServiceStandInSettings.kt
@@ -0,0 +1,24 @@
+package org.lycheemount.standin
+
+import kotlinx.serialization.Serializable
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.ServiceId
+
+/**
+ * Settings of one service stand-in.
+ *
+ * @property port 0 takes a free port from the system.
+ * @property serviceTimeMs time that each call takes.
+ * @property capacity calls that the server says it can run at once; more still run.
+ */
+@Serializable
+data class ServiceStandInSettings(
+    val backendServerId: BackendServerId = BackendServerId("service-server"),
+    val serviceId: ServiceId,
+    val host: String = "127.0.0.1",
+    val port: Int = 0,
+    val serviceTimeMs: Long = 5,
+    val capacity: Int = 64,
+    val faults: ServiceFaults = ServiceFaults(),
+    val seed: Int = 1,
+)
--- /dev/null
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/StandInJson.kt
@@ -0,0 +1,63 @@
+package org.lycheemount.standin
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.server.response.respondText
+import io.ktor.utils.io.writeByte
+import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.SerializationStrategy
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonObject
+
+internal val standInJson =
+    Json {
+        encodeDefaults = true
+        ignoreUnknownKeys = false
+    }
+
+internal suspend fun <T> ApplicationCall.respondJson(
+    serializer: SerializationStrategy<T>,
+    value: T,
+) = respondText(standInJson.encodeToString(serializer, value), ContentType.Application.Json)
+
+/** Decodes the body, or answers 400 and returns null. */
+internal suspend fun <T> ApplicationCall.receiveJson(deserializer: DeserializationStrategy<T>): T? =
+    try {
+        standInJson.decodeFromString(deserializer, receiveText())
+    } catch (failure: SerializationException) {
+        respondText(failure.message.orEmpty(), status = HttpStatusCode.BadRequest)
+        null
+    }
+
+/** Returns [current] with the fields of the body replaced, or answers 400 and returns null. */
+internal suspend fun <T> ApplicationCall.receiveChanges(
+    serializer: KSerializer<T>,
+    current: T,
+): T? {
+    val changes = receiveJson(JsonObject.serializer()) ?: return null
+    val merged = JsonObject(standInJson.encodeToJsonElement(serializer, current).jsonObject + changes)
+    return try {
+        standInJson.decodeFromJsonElement(serializer, merged)
+    } catch (failure: SerializationException) {
+        respondText(failure.message.orEmpty(), status = HttpStatusCode.BadRequest)
+        null
+    }
+}
+
+/** Breaks the connection off in the middle of the response, so that the client cannot know what became of its request. */
+internal suspend fun ApplicationCall.loseAnswer() =
+    respondBytesWriter(contentLength = LOST_ANSWER_LENGTH) {
+        writeByte('{'.code.toByte())
+        flush()
+        throw LostAnswerException()
+    }
+
+internal class LostAnswerException : java.io.IOException("answer lost on purpose")
+
+private const val LOST_ANSWER_LENGTH = 1_000L
--- /dev/null
+++ b/standin/servers/src/test/kotlin/org/lycheemount/standin/EngineStandInTest.kt
@@ -0,0 +1,171 @@
+package org.lycheemount.standin
+
+import kotlinx.coroutines.flow.takeWhile
+import kotlinx.coroutines.flow.toList
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.lycheemount.backend.AttemptFailure
+import org.lycheemount.backend.BackendHttp
+import org.lycheemount.backend.DefaultModelEngineClient
+import org.lycheemount.backend.EngineAction
+import org.lycheemount.backend.EngineCommand
+import org.lycheemount.backend.GenerateEvent
+import org.lycheemount.backend.GenerateRequest
+import org.lycheemount.common.ModelId
+import org.lycheemount.common.RequestId
+import org.lycheemount.standin.enginemodel.EngineParameters
+import org.lycheemount.standin.enginemodel.OutputTokens
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class EngineStandInTest {
+    private val modelId = ModelId("m")
+    private val fast = EngineParameters(stepBaseUs = 500, stepPerSequenceUs = 0, prefillPerTokenUs = 0)
+    private val engine = startEngineStandIn(EngineStandInSettings(models = mapOf(modelId to "1"), parameters = fast))
+    private val server = engine.describe()
+    private val http = BackendHttp()
+    private val client = DefaultModelEngineClient(http)
+
+    @AfterEach
+    fun close() {
+        http.close()
+        engine.close()
+    }
+
+    private fun request(
+        name: String = "r",
+        tokens: Int = 40,
+        startAt: Int = 0,
+        max: Int = 10_000,
+    ) = GenerateRequest(RequestId(name), modelId, "prompt [[tokens=$tokens]]", 8, listOf(1L, 2L), max, 0, startAt)
+
+    private fun generate(
+        request: GenerateRequest,
+        with: DefaultModelEngineClient = client,
+    ) = runBlocking { with.generate(server, request).toList() }
+
+    private fun expected(request: GenerateRequest) =
+        OutputTokens.tokens(request.prompt, request.startAtToken, OutputTokens.naturalLength(request.prompt))
+
+    private fun inOrder(events: List<GenerateEvent>) =
+        events
+            .filterIsInstance<GenerateEvent.Tokens>()
+            .distinctBy { it.sequence }
+            .sortedBy { it.sequence }
+            .flatMap { it.tokens }
+
+    @Nested
+    inner class `a stream` {
+        @Test
+        fun `carries the tokens of the prompt from the start or from an offset`() {
+            val whole = generate(request())
+            val resumed = generate(request(name = "s", startAt = 25))
+
+            assertEquals(expected(request()), inOrder(whole))
+            assertEquals(expected(request()).drop(25), inOrder(resumed))
+            assertEquals(listOf(40, 40), listOf(whole, resumed).map { assertIs<GenerateEvent.Finished>(it.last()).totalTokens })
+        }
+
+        @Test
+        fun `is complete after sorting when chunks come twice, late or swapped`() {
+            engine.changeFaults { copy(duplicateChunkShare = 0.3, swappedChunkShare = 0.3, lateChunkShare = 0.1, lateChunkMs = 2) }
+
+            val events = generate(request())
+            val sequences = events.filterIsInstance<GenerateEvent.Tokens>().map { it.sequence }
+
+            assertEquals(expected(request()), inOrder(events))
+            assertTrue(sequences != sequences.distinct().sorted())
+        }
+
+        @Test
+        fun `breaks when its engine dies, and the engine comes back empty`() {
+            engine.changeFaults { copy(dieAfterTokens = 5) }
+
+            val broken = generate(request())
+            val portBefore = engine.port
+            engine.restart()
+            val afterwards = generate(request())
+
+            assertEquals(GenerateEvent.Failed(AttemptFailure.BROKEN_CONNECTION), broken.last())
+            assertEquals(portBefore, engine.port)
+            assertIs<GenerateEvent.Finished>(afterwards.last())
+            assertEquals(2, engine.acceptances().getValue(RequestId("r")))
+        }
+
+        @Test
+        fun `times out when its engine hangs`() {
+            engine.changeFaults { copy(hanging = true) }
+
+            BackendHttp().use {
+                val events = generate(request(), DefaultModelEngineClient(it, silenceTimeoutMs = 300))
+
+                assertEquals(listOf<GenerateEvent>(GenerateEvent.Failed(AttemptFailure.TIMED_OUT)), events)
+            }
+        }
+    }
+
+    @Nested
+    inner class `a client that closes its connection` {
+        @Test
+        fun `leaves the slot held until it cancels`() =
+            runBlocking {
+                val request = request(tokens = 100_000, max = 100_000)
+                client.generate(server, request).takeWhile { it !is GenerateEvent.Tokens || it.sequence < 3 }.toList()
+
+                val heldAfterClose = engine.slotsHeld
+                val answer = client.cancel(server, request.requestId)
+
+                assertEquals(1, heldAfterClose)
+                assertTrue(answer != null && answer.found && answer.generatedTokens >= 3)
+                assertEquals(0, engine.slotsHeld)
+            }
+    }
+
+    @Nested
+    inner class `an engine that cannot take a request` {
+        @Test
+        fun `is told apart as leaving, without the model, or dead`() {
+            engine.changeFaults { copy(leaving = true) }
+            val leaving = generate(request())
+            engine.changeFaults { copy(leaving = false) }
+            val unknownModel = generate(request().copy(modelId = ModelId("other")))
+            engine.die()
+            val dead = generate(request())
+
+            assertEquals(
+                listOf(AttemptFailure.REFUSED_LEAVING, AttemptFailure.REFUSED_BUSY, AttemptFailure.CONNECT_FAILED),
+                listOf(leaving, unknownModel, dead).map { assertIs<GenerateEvent.Failed>(it.single()).failure },
+            )
+        }
+    }
+
+    @Nested
+    inner class `commands and cache moves` {
+        @Test
+        fun `refuse a stale fencing token unless the engine ignores it`() =
+            runBlocking {
+                fun unload(token: Long) = EngineCommand(token, EngineAction.UNLOAD, ModelId("other"), "1")
+                val accepted = mutableListOf(client.command(server, unload(7))?.accepted, client.command(server, unload(6))?.accepted)
+                engine.changeFaults { copy(checksFencingToken = false) }
+                accepted += client.command(server, unload(6))?.accepted
+
+                assertEquals(listOf<Boolean?>(true, false, true), accepted)
+            }
+
+        @Test
+        fun `move cached blocks so that the other engine need not prefill them`() {
+            startEngineStandIn(EngineStandInSettings(models = mapOf(modelId to "1"), parameters = fast)).use { other ->
+                generate(request())
+
+                val moved = runBlocking { client.moveCache(server, other.describe(), modelId, listOf(1L, 2L, 3L)) }
+                val end = runBlocking { client.generate(other.describe(), request()).toList().last() }
+
+                assertEquals(2, moved)
+                assertEquals(8, assertIs<GenerateEvent.Finished>(end).cachedPromptTokens)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standin/servers/src/test/kotlin/org/lycheemount/standin/PlatformStandInTest.kt
@@ -0,0 +1,176 @@
+package org.lycheemount.standin
+
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.lycheemount.common.ModelId
+import org.lycheemount.common.RegionId
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
+import org.lycheemount.platform.CommitOutcome
+import org.lycheemount.platform.RouterVm
+import org.lycheemount.platform.RowCheck
+import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.TableTransaction
+import org.lycheemount.platform.VmList
+import org.lycheemount.platform.WeightLoadPermit
+import org.lycheemount.testing.FakeClock
+import kotlin.test.Test
+import kotlin.test.assertContentEquals
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+
+class PlatformStandInTest {
+    private val clock = FakeClock()
+    private val zoneId = ZoneId("z")
+    private val router = RouterVm(VmId("vm"), RouterId("r"), RegionId("g"), zoneId, "127.0.0.1", 1)
+    private val platform =
+        startPlatformStandIn(
+            PlatformStandInSettings(zonePorts = mapOf(zoneId to 0), vms = VmList(listOf(router), emptyList(), 0)),
+            clock,
+        )
+    private val clients = platform.clients(callTimeoutMs = 400)
+
+    @AfterEach
+    fun close() {
+        clients.close()
+        platform.close()
+    }
+
+    private fun write(
+        transactionId: String,
+        key: String = "k",
+        value: String? = "v",
+        expectedVersion: Long = 0,
+    ) = TableTransaction(transactionId, listOf(RowCheck(key, expectedVersion)), listOf(RowWrite(key, value)))
+
+    private fun <T> answered(result: TableResult<T>): T = assertIs<TableResult.Answered<T>>(result).value
+
+    @Nested
+    inner class `a commit` {
+        @Test
+        fun `takes effect once when its transaction is sent again`() =
+            runBlocking<Unit> {
+                val first = answered(clients.table.commit(write("t")))
+                val second = answered(clients.table.commit(write("t")))
+                val other = answered(clients.table.commit(write("u")))
+
+                assertEquals(first, second)
+                assertIs<CommitOutcome.Committed>(first)
+                assertEquals("v", assertIs<CommitOutcome.Conflict>(other).current.single().value)
+                assertEquals(1, platform.table.commitCount)
+            }
+
+        @Test
+        fun `whose answer is lost is unknown and resolved by its transaction id`() =
+            runBlocking<Unit> {
+                platform.changeFaults { copy(loseNextAnswers = 1) }
+
+                val lost = clients.table.commit(write("t"))
+                val status = answered(clients.table.findTransaction("t"))
+
+                assertIs<TableResult.Unknown>(lost)
+                assertIs<CommitOutcome.Committed>(status.outcome)
+                assertNull(answered(clients.table.findTransaction("never")).outcome)
+            }
+
+        @Test
+        fun `is unknown when the table hangs, while a read is unavailable`() =
+            runBlocking<Unit> {
+                platform.changeFaults { copy(hanging = true) }
+
+                assertIs<TableResult.Unknown>(clients.table.commit(write("t")))
+                assertIs<TableResult.Unavailable>(clients.table.read(listOf("k")))
+            }
+
+        @Test
+        fun `is unavailable without effect when the platform is down or dead`() =
+            runBlocking<Unit> {
+                platform.changeFaults { copy(down = true) }
+                val down = clients.table.commit(write("t"))
+                platform.close()
+                val dead = clients.table.commit(write("t"))
+
+                assertIs<TableResult.Unavailable>(down)
+                assertIs<TableResult.Unavailable>(dead)
+                assertEquals(0, platform.table.commitCount)
+            }
+
+        @Test
+        fun `beyond the rate limit is refused without effect`() =
+            runBlocking<Unit> {
+                platform.changeFaults { copy(writesPerSecond = 2) }
+
+                val results = (1..4).map { clients.table.commit(write("t$it", key = "k$it")) }
+                clock.advance(1_000)
+                val later = clients.table.commit(write("t3", key = "k3"))
+
+                assertEquals(2, results.count { it is TableResult.Unavailable })
+                assertIs<TableResult.Answered<CommitOutcome>>(later)
+                assertEquals(3, platform.table.commitCount)
+            }
+    }
+
+    @Nested
+    inner class `a partition of one zone from the platform` {
+        @Test
+        fun `cuts off only the listener of that zone`() =
+            runBlocking<Unit> {
+                platform.changeFaults { copy(cutZones = setOf(zoneId)) }
+
+                platform.clients(zoneId).use { assertIs<TableResult.Unavailable>(it.table.read(listOf("k"))) }
+                answered(clients.table.read(listOf("k")))
+            }
+    }
+
+    @Nested
+    inner class `a restored table` {
+        @Test
+        fun `shows the rows of the older copy`() =
+            runBlocking<Unit> {
+                clients.table.commit(write("t", value = "old"))
+                platform.table.copy("backup")
+                clients.table.commit(write("u", value = "new", expectedVersion = 1))
+                platform.table.restore("backup")
+
+                assertEquals("old", answered(clients.table.scan("k")).rows.single().value)
+            }
+    }
+
+    @Nested
+    inner class `the VM list` {
+        @Test
+        fun `shows a removed VM until the lag has passed`() =
+            runBlocking<Unit> {
+                platform.changeFaults { copy(vmListLagMs = 30_000) }
+                clock.advance(60_000)
+                platform.vms.remove(VmId("vm"))
+                clock.advance(29_999)
+                val before = answered(clients.vmDirectory.list())
+                clock.advance(1)
+                val after = answered(clients.vmDirectory.list())
+
+                assertEquals(listOf(1, 0), listOf(before, after).map { it.routers.size })
+                assertEquals(clock.wallClockMs(), after.asOfTableTimeMs)
+            }
+    }
+
+    @Nested
+    inner class `the object store and the weight store` {
+        @Test
+        fun `keep bytes under keys with slashes and limit the rate of loads`() =
+            runBlocking<Unit> {
+                platform.changeFaults { copy(weightLoadsPerMinute = 1) }
+                val bytes = byteArrayOf(0, 1, -1)
+                answered(clients.objectStore.put("a/b c", bytes))
+
+                assertContentEquals(bytes, answered(clients.objectStore.get("a/b c")))
+                assertNull(answered(clients.objectStore.get("missing")))
+                assertIs<WeightLoadPermit.Granted>(answered(clients.weightStore.requestLoad(ModelId("m"), "1")))
+                assertIs<WeightLoadPermit.RateLimited>(answered(clients.weightStore.requestLoad(ModelId("m"), "1")))
+            }
+    }
+}
--- /dev/null
+++ b/standin/servers/src/test/kotlin/org/lycheemount/standin/ServiceStandInTest.kt
@@ -0,0 +1,111 @@
+package org.lycheemount.standin
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.lycheemount.backend.AttemptFailure
+import org.lycheemount.backend.BackendHttp
+import org.lycheemount.backend.DefaultPlainServiceClient
+import org.lycheemount.backend.ServiceCall
+import org.lycheemount.backend.ServiceCallOutcome
+import org.lycheemount.common.RequestId
+import org.lycheemount.common.ServiceId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class ServiceStandInTest {
+    private val records = ServiceRecords()
+    private val service = startServiceStandIn(ServiceStandInSettings(serviceId = ServiceId("ledger")), records)
+    private val http = BackendHttp()
+    private val client = DefaultPlainServiceClient(http)
+
+    @AfterEach
+    fun close() {
+        http.close()
+        service.close()
+    }
+
+    private fun order(
+        requestId: String,
+        businessKey: String = "refill-1",
+        timeoutMs: Long = 5_000,
+    ) = runBlocking {
+        val headers = listOf("Content-Type" to "application/json", "Host" to "elsewhere", "x-team" to "t")
+        val body = """{"businessKey":"$businessKey"}""".encodeToByteArray()
+        client.call(service.describe(), ServiceCall(RequestId(requestId), "POST", "/orders?urgent=1", headers, body, timeoutMs))
+    }
+
+    private fun failureOf(outcome: ServiceCallOutcome) = assertIs<ServiceCallOutcome.Failed>(outcome).failure
+
+    @Nested
+    inner class `an order` {
+        @Test
+        fun `is counted by request id and business key`() {
+            val answer = assertIs<ServiceCallOutcome.Answered>(order("a"))
+            order("b")
+
+            assertTrue(answer.body.decodeToString().contains("\"path\":\"/orders\""))
+            assertEquals(mapOf("a" to 1, "b" to 1), service.counters().byRequestId)
+            assertEquals(mapOf("refill-1" to 2), service.counters().byBusinessKey)
+        }
+
+        @Test
+        fun `whose answer is lost ran and is not certainly without effect`() {
+            service.changeFaults { copy(loseNextAnswers = 1) }
+
+            val failure = failureOf(order("a"))
+
+            assertEquals(AttemptFailure.BROKEN_CONNECTION, failure)
+            assertEquals(mapOf("a" to 1), service.counters().byRequestId)
+        }
+
+        @Test
+        fun `refused by a leaving, full or dead server did not run`() {
+            service.changeFaults { copy(leaving = true) }
+            val leaving = failureOf(order("a"))
+            service.changeFaults { copy(leaving = false, busy = true) }
+            val busy = failureOf(order("a"))
+            service.die()
+            val dead = failureOf(order("a"))
+
+            assertEquals(
+                listOf(AttemptFailure.REFUSED_LEAVING, AttemptFailure.REFUSED_BUSY, AttemptFailure.CONNECT_FAILED),
+                listOf(leaving, busy, dead),
+            )
+            assertTrue(listOf(leaving, busy, dead).all { it.certainlyNotRun })
+            assertEquals(0, service.counters().executions)
+        }
+
+        @Test
+        fun `at a slow server times out as possibly run`() {
+            service.changeFaults { copy(hanging = true) }
+
+            assertEquals(AttemptFailure.TIMED_OUT, failureOf(order("a", timeoutMs = 300)))
+            assertEquals(1, service.counters().executions)
+        }
+    }
+
+    @Nested
+    inner class `the fault switches` {
+        @Test
+        fun `are changed over HTTP and reject unknown fields`() =
+            runBlocking {
+                HttpClient(CIO).use { admin ->
+                    val url = "http://127.0.0.1:${service.port}/faults"
+                    val changed = admin.post(url) { setBody("""{"delayMs":7}""") }.bodyAsText()
+                    val rejected = admin.post(url) { setBody("""{"delay":7}""") }.status.value
+
+                    assertTrue(changed.contains("\"delayMs\":7"))
+                    assertEquals(400, rejected)
+                    assertEquals(7, service.faults.delayMs)
+                }
+            }
+    }
+}
