--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -131,7 +131,12 @@
 
     private suspend fun prepareBudgets() {
         while (true) {
-            budgets.maintenance.prepare(configuration.current().teams.values.mapTo(HashSet()) { it.budgetId })
+            budgets.maintenance.prepare(
+                configuration
+                    .current()
+                    .teams.values
+                    .mapTo(HashSet()) { it.budgetId },
+            )
             delay(PEER_INTERVAL_MS)
         }
     }
@@ -143,7 +148,10 @@
 
     private fun peerTls() =
         settings.peers.tls?.let {
-            ReloadingTlsContext(TlsFiles(Path.of(it.certificateFile), Path.of(it.privateKeyFile), Path.of(it.trustedCertificatesFile)), eventLog)
+            ReloadingTlsContext(
+                TlsFiles(Path.of(it.certificateFile), Path.of(it.privateKeyFile), Path.of(it.trustedCertificatesFile)),
+                eventLog,
+            )
         }
 
     private fun callerLimits() =
