Drop requests at the latest start that present contention allows

Cause: requests started at the last moment that a free engine would allow, and then missed their first token on a busy one. Change: the drop time and admission use the stretched first token estimate, which the queue is ordered by; a start is still tried before the drop.

--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -74,7 +74,7 @@
         val estimate = lane.estimator.estimate(item, bestCachedTokens(candidates, item, nowMs))
         val latest = LatestStart(item, workClass, estimate, lane.estimator.firstTokenStretch)
         val waitMs = lane.waitMs(item, latest.dueAtMs, candidates.filter { it.isOpen(nowMs) }, nowMs)
-        admission.refusal(item, workClass, lane, waitMs, latest.hopelessAtMs, nowMs)?.let { return SubmitOutcome.Refused(it) }
+        admission.refusal(item, workClass, lane, waitMs, latest.dueAtMs, nowMs)?.let { return SubmitOutcome.Refused(it) }
         enqueue(lane, QueuedRequest(item, workClass, ++lastSequence, nowMs, estimate.serviceMs, latest, waitMs))
         return SubmitOutcome.Queued
     }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/Targets.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/Targets.kt
@@ -32,7 +32,7 @@
         val stretchedMs = minOf(firstTokenStretch * estimate.firstTokenMs, workClass.firstTokenTargetMs * MAX_STRETCHED_SHARE)
         dueAtMs = latest(item, workClass, maxOf(estimate.firstTokenMs, stretchedMs), estimate.decodeMs)
         hopelessAtMs = latest(item, workClass, estimate.firstTokenMs, estimate.decodeMs)
-        dropAtMs = if (workClass.mustFinish) item.deadlineAtMs else minOf(hopelessAtMs, item.deadlineAtMs ?: Long.MAX_VALUE)
+        dropAtMs = if (workClass.mustFinish) item.deadlineAtMs else minOf(dueAtMs, item.deadlineAtMs ?: Long.MAX_VALUE)
     }
 
     private fun latest(
