Wait for the port before a stand-in restarts

Cause: a restart could fail with 'address in use', because Ktor closes a stopped listener late, and a death decided in a stream could hit the engine that had been restarted meanwhile. Change: the restart waits until the port can be bound; a late death does nothing to a restarted engine. Conclusion: an engine can be killed and restarted on its port.

--- a/standin/servers/src/main/kotlin/org/lycheemount/standin/EngineStandIn.kt
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/EngineStandIn.kt
@@ -116,7 +116,14 @@
 
     /** Dies from within one of its own streams. */
     internal fun dieSoon() {
-        Thread({ die() }, "engine-death").start()
+        val doomed = driver
+        Thread({ dieAs(doomed) }, "engine-death").start()
+    }
+
+    /** Does nothing when the engine has been restarted meanwhile. */
+    @Synchronized
+    private fun dieAs(doomed: EngineDriver) {
+        if (driver === doomed) die()
     }
 
     private fun applyFaults(faults: EngineFaults) {
--- a/standin/servers/src/main/kotlin/org/lycheemount/standin/RestartableServer.kt
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/RestartableServer.kt
@@ -7,6 +7,9 @@
 import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
 import kotlinx.coroutines.runBlocking
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.ServerSocket
 
 /** HTTP server that can die and come back on the same port. */
 internal class RestartableServer(
@@ -36,6 +39,7 @@
                 },
                 module = module,
             )
+        if (port != 0) awaitFreePort()
         server.start(wait = false)
         port =
             runBlocking {
@@ -54,7 +58,29 @@
         running = null
     }
 
+    /** Ktor closes a stopped listener some time after [stop] has returned. */
+    private fun awaitFreePort() {
+        repeat(BIND_ATTEMPTS) {
+            if (canBind()) return
+            Thread.sleep(BIND_RETRY_MS)
+        }
+        error("port $port on $host is in use")
+    }
+
+    private fun canBind(): Boolean =
+        try {
+            ServerSocket().use {
+                it.reuseAddress = true
+                it.bind(InetSocketAddress(host, port))
+            }
+            true
+        } catch (failure: IOException) {
+            false
+        }
+
     private companion object {
+        private const val BIND_ATTEMPTS = 500
+        private const val BIND_RETRY_MS = 10L
         private const val IDLE_TIMEOUT_SECONDS = 60
     }
 }
