--- /dev/null
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakeEventLog.kt
@@ -0,0 +1,24 @@
+package org.lycheemount.testing
+
+import org.lycheemount.common.EventLog
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** Keeps events in memory. */
+class FakeEventLog : EventLog {
+    /** Name and fields of each event so far. */
+    val events: MutableList<Pair<String, Map<String, Any?>>> = CopyOnWriteArrayList()
+
+    override fun info(
+        event: String,
+        vararg fields: Pair<String, Any?>,
+    ) {
+        events += event to fields.toMap()
+    }
+
+    override fun warn(
+        event: String,
+        vararg fields: Pair<String, Any?>,
+    ) {
+        events += event to fields.toMap()
+    }
+}
--- /dev/null
+++ b/version/config/src/main/kotlin/org/lycheemount/config/ConfigurationRows.kt
@@ -0,0 +1,38 @@
+package org.lycheemount.config
+
+import kotlinx.serialization.Serializable
+import org.lycheemount.platform.TableRow
+
+internal const val HEAD_KEY = "config/head"
+internal const val ITEM_PREFIX = "config/item/"
+internal const val CHANGE_PREFIX = "config/change/"
+private const val MARKER_PREFIX = "config/change-id/"
+private const val SEQUENCE_DIGITS = 19
+
+/** The row that every change writes; its check orders all changes. */
+@Serializable
+internal data class HeadRow(
+    val sequence: Long,
+    val changeId: String,
+)
+
+/** Says that a change id was accepted, and with which content, so that a repeated request gets the first outcome. */
+@Serializable
+internal data class MarkerRow(
+    val sequence: Long,
+    val contentHash: String,
+)
+
+internal fun itemRowKey(key: ItemKey): String = "$ITEM_PREFIX${key.kind.wireName}/${key.id}"
+
+internal fun changeRowKey(sequence: Long): String = CHANGE_PREFIX + sequence.toString().padStart(SEQUENCE_DIGITS, '0')
+
+internal fun markerRowKey(changeId: String): String = MARKER_PREFIX + changeId
+
+internal fun TableRow.toHead(): HeadRow = rowJson.decodeFromString(HeadRow.serializer(), value)
+
+internal fun TableRow.toMarker(): MarkerRow = rowJson.decodeFromString(MarkerRow.serializer(), value)
+
+internal fun TableRow.toItem(): ConfigurationItem = rowJson.decodeFromString(ConfigurationItem.serializer(), value)
+
+internal fun TableRow.toChange(): ConfigurationChange = rowJson.decodeFromString(ConfigurationChange.serializer(), value)
--- /dev/null
+++ b/version/config/src/main/kotlin/org/lycheemount/config/ConfigurationService.kt
@@ -0,0 +1,181 @@
+package org.lycheemount.config
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.StateDumpSource
+import org.lycheemount.peer.PeerMessenger
+import org.lycheemount.platform.TableService
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.random.Random
+
+/**
+ * Keeps this router's configuration up to date: polls the head row, pushes changes to neighbours and pulls from them.
+ * [start] runs the background work; nothing runs before.
+ */
+class ConfigurationService(
+    table: TableService,
+    private val messenger: PeerMessenger,
+    private val peers: ConfigurationPeers,
+    private val clock: Clock,
+    private val log: EventLog,
+    private val settings: PropagationSettings = PropagationSettings(),
+    private val random: Random = Random.Default,
+) : ConfigurationView,
+    StateDumpSource {
+    /** Items and versions in force here. */
+    val replica: ConfigurationReplica = ConfigurationReplica()
+
+    private val tableSync = TableSync(table, replica, clock, log)
+    private val peerSync = PeerSync(messenger, replica)
+    private val pullWishes = Channel<RouterId>(PULL_WISHES)
+    private val wished = ConcurrentHashMap.newKeySet<RouterId>()
+
+    /** Changes the durable configuration. */
+    val store: ConfigurationStore = DefaultConfigurationStore(table, replica, tableSync, log, random) { push(it, except = null) }
+
+    override val name: String = "configuration"
+
+    override fun current(): ConfigurationSnapshot = replica.current()
+
+    /** Registers the channels and starts loading, polling and pulling in [scope]. */
+    fun start(scope: CoroutineScope) {
+        messenger.register(pushChannel) { from, payload ->
+            onPush(from, payload)
+            null
+        }
+        messenger.register(pullChannel) { _, payload -> peerSync.answer(payload) }
+        scope.launch { loadThenPoll() }
+        scope.launch { pullOnWish() }
+    }
+
+    /** Tells that [from] holds configuration up to [sequence], as its heartbeats say. */
+    fun onPeerSequence(
+        from: RouterId,
+        sequence: Long,
+    ) {
+        if (sequence > replica.sequence) wishPull(from)
+    }
+
+    /** Returns whether this router has a configuration, and how old its last confirmation by the table is. */
+    fun readiness(): ConfigurationReadiness {
+        if (!replica.loaded) {
+            val peerCount = messenger.connectedPeers().size
+            return ConfigurationReadiness.NotReady(
+                "table: ${tableSync.lastFailure}; none of $peerCount connected peers has a configuration",
+            )
+        }
+        return ConfigurationReadiness.Ready(replica.sequence, tableSync.confirmedAtMs?.let { clock.monotonicMs() - it })
+    }
+
+    /** Returns how the table's configuration relates to the one in force here. */
+    fun tableStanding(): TableStanding = tableSync.standing()
+
+    override fun dumpState(): JsonObject =
+        buildJsonObject {
+            val snapshot = current()
+            put("sequence", snapshot.sequence)
+            put("loaded", replica.loaded)
+            put("age_ms", tableSync.confirmedAtMs?.let { clock.monotonicMs() - it })
+            put("last_table_failure", tableSync.lastFailure)
+            put("items_lost_by_table", replica.itemsLostByTable().size)
+            put("teams", snapshot.teams.size)
+            put("work_classes", snapshot.workClasses.size)
+            put("models", snapshot.models.size)
+            put("services", snapshot.services.size)
+        }
+
+    private suspend fun loadThenPoll() {
+        delay(random.nextLong(peers.routerCount() * settings.startSpreadMsPerRouter + 1))
+        while (!replica.loaded) {
+            if (loadOnce()) break
+            delay(settings.startRetryMs / 2 + random.nextLong(settings.startRetryMs))
+        }
+        log.info("configuration_loaded", "sequence" to replica.sequence)
+        while (true) {
+            guarded("configuration_poll_failed") { tableSync.sync() }
+            val pollMs = settings.pollMs(peers.routerCount())
+            delay(pollMs * 3 / 4 + random.nextLong(pollMs / 2))
+        }
+    }
+
+    /** Takes the whole state from a peer where one has it, which spares the table when all routers start at once. */
+    private suspend fun loadOnce(): Boolean {
+        val asked =
+            messenger
+                .connectedPeers()
+                .map { it.routerId }
+                .shuffled(random)
+                .take(PEERS_ASKED_AT_START)
+        guarded("configuration_pull_failed") { asked.firstOrNull { peerSync.pull(it) } }
+        guarded("configuration_load_failed") { tableSync.sync() }
+        return replica.loaded
+    }
+
+    private suspend fun pullOnWish() {
+        for (peer in pullWishes) {
+            wished -= peer
+            guarded("configuration_pull_failed") { peerSync.pull(peer) }
+        }
+    }
+
+    private fun wishPull(peer: RouterId) {
+        if (wished.add(peer) && !pullWishes.trySend(peer).isSuccess) wished -= peer
+    }
+
+    private fun onPush(
+        from: RouterIdentity,
+        payload: ByteArray,
+    ) {
+        val message = wireCbor.decodeFromByteArray(PushMessage.serializer(), payload)
+        val change = rowJson.decodeFromString(ConfigurationChange.serializer(), message.change)
+        when (replica.apply(change)) {
+            ApplyOutcome.Applied -> push(change, except = from.routerId)
+            ApplyOutcome.Gap -> wishPull(from.routerId)
+            ApplyOutcome.AlreadyKnown -> Unit
+        }
+    }
+
+    private fun push(
+        change: ConfigurationChange,
+        except: RouterId?,
+    ) {
+        val text = rowJson.encodeToString(ConfigurationChange.serializer(), change)
+        val payload = wireCbor.encodeToByteArray(PushMessage.serializer(), PushMessage(text))
+        val targets =
+            peers
+                .pushTargets()
+                .filter { it != except }
+                .shuffled(random)
+                .take(settings.pushFanout)
+        targets.forEach { messenger.send(it, pushChannel, payload) }
+    }
+
+    private suspend fun guarded(
+        event: String,
+        work: suspend () -> Unit,
+    ) {
+        try {
+            work()
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (failure: Exception) {
+            log.warn(event, "error" to failure.toString())
+        }
+    }
+
+    private companion object {
+        private const val PULL_WISHES = 64
+        private const val PEERS_ASKED_AT_START = 3
+    }
+}
--- /dev/null
+++ b/version/config/src/main/kotlin/org/lycheemount/config/DefaultConfigurationStore.kt
@@ -0,0 +1,266 @@
+package org.lycheemount.config
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
+import org.lycheemount.common.EventLog
+import org.lycheemount.platform.CommitOutcome
+import org.lycheemount.platform.RowCheck
+import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.TableRow
+import org.lycheemount.platform.TableService
+import org.lycheemount.platform.TableSnapshot
+import org.lycheemount.platform.TableTransaction
+import java.security.MessageDigest
+import java.util.UUID
+import kotlin.random.Random
+
+/**
+ * Configuration store over the platform's table.
+ *
+ * Every change checks and writes the head row, so changes are totally ordered. A marker row under the change id makes a
+ * change take effect once, whatever number of transactions, routers and repeated requests try it.
+ *
+ * @param onAccepted called with each change that this router had accepted.
+ */
+internal class DefaultConfigurationStore(
+    private val table: TableService,
+    private val replica: ConfigurationReplica,
+    private val sync: TableSync,
+    private val log: EventLog,
+    private val random: Random,
+    private val onAccepted: (ConfigurationChange) -> Unit,
+) : ConfigurationStore {
+    private val lock = Mutex()
+
+    override suspend fun change(request: ChangeRequest): ChangeOutcome {
+        val errors = validate(request)
+        if (errors.isNotEmpty()) return ChangeOutcome.Invalid(errors)
+        return lock.withLock { attemptUntilDecided { attempt(request) } }
+    }
+
+    override suspend fun republish(
+        changeId: String,
+        operator: String,
+    ): ChangeOutcome {
+        if (!isValidId(changeId)) return ChangeOutcome.Invalid(listOf(FieldError("changeId", ACCEPTED_ID)))
+        return lock.withLock {
+            var part = 0
+            var outcome: ChangeOutcome
+            do {
+                outcome = attemptUntilDecided { attemptRepublish("$changeId.${part++}", operator) }
+            } while (outcome is ChangeOutcome.Accepted && replica.itemsLostByTable().isNotEmpty())
+            outcome
+        }
+    }
+
+    override suspend fun history(
+        afterSequence: Long,
+        limit: Int,
+    ): TableResult<List<ConfigurationChange>> =
+        when (val page = table.scan(CHANGE_PREFIX, changeRowKey(afterSequence), limit)) {
+            is TableResult.Answered -> TableResult.Answered(page.value.rows.map { it.toChange() })
+            is TableResult.Unavailable -> page
+            is TableResult.Unknown -> page
+        }
+
+    private fun validate(request: ChangeRequest): List<FieldError> {
+        if (!isValidId(request.changeId)) return listOf(FieldError("changeId", ACCEPTED_ID))
+        if (request.edits.size !in 1..MAX_EDITS) return listOf(FieldError("edits", "list of 1 to $MAX_EDITS changes"))
+        val repeated =
+            request.edits
+                .groupBy { it.key }
+                .filterValues { it.size > 1 }
+                .keys
+        val prefix = { edit: ItemEdit -> if (request.edits.size == 1) "" else "${edit.key}." }
+        return repeated.map { FieldError("$it", "at most one change of an item") } +
+            request.edits.flatMap { edit ->
+                val body = edit.body
+                when {
+                    body == null && !isValidId(edit.key.id) -> listOf(FieldError("id", ACCEPTED_ID))
+                    body == null -> emptyList()
+                    else -> validateItem(edit.key, body).map { it.copy(field = prefix(edit) + it.field) }
+                }
+            }
+    }
+
+    private suspend fun attemptUntilDecided(attempt: suspend () -> ChangeOutcome?): ChangeOutcome {
+        repeat(MAX_ATTEMPTS) { number ->
+            attempt()?.let { return it }
+            // Another change took the head first; spreading the next try keeps racing routers from meeting again.
+            delay(random.nextLong(FIRST_RETRY_MS shl minOf(number, MAX_RETRY_DOUBLINGS)))
+        }
+        return ChangeOutcome.Unavailable("$MAX_ATTEMPTS attempts lost the race against other changes")
+    }
+
+    /** Returns null when another change was accepted meanwhile and the attempt must be repeated. */
+    private suspend fun attempt(request: ChangeRequest): ChangeOutcome? {
+        val rows = readCurrent(listOf(markerRowKey(request.changeId)) + request.edits.map { itemRowKey(it.key) })
+        if (rows == null) return ChangeOutcome.Unavailable(sync.lastFailure ?: "the table did not answer a read")
+        val hash = contentHash(request)
+        rows.find(markerRowKey(request.changeId))?.toMarker()?.let { return repeated(it, hash) }
+        if ((rows.find(HEAD_KEY)?.toHead()?.sequence ?: 0) > replica.sequence) return null
+        refusalOf(request, rows)?.let { return it }
+        val change =
+            newChange(request.changeId, request.operator, rows) { sequence ->
+                request.edits.map { ConfigurationItem(it.key, sequence, it.body) }
+            }
+        return commit(change, rows, hash)
+    }
+
+    private suspend fun readCurrent(keys: List<String>): TableSnapshot? {
+        if (!sync.sync()) return null
+        return (table.read(listOf(HEAD_KEY) + keys) as? TableResult.Answered)?.value
+    }
+
+    private fun refusalOf(
+        request: ChangeRequest,
+        rows: TableSnapshot,
+    ): ChangeOutcome? {
+        val current = request.edits.associate { it.key to (rows.find(itemRowKey(it.key))?.toItem()?.version ?: 0L) }
+        if (request.edits.any { current[it.key] != it.expectedVersion }) return ChangeOutcome.Conflict(current)
+        val broken = brokenReferences(request)
+        return if (broken.isEmpty()) null else ChangeOutcome.Invalid(broken)
+    }
+
+    private suspend fun attemptRepublish(
+        changeId: String,
+        operator: String,
+    ): ChangeOutcome? {
+        val marker = markerRowKey(changeId)
+        val held = replica.itemsLostByTable().take(MAX_EDITS).mapNotNull { replica.find(it) }
+        val rows = readCurrent(listOf(marker) + held.map { itemRowKey(it.key) })
+        if (rows == null) return ChangeOutcome.Unavailable(sync.lastFailure ?: "the table did not answer a read")
+        rows.find(marker)?.toMarker()?.let { return ChangeOutcome.Accepted(it.sequence) }
+        val lost = held.filter { it.version > (rows.find(itemRowKey(it.key))?.toItem()?.version ?: 0) }
+        replica.noteTableHolds(held.map { it.key } - lost.map { it.key }.toSet())
+        if (lost.isEmpty()) return ChangeOutcome.Accepted(replica.sequence)
+        val change = newChange(changeId, operator, rows) { sequence -> lost.map { it.copy(version = sequence) } }.copy(republished = true)
+        return commit(change, rows, contentHash = "republish")
+    }
+
+    private fun repeated(
+        marker: MarkerRow,
+        contentHash: String,
+    ): ChangeOutcome =
+        if (marker.contentHash == contentHash) {
+            ChangeOutcome.Accepted(marker.sequence)
+        } else {
+            ChangeOutcome.Invalid(listOf(FieldError("changeId", "an id that no other change has used")))
+        }
+
+    private fun brokenReferences(request: ChangeRequest): List<FieldError> {
+        val edited = request.edits.associateBy { it.key }
+        val exists = { key: ItemKey -> (edited[key]?.let { it.body } ?: replica.find(key)?.body?.takeIf { key !in edited }) != null }
+        val ofEdits = request.edits.flatMap { edit -> edit.body?.let { validateReferences(edit.key, it, exists) }.orEmpty() }
+        val deleted =
+            request.edits
+                .filter { it.body == null && it.key.kind == ItemKind.WORK_CLASS }
+                .map { it.key.id }
+                .toSet()
+        if (deleted.isEmpty()) return ofEdits
+        val users = replica.page(null, Int.MAX_VALUE).filter { it.key !in edited && it.body != null && referencedClass(it.body) in deleted }
+        return ofEdits + users.map { FieldError("class/${referencedClass(it.body!!)}", "a class that no item uses; ${it.key} does") }
+    }
+
+    private fun newChange(
+        changeId: String,
+        operator: String,
+        rows: TableSnapshot,
+        items: (Long) -> List<ConfigurationItem>,
+    ): ConfigurationChange {
+        val previous = rows.find(HEAD_KEY)?.toHead()?.sequence ?: 0
+        // The table's time keeps versions above those that a restored table has lost, even where no router remembers them.
+        val sequence = maxOf(previous + 1, rows.tableTimeMs, replica.sequence + 1)
+        return ConfigurationChange(sequence, previous, changeId, operator, rows.tableTimeMs, items(sequence))
+    }
+
+    private suspend fun commit(
+        change: ConfigurationChange,
+        rows: TableSnapshot,
+        contentHash: String,
+    ): ChangeOutcome? {
+        val marker = markerRowKey(change.changeId)
+        val expired = expiredRows(rows.tableTimeMs)
+        val checked = listOf(HEAD_KEY, marker) + change.items.map { itemRowKey(it.key) }
+        val transaction =
+            TableTransaction(
+                transactionId = "config-${change.changeId}-${UUID(random.nextLong(), random.nextLong())}",
+                checks = checked.map { RowCheck(it, rows.find(it)?.version ?: 0) },
+                writes =
+                    change.items.map { RowWrite(itemRowKey(it.key), rowJson.encodeToString(ConfigurationItem.serializer(), it)) } +
+                        RowWrite(HEAD_KEY, rowJson.encodeToString(HeadRow.serializer(), HeadRow(change.sequence, change.changeId))) +
+                        RowWrite(marker, rowJson.encodeToString(MarkerRow.serializer(), MarkerRow(change.sequence, contentHash))) +
+                        RowWrite(changeRowKey(change.sequence), rowJson.encodeToString(ConfigurationChange.serializer(), change)) +
+                        expired.flatMap { listOf(RowWrite(it.key, null), RowWrite(markerRowKey(it.toChange().changeId), null)) },
+            )
+        return when (val result = commitUntilAnswered(transaction)) {
+            is TableResult.Answered -> decided(result.value, change)
+            is TableResult.Unavailable -> ChangeOutcome.Unavailable(result.detail)
+            is TableResult.Unknown -> ChangeOutcome.Unknown(result.detail)
+        }
+    }
+
+    private fun decided(
+        outcome: CommitOutcome,
+        change: ConfigurationChange,
+    ): ChangeOutcome? {
+        if (outcome is CommitOutcome.Conflict) return null
+        replica.apply(change)
+        log.info(
+            "configuration_accepted",
+            "sequence" to change.sequence,
+            "operator" to change.operator,
+            "items" to change.items.joinToString { "${it.key}" },
+        )
+        onAccepted(change)
+        return ChangeOutcome.Accepted(change.sequence)
+    }
+
+    /** Resolves a lost answer by asking for the transaction; committing the same id again cannot take effect twice. */
+    private suspend fun commitUntilAnswered(transaction: TableTransaction): TableResult<CommitOutcome> {
+        val first = table.commit(transaction)
+        if (first !is TableResult.Unknown) return first
+        return withTimeoutOrNull(RESOLVE_MS) { resolve(transaction) } ?: first
+    }
+
+    private suspend fun resolve(transaction: TableTransaction): TableResult.Answered<CommitOutcome> {
+        var waitMs = FIRST_RETRY_MS
+        while (true) {
+            val found = table.findTransaction(transaction.transactionId)
+            val outcome = (found as? TableResult.Answered)?.value?.outcome
+            if (outcome != null) return TableResult.Answered(outcome)
+            if (found is TableResult.Answered) (table.commit(transaction) as? TableResult.Answered)?.let { return it }
+            delay(waitMs)
+            waitMs = minOf(waitMs * 2, MAX_RESOLVE_WAIT_MS)
+        }
+    }
+
+    /** Returns rows of the oldest changes that the history need not keep any longer. */
+    private suspend fun expiredRows(tableTimeMs: Long): List<TableRow> {
+        if (random.nextInt(EXPIRY_ONE_IN) != 0) return emptyList()
+        val oldest = table.scan(CHANGE_PREFIX, null, EXPIRED_PER_CHANGE) as? TableResult.Answered ?: return emptyList()
+        return oldest.value.rows.filter { it.toChange().acceptedAtMs < tableTimeMs - HISTORY_MS }
+    }
+
+    private fun contentHash(request: ChangeRequest): String {
+        val text = request.edits.joinToString("\n") { "${it.key} ${it.expectedVersion} ${it.body}" }
+        return MessageDigest.getInstance("SHA-256").digest(text.toByteArray()).joinToString("") { "%02x".format(it) }
+    }
+
+    private companion object {
+        private const val MAX_EDITS = 100
+        private const val MAX_ATTEMPTS = 12
+        private const val FIRST_RETRY_MS = 20L
+        private const val MAX_RETRY_DOUBLINGS = 5
+        private const val MAX_RESOLVE_WAIT_MS = 1_000L
+        private const val RESOLVE_MS = 10_000L
+        private const val HISTORY_MS = 7L * 24 * 3_600_000
+
+        // One scan in eight changes removes up to 32 rows, four times what eight changes add.
+        private const val EXPIRY_ONE_IN = 8
+        private const val EXPIRED_PER_CHANGE = 32
+    }
+}
--- /dev/null
+++ b/version/config/src/main/kotlin/org/lycheemount/config/PeerSync.kt
@@ -0,0 +1,88 @@
+package org.lycheemount.config
+
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import org.lycheemount.common.RouterId
+import org.lycheemount.peer.PeerMessenger
+import org.lycheemount.peer.PeerReply
+
+/** Answers other routers' requests for configuration and asks for theirs. */
+internal class PeerSync(
+    private val messenger: PeerMessenger,
+    private val replica: ConfigurationReplica,
+) {
+    private val lock = Mutex()
+
+    fun answer(payload: ByteArray): ByteArray {
+        val request = wireCbor.decodeFromByteArray(PullRequest.serializer(), payload)
+        return wireCbor.encodeToByteArray(PullAnswer.serializer(), answer(request))
+    }
+
+    /** Takes over what [peer] holds beyond this router; returns false when the peer did not answer or holds nothing. */
+    suspend fun pull(peer: RouterId): Boolean =
+        lock.withLock {
+            repeat(MAX_ROUNDS) {
+                val heldSequence = replica.sequence
+                val answer = ask(peer, PullRequest(heldSequence, wholeState = !replica.loaded)) ?: return false
+                if (!answer.loaded) return false
+                if (replica.loaded && answer.sequence <= heldSequence) return true
+                val changes = answer.changes
+                val whole = changes == null || !replica.loaded || !applyAll(changes)
+                if (whole && !pullWholeState(peer)) return false
+                if (replica.sequence >= answer.sequence) return true
+            }
+            return true
+        }
+
+    private fun applyAll(changes: List<String>): Boolean =
+        changes.all { replica.apply(rowJson.decodeFromString(ConfigurationChange.serializer(), it)) != ApplyOutcome.Gap }
+
+    private suspend fun pullWholeState(peer: RouterId): Boolean {
+        var afterKey: ItemKey? = null
+        var first: PullAnswer? = null
+        do {
+            val page = ask(peer, PullRequest(0, wholeState = true, afterKey)) ?: return false
+            if (!page.loaded) return false
+            val items = page.items.map { rowJson.decodeFromString(ConfigurationItem.serializer(), it) }
+            replica.merge(items)
+            // Later pages may hold newer items, so only what the peer held at the first page is known to be complete.
+            first = first ?: page
+            afterKey = items.lastOrNull()?.key
+        } while (page.more)
+        replica.complete(first!!.sequence, first.changeId)
+        return true
+    }
+
+    private suspend fun ask(
+        peer: RouterId,
+        request: PullRequest,
+    ): PullAnswer? {
+        val payload = wireCbor.encodeToByteArray(PullRequest.serializer(), request)
+        val reply = messenger.call(peer, pullChannel, payload, CALL_TIMEOUT_MS) as? PeerReply.Answered ?: return null
+        return runCatching { wireCbor.decodeFromByteArray(PullAnswer.serializer(), reply.payload) }.getOrNull()
+    }
+
+    private fun answer(request: PullRequest): PullAnswer {
+        if (!replica.loaded) return PullAnswer(loaded = false)
+        // Read before the items, so that everything up to this sequence is on the pages.
+        val sequence = replica.sequence
+        val changeId = replica.lastChangeId
+        if (!request.wholeState) {
+            val changes = replica.changesAfter(request.afterSequence)?.take(MAX_CHANGES_PER_ANSWER)
+            val texts = changes?.map { rowJson.encodeToString(ConfigurationChange.serializer(), it) }
+            return PullAnswer(loaded = true, sequence, changeId, texts)
+        }
+        val items = replica.page(request.afterKey, ITEMS_PER_PAGE)
+        val texts = items.map { rowJson.encodeToString(ConfigurationItem.serializer(), it) }
+        return PullAnswer(loaded = true, sequence, changeId, changes = null, texts, more = items.size == ITEMS_PER_PAGE)
+    }
+
+    private companion object {
+        private const val CALL_TIMEOUT_MS = 2_000L
+        private const val MAX_ROUNDS = 20
+
+        // A change may write 100 items of about 1 KB; pages and answers stay below the frame limit of 1 MiB.
+        private const val MAX_CHANGES_PER_ANSWER = 8
+        private const val ITEMS_PER_PAGE = 250
+    }
+}
--- /dev/null
+++ b/version/config/src/main/kotlin/org/lycheemount/config/TableSync.kt
@@ -0,0 +1,110 @@
+package org.lycheemount.config
+
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.TableService
+
+/** Brings the replica up to the table's head. One catch-up runs at a time. */
+internal class TableSync(
+    private val table: TableService,
+    private val replica: ConfigurationReplica,
+    private val clock: Clock,
+    private val log: EventLog,
+) {
+    private val lock = Mutex()
+    private var standing: TableStanding = TableStanding.NeverSeen
+
+    /** Monotonic time at which the table last confirmed the configuration in force here; null when it never did. */
+    @Volatile
+    var confirmedAtMs: Long? = null
+        private set
+
+    /** Reason of the last failure; null after a success. */
+    @Volatile
+    var lastFailure: String? = "the table has not been asked yet"
+        private set
+
+    @Volatile
+    private var headSequence = -1L
+
+    fun standing(): TableStanding {
+        if (headSequence < 0) return TableStanding.NeverSeen
+        val lost = replica.itemsLostByTable()
+        return if (lost.isEmpty()) TableStanding.InStep else TableStanding.Restored(headSequence, lost)
+    }
+
+    /** Reads the head and whatever follows what is held here; returns false when the table did not answer. */
+    suspend fun sync(): Boolean =
+        lock.withLock {
+            // A change that arrives while the head is being read must not make the table look older than it is.
+            val heldSequence = replica.sequence
+            val failure =
+                when (val head = table.read(listOf(HEAD_KEY))) {
+                    is TableResult.Answered -> follow(head.value.find(HEAD_KEY)?.toHead() ?: HeadRow(0, ""), heldSequence)
+                    is TableResult.Unavailable -> head.detail
+                    is TableResult.Unknown -> head.detail
+                }
+            lastFailure = failure
+            if (failure == null) confirm()
+            failure == null
+        }
+
+    private suspend fun follow(
+        head: HeadRow,
+        heldSequence: Long,
+    ): String? {
+        headSequence = head.sequence
+        if (!replica.loaded) return readAllItems(head)
+        if (head.sequence < heldSequence) replica.noteTableBehind(head.sequence)
+        return if (head.sequence <= replica.sequence) null else readChanges(head)
+    }
+
+    private suspend fun readChanges(head: HeadRow): String? {
+        while (replica.sequence < head.sequence) {
+            val page = table.scan(CHANGE_PREFIX, changeRowKey(replica.sequence), CHANGES_PER_SCAN)
+            if (page !is TableResult.Answered) return "the table did not answer a scan of changes"
+            val outcomes = page.value.rows.map { replica.apply(it.toChange()) }
+            if (ApplyOutcome.Applied !in outcomes) return readAllItems(head)
+        }
+        return null
+    }
+
+    private suspend fun readAllItems(head: HeadRow): String? {
+        var after: String? = null
+        do {
+            val page = table.scan(ITEM_PREFIX, after, ITEMS_PER_SCAN)
+            if (page !is TableResult.Answered) return "the table did not answer a scan of items"
+            replica.merge(page.value.rows.map { it.toItem() })
+            after =
+                page.value.rows
+                    .lastOrNull()
+                    ?.key
+        } while (page.value.rows.size == ITEMS_PER_SCAN)
+        replica.complete(head.sequence, head.changeId)
+        return null
+    }
+
+    private fun confirm() {
+        confirmedAtMs = clock.monotonicMs()
+        val now = standing()
+        if (now == standing) return
+        standing = now
+        if (now is TableStanding.Restored) {
+            val heldSequence = replica.sequence
+            log.warn(
+                "configuration_table_restored",
+                "head_sequence" to now.headSequence,
+                "held_sequence" to heldSequence,
+                "lost_items" to now.lostItems.size,
+            )
+        }
+    }
+
+    private companion object {
+        private const val CHANGES_PER_SCAN = 200
+        private const val ITEMS_PER_SCAN = 500
+    }
+}
--- /dev/null
+++ b/version/config/src/test/kotlin/org/lycheemount/config/ConfigurationFixtures.kt
@@ -0,0 +1,123 @@
+package org.lycheemount.config
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.lycheemount.common.Clock
+import org.lycheemount.common.RegionId
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
+import org.lycheemount.peer.PeerChannel
+import org.lycheemount.testing.FakeEventLog
+import org.lycheemount.testing.FakePeerNetwork
+import org.lycheemount.testing.FakeTableLink
+import org.lycheemount.testing.FakeTableService
+import kotlin.random.Random
+
+internal fun classKey(id: String) = ItemKey(ItemKind.WORK_CLASS, id)
+
+internal fun classBody(
+    id: String,
+    firstTokenTargetMs: Long = 500,
+): JsonObject =
+    buildJsonObject {
+        put("workClassId", id)
+        put("firstTokenTargetMs", firstTokenTargetMs)
+        put("completionTargetMs", 100_000)
+    }
+
+internal class VirtualClock(
+    private val scope: TestScope,
+) : Clock {
+    override fun monotonicMs(): Long = scope.testScheduler.currentTime
+
+    override fun wallClockMs(): Long = 1_700_000_000_000 + monotonicMs()
+}
+
+/** Routers with real configuration services over a network and a table in memory. */
+internal class ConfigurationFleet(
+    private val scope: TestScope,
+    size: Int = 3,
+    private val seed: Int = 1,
+) {
+    val clock = VirtualClock(scope)
+    val table = FakeTableService(clock)
+    val network = FakePeerNetwork(scope.backgroundScope, seed = seed)
+    val routers = (0 until size).map { Router("router-$it", it) }.toMutableList()
+    private val ids get() = routers.map { it.id }
+
+    inner class Router(
+        name: String,
+        private val index: Int,
+    ) {
+        val id = RouterId(name)
+        val link = FakeTableLink(table, latencyMs = 2)
+        lateinit var service: ConfigurationService
+        private var job: Job? = null
+
+        fun start() {
+            val identity = RouterIdentity(id, VmId("vm-$index"), RegionId("bc-west"), ZoneId("fraser"), clock.wallClockMs())
+            val messenger = network.join(identity)
+            val peers =
+                object : ConfigurationPeers {
+                    override fun routerCount() = ids.size
+
+                    override fun pushTargets() = ids - id
+                }
+            service =
+                ConfigurationService(link, messenger, peers, clock, FakeEventLog(), random = Random(seed * 1000 + index))
+            messenger.register(heartbeat) { from, payload ->
+                service.onPeerSequence(from.routerId, String(payload).toLong())
+                null
+            }
+            job =
+                scope.backgroundScope.launch {
+                    service.start(this)
+                    beat(
+                        this,
+                    ) { peers.pushTargets().forEach { messenger.send(it, heartbeat, "${service.replica.sequence}".toByteArray()) } }
+                }
+        }
+
+        fun stop() {
+            job?.cancel()
+            network.leave(id)
+        }
+
+        suspend fun write(
+            key: ItemKey,
+            expectedVersion: Long,
+            firstTokenTargetMs: Long,
+            changeId: String,
+        ) = service.store.change(
+            ChangeRequest(changeId, "operator", listOf(ItemEdit(key, expectedVersion, classBody(key.id, firstTokenTargetMs)))),
+        )
+
+        fun held(key: ItemKey) = service.replica.find(key)?.version ?: 0L
+    }
+
+    fun startAll() = routers.forEach { it.start() }
+
+    private fun beat(
+        scope: CoroutineScope,
+        send: () -> Unit,
+    ) {
+        scope.launch {
+            while (true) {
+                delay(1_000)
+                send()
+            }
+        }
+    }
+
+    private companion object {
+        private val heartbeat = PeerChannel("heartbeat")
+    }
+}
--- /dev/null
+++ b/version/config/src/test/kotlin/org/lycheemount/config/ConfigurationServiceTest.kt
@@ -0,0 +1,241 @@
+package org.lycheemount.config
+
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class ConfigurationServiceTest {
+    private val key = classKey("interactive")
+
+    @Nested
+    inner class `an accepted change` {
+        @Test
+        fun `is in force on every router although the table is gone right after it`() =
+            runTest {
+                val fleet = ConfigurationFleet(this, size = 4).apply { startAll() }
+                delay(3_000)
+
+                val accepted = assertIs<ChangeOutcome.Accepted>(fleet.routers[0].write(key, 0, 300, "change-1"))
+                fleet.table.available = false
+                delay(2_000)
+
+                assertEquals(List(4) { accepted.sequence }, fleet.routers.map { it.held(key) })
+            }
+
+        @Test
+        fun `is accepted once when its answer is lost and the operator repeats it on another router`() =
+            runTest {
+                val fleet = ConfigurationFleet(this).apply { startAll() }
+                delay(3_000)
+                fleet.routers[0].link.loseNextAnswers = 1
+
+                val first = fleet.routers[0].write(key, 0, 300, "change-1")
+                val repeated = fleet.routers[1].write(key, 0, 300, "change-1")
+
+                assertIs<ChangeOutcome.Accepted>(first)
+                assertEquals(first, repeated)
+                assertEquals(1, fleet.table.commitCount)
+            }
+
+        @Test
+        fun `is reported as unknown, not as failed, while the answer cannot be resolved`() =
+            runTest {
+                val fleet = ConfigurationFleet(this).apply { startAll() }
+                delay(3_000)
+                val router = fleet.routers[0]
+                router.link.loseNextAnswers = Int.MAX_VALUE
+                val write = async { router.write(key, 0, 300, "change-1") }
+                delay(7)
+                router.link.reachable = false
+
+                assertIs<ChangeOutcome.Unknown>(write.await())
+                router.link.reachable = true
+                router.link.loseNextAnswers = 0
+                assertIs<ChangeOutcome.Accepted>(router.write(key, 0, 300, "change-1"))
+                assertEquals(1, fleet.table.commitCount)
+            }
+    }
+
+    @Nested
+    inner class `racing operators` {
+        @Test
+        fun `get one winner, and the others the winner's version`() =
+            runTest {
+                val fleet = ConfigurationFleet(this, size = 5).apply { startAll() }
+                delay(3_000)
+
+                val outcomes =
+                    fleet.routers
+                        .mapIndexed { index, router ->
+                            async {
+                                router.write(
+                                    key,
+                                    0,
+                                    100L + index,
+                                    "change-$index",
+                                )
+                            }
+                        }.awaitAll()
+
+                val winner = outcomes.filterIsInstance<ChangeOutcome.Accepted>().single()
+                val losers = outcomes.filterIsInstance<ChangeOutcome.Conflict>()
+                assertEquals(4, losers.size)
+                assertTrue(losers.all { it.current == mapOf(key to winner.sequence) })
+            }
+
+        @Test
+        fun `cannot leave a model with a class that another one deletes`() =
+            runTest {
+                val fleet = ConfigurationFleet(this).apply { startAll() }
+                delay(3_000)
+                val version = assertIs<ChangeOutcome.Accepted>(fleet.routers[0].write(key, 0, 300, "change-1")).sequence
+                val model = rowJson.parseToJsonElement("""{"modelId":"m","version":"1","defaultWorkClassId":"interactive"}""")
+                val add = ItemEdit(ItemKey(ItemKind.MODEL, "m"), 0, model as kotlinx.serialization.json.JsonObject)
+
+                val outcomes =
+                    listOf(
+                        async {
+                            fleet.routers[1]
+                                .service.store
+                                .change(ChangeRequest("add", "a", listOf(add)))
+                        },
+                        async {
+                            fleet.routers[2]
+                                .service.store
+                                .change(ChangeRequest("delete", "b", listOf(ItemEdit(key, version, null))))
+                        },
+                    ).awaitAll()
+
+                assertEquals(1, outcomes.filterIsInstance<ChangeOutcome.Accepted>().size)
+                assertEquals(1, outcomes.filterIsInstance<ChangeOutcome.Invalid>().size)
+            }
+    }
+
+    @Nested
+    inner class `a restored table` {
+        @Test
+        fun `is reported, takes no version back, and gets the lost ones again by an operator`() =
+            runTest {
+                val fleet = ConfigurationFleet(this).apply { startAll() }
+                delay(3_000)
+                val older = fleet.table.copyRows()
+                val accepted = assertIs<ChangeOutcome.Accepted>(fleet.routers[0].write(key, 0, 300, "change-1"))
+                fleet.table.restore(older)
+                delay(5_000)
+                val standing = fleet.routers[2].service.tableStanding()
+                val held = fleet.routers.map { it.held(key) }
+
+                val republished =
+                    fleet.routers[1]
+                        .service.store
+                        .republish("repair-1", "operator")
+                delay(5_000)
+
+                assertEquals(setOf(key), assertIs<TableStanding.Restored>(standing).lostItems)
+                assertEquals(List(3) { accepted.sequence }, held)
+                assertIs<ChangeOutcome.Accepted>(republished)
+                assertTrue(fleet.routers.all { it.service.tableStanding() == TableStanding.InStep && it.held(key) == republished.sequence })
+            }
+
+        @Test
+        fun `never yields a version that was given out before the restore`() =
+            runTest {
+                val fleet = ConfigurationFleet(this, size = 1).apply { startAll() }
+                delay(3_000)
+                val older = fleet.table.copyRows()
+                val before = assertIs<ChangeOutcome.Accepted>(fleet.routers[0].write(key, 0, 300, "change-1"))
+                fleet.routers[0].stop()
+                fleet.table.restore(older)
+                delay(1_000)
+                fleet.routers[0].start()
+                delay(1_000)
+
+                val after = assertIs<ChangeOutcome.Accepted>(fleet.routers[0].write(key, 0, 400, "change-2"))
+
+                assertTrue(after.sequence > before.sequence)
+            }
+    }
+
+    @Nested
+    inner class `a router that starts in an outage` {
+        @Test
+        fun `learns the whole configuration from a peer, page by page`() =
+            runTest {
+                val fleet = ConfigurationFleet(this, size = 2)
+                fleet.routers[0].start()
+                delay(3_000)
+                repeat(6) { batch ->
+                    val edits = (0 until 100).map { ItemEdit(classKey("class-$batch-$it"), 0, classBody("class-$batch-$it")) }
+                    assertIs<ChangeOutcome.Accepted>(
+                        fleet.routers[0]
+                            .service.store
+                            .change(ChangeRequest("batch-$batch", "operator", edits)),
+                    )
+                }
+                fleet.table.available = false
+
+                fleet.routers[1].start()
+                delay(3_000)
+
+                assertEquals(fleet.routers[0].service.current(), fleet.routers[1].service.current())
+                assertEquals(
+                    600,
+                    fleet.routers[1]
+                        .service
+                        .current()
+                        .workClasses.size,
+                )
+                assertEquals(null, assertIs<ConfigurationReadiness.Ready>(fleet.routers[1].service.readiness()).ageMs)
+            }
+
+        @Test
+        fun `is not ready and says why when no peer has a configuration either`() =
+            runTest {
+                val fleet = ConfigurationFleet(this, size = 2)
+                fleet.table.available = false
+                fleet.startAll()
+                delay(10_000)
+
+                val readiness = assertIs<ConfigurationReadiness.NotReady>(fleet.routers[0].service.readiness())
+
+                assertEquals("table: table is down; none of 1 connected peers has a configuration", readiness.reason)
+                fleet.table.available = true
+                delay(3_000)
+                assertIs<ConfigurationReadiness.Ready>(fleet.routers[0].service.readiness())
+            }
+    }
+
+    @Nested
+    inner class `a partitioned zone` {
+        @Test
+        fun `goes on with its last configuration, reports its age and catches up without going back`() =
+            runTest {
+                val fleet = ConfigurationFleet(this).apply { startAll() }
+                delay(3_000)
+                val first = assertIs<ChangeOutcome.Accepted>(fleet.routers[0].write(key, 0, 300, "change-1"))
+                delay(2_000)
+                val cut = fleet.routers[2]
+                fleet.network.cut(listOf(cut.id), fleet.routers.take(2).map { it.id })
+                cut.link.reachable = false
+                val second = assertIs<ChangeOutcome.Accepted>(fleet.routers[0].write(key, first.sequence, 400, "change-2"))
+                delay(3_600_000)
+                val duringPartition = assertIs<ConfigurationReadiness.Ready>(cut.service.readiness())
+                val refused = cut.write(key, first.sequence, 500, "change-3")
+                val heldInPartition = cut.held(key)
+
+                fleet.network.heal()
+                delay(2_500)
+
+                assertEquals(first.sequence, heldInPartition)
+                assertTrue(duringPartition.ageMs!! in 3_590_000..3_610_000)
+                assertIs<ChangeOutcome.Unavailable>(refused)
+                assertEquals(second.sequence, cut.held(key))
+            }
+    }
+}
--- /dev/null
+++ b/version/config/src/test/kotlin/org/lycheemount/config/ItemValidationTest.kt
@@ -0,0 +1,44 @@
+package org.lycheemount.config
+
+import kotlinx.serialization.json.JsonObject
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class ItemValidationTest {
+    private fun fieldsRefused(
+        kind: ItemKind,
+        id: String,
+        body: String,
+    ): List<String> = validateItem(ItemKey(kind, id), rowJson.parseToJsonElement(body) as JsonObject).map { it.field }
+
+    @Nested
+    inner class `an item` {
+        @Test
+        fun `is refused with every wrong field named, unknown and nested ones included`() {
+            val team = """{"teamId":"t","budgetId":"a b","keyHashes":["x"],"limits":{"queueShare":1.5,"burst":3},"extra":1}"""
+
+            assertEquals(
+                listOf("budgetId", "keyHashes[0]", "limits.queueShare", "limits.burst", "extra"),
+                fieldsRefused(ItemKind.TEAM, "t", team),
+            )
+        }
+
+        @Test
+        fun `is refused when numbers come as text or its targets contradict each other`() {
+            val asText = """{"workClassId":"c","firstTokenTargetMs":"500","completionTargetMs":1000}"""
+            val reversed = """{"workClassId":"c","firstTokenTargetMs":500,"completionTargetMs":400}"""
+
+            assertEquals(listOf("firstTokenTargetMs"), fieldsRefused(ItemKind.WORK_CLASS, "c", asText))
+            assertEquals(listOf("completionTargetMs"), fieldsRefused(ItemKind.WORK_CLASS, "c", reversed))
+        }
+
+        @Test
+        fun `cannot be stored under another item's id`() {
+            val route = """{"method":"get","pathPrefix":"x","idempotent":true}"""
+            val service = """{"serviceId":"other","defaultWorkClassId":"c","routes":[$route]}"""
+
+            assertEquals(listOf("serviceId", "routes[0].method", "routes[0].pathPrefix"), fieldsRefused(ItemKind.SERVICE, "s", service))
+        }
+    }
+}
--- /dev/null
+++ b/version/config/src/test/kotlin/org/lycheemount/config/PropagationDifferentialTest.kt
@@ -0,0 +1,136 @@
+package org.lycheemount.config
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.json.JsonObject
+import org.junit.jupiter.api.Nested
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Compares propagation with a single register per item that every accepted change overwrites. */
+class PropagationDifferentialTest {
+    @Nested
+    inner class `routers under random faults` {
+        @Test
+        fun `never take back a version and end with the register's content`() {
+            for (seed in 1..40) runTest { Trace(this, seed).run() }
+        }
+    }
+
+    private class Trace(
+        private val scope: TestScope,
+        private val seed: Int,
+    ) {
+        private val random = Random(seed)
+        private val fleet = ConfigurationFleet(scope, size = 5, seed = seed)
+        private val keys = (0 until 4).map { classKey("class-$it") }
+        private val register = mutableMapOf<ItemKey, ConfigurationItem>()
+        private val bodies = mutableMapOf<Pair<ItemKey, Long>, JsonObject?>()
+        private val seen = mutableMapOf<Pair<Int, ItemKey>, Long>()
+        private var backup = emptyList<org.lycheemount.platform.TableRow>()
+        private var reversions = 0
+        private var accepted = 0
+        private var changeNumber = 0
+
+        suspend fun run() {
+            fleet.startAll()
+            delay(3_000)
+            repeat(120) { step() }
+            heal()
+            settle()
+            repeat(2) {
+                fleet.routers.forEachIndexed { index, router -> router.service.store.republish("repair-$it-$index", "operator") }
+                settle()
+            }
+
+            assertEquals(0, reversions, "seed $seed")
+            assertTrue(accepted > 10, "seed $seed accepted only $accepted changes")
+            val expected = keys.associateWith { register[it]?.body }
+            for (router in fleet.routers) {
+                assertEquals(
+                    expected,
+                    keys.associateWith {
+                        router.service.replica
+                            .find(it)
+                            ?.body
+                    },
+                    "seed $seed ${router.id.value}",
+                )
+                assertEquals(TableStanding.InStep, router.service.tableStanding(), "seed $seed ${router.id.value}")
+            }
+        }
+
+        private suspend fun step() {
+            when (random.nextInt(12)) {
+                0 ->
+                    fleet.network.cut(
+                        fleet.routers
+                            .shuffled(random)
+                            .take(2)
+                            .map { it.id },
+                        fleet.routers.map { it.id },
+                    )
+                1 -> heal()
+                2 ->
+                    fleet.routers
+                        .random(random)
+                        .link.reachable = random.nextBoolean()
+                3 ->
+                    fleet.routers
+                        .random(random)
+                        .link.loseNextAnswers = 1
+                4 -> backup = fleet.table.copyRows()
+                5 -> if (random.nextInt(4) == 0) fleet.table.restore(backup)
+                6 -> fleet.network.apply { lossShare = random.nextDouble(0.3) }.also { it.duplicateShare = random.nextDouble(0.3) }
+                else -> repeat(random.nextInt(1, 4)) { startChange() }
+            }
+            repeat(random.nextInt(1, 20)) {
+                delay(random.nextLong(1, 200))
+                observe()
+            }
+        }
+
+        private fun startChange() {
+            val router = fleet.routers.random(random)
+            val key = keys.random(random)
+            val target = random.nextLong(1, 100_000)
+            val expected = router.held(key) - if (random.nextInt(10) == 0) 1 else 0
+            val changeId = "change-${changeNumber++}"
+            scope.backgroundScope.launch {
+                if (router.write(key, maxOf(0, expected), target, changeId) is ChangeOutcome.Accepted) accepted++
+            }
+        }
+
+        /** Records every version in force; the register holds the greatest, since each was accepted by the table. */
+        private fun observe() {
+            fleet.routers.forEachIndexed { index, router ->
+                for (key in keys) {
+                    val item = router.service.replica.find(key) ?: ConfigurationItem(key, 0)
+                    if (item.version < (seen[index to key] ?: 0)) reversions++
+                    seen[index to key] = item.version
+                    if (item.version == 0L) continue
+                    if (bodies.getOrPut(key to item.version) { item.body } != item.body) reversions++
+                    if (item.version > (register[key]?.version ?: 0)) register[key] = item
+                }
+            }
+        }
+
+        private fun heal() {
+            fleet.network.heal()
+            fleet.network.lossShare = 0.0
+            fleet.routers.forEach { it.link.reachable = true }
+            fleet.routers.forEach { it.link.loseNextAnswers = 0 }
+        }
+
+        private suspend fun settle() {
+            repeat(40) {
+                delay(500)
+                observe()
+            }
+        }
+    }
+}
