--- a/version/config/src/main/kotlin/org/lycheemount/config/DefaultConfigurationStore.kt
+++ b/version/config/src/main/kotlin/org/lycheemount/config/DefaultConfigurationStore.kt
@@ -51,7 +51,7 @@
             var outcome: ChangeOutcome
             do {
                 outcome = attemptUntilDecided { attemptRepublish("$changeId.${part++}", operator) }
-            } while (outcome is ChangeOutcome.Accepted && replica.itemsLostByTable().isNotEmpty())
+            } while (outcome is ChangeOutcome.Accepted && replica.itemsLostByTable().isNotEmpty() && part < MAX_REPUBLISH_PARTS)
             outcome
         }
     }
@@ -253,6 +253,7 @@
     private companion object {
         private const val MAX_EDITS = 100
         private const val MAX_ATTEMPTS = 12
+        private const val MAX_REPUBLISH_PARTS = 1_000
         private const val FIRST_RETRY_MS = 20L
         private const val MAX_RETRY_DOUBLINGS = 5
         private const val MAX_RESOLVE_WAIT_MS = 1_000L
--- a/version/config/src/test/kotlin/org/lycheemount/config/ConfigurationFixtures.kt
+++ b/version/config/src/test/kotlin/org/lycheemount/config/ConfigurationFixtures.kt
@@ -58,7 +58,7 @@
         private val index: Int,
     ) {
         val id = RouterId(name)
-        val link = FakeTableLink(table, latencyMs = 2)
+        val link = FakeTableLink(table, scope.backgroundScope, latencyMs = 2, random = Random(seed * 100 + index))
         lateinit var service: ConfigurationService
         private var job: Job? = null
 
--- a/version/config/src/test/kotlin/org/lycheemount/config/ConfigurationServiceTest.kt
+++ b/version/config/src/test/kotlin/org/lycheemount/config/ConfigurationServiceTest.kt
@@ -33,7 +33,7 @@
             runTest {
                 val fleet = ConfigurationFleet(this).apply { startAll() }
                 delay(3_000)
-                fleet.routers[0].link.loseNextAnswers = 1
+                fleet.routers[0].link.lostAnswerShare = 1.0
 
                 val first = fleet.routers[0].write(key, 0, 300, "change-1")
                 val repeated = fleet.routers[1].write(key, 0, 300, "change-1")
@@ -49,14 +49,14 @@
                 val fleet = ConfigurationFleet(this).apply { startAll() }
                 delay(3_000)
                 val router = fleet.routers[0]
-                router.link.loseNextAnswers = Int.MAX_VALUE
+                router.link.lostAnswerShare = 1.0
                 val write = async { router.write(key, 0, 300, "change-1") }
-                delay(7)
-                router.link.reachable = false
+                delay(11)
+                router.link.cut = true
 
                 assertIs<ChangeOutcome.Unknown>(write.await())
-                router.link.reachable = true
-                router.link.loseNextAnswers = 0
+                router.link.cut = false
+                router.link.lostAnswerShare = 0.0
                 assertIs<ChangeOutcome.Accepted>(router.write(key, 0, 300, "change-1"))
                 assertEquals(1, fleet.table.commitCount)
             }
@@ -222,7 +222,7 @@
                 delay(2_000)
                 val cut = fleet.routers[2]
                 fleet.network.cut(listOf(cut.id), fleet.routers.take(2).map { it.id })
-                cut.link.reachable = false
+                cut.link.cut = true
                 val second = assertIs<ChangeOutcome.Accepted>(fleet.routers[0].write(key, first.sequence, 400, "change-2"))
                 delay(3_600_000)
                 val duringPartition = assertIs<ConfigurationReadiness.Ready>(cut.service.readiness())
--- a/version/config/src/test/kotlin/org/lycheemount/config/PropagationDifferentialTest.kt
+++ b/version/config/src/test/kotlin/org/lycheemount/config/PropagationDifferentialTest.kt
@@ -39,7 +39,7 @@
         suspend fun run() {
             fleet.startAll()
             delay(3_000)
-            repeat(120) { step() }
+            repeat(200) { step() }
             heal()
             settle()
             repeat(2) {
@@ -78,14 +78,17 @@
                 2 ->
                     fleet.routers
                         .random(random)
-                        .link.reachable = random.nextBoolean()
+                        .link.cut = random.nextInt(3) == 0
                 3 ->
                     fleet.routers
                         .random(random)
-                        .link.loseNextAnswers = 1
+                        .link
+                        .apply { lostAnswerShare = random.nextDouble(0.4) }
+                        .also { it.lateCommitShare = random.nextDouble(0.3) }
                 4 -> backup = fleet.table.copyRows()
                 5 -> if (random.nextInt(4) == 0) fleet.table.restore(backup)
                 6 -> fleet.network.apply { lossShare = random.nextDouble(0.3) }.also { it.duplicateShare = random.nextDouble(0.3) }
+                7 -> startRepublish()
                 else -> repeat(random.nextInt(1, 4)) { startChange() }
             }
             repeat(random.nextInt(1, 20)) {
@@ -105,6 +108,12 @@
             }
         }
 
+        private fun startRepublish() {
+            val router = fleet.routers.random(random)
+            val changeId = "republish-${changeNumber++}"
+            scope.backgroundScope.launch { router.service.store.republish(changeId, "operator") }
+        }
+
         /** Records every version in force; the register holds the greatest, since each was accepted by the table. */
         private fun observe() {
             fleet.routers.forEachIndexed { index, router ->
@@ -122,8 +131,11 @@
         private fun heal() {
             fleet.network.heal()
             fleet.network.lossShare = 0.0
-            fleet.routers.forEach { it.link.reachable = true }
-            fleet.routers.forEach { it.link.loseNextAnswers = 0 }
+            for (link in fleet.routers.map { it.link }) {
+                link.cut = false
+                link.lostAnswerShare = 0.0
+                link.lateCommitShare = 0.0
+            }
         }
 
         private suspend fun settle() {
