--- a/standin/servers/src/main/kotlin/org/lycheemount/standin/StandInMain.kt
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/StandInMain.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationException
 import org.lycheemount.common.DefaultEventLog
+import org.lycheemount.standin.check.runCheck
 import java.io.File
 import java.io.IOException
 import kotlin.system.exitProcess
@@ -10,10 +11,11 @@
 // Created after main has named the logging configuration.
 private val log by lazy { DefaultEventLog("standin") }
 
-/** Starts the stand-ins of one process: `platform|engines|services --settings FILE`. */
+/** Starts the stand-ins of one process, `platform|engines|services --settings FILE`, or checks a deployment. */
 fun main(arguments: Array<String>) {
     // A file of this name does not hide the configuration of a program that has the stand-ins on its class path.
     System.setProperty("logback.configurationFile", "logback-standin.xml")
+    if (arguments.firstOrNull() == "check") exitProcess(runCheck(arguments.drop(1)))
     val file = arguments.getOrNull(2)?.let(::File)
     if (arguments.size != 3 || arguments[1] != "--settings" || file == null) exitWithUsage()
     when (arguments[0]) {
@@ -70,6 +72,6 @@
 }
 
 private fun exitWithUsage(): Nothing {
-    System.err.println("usage: standin platform|engines|services --settings FILE")
+    System.err.println("usage: standin platform|engines|services --settings FILE, or standin check --deployment DIR [--once]")
     exitProcess(2)
 }
--- /dev/null
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/check/CheckReport.kt
@@ -0,0 +1,28 @@
+package org.lycheemount.standin.check
+
+/** Prints what the check sees and keeps count of what does not agree. */
+internal class CheckReport {
+    private var failures = 0
+
+    val succeeded: Boolean get() = failures == 0
+
+    fun show(text: String) = println(text)
+
+    /** Prints and counts a comparison. */
+    fun compare(
+        subject: String,
+        expected: Any?,
+        found: Any?,
+    ) {
+        if (expected == found) {
+            println("  ok    $subject: ${found.toString().take(SHOWN_CHARS)}")
+        } else {
+            failures++
+            println("  WRONG $subject: $found instead of $expected")
+        }
+    }
+
+    private companion object {
+        private const val SHOWN_CHARS = 100
+    }
+}
--- /dev/null
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/check/Deployment.kt
@@ -0,0 +1,46 @@
+package org.lycheemount.standin.check
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import org.lycheemount.config.ConfigurationSnapshot
+import org.lycheemount.standin.EnginesSettings
+import org.lycheemount.standin.PlatformStandInSettings
+import org.lycheemount.standin.ServicesSettings
+import org.lycheemount.standin.standInJson
+import java.io.File
+
+/** Settings files of one local deployment. */
+internal class Deployment(
+    directory: File,
+) {
+    val platform = read(directory, "platform.json", PlatformStandInSettings.serializer())
+    val engines = read(directory, "engines.json", EnginesSettings.serializer())
+    val services = read(directory, "services.json", ServicesSettings.serializer())
+    val configuration = read(directory, "configuration.json", ConfigurationSnapshot.serializer())
+
+    /** Base URLs of the callers' interfaces, in the order of the file names. */
+    val routerUrls: List<String> =
+        directory
+            .resolve("routers")
+            .listFiles { file -> file.name.endsWith(".json") }
+            .orEmpty()
+            .sorted()
+            .map { callersUrl(standInJson.decodeFromString(JsonObject.serializer(), it.readText())) }
+
+    val platformUrl = "http://${platform.host}:${platform.port}"
+
+    /** Bearer key of a team of the shipped deployments, which are for loopback only. */
+    fun keyOf(team: String): String = "quickstart-$team"
+
+    private fun callersUrl(settings: JsonObject): String {
+        val callers = settings.getValue("callers").jsonObject
+        return "http://${callers.getValue("host").jsonPrimitive.content}:${callers.getValue("port").jsonPrimitive.content}"
+    }
+
+    private fun <T> read(
+        directory: File,
+        name: String,
+        deserializer: kotlinx.serialization.DeserializationStrategy<T>,
+    ): T = standInJson.decodeFromString(deserializer, directory.resolve(name).readText())
+}
--- /dev/null
+++ b/standin/servers/src/test/kotlin/org/lycheemount/standin/ShippedDeploymentsTest.kt
@@ -0,0 +1,90 @@
+package org.lycheemount.standin
+
+import com.github.michaelbull.result.getOrElse
+import org.junit.jupiter.api.Nested
+import org.lycheemount.common.BackendTarget
+import org.lycheemount.config.ConfigurationSnapshot
+import org.lycheemount.settings.RouterSettings
+import org.lycheemount.settings.parseRouterSettings
+import java.io.File
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class ShippedDeploymentsTest {
+    private class Files(
+        name: String,
+    ) {
+        private val directory = File("../../deployments/$name")
+        val platform = standInJson.decodeFromString(PlatformStandInSettings.serializer(), read("platform.json"))
+        val engines = standInJson.decodeFromString(EnginesSettings.serializer(), read("engines.json"))
+        val services = standInJson.decodeFromString(ServicesSettings.serializer(), read("services.json"))
+        val configuration = standInJson.decodeFromString(ConfigurationSnapshot.serializer(), read("configuration.json"))
+        val routers: List<RouterSettings> =
+            directory.resolve("routers").listFiles().orEmpty().sorted().map { file ->
+                parseRouterSettings(file.readText()).getOrElse { error("${file.name}: $it") }
+            }
+
+        private fun read(file: String) = directory.resolve(file).readText()
+
+        fun ports(): List<Int> =
+            listOf(platform.port, engines.controlPort, services.controlPort) + platform.zonePorts.values +
+                engines.engines.map { it.port } + services.servers.map { it.port } +
+                routers.flatMap { listOf(it.callers.port, it.admin.port, it.peers.port) }
+
+        fun hosts(): Set<String> =
+            setOf(platform.host, engines.host, services.host) + engines.engines.map { it.host } + services.servers.map { it.host } +
+                routers.flatMap { listOf(it.callers.host, it.admin.host, it.peers.host) }
+    }
+
+    private val association = Files("association")
+    private val tartanmaat = Files("tartanmaat")
+
+    @Nested
+    inner class `the settings files` {
+        @Test
+        fun `use each loopback port once, over both deployments`() {
+            val ports = association.ports() + tartanmaat.ports()
+
+            assertEquals(ports.distinct(), ports)
+            assertEquals(setOf("127.0.0.1"), association.hosts() + tartanmaat.hosts())
+        }
+
+        @Test
+        fun `list the same routers and backend servers as the processes have`() {
+            for (files in listOf(association, tartanmaat)) {
+                val backendPorts = (files.engines.engines.map { it.port } + files.services.servers.map { it.port }).toSet()
+                val listed = files.platform.vms
+
+                assertEquals(files.routers.map { it.vmId to it.peers.port }, listed.routers.map { it.vmId to it.peerPort })
+                assertEquals(backendPorts, listed.backendServers.map { it.port }.toSet())
+                assertTrue(files.routers.all { it.platform.tableUrl.contains(":${files.platform.zonePorts.getValue(it.zoneId)}/") })
+            }
+        }
+
+        @Test
+        fun `serve every configured model and service and name only known classes and budgets`() {
+            for (files in listOf(association, tartanmaat)) {
+                val configuration = files.configuration
+                val targets =
+                    configuration.models.keys.map { BackendTarget.Model(it) } +
+                        configuration.services.keys.map { BackendTarget.Service(it) }
+                val served =
+                    files.platform.vms.backendServers
+                        .flatMap { it.targets }
+                val classes =
+                    configuration.models.values.map { it.defaultWorkClassId } + configuration.services.values.map { it.defaultWorkClassId }
+
+                assertTrue(served.containsAll(targets))
+                assertTrue(configuration.workClasses.keys.containsAll(classes))
+                assertEquals(
+                    configuration.teams.values
+                        .map { "budget/${it.budgetId.value}" }
+                        .toSet(),
+                    files.platform.rows.keys,
+                )
+                assertEquals(10, configuration.teams.size)
+            }
+        }
+    }
+}
