--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -16,9 +16,9 @@
 private const val PATIENT_RESERVE = 2.0
 private const val PATIENT_SLACK_MS = 5_000L
 
-// An engine serves by priority, so a request about to miss its target may wait there for the next free slot.
-private const val URGENT_EXCESS = 2.0
-private const val URGENT_SLACK_MS = 300L
+// On a server that is busier than this, a prompt is prefilled only when its own servers have had no room for a while:
+// prefills that a cache would have saved are what turns a full fleet into an overloaded one.
+private const val IDLE_SHARE = 0.2
 private const val PRIORITY_STEP_MS = 50L
 private const val MAX_PRIORITY = 10_000L
 
@@ -72,13 +72,10 @@
         if (candidates.isEmpty()) return SubmitOutcome.Refused(admission.noServer())
         val workClass = workClasses[item.workClassId] ?: defaultWorkClass(item.workClassId)
         val estimate = lane.estimator.estimate(item, bestCachedTokens(candidates, item, nowMs))
-        val dueAtMs = dueAtMs(item, workClass, estimate, lane.estimator.firstTokenStretch)
-        val waitMs = lane.waitMs(item, dueAtMs, candidates.filter { it.isOpen(nowMs) }, nowMs)
-        admission.refusal(item, workClass, lane, waitMs, dueAtMs, nowMs)?.let { return SubmitOutcome.Refused(it) }
-        enqueue(
-            lane,
-            QueuedRequest(item, workClass, ++lastSequence, nowMs, estimate.serviceMs, dueAtMs, dropAtMs(item, workClass, dueAtMs), waitMs),
-        )
+        val latest = LatestStart(item, workClass, estimate, lane.estimator.firstTokenStretch)
+        val waitMs = lane.waitMs(item, latest.dueAtMs, candidates.filter { it.isOpen(nowMs) }, nowMs)
+        admission.refusal(item, workClass, lane, waitMs, latest.dueAtMs, nowMs)?.let { return SubmitOutcome.Refused(it) }
+        enqueue(lane, QueuedRequest(item, workClass, ++lastSequence, nowMs, estimate.serviceMs, latest, waitMs))
         return SubmitOutcome.Queued
     }
 
@@ -111,8 +108,10 @@
         nowMs: Long,
     ) {
         val state = servers[report.backendServerId] ?: return
-        state.reported.onReport(report, nowMs)
-        state.reported.capacity?.let(state.limit::onCapacity)
+        for (target in state.server.targets) {
+            val lane = lanes.getOrPut(target) { TargetQueue(target) }
+            if (state.onReport(report, lane.fleetShare, nowMs)) lane.onReport(state.reported.ownAtReport, state.reported.totalAtReport)
+        }
     }
 
     override fun onCacheEvents(
@@ -130,8 +129,8 @@
         for (state in servers.values) {
             if (state.hangAtMs()?.let { it <= nowMs } == true) state.health.onHang(nowMs)
         }
-        dropDeadWork(nowMs, actions)
         for (lane in lanes.values) startReady(lane, nowMs, actions)
+        dropDeadWork(nowMs, actions)
         return actions
     }
 
@@ -157,10 +156,11 @@
         actions: MutableList<SchedulerAction>,
     ) {
         while (lane.queue.size > 0) {
-            val open = servers.values.filter { lane.target in it.server.targets && it.room(nowMs) > -URGENT_EXCESS && it.isOpen(nowMs) }
+            val open = servers.values.filter { lane.target in it.server.targets && it.isOpen(nowMs) }
             if (open.isEmpty()) return
-            val request = lane.queue.select { candidate -> open.any { takes(it, candidate, nowMs) } } ?: return
-            val choice = selector.choose(open.filter { takes(it, request, nowMs) }, request.item, lane.estimator, nowMs) ?: return
+            val request = lane.queue.select { candidate -> open.any { takes(it, lane, open, candidate, nowMs) } } ?: return
+            val choice =
+                selector.choose(open.filter { takes(it, lane, open, request, nowMs) }, request.item, lane.estimator, nowMs) ?: return
             actions += start(lane, request, choice, nowMs)
         }
     }
@@ -185,19 +185,19 @@
 
     private fun takes(
         state: ServerState,
+        lane: TargetQueue,
+        open: List<ServerState>,
         request: QueuedRequest,
         nowMs: Long,
     ): Boolean {
-        if (state.id in request.item.excludedServers) return false
+        if (state.id in request.item.excludedServers || request.isPastDeadline(nowMs)) return false
         if (state.health.allowedRequests(nowMs) <= state.ownInFlight) return false
-        val slackMs = request.dueAtMs - nowMs
-        val needed =
-            when {
-                slackMs < URGENT_SLACK_MS -> -URGENT_EXCESS
-                slackMs < PATIENT_SLACK_MS -> 1.0
-                else -> 1.0 + PATIENT_RESERVE
-            }
-        return state.room(nowMs) >= minOf(needed, state.limit.limit)
+        val room = state.room(lane.fleetShare, nowMs)
+        if (room <= 0) return false
+        if (request.dueAtMs - nowMs >= PATIENT_SLACK_MS && room <= PATIENT_RESERVE * lane.fleetShare) return false
+        if (request.item.prefixHashes.isEmpty() || state.idleShare(nowMs) > IDLE_SHARE || !request.canChoose(nowMs)) return true
+        val affine = request.affineServers(nowMs) { selector.affine(open, request.item, nowMs) }
+        return affine.isEmpty() || state.id in affine
     }
 
     private fun dropDeadWork(
@@ -209,8 +209,15 @@
             val dropAt = request.dropAtMs ?: error("a request without drop time is in the drop order")
             if (dropAt > nowMs) return
             dequeue(request)
-            val past = request.item.deadlineAtMs?.let { it <= nowMs } ?: false
-            val refusal = if (past) Refusal(RefusalReason.DEADLINE_PAST, "the deadline passed in the queue") else admission.expired()
+            val refusal =
+                if (request.isPastDeadline(
+                        nowMs,
+                    )
+                ) {
+                    Refusal(RefusalReason.DEADLINE_PAST, "the deadline passed in the queue")
+                } else {
+                    admission.expired()
+                }
             actions += SchedulerAction.Drop(request.item.requestId, refusal)
         }
     }
@@ -224,7 +231,8 @@
         if (state == null || request.firstTokenAtMs != null) return
         state.onFirstToken(request, nowMs)
         val elapsedMs = nowMs - request.startedAtMs
-        state.limit.onFirstToken(elapsedMs, request.estimate.firstTokenMs, request.loadAtStart, nowMs)
+        val workClass = workClasses[request.item.workClassId] ?: defaultWorkClass(request.item.workClassId)
+        state.limit.onFirstToken(elapsedMs, workClass.firstTokenTargetMs, request.loadAtStart, nowMs)
         lane.estimator.onFirstToken(request.item, request.predictedCachedTokens, elapsedMs)
     }
 
@@ -257,7 +265,7 @@
         if (state == null) return
         state.end(request, answered = kind == FailureKind.REFUSED_BUSY, nowMs)
         state.health.onFailure(kind, nowMs)
-        if (kind == FailureKind.REFUSED_BUSY) state.limit.onRefusedBusy(request.loadAtStart, nowMs)
+        if (kind == FailureKind.REFUSED_BUSY) state.limit.onRefusedBusy(state.ownInFlight + 1, nowMs)
     }
 
     private fun observeCache(
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/QueuedRequest.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/QueuedRequest.kt
@@ -1,14 +1,17 @@
 package org.lycheemount.scheduling
 
+import org.lycheemount.common.BackendServerId
 import org.lycheemount.config.WorkClass
 
+private const val AFFINITY_REFRESH_MS = 500L
+private const val CHOICE_SLACK_SHARE = 0.5
+
 /**
  * A request that waits for a backend server.
  *
  * @property sequence order of submission, which breaks ties.
  * @property serviceMs expected time on a backend server.
- * @property dueAtMs latest start that is expected to meet the targets; the queue is ordered by it.
- * @property dropAtMs start of the time at which the request is dead work; null for work that must finish and has no deadline.
+ * @property predictedWaitMs expected time in the queue when the request was accepted.
  */
 internal class QueuedRequest(
     val item: WorkItem,
@@ -16,9 +19,31 @@
     val sequence: Long,
     val submittedAtMs: Long,
     val serviceMs: Double,
-    val dueAtMs: Long,
-    val dropAtMs: Long?,
+    private val latestStart: LatestStart,
     val predictedWaitMs: Double,
 ) : Comparable<QueuedRequest> {
+    val dueAtMs: Long get() = latestStart.dueAtMs
+    val dropAtMs: Long? get() = latestStart.dropAtMs
+
+    private var affineServers: Set<BackendServerId> = emptySet()
+    private var affineAtMs = Long.MIN_VALUE / 2
+
+    /** Servers that hold most of the prompt's prefix; looked up anew by [find] when the last look is old. */
+    fun affineServers(
+        nowMs: Long,
+        find: () -> Set<BackendServerId>,
+    ): Set<BackendServerId> {
+        if (nowMs - affineAtMs >= AFFINITY_REFRESH_MS) {
+            affineServers = find()
+            affineAtMs = nowMs
+        }
+        return affineServers
+    }
+
+    /** Whether the request has used up so little of its slack that it can wait for a better server. */
+    fun canChoose(nowMs: Long): Boolean = dueAtMs - nowMs > CHOICE_SLACK_SHARE * (dueAtMs - submittedAtMs)
+
+    fun isPastDeadline(nowMs: Long): Boolean = item.deadlineAtMs?.let { it <= nowMs } ?: false
+
     override fun compareTo(other: QueuedRequest): Int = compareValuesBy(this, other, QueuedRequest::dueAtMs, QueuedRequest::sequence)
 }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
@@ -1,10 +1,12 @@
 package org.lycheemount.scheduling
 
+import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.ZoneId
 import kotlin.random.Random
 
 // One hop between zones costs about 1 ms each way, so the zone only decides between otherwise equal servers.
 private const val OTHER_ZONE_MS = 2.0
+private const val AFFINE_SHARE = 0.7
 
 /** A server together with the cost of sending one request there. */
 internal class ScoredServer(
@@ -22,9 +24,9 @@
  * @property bandShare servers within this share of the best cost count as equally good.
  */
 internal data class SelectorWeights(
-    val load: Double = 0.5,
-    val prefillSharing: Double = 0.3,
-    val home: Double = 0.3,
+    val load: Double = 0.4,
+    val prefillSharing: Double = 1.0,
+    val home: Double = 0.2,
     val bandShare: Double = 0.1,
 )
 
@@ -54,6 +56,18 @@
         return if (first.costMs <= second.costMs) first else second
     }
 
+    /** Servers among [candidates] that hold most of the cached prefix of [item], or its home when none holds any. */
+    fun affine(
+        candidates: List<ServerState>,
+        item: WorkItem,
+        nowMs: Long,
+    ): Set<BackendServerId> {
+        val matched = candidates.associate { it.id to it.prefixes.matchedBlocks(item.prefixHashes, nowMs) }
+        val most = matched.values.maxOrNull() ?: 0
+        if (most == 0) return setOfNotNull(homeOf(candidates, item)?.id)
+        return matched.filterValues { it >= AFFINE_SHARE * most }.keys
+    }
+
     private fun score(
         state: ServerState,
         isHome: Boolean,
@@ -69,7 +83,8 @@
         val queueMs = estimator.prefillMs(state.pendingPrefillTokens)
         val sharedMs = weights.prefillSharing * load * (estimator.prefillMs(uncached) - estimator.prefillMs(0))
         val loadMs = weights.load * relativeLoad * maxOf(estimate.serviceMs, 1.0)
-        val homeMs = if (isHome) weights.home * (estimator.prefillMs(item.promptTokens) - estimator.prefillMs(0)) else 0.0
+        val wholePrefillMs = estimator.prefillMs(item.promptTokens) - estimator.prefillMs(0)
+        val homeMs = if (isHome) weights.home * (1 + weights.prefillSharing * load) * wholePrefillMs else 0.0
         val zoneMs = if (state.server.zoneId == zoneId) 0.0 else OTHER_ZONE_MS
         val slowness = maxOf(1.0, state.health.slowness)
         val costMs = slowness * (estimate.firstTokenMs + queueMs + sharedMs + loadMs) - homeMs + zoneMs
