Test the budgets under random faults and adversarial reclaims

Cause: the bound on spend must hold in every order of faults. Change: random traces of requests, top-ups, deaths, restarts, pauses, partitions, lost answers, late commits and late, lost or duplicated messages, compared with an exact central ledger after each step; tests of the reclaim rule. Transfers to a receiver that ended are given up, so that a donor can still return its grant; a drain waits 5 s for answers. Conclusion: no overspend and no bill lost that two routers held.

--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetMaintenance.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetMaintenance.kt
@@ -106,12 +106,13 @@
     private suspend fun askLoop() =
         coroutineScope {
             while (isActive) {
-                for (account in parts.accounts.all()) if (!tableWork.draining) askPeers(account)
-                parts.signals.awaitAsk(ASK_PASS_MS)
+                val lacking = if (tableWork.draining) emptyList() else parts.accounts.all().filter { askPeers(it) }
+                parts.signals.awaitAsk(if (lacking.isEmpty()) ASK_IDLE_MS else ASK_PASS_MS)
             }
         }
 
-    private suspend fun askPeers(account: BudgetAccount) {
+    /** Asks peers for what [account] lacks or will lack during an outage; true while it does. */
+    private suspend fun askPeers(account: BudgetAccount): Boolean {
         val nowMs = clock.monotonicMs()
         val planned =
             synchronized(account) {
@@ -119,19 +120,21 @@
                 val ahead = if (tableWork.inOutage) plannedTransferTokens(account.meter, account.usableTokens(nowMs), options) else 0
                 val fromTable = !tableWork.inOutage && (account.budgetRow?.unallocatedTokens ?: Long.MAX_VALUE) >= lacking
                 val soon = fromTable && nowMs - account.wantedSinceMs < TABLE_FIRST_MS
-                if (lacking == 0L && ahead == 0L) return
-                if (soon || nowMs < account.nextAskAtMs || account.knownExhausted(account.wantedTokens, nowMs)) return
+                if (lacking == 0L && ahead == 0L) return false
+                if (soon || nowMs < account.nextAskAtMs || account.knownExhausted(account.wantedTokens, nowMs)) return true
                 ahead + lacking * PLANNED_FACTOR
             }
         val promised = parts.transfers.askPeers(account, planned)
         synchronized(account) { account.noteAsked(clock.monotonicMs(), promised > 0) }
+        return true
     }
 
     private companion object {
         private const val DRAIN_PASS_MS = 50L
         private const val REPLICATE_RETRY_MS = 500L
         private const val TRANSFER_RETRY_MS = 1_000L
-        private const val ASK_PASS_MS = 100L
+        private const val ASK_PASS_MS = 50L
+        private const val ASK_IDLE_MS = 1_000L
         private const val FIRST_RESERVATION_TOKENS = 2_000L
         private const val PLANNED_FACTOR = 4L
 
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
@@ -14,10 +14,11 @@
  * @property ledger reservations and settlements of requests.
  * @property maintenance background work, to be started and drained by the owner; also waits for tokens.
  */
-class BudgetModule(
+class BudgetModule internal constructor(
     val ledger: BudgetLedger,
     val maintenance: BudgetMaintenance,
     val stateDump: StateDumpSource,
+    internal val parts: BudgetParts,
 )
 
 /** Creates the ledger of the router [peers] belongs to; nothing runs before [BudgetMaintenance.start]. */
@@ -51,6 +52,7 @@
         ledger,
         BudgetMaintenance(parts, TableWork(parts, clock, options, random), clock, options, log),
         BudgetStateDump(parts, session, clock),
+        parts,
     )
 }
 
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableWork.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableWork.kt
@@ -15,6 +15,7 @@
     private var nextAttemptAtMs = 0L
     private var nextVmListAtMs = 0L
     private var failures = 0
+    private var drainingSinceMs: Long? = null
 
     /** Completes once all bills are written and all grants returned. */
     val drained = CompletableDeferred<Unit>()
@@ -53,6 +54,7 @@
             if (!parts.flusher.flush()) return false
             nextFlushAtMs = nowMs + flushDelayMs()
         }
+        parts.transfers.abandonLost { parts.reclaimer.isGone(it.vmId) || drainedFor(nowMs) > DRAIN_TRANSFER_MS }
         for (account in parts.accounts.all()) if (!reduce(account, nowMs)) return false
         return parts.reclaimer.reclaimIfDue() && parts.replicas.writeDue()
     }
@@ -89,6 +91,12 @@
         return !parts.writer.inDoubt
     }
 
+    private fun drainedFor(nowMs: Long): Long {
+        if (!draining) return 0
+        if (drainingSinceMs == null) drainingSinceMs = nowMs
+        return nowMs - (drainingSinceMs ?: nowMs)
+    }
+
     /** A backlog is written faster than usual, but at a bounded rate. */
     private fun flushDelayMs(): Long {
         val backlog = parts.bills.size() > options.billsPerTransaction
@@ -100,6 +108,9 @@
 
     private companion object {
         private const val MAX_DOUBLINGS = 5
+
+        /** Time for peers to answer transfers before a draining router returns its grants without their answer. */
+        private const val DRAIN_TRANSFER_MS = 5_000L
         private const val KNOWLEDGE_INTERVAL_MS = 1_000L
         private const val WANT_MEMORY_MS = 3_000L
         private const val BACKLOG_SPEEDUP = 4L
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TransferDesk.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TransferDesk.kt
@@ -54,6 +54,18 @@
         return promised
     }
 
+    /**
+     * Gives up transfers whose receiver ended, as [isGone] or a newer process of it shows. Whether they were applied is unknown, so
+     * their tokens stay charged as sent.
+     */
+    fun abandonLost(isGone: (RouterIdentity) -> Boolean) {
+        val connected = peers.connectedPeers().associateBy { it.routerId }
+        for (transfer in outgoing.values.sortedBy { it.sequence }) {
+            val replaced = (connected[transfer.to.routerId]?.incarnation ?: 0) > transfer.to.incarnation
+            if (replaced || isGone(transfer.to)) finish(transfer, TransferAnswer.OTHER_INCARNATION)
+        }
+    }
+
     /** Sends every unanswered transfer that has no message under way, each on its own so that no peer delays another. */
     fun sendOpenTransfers(scope: CoroutineScope) {
         for (transfer in outgoing.values.filter { !it.underWay }.sortedBy { it.sequence }) {
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.plus
 import kotlinx.coroutines.test.TestCoroutineScheduler
+import kotlinx.coroutines.test.TestDispatcher
 import kotlinx.coroutines.test.TestScope
 import org.lycheemount.common.BackendTarget
 import org.lycheemount.common.BudgetId
@@ -23,6 +24,7 @@
 import org.lycheemount.testing.FakeTableLink
 import org.lycheemount.testing.FakeTableService
 import org.lycheemount.testing.FakeVmDirectory
+import kotlin.coroutines.ContinuationInterceptor
 import kotlin.random.Random
 
 internal val BUDGET = BudgetId("assessments")
@@ -50,9 +52,11 @@
     fun start(
         name: String,
         incarnation: Long = 1,
+        vmName: String = "vm-$name-$incarnation",
+        listed: Boolean = true,
     ): Router {
-        val identity = RouterIdentity(RouterId(name), VmId("vm-$name-$incarnation"), RegionId("region"), ZoneId("zone"), incarnation)
-        return Router(identity).also { routers[name] = it }
+        val identity = RouterIdentity(RouterId(name), VmId(vmName), RegionId("region"), ZoneId("zone"), incarnation)
+        return Router(identity, listed).also { routers[name] = it }
     }
 
     suspend fun fund(
@@ -72,18 +76,22 @@
 
     inner class Router(
         val identity: RouterIdentity,
+        listed: Boolean,
     ) {
         private val job = Job(scope.coroutineContext[Job])
-        private val ownScope = scope + job
+        val dispatcher = PausableDispatcher(dispatcherOf(scope))
+        private val ownScope = scope + job + dispatcher
+        val messenger = FaultyMessenger(network.join(identity), scope, ownScope, Random(seed + identity.hashCode()))
         val link = FakeTableLink(table, scope, random = Random(seed + identity.incarnation.toInt()))
         private val module =
-            createBudgetLedgerModule(link, vms, network.join(identity), clock, SilentLog, options, Random(seed + identity.hashCode()))
+            createBudgetLedgerModule(link, vms, messenger, clock, SilentLog, options, Random(seed + identity.hashCode()))
+        val parts = module.parts
         val ledger = module.ledger
         val maintenance = module.maintenance
         val dump = module.stateDump
 
         init {
-            vms.add(identity)
+            if (listed) vms.add(identity)
             module.maintenance.start(ownScope)
         }
 
@@ -133,6 +141,8 @@
     }
 }
 
+private fun dispatcherOf(scope: CoroutineScope) = scope.coroutineContext[ContinuationInterceptor] as TestDispatcher
+
 internal fun charge(tokens: Long) = Charge(TeamId("team"), BackendTarget.Model(ModelId("loft-model")), 0, tokens)
 
 internal object SilentLog : EventLog {
--- /dev/null
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/FaultyMessenger.kt
@@ -0,0 +1,50 @@
+package org.lycheemount.budget
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.lycheemount.common.RouterId
+import org.lycheemount.peer.PeerChannel
+import org.lycheemount.peer.PeerHandler
+import org.lycheemount.peer.PeerMessenger
+import org.lycheemount.peer.PeerReply
+import kotlin.random.Random
+
+/** Delays some messages far beyond their timeout, so that they arrive late and out of order, and delivers some of them twice. */
+internal class FaultyMessenger(
+    private val inner: PeerMessenger,
+    private val networkScope: CoroutineScope,
+    private val routerScope: CoroutineScope,
+    private val random: Random,
+) : PeerMessenger by inner {
+    var lateShare = 0.0
+
+    override suspend fun call(
+        to: RouterId,
+        channel: PeerChannel,
+        payload: ByteArray,
+        timeoutMs: Long,
+    ): PeerReply {
+        val late = random.nextDouble() < lateShare
+        if (late) {
+            val lateByMs = random.nextLong(1, LATE_MS)
+            networkScope.launch {
+                delay(lateByMs)
+                inner.call(to, channel, payload, timeoutMs)
+            }
+            if (random.nextBoolean()) return PeerReply.Unknown
+        }
+        return inner.call(to, channel, payload, timeoutMs)
+    }
+
+    /** A handler runs on the router's own coroutines: a message to a paused router is handled after the pause. */
+    override fun register(
+        channel: PeerChannel,
+        handler: PeerHandler,
+    ) = inner.register(channel) { from, payload -> routerScope.async { handler.handle(from, payload) }.await() }
+
+    private companion object {
+        private const val LATE_MS = 60_000L
+    }
+}
--- /dev/null
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/RandomFaultTest.kt
@@ -0,0 +1,218 @@
+package org.lycheemount.budget
+
+import kotlinx.coroutines.delay
+import org.lycheemount.common.BudgetId
+import org.lycheemount.common.RequestId
+import org.lycheemount.common.RouterIdentity
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** The exact ledger that the distributed one is compared with: one memory, no faults. */
+internal class CentralLedger {
+    var limitTokens = 0L
+    val used = HashMap<RequestId, Long>()
+
+    fun check(budget: String) = check(used.values.sum() <= limitTokens) { "$budget used ${used.values.sum()} of $limitTokens" }
+}
+
+/** Random requests and faults in any order; each trace is repeated by its seed. */
+class RandomFaultTest {
+    @Test
+    fun `no fault overspends, doubles a bill or loses one that two routers held`() {
+        for (seed in 1..SEEDS) fleetTest(BudgetOptions(expectedOutageMs = 600_000), seed) { Trace(it, seed).run() }
+    }
+
+    private class Trace(
+        private val fleet: BudgetFleet,
+        private val seed: Int,
+    ) {
+        private val random = Random(seed)
+        private val budgets = listOf(BUDGET, BudgetId("orders"))
+        private val central = budgets.associateWith { CentralLedger() }
+        private val open = mutableListOf<OpenRequest>()
+        private val settled = HashMap<RequestId, Bill>()
+        private val heldOnlyBy = HashMap<RequestId, RouterIdentity?>()
+        private val dead = mutableSetOf<RouterIdentity>()
+        private var requests = 0
+        private var topUps = 0
+        private var incarnations = 1L
+
+        suspend fun run() {
+            for (budget in budgets) {
+                fleet.administration.create(budget)
+                topUp(budget, 200_000)
+            }
+            repeat(ROUTERS) { fleet.start("router$it") }
+            repeat(STEPS) { step ->
+                act()
+                delay(random.nextLong(1, if (random.nextInt(20) == 0) 200_000 else 3_000))
+                checkInvariants("seed $seed step $step")
+            }
+            heal()
+            delay(500_000)
+            checkInvariants("seed $seed healed")
+            checkBilledOnce()
+            open.toList().forEach { finish(it) }
+            for (router in fleet.routers.values.toList()) {
+                assertTrue(
+                    router.maintenance.drain(),
+                    "seed $seed drain ${router.dump.dumpState()}",
+                )
+            }
+            checkInvariants("seed $seed drained")
+        }
+
+        private suspend fun act() {
+            when (random.nextInt(24)) {
+                in 0..9 -> repeat(random.nextInt(1, 12)) { startRequest() }
+                in 10..13 -> open.shuffled(random).take(6).forEach { finish(it) }
+                14 -> anyRouter()?.link?.run { cut = !cut }
+                15 -> cutNetwork()
+                16 -> fleet.network.heal()
+                17 -> killOne()
+                18 -> startOne()
+                19 -> anyRouter()?.dispatcher?.run { if (paused) resume() else pause() }
+                20 -> topUp(budgets.random(random), random.nextLong(1, 50_000))
+                21 -> fleet.table.available = !fleet.table.available
+                22 -> loseMessages()
+                23 ->
+                    anyRouter()?.link?.run {
+                        lostAnswerShare = random.nextDouble(0.6)
+                        lateCommitShare = random.nextDouble(0.4)
+                    }
+            }
+        }
+
+        private fun startRequest() {
+            val router = anyRouter() ?: return
+            if (router.dispatcher.paused) return
+            val budget = budgets.random(random)
+            val id = RequestId("request${requests++}")
+            val worst = random.nextLong(1, if (random.nextInt(6) == 0) 30_000 else 2_000)
+            val outcome = router.ledger.reserveUpTo(id, budget, worst / 4, worst, fleet.clock.monotonicMs())
+            if (outcome !is ReservationOutcome.Reserved) return
+            central.getValue(budget).used[id] = outcome.reservedTokens
+            open += OpenRequest(id, budget, router, outcome.reservedTokens)
+        }
+
+        /** A request of a dead router is never finished; its whole reservation counts as used, because an engine may have run it. */
+        private fun finish(request: OpenRequest) {
+            if (request.router.identity in dead || request.router.dispatcher.paused) return
+            val nowMs = fleet.clock.monotonicMs()
+            val ledger = request.router.ledger
+            if (random.nextInt(4) == 0) {
+                val extended = ledger.extend(request.id, random.nextLong(1, 2_000), nowMs)
+                if (extended is ReservationOutcome.Reserved) request.reserved = extended.reservedTokens
+            }
+            open -= request
+            if (random.nextInt(8) == 0) {
+                ledger.release(request.id, nowMs)
+                central.getValue(request.budget).used -= request.id
+                return
+            }
+            val bill = ledger.settle(request.id, charge(random.nextLong(request.reserved + 1)), nowMs)
+            assertEquals(bill, ledger.settle(request.id, charge(0), nowMs))
+            settled[request.id] = bill
+            central.getValue(request.budget).used[request.id] = bill.charge.totalTokens
+        }
+
+        private suspend fun topUp(
+            budget: BudgetId,
+            tokens: Long,
+        ) {
+            val id = "topup${topUps++}"
+            val first = fleet.administration.topUp(budget, id, tokens)
+            fleet.administration.topUp(budget, id, tokens)
+            if (first is BudgetChange.Applied) central.getValue(budget).limitTokens += tokens
+        }
+
+        private fun cutNetwork() {
+            val names =
+                fleet.routers.values
+                    .map { it.identity.routerId }
+                    .shuffled(random)
+            fleet.network.cut(names.take(names.size / 2), names.drop(names.size / 2))
+        }
+
+        private suspend fun killOne() {
+            if (fleet.routers.size <= 2) return
+            val router = anyRouter() ?: return
+            val keeper = router.parts.replication.keeper
+            for (bill in router.parts.bills.all()) heldOnlyBy[bill.bill.requestId] = keeper.takeIf { bill.replicated }
+            dead += router.identity
+            if (random.nextBoolean()) return router.killAndUnlist(random.nextLong(1, 180_000))
+            router.kill()
+            fleet.start(router.identity.routerId.value, ++incarnations, router.identity.vmId.value)
+        }
+
+        private fun startOne() {
+            if (fleet.routers.size < ROUTERS) fleet.start("router${ROUTERS + requests}", ++incarnations)
+        }
+
+        private fun loseMessages() {
+            fleet.network.lossShare = random.nextDouble(0.5)
+            fleet.network.duplicateShare = random.nextDouble(0.5)
+            fleet.routers.values.forEach { it.messenger.lateShare = random.nextDouble(0.5) }
+        }
+
+        private fun heal() {
+            fleet.table.available = true
+            fleet.network.heal()
+            fleet.network.lossShare = 0.0
+            for (router in fleet.routers.values) {
+                router.dispatcher.resume()
+                router.messenger.lateShare = 0.0
+                router.link.run {
+                    cut = false
+                    lostAnswerShare = 0.0
+                    lateCommitShare = 0.0
+                }
+            }
+        }
+
+        private suspend fun checkInvariants(at: String) {
+            for ((budget, ledger) in central) ledger.check("$at ${budget.value}")
+            if (!fleet.table.available) return
+            for (budget in budgets) checkTable(budget, at)
+        }
+
+        private suspend fun checkTable(
+            budget: BudgetId,
+            at: String,
+        ) {
+            val status = fleet.status(budget)
+            val accounted = status.unallocatedTokens + status.closedTokens + status.transferTokens + status.grantedTokens
+            assertEquals(status.limitTokens, accounted, "$at sum of ${budget.value}")
+            assertTrue(status.unallocatedTokens >= 0, "$at unallocated of ${budget.value}")
+            assertEquals(central.getValue(budget).limitTokens, status.limitTokens, "$at limit")
+            for ((id, bill) in fleet.writtenBills(budget)) assertEquals(settled.getValue(id), bill, "$at bill")
+        }
+
+        private suspend fun checkBilledOnce() {
+            val written = budgets.flatMap { fleet.writtenBills(it).keys }.toSet()
+            val missing = settled.keys - written
+            val excused = missing.filter { it in heldOnlyBy && (heldOnlyBy[it] == null || heldOnlyBy[it] in dead) }
+            assertEquals(emptySet(), missing - excused.toSet(), "seed $seed lost bills")
+        }
+
+        private fun anyRouter() =
+            fleet.routers.values
+                .toList()
+                .randomOrNull(random)
+    }
+
+    private class OpenRequest(
+        val id: RequestId,
+        val budget: BudgetId,
+        val router: BudgetFleet.Router,
+        var reserved: Long,
+    )
+
+    private companion object {
+        private const val SEEDS = 12
+        private const val STEPS = 250
+        private const val ROUTERS = 5
+    }
+}
