Add membership: evidence about routers, heartbeats and neighbours

Cause: forwarding, pushing and reclaiming need to know what is certain about a router. Change: process/membership holds a pure table of evidence (heard recently, silent, leaving, gone, replaced) from the VM list, heartbeats and incarnations; EvidenceUse names what each use requires. Heartbeats carry the configuration sequence. Wiring: MembershipService(messenger, vmDirectory, clock, log, listener).start(scope); its listener passes the VM list, the peers for DefaultPeerMessenger.setPeers and the sequences for ConfigurationService.onPeerSequence. watch(feature, routers) keeps links that a feature needs, such as a claims pair.

--- /dev/null
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/MembershipService.kt
@@ -0,0 +1,191 @@
+package org.lycheemount.membership
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.StateDumpSource
+import org.lycheemount.common.VmId
+import org.lycheemount.peer.PeerChannel
+import org.lycheemount.peer.PeerMessenger
+import org.lycheemount.platform.RouterVm
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.VmDirectory
+import org.lycheemount.platform.VmList
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.random.Random
+
+/** Receives what membership learns. Calls come from the service's scope and must return quickly. */
+interface MembershipListener {
+    /** A new VM list was taken. */
+    fun onVmList(list: VmList) {}
+
+    /** The routers that can be called, and those of them to which a link is to be kept. */
+    fun onPeers(
+        known: List<RouterVm>,
+        neighbours: Set<RouterId>,
+    ) {}
+
+    /** A heartbeat said that [from] holds configuration up to [sequence]. */
+    fun onConfigurationSequence(
+        from: RouterId,
+        sequence: Long,
+    ) {}
+}
+
+/**
+ * Reads the VM list, exchanges heartbeats with neighbours and keeps the evidence. Safe to call from any thread.
+ *
+ * @param configurationSequence sequence that heartbeats carry.
+ */
+class MembershipService(
+    private val messenger: PeerMessenger,
+    private val vmDirectory: VmDirectory,
+    private val clock: Clock,
+    private val log: EventLog,
+    private val listener: MembershipListener,
+    private val settings: MembershipSettings = MembershipSettings(),
+    private val random: Random = Random.Default,
+    private val configurationSequence: () -> Long = { 0 },
+) : StateDumpSource {
+    private val table = MembershipTable(messenger.self, settings)
+    private val watched = ConcurrentHashMap<String, Set<RouterId>>()
+
+    @Volatile
+    private var neighbours: Set<RouterId> = emptySet()
+
+    @Volatile
+    private var listedRouters = 1
+
+    override val name: String = "membership"
+
+    /** Registers the heartbeat channel and starts reading the list and sending heartbeats in [scope]. */
+    fun start(scope: CoroutineScope) {
+        messenger.register(heartbeatChannel) { from, payload ->
+            onHeartbeat(from, payload)
+            null
+        }
+        scope.launch { readVmLists() }
+        scope.launch { sendHeartbeats() }
+    }
+
+    /** Routers in the newest list, this one included. */
+    fun routerCount(): Int = listedRouters
+
+    /** Routers to which links are kept. */
+    fun neighbours(): Set<RouterId> = neighbours
+
+    /** Keeps links to [routers] as well, for [feature]; replaces what the feature watched before. */
+    fun watch(
+        feature: String,
+        routers: Set<RouterId>,
+    ) {
+        watched[feature] = routers
+        updatePeers()
+    }
+
+    /** Returns what is known of the process [identity]. */
+    fun evidence(identity: RouterIdentity): Evidence = synchronized(table) { table.evidence(identity, clock.monotonicMs()) }
+
+    /** Returns what is known of the VM [vmId], or null when it has never been seen. */
+    fun evidence(vmId: VmId): Evidence? = synchronized(table) { table.evidence(vmId, clock.monotonicMs()) }
+
+    /** Returns the members whose evidence is sufficient for [use]. */
+    fun membersFor(use: EvidenceUse): List<Member> = synchronized(table) { table.membersFor(use, clock.monotonicMs()) }
+
+    /** Returns the neighbours, and the routers that chose this one, whose evidence is sufficient for [EvidenceUse.PUSH]. */
+    fun pushTargets(): List<RouterId> {
+        val usable = membersFor(EvidenceUse.PUSH).mapNotNull { it.identity?.routerId ?: it.vm?.routerId }.toSet()
+        return (neighbours + recentlyHeard()).filter { it in usable }
+    }
+
+    /** Notes any other authenticated message of [from] as a sign of life. */
+    fun onHeard(from: RouterIdentity): Boolean = synchronized(table) { table.onHeard(from, clock.monotonicMs()) }
+
+    override fun dumpState(): JsonObject =
+        buildJsonObject {
+            put("listed_routers", listedRouters)
+            put("neighbours", neighbours.size)
+            putJsonArray("members") {
+                for (member in synchronized(table) { table.members(clock.monotonicMs()) }) {
+                    addJsonObject {
+                        put("router_id", (member.identity?.routerId ?: member.vm?.routerId)?.value)
+                        put("vm_id", (member.identity?.vmId ?: member.vm?.vmId)?.value)
+                        put("zone_id", (member.identity?.zoneId ?: member.vm?.zoneId)?.value)
+                        put("incarnation", member.identity?.incarnation)
+                        put("evidence", member.evidence.name.lowercase())
+                        put("silent_ms", member.silentMs)
+                    }
+                }
+            }
+        }
+
+    private suspend fun readVmLists() {
+        while (true) {
+            try {
+                takeList(vmDirectory.list())
+            } catch (cancelled: CancellationException) {
+                throw cancelled
+            } catch (failure: Exception) {
+                log.warn("vm_list_failed", "error" to failure.toString())
+            }
+            delay(settings.vmListMs * 3 / 4 + random.nextLong(settings.vmListMs / 2))
+        }
+    }
+
+    private fun takeList(result: TableResult<VmList>) {
+        if (result !is TableResult.Answered) return
+        synchronized(table) { table.onVmList(result.value, clock.monotonicMs()) }
+        listedRouters = maxOf(1, result.value.routers.size)
+        updatePeers()
+        listener.onVmList(result.value)
+    }
+
+    private fun updatePeers() {
+        val known = membersFor(EvidenceUse.PUSH).mapNotNull { it.vm }
+        val places = known.map { MemberPlace(it.routerId, it.regionId) } + MemberPlace(messenger.self.routerId, messenger.self.regionId)
+        val chosen = selectNeighbours(places.last(), places.distinctBy { it.routerId }, settings.fullMeshUpTo)
+        neighbours = chosen + watched.values.flatten().filter { id -> known.any { it.routerId == id } }
+        listener.onPeers(known, neighbours)
+    }
+
+    private fun onHeartbeat(
+        from: RouterIdentity,
+        payload: ByteArray,
+    ) {
+        val heartbeat = cbor.decodeFromByteArray(Heartbeat.serializer(), payload)
+        if (onHeard(from)) listener.onConfigurationSequence(from.routerId, heartbeat.configurationSequence)
+    }
+
+    private suspend fun sendHeartbeats() {
+        while (true) {
+            delay(settings.heartbeatMs * 3 / 4 + random.nextLong(settings.heartbeatMs / 2))
+            val payload = cbor.encodeToByteArray(Heartbeat.serializer(), Heartbeat(configurationSequence()))
+            (neighbours + recentlyHeard()).forEach { messenger.send(it, heartbeatChannel, payload) }
+        }
+    }
+
+    /** Routers that chose this one as a neighbour expect its heartbeats even when the choice is not mutual. */
+    private fun recentlyHeard(): List<RouterId> = membersFor(EvidenceUse.FORWARDING).mapNotNull { it.identity?.routerId }
+
+    private companion object {
+        private val heartbeatChannel = PeerChannel("hb")
+        private val cbor = Cbor { ignoreUnknownKeys = true }
+    }
+}
+
+@Serializable
+internal data class Heartbeat(
+    @kotlinx.serialization.SerialName("c") val configurationSequence: Long,
+)
