--- /dev/null
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -0,0 +1,191 @@
+package org.lycheemount.app.router
+
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.json.Json
+import org.lycheemount.backend.BackendHttp
+import org.lycheemount.backend.DefaultModelEngineClient
+import org.lycheemount.backend.DefaultPlainServiceClient
+import org.lycheemount.budget.BudgetOptions
+import org.lycheemount.budget.createBudgetLedgerModule
+import org.lycheemount.caller.BackendObserver
+import org.lycheemount.caller.CallerInterface
+import org.lycheemount.caller.CallerLimits
+import org.lycheemount.caller.CallerServices
+import org.lycheemount.caller.DrainState
+import org.lycheemount.caller.WorkDispatcher
+import org.lycheemount.common.DefaultClock
+import org.lycheemount.common.DefaultEventLog
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.config.ConfigurationSnapshot
+import org.lycheemount.config.ConfigurationView
+import org.lycheemount.peer.socket.DefaultPeerMessenger
+import org.lycheemount.peer.socket.PeerEndpoint
+import org.lycheemount.peer.socket.PeerSecret
+import org.lycheemount.peer.socket.ReloadingTlsContext
+import org.lycheemount.peer.socket.TlsFiles
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.http.createPlatformClients
+import org.lycheemount.scheduling.createRequestScheduler
+import org.lycheemount.settings.RouterSettings
+import org.lycheemount.stream.StreamTimeouts
+import java.nio.file.Path
+import kotlin.io.path.readBytes
+import kotlin.io.path.readText
+
+/** One router: creates the parts by [settings], connects them, starts them and ends them in order. */
+class RouterProcess(
+    private val settings: RouterSettings,
+) {
+    private val clock = DefaultClock()
+    private val eventLog = DefaultEventLog("router")
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val identity =
+        RouterIdentity(settings.routerId, settings.vmId, settings.regionId, settings.zoneId, incarnation = clock.wallClockMs())
+    private val platform =
+        settings.platform.run { createPlatformClients(tableUrl, objectStoreUrl, vmListUrl, weightStoreUrl, callTimeoutMs) }
+    private val backendHttp = BackendHttp()
+    private val engine = DefaultModelEngineClient(backendHttp)
+    private val plainServices = DefaultPlainServiceClient(backendHttp)
+    private val dispatcher = WorkDispatcher(createRequestScheduler(settings.zoneId, seed = identity.incarnation), clock)
+    private val observer = BackendObserver(platform.vmDirectory, engine, plainServices, dispatcher, eventLog)
+    private val drain = DrainState()
+    private val peers = DefaultPeerMessenger(identity, PeerSecret(Path.of(settings.peerSecretFile).readBytes()), eventLog, tls = peerTls())
+    private val budgets = createBudgetLedgerModule(platform.table, platform.vmDirectory, peers, clock, eventLog, budgetOptions())
+    private val configuration = readConfiguration()
+    private val callers = CallerInterface(callerServices())
+    private val server = createServer()
+
+    /** Starts all parts and returns the port of the callers' interface. */
+    suspend fun start(): Int {
+        dispatcher.start(scope)
+        observer.start(scope)
+        peers.start(scope, settings.peers.host, settings.peers.port)
+        scope.launch { linkPeers() }
+        scope.launch { prepareBudgets() }
+        budgets.maintenance.start(scope)
+        server.start(wait = false)
+        val port =
+            server.engine
+                .resolvedConnectors()
+                .first()
+                .port
+        eventLog.info("router_started", "router_id" to identity.routerId.value, "callers_port" to port)
+        return port
+    }
+
+    /** Fails readiness, refuses new work, lets every request in progress finish and ends all parts. */
+    suspend fun stop() {
+        eventLog.info("drain_started", "requests_in_progress" to drain.requestsInProgress)
+        drain.announce()
+        delay(settings.requests.drainNoticeMs)
+        drain.begin()
+        drain.awaitIdle()
+        budgets.maintenance.drain()
+        server.stop(STOP_GRACE_MS, STOP_TIMEOUT_MS)
+        scope.cancel()
+        backendHttp.close()
+        platform.close()
+        eventLog.info("router_stopped", "router_id" to identity.routerId.value)
+    }
+
+    private fun callerServices() =
+        CallerServices(
+            clock = clock,
+            configuration = configuration,
+            ledger = budgets.ledger,
+            replenisher = budgets.maintenance,
+            claims = TemporaryClaims(),
+            dispatcher = dispatcher,
+            engine = engine,
+            plainServices = plainServices,
+            peers = peers,
+            eventLog = eventLog,
+            metricsRegistry = PrometheusRegistry(),
+            scope = scope,
+            drain = drain,
+            limits = callerLimits(),
+            stateSources = listOf(budgets.stateDump, peers),
+            notReadyReasons = { if (observer.hasList) emptyList() else listOf("vm_list_not_read") },
+        )
+
+    private suspend fun linkPeers() {
+        while (true) {
+            val list = platform.vmDirectory.list()
+            if (list is TableResult.Answered) {
+                val endpoints = list.value.routers.map { PeerEndpoint(it.routerId, it.vmId, it.host, it.peerPort) }
+                peers.setPeers(endpoints, endpoints.mapTo(HashSet()) { it.routerId })
+            }
+            delay(PEER_INTERVAL_MS)
+        }
+    }
+
+    private suspend fun prepareBudgets() {
+        while (true) {
+            budgets.maintenance.prepare(
+                configuration
+                    .current()
+                    .teams.values
+                    .mapTo(HashSet()) { it.budgetId },
+            )
+            delay(PEER_INTERVAL_MS)
+        }
+    }
+
+    private fun budgetOptions() =
+        settings.budget.run {
+            BudgetOptions(expectedOutageMs, outageGraceMs, driftMarginMs = outageGraceMs / 10, flushIntervalMs = flushIntervalMs)
+        }
+
+    private fun peerTls() =
+        settings.peers.tls?.let {
+            ReloadingTlsContext(
+                TlsFiles(Path.of(it.certificateFile), Path.of(it.privateKeyFile), Path.of(it.trustedCertificatesFile)),
+                eventLog,
+            )
+        }
+
+    private fun callerLimits() =
+        settings.requests.run {
+            CallerLimits(
+                maxBodyBytes,
+                bodyTimeoutMs,
+                serviceTimeoutMs,
+                reservationStepTokens,
+                StreamTimeouts(firstChunkTimeoutMs, chunkTimeoutMs),
+            )
+        }
+
+    private fun readConfiguration(): ConfigurationView {
+        val file = settings.configurationFile ?: return ConfigurationView { ConfigurationSnapshot() }
+        val snapshot = Json.decodeFromString<ConfigurationSnapshot>(Path.of(file).readText())
+        return ConfigurationView { snapshot }
+    }
+
+    private fun createServer(): EmbeddedServer<*, *> =
+        embeddedServer(
+            CIO,
+            configure = {
+                connector {
+                    host = settings.callers.host
+                    port = settings.callers.port
+                }
+            },
+        ) { callers.installInto(this) }
+
+    private companion object {
+        // No request is in progress any more; the grace only lets last bytes leave.
+        private const val STOP_GRACE_MS = 100L
+        private const val STOP_TIMEOUT_MS = 1_000L
+        private const val PEER_INTERVAL_MS = 1_000L
+    }
+}
