Give patient work home servers of its own

Cause: prefills of long prompts delay the first tokens of urgent requests on the same engine by up to a second. Change: homes of prefixes are split by patience of the class in proportion to the learned share of work; homes follow from all open servers, not from those that happen to have room.

--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -158,9 +158,11 @@
         while (lane.queue.size > 0) {
             val open = servers.values.filter { lane.target in it.server.targets && it.isOpen(nowMs) }
             if (open.isEmpty()) return
-            val request = lane.queue.select { candidate -> open.any { takes(it, lane, open, candidate, nowMs) } } ?: return
-            val choice =
-                selector.choose(open.filter { takes(it, lane, open, request, nowMs) }, request.item, lane.estimator, nowMs) ?: return
+            val homes = HomeServers(open, lane.patientShare)
+            val request = lane.queue.select { takers(open, homes, lane, it, nowMs).isNotEmpty() } ?: return
+            val takers = takers(open, homes, lane, request, nowMs)
+            val home = homes.homeOf(request.item, request.isPatient)
+            val choice = selector.choose(takers, home, request.item, lane.estimator, nowMs) ?: return
             actions += start(lane, request, choice, nowMs)
         }
     }
@@ -183,21 +185,33 @@
         return SchedulerAction.Start(item.requestId, choice.state.id, priority)
     }
 
-    private fun takes(
+    /** Servers among [open] where [request] may start now. */
+    private fun takers(
+        open: List<ServerState>,
+        homes: HomeServers,
+        lane: TargetQueue,
+        request: QueuedRequest,
+        nowMs: Long,
+    ): List<ServerState> {
+        val withRoom = open.filter { hasRoom(it, lane, request, nowMs) }
+        if (withRoom.isEmpty() || request.item.prefixHashes.isEmpty() || !request.canChoose(nowMs)) return withRoom
+        val affine =
+            request.affineServers(nowMs) {
+                selector.affine(open, homes.homeOf(request.item, request.isPatient), request.item, nowMs)
+            }
+        return withRoom.filter { it.id in affine || it.idleShare(nowMs) > IDLE_SHARE }
+    }
+
+    private fun hasRoom(
         state: ServerState,
         lane: TargetQueue,
-        open: List<ServerState>,
         request: QueuedRequest,
         nowMs: Long,
     ): Boolean {
         if (state.id in request.item.excludedServers || request.isPastDeadline(nowMs)) return false
         if (state.health.allowedRequests(nowMs) <= state.ownInFlight) return false
         val room = state.room(lane.fleetShare, nowMs)
-        if (room <= 0) return false
-        if (request.dueAtMs - nowMs >= PATIENT_SLACK_MS && room <= PATIENT_RESERVE * lane.fleetShare) return false
-        if (request.item.prefixHashes.isEmpty() || state.idleShare(nowMs) > IDLE_SHARE || !request.canChoose(nowMs)) return true
-        val affine = request.affineServers(nowMs) { selector.affine(open, request.item, nowMs) }
-        return affine.isEmpty() || state.id in affine
+        return room > if (request.dueAtMs - nowMs >= PATIENT_SLACK_MS) PATIENT_RESERVE * lane.fleetShare else 0.0
     }
 
     private fun dropDeadWork(
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
@@ -42,13 +42,13 @@
      */
     fun choose(
         candidates: List<ServerState>,
+        home: BackendServerId?,
         item: WorkItem,
         estimator: ServiceEstimator,
         nowMs: Long,
     ): ScoredServer? {
         if (candidates.isEmpty()) return null
-        val home = homeOf(candidates, item)
-        val scored = candidates.map { score(it, it === home, item, estimator, nowMs) }
+        val scored = candidates.map { score(it, it.id == home, item, estimator, nowMs) }
         val best = scored.minOf { it.costMs }
         val band = scored.filter { it.costMs <= best + maxOf(OTHER_ZONE_MS, weights.bandShare * best) }
         val first = band[random.nextInt(band.size)]
@@ -56,15 +56,16 @@
         return if (first.costMs <= second.costMs) first else second
     }
 
-    /** Servers among [candidates] that hold most of the cached prefix of [item], or its home when none holds any. */
+    /** Servers among [open] that hold most of the cached prefix of [item], or its [home] when none holds any. */
     fun affine(
-        candidates: List<ServerState>,
+        open: List<ServerState>,
+        home: BackendServerId?,
         item: WorkItem,
         nowMs: Long,
     ): Set<BackendServerId> {
-        val matched = candidates.associate { it.id to it.prefixes.matchedBlocks(item.prefixHashes, nowMs) }
+        val matched = open.associate { it.id to it.prefixes.matchedBlocks(item.prefixHashes, nowMs) }
         val most = matched.values.maxOrNull() ?: 0
-        if (most == 0) return setOfNotNull(homeOf(candidates, item)?.id)
+        if (most == 0) return setOfNotNull(home)
         return matched.filterValues { it >= AFFINE_SHARE * most }.keys
     }
 
@@ -90,29 +91,4 @@
         val costMs = slowness * (estimate.firstTokenMs + queueMs + sharedMs + loadMs) - homeMs + zoneMs
         return ScoredServer(state, matched, costMs)
     }
-
-    /** All routers agree on the home of a prefix without talking, so that its first requests meet on one server. */
-    private fun homeOf(
-        candidates: List<ServerState>,
-        item: WorkItem,
-    ): ServerState? {
-        val root = item.prefixHashes.firstOrNull() ?: return null
-        return candidates.maxByOrNull {
-            mix(
-                root xor
-                    mix(
-                        it.id.value
-                            .hashCode()
-                            .toLong(),
-                    ),
-            )
-        }
-    }
-
-    private fun mix(value: Long): Long {
-        var mixed = value * -0x61c8864680b583ebL
-        mixed = (mixed xor (mixed ushr 30)) * -0x40a7b892e31b1a47L
-        mixed = (mixed xor (mixed ushr 27)) * -0x6b2fb644ecceee15L
-        return mixed xor (mixed ushr 31)
-    }
 }
