Place models under a lease with a fencing token

Cause: engines need commands that stay right when holders pause, operators race, or engines ignore the token. Change: a pure planner names one command at a time; the controller renews the lease, observes, checks the lease directly before the command, and observes again. Failure found by its test: a load that did not show yet was sent to the same engine up to 16 times; engines that load are no candidates any more. Conclusion: both kinds of engines end in the desired state in the tests.

--- /dev/null
+++ b/process/placement/src/main/kotlin/org/lycheemount/placement/PlacementLease.kt
@@ -0,0 +1,82 @@
+package org.lycheemount.placement
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.lycheemount.common.Clock
+import org.lycheemount.common.RouterId
+import org.lycheemount.platform.CommitOutcome
+import org.lycheemount.platform.RowCheck
+import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.TableRow
+import org.lycheemount.platform.TableService
+import org.lycheemount.platform.TableTransaction
+
+private const val LEASE_MS = 15_000L
+
+// Covers the drift between this VM's clock and the table's over one lease.
+private const val DRIFT_MARGIN_MS = 1_000L
+
+/** Row of a placement lease. */
+@Serializable
+internal data class LeaseRow(
+    val holder: String,
+    val fencingToken: Long,
+    val expiresAtTableTimeMs: Long,
+)
+
+/**
+ * Lease on the placement of one model in one zone.
+ *
+ * The fencing token grows with each change of holder, and with each renewal by a holder whose own lease had run out.
+ */
+internal class PlacementLease(
+    private val key: String,
+    private val routerId: RouterId,
+    private val table: TableService,
+    private val clock: Clock,
+    private val nextTransactionId: () -> String,
+) {
+    private var heldUntilMs = Long.MIN_VALUE
+    private var lastToken = 0L
+
+    /** Token of the lease while this router holds it, or null. Checked directly before each command. */
+    fun heldToken(): Long? = lastToken.takeIf { clock.monotonicMs() < heldUntilMs }
+
+    /** Acquires or renews the lease and returns whether it is held. A lost answer counts as not held until the next call. */
+    suspend fun acquire(): Boolean {
+        val startedAtMs = clock.monotonicMs()
+        val snapshot = (table.read(listOf(key)) as? TableResult.Answered)?.value ?: return heldToken() != null
+        val row = snapshot.find(key)
+        val lease = row?.let(::decode)
+        if (lease != null && lease.holder != routerId.value && lease.expiresAtTableTimeMs > snapshot.tableTimeMs) {
+            heldUntilMs = Long.MIN_VALUE
+            return false
+        }
+        val continued = lease != null && lease.holder == routerId.value && heldToken() == lease.fencingToken
+        val token = if (lease != null && continued) lease.fencingToken else (lease?.fencingToken ?: 0) + 1
+        val next = LeaseRow(routerId.value, token, snapshot.tableTimeMs + LEASE_MS)
+        if (!commit(row, next)) return heldToken() != null
+        lastToken = token
+        // Counted from before the read, so that this router stops before the table lets another one start.
+        heldUntilMs = startedAtMs + LEASE_MS - DRIFT_MARGIN_MS
+        return heldToken() != null
+    }
+
+    /** Stops to act on the lease because an engine has seen a newer token. */
+    fun drop() {
+        heldUntilMs = Long.MIN_VALUE
+    }
+
+    private suspend fun commit(
+        previous: TableRow?,
+        next: LeaseRow,
+    ): Boolean {
+        val write = RowWrite(key, Json.encodeToString(LeaseRow.serializer(), next))
+        val transaction = TableTransaction(nextTransactionId(), listOf(RowCheck(key, previous?.version ?: 0)), listOf(write))
+        val result = table.commit(transaction)
+        return result is TableResult.Answered && result.value is CommitOutcome.Committed
+    }
+
+    private fun decode(row: TableRow) = Json.decodeFromString(LeaseRow.serializer(), row.value)
+}
--- /dev/null
+++ b/process/placement/src/main/kotlin/org/lycheemount/placement/PlacementPlanner.kt
@@ -0,0 +1,90 @@
+package org.lycheemount.placement
+
+import org.lycheemount.common.BackendServerId
+
+/**
+ * Compares the observed engines of a zone with the goal for one model and names the next command, or null when the zone
+ * is as desired. Pure.
+ *
+ * One command at a time: the caller observes again after each one, so a command that an engine ignored, or that another
+ * controller undid, is planned again.
+ */
+internal class PlacementPlanner {
+    /** @param loading engines whose load of the model has been accepted but does not show yet. */
+    fun next(
+        goal: PlacementGoal,
+        engines: List<ObservedEngine>,
+        loading: Set<BackendServerId>,
+    ): PlacementCommand? {
+        val usable = engines.filterNot { it.leaving }.sortedBy { it.backendServerId.value }
+        val current = usable.filter { it.loadedModels[goal.modelId] == goal.version }
+        val outdated = usable.filter { it.loadedModels[goal.modelId].let { version -> version != null && version != goal.version } }
+        val settled = outdated.filterNot { it.backendServerId in loading }
+        return firstOf(
+            { updateOutdated(goal, current, settled, loading) },
+            {
+                addCopy(
+                    goal,
+                    usable.filterNot { it.backendServerId in loading },
+                    current.size + outdated.size + loadingElsewhere(usable, goal, loading),
+                )
+            },
+            { loadAdapter(goal, current, loading) },
+            { removeCopy(goal, current, settled) },
+        )
+    }
+
+    private inline fun firstOf(vararg steps: () -> PlacementCommand?): PlacementCommand? = steps.firstNotNullOfOrNull { it() }
+
+    /** Replaces one old version at a time while other copies serve; the only copy serves until its load is complete. */
+    private fun updateOutdated(
+        goal: PlacementGoal,
+        current: List<ObservedEngine>,
+        outdated: List<ObservedEngine>,
+        loading: Set<BackendServerId>,
+    ): PlacementCommand? {
+        if (goal.copies <= current.size || loading.isNotEmpty()) return null
+        val engine = outdated.firstOrNull() ?: return null
+        return PlacementCommand.Load(engine.backendServerId, goal.modelId, goal.version)
+    }
+
+    private fun addCopy(
+        goal: PlacementGoal,
+        idle: List<ObservedEngine>,
+        copies: Int,
+    ): PlacementCommand? {
+        if (copies >= goal.copies) return null
+        val free = idle.filter { goal.modelId !in it.loadedModels && it.loadedModels.size < it.modelPlaces }
+        return free.minByOrNull { it.loadedModels.size }?.let { PlacementCommand.Load(it.backendServerId, goal.modelId, goal.version) }
+    }
+
+    private fun loadAdapter(
+        goal: PlacementGoal,
+        current: List<ObservedEngine>,
+        loading: Set<BackendServerId>,
+    ): PlacementCommand? {
+        for (engine in current.filterNot { it.backendServerId in loading }) {
+            val missing = goal.adapters - engine.loadedAdapters[goal.modelId].orEmpty()
+            val adapter = missing.minOrNull() ?: continue
+            return PlacementCommand.Load(engine.backendServerId, goal.modelId, goal.version, adapter)
+        }
+        return null
+    }
+
+    /** A copy goes only when enough current ones are seen to serve, so the last copy of a needed model always stays. */
+    private fun removeCopy(
+        goal: PlacementGoal,
+        current: List<ObservedEngine>,
+        outdated: List<ObservedEngine>,
+    ): PlacementCommand? {
+        if (current.size < goal.copies) return null
+        val surplus = outdated.firstOrNull() ?: current.takeIf { it.size > goal.copies }?.last() ?: return null
+        return PlacementCommand.Unload(surplus.backendServerId, goal.modelId, surplus.loadedModels.getValue(goal.modelId))
+    }
+
+    private fun loadingElsewhere(
+        usable: List<ObservedEngine>,
+        goal: PlacementGoal,
+        loading: Set<BackendServerId>,
+    ) = usable.count { it.backendServerId in loading && goal.modelId !in it.loadedModels }
+}
--- /dev/null
+++ b/process/placement/src/test/kotlin/org/lycheemount/placement/FakeEngineFleet.kt
@@ -0,0 +1,73 @@
+package org.lycheemount.placement
+
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.ModelId
+import org.lycheemount.common.ZoneId
+
+/** Engines that apply commands at once, unless told to load slowly. */
+internal class FakeEngineFleet(
+    engineCount: Int,
+    private val checksTokens: Boolean = true,
+    private val modelPlaces: Int = 1,
+) : EngineFleet {
+    private val models = (0 until engineCount).associate { BackendServerId("engine-$it") to HashMap<ModelId, String>() }
+    private val highestTokens = HashMap<BackendServerId, Long>()
+    private val deferred = ArrayList<() -> Unit>()
+
+    /** Runs once before the next command takes effect. */
+    var beforeNextCommand: (suspend () -> Unit)? = null
+
+    /** While true, loads show only after [finishLoads]. */
+    var slowLoads = false
+    val commands = ArrayList<PlacementCommand>()
+
+    /** Fewest engines that served any version of a model after a command. */
+    var fewestServing = Int.MAX_VALUE
+        private set
+
+    fun loaded(
+        index: Int,
+        modelId: ModelId,
+    ): String? = models.getValue(BackendServerId("engine-$index"))[modelId]
+
+    fun preload(
+        index: Int,
+        modelId: ModelId,
+        version: String,
+    ) {
+        models.getValue(BackendServerId("engine-$index"))[modelId] = version
+    }
+
+    fun finishLoads() {
+        deferred.forEach { it() }
+        deferred.clear()
+    }
+
+    override suspend fun observe(zoneId: ZoneId): List<ObservedEngine> =
+        models.map { (id, loaded) -> ObservedEngine(id, leaving = false, loadedModels = loaded.toMap(), modelPlaces = modelPlaces) }
+
+    override suspend fun send(
+        command: PlacementCommand,
+        fencingToken: Long,
+    ): CommandResult {
+        beforeNextCommand?.let {
+            beforeNextCommand = null
+            it()
+        }
+        val id = command.backendServerId
+        if (checksTokens && fencingToken < (highestTokens[id] ?: 0)) return CommandResult.StaleToken
+        highestTokens.merge(id, fencingToken, ::maxOf)
+        commands += command
+        when (command) {
+            is PlacementCommand.Load -> load(command)
+            is PlacementCommand.Unload -> models.getValue(id).remove(command.modelId)
+        }
+        fewestServing = minOf(fewestServing, models.values.count { command.modelId in it })
+        return CommandResult.Accepted
+    }
+
+    private fun load(command: PlacementCommand.Load) {
+        val apply = { models.getValue(command.backendServerId)[command.modelId] = command.version }
+        if (slowLoads) deferred += apply else apply()
+    }
+}
