Wire membership and the table's configuration into the router

Cause: routers took their configuration only from a file and linked to every listed router by a loop of their own. Change: ControlParts connects MembershipService, ConfigurationService and the peer links; heartbeats carry the configuration sequence; the state dump and readiness show both.

--- /dev/null
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/ControlParts.kt
@@ -0,0 +1,77 @@
+package org.lycheemount.app.router
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.serialization.json.Json
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.StateDumpSource
+import org.lycheemount.config.ConfigurationPeers
+import org.lycheemount.config.ConfigurationReadiness
+import org.lycheemount.config.ConfigurationService
+import org.lycheemount.config.ConfigurationSnapshot
+import org.lycheemount.config.ConfigurationView
+import org.lycheemount.membership.MembershipListener
+import org.lycheemount.membership.MembershipService
+import org.lycheemount.peer.socket.DefaultPeerMessenger
+import org.lycheemount.peer.socket.PeerEndpoint
+import org.lycheemount.platform.RouterVm
+import org.lycheemount.platform.TableService
+import org.lycheemount.platform.VmDirectory
+import java.nio.file.Path
+import kotlin.io.path.readText
+
+/**
+ * Membership and configuration of this router, connected with each other and with the peer links.
+ *
+ * @param configurationFile replaces the table's configuration by a fixed snapshot; null in production.
+ */
+internal class ControlParts(
+    table: TableService,
+    vmDirectory: VmDirectory,
+    private val peers: DefaultPeerMessenger,
+    clock: Clock,
+    eventLog: EventLog,
+    configurationFile: String?,
+) : MembershipListener,
+    ConfigurationPeers {
+    private val fixed = configurationFile?.let { Json.decodeFromString<ConfigurationSnapshot>(Path.of(it).readText()) }
+    val configurationService = ConfigurationService(table, peers, this, clock, eventLog)
+    val membership: MembershipService =
+        MembershipService(peers, vmDirectory, clock, eventLog, this, configurationSequence = { configuration.current().sequence })
+
+    /** Configuration in force in this process. */
+    val configuration: ConfigurationView = fixed?.let { snapshot -> ConfigurationView { snapshot } } ?: configurationService
+
+    /** Parts of the process's state dump. */
+    val stateSources: List<StateDumpSource> = listOf(peers, membership, configurationService)
+
+    /** Starts the background work in [scope]. */
+    fun start(scope: CoroutineScope) {
+        membership.start(scope)
+        if (fixed == null) configurationService.start(scope)
+    }
+
+    /** Reasons for which the router cannot serve yet. */
+    fun notReadyReasons(): List<String> {
+        if (fixed != null) return emptyList()
+        val readiness = configurationService.readiness() as? ConfigurationReadiness.NotReady ?: return emptyList()
+        return listOf("no_configuration: ${readiness.reason}")
+    }
+
+    override fun onPeers(
+        known: List<RouterVm>,
+        neighbours: Set<RouterId>,
+    ) = peers.setPeers(known.map { PeerEndpoint(it.routerId, it.vmId, it.host, it.peerPort) }, neighbours)
+
+    override fun onConfigurationSequence(
+        from: RouterId,
+        sequence: Long,
+    ) {
+        if (fixed == null) configurationService.onPeerSequence(from, sequence)
+    }
+
+    override fun routerCount(): Int = membership.routerCount()
+
+    override fun pushTargets(): List<RouterId> = membership.pushTargets()
+}
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -11,7 +11,6 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.serialization.json.Json
 import org.lycheemount.backend.BackendHttp
 import org.lycheemount.backend.DefaultModelEngineClient
 import org.lycheemount.backend.DefaultPlainServiceClient
@@ -26,21 +25,16 @@
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.common.DefaultEventLog
 import org.lycheemount.common.RouterIdentity
-import org.lycheemount.config.ConfigurationSnapshot
-import org.lycheemount.config.ConfigurationView
 import org.lycheemount.peer.socket.DefaultPeerMessenger
-import org.lycheemount.peer.socket.PeerEndpoint
 import org.lycheemount.peer.socket.PeerSecret
 import org.lycheemount.peer.socket.ReloadingTlsContext
 import org.lycheemount.peer.socket.TlsFiles
-import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.http.createPlatformClients
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.settings.RouterSettings
 import org.lycheemount.stream.StreamTimeouts
 import java.nio.file.Path
 import kotlin.io.path.readBytes
-import kotlin.io.path.readText
 
 /** One router: creates the parts by [settings], connects them, starts them and ends them in order. */
 class RouterProcess(
@@ -61,7 +55,9 @@
     private val drain = DrainState()
     private val peers = DefaultPeerMessenger(identity, PeerSecret(Path.of(settings.peerSecretFile).readBytes()), eventLog, tls = peerTls())
     private val budgets = createBudgetLedgerModule(platform.table, platform.vmDirectory, peers, clock, eventLog, budgetOptions())
-    private val configuration = readConfiguration()
+    private val control =
+        ControlParts(platform.table, platform.vmDirectory, peers, clock, eventLog, settings.configurationFile)
+    private val configuration = control.configuration
     private val callers = CallerInterface(callerServices())
     private val server = createServer()
 
@@ -70,7 +66,7 @@
         dispatcher.start(scope)
         observer.start(scope)
         peers.start(scope, settings.peers.host, settings.peers.port)
-        scope.launch { linkPeers() }
+        control.start(scope)
         scope.launch { prepareBudgets() }
         budgets.maintenance.start(scope)
         server.start(wait = false)
@@ -114,21 +110,10 @@
             scope = scope,
             drain = drain,
             limits = callerLimits(),
-            stateSources = listOf(budgets.stateDump, peers),
-            notReadyReasons = { if (observer.hasList) emptyList() else listOf("vm_list_not_read") },
+            stateSources = control.stateSources + budgets.stateDump,
+            notReadyReasons = { control.notReadyReasons() + if (observer.hasList) emptyList() else listOf("vm_list_not_read") },
         )
 
-    private suspend fun linkPeers() {
-        while (true) {
-            val list = platform.vmDirectory.list()
-            if (list is TableResult.Answered) {
-                val endpoints = list.value.routers.map { PeerEndpoint(it.routerId, it.vmId, it.host, it.peerPort) }
-                peers.setPeers(endpoints, endpoints.mapTo(HashSet()) { it.routerId })
-            }
-            delay(PEER_INTERVAL_MS)
-        }
-    }
-
     private suspend fun prepareBudgets() {
         while (true) {
             budgets.maintenance.prepare(
@@ -165,12 +150,6 @@
             )
         }
 
-    private fun readConfiguration(): ConfigurationView {
-        val file = settings.configurationFile ?: return ConfigurationView { ConfigurationSnapshot() }
-        val snapshot = Json.decodeFromString<ConfigurationSnapshot>(Path.of(file).readText())
-        return ConfigurationView { snapshot }
-    }
-
     private fun createServer(): EmbeddedServer<*, *> =
         embeddedServer(
             CIO,
