Add bin/measure budgets

Cause: overspend and false refusals are the measured properties of the budgets. Change: five scenarios of both deployments in virtual time, with the real ledger and two baselines on the same trace. A refusal or truncation is false when an exact ledger without faults, which charges the actual use at admission, admits the request.

--- /dev/null
+++ b/measure/src/main/kotlin/org/lycheemount/measure/budgets/BudgetPolicy.kt
@@ -0,0 +1,108 @@
+package org.lycheemount.measure.budgets
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.plus
+import kotlinx.coroutines.test.TestCoroutineScheduler
+import org.lycheemount.common.Clock
+
+/** How one request ended. */
+internal enum class ServedAs { COMPLETE, TRUNCATED, REFUSED }
+
+/** Time and coroutines of one run, all on virtual time. */
+internal class SimWorld(
+    val scheduler: TestCoroutineScheduler,
+    val scope: CoroutineScope,
+    val deployment: Deployment,
+    val usage: Usage,
+) {
+    val clock =
+        object : Clock {
+            override fun monotonicMs() = scheduler.currentTime
+
+            override fun wallClockMs() = WALL_CLOCK_START_MS + scheduler.currentTime
+        }
+    private val jobs = List(deployment.routers) { Job(scope.coroutineContext[Job]) }
+    val liveRouters = (0 until deployment.routers).toMutableList()
+
+    fun routerScope(router: Int): CoroutineScope = scope + jobs[router]
+
+    fun kill(router: Int) {
+        liveRouters -= router
+        jobs[router].cancel()
+    }
+
+    companion object {
+        const val TOKEN_MS = 25L
+        private const val WALL_CLOCK_START_MS = 1_700_000_000_000
+    }
+}
+
+/** Tokens that engines have generated, against the prepaid limit of each team. */
+internal class Usage(
+    private val limits: LongArray,
+) {
+    private val used = LongArray(limits.size)
+
+    /** Greatest excess of a team so far. */
+    var overspendTokens = 0L
+        private set
+
+    fun topUp(
+        team: Int,
+        tokens: Long,
+    ) {
+        limits[team] += tokens
+    }
+
+    fun use(
+        team: Int,
+        tokens: Long,
+    ) {
+        used[team] += tokens
+        overspendTokens = maxOf(overspendTokens, used[team] - limits[team])
+    }
+
+    fun usedOf(team: Int): Long = used[team]
+
+    fun limitOf(team: Int): Long = limits[team]
+}
+
+internal class BillCounts(
+    val lost: Int,
+    val doubled: Int,
+)
+
+/** A way of keeping budgets, run over the same trace as the others. */
+internal interface BudgetPolicy {
+    suspend fun start(limits: List<Long>)
+
+    /** Serves [request] at [router] from admission to settlement. Cancelled when the router dies. */
+    suspend fun serve(
+        router: Int,
+        request: SimRequest,
+    ): ServedAs
+
+    fun kill(router: Int)
+
+    fun setOutage(down: Boolean)
+
+    fun setPartition(
+        routers: List<Int>,
+        cut: Boolean,
+    )
+
+    suspend fun topUp(
+        team: Int,
+        topUpId: String,
+        tokens: Long,
+    )
+
+    /** Tokens of [team] that a live router or the table can still give to requests. */
+    suspend fun availableTokens(team: Int): Long
+
+    val tableWrites: Int
+
+    /** Compares the bills with the requests that were settled. */
+    suspend fun billCounts(): BillCounts
+}
