Add the administration API with keys, roles and one error shape

Cause: operators need to change and inspect the fleet over HTTP. Wiring: AdminInterface(AdminServices(...)).installInto(application) on the admin listener. Conclusion: nothing is half applied; a refusal names field and accepted range.

--- /dev/null
+++ b/request/admin/src/main/kotlin/org/lycheemount/admin/AdminInterface.kt
@@ -0,0 +1,191 @@
+package org.lycheemount.admin
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.path
+import io.ktor.server.response.header
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.delete
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.put
+import io.ktor.server.routing.route
+import io.ktor.server.routing.routing
+import kotlinx.coroutines.CancellationException
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.lycheemount.common.BudgetId
+import org.lycheemount.common.TeamId
+import org.lycheemount.config.ItemEdit
+import org.lycheemount.config.ItemKey
+import org.lycheemount.config.ItemKind
+
+/** The administration API. Every answer is JSON; every error has the shape of [AdminError]. */
+class AdminInterface(
+    private val services: AdminServices,
+) {
+    private val authenticator = AdminAuthenticator(services.keys)
+    private val reader = RequestReader(services.maxBodyBytes)
+    private val items = ItemHandler(services.configuration)
+    private val teamKeys = TeamKeyHandler(services.configuration, items)
+    private val budgets = BudgetHandler(services.budgets, services.configuration)
+    private val status = StatusHandler(services)
+
+    /** Adds the routes to [application]. */
+    fun installInto(application: Application) {
+        application.routing {
+            route("/admin/v1") {
+                itemRoutes()
+                budgetRoutes()
+                operationRoutes()
+            }
+            route("{...}") { handle { answer(call, AdminRole.READ) { notFound("no such operation") } } }
+        }
+    }
+
+    private fun Route.itemRoutes() {
+        get("/items") { answer(call, AdminRole.READ) { items.list(call.request.queryParameters["kind"]) } }
+        get("/items/{kind}/{id}") { answer(call, AdminRole.READ) { withKey(call) { items.get(it) } } }
+        put("/items/{kind}/{id}") {
+            answer(call, AdminRole.OPERATOR) { key -> withBody(call) { body -> edit(call, key, body) } }
+        }
+        delete("/items/{kind}/{id}") { answer(call, AdminRole.OPERATOR) { key -> edit(call, key, body = null) } }
+        post("/changes") {
+            answer(call, AdminRole.OPERATOR) { key -> withBody(call) { items.changeMany(key.name, it, validateOnly = false) } }
+        }
+        post("/validate") { answer(call, AdminRole.READ) { key -> withBody(call) { items.changeMany(key.name, it, validateOnly = true) } } }
+        get("/history") {
+            answer(call, AdminRole.READ) {
+                withLong(call, "after", 0L..Long.MAX_VALUE, 0) { after ->
+                    withLong(call, "limit", 1L..MAX_PAGE, DEFAULT_PAGE) { items.history(after, it) }
+                }
+            }
+        }
+        post("/teams/{id}/keys") {
+            val team = TeamId(call.parameters["id"].orEmpty())
+            answer(call, AdminRole.TEAM_ADMIN, team) { teamKeys.create(it.name, team) }
+        }
+        delete("/teams/{id}/keys/{sha256}") {
+            val team = TeamId(call.parameters["id"].orEmpty())
+            answer(call, AdminRole.TEAM_ADMIN, team) { teamKeys.revoke(it.name, team, call.parameters["sha256"].orEmpty()) }
+        }
+    }
+
+    private fun Route.budgetRoutes() {
+        get("/budgets") { answer(call, AdminRole.READ) { budgets.list() } }
+        get("/budgets/{id}") { answer(call, AdminRole.READ) { budgets.get(budgetId(call)) } }
+        put("/budgets/{id}") { answer(call, AdminRole.OPERATOR) { budgets.create(budgetId(call)) } }
+        post("/budgets/{id}/top-ups") { answer(call, AdminRole.OPERATOR) { withBody(call) { budgets.topUp(budgetId(call), it) } } }
+        get("/budgets/{id}/bills") {
+            answer(call, AdminRole.READ) {
+                withLong(call, "limit", 1L..MAX_PAGE, DEFAULT_PAGE) {
+                    budgets.bills(budgetId(call), call.request.queryParameters["after"], it)
+                }
+            }
+        }
+    }
+
+    private fun Route.operationRoutes() {
+        get("/status") { answer(call, AdminRole.READ) { status.status() } }
+        get("/state") { answer(call, AdminRole.READ) { ok(services.dumpState()) } }
+        post("/republish") {
+            answer(call, AdminRole.OPERATOR) { items.republish(it.name, call.request.queryParameters["changeId"]) }
+        }
+        post("/drain") {
+            answer(call, AdminRole.OPERATOR) {
+                services.eventLog.info("drain_requested", "operator" to it.name)
+                services.startDrain()
+                ok(buildJsonObject { put("draining", true) })
+            }
+        }
+    }
+
+    private suspend fun edit(
+        call: ApplicationCall,
+        key: AdminKey,
+        body: JsonObject?,
+    ): AdminReply =
+        withKey(call) { itemKey ->
+            withLong(call, "expectedVersion", 0L..Long.MAX_VALUE, default = null) { version ->
+                items.change(key.name, call.request.queryParameters["changeId"], listOf(ItemEdit(itemKey, version, body)))
+            }
+        }
+
+    private suspend fun withKey(
+        call: ApplicationCall,
+        work: suspend (ItemKey) -> AdminReply,
+    ): AdminReply {
+        val kind = ItemKind.find(call.parameters["kind"].orEmpty()) ?: return unknownKind()
+        return work(ItemKey(kind, call.parameters["id"].orEmpty()))
+    }
+
+    private suspend fun withBody(
+        call: ApplicationCall,
+        work: suspend (JsonObject) -> AdminReply,
+    ): AdminReply =
+        when (val body = reader.jsonObject(call)) {
+            is Read.Value -> work(body.value)
+            is Read.Refused -> body.reply
+        }
+
+    private suspend fun withLong(
+        call: ApplicationCall,
+        name: String,
+        range: LongRange,
+        default: Long?,
+        work: suspend (Long) -> AdminReply,
+    ): AdminReply =
+        when (val value = call.queryLong(name, range, default)) {
+            is Read.Value -> work(value.value)
+            is Read.Refused -> value.reply
+        }
+
+    private fun budgetId(call: ApplicationCall) = BudgetId(call.parameters["id"].orEmpty())
+
+    /** Answers [call] if its key allows [needed]; a fault of one request stays with that request. */
+    private suspend fun answer(
+        call: ApplicationCall,
+        needed: AdminRole,
+        team: TeamId? = null,
+        work: suspend (AdminKey) -> AdminReply,
+    ) {
+        val key = authenticator.authenticate(call.request.headers[HttpHeaders.Authorization])
+        val reply =
+            when {
+                key == null -> failed(HttpStatusCode.Unauthorized, AdminError.Detail("unauthenticated", "no known key"))
+                !key.allows(needed, team) -> forbidden()
+                else -> guarded(key, work)
+            }
+        val operator = key?.name ?: "none"
+        val path = call.request.path()
+        val method = call.request.httpMethod.value
+        services.eventLog.info("admin_request", "method" to method, "path" to path, "operator" to operator, "status" to reply.status.value)
+        reply.retryAfterMs?.let { call.response.header(HttpHeaders.RetryAfter, (it + MS_PER_SECOND - 1) / MS_PER_SECOND) }
+        call.respondText(reply.body.toString(), ContentType.Application.Json, reply.status)
+    }
+
+    private suspend fun guarded(
+        key: AdminKey,
+        work: suspend (AdminKey) -> AdminReply,
+    ): AdminReply =
+        try {
+            work(key)
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (failure: Exception) {
+            services.eventLog.warn("admin_request_failed", "error" to failure.stackTraceToString())
+            failed(HttpStatusCode.InternalServerError, AdminError.Detail("internal", "internal error; read before repeating the change"))
+        }
+
+    private companion object {
+        private const val MAX_PAGE = 500L
+        private const val DEFAULT_PAGE = 100L
+        private const val MS_PER_SECOND = 1_000L
+    }
+}
--- /dev/null
+++ b/request/admin/src/main/kotlin/org/lycheemount/admin/ItemHandler.kt
@@ -0,0 +1,160 @@
+package org.lycheemount.admin
+
+import io.ktor.http.HttpStatusCode
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.lycheemount.config.ChangeOutcome
+import org.lycheemount.config.ChangeRequest
+import org.lycheemount.config.ConfigurationChange
+import org.lycheemount.config.ConfigurationItem
+import org.lycheemount.config.ConfigurationService
+import org.lycheemount.config.FieldError
+import org.lycheemount.config.ItemEdit
+import org.lycheemount.config.ItemKey
+import org.lycheemount.config.ItemKind
+import org.lycheemount.config.validateItem
+import org.lycheemount.platform.TableResult
+import java.util.UUID
+
+/** Reads and changes configuration items. */
+internal class ItemHandler(
+    private val configuration: ConfigurationService,
+) {
+    fun list(kindName: String?): AdminReply {
+        val kind = kindName?.let { ItemKind.find(it) ?: return unknownKind() }
+        val items = configuration.replica.page(null, Int.MAX_VALUE).filter { it.body != null && (kind == null || it.key.kind == kind) }
+        return ok(
+            buildJsonObject {
+                put("sequence", configuration.current().sequence)
+                put("items", JsonArray(items.map(::describe)))
+            },
+        )
+    }
+
+    fun get(key: ItemKey): AdminReply {
+        val item = configuration.replica.find(key)?.takeIf { it.body != null } ?: return notFound("$key does not exist")
+        return ok(describe(item))
+    }
+
+    suspend fun change(
+        operator: String,
+        changeId: String?,
+        edits: List<ItemEdit>,
+    ): AdminReply {
+        val id = changeId ?: UUID.randomUUID().toString()
+        return reply(configuration.store.change(ChangeRequest(id, operator, edits)), id)
+    }
+
+    /** Applies a body of the form `{"changeId": text, "edits": [{"kind", "id", "expectedVersion", "body"}]}` as a whole. */
+    suspend fun changeMany(
+        operator: String,
+        body: JsonObject,
+        validateOnly: Boolean,
+    ): AdminReply {
+        val edits =
+            when (val read = readEdits(body)) {
+                is Read.Value -> read.value
+                is Read.Refused -> return read.reply
+            }
+        if (!validateOnly) return change(operator, body.text("changeId"), edits)
+        val errors =
+            edits.flatMap { edit ->
+                edit.body
+                    ?.let { validateItem(edit.key, it) }
+                    .orEmpty()
+                    .map { it.copy(field = "${edit.key}.${it.field}") }
+            }
+        return if (errors.isEmpty()) ok(buildJsonObject { put("valid", true) }) else invalid(errors)
+    }
+
+    suspend fun republish(
+        operator: String,
+        changeId: String?,
+    ): AdminReply {
+        val id = changeId ?: UUID.randomUUID().toString()
+        return reply(configuration.store.republish(id, operator), id)
+    }
+
+    suspend fun history(
+        after: Long,
+        limit: Long,
+    ): AdminReply =
+        when (val changes = configuration.store.history(after, limit.toInt())) {
+            is TableResult.Answered -> {
+                val list = adminJson.encodeToJsonElement(ListSerializer(ConfigurationChange.serializer()), changes.value)
+                ok(buildJsonObject { put("changes", list) })
+            }
+            is TableResult.Unavailable -> unavailable(changes.detail)
+            is TableResult.Unknown -> unavailable(changes.detail)
+        }
+
+    fun reply(
+        outcome: ChangeOutcome,
+        changeId: String,
+    ): AdminReply =
+        when (outcome) {
+            is ChangeOutcome.Accepted ->
+                ok(
+                    buildJsonObject {
+                        put("changeId", changeId)
+                        put("sequence", outcome.sequence)
+                    },
+                )
+            is ChangeOutcome.Conflict -> conflict(outcome)
+            is ChangeOutcome.Invalid -> invalid(outcome.errors)
+            is ChangeOutcome.Unavailable -> unavailable(outcome.detail, changeId)
+            is ChangeOutcome.Unknown -> outcomeUnknown(outcome.detail, changeId)
+        }
+
+    private fun conflict(outcome: ChangeOutcome.Conflict): AdminReply {
+        val lost = configuration.replica.itemsLostByTable().filter { it in outcome.current }
+        val hint = if (lost.isEmpty()) "" else "; the table was restored and has lost ${lost.joinToString()}: republish first"
+        val versions = outcome.current.map { (key, version) -> AdminError.ItemVersion(key.kind.wireName, key.id, version) }
+        return failed(
+            HttpStatusCode.Conflict,
+            AdminError.Detail("conflict", "nothing was changed: the expected version is not the current one$hint", current = versions),
+        )
+    }
+
+    private fun readEdits(body: JsonObject): Read<List<ItemEdit>> {
+        val unknown = (body.keys - setOf("changeId", "edits")).map { FieldError(it.take(64), "no such field; known: changeId, edits") }
+        val list = body["edits"] as? JsonArray ?: return Read.Refused(invalid(unknown + FieldError("edits", "list of changes")))
+        val errors = unknown.toMutableList()
+        val edits = list.mapIndexedNotNull { index, element -> readEdit("edits[$index]", element, errors) }
+        return if (errors.isEmpty()) Read.Value(edits) else Read.Refused(invalid(errors))
+    }
+
+    private fun readEdit(
+        path: String,
+        element: JsonElement,
+        errors: MutableList<FieldError>,
+    ): ItemEdit? {
+        val source = element as? JsonObject ?: JsonObject(emptyMap())
+        val kind = source.text("kind")?.let(ItemKind::find)
+        val id = source.text("id")
+        val version = source.long("expectedVersion")?.takeIf { it >= 0 }
+        val body = source["body"]
+        if (kind == null) errors += FieldError("$path.kind", acceptedKinds)
+        if (id == null) errors += FieldError("$path.id", "text")
+        if (version == null) errors += FieldError("$path.expectedVersion", "integer from 0 to ${Long.MAX_VALUE}")
+        if (body !is JsonObject && body != JsonNull) errors += FieldError("$path.body", "JSON object, or null to delete the item")
+        return if (kind == null || id == null || version == null) null else ItemEdit(ItemKey(kind, id), version, body as? JsonObject)
+    }
+
+    private fun describe(item: ConfigurationItem) =
+        buildJsonObject {
+            put("kind", item.key.kind.wireName)
+            put("id", item.key.id)
+            put("version", item.version)
+            put("body", item.body ?: JsonNull)
+        }
+}
+
+internal val acceptedKinds = "one of ${ItemKind.entries.joinToString { it.wireName }}"
+
+internal fun unknownKind() = invalid(FieldError("kind", acceptedKinds))
--- /dev/null
+++ b/request/admin/src/main/kotlin/org/lycheemount/admin/TeamKeyHandler.kt
@@ -0,0 +1,60 @@
+package org.lycheemount.admin
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.lycheemount.common.TeamId
+import org.lycheemount.config.ConfigurationService
+import org.lycheemount.config.ItemEdit
+import org.lycheemount.config.ItemKey
+import org.lycheemount.config.ItemKind
+import java.security.SecureRandom
+import java.util.Base64
+
+/** Creates and revokes the bearer keys of teams. A key leaves this class once, in the answer to its creation. */
+internal class TeamKeyHandler(
+    private val configuration: ConfigurationService,
+    private val items: ItemHandler,
+) {
+    suspend fun create(
+        operator: String,
+        teamId: TeamId,
+    ): AdminReply {
+        val key = "lm-" + Base64.getUrlEncoder().withoutPadding().encodeToString(ByteArray(KEY_BYTES).also { random.nextBytes(it) })
+        val hash = sha256Hex(key)
+        val reply = changeHashes(operator, teamId) { it + hash }
+        if (reply.status.value != HTTP_OK) return reply
+        val body = (reply.body as JsonObject) + mapOf("key" to JsonPrimitive(key), "keySha256" to JsonPrimitive(hash))
+        return reply.copy(body = JsonObject(body))
+    }
+
+    suspend fun revoke(
+        operator: String,
+        teamId: TeamId,
+        keySha256: String,
+    ): AdminReply {
+        val held = configuration.replica.find(ItemKey(ItemKind.TEAM, teamId.value))?.body
+        if (held != null && keySha256 !in hashes(held)) return notFound("team ${teamId.value} has no such key")
+        return changeHashes(operator, teamId) { it - keySha256 }
+    }
+
+    private suspend fun changeHashes(
+        operator: String,
+        teamId: TeamId,
+        edit: (List<String>) -> List<String>,
+    ): AdminReply {
+        val key = ItemKey(ItemKind.TEAM, teamId.value)
+        val item = configuration.replica.find(key)
+        val body = item?.body ?: return notFound("$key does not exist")
+        val changed = JsonObject(body + ("keyHashes" to JsonArray(edit(hashes(body)).map(::JsonPrimitive))))
+        return items.change(operator, changeId = null, listOf(ItemEdit(key, item.version, changed)))
+    }
+
+    private fun hashes(body: JsonObject): List<String> = (body["keyHashes"] as? JsonArray).orEmpty().map { (it as JsonPrimitive).content }
+
+    private companion object {
+        private const val KEY_BYTES = 32
+        private const val HTTP_OK = 200
+        private val random = SecureRandom()
+    }
+}
--- /dev/null
+++ b/request/admin/src/test/kotlin/org/lycheemount/admin/AdminInterfaceTest.kt
@@ -0,0 +1,203 @@
+package org.lycheemount.admin
+
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import org.junit.jupiter.api.Nested
+import org.lycheemount.common.TeamId
+import org.lycheemount.config.FieldError
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+private const val TEAM = "/admin/v1/items/team/claims"
+private const val OTHER_TEAM = "/admin/v1/items/team/other"
+
+class AdminInterfaceTest {
+    @Nested
+    inner class `a role` {
+        private val ofOperators =
+            listOf(
+                "PUT" to "$OTHER_TEAM?expectedVersion=0",
+                "DELETE" to "$TEAM?expectedVersion=0",
+                "POST" to "/admin/v1/changes",
+                "PUT" to "/admin/v1/budgets/b",
+                "POST" to "/admin/v1/budgets/b/top-ups",
+                "POST" to "/admin/v1/republish",
+                "POST" to "/admin/v1/drain",
+                "POST" to "/admin/v1/teams/other/keys",
+                "DELETE" to "/admin/v1/teams/other/keys/ab",
+            )
+
+        @Test
+        fun `is refused what is not its own, and nothing changes`() =
+            onAdmin {
+                val version = addTeam()
+                val body = """{"teamId":"other","budgetId":"b"}"""
+
+                for ((method, path) in ofOperators) {
+                    for (key in listOf(
+                        "read-key",
+                        "team-key",
+                    )) {
+                        assertEquals(403, call(method, path, body, key).status, "$key $method $path")
+                    }
+                    for (key in listOf(null, "", "wrong")) assertEquals(401, call(method, path, body, key).status, "$key $method $path")
+                }
+
+                assertEquals(403, call("POST", "/admin/v1/teams/claims/keys", key = "read-key").status)
+                assertEquals(version, configuration.current().sequence)
+                assertEquals(0, drains)
+            }
+
+        @Test
+        fun `of a team admin covers the keys of its own team, shown once and stored as a hash`() =
+            onAdmin {
+                addTeam()
+
+                val created = call("POST", "/admin/v1/teams/claims/keys", key = "team-key")
+                val key =
+                    created.body
+                        .getValue("key")
+                        .jsonPrimitive.content
+                val hash = sha256Hex(key)
+                val stored =
+                    configuration
+                        .current()
+                        .teams
+                        .getValue(TeamId("claims"))
+                        .keyHashes
+                val answers = listOf("/admin/v1/state", "/admin/v1/items", "/admin/v1/history").map { call("GET", it).body.toString() }
+                val everywhere = "$answers ${table.copyRows()} ${log.events}"
+
+                assertEquals(setOf(hash), stored)
+                assertFalse(key in everywhere)
+                assertEquals(200, call("DELETE", "/admin/v1/teams/claims/keys/$hash", key = "team-key").status)
+                assertTrue(
+                    configuration
+                        .current()
+                        .teams
+                        .getValue(TeamId("claims"))
+                        .keyHashes
+                        .isEmpty(),
+                )
+            }
+    }
+
+    @Nested
+    inner class `a change` {
+        @Test
+        fun `with a wrong item among right ones is refused as a whole, with field and range`() =
+            onAdmin {
+                val answer = call("POST", "/admin/v1/changes", """{"edits":[${classEdit("a", 1)},${classEdit("b", 0)}]}""")
+
+                assertEquals(400, answer.status)
+                assertEquals(listOf(FieldError("class/b.firstTokenTargetMs", "integer from 1 to 86400000")), answer.error.fields)
+                assertTrue(configuration.current().workClasses.isEmpty())
+            }
+
+        private fun classEdit(
+            id: String,
+            firstTokenTargetMs: Long,
+        ): String {
+            val body = """{"workClassId":"$id","firstTokenTargetMs":$firstTokenTargetMs,"completionTargetMs":2}"""
+            return """{"kind":"class","id":"$id","expectedVersion":0,"body":$body}"""
+        }
+
+        @Test
+        fun `that lost a race is told the current version, and a repeated one its first outcome`() =
+            onAdmin {
+                val body = """{"teamId":"claims","budgetId":"b"}"""
+                val first = call("PUT", "$TEAM?expectedVersion=0&changeId=c1", body)
+                val version =
+                    first.body
+                        .getValue("sequence")
+                        .jsonPrimitive.long
+
+                val repeated = call("PUT", "$TEAM?expectedVersion=0&changeId=c1", body)
+                val late = call("PUT", "$TEAM?expectedVersion=0&changeId=c2", body)
+
+                assertEquals(first.body, repeated.body)
+                assertEquals(409, late.status)
+                assertEquals(listOf(AdminError.ItemVersion("team", "claims", version)), late.error.current)
+            }
+
+        @Test
+        fun `during an outage is refused with retry-after and a change id`() =
+            onAdmin {
+                table.available = false
+
+                val answer = call("PUT", "$TEAM?expectedVersion=0&changeId=c1", """{"teamId":"claims","budgetId":"b"}""")
+
+                assertEquals(503, answer.status)
+                assertEquals("unavailable", answer.error.reason)
+                assertEquals("c1", answer.error.changeId)
+                assertEquals("2", answer.response.headers["retry-after"])
+            }
+    }
+
+    @Nested
+    inner class `a top-up` {
+        @Test
+        fun `counts once by its id and is refused with another amount`() =
+            onAdmin {
+                val path = "/admin/v1/budgets/b/top-ups"
+
+                val first = call("POST", path, """{"topUpId":"t1","tokens":500}""")
+                val repeated = call("POST", path, """{"topUpId":"t1","tokens":500}""")
+                val other = call("POST", path, """{"topUpId":"t1","tokens":600}""")
+
+                assertEquals(listOf(200, 200, 409), listOf(first, repeated, other).map { it.status })
+                assertEquals(500, budgets.topUps.values.sum())
+            }
+    }
+
+    @Nested
+    inner class `hostile input` {
+        @Test
+        fun `is answered with an error of the fixed shape and leaves the configuration as it was`() =
+            onAdmin {
+                val version = addTeam()
+                val random = Random(5)
+                val paths =
+                    listOf(
+                        "PUT" to "$TEAM?expectedVersion=$version",
+                        "POST" to "/admin/v1/changes",
+                        "POST" to "/admin/v1/validate",
+                        "POST" to "/admin/v1/budgets/b/top-ups",
+                    )
+
+                repeat(200) { round ->
+                    val (method, path) = paths[round % paths.size]
+                    val answer = call(method, path, hostileBody(random, round))
+
+                    assertTrue(answer.status in setOf(400, 413), "round $round: ${answer.status} ${answer.body}")
+                    assertTrue(answer.error.fields.isNotEmpty(), "round $round")
+                }
+
+                assertEquals(400, call("PUT", "$TEAM?expectedVersion=-1", "{}").status)
+                assertEquals(400, call("GET", "/admin/v1/history?limit=501").status)
+                assertEquals(404, call("GET", "/admin/v1/items/team/unknown").status)
+                assertEquals(404, call("GET", "/elsewhere").status)
+                assertEquals(version, configuration.current().sequence)
+            }
+
+        private fun hostileBody(
+            random: Random,
+            round: Int,
+        ): ByteArray {
+            val valid = """{"teamId":"claims","budgetId":5,"limits":{"queueShare":0.5},"edits":[{"kind":"team"}],"tokens":1.5}"""
+            return when (round % 5) {
+                0 -> random.nextBytes(random.nextInt(1, 300))
+                1 -> ("[".repeat(1_500) + "]".repeat(1_500)).toByteArray()
+                2 -> ByteArray(5_000) { ' '.code.toByte() }
+                3 -> valid.replace("5", random.nextInt().toString()).toByteArray()
+                else ->
+                    valid.toByteArray().also { bytes ->
+                        repeat(5) { bytes[random.nextInt(bytes.size)] = random.nextInt(32, 127).toByte() }
+                    }
+            }
+        }
+    }
+}
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/FieldRule.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/FieldRule.kt
@@ -1,5 +1,6 @@
 package org.lycheemount.settings
 
+import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonNull
 import kotlinx.serialization.json.JsonObject
@@ -51,6 +52,14 @@
     ) : FieldRule(required, "an object") {
         override fun accepts(value: JsonElement): Boolean = value is JsonObject
     }
+
+    /** A list of up to [most] objects with the fields of [rules]. */
+    class Sections(
+        val rules: Map<String, FieldRule>,
+        private val most: Int,
+    ) : FieldRule(required = false, "a list of up to $most objects") {
+        override fun accepts(value: JsonElement): Boolean = value is JsonArray && value.size <= most && value.all { it is JsonObject }
+    }
 }
 
 /** Returns every fault of [section] below [path]. */
@@ -79,5 +88,10 @@
         return if (rule.required) listOf(SettingsFault(path, "nothing", rule.accepted)) else emptyList()
     }
     if (!rule.accepts(value)) return listOf(SettingsFault(path, value.toString(), rule.accepted))
-    return if (rule is FieldRule.Section) findFaults(value as JsonObject, rule.rules, "$path.") else emptyList()
+    return when (rule) {
+        is FieldRule.Section -> findFaults(value as JsonObject, rule.rules, "$path.")
+        is FieldRule.Sections ->
+            (value as JsonArray).flatMapIndexed { index, one -> findFaults(one as JsonObject, rule.rules, "$path[$index].") }
+        else -> emptyList()
+    }
 }
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/RouterSettings.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/RouterSettings.kt
@@ -13,6 +13,7 @@
  * @property admin listener of the administration API.
  * @property peers listener of the links between routers.
  * @property requests bounds of single requests.
+ * @property adminKeys keys of the administration API; without any, every operation is refused.
  * @property configurationFile file with a configuration snapshot that is used instead of the table's; null in production.
  */
 @Serializable
@@ -29,4 +30,5 @@
     val configurationFile: String? = null,
     val budget: BudgetSettings = BudgetSettings(),
     val requests: RequestSettings = RequestSettings(),
+    val adminKeys: List<AdminKeySettings> = emptyList(),
 )
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/SettingsLoader.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/SettingsLoader.kt
@@ -150,4 +150,14 @@
                 ),
                 required = false,
             ),
+        "adminKeys" to
+            FieldRule.Sections(
+                mapOf(
+                    "name" to name,
+                    "role" to FieldRule.Text(Regex("read|team_admin|operator"), "read, team_admin or operator"),
+                    "keySha256" to FieldRule.Text(Regex("[0-9a-f]{64}"), "lower-case hexadecimal SHA-256 of the key"),
+                    "teamId" to FieldRule.Text(Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}"), "the id of a team", required = false),
+                ),
+                most = 256,
+            ),
     )
--- a/version/settings/src/test/kotlin/org/lycheemount/settings/SettingsLoaderTest.kt
+++ b/version/settings/src/test/kotlin/org/lycheemount/settings/SettingsLoaderTest.kt
@@ -40,6 +40,13 @@
 
     @Nested
     inner class `a settings file` {
+        @Test
+        fun `that gives an administration key in clear text is refused`() {
+            val json = settingsJson(extra = """, "adminKeys": [{"name": "ops", "role": "operator", "keySha256": "secret"}]""")
+
+            assertEquals(listOf("adminKeys[0].keySha256"), parseRouterSettings(json).getError()?.map { it.field })
+        }
+
         @Test
         fun `that names a missing file is refused before the file is needed`() {
             val file = createTempDirectory().resolve("router.json").apply { writeText(settingsJson()) }
