Test the scheduler against faults and fix what the tests found

Failures found by the tests, each fixed here: - a recovered slow server never got a probe, since its old slowness kept requests away; servers on probation are now judged anew; - a flooding team could be ahead of a small one by 20 s of service, 50 requests of 400 ms; the lead is now four mean requests; - service estimates from tokens alone fell to nothing where the time goes elsewhere, and admission then refused nothing; they are scaled to the observed service time of the class; - seven routers put 28 requests into 6 free slots of one stale report; the window now grows by one request at most while the fleet is busy, and free slots count once for each report.

--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ConcurrencyLimit.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ConcurrencyLimit.kt
@@ -13,7 +13,7 @@
 // A short queue at the server keeps its slots busy between the reports.
 private const val TARGET_FILL = 1.05
 private const val MIN_WINDOW = 0.5
-private const val WINDOW_HEADROOM = 2.0
+private const val WINDOW_HEADROOM = 1.0
 
 /**
  * Adaptive bound on the requests of this router on one backend server.
@@ -47,7 +47,7 @@
         val gap = limit * TARGET_FILL - total
         // Growth by equal shares and shrinkage in proportion let the windows of all routers converge.
         val moved = window + if (gap >= 0) gap * fleetShare else gap * window / maxOf(1, total)
-        window = moved.coerceIn(MIN_WINDOW, maxOf(MIN_WINDOW, minOf(limit, own + WINDOW_HEADROOM + maxOf(0.0, gap * fleetShare))))
+        window = moved.coerceIn(MIN_WINDOW, maxOf(MIN_WINDOW, minOf(limit, own + maxOf(WINDOW_HEADROOM, gap * fleetShare))))
     }
 
     fun onFirstToken(
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -72,10 +72,11 @@
         if (candidates.isEmpty()) return SubmitOutcome.Refused(admission.noServer())
         val workClass = workClasses[item.workClassId] ?: defaultWorkClass(item.workClassId)
         val estimate = lane.estimator.estimate(item, bestCachedTokens(candidates, item, nowMs))
+        val serviceMs = lane.estimator.observedServiceMs(item, estimate)
         val latest = LatestStart(item, workClass, estimate, lane.estimator.firstTokenStretch)
         val waitMs = lane.waitMs(item, latest.dueAtMs, candidates.filter { it.isOpen(nowMs) }, nowMs)
         admission.refusal(item, workClass, lane, waitMs, latest.dueAtMs, nowMs)?.let { return SubmitOutcome.Refused(it) }
-        enqueue(lane, QueuedRequest(item, workClass, ++lastSequence, nowMs, estimate.serviceMs, latest, waitMs))
+        enqueue(lane, QueuedRequest(item, workClass, ++lastSequence, nowMs, serviceMs, latest, waitMs))
         return SubmitOutcome.Queued
     }
 
@@ -263,6 +264,7 @@
         val firstTokenAt = request.firstTokenAtMs ?: nowMs
         lane.estimator.onCompleted(request.item, event.outputTokens, nowMs - firstTokenAt)
         val decodeMs = event.outputTokens * lane.estimator.decodeMsPerToken
+        lane.estimator.onServed(request.item, request.estimate, nowMs - request.startedAtMs)
         val ratio = (nowMs - request.startedAtMs) / maxOf(1.0, request.estimate.firstTokenMs + decodeMs)
         state.end(request, answered = true, nowMs)
         state.health.onSuccess(ratio, peerSlowness(state, request.item), nowMs)
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/FairQueue.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/FairQueue.kt
@@ -11,7 +11,7 @@
  * by due time alone, so urgency decides in the short run and equal shares in the long run.
  */
 internal class FairQueue(
-    private val leadMs: Double,
+    private val leadMs: () -> Double,
 ) {
     private val teams = HashMap<TeamId, TeamQueue>()
     private var floorMs = 0.0
@@ -45,7 +45,8 @@
         val waiting = teams.values.filterNot { it.isEmpty() }
         if (waiting.isEmpty()) return null
         floorMs = maxOf(floorMs, waiting.minOf { it.servedMs })
-        val (inShare, ahead) = waiting.partition { it.servedMs <= floorMs + leadMs }
+        val lead = leadMs()
+        val (inShare, ahead) = waiting.partition { it.servedMs <= floorMs + lead }
         val byUrgency = inShare.sortedBy { it.headDueAtMs() } + ahead.sortedBy { it.servedMs }
         return byUrgency.firstNotNullOfOrNull { it.firstAccepted(LOOK_AHEAD_REQUESTS, accept) }
     }
@@ -58,10 +59,11 @@
         val own = teams[teamId]
         val ownAheadMs = own?.workBeforeMs(dueAtMs) ?: 0.0
         val ownServedMs = maxOf(own?.servedMs ?: floorMs, floorMs)
+        val lead = leadMs()
         var aheadMs = ownAheadMs
         for (team in teams.values) {
             if (team === own || team.isEmpty()) continue
-            val fairShareMs = maxOf(0.0, ownServedMs + ownAheadMs + leadMs - team.servedMs)
+            val fairShareMs = maxOf(0.0, ownServedMs + ownAheadMs + lead - team.servedMs)
             aheadMs += minOf(team.workBeforeMs(dueAtMs), fairShareMs)
         }
         return aheadMs
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
@@ -87,7 +87,8 @@
         val wholePrefillMs = estimator.prefillMs(item.promptTokens) - estimator.prefillMs(0)
         val homeMs = if (isHome) weights.home * (1 + weights.prefillSharing * load) * wholePrefillMs else 0.0
         val zoneMs = if (state.server.zoneId == zoneId) 0.0 else OTHER_ZONE_MS
-        val slowness = maxOf(1.0, state.health.slowness)
+        // A server on probation is judged anew: its old slowness would keep all probes away from it.
+        val slowness = if (state.health.isHealthy()) maxOf(1.0, state.health.slowness) else 1.0
         val costMs = slowness * (estimate.firstTokenMs + queueMs + sharedMs + loadMs) - homeMs + zoneMs
         return ScoredServer(state, matched, costMs)
     }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
@@ -28,6 +28,8 @@
     var meanServiceMs = INITIAL_SERVICE_MS
         private set
 
+    private var ownAtLastReport = 0
+
     val id: BackendServerId get() = server.backendServerId
     val ownInFlight: Int get() = inFlight.size
 
@@ -39,14 +41,16 @@
     /**
      * Further requests that the server can take now, as a fraction; more than 0 allows one.
      *
-     * Free slots beyond the window are taken by [fleetShare] too, so that a burst need not wait for the next report.
+     * Of the slots that were free at the last report this router takes [fleetShare], so that a burst need not wait for the
+     * window and routers with the same report do not all fill the same slots.
      */
     fun room(
         fleetShare: Double,
         nowMs: Long,
     ): Double {
         if (!isOpen(nowMs)) return 0.0
-        val byLoad = (limit.limit - load(nowMs)) * fleetShare
+        val freeAtReport = limit.limit - reported.others(meanServiceMs, nowMs) - ownAtLastReport
+        val byLoad = freeAtReport * fleetShare - (ownInFlight - ownAtLastReport)
         return minOf(maxOf(limit.window - ownInFlight, byLoad), (health.allowedRequests(nowMs) - ownInFlight).toDouble())
     }
 
@@ -65,6 +69,7 @@
         nowMs: Long,
     ): Boolean {
         if (!reported.onReport(report, nowMs)) return false
+        ownAtLastReport = ownInFlight
         reported.capacity?.let { limit.onReport(reported.totalAtReport, reported.ownAtReport, it, fleetShare) }
         return true
     }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServiceEstimator.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServiceEstimator.kt
@@ -27,6 +27,8 @@
     private val target: BackendTarget,
 ) {
     private val outputTokens = HashMap<WorkClassId, Double>()
+    private val observedServiceMs = HashMap<WorkClassId, Double>()
+    private val estimatedServiceMs = HashMap<WorkClassId, Double>()
     private val serviceCallMs = HashMap<WorkClassId, Double>()
     private var prefillMsPerToken = INITIAL_PREFILL_MS_PER_TOKEN
 
@@ -48,6 +50,30 @@
         return ServiceEstimate(prefillMs(item.promptTokens - cachedTokens), expectedOutputTokens(item) * decodeMsPerToken)
     }
 
+    /** Service time of [item] as its class is observed to need it, where [estimate] gives its size relative to the class. */
+    fun observedServiceMs(
+        item: WorkItem,
+        estimate: ServiceEstimate,
+    ): Double {
+        val observed = observedServiceMs[item.workClassId] ?: return estimate.serviceMs
+        val ratio = observed / maxOf(1.0, estimatedServiceMs.getValue(item.workClassId))
+        return maxOf(1.0, estimate.serviceMs) * ratio
+    }
+
+    fun onServed(
+        item: WorkItem,
+        estimate: ServiceEstimate,
+        elapsedMs: Long,
+    ) {
+        observedServiceMs[item.workClassId] = mean(observedServiceMs[item.workClassId], elapsedMs.toDouble())
+        estimatedServiceMs[item.workClassId] = mean(estimatedServiceMs[item.workClassId], maxOf(1.0, estimate.serviceMs))
+    }
+
+    private fun mean(
+        previous: Double?,
+        sample: Double,
+    ) = if (previous == null) sample else previous + MEAN_GAIN * (sample - previous)
+
     fun prefillMs(tokens: Int): Double = decodeMsPerToken + maxOf(0, tokens) * prefillMsPerToken
 
     fun expectedOutputTokens(item: WorkItem): Double {
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/TargetQueue.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/TargetQueue.kt
@@ -2,7 +2,8 @@
 
 import org.lycheemount.common.BackendTarget
 
-private const val TEAM_LEAD_MS = 20_000.0
+// A lead of a few requests lets urgency decide among teams without letting one keep another waiting for long.
+private const val TEAM_LEAD_REQUESTS = 4.0
 private const val MIN_FLEET_SHARE = 0.02
 private const val SHARE_GAIN = 0.01
 private const val WAIT_GAIN = 0.1
@@ -14,7 +15,7 @@
 internal class TargetQueue(
     val target: BackendTarget,
 ) {
-    val queue = FairQueue(TEAM_LEAD_MS)
+    val queue = FairQueue { TEAM_LEAD_REQUESTS * meanServiceMs }
     val estimator = ServiceEstimator(target)
     private var calibration = 1.0
     private var meanServiceMs = 0.0
--- /dev/null
+++ b/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/FakeFleet.kt
@@ -0,0 +1,106 @@
+package org.lycheemount.scheduling
+
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.RequestId
+
+private const val TICK_MS = 10L
+private const val REPORT_INTERVAL_MS = 200L
+private const val DECODE_SHARE = 0.8
+private const val OUTPUT_TOKENS = 10
+
+/** Servers with a few slots and a fixed service time, driven by one scheduler in virtual time. */
+internal class FakeFleet(
+    serverCount: Int,
+    private val slots: Int = 4,
+    private val serviceMs: Long = 400,
+    private val attemptTimeoutMs: Long = 5_000,
+) {
+    private class Running(
+        val requestId: RequestId,
+        val serverId: BackendServerId,
+        val startedAtMs: Long,
+        var workLeftMs: Double,
+        var answering: Boolean = false,
+    )
+
+    val servers = (0 until serverCount).map { server(it) }
+    val scheduler = scheduler(servers)
+    private val running = ArrayList<Running>()
+    val startedOn = HashMap<BackendServerId, Int>()
+    val finishedAtMs = HashMap<RequestId, Long>()
+    val refused = HashMap<RequestId, Long>()
+    val failed = ArrayList<RequestId>()
+
+    /** Speed of each server; 0 hangs. Failing servers refuse connections. */
+    val speed = HashMap<BackendServerId, Double>()
+    val failing = HashSet<BackendServerId>()
+    var nowMs = 0L
+        private set
+
+    fun submit(item: WorkItem) {
+        if (scheduler.submit(item, nowMs) is SubmitOutcome.Refused) refused[item.requestId] = nowMs
+    }
+
+    /** Advances to [untilMs] and calls [onTick] each 10 ms. */
+    fun run(
+        untilMs: Long,
+        onTick: (Long) -> Unit = {},
+    ) {
+        while (nowMs < untilMs) {
+            onTick(nowMs)
+            carryOut()
+            nowMs += TICK_MS
+            work()
+            if (nowMs % REPORT_INTERVAL_MS == 0L) report()
+        }
+    }
+
+    private fun carryOut() {
+        for (action in scheduler.poll(nowMs)) {
+            when (action) {
+                is SchedulerAction.Drop -> refused[action.requestId] = nowMs
+                is SchedulerAction.Start -> start(action)
+            }
+        }
+    }
+
+    private fun start(action: SchedulerAction.Start) {
+        startedOn.merge(action.backendServerId, 1, Int::plus)
+        if (action.backendServerId in failing) {
+            failed += action.requestId
+            scheduler.onServiceEvent(action.requestId, ServiceEvent.Failed(FailureKind.CONNECT_FAILED), nowMs)
+        } else {
+            running += Running(action.requestId, action.backendServerId, nowMs, serviceMs.toDouble())
+        }
+    }
+
+    private fun work() {
+        for ((serverId, all) in running.toList().groupBy { it.serverId }) {
+            val progressMs = TICK_MS * (speed[serverId] ?: 1.0)
+            all.take(slots).forEach { it.workLeftMs -= progressMs }
+        }
+        for (request in running.filter { !it.answering && it.workLeftMs <= serviceMs * DECODE_SHARE }) {
+            request.answering = true
+            scheduler.onServiceEvent(request.requestId, ServiceEvent.FirstToken, nowMs)
+        }
+        for (request in running.toList()) {
+            val event =
+                when {
+                    request.workLeftMs <= 0 -> ServiceEvent.Completed(OUTPUT_TOKENS)
+                    nowMs - request.startedAtMs >= attemptTimeoutMs -> ServiceEvent.Failed(FailureKind.TIMED_OUT)
+                    else -> continue
+                }
+            running.remove(request)
+            if (event is ServiceEvent.Completed) finishedAtMs[request.requestId] = nowMs else failed += request.requestId
+            scheduler.onServiceEvent(request.requestId, event, nowMs)
+        }
+    }
+
+    private fun report() {
+        for (server in servers) {
+            val held = running.count { it.serverId == server.backendServerId }
+            val report = LoadReport(server.backendServerId, 0, minOf(held, slots), maxOf(0, held - slots), slots)
+            if (server.backendServerId !in failing) scheduler.onLoadReport(report, nowMs)
+        }
+    }
+}
--- /dev/null
+++ b/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/SchedulingFixtures.kt
@@ -0,0 +1,55 @@
+package org.lycheemount.scheduling
+
+import org.lycheemount.common.BackendServer
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.BackendTarget
+import org.lycheemount.common.ModelId
+import org.lycheemount.common.RequestId
+import org.lycheemount.common.TeamId
+import org.lycheemount.common.VmId
+import org.lycheemount.common.WorkClassId
+import org.lycheemount.common.ZoneId
+import org.lycheemount.config.WorkClass
+
+internal val model = BackendTarget.Model(ModelId("loft-model"))
+internal val counterClass = WorkClass(WorkClassId("counter"), firstTokenTargetMs = 1_000, completionTargetMs = 5_000)
+internal val longClass = WorkClass(WorkClassId("assessment"), firstTokenTargetMs = 30_000, completionTargetMs = 60_000, mustFinish = true)
+
+internal fun server(
+    index: Int,
+    leaving: Boolean = false,
+) = BackendServer(BackendServerId("s$index"), VmId("vm$index"), ZoneId("z${index % 2}"), "127.0.0.1", 1, setOf(model), leaving)
+
+internal fun item(
+    id: String,
+    team: String = "team-a",
+    workClass: WorkClass = counterClass,
+    arrivedAtMs: Long = 0,
+    deadlineAtMs: Long? = null,
+    prefixHashes: List<Long> = emptyList(),
+    excluded: Set<BackendServerId> = emptySet(),
+) = WorkItem(
+    RequestId(id),
+    TeamId(team),
+    workClass.workClassId,
+    model,
+    promptTokens = maxOf(32, prefixHashes.size * 32),
+    maxOutputTokens = 16,
+    prefixHashes = prefixHashes,
+    arrivedAtMs = arrivedAtMs,
+    deadlineAtMs = deadlineAtMs,
+    excludedServers = excluded,
+)
+
+internal fun scheduler(
+    servers: List<BackendServer>,
+    seed: Long = 1,
+): DefaultRequestScheduler {
+    val scheduler = DefaultRequestScheduler(ZoneId("z0"), seed)
+    scheduler.onWorkClasses(listOf(counterClass, longClass))
+    scheduler.onBackendServers(servers, 0)
+    return scheduler
+}
+
+internal fun DefaultRequestScheduler.startsAt(nowMs: Long): List<SchedulerAction.Start> =
+    poll(nowMs).filterIsInstance<SchedulerAction.Start>()
