Add lycheectl with apply, diff, validate and every operation of the API

Cause: operators and the quickstart need a command line for the administration API. Change: app/ctl parses with kotlinx-cli and calls the API over HTTP or HTTPS. 'lycheectl apply -f configuration.json' loads classes, models, services, teams and budgets of one file; sections are lists or objects by id. Teams keep keys created meanwhile. Changes name an id and are repeated while their outcome is unknown. GET /items lists deleted items on request, so that a deleted one can be created again.

--- /dev/null
+++ b/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/CommandLine.kt
@@ -0,0 +1,159 @@
+package org.lycheemount.app.ctl
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.cli.optional
+import kotlinx.cli.required
+import java.util.UUID
+
+private const val EXIT_CODES =
+    "Exit codes: 0 done, 1 refused, 2 wrong usage, 3 conflict with another operator, 4 unavailable or outcome unknown."
+
+/** Options that every subcommand takes. */
+internal data class CommonOptions(
+    val url: String,
+    val keyFile: String?,
+    val trustedCertificates: String?,
+    val format: OutputFormat,
+)
+
+internal typealias Action = suspend Commands.() -> ExitCode
+
+/** Parses the command line. A wrong one, or a request for help, ends the process within the parser. */
+internal class CommandLine {
+    private val parser = ArgParser("lycheectl", strictSubcommandOptionsOrder = false)
+    private val url by parser
+        .option(ArgType.String, "url", description = "URL of a router's administration listener; LYCHEEMOUNT_ADMIN_URL by default")
+        .default(System.getenv("LYCHEEMOUNT_ADMIN_URL") ?: "http://127.0.0.1:8081")
+    private val keyFile by parser.option(ArgType.String, "key-file", description = "File with the key; LYCHEEMOUNT_ADMIN_KEY by default")
+    private val trusted by parser.option(ArgType.String, "trusted-certificates", description = "PEM file of certificates to trust")
+    private val format by parser.option(ArgType.Choice<OutputFormat>(), "output", "o", "Form of the output").default(OutputFormat.TEXT)
+    private var action: Action? = null
+
+    fun parse(arguments: Array<String>): Pair<CommonOptions, Action>? {
+        parser.subcommands(*(reads() + changes() + files() + budgets()).toTypedArray())
+        parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
+        return action?.let { CommonOptions(url, keyFile, trusted, format) to it }
+    }
+
+    private fun reads(): List<Subcommand> =
+        listOf(
+            command("status", "Shows readiness, configuration and table standing of the router. $EXIT_CODES") { { show("/status") } },
+            command("dump", "Shows the whole state of the router") { { show("/state") } },
+            command("items", "Lists configuration items") {
+                val kind by option(ArgType.String, "kind", description = "team, class, model or service");
+                { show("/items" + (kind?.let { "?kind=$it" } ?: "")) }
+            },
+            command("get", "Shows one item") {
+                val kind by argument(ArgType.String, "kind", "team, class, model or service")
+                val id by argument(ArgType.String, "id");
+                { show("/items/$kind/$id") }
+            },
+            command("history", "Lists changes: who, when, what") {
+                val after by option(ArgType.String, "after", description = "Sequence to begin after").default("0")
+                val limit by option(ArgType.Int, "limit", description = "Number of changes, up to 500").default(100);
+                { show("/history?after=$after&limit=$limit") }
+            },
+        )
+
+    private fun changes(): List<Subcommand> =
+        listOf(
+            command("put", "Creates or replaces one item") {
+                val kind by argument(ArgType.String, "kind", "team, class, model or service")
+                val id by argument(ArgType.String, "id")
+                val file by option(ArgType.String, "file", "f", "JSON file of the item").required()
+                val version by option(
+                    ArgType.String,
+                    "expected-version",
+                    description = "Version that the item must have; 0 for a new one",
+                ).required()
+                val changeId by option(ArgType.String, "change-id", description = "Id under which the change takes effect once");
+                { versioned(version) { put(kind, id, file, it, changeId ?: newId()) } }
+            },
+            command("delete", "Deletes one item") {
+                val kind by argument(ArgType.String, "kind", "team, class, model or service")
+                val id by argument(ArgType.String, "id")
+                val version by option(ArgType.String, "expected-version", description = "Version that the item must have").required();
+                { versioned(version) { change("DELETE", "/items/$kind/$id?expectedVersion=$it&changeId=${newId()}") } }
+            },
+            command("key-create", "Creates a key of a team and shows it once") {
+                val team by argument(ArgType.String, "team");
+                { changeOnce("POST", "/teams/$team/keys") }
+            },
+            command("key-revoke", "Revokes a key of a team") {
+                val team by argument(ArgType.String, "team")
+                val hash by argument(ArgType.String, "sha256", "SHA-256 of the key");
+                { change("DELETE", "/teams/$team/keys/$hash") }
+            },
+            command("republish", "Writes items that a restored table has lost back to it") {
+                { change("POST", "/republish?changeId=${newId()}") }
+            },
+            command("drain", "Starts the graceful shutdown of the router") { { change("POST", "/drain") } },
+        )
+
+    private fun files(): List<Subcommand> =
+        listOf(
+            command("apply", "Brings the configuration in force to that of a file") {
+                val file by option(ArgType.String, "file", "f", "Configuration file").required()
+                val prune by option(ArgType.Boolean, "prune", description = "Delete items that the file does not name").default(false);
+                { apply(file, prune) }
+            },
+            command("diff", "Shows what apply would change") {
+                val file by option(ArgType.String, "file", "f", "Configuration file").required()
+                val prune by option(ArgType.Boolean, "prune", description = "Delete items that the file does not name").default(false);
+                { diff(file, prune) }
+            },
+            command("validate", "Checks a configuration file without a router") {
+                val file by option(ArgType.String, "file", "f", "Configuration file").required();
+                { validate(file) }
+            },
+        )
+
+    private fun budgets(): List<Subcommand> =
+        listOf(
+            command("budgets", "Shows the budgets of all teams, or one") {
+                val id by argument(ArgType.String, "id", "Budget").optional();
+                { show("/budgets" + (id?.let { "/$it" } ?: "")) }
+            },
+            command("budget-create", "Creates an empty budget") {
+                val id by argument(ArgType.String, "id");
+                { change("PUT", "/budgets/$id") }
+            },
+            command("top-up", "Adds tokens to a budget, once for each id") {
+                val budget by argument(ArgType.String, "budget")
+                val id by option(ArgType.String, "id", description = "Id of the top-up").required()
+                val tokens by option(ArgType.String, "tokens", description = "Tokens to add").required();
+                { versioned(tokens) { change("POST", "/budgets/$budget/top-ups", topUpBody(id, it)) } }
+            },
+            command("bills", "Lists bills of a budget") {
+                val budget by argument(ArgType.String, "budget")
+                val after by option(ArgType.String, "after", description = "Request id to begin after");
+                { show("/budgets/$budget/bills" + (after?.let { "?after=$it" } ?: "")) }
+            },
+        )
+
+    private fun command(
+        name: String,
+        description: String,
+        define: Subcommand.() -> Action,
+    ): Subcommand =
+        object : Subcommand(name, description) {
+            private val defined = define()
+
+            override fun execute() {
+                action = defined
+            }
+        }
+
+    private suspend fun Commands.versioned(
+        text: String,
+        work: suspend Commands.(Long) -> ExitCode,
+    ): ExitCode {
+        val number = text.toLongOrNull()?.takeIf { it >= 0 } ?: return ExitCode.USAGE
+        return work(number)
+    }
+
+    private fun newId() = UUID.randomUUID().toString()
+}
--- /dev/null
+++ b/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/Commands.kt
@@ -0,0 +1,163 @@
+package org.lycheemount.app.ctl
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.lycheemount.config.FieldError
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.UUID
+
+/** What the subcommands do, each returning its exit code. */
+internal class Commands(
+    private val client: AdminClient,
+    private val output: Output,
+) {
+    suspend fun show(path: String): ExitCode = report(client.get(path))
+
+    suspend fun change(
+        method: String,
+        path: String,
+        body: JsonObject? = null,
+    ): ExitCode = report(client.change(method, path, body))
+
+    /** Creating a key is not safe to repeat: a second call would create a second key. */
+    suspend fun changeOnce(
+        method: String,
+        path: String,
+    ): ExitCode = report(client.call(method, path, null))
+
+    suspend fun put(
+        kind: String,
+        id: String,
+        file: String,
+        expectedVersion: Long,
+        changeId: String,
+    ): ExitCode {
+        val body = runCatching { Json.parseToJsonElement(Files.readString(Path.of(file))) as? JsonObject }.getOrNull()
+        if (body == null) return refuse(listOf(FieldError(file, "readable file with a JSON object")))
+        return change("PUT", "/items/$kind/$id?expectedVersion=$expectedVersion&changeId=$changeId", body)
+    }
+
+    suspend fun validate(file: String): ExitCode {
+        val document = read(file) ?: return ExitCode.REFUSED
+        output.result(
+            buildJsonObject {
+                put("valid", true)
+                put("items", document.items.size)
+                put("budgets", document.budgetIds.size)
+            },
+        )
+        return ExitCode.OK
+    }
+
+    suspend fun diff(
+        file: String,
+        prune: Boolean,
+    ): ExitCode {
+        val document = read(file) ?: return ExitCode.REFUSED
+        val inForce = client.get("/items?deleted=true")
+        if (!inForce.isOk) return report(inForce)
+        val edits = planEdits(document, inForce.body, prune)
+        output.result(buildJsonObject { put("changes", JsonArray(edits.map(::describe))) })
+        return ExitCode.OK
+    }
+
+    /** Brings the configuration in force to that of [file]; up to 100 changes take effect as a whole. */
+    suspend fun apply(
+        file: String,
+        prune: Boolean,
+    ): ExitCode {
+        val document = read(file) ?: return ExitCode.REFUSED
+        val inForce = client.get("/items?deleted=true")
+        if (!inForce.isOk) return report(inForce)
+        val edits = planEdits(document, inForce.body, prune)
+        for (batch in edits.chunked(EDITS_PER_CHANGE)) {
+            val body =
+                buildJsonObject {
+                    put("changeId", UUID.randomUUID().toString())
+                    put("edits", JsonArray(batch.map { it.toJson() }))
+                }
+            val answer = client.change("POST", "/changes", body)
+            if (!answer.isOk) return report(answer)
+        }
+        applyBudgets(document)?.let { return report(it) }
+        output.result(
+            buildJsonObject {
+                put("changes", JsonArray(edits.map { JsonPrimitive("${it.action} ${it.key}") }))
+                put("budgets", document.budgetIds.size)
+            },
+        )
+        return ExitCode.OK
+    }
+
+    /** Returns the first answer that is not a success, if any. */
+    private suspend fun applyBudgets(document: ConfigurationDocument): AdminAnswer? {
+        for (id in document.budgetIds) client.change("PUT", "/budgets/$id").let { if (!it.isOk) return it }
+        for (topUp in document.topUps) {
+            val answer = client.change("POST", "/budgets/${topUp.budgetId}/top-ups", topUpBody(topUp.topUpId, topUp.tokens))
+            if (!answer.isOk) return answer
+        }
+        return null
+    }
+
+    private fun read(file: String): ConfigurationDocument? {
+        val text =
+            try {
+                Files.readString(Path.of(file))
+            } catch (failure: IOException) {
+                refuse(listOf(FieldError(file, "readable file")))
+                return null
+            }
+        return when (val result = parseDocument(text)) {
+            is DocumentResult.Valid -> result.document
+            is DocumentResult.Invalid -> {
+                refuse(result.errors)
+                null
+            }
+        }
+    }
+
+    private fun refuse(errors: List<FieldError>): ExitCode {
+        val list =
+            errors.map {
+                buildJsonObject {
+                    put("field", it.field)
+                    put("accepted", it.accepted)
+                }
+            }
+        val detail = mapOf("reason" to JsonPrimitive("invalid"), "fields" to JsonArray(list))
+        output.error(JsonObject(mapOf("error" to JsonObject(detail))))
+        return ExitCode.REFUSED
+    }
+
+    private fun describe(edit: PlannedEdit) =
+        buildJsonObject {
+            put("action", edit.action)
+            put("item", "${edit.key}")
+            put("before", edit.before ?: JsonNull)
+            put("after", edit.after ?: JsonNull)
+        }
+
+    private fun report(answer: AdminAnswer): ExitCode {
+        if (answer.isOk) output.result(answer.body) else output.error(answer.body)
+        return answer.exitCode
+    }
+
+    private companion object {
+        private const val EDITS_PER_CHANGE = 100
+    }
+}
+
+internal fun topUpBody(
+    topUpId: String,
+    tokens: Long,
+) = buildJsonObject {
+    put("topUpId", topUpId)
+    put("tokens", tokens)
+}
--- /dev/null
+++ b/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/PlannedEdit.kt
@@ -0,0 +1,72 @@
+package org.lycheemount.app.ctl
+
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.long
+import kotlinx.serialization.json.put
+import org.lycheemount.config.ItemKey
+import org.lycheemount.config.ItemKind
+
+/** One step from the configuration in force to that of a file. */
+internal data class PlannedEdit(
+    val key: ItemKey,
+    val expectedVersion: Long,
+    val before: JsonObject?,
+    val after: JsonObject?,
+) {
+    val action: String
+        get() =
+            when {
+                after == null -> "delete"
+                before == null -> "create"
+                else -> "update"
+            }
+
+    fun toJson() =
+        buildJsonObject {
+            put("kind", key.kind.wireName)
+            put("id", key.id)
+            put("expectedVersion", expectedVersion)
+            put("body", after ?: JsonNull)
+        }
+}
+
+/**
+ * Compares [document] with [inForce], the answer of `GET /items?deleted=true`. Teams whose file entry has no `keyHashes` keep
+ * the keys that they have. Items that the file does not name are deleted only with [prune].
+ */
+internal fun planEdits(
+    document: ConfigurationDocument,
+    inForce: JsonObject,
+    prune: Boolean,
+): List<PlannedEdit> {
+    val current = (inForce["items"] as JsonArray).map { it as JsonObject }.associateBy { keyOf(it) }
+    val wanted =
+        document.items.mapNotNull { (key, body) ->
+            val item = current[key]
+            val before = item?.get("body") as? JsonObject
+            val after = if (key.kind == ItemKind.TEAM) keepKeys(before, body) else body
+            if (before == after) null else PlannedEdit(key, item?.version() ?: 0, before, after)
+        }
+    if (!prune) return wanted
+    val unwanted = current.filter { (key, item) -> key !in document.items && item["body"] is JsonObject }
+    // Items are deleted before the classes that they refer to.
+    val deletions = unwanted.map { (key, item) -> PlannedEdit(key, item.version(), item["body"] as JsonObject, after = null) }
+    return wanted + deletions.sortedByDescending { it.key.kind.ordinal }
+}
+
+private fun keepKeys(
+    before: JsonObject?,
+    body: JsonObject,
+): JsonObject {
+    val hashes = before?.get("keyHashes")
+    return if (hashes == null || "keyHashes" in body) body else JsonObject(body + ("keyHashes" to hashes))
+}
+
+private fun keyOf(item: JsonObject) =
+    ItemKey(ItemKind.find((item.getValue("kind") as JsonPrimitive).content)!!, (item.getValue("id") as JsonPrimitive).content)
+
+private fun JsonObject.version(): Long = (getValue("version") as JsonPrimitive).long
--- a/request/admin/src/main/kotlin/org/lycheemount/admin/AdminInterface.kt
+++ b/request/admin/src/main/kotlin/org/lycheemount/admin/AdminInterface.kt
@@ -50,7 +50,14 @@
     }
 
     private fun Route.itemRoutes() {
-        get("/items") { answer(call, AdminRole.READ) { items.list(call.request.queryParameters["kind"]) } }
+        get("/items") {
+            answer(call, AdminRole.READ) {
+                items.list(
+                    call.request.queryParameters["kind"],
+                    call.request.queryParameters["deleted"] == "true",
+                )
+            }
+        }
         get("/items/{kind}/{id}") { answer(call, AdminRole.READ) { withKey(call) { items.get(it) } } }
         put("/items/{kind}/{id}") {
             answer(call, AdminRole.OPERATOR) { key -> withBody(call) { body -> edit(call, key, body) } }
--- a/request/admin/src/main/kotlin/org/lycheemount/admin/ItemHandler.kt
+++ b/request/admin/src/main/kotlin/org/lycheemount/admin/ItemHandler.kt
@@ -25,9 +25,17 @@
 internal class ItemHandler(
     private val configuration: ConfigurationService,
 ) {
-    fun list(kindName: String?): AdminReply {
+    /** Lists items; deleted ones, whose body is null, only [withDeleted]. */
+    fun list(
+        kindName: String?,
+        withDeleted: Boolean,
+    ): AdminReply {
         val kind = kindName?.let { ItemKind.find(it) ?: return unknownKind() }
-        val items = configuration.replica.page(null, Int.MAX_VALUE).filter { it.body != null && (kind == null || it.key.kind == kind) }
+        val items =
+            configuration.replica.page(null, Int.MAX_VALUE).filter {
+                (withDeleted || it.body != null) &&
+                    (kind == null || it.key.kind == kind)
+            }
         return ok(
             buildJsonObject {
                 put("sequence", configuration.current().sequence)
