--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/Targets.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/Targets.kt
@@ -5,7 +5,7 @@
 
 private const val DEFAULT_FIRST_TOKEN_TARGET_MS = 2_000L
 private const val DEFAULT_COMPLETION_TARGET_MS = 60_000L
-private const val MAX_STRETCHED_SHARE = 0.5
+private const val MAX_STRETCHED_SHARE = 0.7
 
 /** Class of requests whose class this router does not know yet. */
 internal fun defaultWorkClass(workClassId: WorkClassId): WorkClass =
