--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -1,5 +1,6 @@
 package org.lycheemount.scheduling
 
+import kotlinx.serialization.json.JsonObject
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.BackendTarget
@@ -12,13 +13,6 @@
 import java.util.TreeSet
 import kotlin.random.Random
 
-// A request that may wait leaves this much of a server free for requests that may not.
-private const val PATIENT_RESERVE = 2.0
-private const val PATIENT_SLACK_MS = 5_000L
-
-// On a server that is busier than this, a prompt is prefilled only when its own servers have had no room for a while:
-// prefills that a cache would have saved are what turns a full fleet into an overloaded one.
-private const val IDLE_SHARE = 0.2
 private const val PRIORITY_STEP_MS = 50L
 private const val MAX_PRIORITY = 10_000L
 
@@ -30,6 +24,7 @@
 ) : RequestScheduler {
     private val random = Random(seed)
     private val selector = ServerSelector(zoneId, random, weights)
+    private val startRules = StartRules(selector)
     private val admission = AdmissionControl(random)
     private val workClasses = HashMap<WorkClassId, WorkClass>()
     private val lanes = LinkedHashMap<BackendTarget, TargetQueue>()
@@ -135,6 +130,8 @@
         return actions
     }
 
+    override fun describe(nowMs: Long): JsonObject = describeScheduler(lanes.values, servers.values, started.size, nowMs)
+
     override fun nextWakeUpMs(nowMs: Long): Long? {
         val times = ArrayList<Long>()
         dropOrder.firstOrNull()?.dropAtMs?.let(times::add)
@@ -160,8 +157,8 @@
             val open = servers.values.filter { lane.target in it.server.targets && it.isOpen(nowMs) }
             if (open.isEmpty()) return
             val homes = HomeServers(open, lane.patientShare)
-            val request = lane.queue.select { takers(open, homes, lane, it, nowMs).isNotEmpty() } ?: return
-            val takers = takers(open, homes, lane, request, nowMs)
+            val request = lane.queue.select { startRules.takers(open, homes, lane, it, nowMs).isNotEmpty() } ?: return
+            val takers = startRules.takers(open, homes, lane, request, nowMs)
             val home = homes.homeOf(request.item, request.isPatient)
             val choice = selector.choose(takers, home, request.item, lane.estimator, nowMs) ?: return
             actions += start(lane, request, choice, nowMs)
@@ -186,35 +183,6 @@
         return SchedulerAction.Start(item.requestId, choice.state.id, priority)
     }
 
-    /** Servers among [open] where [request] may start now. */
-    private fun takers(
-        open: List<ServerState>,
-        homes: HomeServers,
-        lane: TargetQueue,
-        request: QueuedRequest,
-        nowMs: Long,
-    ): List<ServerState> {
-        val withRoom = open.filter { hasRoom(it, lane, request, nowMs) }
-        if (withRoom.isEmpty() || request.item.prefixHashes.isEmpty() || !request.canChoose(nowMs)) return withRoom
-        val affine =
-            request.affineServers(nowMs) {
-                selector.affine(open, homes.homeOf(request.item, request.isPatient), request.item, nowMs)
-            }
-        return withRoom.filter { it.id in affine || it.idleShare(nowMs) > IDLE_SHARE }
-    }
-
-    private fun hasRoom(
-        state: ServerState,
-        lane: TargetQueue,
-        request: QueuedRequest,
-        nowMs: Long,
-    ): Boolean {
-        if (state.id in request.item.excludedServers || request.isPastDeadline(nowMs)) return false
-        if (state.health.allowedRequests(nowMs) <= state.ownInFlight) return false
-        val room = state.room(lane.fleetShare, nowMs)
-        return room > if (request.dueAtMs - nowMs >= PATIENT_SLACK_MS) PATIENT_RESERVE * lane.fleetShare else 0.0
-    }
-
     private fun dropDeadWork(
         nowMs: Long,
         actions: MutableList<SchedulerAction>,
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestScheduler.kt
@@ -1,5 +1,6 @@
 package org.lycheemount.scheduling
 
+import kotlinx.serialization.json.JsonObject
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.RequestId
 import org.lycheemount.config.WorkClass
@@ -56,4 +57,7 @@
 
     /** Returns when [poll] is due next without any other call, or null. */
     fun nextWakeUpMs(nowMs: Long): Long?
+
+    /** Describes the whole state for the process's dump; empty for schedulers that keep none. */
+    fun describe(nowMs: Long): JsonObject = JsonObject(emptyMap())
 }
