--- a/measure/src/main/kotlin/org/lycheemount/measure/routing/RoutingCostMeasurement.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/routing/RoutingCostMeasurement.kt
@@ -21,7 +21,7 @@
 private const val SLOTS = 32
 private const val PROMPT_BLOCKS = 60
 private const val TEAMS = 10
-private const val WARM_UP_DECISIONS = 3_000
+private const val WARM_UP_DECISIONS = 10_000
 private const val MEASURED_DECISIONS = 3_000
 private const val NANOS_PER_US = 1_000.0
 
