--- a/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
@@ -2,6 +2,8 @@
 
 import org.lycheemount.measure.budgets.BudgetsMeasurement
 import org.lycheemount.measure.path.PathMeasurement
+import org.lycheemount.measure.routing.CacheMoveMeasurement
+import org.lycheemount.measure.routing.RoutingCostMeasurement
 import org.lycheemount.measure.routing.RoutingMeasurement
 import kotlin.system.exitProcess
 
@@ -9,6 +11,8 @@
     listOf(
         BudgetsMeasurement(),
         PathMeasurement(),
+        CacheMoveMeasurement(),
+        RoutingCostMeasurement(),
         RoutingMeasurement(),
     )
 
