Add the measurement of propagation and membership

Change: bin/measure control runs the real configuration service, store and membership of 7 to 600 routers over the network and table in memory, in virtual time, through normal operation, a partition, a restart of all routers and an outage of the table, each beside polling of the table alone at the same reads a second; and seven routers over real sockets.

--- /dev/null
+++ b/measure/src/main/kotlin/org/lycheemount/measure/control/ControlFleet.kt
@@ -0,0 +1,300 @@
+package org.lycheemount.measure.control
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestCoroutineScheduler
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.RegionId
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.TeamId
+import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
+import org.lycheemount.config.ChangeOutcome
+import org.lycheemount.config.ChangeRequest
+import org.lycheemount.config.ConfigurationPeers
+import org.lycheemount.config.ConfigurationService
+import org.lycheemount.config.ItemEdit
+import org.lycheemount.config.PropagationSettings
+import org.lycheemount.membership.MembershipListener
+import org.lycheemount.membership.MembershipService
+import org.lycheemount.platform.RouterVm
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.VmDirectory
+import org.lycheemount.platform.VmList
+import org.lycheemount.testing.FakePeerNetwork
+import org.lycheemount.testing.FakeTableLink
+import org.lycheemount.testing.FakeTableService
+import java.lang.management.ManagementFactory
+import kotlin.math.ln
+import kotlin.random.Random
+
+/**
+ * Shape of a fleet.
+ *
+ * @property usesPeers false leaves only the polling of the table, as the baseline.
+ * @property changesPerSecond mean of exponentially distributed times between changes.
+ */
+internal data class FleetShape(
+    val routers: Int,
+    val regions: Int,
+    val usesPeers: Boolean = true,
+    val propagation: PropagationSettings = PropagationSettings(),
+    val teams: Int = 2_000,
+    val models: Int = 10,
+    val changesPerSecond: Double = 55_000.0 / 86_400,
+    val seed: Int = 1,
+)
+
+/** Real configuration and membership of every router over a network and a table in memory, in virtual time. */
+@OptIn(ExperimentalCoroutinesApi::class)
+internal class ControlFleet(
+    val shape: FleetShape,
+) {
+    private val scheduler = TestCoroutineScheduler()
+    private val scope = CoroutineScope(StandardTestDispatcher(scheduler) + SupervisorJob())
+    private val random = Random(shape.seed)
+    private val clock = SchedulerClock()
+    private val rows = FakeTableService(clock)
+    private val network = FakePeerNetwork(scope, latencyMs = ZONE_LATENCY_MS, seed = shape.seed)
+    private val places = (0 until shape.routers).map { Place(it) }
+    private val threads = ManagementFactory.getThreadMXBean()
+    private val changedTeams = (0 until CHANGED_TEAMS).map { TeamId(teamKey(it).id) }
+    private var changesRunning: Job? = null
+    private var lastNumber = 1
+
+    val table = TableLoad(rows, clock)
+    val counts = places.associate { it.routerId to LinkCount() }
+    val routers = places.map { Router(it) }
+    val watch = InForceWatch(shape.routers, { routers[it].service }, changedTeams)
+
+    /** CPU time of the simulated routers, without that of the observation. */
+    var cpuNanos = 0L
+        private set
+
+    var rejectedChanges = 0
+        private set
+
+    val nowMs: Long get() = scheduler.currentTime
+
+    /** Writes the initial configuration and starts all routers. */
+    fun start() {
+        val writer = ConfigurationService(table, network.join(places[0].identity(0)), TableOnly(1), clock, QuietLog, random = Random(1))
+        val writing = scope.launch { writeInitialConfiguration(writer.store, shape.teams, shape.models) }
+        scheduler.advanceTimeBy(START_MS)
+        check(writing.isCompleted && !writing.isCancelled) { "the initial configuration was not written" }
+        network.leave(places[0].routerId)
+        routers.forEach { it.start() }
+        run(START_MS)
+        check(routers.all { it.service.replica.loaded }) { "routers did not load the configuration" }
+    }
+
+    /** Starts changes by any router that the table and its peers can reach. */
+    fun startChanges() {
+        changesRunning =
+            scope.launch {
+                while (true) {
+                    delay((-ln(1 - random.nextDouble()) / shape.changesPerSecond * MS_PER_SECOND).toLong())
+                    change()
+                }
+            }
+    }
+
+    fun stopChanges() {
+        changesRunning?.cancel()
+    }
+
+    /** Makes [count] changes as fast as one operator can. */
+    fun changeMany(count: Int) {
+        val job = scope.launch { repeat(count) { change() } }
+        while (!job.isCompleted) run(MS_PER_SECOND)
+    }
+
+    /** Cuts the first region, or the first zone of a single region, off from the others and from the table. */
+    fun cutFirstPlace() {
+        val (inside, outside) = routers.partition { it.place.region == 0 && (shape.regions > 1 || it.place.zone == 0) }
+        network.cut(inside.map { it.place.routerId }, outside.map { it.place.routerId })
+        inside.forEach { it.link.cut = true }
+    }
+
+    fun heal() {
+        network.heal()
+        routers.forEach { it.link.cut = false }
+    }
+
+    fun setTableAvailable(available: Boolean) {
+        rows.available = available
+    }
+
+    /** Ends every router and starts it again at the same moment. */
+    fun restartAll() {
+        routers.forEach { it.stop() }
+        routers.forEach { it.start() }
+    }
+
+    /** Advances virtual time by [forMs]. */
+    fun run(forMs: Long) {
+        val endMs = nowMs + forMs
+        while (nowMs < endMs) {
+            val startedNanos = threads.currentThreadCpuTime
+            scheduler.advanceTimeBy(LOOK_MS)
+            scheduler.runCurrent()
+            cpuNanos += threads.currentThreadCpuTime - startedNanos
+            watch.look(nowMs)
+        }
+    }
+
+    fun close() = scope.cancel()
+
+    private suspend fun change() {
+        val writer = routers.filter { !it.link.cut && it.service.replica.loaded }.randomOrNull(random) ?: return
+        val key = teamKey(random.nextInt(CHANGED_TEAMS))
+        val number = ++lastNumber
+        val expected =
+            writer.service.replica
+                .find(key)
+                ?.version ?: 0
+        val edit = ItemEdit(key, expected, teamBody(key, number))
+        when (val outcome = writer.service.store.change(ChangeRequest("change-$number", "measure", listOf(edit)))) {
+            is ChangeOutcome.Accepted -> watch.track(outcome.sequence, nowMs)
+            else -> rejectedChanges++
+        }
+    }
+
+    /** Where a router runs. */
+    internal inner class Place(
+        private val index: Int,
+    ) {
+        val region = index % shape.regions
+        val zone = index / shape.regions % ZONES_PER_REGION
+        val routerId = RouterId("router-$index")
+        private val vmId = VmId("vm-$index")
+        private val regionId = RegionId("region-$region")
+        private val zoneId = ZoneId("zone-$region-$zone")
+
+        fun identity(incarnation: Long) = RouterIdentity(routerId, vmId, regionId, zoneId, incarnation)
+
+        fun vm() = RouterVm(vmId, routerId, regionId, zoneId, "10.0.${index / 250}.${index % 250}", PEER_PORT)
+    }
+
+    /** One router process. */
+    internal inner class Router(
+        val place: Place,
+    ) {
+        private val index = places.indexOf(place)
+        private val tableLatencyMs = if (place.region == 0) ZONE_LATENCY_MS * 2 else REGION_LATENCY_MS
+        val link = FakeTableLink(table, scope, latencyMs = tableLatencyMs, random = Random(shape.seed * 1_000 + index))
+        private var job: Job? = null
+        private var starts = 0
+        private var links: Set<RouterId> = emptySet()
+        lateinit var service: ConfigurationService
+            private set
+
+        val neighbours: Int get() = links.size
+
+        fun start() {
+            starts++
+            val joined = network.join(place.identity(clock.wallClockMs()))
+            val messenger = CountingMessenger(joined, scope, { links }, ::extraDelayMs, counts)
+            val seed = shape.seed * 100_000 + index * 10 + starts
+            val membership = MembershipService(messenger, directory, clock, QuietLog, Listener(), random = Random(seed)) { sequence() }
+            val peers = if (shape.usesPeers) MembershipPeers(membership) else TableOnly(shape.routers)
+            service = ConfigurationService(link, messenger, peers, clock, QuietLog, shape.propagation, Random(seed + 1))
+            job =
+                scope.launch {
+                    if (shape.usesPeers) membership.start(this)
+                    service.start(this)
+                }
+        }
+
+        fun stop() {
+            job?.cancel()
+            network.leave(place.routerId)
+            links = emptySet()
+            watch.onRestart(index)
+        }
+
+        private fun sequence() = service.replica.sequence
+
+        private fun extraDelayMs(to: RouterId): Long = if (regionByRouter[to] == place.region) 0 else REGION_LATENCY_MS - ZONE_LATENCY_MS
+
+        private inner class Listener : MembershipListener {
+            override fun onPeers(
+                known: List<RouterVm>,
+                neighbours: Set<RouterId>,
+            ) {
+                links = neighbours
+            }
+
+            override fun onConfigurationSequence(
+                from: RouterId,
+                sequence: Long,
+            ) = service.onPeerSequence(from, sequence)
+        }
+    }
+
+    private val regionByRouter = places.associate { it.routerId to it.region }
+    private val vms = places.map { it.vm() }
+    private val directory =
+        object : VmDirectory {
+            override suspend fun list(): TableResult<VmList> {
+                delay(REGION_LATENCY_MS)
+                return TableResult.Answered(VmList(vms, emptyList(), clock.wallClockMs()))
+            }
+        }
+
+    private inner class MembershipPeers(
+        private val membership: MembershipService,
+    ) : ConfigurationPeers {
+        override fun routerCount() = membership.routerCount()
+
+        override fun pushTargets() = membership.pushTargets()
+    }
+
+    private inner class SchedulerClock : Clock {
+        override fun monotonicMs(): Long = scheduler.currentTime
+
+        override fun wallClockMs(): Long = WALL_CLOCK_START_MS + scheduler.currentTime
+    }
+
+    private class TableOnly(
+        private val routers: Int,
+    ) : ConfigurationPeers {
+        override fun routerCount() = routers
+
+        override fun pushTargets() = emptyList<RouterId>()
+    }
+
+    private object QuietLog : EventLog {
+        override fun info(
+            event: String,
+            vararg fields: Pair<String, Any?>,
+        ) = Unit
+
+        override fun warn(
+            event: String,
+            vararg fields: Pair<String, Any?>,
+        ) = Unit
+    }
+
+    private companion object {
+        private const val MS_PER_SECOND = 1_000L
+        private const val WALL_CLOCK_START_MS = 1_700_000_000_000L
+        private const val START_MS = 20_000L
+
+        // Times in force are exact to this.
+        private const val LOOK_MS = 10L
+        private const val ZONE_LATENCY_MS = 1L
+        private const val REGION_LATENCY_MS = 40L
+        private const val ZONES_PER_REGION = 3
+        private const val PEER_PORT = 7000
+        private const val CHANGED_TEAMS = 50
+    }
+}
--- /dev/null
+++ b/measure/src/main/kotlin/org/lycheemount/measure/control/CountingMessenger.kt
@@ -0,0 +1,110 @@
+package org.lycheemount.measure.control
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.peer.PeerChannel
+import org.lycheemount.peer.PeerHandler
+import org.lycheemount.peer.PeerMessenger
+import org.lycheemount.peer.PeerReply
+
+/** Frames of one router on its peer links, both directions. */
+internal class LinkCount {
+    var frames = 0L
+        private set
+    var bytes = 0L
+        private set
+
+    fun add(frameBytes: Int) {
+        frames++
+        bytes += frameBytes
+    }
+}
+
+/**
+ * Messenger of one router in [network] that counts frames as `connection/peer` encodes them and delays those that cross regions.
+ *
+ * @param links routers to which a link is open; the others are dialed on demand for calls.
+ * @param extraDelayMs delay to a router in addition to that of the network, one way.
+ */
+internal class CountingMessenger(
+    private val network: PeerMessenger,
+    private val scope: CoroutineScope,
+    private val links: () -> Set<RouterId>,
+    private val extraDelayMs: (RouterId) -> Long,
+    private val counts: Map<RouterId, LinkCount>,
+) : PeerMessenger {
+    override val self: RouterIdentity get() = network.self
+
+    override fun connectedPeers(): List<RouterIdentity> {
+        val linked = links()
+        return if (linked.isEmpty()) emptyList() else network.connectedPeers().filter { it.routerId in linked }
+    }
+
+    override suspend fun call(
+        to: RouterId,
+        channel: PeerChannel,
+        payload: ByteArray,
+        timeoutMs: Long,
+    ): PeerReply {
+        count(to, messageFrameBytes(channel, payload.size) + CALL_ID_BYTES)
+        delay(extraDelayMs(to))
+        val reply = network.call(to, channel, payload, timeoutMs)
+        delay(extraDelayMs(to))
+        if (reply is PeerReply.Answered) count(to, answerFrameBytes(reply.payload.size))
+        return reply
+    }
+
+    override fun send(
+        to: RouterId,
+        channel: PeerChannel,
+        payload: ByteArray,
+    ): Boolean {
+        count(to, messageFrameBytes(channel, payload.size))
+        val extraMs = extraDelayMs(to)
+        if (extraMs == 0L) return network.send(to, channel, payload)
+        scope.launch {
+            delay(extraMs)
+            network.send(to, channel, payload)
+        }
+        return true
+    }
+
+    override fun register(
+        channel: PeerChannel,
+        handler: PeerHandler,
+    ) = network.register(channel, handler)
+
+    private fun count(
+        to: RouterId,
+        frameBytes: Int,
+    ) {
+        counts[self.routerId]?.add(frameBytes)
+        counts[to]?.add(frameBytes)
+    }
+}
+
+// A frame is a length of 4 bytes and a CBOR body ["m", {"c": channel, "p": payload}] of indefinite length; a call adds "i".
+private const val MESSAGE_OVERHEAD_BYTES = 14
+private const val ANSWER_OVERHEAD_BYTES = 16
+private const val CALL_ID_BYTES = 5
+
+/** Bytes of a keep-alive frame. */
+internal const val KEEP_ALIVE_FRAME_BYTES = 10
+
+internal fun messageFrameBytes(
+    channel: PeerChannel,
+    payloadBytes: Int,
+): Int = MESSAGE_OVERHEAD_BYTES + 1 + channel.value.length + cborHeaderBytes(payloadBytes) + payloadBytes
+
+private fun answerFrameBytes(payloadBytes: Int): Int = ANSWER_OVERHEAD_BYTES + cborHeaderBytes(payloadBytes) + payloadBytes
+
+private fun cborHeaderBytes(length: Int): Int =
+    when {
+        length < 24 -> 1
+        length < 256 -> 2
+        length < 65_536 -> 3
+        else -> 5
+    }
--- /dev/null
+++ b/measure/src/main/kotlin/org/lycheemount/measure/control/SocketFleet.kt
@@ -0,0 +1,194 @@
+package org.lycheemount.measure.control
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import org.lycheemount.common.DefaultClock
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.RegionId
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.TeamId
+import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
+import org.lycheemount.config.ChangeOutcome
+import org.lycheemount.config.ChangeRequest
+import org.lycheemount.config.ConfigurationPeers
+import org.lycheemount.config.ConfigurationService
+import org.lycheemount.config.ItemEdit
+import org.lycheemount.membership.MembershipListener
+import org.lycheemount.membership.MembershipService
+import org.lycheemount.peer.socket.DefaultPeerMessenger
+import org.lycheemount.peer.socket.PeerEndpoint
+import org.lycheemount.peer.socket.PeerSecret
+import org.lycheemount.platform.RouterVm
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.TableService
+import org.lycheemount.platform.VmDirectory
+import org.lycheemount.platform.VmList
+import org.lycheemount.testing.FakeTableService
+import java.lang.management.ManagementFactory
+import kotlin.random.Random
+
+/** Seven routers in this process over real sockets and in real time; the table is in memory. Its figures vary between runs. */
+internal class SocketFleet {
+    private val clock = DefaultClock()
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val tableLock = Mutex()
+    private val table = lockedTable(FakeTableService(clock))
+    private val vms = mutableListOf<RouterVm>()
+    private val routers = (0 until ROUTERS).map { SocketRouter(it) }
+
+    fun measure(): List<Pair<String, Any>> =
+        try {
+            runBlocking(Dispatchers.Default) { run() }
+        } finally {
+            scope.cancel()
+        }
+
+    private suspend fun run(): List<Pair<String, Any>> {
+        writeInitialConfiguration(routers[0].service.store, teams = 10, models = 1)
+        routers.forEach { vms += it.bind() }
+        routers.forEach { it.start() }
+        delay(START_MS)
+        val warmUp = newWatch()
+        repeat(WARM_UP_CHANGES) {
+            change(it, warmUp)
+            delay(WARM_UP_EVERY_MS)
+        }
+        val watch = newWatch()
+        val bytesBefore = bytes()
+        val cpuBefore = cpuNanos()
+        val startedMs = clock.monotonicMs()
+        repeat(CHANGES) { number ->
+            change(WARM_UP_CHANGES + number, watch)
+            val nextMs = startedMs + (number + 1) * CHANGE_EVERY_MS
+            while (clock.monotonicMs() < nextMs) {
+                watch.look(clock.monotonicMs())
+                delay(LOOK_MS)
+            }
+        }
+        val seconds = (clock.monotonicMs() - startedMs) / 1_000.0
+        val nodeSeconds = seconds * ROUTERS
+        val cpuUs = (cpuNanos() - cpuBefore) / 1_000.0 / nodeSeconds
+        val prefix = "control_sockets_$ROUTERS"
+        return Times(watch.samplesMs).print("${prefix}_normal_in_force") +
+            listOf(
+                "${prefix}_changes_per_second" to decimal(CHANGES / seconds),
+                "${prefix}_frame_bytes_per_node_second" to decimal((bytes() - bytesBefore) / nodeSeconds),
+                "${prefix}_cpu_us_per_node_second" to decimal(cpuUs),
+                "${prefix}_cpu_percent_of_core_per_node" to decimal(cpuUs / 10_000),
+                "${prefix}_changes_never_in_force" to watch.pendingChanges,
+                "${prefix}_reversions" to watch.reversions,
+            )
+    }
+
+    private fun newWatch() = InForceWatch(ROUTERS, { routers[it].service }, listOf(TeamId(teamKey(0).id)))
+
+    private suspend fun change(
+        number: Int,
+        watch: InForceWatch,
+    ) {
+        val writer = routers[number % ROUTERS].service
+        val key = teamKey(0)
+        val edit = ItemEdit(key, writer.replica.find(key)?.version ?: 0, teamBody(key, number + 2))
+        val outcome = writer.store.change(ChangeRequest("change-$number", "measure", listOf(edit)))
+        if (outcome is ChangeOutcome.Accepted) watch.track(outcome.sequence, clock.monotonicMs())
+    }
+
+    private fun bytes() = routers.sumOf { it.messenger.traffic.sentBytes + it.messenger.traffic.receivedBytes }
+
+    private fun cpuNanos() = (ManagementFactory.getOperatingSystemMXBean() as com.sun.management.OperatingSystemMXBean).processCpuTime
+
+    private inner class SocketRouter(
+        index: Int,
+    ) {
+        private val identity =
+            RouterIdentity(RouterId("router-$index"), VmId("vm-$index"), RegionId("region-0"), ZoneId("zone-${index % 4}"), incarnation = 1)
+        val messenger = DefaultPeerMessenger(identity, PeerSecret(SECRET.toByteArray()), SilentLog)
+        private val membership: MembershipService =
+            MembershipService(messenger, directory(), clock, SilentLog, Listener(), random = Random(index)) { service.replica.sequence }
+        val service: ConfigurationService =
+            ConfigurationService(table, messenger, Peers(), clock, SilentLog, random = Random(100 + index))
+
+        suspend fun bind(): RouterVm {
+            val port = messenger.start(scope, "127.0.0.1", 0)
+            return RouterVm(identity.vmId, identity.routerId, identity.regionId, identity.zoneId, "127.0.0.1", port)
+        }
+
+        fun start() {
+            membership.start(scope)
+            service.start(scope)
+        }
+
+        private inner class Peers : ConfigurationPeers {
+            override fun routerCount() = membership.routerCount()
+
+            override fun pushTargets() = membership.pushTargets()
+        }
+
+        private inner class Listener : MembershipListener {
+            override fun onPeers(
+                known: List<RouterVm>,
+                neighbours: Set<RouterId>,
+            ) = messenger.setPeers(known.map { PeerEndpoint(it.routerId, it.vmId, it.host, it.peerPort) }, neighbours)
+
+            override fun onConfigurationSequence(
+                from: RouterId,
+                sequence: Long,
+            ) = service.onPeerSequence(from, sequence)
+        }
+    }
+
+    private fun directory() =
+        object : VmDirectory {
+            override suspend fun list(): TableResult<VmList> = TableResult.Answered(VmList(vms.toList(), emptyList(), clock.wallClockMs()))
+        }
+
+    /** The table in memory is not safe for concurrent use. */
+    private fun lockedTable(inner: TableService) =
+        object : TableService {
+            override suspend fun read(keys: List<String>) = tableLock.withLock { inner.read(keys) }
+
+            override suspend fun scan(
+                prefix: String,
+                afterKey: String?,
+                limit: Int,
+            ) = tableLock.withLock { inner.scan(prefix, afterKey, limit) }
+
+            override suspend fun commit(transaction: org.lycheemount.platform.TableTransaction) =
+                tableLock.withLock { inner.commit(transaction) }
+
+            override suspend fun findTransaction(transactionId: String) = tableLock.withLock { inner.findTransaction(transactionId) }
+        }
+
+    private object SilentLog : EventLog {
+        override fun info(
+            event: String,
+            vararg fields: Pair<String, Any?>,
+        ) = Unit
+
+        override fun warn(
+            event: String,
+            vararg fields: Pair<String, Any?>,
+        ) = Unit
+    }
+
+    private companion object {
+        private const val ROUTERS = 7
+        private const val START_MS = 3_000L
+
+        // Enough for the compiler to have replaced the interpreted code, whose time does not count.
+        private const val WARM_UP_CHANGES = 200
+        private const val WARM_UP_EVERY_MS = 25L
+        private const val CHANGES = 30
+        private const val CHANGE_EVERY_MS = 500L
+        private const val LOOK_MS = 5L
+        private const val SECRET = "secret of the measured fleet on loopback"
+    }
+}
