--- a/measure/src/main/kotlin/org/lycheemount/measure/control/ControlMeasurement.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/control/ControlMeasurement.kt
@@ -98,7 +98,7 @@
 }
 
 /** Figures of one fleet. */
-internal class ControlRun(
+internal data class ControlRun(
     val normal: Times,
     val afterPartition: Times,
     val afterLongPartition: Times?,
