--- a/measure/src/main/kotlin/org/lycheemount/measure/routing/RoutingCostMeasurement.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/routing/RoutingCostMeasurement.kt
@@ -86,7 +86,7 @@
         }
 
         private fun report() =
-            (0 until serverCount).forEach {
+            repeat(serverCount) {
                 scheduler.onLoadReport(LoadReport(BackendServerId("s$it"), 0, running.size / serverCount, 0, SLOTS), nowMs)
             }
 
