--- /dev/null
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/HttpListener.kt
@@ -0,0 +1,61 @@
+package org.lycheemount.app.router
+
+import io.ktor.server.application.Application
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.netty.Netty
+import io.netty.handler.ssl.SslHandler
+import org.lycheemount.common.EventLog
+import org.lycheemount.peer.socket.ReloadingTlsContext
+import org.lycheemount.peer.socket.TlsFiles
+import org.lycheemount.settings.ListenerSettings
+import org.lycheemount.settings.TlsSettings
+import java.nio.file.Path
+
+/** Reads the certificate of [tls] again for new connections whenever its files change. */
+internal fun reloadingTls(
+    tls: TlsSettings,
+    eventLog: EventLog,
+): ReloadingTlsContext =
+    ReloadingTlsContext(
+        TlsFiles(Path.of(tls.certificateFile), Path.of(tls.privateKeyFile), Path.of(tls.trustedCertificatesFile)),
+        eventLog,
+    )
+
+/** Creates an HTTP server on [listener]: CIO for plain text, Netty for TLS, which Ktor's CIO server does not have. */
+internal fun createHttpServer(
+    listener: ListenerSettings,
+    eventLog: EventLog,
+    module: Application.() -> Unit,
+): EmbeddedServer<*, *> {
+    val tls = listener.tls?.let { reloadingTls(it, eventLog) } ?: return createPlainServer(listener, module)
+    return embeddedServer(
+        Netty,
+        configure = {
+            connector {
+                host = listener.host
+                port = listener.port
+            }
+            // Ktor's TLS connector builds its context once; a handler for each connection follows replaced certificates.
+            channelPipelineConfig = { addFirst("tls", SslHandler(tls.serverEngine(needClientCertificate = false))) }
+        },
+        module = module,
+    )
+}
+
+private fun createPlainServer(
+    listener: ListenerSettings,
+    module: Application.() -> Unit,
+): EmbeddedServer<*, *> =
+    embeddedServer(
+        CIO,
+        configure = {
+            connector {
+                host = listener.host
+                port = listener.port
+            }
+        },
+        module = module,
+    )
--- a/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
@@ -1,9 +1,10 @@
 package org.lycheemount.measure
 
+import org.lycheemount.measure.control.ControlMeasurement
 import org.lycheemount.measure.routing.RoutingMeasurement
 import kotlin.system.exitProcess
 
-private val measurements: List<Measurement> = listOf(RoutingMeasurement())
+private val measurements: List<Measurement> = listOf(ControlMeasurement(), RoutingMeasurement())
 
 /** Runs the measurement named by the first argument and prints `name=value` lines. */
 fun main(arguments: Array<String>) {
--- a/process/membership/src/main/kotlin/org/lycheemount/membership/MembershipService.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/MembershipService.kt
@@ -66,7 +66,7 @@
     private var neighbours: Set<RouterId> = emptySet()
 
     @Volatile
-    private var listedRouters = 1
+    private var listedRouters = 0
 
     override val name: String = "membership"
 
@@ -80,7 +80,7 @@
         scope.launch { sendHeartbeats() }
     }
 
-    /** Routers in the newest list, this one included. */
+    /** Routers in the newest list, this one included; 0 before the first list. */
     fun routerCount(): Int = listedRouters
 
     /** Routers to which links are kept. */
--- a/version/config/src/main/kotlin/org/lycheemount/config/ConfigurationReadiness.kt
+++ b/version/config/src/main/kotlin/org/lycheemount/config/ConfigurationReadiness.kt
@@ -20,7 +20,7 @@
 
 /** What propagation needs to know of the other routers; all functions are cheap and safe to call from any thread. */
 interface ConfigurationPeers {
-    /** Number of routers in the fleet, this one included. */
+    /** Number of routers in the fleet, this one included; 0 while it is not known. */
     fun routerCount(): Int
 
     /** Neighbours that are not known to be gone. */
