Add claims of idempotency keys by a pair of routers for each partition

Cause: an order must run at most once, also when its retry reaches another router during deaths, partitions and outages. Change: process/claims with 64 partitions; the table names a primary and a secondary with an epoch. A claim is granted when both have recorded it; one member replaces the other by a transaction; both lost, the written outcomes are read back and other keys are refused as unknown for one lifetime (2 h). Outcomes go to the table in batches. A restored table is recognised through the peers' rows and repaired. createClaims in ClaimsModule.kt is the entry point. Conclusion: ready to be wired into app/router with membership's evidence as isGone.

--- /dev/null
+++ b/process/claims/src/main/kotlin/org/lycheemount/claims/ClaimMessages.kt
@@ -0,0 +1,138 @@
+package org.lycheemount.claims
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RequestId
+import org.lycheemount.peer.PeerChannel
+
+/** Messages between routers; [view] is the sender's newest row of the partition. */
+@Serializable
+internal sealed interface ClaimMessage {
+    val partition: Int
+    val view: PartitionRow?
+
+    /** Asks a member of the pair to decide a claim; [relayed] when the secondary passes it on. */
+    @Serializable
+    @SerialName("claim")
+    data class Claim(
+        override val partition: Int,
+        override val view: PartitionRow?,
+        val request: ClaimRequest,
+        val relayed: Boolean = false,
+    ) : ClaimMessage
+
+    /** Reports the end of a request. */
+    @Serializable
+    @SerialName("finish")
+    class Finish(
+        override val partition: Int,
+        override val view: PartitionRow?,
+        val request: ClaimRequest,
+        val outcome: RecordedOutcome,
+        val relayed: Boolean = false,
+    ) : ClaimMessage
+
+    /** Asks the secondary to record [record]. */
+    @Serializable
+    @SerialName("replicate")
+    class Replicate(
+        override val partition: Int,
+        override val view: PartitionRow,
+        val record: ClaimRecord,
+    ) : ClaimMessage
+
+    /** One of [pages] pages of all records, for a new secondary. */
+    @Serializable
+    @SerialName("sync")
+    class Sync(
+        override val partition: Int,
+        override val view: PartitionRow,
+        val transferId: String,
+        val page: Int,
+        val pages: Int,
+        val records: List<ClaimRecord>,
+    ) : ClaimMessage
+
+    /** Asks for the receiver's newest row of the partition. */
+    @Serializable
+    @SerialName("view")
+    data class AskView(
+        override val partition: Int,
+        override val view: PartitionRow?,
+    ) : ClaimMessage
+}
+
+/** Answers to [ClaimMessage]. */
+@Serializable
+internal sealed interface ClaimReply {
+    /** The claim is decided. */
+    @Serializable
+    @SerialName("granted")
+    data object Granted : ClaimReply
+
+    /** Another request runs under the key. */
+    @Serializable
+    @SerialName("running")
+    data class Running(
+        val holder: RequestId,
+    ) : ClaimReply
+
+    /** The key's request has ended. */
+    @Serializable
+    @SerialName("finished")
+    class Finished(
+        val outcome: RecordedOutcome,
+    ) : ClaimReply
+
+    /** The claim is refused, whoever is asked. */
+    @Serializable
+    @SerialName("refused")
+    data class Refused(
+        val refusal: Refusal,
+    ) : ClaimReply
+
+    /** The message took effect. */
+    @Serializable
+    @SerialName("done")
+    data object Done : ClaimReply
+
+    /** The receiver cannot act on the message; [view] is its newest row. */
+    @Serializable
+    @SerialName("unable")
+    data class Unable(
+        val view: PartitionRow?,
+    ) : ClaimReply
+}
+
+internal val CLAIMS_CHANNEL = PeerChannel("claims")
+
+private val cbor = Cbor { ignoreUnknownKeys = true }
+
+internal fun encodeMessage(message: ClaimMessage): ByteArray = cbor.encodeToByteArray(message)
+
+internal fun encodeReply(reply: ClaimReply): ByteArray = cbor.encodeToByteArray(reply)
+
+/** Returns null for a malformed message. */
+internal fun decodeMessage(bytes: ByteArray): ClaimMessage? =
+    try {
+        cbor.decodeFromByteArray<ClaimMessage>(bytes)
+    } catch (failure: SerializationException) {
+        null
+    } catch (failure: IllegalArgumentException) {
+        null
+    }
+
+/** Returns null for a malformed reply. */
+internal fun decodeReply(bytes: ByteArray): ClaimReply? =
+    try {
+        cbor.decodeFromByteArray<ClaimReply>(bytes)
+    } catch (failure: SerializationException) {
+        null
+    } catch (failure: IllegalArgumentException) {
+        null
+    }
--- /dev/null
+++ b/process/claims/src/main/kotlin/org/lycheemount/claims/DefaultClaimRegistry.kt
@@ -0,0 +1,183 @@
+package org.lycheemount.claims
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.lycheemount.common.IdempotencyKey
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RefusalReason
+import org.lycheemount.common.RequestId
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.StateDumpSource
+import org.lycheemount.common.TeamId
+
+/** Claims at the pair of routers that the table names for the key's partition. */
+internal class DefaultClaimRegistry(
+    private val context: ClaimContext,
+) : ClaimRegistry,
+    StateDumpSource {
+    private val options = context.options
+    private val partitions = List(options.partitions) { ClaimPartition(context, it) }
+
+    override val name = "claims"
+
+    init {
+        context.peers.register(CLAIMS_CHANNEL) { _, payload -> handle(payload) }
+    }
+
+    /** Starts the background work: reading partition rows, writing outcomes, forgetting old ones. */
+    fun start(scope: CoroutineScope): Job =
+        scope.launch {
+            launch { repeatEvery(options.refreshIntervalMs) { refresh() } }
+            launch { repeatEvery(options.flushIntervalMs) { flush() } }
+        }
+
+    /** Writes all waiting outcomes as far as the table answers. */
+    suspend fun flush() {
+        while (context.outcomes.flush()) Unit
+    }
+
+    override suspend fun claim(
+        teamId: TeamId,
+        key: IdempotencyKey,
+        requestId: RequestId,
+        requestFingerprint: String,
+    ): ClaimOutcome {
+        val request = ClaimRequest(ClaimKey(teamId, key), requestId, requestFingerprint, context.self)
+        val caller = currentCoroutineContext()[Job]
+        // A claim that ended half-way would block its key, so it is carried on and then released when the caller is gone.
+        return withContext(NonCancellable) {
+            val outcome = decide(request)
+            if (outcome is ClaimOutcome.Granted && caller?.isActive == false) release(request)
+            outcome
+        }
+    }
+
+    private suspend fun decide(request: ClaimRequest): ClaimOutcome {
+        val partition = partitionOf(request.key)
+        val giveUpAtMs = context.clock.monotonicMs() + options.claimTimeoutMs
+        var waitMs = FIRST_WAIT_MS
+        while (true) {
+            val reply = ask(partition) { view -> ClaimMessage.Claim(partition.partition, view, request) }
+            toOutcome(reply)?.let { return it }
+            if (context.clock.monotonicMs() + waitMs > giveUpAtMs) return giveUp(partition, request)
+            delay(waitMs)
+            waitMs = (waitMs * 2).coerceAtMost(LONGEST_WAIT_MS)
+        }
+    }
+
+    override suspend fun finish(
+        teamId: TeamId,
+        key: IdempotencyKey,
+        requestId: RequestId,
+        outcome: RecordedOutcome,
+    ) {
+        val request = ClaimRequest(ClaimKey(teamId, key), requestId, "", context.self)
+        val partition = partitionOf(request.key)
+        repeat(FINISH_ATTEMPTS) { attempt ->
+            val reply = ask(partition) { view -> ClaimMessage.Finish(partition.partition, view, request, outcome) }
+            if (reply is ClaimReply.Done) return
+            delay((FIRST_WAIT_MS shl attempt).coerceAtMost(LONGEST_FINISH_WAIT_MS))
+        }
+        context.log.warn("claim_outcome_not_recorded", "request_id" to requestId.value)
+    }
+
+    override fun dumpState(): JsonObject =
+        buildJsonObject {
+            put("partitions", partitions.size)
+            put("partitionsAsPrimary", partitions.count { it.view?.primary == context.self })
+            put("partitionsAsSecondary", partitions.count { it.view?.secondary == context.self })
+            put("partitionsWithoutPair", partitions.count { it.view == null })
+            put("outcomesNotYetWritten", context.outcomes.waitingCount)
+        }
+
+    private suspend fun handle(payload: ByteArray): ByteArray? {
+        val message = decodeMessage(payload) ?: return null
+        return partitions.getOrNull(message.partition)?.let { encodeReply(it.handle(message)) }
+    }
+
+    /** Asks the members of the pair in turn; returns null when none could act. */
+    private suspend fun ask(
+        partition: ClaimPartition,
+        message: (PartitionRow?) -> ClaimMessage,
+    ): ClaimReply? {
+        val view = partition.ensureView() ?: return null
+        for (member in listOf(view.primary, view.secondary)) {
+            val reply = askMember(partition, member, message(partition.view))
+            if (reply !is ClaimReply.Unable) reply?.let { return it }
+            val newer = (reply as? ClaimReply.Unable)?.view ?: continue
+            if (newer.epoch > (partition.view?.epoch ?: 0)) partition.adopt(newer)
+            if (partition.view != view) return null
+        }
+        if (context.isGone(view.primary)) partition.takeOverLost()
+        return null
+    }
+
+    private suspend fun askMember(
+        partition: ClaimPartition,
+        member: RouterIdentity,
+        message: ClaimMessage,
+    ): ClaimReply? = if (member == context.self) partition.handle(message) else context.call(member.routerId, message)
+
+    private fun toOutcome(reply: ClaimReply?): ClaimOutcome? =
+        when (reply) {
+            ClaimReply.Granted -> ClaimOutcome.Granted
+            is ClaimReply.Running -> ClaimOutcome.AlreadyRunning(reply.holder)
+            is ClaimReply.Finished -> ClaimOutcome.Finished(reply.outcome)
+            is ClaimReply.Refused -> ClaimOutcome.Refused(reply.refusal)
+            ClaimReply.Done, is ClaimReply.Unable, null -> null
+        }
+
+    /** The claim may have been recorded although no answer came, so it is released: the request will not run. */
+    private suspend fun giveUp(
+        partition: ClaimPartition,
+        request: ClaimRequest,
+    ): ClaimOutcome {
+        val refusal =
+            Refusal(RefusalReason.CLAIM_UNAVAILABLE, "the routers that decide on this idempotency key do not answer", LONGEST_WAIT_MS)
+        ask(partition) { view -> ClaimMessage.Finish(partition.partition, view, request, RecordedOutcome.NotRun(refusal)) }
+        return ClaimOutcome.Refused(refusal)
+    }
+
+    private suspend fun release(request: ClaimRequest) {
+        val refusal = Refusal(RefusalReason.CALLER_GONE, "the caller has gone")
+        finish(request.key.teamId, request.key.key, request.requestId, RecordedOutcome.NotRun(refusal))
+    }
+
+    private suspend fun refresh() {
+        val rows = context.changes.readAll()?.associateBy { it.partition }
+        if (rows != null) partitions.forEach { it.compareWithTable(rows[it.partition]) }
+        partitions.forEach { it.removeExpired() }
+    }
+
+    private suspend fun repeatEvery(
+        intervalMs: Long,
+        action: suspend () -> Unit,
+    ) {
+        while (true) {
+            action()
+            delay(intervalMs)
+        }
+    }
+
+    private fun partitionOf(key: ClaimKey): ClaimPartition {
+        val hash = "${key.teamId.value}\n${key.key.value}".fold(7) { hash, char -> hash * 31 + char.code }
+        return partitions[Math.floorMod(hash * HASH_MULTIPLIER ushr HASH_SHIFT, partitions.size)]
+    }
+
+    private companion object {
+        private const val FIRST_WAIT_MS = 20L
+        private const val LONGEST_WAIT_MS = 500L
+        private const val FINISH_ATTEMPTS = 12
+        private const val LONGEST_FINISH_WAIT_MS = 10_000L
+        private const val HASH_MULTIPLIER = -1_640_531_527
+        private const val HASH_SHIFT = 8
+    }
+}
--- /dev/null
+++ b/process/claims/src/main/kotlin/org/lycheemount/claims/OutcomeStore.kt
@@ -0,0 +1,96 @@
+package org.lycheemount.claims
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RefusalReason
+import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.TableRow
+import org.lycheemount.platform.TableService
+import org.lycheemount.platform.TableTransaction
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/** Writes final outcomes to the table in batches and reads them back when both routers of a partition are lost. */
+internal class OutcomeStore(
+    private val table: TableService,
+    private val options: ClaimOptions,
+    private val newTransactionId: () -> String,
+) {
+    private val waiting = LinkedHashMap<String, String?>()
+
+    /** Outcomes and removals not yet written. */
+    val waitingCount: Int @Synchronized get() = waiting.size
+
+    /** Queues a final outcome; a request that did not run leaves nothing to keep. */
+    @Synchronized
+    fun add(
+        partition: Int,
+        record: ClaimRecord,
+    ) {
+        if (record.outcome == null || record.outcome is RecordedOutcome.NotRun) return
+        waiting[keyOf(partition, record)] = json.encodeToString(ClaimRecord.serializer(), bounded(record))
+    }
+
+    /** Queues the removal of an outcome whose lifetime is over. */
+    @Synchronized
+    fun remove(
+        partition: Int,
+        record: ClaimRecord,
+    ) {
+        if (record.outcome !is RecordedOutcome.NotRun) waiting[keyOf(partition, record)] = null
+    }
+
+    /** Writes one batch; returns whether more can be written now. A batch whose answer is lost is written again. */
+    suspend fun flush(): Boolean {
+        val batch = synchronized(this) { waiting.entries.take(options.flushBatch).map { it.key to it.value } }
+        if (batch.isEmpty()) return false
+        val transaction = TableTransaction(newTransactionId(), emptyList(), batch.map { (key, value) -> RowWrite(key, value) })
+        if (table.commit(transaction) !is TableResult.Answered) return false
+        return synchronized(this) {
+            batch.forEach { (key, value) -> if (waiting[key] == value) waiting.remove(key) }
+            waiting.isNotEmpty()
+        }
+    }
+
+    /** Returns all written outcomes of [partition], or null when the table gave no answer. */
+    suspend fun readAll(partition: Int): List<ClaimRecord>? {
+        val found = ArrayList<ClaimRecord>()
+        var after: String? = null
+        while (true) {
+            val result = table.scan(outcomePrefix(partition), after)
+            val rows = (result as? TableResult.Answered)?.value?.rows ?: return null
+            if (rows.isEmpty()) return found
+            rows.mapNotNullTo(found, ::decode)
+            after = rows.last().key
+        }
+    }
+
+    private fun bounded(record: ClaimRecord): ClaimRecord {
+        val outcome = record.outcome
+        if (outcome !is RecordedOutcome.Ran || outcome.body.size <= options.maxStoredBodyBytes) return record
+        val refusal = Refusal(RefusalReason.IDEMPOTENCY_CONFLICT, "the request ran, but its answer was too large to be kept")
+        return record.copy(outcome = RecordedOutcome.Unknown(refusal))
+    }
+
+    private fun keyOf(
+        partition: Int,
+        record: ClaimRecord,
+    ): String {
+        val name = record.request.key.run { "${teamId.value.length}/${teamId.value}/${key.value}" }
+        val hash = MessageDigest.getInstance("SHA-256").digest(name.encodeToByteArray())
+        return outcomePrefix(partition) + HexFormat.of().formatHex(hash)
+    }
+
+    private fun decode(row: TableRow): ClaimRecord? =
+        try {
+            json.decodeFromString(ClaimRecord.serializer(), row.value)
+        } catch (failure: SerializationException) {
+            null
+        }
+
+    private companion object {
+        private val json = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/process/claims/src/main/kotlin/org/lycheemount/claims/PairChange.kt
@@ -0,0 +1,95 @@
+package org.lycheemount.claims
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.lycheemount.platform.CommitOutcome
+import org.lycheemount.platform.RowCheck
+import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.TableRow
+import org.lycheemount.platform.TableService
+import org.lycheemount.platform.TableTransaction
+
+/** Outcome of an attempt to write a partition's row. */
+internal sealed interface PairChangeOutcome {
+    /** The table now has this row, written by this attempt or by another. */
+    data class Current(
+        val row: PartitionRow,
+    ) : PairChangeOutcome
+
+    /** Certainly nothing was written by this attempt. */
+    data object NotMade : PairChangeOutcome
+
+    /** The row may have been written. */
+    data object Unknown : PairChangeOutcome
+}
+
+/** Row of a partition and its version in the table; version 0 and no row when it is absent. */
+internal class VersionedRow(
+    val row: PartitionRow?,
+    val version: Long,
+    val tableTimeMs: Long,
+)
+
+/** Reads and changes partition rows. */
+internal class PairChanges(
+    private val table: TableService,
+    private val newTransactionId: () -> String,
+) {
+    /** Returns the row of [partition], or null when the table gave no answer. */
+    suspend fun read(partition: Int): VersionedRow? =
+        when (val result = table.read(listOf(partitionKey(partition)))) {
+            is TableResult.Answered -> {
+                val found = result.value.rows.firstOrNull()
+                VersionedRow(found?.let(::decode), found?.version ?: 0, result.value.tableTimeMs)
+            }
+            is TableResult.Unavailable, is TableResult.Unknown -> null
+        }
+
+    /** Returns all rows, or null when the table gave no answer. */
+    suspend fun readAll(): List<PartitionRow>? =
+        when (val result = table.scan(PARTITION_PREFIX, limit = MAX_PARTITIONS)) {
+            is TableResult.Answered -> result.value.rows.mapNotNull(::decode)
+            is TableResult.Unavailable, is TableResult.Unknown -> null
+        }
+
+    /** Writes [row] if the table still has [expectedVersion]. */
+    suspend fun write(
+        row: PartitionRow,
+        expectedVersion: Long,
+    ): PairChangeOutcome {
+        val key = partitionKey(row.partition)
+        val write = RowWrite(key, json.encodeToString(PartitionRow.serializer(), row))
+        return when (
+            val result =
+                table.commit(
+                    TableTransaction(newTransactionId(), listOf(RowCheck(key, expectedVersion)), listOf(write)),
+                )
+        ) {
+            is TableResult.Unavailable -> PairChangeOutcome.NotMade
+            is TableResult.Unknown -> PairChangeOutcome.Unknown
+            is TableResult.Answered ->
+                when (val outcome = result.value) {
+                    is CommitOutcome.Committed -> PairChangeOutcome.Current(row)
+                    is CommitOutcome.Conflict -> conflict(outcome)
+                }
+        }
+    }
+
+    private fun conflict(outcome: CommitOutcome.Conflict): PairChangeOutcome {
+        val current = outcome.current.firstOrNull()?.let(::decode) ?: return PairChangeOutcome.NotMade
+        return PairChangeOutcome.Current(current)
+    }
+
+    private fun decode(row: TableRow): PartitionRow? =
+        try {
+            json.decodeFromString(PartitionRow.serializer(), row.value)
+        } catch (failure: SerializationException) {
+            null
+        }
+
+    private companion object {
+        private const val MAX_PARTITIONS = 4_096
+        private val json = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/process/claims/src/test/kotlin/org/lycheemount/claims/ClaimFleet.kt
@@ -0,0 +1,152 @@
+package org.lycheemount.claims
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.RegionId
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
+import org.lycheemount.peer.PeerChannel
+import org.lycheemount.peer.PeerHandler
+import org.lycheemount.peer.PeerMessenger
+import org.lycheemount.peer.PeerReply
+import org.lycheemount.platform.TableService
+import org.lycheemount.testing.FakePeerNetwork
+import org.lycheemount.testing.FakeTableLink
+import org.lycheemount.testing.FakeTableService
+import kotlin.random.Random
+
+/** Routers with claims on virtual time, over a network and a table with faults. */
+internal class ClaimFleet(
+    private val testScope: TestScope,
+    routers: Int = 5,
+    seed: Int = 1,
+    val options: ClaimOptions = ClaimOptions(partitions = 4, callTimeoutMs = 100, claimTimeoutMs = 1_500, refreshIntervalMs = 5_000),
+) {
+    val clock = VirtualClock(testScope)
+    val random = Random(seed)
+    val network = FakePeerNetwork(testScope.backgroundScope, latencyMs = 1, seed = seed)
+    val table = FakeTableService(clock)
+    val routers = (1..routers).map { start(it, incarnation = 1) }.toMutableList()
+    private val gone = HashSet<RouterIdentity>()
+
+    /** One running router; after its death none of its coroutines goes on. */
+    inner class Router(
+        val number: Int,
+        val identity: RouterIdentity,
+    ) {
+        val scope =
+            CoroutineScope(testScope.backgroundScope.coroutineContext + SupervisorJob(testScope.backgroundScope.coroutineContext[Job]))
+        val pause = Pause(testScope)
+        val link = FakeTableLink(table, testScope.backgroundScope, latencyMs = 2, random = random)
+        val messenger: PeerMessenger = OwnScopeMessenger(network.join(identity), scope, pause)
+        val claims = createClaims(link, messenger, clock, SilentLog, { it in gone }, options)
+        var alive = true
+            private set
+
+        fun die() {
+            alive = false
+            network.leave(identity.routerId)
+            scope.cancel()
+            link.cut = true
+        }
+    }
+
+    fun restart(router: Router): Router {
+        if (router.alive) router.die()
+        gone += router.identity
+        return start(router.number, router.identity.incarnation + 1).also { routers[router.number - 1] = it }
+    }
+
+    /** Shows the pairs as the table names them. */
+    fun partitionRows(): List<String> =
+        table.copyRows().filter { it.key.startsWith(PARTITION_PREFIX) }.map { it.value + "gone=${gone.map { g -> g.vmId.value }}" }
+
+    /** The VM list no longer has the VM of [router]. */
+    fun confirmGone(router: Router) {
+        gone += router.identity
+    }
+
+    private fun start(
+        number: Int,
+        incarnation: Long,
+    ): Router {
+        val identity =
+            RouterIdentity(RouterId("r$number"), VmId("vm$number-$incarnation"), RegionId("g"), ZoneId("z${number % 3}"), incarnation)
+        return Router(number, identity).also { it.claims.start(it.scope) }
+    }
+}
+
+internal class VirtualClock(
+    private val scope: TestScope,
+) : Clock {
+    override fun monotonicMs(): Long = scope.testScheduler.currentTime
+
+    override fun wallClockMs(): Long = 1_700_000_000_000 + scope.testScheduler.currentTime
+}
+
+/** Stops everything that a router sends or receives until a point in time, as a pause of its process does. */
+internal class Pause(
+    private val scope: TestScope,
+) {
+    var untilMs = 0L
+
+    suspend fun await() {
+        while (scope.testScheduler.currentTime < untilMs) delay(untilMs - scope.testScheduler.currentTime)
+    }
+}
+
+/** Runs the handler in the router's own scope: it goes on when the sender no longer waits, and ends with its router. */
+private class OwnScopeMessenger(
+    private val delegate: PeerMessenger,
+    private val scope: CoroutineScope,
+    private val pause: Pause,
+) : PeerMessenger by delegate {
+    override suspend fun call(
+        to: RouterId,
+        channel: PeerChannel,
+        payload: ByteArray,
+        timeoutMs: Long,
+    ): PeerReply {
+        pause.await()
+        return delegate.call(to, channel, payload, timeoutMs).also { pause.await() }
+    }
+
+    override fun register(
+        channel: PeerChannel,
+        handler: PeerHandler,
+    ) = delegate.register(channel) { from, payload ->
+        val handling =
+            scope.async {
+                pause.await()
+                handler.handle(from, payload).also { pause.await() }
+            }
+        try {
+            handling.await()
+        } catch (failure: CancellationException) {
+            if (handling.isCancelled) awaitCancellation() else throw failure
+        }
+    }
+}
+
+internal object SilentLog : EventLog {
+    override fun info(
+        event: String,
+        vararg fields: Pair<String, Any?>,
+    ) = Unit
+
+    override fun warn(
+        event: String,
+        vararg fields: Pair<String, Any?>,
+    ) = Unit
+}
--- /dev/null
+++ b/process/claims/src/test/kotlin/org/lycheemount/claims/FaultScript.kt
@@ -0,0 +1,66 @@
+package org.lycheemount.claims
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlin.random.Random
+
+/** Starts and ends random faults of the network, the routers and the table. */
+internal class FaultScript(
+    private val scope: TestScope,
+    private val fleet: ClaimFleet,
+    private val random: Random,
+) {
+    private val dead = ArrayList<ClaimFleet.Router>()
+
+    suspend fun run() {
+        fleet.network.lossShare = random.nextDouble(0.1)
+        fleet.network.duplicateShare = random.nextDouble(0.3)
+        while (true) {
+            delay(random.nextLong(50, 2_000))
+            fault()
+        }
+    }
+
+    fun endAll() {
+        fleet.network.heal()
+        fleet.network.lossShare = 0.0
+        fleet.network.duplicateShare = 0.0
+        fleet.table.available = true
+        dead.forEach { fleet.restart(it) }
+        dead.clear()
+        fleet.routers.forEach {
+            it.pause.untilMs = 0
+            it.link.cut = false
+            it.link.lostAnswerShare = 0.0
+            it.link.lateCommitShare = 0.0
+        }
+    }
+
+    private fun fault() {
+        val alive = fleet.routers.filter { it.alive }
+        val router = alive.random(random)
+        when (random.nextInt(9)) {
+            0 -> alive.map { it.identity.routerId }.partition { random.nextBoolean() }.let { fleet.network.cut(it.first, it.second) }
+            1, 2 -> fleet.network.heal()
+            3 -> if (dead.size < 2) kill(router)
+            4 -> dead.removeFirstOrNull()?.let { fleet.restart(it) }
+            5 -> router.pause.untilMs = fleet.clock.monotonicMs() + random.nextLong(6_000)
+            6 -> router.link.cut = !router.link.cut
+            7 -> fleet.table.available = !fleet.table.available || random.nextBoolean()
+            8 -> {
+                router.link.lostAnswerShare = random.nextDouble(0.5)
+                router.link.lateCommitShare = random.nextDouble(0.3)
+            }
+        }
+    }
+
+    private fun kill(router: ClaimFleet.Router) {
+        router.die()
+        dead += router
+        scope.backgroundScope.launch {
+            delay(3_000)
+            fleet.confirmGone(router)
+        }
+    }
+}
--- /dev/null
+++ b/process/claims/src/test/kotlin/org/lycheemount/claims/NaiveClaims.kt
@@ -0,0 +1,55 @@
+package org.lycheemount.claims
+
+import org.lycheemount.common.RequestId
+
+/** Claims in one central map, without faults: what the fleet has to agree with. */
+internal class NaiveClaims {
+    private class Entry(
+        val requestId: RequestId,
+        val fingerprint: String,
+        var outcome: RecordedOutcome? = null,
+    )
+
+    private val entries = HashMap<String, Entry>()
+
+    fun claim(
+        key: String,
+        requestId: RequestId,
+        fingerprint: String,
+    ): String {
+        val known = entries[key]
+        val outcome = known?.outcome
+        if (known == null || outcome is RecordedOutcome.NotRun) {
+            entries[key] = Entry(requestId, fingerprint)
+            return "granted"
+        }
+        return when {
+            known.fingerprint != fingerprint -> "conflict"
+            outcome == null -> "running ${known.requestId.value}"
+            else -> "finished ${describe(outcome)}"
+        }
+    }
+
+    fun finish(
+        key: String,
+        requestId: RequestId,
+        outcome: RecordedOutcome,
+    ) {
+        entries[key]?.takeIf { it.requestId == requestId && it.outcome == null }?.outcome = outcome
+    }
+}
+
+internal fun describe(outcome: RecordedOutcome): String =
+    when (outcome) {
+        is RecordedOutcome.Ran -> "ran ${outcome.httpStatus} ${outcome.body.decodeToString()}"
+        is RecordedOutcome.NotRun -> "not run"
+        is RecordedOutcome.Unknown -> "unknown"
+    }
+
+internal fun describe(outcome: ClaimOutcome): String =
+    when (outcome) {
+        ClaimOutcome.Granted -> "granted"
+        is ClaimOutcome.AlreadyRunning -> "running ${outcome.holder.value}"
+        is ClaimOutcome.Finished -> "finished ${describe(outcome.outcome)}"
+        is ClaimOutcome.Refused -> if (outcome.refusal.retryAfterMs == null) "conflict" else "refused"
+    }
