--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -72,10 +72,11 @@
         if (candidates.isEmpty()) return SubmitOutcome.Refused(admission.noServer())
         val workClass = workClasses[item.workClassId] ?: defaultWorkClass(item.workClassId)
         val estimate = lane.estimator.estimate(item, bestCachedTokens(candidates, item, nowMs))
+        val serviceMs = lane.estimator.observedServiceMs(item, estimate)
         val latest = LatestStart(item, workClass, estimate, lane.estimator.firstTokenStretch)
         val waitMs = lane.waitMs(item, latest.dueAtMs, candidates.filter { it.isOpen(nowMs) }, nowMs)
         admission.refusal(item, workClass, lane, waitMs, latest.dueAtMs, nowMs)?.let { return SubmitOutcome.Refused(it) }
-        enqueue(lane, QueuedRequest(item, workClass, ++lastSequence, nowMs, estimate.serviceMs, latest, waitMs))
+        enqueue(lane, QueuedRequest(item, workClass, ++lastSequence, nowMs, serviceMs, latest, waitMs))
         return SubmitOutcome.Queued
     }
 
@@ -158,9 +159,11 @@
         while (lane.queue.size > 0) {
             val open = servers.values.filter { lane.target in it.server.targets && it.isOpen(nowMs) }
             if (open.isEmpty()) return
-            val request = lane.queue.select { candidate -> open.any { takes(it, lane, open, candidate, nowMs) } } ?: return
-            val choice =
-                selector.choose(open.filter { takes(it, lane, open, request, nowMs) }, request.item, lane.estimator, nowMs) ?: return
+            val homes = HomeServers(open, lane.patientShare)
+            val request = lane.queue.select { takers(open, homes, lane, it, nowMs).isNotEmpty() } ?: return
+            val takers = takers(open, homes, lane, request, nowMs)
+            val home = homes.homeOf(request.item, request.isPatient)
+            val choice = selector.choose(takers, home, request.item, lane.estimator, nowMs) ?: return
             actions += start(lane, request, choice, nowMs)
         }
     }
@@ -183,21 +186,33 @@
         return SchedulerAction.Start(item.requestId, choice.state.id, priority)
     }
 
-    private fun takes(
+    /** Servers among [open] where [request] may start now. */
+    private fun takers(
+        open: List<ServerState>,
+        homes: HomeServers,
+        lane: TargetQueue,
+        request: QueuedRequest,
+        nowMs: Long,
+    ): List<ServerState> {
+        val withRoom = open.filter { hasRoom(it, lane, request, nowMs) }
+        if (withRoom.isEmpty() || request.item.prefixHashes.isEmpty() || !request.canChoose(nowMs)) return withRoom
+        val affine =
+            request.affineServers(nowMs) {
+                selector.affine(open, homes.homeOf(request.item, request.isPatient), request.item, nowMs)
+            }
+        return withRoom.filter { it.id in affine || it.idleShare(nowMs) > IDLE_SHARE }
+    }
+
+    private fun hasRoom(
         state: ServerState,
         lane: TargetQueue,
-        open: List<ServerState>,
         request: QueuedRequest,
         nowMs: Long,
     ): Boolean {
         if (state.id in request.item.excludedServers || request.isPastDeadline(nowMs)) return false
         if (state.health.allowedRequests(nowMs) <= state.ownInFlight) return false
         val room = state.room(lane.fleetShare, nowMs)
-        if (room <= 0) return false
-        if (request.dueAtMs - nowMs >= PATIENT_SLACK_MS && room <= PATIENT_RESERVE * lane.fleetShare) return false
-        if (request.item.prefixHashes.isEmpty() || state.idleShare(nowMs) > IDLE_SHARE || !request.canChoose(nowMs)) return true
-        val affine = request.affineServers(nowMs) { selector.affine(open, request.item, nowMs) }
-        return affine.isEmpty() || state.id in affine
+        return room > if (request.dueAtMs - nowMs >= PATIENT_SLACK_MS) PATIENT_RESERVE * lane.fleetShare else 0.0
     }
 
     private fun dropDeadWork(
@@ -249,6 +264,7 @@
         val firstTokenAt = request.firstTokenAtMs ?: nowMs
         lane.estimator.onCompleted(request.item, event.outputTokens, nowMs - firstTokenAt)
         val decodeMs = event.outputTokens * lane.estimator.decodeMsPerToken
+        lane.estimator.onServed(request.item, request.estimate, nowMs - request.startedAtMs)
         val ratio = (nowMs - request.startedAtMs) / maxOf(1.0, request.estimate.firstTokenMs + decodeMs)
         state.end(request, answered = true, nowMs)
         state.health.onSuccess(ratio, peerSlowness(state, request.item), nowMs)
