--- a/measure/src/main/kotlin/org/lycheemount/measure/control/SocketFleet.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/control/SocketFleet.kt
@@ -7,12 +7,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
-import org.lycheemount.app.router.ControlPlane
-import org.lycheemount.budget.BillsResult
-import org.lycheemount.budget.BudgetAdministration
-import org.lycheemount.budget.BudgetChange
-import org.lycheemount.budget.BudgetStatusResult
-import org.lycheemount.common.BudgetId
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RouterId
@@ -21,29 +15,33 @@
 import org.lycheemount.common.ZoneId
 import org.lycheemount.config.ChangeOutcome
 import org.lycheemount.config.ChangeRequest
+import org.lycheemount.config.ConfigurationPeers
+import org.lycheemount.config.ConfigurationService
 import org.lycheemount.config.ItemEdit
 import org.lycheemount.config.ItemKey
 import org.lycheemount.config.ItemKind
+import org.lycheemount.membership.MembershipListener
+import org.lycheemount.membership.MembershipService
 import org.lycheemount.peer.socket.DefaultPeerMessenger
+import org.lycheemount.peer.socket.PeerEndpoint
 import org.lycheemount.peer.socket.PeerSecret
 import org.lycheemount.platform.RouterVm
 import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.VmDirectory
 import org.lycheemount.platform.VmList
-import org.lycheemount.settings.ListenerSettings
 import org.lycheemount.testing.FakeEventLog
 import org.lycheemount.testing.FakeTableService
 import java.lang.management.ManagementFactory
 import kotlin.random.Random
 
-/** Seven whole control planes over TCP on loopback, with the table in memory, in real time. */
+/** Seven routers with the real membership and configuration services over TCP on loopback, with the table in memory, in real time. */
 internal class SocketFleet {
     private val clock = DefaultClock()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val table = MeteredTable(FakeTableService(clock), clock)
     private val vms = mutableListOf<RouterVm>()
     private val messengers = mutableListOf<DefaultPeerMessenger>()
-    private val planes = mutableListOf<ControlPlane>()
+    private val routers = mutableListOf<SocketRouter>()
     private val random = Random(1)
 
     fun run(): List<Pair<String, Any>> =
@@ -55,7 +53,6 @@
                 }
             }
         } finally {
-            planes.forEach { it.stop() }
             scope.cancel()
         }
 
@@ -67,16 +64,9 @@
             vms += RouterVm(identity.vmId, identity.routerId, identity.regionId, identity.zoneId, "127.0.0.1", port)
             messengers += messenger
         }
-        val directory =
-            object : VmDirectory {
-                override suspend fun list() = TableResult.Answered(VmList(vms, emptyList(), clock.wallClockMs()))
-            }
-        for (messenger in messengers) {
-            val listener = ListenerSettings("127.0.0.1", 0)
-            planes += ControlPlane(listener, emptyList(), table, directory, messenger, NoBudgets, clock, FakeEventLog())
-        }
-        planes.forEach { it.start(scope) }
-        while (planes.any { it.notReadyReasons().isNotEmpty() } || messengers.any { it.connectedPeers().size < ROUTERS - 1 }) delay(10)
+        messengers.mapTo(routers) { SocketRouter(it) }
+        routers.forEach { it.start() }
+        while (routers.any { !it.configuration.replica.loaded || it.messenger.connectedPeers().size < ROUTERS - 1 }) delay(10)
     }
 
     private suspend fun measure(): List<Pair<String, Any>> {
@@ -87,7 +77,7 @@
         repeat(CHANGES) { number ->
             val sequence = change(number)
             val acceptedNanos = System.nanoTime()
-            var waiting: List<ControlPlane> = planes
+            var waiting: List<SocketRouter> = routers
             while (waiting.isNotEmpty()) {
                 val (done, left) = waiting.partition { it.configuration.replica.sequence >= sequence }
                 done.forEach { _ -> samples.add((System.nanoTime() - acceptedNanos) / NANOS_PER_MICRO) }
@@ -107,7 +97,7 @@
     }
 
     private suspend fun change(number: Int): Long {
-        val store = planes.random(random).configuration.store
+        val store = routers.random(random).configuration.store
         val edit = ItemEdit(ItemKey(ItemKind.TEAM, "team-$number"), 0, teamBody("team-$number", 0))
         val outcome = store.change(ChangeRequest("change-$number", "measure", listOf(edit)))
         check(outcome is ChangeOutcome.Accepted) { "$outcome" }
@@ -116,22 +106,35 @@
 
     private fun cpuNanos(): Long = (ManagementFactory.getOperatingSystemMXBean() as com.sun.management.OperatingSystemMXBean).processCpuTime
 
-    private object NoBudgets : BudgetAdministration {
-        override suspend fun create(budgetId: BudgetId): BudgetChange = BudgetChange.NotFound
+    private inner class SocketRouter(
+        val messenger: DefaultPeerMessenger,
+    ) : MembershipListener,
+        ConfigurationPeers,
+        VmDirectory {
+        val configuration = ConfigurationService(table, messenger, this, clock, FakeEventLog())
+        private val membership =
+            MembershipService(messenger, this, clock, FakeEventLog(), this) { configuration.replica.sequence }
+
+        fun start() {
+            membership.start(scope)
+            configuration.start(scope)
+        }
+
+        override suspend fun list() = TableResult.Answered(VmList(vms, emptyList(), clock.wallClockMs()))
+
+        override fun routerCount(): Int = membership.routerCount()
 
-        override suspend fun topUp(
-            budgetId: BudgetId,
-            topUpId: String,
-            tokens: Long,
-        ): BudgetChange = BudgetChange.NotFound
+        override fun pushTargets(): List<RouterId> = membership.pushTargets()
 
-        override suspend fun status(budgetId: BudgetId): BudgetStatusResult = BudgetStatusResult.NotFound
+        override fun onPeers(
+            known: List<RouterVm>,
+            neighbours: Set<RouterId>,
+        ) = messenger.setPeers(known.map { PeerEndpoint(it.routerId, it.vmId, it.host, it.peerPort) }, neighbours)
 
-        override suspend fun bills(
-            budgetId: BudgetId,
-            afterRequestId: String?,
-            limit: Int,
-        ): BillsResult = BillsResult.Page(emptyList(), more = false)
+        override fun onConfigurationSequence(
+            from: RouterId,
+            sequence: Long,
+        ) = configuration.onPeerSequence(from, sequence)
     }
 
     private companion object {
