--- a/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/CommandLine.kt
+++ b/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/CommandLine.kt
@@ -151,7 +151,7 @@
         text: String,
         work: suspend Commands.(Long) -> ExitCode,
     ): ExitCode {
-        val number = text.toLongOrNull()?.takeIf { it >= 0 } ?: return ExitCode.USAGE
+        val number = text.toLongOrNull()?.takeIf { it >= 0 } ?: return wrongUsage("\"$text\" is not an integer from 0 to ${Long.MAX_VALUE}")
         return work(number)
     }
 
--- a/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/Commands.kt
+++ b/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/Commands.kt
@@ -106,6 +106,12 @@
         return null
     }
 
+    fun wrongUsage(detail: String): ExitCode {
+        val body = mapOf("reason" to JsonPrimitive("usage"), "detail" to JsonPrimitive(detail))
+        output.error(JsonObject(mapOf("error" to JsonObject(body))))
+        return ExitCode.USAGE
+    }
+
     private fun read(file: String): ConfigurationDocument? {
         val text =
             try {
