--- a/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
@@ -3,6 +3,8 @@
 import org.lycheemount.measure.budgets.BudgetsMeasurement
 import org.lycheemount.measure.control.ControlMeasurement
 import org.lycheemount.measure.path.PathMeasurement
+import org.lycheemount.measure.routing.CacheMoveMeasurement
+import org.lycheemount.measure.routing.RoutingCostMeasurement
 import org.lycheemount.measure.routing.RoutingMeasurement
 import kotlin.system.exitProcess
 
@@ -11,6 +13,8 @@
         BudgetsMeasurement(),
         ControlMeasurement(),
         PathMeasurement(),
+        CacheMoveMeasurement(),
+        RoutingCostMeasurement(),
         RoutingMeasurement(),
     )
 
--- a/measure/src/main/kotlin/org/lycheemount/measure/control/SocketFleet.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/control/SocketFleet.kt
@@ -6,11 +6,14 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import org.lycheemount.common.DefaultClock
+import org.lycheemount.common.EventLog
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.TeamId
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
 import org.lycheemount.config.ChangeOutcome
@@ -18,8 +21,6 @@
 import org.lycheemount.config.ConfigurationPeers
 import org.lycheemount.config.ConfigurationService
 import org.lycheemount.config.ItemEdit
-import org.lycheemount.config.ItemKey
-import org.lycheemount.config.ItemKind
 import org.lycheemount.membership.MembershipListener
 import org.lycheemount.membership.MembershipService
 import org.lycheemount.peer.socket.DefaultPeerMessenger
@@ -27,123 +28,167 @@
 import org.lycheemount.peer.socket.PeerSecret
 import org.lycheemount.platform.RouterVm
 import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.TableService
 import org.lycheemount.platform.VmDirectory
 import org.lycheemount.platform.VmList
-import org.lycheemount.testing.FakeEventLog
 import org.lycheemount.testing.FakeTableService
 import java.lang.management.ManagementFactory
 import kotlin.random.Random
 
-/** Seven routers with the real membership and configuration services over TCP on loopback, with the table in memory, in real time. */
+/** Seven routers in this process over real sockets and in real time; the table is in memory. Its figures vary between runs. */
 internal class SocketFleet {
     private val clock = DefaultClock()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val table = MeteredTable(FakeTableService(clock), clock)
+    private val tableLock = Mutex()
+    private val table = lockedTable(FakeTableService(clock))
     private val vms = mutableListOf<RouterVm>()
-    private val messengers = mutableListOf<DefaultPeerMessenger>()
-    private val routers = mutableListOf<SocketRouter>()
-    private val random = Random(1)
+    private val routers = (0 until ROUTERS).map { SocketRouter(it) }
 
-    fun run(): List<Pair<String, Any>> =
+    fun measure(): List<Pair<String, Any>> =
         try {
-            runBlocking(Dispatchers.Default) {
-                withTimeout(GIVE_UP_MS) {
-                    start()
-                    measure()
-                }
-            }
+            runBlocking(Dispatchers.Default) { run() }
         } finally {
             scope.cancel()
         }
 
-    private suspend fun start() {
-        repeat(ROUTERS) { index ->
-            val identity = RouterIdentity(RouterId("router-$index"), VmId("vm-$index"), RegionId("r"), ZoneId("z"), clock.wallClockMs())
-            val messenger = DefaultPeerMessenger(identity, PeerSecret(ByteArray(32) { 7 }), FakeEventLog())
-            val port = messenger.start(scope, "127.0.0.1", 0)
-            vms += RouterVm(identity.vmId, identity.routerId, identity.regionId, identity.zoneId, "127.0.0.1", port)
-            messengers += messenger
-        }
-        messengers.mapTo(routers) { SocketRouter(it) }
+    private suspend fun run(): List<Pair<String, Any>> {
+        writeInitialConfiguration(routers[0].service.store, teams = 10, models = 1)
+        routers.forEach { vms += it.bind() }
         routers.forEach { it.start() }
-        while (routers.any { !it.configuration.replica.loaded || it.messenger.connectedPeers().size < ROUTERS - 1 }) delay(10)
-    }
-
-    private suspend fun measure(): List<Pair<String, Any>> {
-        val samples = Samples()
-        val bytesBefore = messengers.sumOf { it.traffic.sentBytes }
+        delay(START_MS)
+        val warmUp = newWatch()
+        repeat(WARM_UP_CHANGES) {
+            change(it, warmUp)
+            delay(WARM_UP_EVERY_MS)
+        }
+        val watch = newWatch()
+        val bytesBefore = bytes()
         val cpuBefore = cpuNanos()
-        val startNanos = System.nanoTime()
+        val startedMs = clock.monotonicMs()
         repeat(CHANGES) { number ->
-            val sequence = change(number)
-            val acceptedNanos = System.nanoTime()
-            var waiting: List<SocketRouter> = routers
-            while (waiting.isNotEmpty()) {
-                val (done, left) = waiting.partition { it.configuration.replica.sequence >= sequence }
-                done.forEach { _ -> samples.add((System.nanoTime() - acceptedNanos) / NANOS_PER_MICRO) }
-                waiting = left
-                if (left.isNotEmpty()) delay(1)
+            change(WARM_UP_CHANGES + number, watch)
+            val nextMs = startedMs + (number + 1) * CHANGE_EVERY_MS
+            while (clock.monotonicMs() < nextMs) {
+                watch.look(clock.monotonicMs())
+                delay(LOOK_MS)
             }
-            delay(CHANGE_INTERVAL_MS)
         }
-        val elapsedSeconds = (System.nanoTime() - startNanos) / NANOS_PER_SECOND
-        val sent = messengers.sumOf { it.traffic.sentBytes } - bytesBefore
-        return samples.figures("sockets_7_in_force_us") +
-            ("sockets_7_sent_bytes_per_second_per_node" to (sent / elapsedSeconds / ROUTERS).toLong()) +
-            (
-                "sockets_7_cpu_permille_of_core_per_node" to
-                    "%.2f".format((cpuNanos() - cpuBefore) / elapsedSeconds / ROUTERS / NANOS_PER_MILLI)
+        val seconds = (clock.monotonicMs() - startedMs) / 1_000.0
+        val nodeSeconds = seconds * ROUTERS
+        val cpuUs = (cpuNanos() - cpuBefore) / 1_000.0 / nodeSeconds
+        val prefix = "control_sockets_$ROUTERS"
+        return Times(watch.samplesMs).print("${prefix}_normal_in_force") +
+            listOf(
+                "${prefix}_changes_per_second" to decimal(CHANGES / seconds),
+                "${prefix}_frame_bytes_per_node_second" to decimal((bytes() - bytesBefore) / nodeSeconds),
+                "${prefix}_cpu_us_per_node_second" to decimal(cpuUs),
+                "${prefix}_cpu_percent_of_core_per_node" to decimal(cpuUs / 10_000),
+                "${prefix}_changes_never_in_force" to watch.pendingChanges,
+                "${prefix}_reversions" to watch.reversions,
             )
     }
 
-    private suspend fun change(number: Int): Long {
-        val store = routers.random(random).configuration.store
-        val edit = ItemEdit(ItemKey(ItemKind.TEAM, "team-$number"), 0, teamBody("team-$number", 0))
-        val outcome = store.change(ChangeRequest("change-$number", "measure", listOf(edit)))
-        check(outcome is ChangeOutcome.Accepted) { "$outcome" }
-        return outcome.sequence
+    private fun newWatch() = InForceWatch(ROUTERS, { routers[it].service }, listOf(TeamId(teamKey(0).id)))
+
+    private suspend fun change(
+        number: Int,
+        watch: InForceWatch,
+    ) {
+        val writer = routers[number % ROUTERS].service
+        val key = teamKey(0)
+        val edit = ItemEdit(key, writer.replica.find(key)?.version ?: 0, teamBody(key, number + 2))
+        val outcome = writer.store.change(ChangeRequest("change-$number", "measure", listOf(edit)))
+        if (outcome is ChangeOutcome.Accepted) watch.track(outcome.sequence, clock.monotonicMs())
     }
 
-    private fun cpuNanos(): Long = (ManagementFactory.getOperatingSystemMXBean() as com.sun.management.OperatingSystemMXBean).processCpuTime
+    private fun bytes() = routers.sumOf { it.messenger.traffic.sentBytes + it.messenger.traffic.receivedBytes }
+
+    private fun cpuNanos() = (ManagementFactory.getOperatingSystemMXBean() as com.sun.management.OperatingSystemMXBean).processCpuTime
 
     private inner class SocketRouter(
-        val messenger: DefaultPeerMessenger,
-    ) : MembershipListener,
-        ConfigurationPeers,
-        VmDirectory {
-        val configuration = ConfigurationService(table, messenger, this, clock, FakeEventLog())
-        private val membership =
-            MembershipService(messenger, this, clock, FakeEventLog(), this) { configuration.replica.sequence }
+        index: Int,
+    ) {
+        private val identity =
+            RouterIdentity(RouterId("router-$index"), VmId("vm-$index"), RegionId("region-0"), ZoneId("zone-${index % 4}"), incarnation = 1)
+        val messenger = DefaultPeerMessenger(identity, PeerSecret(SECRET.toByteArray()), SilentLog)
+        private val membership: MembershipService =
+            MembershipService(messenger, directory(), clock, SilentLog, Listener(), random = Random(index)) { service.replica.sequence }
+        val service: ConfigurationService =
+            ConfigurationService(table, messenger, Peers(), clock, SilentLog, random = Random(100 + index))
+
+        suspend fun bind(): RouterVm {
+            val port = messenger.start(scope, "127.0.0.1", 0)
+            return RouterVm(identity.vmId, identity.routerId, identity.regionId, identity.zoneId, "127.0.0.1", port)
+        }
 
         fun start() {
             membership.start(scope)
-            configuration.start(scope)
+            service.start(scope)
         }
 
-        override suspend fun list() = TableResult.Answered(VmList(vms, emptyList(), clock.wallClockMs()))
+        private inner class Peers : ConfigurationPeers {
+            override fun routerCount() = membership.routerCount()
 
-        override fun routerCount(): Int = membership.routerCount()
+            override fun pushTargets() = membership.pushTargets()
+        }
 
-        override fun pushTargets(): List<RouterId> = membership.pushTargets()
+        private inner class Listener : MembershipListener {
+            override fun onPeers(
+                known: List<RouterVm>,
+                neighbours: Set<RouterId>,
+            ) = messenger.setPeers(known.map { PeerEndpoint(it.routerId, it.vmId, it.host, it.peerPort) }, neighbours)
 
-        override fun onPeers(
-            known: List<RouterVm>,
-            neighbours: Set<RouterId>,
-        ) = messenger.setPeers(known.map { PeerEndpoint(it.routerId, it.vmId, it.host, it.peerPort) }, neighbours)
+            override fun onConfigurationSequence(
+                from: RouterId,
+                sequence: Long,
+            ) = service.onPeerSequence(from, sequence)
+        }
+    }
+
+    private fun directory() =
+        object : VmDirectory {
+            override suspend fun list(): TableResult<VmList> = TableResult.Answered(VmList(vms.toList(), emptyList(), clock.wallClockMs()))
+        }
+
+    /** The table in memory is not safe for concurrent use. */
+    private fun lockedTable(inner: TableService) =
+        object : TableService {
+            override suspend fun read(keys: List<String>) = tableLock.withLock { inner.read(keys) }
+
+            override suspend fun scan(
+                prefix: String,
+                afterKey: String?,
+                limit: Int,
+            ) = tableLock.withLock { inner.scan(prefix, afterKey, limit) }
 
-        override fun onConfigurationSequence(
-            from: RouterId,
-            sequence: Long,
-        ) = configuration.onPeerSequence(from, sequence)
+            override suspend fun commit(transaction: org.lycheemount.platform.TableTransaction) =
+                tableLock.withLock { inner.commit(transaction) }
+
+            override suspend fun findTransaction(transactionId: String) = tableLock.withLock { inner.findTransaction(transactionId) }
+        }
+
+    private object SilentLog : EventLog {
+        override fun info(
+            event: String,
+            vararg fields: Pair<String, Any?>,
+        ) = Unit
+
+        override fun warn(
+            event: String,
+            vararg fields: Pair<String, Any?>,
+        ) = Unit
     }
 
     private companion object {
         private const val ROUTERS = 7
+        private const val START_MS = 3_000L
+
+        // Enough for the compiler to have replaced the interpreted code, whose time does not count.
+        private const val WARM_UP_CHANGES = 200
+        private const val WARM_UP_EVERY_MS = 25L
         private const val CHANGES = 30
-        private const val CHANGE_INTERVAL_MS = 500L
-        private const val GIVE_UP_MS = 120_000L
-        private const val NANOS_PER_MICRO = 1_000L
-        private const val NANOS_PER_MILLI = 1_000_000.0
-        private const val NANOS_PER_SECOND = 1e9
+        private const val CHANGE_EVERY_MS = 500L
+        private const val LOOK_MS = 5L
+        private const val SECRET = "secret of the measured fleet on loopback"
     }
 }
