--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -1,9 +1,5 @@
 package org.lycheemount.app.router
 
-import io.ktor.server.cio.CIO
-import io.ktor.server.engine.EmbeddedServer
-import io.ktor.server.engine.connector
-import io.ktor.server.engine.embeddedServer
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -15,6 +11,7 @@
 import org.lycheemount.backend.DefaultModelEngineClient
 import org.lycheemount.backend.DefaultPlainServiceClient
 import org.lycheemount.budget.BudgetOptions
+import org.lycheemount.budget.createBudgetAdministration
 import org.lycheemount.budget.createBudgetLedgerModule
 import org.lycheemount.caller.BackendObserver
 import org.lycheemount.caller.CallerInterface
@@ -27,18 +24,22 @@
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.peer.socket.DefaultPeerMessenger
 import org.lycheemount.peer.socket.PeerSecret
-import org.lycheemount.peer.socket.ReloadingTlsContext
-import org.lycheemount.peer.socket.TlsFiles
 import org.lycheemount.platform.http.createPlatformClients
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.settings.RouterSettings
 import org.lycheemount.stream.StreamTimeouts
 import java.nio.file.Path
+import java.util.UUID
 import kotlin.io.path.readBytes
 
-/** One router: creates the parts by [settings], connects them, starts them and ends them in order. */
+/**
+ * One router: creates the parts by [settings], connects them, starts them and ends them in order.
+ *
+ * @param requestShutdown asks for the end of the process, which must call [stop]; an operator's drain uses it.
+ */
 class RouterProcess(
     private val settings: RouterSettings,
+    private val requestShutdown: () -> Unit = {},
 ) {
     private val clock = DefaultClock()
     private val eventLog = DefaultEventLog("router")
@@ -53,13 +54,23 @@
     private val dispatcher = WorkDispatcher(createRequestScheduler(settings.zoneId, seed = identity.incarnation), clock)
     private val observer = BackendObserver(platform.vmDirectory, engine, plainServices, dispatcher, eventLog)
     private val drain = DrainState()
-    private val peers = DefaultPeerMessenger(identity, PeerSecret(Path.of(settings.peerSecretFile).readBytes()), eventLog, tls = peerTls())
+    private val peers =
+        DefaultPeerMessenger(
+            identity,
+            PeerSecret(Path.of(settings.peerSecretFile).readBytes()),
+            eventLog,
+            tls =
+                settings.peers.tls?.let {
+                    reloadingTls(it, eventLog)
+                },
+        )
     private val budgets = createBudgetLedgerModule(platform.table, platform.vmDirectory, peers, clock, eventLog, budgetOptions())
     private val control =
         ControlParts(platform.table, platform.vmDirectory, peers, clock, eventLog, settings.configurationFile)
     private val configuration = control.configuration
     private val callers = CallerInterface(callerServices())
-    private val server = createServer()
+    private val server = createHttpServer(settings.callers, eventLog) { callers.installInto(this) }
+    private val admin = adminListener()
 
     /** Starts all parts and returns the port of the callers' interface. */
     suspend fun start(): Int {
@@ -70,12 +81,13 @@
         scope.launch { prepareBudgets() }
         budgets.maintenance.start(scope)
         server.start(wait = false)
+        val adminPort = admin.start()
         val port =
             server.engine
                 .resolvedConnectors()
                 .first()
                 .port
-        eventLog.info("router_started", "router_id" to identity.routerId.value, "callers_port" to port)
+        eventLog.info("router_started", "router_id" to identity.routerId.value, "callers_port" to port, "admin_port" to adminPort)
         return port
     }
 
@@ -88,6 +100,7 @@
         drain.awaitIdle()
         budgets.maintenance.drain()
         server.stop(STOP_GRACE_MS, STOP_TIMEOUT_MS)
+        admin.stop()
         scope.cancel()
         backendHttp.close()
         platform.close()
@@ -131,13 +144,17 @@
             BudgetOptions(expectedOutageMs, outageGraceMs, driftMarginMs = outageGraceMs / 10, flushIntervalMs = flushIntervalMs)
         }
 
-    private fun peerTls() =
-        settings.peers.tls?.let {
-            ReloadingTlsContext(
-                TlsFiles(Path.of(it.certificateFile), Path.of(it.privateKeyFile), Path.of(it.trustedCertificatesFile)),
-                eventLog,
-            )
-        }
+    private fun adminListener() =
+        AdminListener(
+            settings = settings,
+            identity = identity,
+            configuration = control.configurationService,
+            budgets = createBudgetAdministration(platform.table) { "admin-${UUID.randomUUID()}" },
+            stateSources = control.stateSources + budgets.stateDump,
+            eventLog = eventLog,
+            notReadyReasons = control::notReadyReasons,
+            startDrain = requestShutdown,
+        )
 
     private fun callerLimits() =
         settings.requests.run {
@@ -150,17 +167,6 @@
             )
         }
 
-    private fun createServer(): EmbeddedServer<*, *> =
-        embeddedServer(
-            CIO,
-            configure = {
-                connector {
-                    host = settings.callers.host
-                    port = settings.callers.port
-                }
-            },
-        ) { callers.installInto(this) }
-
     private companion object {
         // No request is in progress any more; the grace only lets last bytes leave.
         private const val STOP_GRACE_MS = 100L
