--- a/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
@@ -16,6 +16,8 @@
         CacheMoveMeasurement(),
         RoutingCostMeasurement(),
         RoutingMeasurement(),
+        RoutingCostMeasurement(),
+        CacheMoveMeasurement(),
     )
 
 /** Runs the measurement named by the first argument and prints `name=value` lines. */
