Spread table reads when all routers start at once

A router computed its start delay from the number of routers before it had read the VM list, so each took itself for the only one and all read the table at once; it then read the head a second time right after loading.

Change: a starting router waits up to 500 ms for the number of routers before it computes its delay, and polls first after one interval. A single router is ready up to 500 ms later.

--- a/version/config/src/main/kotlin/org/lycheemount/config/ConfigurationService.kt
+++ b/version/config/src/main/kotlin/org/lycheemount/config/ConfigurationService.kt
@@ -96,6 +96,7 @@
         }
 
     private suspend fun loadThenPoll() {
+        awaitRouterCount()
         delay(random.nextLong(peers.routerCount() * settings.startSpreadMsPerRouter + 1))
         while (!replica.loaded) {
             if (loadOnce()) break
@@ -103,12 +104,18 @@
         }
         log.info("configuration_loaded", "sequence" to replica.sequence)
         while (true) {
-            guarded("configuration_poll_failed") { tableSync.sync() }
             val pollMs = settings.pollMs(peers.routerCount())
             delay(pollMs * 3 / 4 + random.nextLong(pollMs / 2))
+            guarded("configuration_poll_failed") { tableSync.sync() }
         }
     }
 
+    /** Before the first VM list every router would take itself for the only one, and all would read the table at once. */
+    private suspend fun awaitRouterCount() {
+        val endMs = clock.monotonicMs() + settings.routerCountWaitMs
+        while (peers.routerCount() <= 1 && clock.monotonicMs() < endMs) delay(ROUTER_COUNT_LOOK_MS)
+    }
+
     /** Takes the whole state from a peer where one has it, which spares the table when all routers start at once. */
     private suspend fun loadOnce(): Boolean {
         val asked =
@@ -176,6 +183,7 @@
 
     private companion object {
         private const val PULL_WISHES = 64
+        private const val ROUTER_COUNT_LOOK_MS = 10L
         private const val PEERS_ASKED_AT_START = 3
     }
 }
--- a/version/config/src/main/kotlin/org/lycheemount/config/PropagationSettings.kt
+++ b/version/config/src/main/kotlin/org/lycheemount/config/PropagationSettings.kt
@@ -6,6 +6,7 @@
  * @property pollMsPerRouter each router adds this much to the interval, which bounds the fleet's reads of the head row to
  * 1000 / pollMsPerRouter a second.
  * @property pushFanout neighbours that a change is pushed to when there are more; the others notice by heartbeat.
+ * @property routerCountWaitMs longest time to wait at the start for the number of routers, which the start spread needs.
  */
 data class PropagationSettings(
     val minPollMs: Long = 1_000,
@@ -14,6 +15,7 @@
     val startSpreadMsPerRouter: Long = 4,
     val pushFanout: Int = 6,
     val startRetryMs: Long = 500,
+    val routerCountWaitMs: Long = 500,
 ) {
     internal fun pollMs(routers: Int): Long = (routers * pollMsPerRouter).coerceIn(minPollMs, maxPollMs)
 }
