--- a/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
@@ -1,6 +1,7 @@
 package org.lycheemount.measure
 
 import org.lycheemount.measure.budgets.BudgetsMeasurement
+import org.lycheemount.measure.capacity.CapacityMeasurement
 import org.lycheemount.measure.control.ControlMeasurement
 import org.lycheemount.measure.path.PathMeasurement
 import org.lycheemount.measure.routing.RoutingMeasurement
@@ -9,6 +10,7 @@
 private val measurements: List<Measurement> =
     listOf(
         BudgetsMeasurement(),
+        CapacityMeasurement(),
         ControlMeasurement(),
         PathMeasurement(),
         RoutingMeasurement(),
--- /dev/null
+++ b/measure/src/main/kotlin/org/lycheemount/measure/capacity/ConfigurationSlopes.kt
@@ -0,0 +1,38 @@
+package org.lycheemount.measure.capacity
+
+import kotlinx.serialization.json.Json
+import org.lycheemount.config.ConfigurationChange
+import org.lycheemount.config.ConfigurationItem
+import org.lycheemount.config.ConfigurationReplica
+import org.lycheemount.measure.control.teamBody
+import org.lycheemount.measure.control.teamKey
+
+private val teamCounts = listOf(500, 1_000, 2_000, 4_000)
+private const val CHANGES = 300
+
+internal fun configurationSlopes(): List<Pair<String, Any>> =
+    slope("configuration_item", "bytes", teamCounts) { teams -> retainedBytes { replicaOf(teams) } } +
+        slope("configuration_change_by_items", "cpu_ns", teamCounts) { teams -> changeNanos(teams) }
+
+private fun replicaOf(teams: Int): ConfigurationReplica {
+    val replica = ConfigurationReplica()
+    // Decoded from text like rows and messages, so that no two items share strings.
+    replica.merge((0 until teams).map { decoded(ConfigurationItem(teamKey(it), 1, teamBody(teamKey(it), 1))) })
+    replica.complete(1, "initial")
+    return replica
+}
+
+private fun decoded(item: ConfigurationItem): ConfigurationItem =
+    Json.decodeFromString(ConfigurationItem.serializer(), Json.encodeToString(ConfigurationItem.serializer(), item))
+
+private fun changeNanos(teams: Int): Double {
+    val replica = replicaOf(teams)
+    return cpuNanosPerOperation(CHANGES) { number ->
+        val sequence = number + 2L
+        val key = teamKey(number % teams)
+        val item = ConfigurationItem(key, sequence, teamBody(key, number + 1))
+        val text =
+            Json.encodeToString(ConfigurationChange.serializer(), ConfigurationChange(sequence, sequence - 1, "c", "o", 0, listOf(item)))
+        replica.apply(Json.decodeFromString(ConfigurationChange.serializer(), text))
+    }
+}
--- /dev/null
+++ b/measure/src/main/kotlin/org/lycheemount/measure/capacity/Gauge.kt
@@ -0,0 +1,62 @@
+package org.lycheemount.measure.capacity
+
+import org.lycheemount.measure.control.decimal
+import org.lycheemount.measure.fitLine
+import java.lang.management.ManagementFactory
+import java.lang.ref.Reference
+
+/** Returns bytes in use on the heap after garbage collection. */
+internal fun heapBytes(): Long {
+    repeat(GC_ROUNDS) {
+        System.gc()
+        Thread.sleep(GC_PAUSE_MS)
+    }
+    return ManagementFactory.getMemoryMXBean().heapMemoryUsage.used
+}
+
+/** Returns the bytes that the result of [build] keeps on the heap. */
+internal fun retainedBytes(build: () -> Any): Double {
+    val before = heapBytes()
+    val kept = build()
+    val after = heapBytes()
+    Reference.reachabilityFence(kept)
+    return (after - before).toDouble()
+}
+
+/** Returns the CPU time of one operation in nanoseconds, the median of several repetitions after a warm-up. */
+internal fun cpuNanosPerOperation(
+    operations: Int,
+    work: (Int) -> Unit,
+): Double {
+    val threads = ManagementFactory.getThreadMXBean()
+    val perOperation =
+        (0 until WARM_UPS + REPETITIONS).map { repetition ->
+            val startedNanos = threads.currentThreadCpuTime
+            for (number in 0 until operations) work(repetition * operations + number)
+            (threads.currentThreadCpuTime - startedNanos).toDouble() / operations
+        }
+    return perOperation.drop(WARM_UPS).sorted()[REPETITIONS / 2]
+}
+
+/** Measures [value] at each of [sizes] and prints the points, the slope and how well the line fits. */
+internal fun slope(
+    figure: String,
+    unit: String,
+    sizes: List<Int>,
+    value: (Int) -> Double,
+): List<Pair<String, Any>> {
+    value(sizes.first())
+    val points = sizes.map { it.toDouble() to value(it) }
+    val line = fitLine(points)
+    return points.map { (size, measured) -> "capacity_${figure}_${unit}_at_${size.toInt()}" to decimal(measured) } +
+        listOf(
+            "capacity_${figure}_${unit}_each" to decimal(line.slope),
+            "capacity_${figure}_${unit}_at_0" to decimal(line.intercept),
+            "capacity_${figure}_${unit}_r2" to decimal(line.determination),
+        )
+}
+
+private const val GC_ROUNDS = 3
+private const val GC_PAUSE_MS = 20L
+private const val WARM_UPS = 4
+private const val REPETITIONS = 5
--- /dev/null
+++ b/measure/src/main/kotlin/org/lycheemount/measure/capacity/StreamSlopes.kt
@@ -0,0 +1,42 @@
+package org.lycheemount.measure.capacity
+
+import kotlinx.serialization.json.Json
+import org.lycheemount.backend.EngineChunk
+import org.lycheemount.backend.GenerateEvent
+import org.lycheemount.common.RequestId
+import org.lycheemount.stream.AnswerAssembler
+import java.security.MessageDigest
+import java.util.HexFormat
+
+private val tokenCounts = listOf(1, 4, 16)
+private val assemblerCounts = listOf(10_000, 20_000, 40_000)
+private const val CHUNKS = 50_000
+private const val TEAMS = 2_000
+private const val KEYS = 20_000
+
+internal fun streamSlopes(): List<Pair<String, Any>> =
+    slope("chunk_by_tokens", "cpu_ns", tokenCounts) { tokens -> chunkNanos(tokens) } +
+        slope("answer_assembler", "bytes", assemblerCounts) { streams ->
+            retainedBytes { List(streams) { AnswerAssembler(RequestId("request-$it")) } }
+        } +
+        listOf("capacity_key_lookup_cpu_ns" to "%.0f".format(java.util.Locale.ROOT, keyNanos()))
+
+/** Decoding of an engine's line, ordering, and encoding of a line of the same content to the caller; no sockets. */
+private fun chunkNanos(tokens: Int): Double {
+    val requestId = RequestId("request-1")
+    val words = List(tokens) { " word" }
+    val assembler = AnswerAssembler(requestId)
+    return cpuNanosPerOperation(CHUNKS / tokens) { number ->
+        val line = Json.encodeToString(EngineChunk.serializer(), EngineChunk(requestId, number * tokens, words))
+        val chunk = Json.decodeFromString(EngineChunk.serializer(), line)
+        assembler.offer(GenerateEvent.Tokens(chunk.requestId, chunk.sequence, chunk.tokens))
+    }
+}
+
+/** The steps of authentication: SHA-256 of the key, its hexadecimal form and a look-up among the hashes of all teams. */
+private fun keyNanos(): Double {
+    val teams = (0 until TEAMS * 2).associateBy { hashOf("key-of-team-$it") }
+    return cpuNanosPerOperation(KEYS) { number -> check(hashOf("key-of-team-${number % TEAMS}") in teams) }
+}
+
+private fun hashOf(key: String): String = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray()))
--- a/measure/src/main/kotlin/org/lycheemount/measure/control/TableLoad.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/control/TableLoad.kt
@@ -21,6 +21,8 @@
         private set
     var commits = 0L
         private set
+    var rowsWritten = 0L
+        private set
 
     /** Returns the greatest number of reads and scans within one second since [fromMs]. */
     fun greatestReadsPerSecond(fromMs: Long): Int = readsBySecond.filterKeys { it >= fromMs / MS_PER_SECOND }.values.maxOrNull() ?: 0
@@ -39,7 +41,10 @@
     }
 
     override suspend fun commit(transaction: TableTransaction): TableResult<CommitOutcome> {
-        synchronized(this) { commits++ }
+        synchronized(this) {
+            commits++
+            rowsWritten += transaction.writes.size
+        }
         return table.commit(transaction)
     }
 
