Call a dead stand-in on a new connection in its tests

Cause: 'is told apart as leaving, without the model, or dead' failed once with BROKEN_CONNECTION: the client reused a pooled connection before it saw its end. Both answers are right for a pooled connection, the test means the refused one. Change: the dead server is called through a new client. Conclusion: the expectation is unchanged and no longer depends on timing.

--- a/standin/servers/src/test/kotlin/org/lycheemount/standin/EngineStandInTest.kt
+++ b/standin/servers/src/test/kotlin/org/lycheemount/standin/EngineStandInTest.kt
@@ -133,7 +133,8 @@
             engine.changeFaults { copy(leaving = false) }
             val unknownModel = generate(request().copy(modelId = ModelId("other")))
             engine.die()
-            val dead = generate(request())
+            // A pooled connection may break instead of being refused, so the dead engine is called on a new one.
+            val dead = BackendHttp().use { generate(request(), DefaultModelEngineClient(it)) }
 
             assertEquals(
                 listOf(AttemptFailure.REFUSED_LEAVING, AttemptFailure.REFUSED_BUSY, AttemptFailure.CONNECT_FAILED),
--- a/standin/servers/src/test/kotlin/org/lycheemount/standin/ServiceStandInTest.kt
+++ b/standin/servers/src/test/kotlin/org/lycheemount/standin/ServiceStandInTest.kt
@@ -36,10 +36,11 @@
         requestId: String,
         businessKey: String = "refill-1",
         timeoutMs: Long = 5_000,
+        with: DefaultPlainServiceClient = client,
     ) = runBlocking {
         val headers = listOf("Content-Type" to "application/json", "Host" to "elsewhere", "x-team" to "t")
         val body = """{"businessKey":"$businessKey"}""".encodeToByteArray()
-        client.call(service.describe(), ServiceCall(RequestId(requestId), "POST", "/orders?urgent=1", headers, body, timeoutMs))
+        with.call(service.describe(), ServiceCall(RequestId(requestId), "POST", "/orders?urgent=1", headers, body, timeoutMs))
     }
 
     private fun failureOf(outcome: ServiceCallOutcome) = assertIs<ServiceCallOutcome.Failed>(outcome).failure
@@ -73,7 +74,8 @@
             service.changeFaults { copy(leaving = false, busy = true) }
             val busy = failureOf(order("a"))
             service.die()
-            val dead = failureOf(order("a"))
+            // A pooled connection may break instead of being refused, so the dead server is called on a new one.
+            val dead = BackendHttp().use { failureOf(order("a", with = DefaultPlainServiceClient(it))) }
 
             assertEquals(
                 listOf(AttemptFailure.REFUSED_LEAVING, AttemptFailure.REFUSED_BUSY, AttemptFailure.CONNECT_FAILED),
