--- a/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
@@ -1,10 +1,11 @@
 package org.lycheemount.measure
 
+import org.lycheemount.measure.budgets.BudgetsCostMeasurement
 import org.lycheemount.measure.budgets.BudgetsMeasurement
 import org.lycheemount.measure.routing.RoutingMeasurement
 import kotlin.system.exitProcess
 
-private val measurements: List<Measurement> = listOf(RoutingMeasurement(), BudgetsMeasurement())
+private val measurements: List<Measurement> = listOf(RoutingMeasurement(), BudgetsMeasurement(), BudgetsCostMeasurement())
 
 /** Runs the measurement named by the first argument and prints `name=value` lines. */
 fun main(arguments: Array<String>) {
--- a/measure/src/main/kotlin/org/lycheemount/measure/budgets/BudgetsMeasurement.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/budgets/BudgetsMeasurement.kt
@@ -6,16 +6,27 @@
 class BudgetsMeasurement : Measurement {
     override val name: String = "budgets"
 
-    override fun run(): List<Pair<String, Any>> =
-        Deployment.ALL.flatMap { deployment ->
-            Scenario.ALL.flatMap { scenario ->
-                val runner = ScenarioRunner(deployment, scenario)
-                val prefix = "${deployment.name}_${scenario.name}"
-                named(prefix, runner.run(::GrantPolicy)) +
-                    named("baseline_equal_shares_$prefix", runner.run(::EqualSharePolicy)) +
-                    named("baseline_table_per_request_$prefix", runner.run(::TablePerRequestPolicy))
-            }
+    override fun run(): List<Pair<String, Any>> = Deployment.ALL.flatMap(::figuresOf)
+
+    private fun figuresOf(deployment: Deployment): List<Pair<String, Any>> {
+        val figures = mutableListOf<Pair<String, Any>>("${deployment.name}_use_permille_of_worst_case" to usePermille(deployment))
+        for (scenario in Scenario.ALL) {
+            val runner = ScenarioRunner(deployment, scenario)
+            val prefix = "${deployment.name}_${scenario.name}"
+            figures += named(prefix, runner.run { GrantPolicy(it) })
+            if (scenario.lastPartOnly) figures += named("alternative_full_reservation_$prefix", fullReservation(runner))
+            figures += named("baseline_equal_shares_$prefix", runner.run(::EqualSharePolicy))
+            figures += named("baseline_table_per_request_$prefix", runner.run(::TablePerRequestPolicy))
         }
+        return figures
+    }
+
+    private fun fullReservation(runner: ScenarioRunner) = runner.run { GrantPolicy(it, inSteps = false) }
+
+    private fun usePermille(deployment: Deployment): Long {
+        val requests = requestsOf(deployment, Scenario.HOUR_MS)
+        return requests.sumOf { it.usedTokens } * 1_000 / requests.sumOf { it.worstCaseTokens }
+    }
 
     private fun named(
         prefix: String,
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BillFlusher.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BillFlusher.kt
@@ -99,7 +99,7 @@
 
     private fun dropSettledClosedGrants(account: BudgetAccount) =
         synchronized(account) {
-            val done = account.closedGrants.filter { it.unwrittenBills == 0 && it.reservedTokens == 0L }
+            val done = account.closedGrants.filter { !it.inUse }
             account.closedGrants.removeAll(done)
             for (grant in done) log.info("closed_grant_settled", "budget" to account.budgetId.value, "grant" to grant.grantId)
         }
@@ -126,11 +126,12 @@
         if (nowMs - grant.rowWrittenAtMs >= options.outageGraceMs / ROW_WRITES_PER_GRACE) return true
         val headroom = ceilingHeadroomTokens(account.meter, grant.reservedTokens, options)
         val spare = row.ceilingTokens - grant.usedTokens
-        return spare < headroom / 2 || spare > headroom * 2 + account.meter.largestReservation
+        return spare < headroom * RAISE_SHARE || spare > headroom * 2 + account.meter.largestReservation
     }
 
     private companion object {
         private const val RACE_ATTEMPTS = 4
+        private const val RAISE_SHARE = 0.75
         private const val ROW_WRITES_PER_GRACE = 4
     }
 }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccount.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccount.kt
@@ -27,6 +27,10 @@
     var wantedAtMs = Long.MIN_VALUE / 2
     var lastRefillAtMs = Long.MIN_VALUE / 2
 
+    /** Set when a request was refused or tokens ran low; lets the frequent passes skip all other accounts. */
+    @Volatile
+    var needsAttention = false
+
     /** True while a transaction that gives the whole grant back is undecided. */
     var closing = false
 
@@ -46,6 +50,7 @@
         tokens: Long,
         nowMs: Long,
     ) {
+        needsAttention = true
         if (wantedTokens == 0L) wantedSinceMs = nowMs
         wantedTokens = maxOf(wantedTokens, tokens)
         wantedAtMs = nowMs
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccounts.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccounts.kt
@@ -7,10 +7,19 @@
 internal class BudgetAccounts {
     private val accounts = ConcurrentHashMap<BudgetId, BudgetAccount>()
 
+    @Volatile
+    private var sorted = emptyList<BudgetAccount>()
+
     fun getOrCreate(budgetId: BudgetId): BudgetAccount = accounts.computeIfAbsent(budgetId) { BudgetAccount(it) }
 
     fun find(budgetId: BudgetId): BudgetAccount? = accounts[budgetId]
 
     /** All accounts in a fixed order, so that a run with the same seed repeats exactly. */
-    fun all(): List<BudgetAccount> = accounts.values.sortedBy { it.budgetId.value }
+    fun all(): List<BudgetAccount> {
+        if (sorted.size != accounts.size) sorted = accounts.values.sortedBy { it.budgetId.value }
+        return sorted
+    }
+
+    /** Accounts that refused a request or ran low since their last refill. */
+    fun needingAttention(): List<BudgetAccount> = all().filter { it.needsAttention }
 }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetMaintenance.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetMaintenance.kt
@@ -75,6 +75,7 @@
             val account = parts.accounts.getOrCreate(budgetId)
             synchronized(account) {
                 if (account.grant == null) account.meter.recordReservation(FIRST_RESERVATION_TOKENS, clock.monotonicMs())
+                account.needsAttention = true
             }
         }
         parts.signals.work()
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetParts.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetParts.kt
@@ -16,7 +16,7 @@
 ) {
     /** True when a ceiling is about to hold back requests although the grant would cover them. */
     fun needsFlush(nowMs: Long): Boolean =
-        accounts.all().any { account ->
+        accounts.needingAttention().any { account ->
             synchronized(account) {
                 val grant = account.grant ?: return@synchronized false
                 val usable = grant.usableTokens(nowMs)
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetLedger.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetLedger.kt
@@ -60,7 +60,7 @@
             val grant = reservation.grant
             val usable = if (grant.closed) 0 else grant.usableTokens(nowMs)
             if (usable < additionalTokens) return refuse(reservation.account, additionalTokens, nowMs)
-            grant.reserve(additionalTokens)
+            grant.extend(additionalTokens)
             reservation.tokens += additionalTokens
             signalIfLow(reservation.account, usable - additionalTokens)
             return ReservationOutcome.Reserved(reservation.tokens)
@@ -114,7 +114,9 @@
         account: BudgetAccount,
         usableAfter: Long,
     ) {
-        if (usableAfter < LOW_RESERVATIONS * account.meter.largestReservation) signals.work()
+        if (usableAfter >= LOW_RESERVATIONS * account.meter.largestReservation) return
+        account.needsAttention = true
+        signals.work()
     }
 
     private fun refuse(
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/Grant.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/Grant.kt
@@ -39,6 +39,12 @@
     /** Bills of this grant that are not in the table yet. */
     var unwrittenBills = 0
 
+    /** Counted beside their tokens, because a reservation may be of 0 tokens and still gets a bill. */
+    private var openReservations = 0
+
+    /** True while a request or a bill refers to this grant. */
+    val inUse: Boolean get() = openReservations > 0 || unwrittenBills > 0
+
     val closed: Boolean get() = row?.closed == true
     val hasPendingRow: Boolean get() = pending != null
     val usedTokens: Long get() = spentTokens + reservedTokens + sentTokens
@@ -53,10 +59,16 @@
 
     fun reserve(tokens: Long) {
         reservedTokens += tokens
+        openReservations++
+    }
+
+    fun extend(tokens: Long) {
+        reservedTokens += tokens
     }
 
     fun release(tokens: Long) {
         reservedTokens -= tokens
+        openReservations--
         check(reservedTokens >= 0) { "negative reservations in grant $grantId" }
     }
 
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantKeeper.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantKeeper.kt
@@ -67,11 +67,20 @@
     /** Ends the grant of [account] when nothing of it is in use any more. False when that did not happen now. */
     suspend fun close(account: BudgetAccount): Boolean {
         if (account.closing) return verifyClose(account)
+        if (synchronized(account) { dropUnusedGrant(account) }) return true
         if (account.budgetRow == null && !readBudget(account)) return false
         val attempt = synchronized(account) { planClose(account) } ?: return false
         return writer.run(attempt) == AttemptResult.COMMITTED
     }
 
+    /** A first grant whose transaction had no effect has neither a row nor tokens. */
+    private fun dropUnusedGrant(account: BudgetAccount): Boolean {
+        val grant = account.grant ?: return true
+        if (grant.row != null || grant.hasPendingRow || grant.receivedTokens > 0 || grant.inUse) return false
+        account.grant = null
+        return true
+    }
+
     /** Only its holder deletes a grant row, so the absence of the row shows that a close whose answer was lost took effect. */
     private suspend fun verifyClose(account: BudgetAccount): Boolean {
         val grant = synchronized(account) { account.grant } ?: return true
@@ -148,7 +157,7 @@
         val grant = account.grant ?: return null
         val budget = account.budgetRow ?: return null
         val row = grant.row ?: return null
-        val busy = grant.reservedTokens > 0 || grant.unwrittenBills > 0 || account.unackedTransfers > 0
+        val busy = grant.inUse || account.unackedTransfers > 0
         if (grant.closed || grant.hasPendingRow || account.closing || busy) return null
         check(row.settledTokens == grant.spentTokens) { "grant ${grant.grantId} has written ${row.settledTokens} of ${grant.spentTokens}" }
         account.closing = true
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableWork.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableWork.kt
@@ -14,6 +14,7 @@
     private var nextFlushAtMs = 0L
     private var nextAttemptAtMs = 0L
     private var nextVmListAtMs = 0L
+    private var nextSweepAtMs = 0L
     private var failures = 0
     private var drainingSinceMs: Long? = null
 
@@ -28,14 +29,18 @@
 
     suspend fun pass() {
         val nowMs = clock.monotonicMs()
-        for (account in parts.accounts.all()) synchronized(account) { account.meter.tick(nowMs) }
-        parts.ledger.forgetWritten(nowMs)
+        val sweep = draining || nowMs >= nextSweepAtMs
+        if (sweep) {
+            nextSweepAtMs = nowMs + SWEEP_MS
+            for (account in parts.accounts.all()) synchronized(account) { account.meter.tick(nowMs) }
+            parts.ledger.forgetWritten(nowMs)
+        }
         if (nowMs >= nextVmListAtMs) {
             nextVmListAtMs = nowMs + options.vmListIntervalMs / 2 + random.nextLong(options.vmListIntervalMs)
             parts.reclaimer.readVmList()
         }
         if (nowMs < nextAttemptAtMs) return
-        if (work(nowMs)) {
+        if (work(nowMs, sweep)) {
             failures = 0
             if (draining && isDrained()) drained.complete(Unit)
             return
@@ -47,18 +52,31 @@
     }
 
     /** One pass: grants before bills before the rest. False when the table gave no answer. */
-    private suspend fun work(nowMs: Long): Boolean {
+    private suspend fun work(
+        nowMs: Long,
+        sweep: Boolean,
+    ): Boolean {
         if (!parts.writer.resolvePending()) return false
-        if (!draining) for (account in parts.accounts.all()) if (!refill(account, nowMs)) return false
+        val accounts = if (sweep) parts.accounts.all() else parts.accounts.needingAttention()
+        if (!refillAll(accounts, nowMs)) return false
         if (draining || nowMs >= nextFlushAtMs || parts.needsFlush(nowMs)) {
             if (!parts.flusher.flush()) return false
             nextFlushAtMs = nowMs + flushDelayMs()
         }
-        parts.transfers.abandonLost { parts.reclaimer.isGone(it.vmId) || drainedFor(nowMs) > DRAIN_TRANSFER_MS }
-        for (account in parts.accounts.all()) if (!reduce(account, nowMs)) return false
+        if (sweep) parts.transfers.abandonLost { parts.reclaimer.isGone(it.vmId) || drainedFor(nowMs) > DRAIN_TRANSFER_MS }
+        if (sweep) for (account in accounts) if (!reduce(account, nowMs)) return false
         return parts.reclaimer.reclaimIfDue() && parts.replicas.writeDue()
     }
 
+    private suspend fun refillAll(
+        accounts: List<BudgetAccount>,
+        nowMs: Long,
+    ): Boolean {
+        if (draining) return true
+        for (account in accounts) if (!refill(account, nowMs)) return false
+        return true
+    }
+
     private suspend fun refill(
         account: BudgetAccount,
         nowMs: Long,
@@ -67,6 +85,7 @@
         val learn =
             synchronized(account) {
                 if (nowMs - account.wantedAtMs > WANT_MEMORY_MS) account.wantedTokens = 0
+                account.needsAttention = account.wantedTokens > 0
                 account.wantedTokens > 0 && nowMs - (account.knowledge?.readAtMs ?: Long.MIN_VALUE / 2) >= KNOWLEDGE_INTERVAL_MS
             }
         return !learn || parts.keeper.learnRemaining(account)
@@ -115,6 +134,7 @@
         private const val WANT_MEMORY_MS = 3_000L
         private const val BACKLOG_SPEEDUP = 4L
         private const val JITTER_PARTS = 5L
+        private const val SWEEP_MS = 1_000L
         private const val EXCESS_FACTOR = 2
         private const val EXCESS_PATIENCE_MS = 30_000L
     }
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/DefaultBudgetLedgerTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/DefaultBudgetLedgerTest.kt
@@ -29,6 +29,21 @@
                 assertEquals(emptyList(), status.holders)
             }
 
+        @Test
+        fun `bills a request of 0 tokens after its grant went idle, guarding against a bill without a grant`() =
+            fleetTest(BudgetOptions(idleReturnMs = 1_000)) { fleet ->
+                fleet.fund(100_000)
+                val router = fleet.start("a")
+                router.spend("r1", 300)
+                router.reserve("free", 0)
+                delay(60_000)
+
+                router.settle("free", 0)
+                delay(5_000)
+
+                assertEquals(setOf(RequestId("r1"), RequestId("free")), fleet.writtenBills().keys)
+            }
+
         @Test
         fun `settles a request twice with one bill, guarding against double billing by a retry`() =
             fleetTest { fleet ->
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/ReclaimTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/ReclaimTest.kt
@@ -129,10 +129,10 @@
         fun `is not taken for gone, guarding against a list that lags behind a new VM`() =
             fleetTest { fleet ->
                 fleet.fund(1_000_000)
-                fleet.start("peer")
                 val holder = fleet.start("holder", listed = false)
                 delay(1_000)
                 assertTrue(holder.spend("r1", 1_000))
+                fleet.start("peer")
                 delay(60_000)
 
                 assertFalse(holderOf(fleet).reclaimed)
