Break lost answers off after their head has been sent

The CIO server leaves the connection open when a response fails before its head is sent, so the client ran into its timeout instead of a broken connection. Ruled out: 'connection: close' on the response (43 of 200 still timed out), an answer that ends short without an exception (200 of 200 timed out). Change: the stand-in waits 50 ms between the first byte and the failure.

--- a/standin/servers/src/main/kotlin/org/lycheemount/standin/StandInJson.kt
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/StandInJson.kt
@@ -7,6 +7,7 @@
 import io.ktor.server.response.respondBytesWriter
 import io.ktor.server.response.respondText
 import io.ktor.utils.io.writeByte
+import kotlinx.coroutines.delay
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
@@ -55,9 +56,13 @@
     respondBytesWriter(contentLength = LOST_ANSWER_LENGTH) {
         writeByte('{'.code.toByte())
         flush()
+        delay(LOST_ANSWER_DELAY_MS)
         throw LostAnswerException()
     }
 
 internal class LostAnswerException : java.io.IOException("answer lost on purpose")
 
 private const val LOST_ANSWER_LENGTH = 1_000L
+
+// The CIO server leaves the connection open when a response fails before its head has been sent.
+private const val LOST_ANSWER_DELAY_MS = 50L
