--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendHttp.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendHttp.kt
@@ -24,6 +24,7 @@
     private val controlTimeoutMs: Long = DEFAULT_CONTROL_TIMEOUT_MS,
 ) : AutoCloseable {
     internal val json = Json { ignoreUnknownKeys = true }
+    internal val engineConnections = EngineConnections(connectTimeoutMs)
 
     // Each request has its own connection, so that a failure to connect is certain to have had no effect.
     internal val client =
@@ -62,7 +63,10 @@
             null
         }
 
-    override fun close() = client.close()
+    override fun close() {
+        engineConnections.close()
+        client.close()
+    }
 
     /** Defaults and limits. */
     companion object {
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultModelEngineClient.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultModelEngineClient.kt
@@ -1,13 +1,13 @@
 package org.lycheemount.backend
 
-import io.ktor.client.request.preparePost
-import io.ktor.client.statement.HttpResponse
-import io.ktor.client.statement.bodyAsChannel
 import io.ktor.http.HttpMethod
+import io.ktor.http.cio.Response
 import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.discard
 import io.ktor.utils.io.readUTF8Line
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
@@ -21,6 +21,7 @@
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.ModelId
 import org.lycheemount.common.RequestId
+import java.io.IOException
 
 /**
  * Model engine client over HTTP.
@@ -37,16 +38,20 @@
         request: GenerateRequest,
     ): Flow<GenerateEvent> =
         flow {
-            val outcome =
-                try {
-                    attempt(server, request)
-                } catch (failure: DownstreamException) {
-                    throw failure.original
-                } catch (failure: Exception) {
-                    currentCoroutineContext().ensureActive()
-                    GenerateEvent.Failed(toAttemptFailure(failure))
+            var ended = false
+            val collector =
+                FlowCollector<GenerateEvent> { event ->
+                    if (event !is GenerateEvent.Tokens) ended = true
+                    emit(event)
                 }
-            emit(outcome)
+            try {
+                collector.attempt(server, request)
+            } catch (failure: DownstreamException) {
+                throw failure.original
+            } catch (failure: Exception) {
+                currentCoroutineContext().ensureActive()
+                if (!ended) emit(GenerateEvent.Failed(toAttemptFailure(failure)))
+            }
         }
 
     override suspend fun cancel(
@@ -89,34 +94,62 @@
     private suspend fun FlowCollector<GenerateEvent>.attempt(
         server: BackendServer,
         request: GenerateRequest,
-    ): GenerateEvent {
-        val statement =
-            http.client.preparePost(urlOf(server, "/v1/generate")) {
-                setJson(http.json.encodeToString(GenerateRequest.serializer(), request))
+    ) {
+        val body = http.json.encodeToString(GenerateRequest.serializer(), request).encodeToByteArray()
+        val kept = http.engineConnections.takeIdle(server)
+        if (kept != null && exchange(server, kept, body)) return
+        // A kept connection that ends without an answer was closed by the engine while idle; a new one tells for sure.
+        if (!exchange(server, http.engineConnections.open(server), body)) emit(GenerateEvent.Failed(AttemptFailure.BROKEN_CONNECTION))
+    }
+
+    /** Runs one generation on [connection]; false when the engine closed it before any answer. */
+    private suspend fun FlowCollector<GenerateEvent>.exchange(
+        server: BackendServer,
+        connection: EngineConnection,
+        body: ByteArray,
+    ): Boolean {
+        var complete = false
+        try {
+            val head = withTimeoutOrNull(silenceTimeoutMs) { Head(answerHead(connection, server, body)) }
+            if (head == null) {
+                emit(GenerateEvent.Failed(AttemptFailure.TIMED_OUT))
+                return true
+            }
+            val response = head.response ?: return false
+            val failure = refusedBy(response)
+            if (failure != null) {
+                emit(failure)
+                return true
             }
-        var silent = false
-        return try {
             coroutineScope {
-                val headTimer =
-                    launch {
-                        delay(silenceTimeoutMs)
-                        silent = true
-                        this@coroutineScope.cancel()
-                    }
-                statement.execute { response ->
-                    headTimer.cancel()
-                    refusedBy(response) ?: readLines(response.bodyAsChannel())
-                }
+                val channel = connection.body(this, response)
+                val last = readLines(channel)
+                pass(last)
+                complete = last is GenerateEvent.Finished && withTimeoutOrNull(END_TIMEOUT_MS) { channel.discard() == 0L } == true
+                // The decoder of an answer that has not ended would wait for its bytes for ever.
+                coroutineContext.cancelChildren()
             }
-        } catch (failure: CancellationException) {
-            currentCoroutineContext().ensureActive()
-            if (silent) GenerateEvent.Failed(AttemptFailure.TIMED_OUT) else throw failure
+            return true
+        } finally {
+            if (complete) http.engineConnections.keep(server, connection) else connection.close()
         }
     }
 
-    private fun refusedBy(response: HttpResponse): GenerateEvent? {
-        refusalOf(response.headers[REFUSED_HEADER])?.let { return GenerateEvent.Failed(it) }
-        return if (response.status.value == OK_STATUS) null else GenerateEvent.Failed(AttemptFailure.SERVER_ERROR)
+    private suspend fun answerHead(
+        connection: EngineConnection,
+        server: BackendServer,
+        body: ByteArray,
+    ): Response? =
+        try {
+            connection.post(server, "/v1/generate", body)
+        } catch (failure: IOException) {
+            currentCoroutineContext().ensureActive()
+            null
+        }
+
+    private fun refusedBy(response: Response): GenerateEvent? {
+        refusalOf(response.headers[REFUSED_HEADER]?.toString())?.let { return GenerateEvent.Failed(it) }
+        return if (response.status == OK_STATUS) null else GenerateEvent.Failed(AttemptFailure.SERVER_ERROR)
     }
 
     private suspend fun FlowCollector<GenerateEvent>.readLines(channel: ByteReadChannel): GenerateEvent {
@@ -153,6 +186,10 @@
             null
         }
 
+    private class Head(
+        val response: Response?,
+    )
+
     private class ReadLine(
         val text: String?,
     )
@@ -166,5 +203,8 @@
         private const val MOVE_TIMEOUT_MS = 10_000L
         private const val MAX_LINE_CHARS = 65_536
         private const val OK_STATUS = 200
+
+        // The end of the body follows the last line at once.
+        private const val END_TIMEOUT_MS = 200L
     }
 }
--- a/request/stream/src/main/kotlin/org/lycheemount/stream/AnswerStream.kt
+++ b/request/stream/src/main/kotlin/org/lycheemount/stream/AnswerStream.kt
@@ -128,7 +128,8 @@
         }
         if (cachedPromptTokens == 0) cachedPromptTokens = event.cachedPromptTokens
         attempts.onCompleted(assembler.deliveredTokens, event.cachedPromptTokens)
-        closeAttempt()
+        // A flow that has finished ends by itself, which lets the client keep its connection.
+        leaveAttempt()
         if (event.reason == LENGTH && assembler.deliveredTokens >= allowance.reservedOutputTokens && allowance.extend()) return null
         return AnswerStep.Finished(event.reason, assembler.deliveredTokens, cachedPromptTokens)
     }
@@ -158,6 +159,10 @@
 
     private fun closeAttempt() {
         events?.cancel()
+        leaveAttempt()
+    }
+
+    private fun leaveAttempt() {
         events = null
         server = null
     }
