Use the claims of the router fleet in app/router

Cause: the router kept claims in its own memory, so an order and its retry at another router ran twice. Change: RouterProcess creates the claims with membership's evidence: a process has ended when its VM is gone from the list or a newer incarnation runs on the same VM.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/ControlParts.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/ControlParts.kt
@@ -5,12 +5,15 @@
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.RouterId
+import org.lycheemount.common.RouterIdentity
 import org.lycheemount.common.StateDumpSource
 import org.lycheemount.config.ConfigurationPeers
 import org.lycheemount.config.ConfigurationReadiness
 import org.lycheemount.config.ConfigurationService
 import org.lycheemount.config.ConfigurationSnapshot
 import org.lycheemount.config.ConfigurationView
+import org.lycheemount.membership.Evidence
+import org.lycheemount.membership.EvidenceUse
 import org.lycheemount.membership.MembershipListener
 import org.lycheemount.membership.MembershipService
 import org.lycheemount.peer.socket.DefaultPeerMessenger
@@ -59,6 +62,16 @@
         return listOf("no_configuration: ${readiness.reason}")
     }
 
+    /**
+     * Whether the process [router] has certainly ended. Another VM with its router id is no proof, because the earlier VM may
+     * only be paused; a newer incarnation on the same VM is.
+     */
+    fun hasEnded(router: RouterIdentity): Boolean =
+        membership.evidence(router) == Evidence.GONE ||
+            membership.membersFor(EvidenceUse.FORWARDING).mapNotNull { it.identity }.any {
+                it.vmId == router.vmId && it.incarnation > router.incarnation
+            }
+
     override fun onPeers(
         known: List<RouterVm>,
         neighbours: Set<RouterId>,
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -22,6 +22,7 @@
 import org.lycheemount.caller.CallerServices
 import org.lycheemount.caller.DrainState
 import org.lycheemount.caller.WorkDispatcher
+import org.lycheemount.claims.createClaims
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.common.DefaultEventLog
 import org.lycheemount.common.RouterIdentity
@@ -58,6 +59,7 @@
     private val control =
         ControlParts(platform.table, platform.vmDirectory, peers, clock, eventLog, settings.configurationFile)
     private val configuration = control.configuration
+    private val claims = createClaims(platform.table, peers, clock, eventLog, control::hasEnded)
     private val callers = CallerInterface(callerServices())
     private val server = createServer()
 
@@ -69,6 +71,7 @@
         control.start(scope)
         scope.launch { prepareBudgets() }
         budgets.maintenance.start(scope)
+        claims.start(scope)
         server.start(wait = false)
         val port =
             server.engine
@@ -87,6 +90,7 @@
         drain.begin()
         drain.awaitIdle()
         budgets.maintenance.drain()
+        claims.flush()
         server.stop(STOP_GRACE_MS, STOP_TIMEOUT_MS)
         scope.cancel()
         backendHttp.close()
@@ -100,7 +104,7 @@
             configuration = configuration,
             ledger = budgets.ledger,
             replenisher = budgets.maintenance,
-            claims = TemporaryClaims(),
+            claims = claims.registry,
             dispatcher = dispatcher,
             engine = engine,
             plainServices = plainServices,
@@ -110,7 +114,7 @@
             scope = scope,
             drain = drain,
             limits = callerLimits(),
-            stateSources = control.stateSources + budgets.stateDump,
+            stateSources = control.stateSources + budgets.stateDump + claims.stateDump,
             notReadyReasons = { control.notReadyReasons() + if (observer.hasList) emptyList() else listOf("vm_list_not_read") },
         )
 
