--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -19,6 +19,7 @@
 import org.lycheemount.caller.CallerServices
 import org.lycheemount.caller.DrainState
 import org.lycheemount.caller.WorkDispatcher
+import org.lycheemount.claims.createClaims
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.common.DefaultEventLog
 import org.lycheemount.common.RouterIdentity
@@ -68,6 +69,7 @@
     private val control =
         ControlParts(platform.table, platform.vmDirectory, peers, clock, eventLog, settings.configurationFile)
     private val configuration = control.configuration
+    private val claims = createClaims(platform.table, peers, clock, eventLog, control::hasEnded)
     private val callers = CallerInterface(callerServices())
     private val server = createHttpServer(settings.callers, eventLog) { callers.installInto(this) }
     private val admin = adminListener()
@@ -80,6 +82,7 @@
         control.start(scope)
         scope.launch { prepareBudgets() }
         budgets.maintenance.start(scope)
+        claims.start(scope)
         server.start(wait = false)
         val adminPort = admin.start()
         val port =
@@ -99,6 +102,7 @@
         drain.begin()
         drain.awaitIdle()
         budgets.maintenance.drain()
+        claims.flush()
         server.stop(STOP_GRACE_MS, STOP_TIMEOUT_MS)
         admin.stop()
         scope.cancel()
@@ -113,7 +117,7 @@
             configuration = configuration,
             ledger = budgets.ledger,
             replenisher = budgets.maintenance,
-            claims = TemporaryClaims(),
+            claims = claims.registry,
             dispatcher = dispatcher,
             engine = engine,
             plainServices = plainServices,
@@ -123,7 +127,7 @@
             scope = scope,
             drain = drain,
             limits = callerLimits(),
-            stateSources = control.stateSources + budgets.stateDump,
+            stateSources = control.stateSources + budgets.stateDump + claims.stateDump,
             notReadyReasons = { control.notReadyReasons() + if (observer.hasList) emptyList() else listOf("vm_list_not_read") },
         )
 
