--- a/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
@@ -166,8 +166,10 @@
                 openLink(socket, asClient = false) { frames ->
                     val peer = handshake.accept(frames)
                     val link = newLink(peer, dialedHere = false, frames)
-                    if (!links.add(link)) throw LinkFailure("another link to ${peer.routerId.value} is preferred")
+                    val added =
+                        links.add(link) as? AddOutcome.Added ?: throw LinkFailure("another link to ${peer.routerId.value} is preferred")
                     confirm(link, frames)
+                    added.replaced?.let { retire(it) }
                     link
                 }
             } finally {
@@ -192,12 +194,25 @@
                 handshake.awaitReady(frames)
                 newLink(peer, dialedHere = true, frames)
             } ?: return null
-        if (!links.add(link)) {
-            link.close()
-            return null
+        when (val outcome = links.add(link)) {
+            is AddOutcome.Added -> outcome.replaced?.let { retire(it) }
+            // The peer may have taken this link into use already and may have sent calls over it.
+            is AddOutcome.OtherPreferred -> retire(link)
+            is AddOutcome.Refused -> {
+                link.close()
+                return null
+            }
         }
         scope.launch { runLink(link) }
-        return link
+        return links.find(endpoint.routerId)
+    }
+
+    /** Closes [link] once calls in progress on either side have had time to be answered. */
+    private fun retire(link: PeerLink) {
+        scope.launch {
+            delay(settings.retireMs)
+            link.close()
+        }
     }
 
     private suspend fun confirm(
--- a/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/LinkTable.kt
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/LinkTable.kt
@@ -15,18 +15,19 @@
 
     fun all(): List<PeerLink> = links.values.filter { it.isOpen }
 
-    /** Takes [link] into use, closing the link that it replaces; returns false when [link] must be closed instead. */
+    /** Takes [link] into use unless another link to the same peer is preferred. */
     @Synchronized
-    fun add(link: PeerLink): Boolean {
+    fun add(link: PeerLink): AddOutcome {
         val routerId = link.peer.routerId
         val newest = newestIncarnations[routerId] ?: Long.MIN_VALUE
-        if (link.peer.incarnation < newest || routerId == self.routerId) return false
+        if (link.peer.incarnation < newest || routerId == self.routerId) return AddOutcome.Refused
         newestIncarnations[routerId] = link.peer.incarnation
         val existing = find(routerId)
-        if (existing != null && !replaces(link, existing)) return false
+        if (existing != null && !replaces(link, existing)) return AddOutcome.OtherPreferred
         links[routerId] = link
-        existing?.close()
-        return true
+        if (existing == null || existing.peer.incarnation == link.peer.incarnation) return AddOutcome.Added(replaced = existing)
+        existing.close()
+        return AddOutcome.Added(replaced = null)
     }
 
     fun remove(link: PeerLink) {
@@ -46,3 +47,17 @@
         return link.dialedHere == selfIsSmaller
     }
 }
+
+/** What became of a new link. */
+internal sealed interface AddOutcome {
+    /** The link is in use; [replaced] may still carry calls in progress. */
+    data class Added(
+        val replaced: PeerLink?,
+    ) : AddOutcome
+
+    /** The peer is the same process, and its other link stays. */
+    data object OtherPreferred : AddOutcome
+
+    /** The peer is an older incarnation, or this process itself. */
+    data object Refused : AddOutcome
+}
--- a/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/PeerLinkSettings.kt
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/PeerLinkSettings.kt
@@ -7,6 +7,7 @@
  * @property sendQueueFrames frames that may wait on one link; further ones are refused.
  * @property idleTimeoutMs a link without a complete frame for this long is closed.
  * @property unusedLinkMs a link that was dialed for one call and is not a neighbour's is closed after this long without a call.
+ * @property retireMs time for which a link that another one has replaced goes on answering.
  * @property maxPendingHandshakes inbound connections that may be unauthenticated at the same time.
  */
 data class PeerLinkSettings(
@@ -18,6 +19,7 @@
     val keepAliveMs: Long = 5_000,
     val idleTimeoutMs: Long = 15_000,
     val unusedLinkMs: Long = 60_000,
+    val retireMs: Long = 2_000,
     val firstRetryMs: Long = 100,
     val maxRetryMs: Long = 5_000,
     val maxPendingHandshakes: Int = 64,
--- a/connection/peer/src/test/kotlin/org/lycheemount/peer/socket/DefaultPeerMessengerTest.kt
+++ b/connection/peer/src/test/kotlin/org/lycheemount/peer/socket/DefaultPeerMessengerTest.kt
@@ -1,5 +1,8 @@
 package org.lycheemount.peer.socket
 
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import org.junit.jupiter.api.Nested
 import org.lycheemount.peer.PeerChannel
 import org.lycheemount.peer.PeerReply
@@ -93,17 +96,19 @@
     @Nested
     inner class `links of a pair` {
         @Test
-        fun `end as a single one when both sides dial at once`() =
-            onBench {
-                val (one, first) = start(identity("one"))
-                val (two, second) = start(identity("two"))
-
-                one.setPeers(listOf(second), setOf(second.routerId))
-                two.setPeers(listOf(first), setOf(first.routerId))
-                until { one.connectedPeers().size == 1 && two.connectedPeers().size == 1 }
-
-                assertIs<PeerReply.Answered>(one.echoOnce(second))
-                assertIs<PeerReply.Answered>(two.echoOnce(first))
+        fun `end as a single one when both sides dial at once, and no call is lost on the way`() =
+            onBench(PeerLinkSettings(firstRetryMs = 20, maxRetryMs = 100, retireMs = 300)) {
+                repeat(20) { round ->
+                    val (one, first) = start(identity("one-$round"))
+                    val (two, second) = start(identity("two-$round"))
+                    one.setPeers(listOf(second), setOf(second.routerId))
+                    two.setPeers(listOf(first), setOf(first.routerId))
+
+                    val replies = coroutineScope { listOf(async { one.echoOnce(second) }, async { two.echoOnce(first) }).awaitAll() }
+
+                    assertTrue(replies.all { it is PeerReply.Answered }, "round $round: $replies")
+                    until { one.connectedPeers().size == 1 && two.connectedPeers().size == 1 }
+                }
             }
     }
 
--- a/process/membership/src/main/kotlin/org/lycheemount/membership/MembershipTable.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/MembershipTable.kt
@@ -89,7 +89,7 @@
     private fun supersede(vm: RouterVm) {
         for (record in records.values) {
             val earlier = record.vm ?: continue
-            val sameAddress = earlier.host == vm.host && earlier.peerPort == vm.peerPort
+            val sameAddress = vm.peerPort != 0 && earlier.host == vm.host && earlier.peerPort == vm.peerPort
             if (sameAddress || earlier.routerId == vm.routerId) record.replaced = true
         }
     }
--- a/version/config/src/test/kotlin/org/lycheemount/config/ConfigurationFixtures.kt
+++ b/version/config/src/test/kotlin/org/lycheemount/config/ConfigurationFixtures.kt
@@ -46,6 +46,7 @@
     private val scope: TestScope,
     size: Int = 3,
     private val seed: Int = 1,
+    private val countKnownFromMs: Long = 0,
 ) {
     val clock = VirtualClock(scope)
     val table = FakeTableService(clock)
@@ -67,7 +68,7 @@
             val messenger = network.join(identity)
             val peers =
                 object : ConfigurationPeers {
-                    override fun routerCount() = ids.size
+                    override fun routerCount() = if (clock.monotonicMs() < countKnownFromMs) 0 else ids.size
 
                     override fun pushTargets() = ids - id
                 }
--- a/version/config/src/test/kotlin/org/lycheemount/config/ConfigurationServiceTest.kt
+++ b/version/config/src/test/kotlin/org/lycheemount/config/ConfigurationServiceTest.kt
@@ -211,6 +211,25 @@
             }
     }
 
+    @Nested
+    inner class `routers that all start at once` {
+        @Test
+        fun `spread their load over the table although the size of the fleet is not known at first`() =
+            runTest {
+                val fleet = ConfigurationFleet(this, size = 40, countKnownFromMs = 100).apply { startAll() }
+                val loaded = { fleet.routers.count { it.service.replica.loaded } }
+                delay(99)
+                val beforeKnown = loaded()
+                delay(161)
+                val halfway = loaded()
+                delay(400)
+
+                assertEquals(0, beforeKnown)
+                assertTrue(halfway in 8..32, "$halfway")
+                assertEquals(40, loaded())
+            }
+    }
+
     @Nested
     inner class `a partitioned zone` {
         @Test
