Keep requests with their prefix until a tenth of their slack is left

Change: the share of slack that must be left to choose is 0.1 instead of 0.25, servers below 0.4 idle instead of 0.2 take only requests whose prefix they hold; a plain loop in RoutingCostMeasurement.

--- a/measure/src/main/kotlin/org/lycheemount/measure/routing/RoutingCostMeasurement.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/routing/RoutingCostMeasurement.kt
@@ -85,10 +85,12 @@
             scheduler.poll(nowMs).filterIsInstance<SchedulerAction.Start>().forEach { running.addLast(it.requestId) }
         }
 
-        private fun report() =
-            (0 until serverCount).forEach {
-                scheduler.onLoadReport(LoadReport(BackendServerId("s$it"), 0, running.size / serverCount, 0, SLOTS), nowMs)
+        private fun report() {
+            for (index in 0 until serverCount) {
+                val report = LoadReport(BackendServerId("s$index"), 0, running.size / serverCount, 0, SLOTS)
+                scheduler.onLoadReport(report, nowMs)
             }
+        }
 
         private fun item(): WorkItem {
             val template = Random(random.nextInt(TEAMS * 4))
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/QueuedRequest.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/QueuedRequest.kt
@@ -5,7 +5,7 @@
 
 private const val AFFINITY_REFRESH_MS = 500L
 private const val PATIENT_TARGET_MS = 10_000L
-private const val CHOICE_SLACK_SHARE = 0.25
+private const val CHOICE_SLACK_SHARE = 0.1
 
 /**
  * A request that waits for a backend server.
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/StartRules.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/StartRules.kt
@@ -6,7 +6,7 @@
 
 // On a server that is busier than this, a prompt is prefilled only when its own servers have had no room for a while:
 // prefills that a cache would have saved are what turns a full fleet into an overloaded one.
-private const val IDLE_SHARE = 0.2
+private const val IDLE_SHARE = 0.4
 
 /** Decides on which servers a queued request may start now. */
 internal class StartRules(
