--- a/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
@@ -4,6 +4,8 @@
 import org.lycheemount.measure.capacity.CapacityMeasurement
 import org.lycheemount.measure.control.ControlMeasurement
 import org.lycheemount.measure.path.PathMeasurement
+import org.lycheemount.measure.routing.CacheMoveMeasurement
+import org.lycheemount.measure.routing.RoutingCostMeasurement
 import org.lycheemount.measure.routing.RoutingMeasurement
 import kotlin.system.exitProcess
 
@@ -13,6 +15,8 @@
         CapacityMeasurement(),
         ControlMeasurement(),
         PathMeasurement(),
+        CacheMoveMeasurement(),
+        RoutingCostMeasurement(),
         RoutingMeasurement(),
     )
 
--- a/version/config/src/test/kotlin/org/lycheemount/config/FleetStartTest.kt
+++ b/version/config/src/test/kotlin/org/lycheemount/config/FleetStartTest.kt
@@ -33,7 +33,7 @@
                 val network = FakePeerNetwork(backgroundScope)
                 val peers =
                     object : ConfigurationPeers {
-                        override fun routerCount() = if (clock.monotonicMs() < 100) 1 else 300
+                        override fun routerCount() = if (clock.monotonicMs() < 100) 0 else 300
 
                         override fun pushTargets() = emptyList<RouterId>()
                     }
