--- a/measure/src/main/kotlin/org/lycheemount/measure/capacity/CapacityMeasurement.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/capacity/CapacityMeasurement.kt
@@ -16,6 +16,7 @@
             "scheduler" to ::schedulerSlopes,
             "stream" to ::streamSlopes,
             "budget" to ::budgetSlopes,
+            "claims" to ::claimSlopes,
         )
 
     override fun run(): List<Pair<String, Any>> {
--- a/version/config/src/main/kotlin/org/lycheemount/config/PropagationSettings.kt
+++ b/version/config/src/main/kotlin/org/lycheemount/config/PropagationSettings.kt
@@ -8,7 +8,6 @@
  * @property startSpreadMsPerRouter a start of all routers at once is spread over this much for each of them, which leaves most
  * of the table's reads to grants and bills.
  * @property pushFanout neighbours that a change is pushed to when there are more; the others notice by heartbeat.
- * @property routerCountWaitMs longest time to wait at the start for the number of routers, which the start spread needs.
  */
 data class PropagationSettings(
     val minPollMs: Long = 1_000,
@@ -17,7 +16,6 @@
     val startSpreadMsPerRouter: Long = 8,
     val pushFanout: Int = 6,
     val startRetryMs: Long = 500,
-    val routerCountWaitMs: Long = 500,
 ) {
     internal fun pollMs(routers: Int): Long = (routers * pollMsPerRouter).coerceIn(minPollMs, maxPollMs)
 }
