--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/TargetQueue.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/TargetQueue.kt
@@ -2,7 +2,8 @@
 
 import org.lycheemount.common.BackendTarget
 
-private const val TEAM_LEAD_MS = 20_000.0
+// A lead of a few requests lets urgency decide among teams without letting one keep another waiting for long.
+private const val TEAM_LEAD_REQUESTS = 4.0
 private const val MIN_FLEET_SHARE = 0.02
 private const val SHARE_GAIN = 0.01
 private const val WAIT_GAIN = 0.1
@@ -14,7 +15,7 @@
 internal class TargetQueue(
     val target: BackendTarget,
 ) {
-    val queue = FairQueue(TEAM_LEAD_MS)
+    val queue = FairQueue { TEAM_LEAD_REQUESTS * meanServiceMs }
     val estimator = ServiceEstimator(target)
     private var calibration = 1.0
     private var meanServiceMs = 0.0
@@ -24,6 +25,12 @@
     /** This router's share of the load of all servers of the target; 1 before the first report. */
     val fleetShare: Double get() = if (totalMean <= 0.0) 1.0 else (ownMean / totalMean).coerceIn(MIN_FLEET_SHARE, 1.0)
 
+    private var patientWorkMs = 0.0
+    private var workMs = 0.0
+
+    /** Share of the started work that may wait. */
+    val patientShare: Double get() = if (workMs <= 0.0) 0.0 else patientWorkMs / workMs
+
     fun onReport(
         own: Int,
         total: Int,
@@ -54,6 +61,8 @@
         nowMs: Long,
     ) {
         meanServiceMs = if (meanServiceMs == 0.0) request.serviceMs else meanServiceMs + WAIT_GAIN * (request.serviceMs - meanServiceMs)
+        workMs += SHARE_GAIN * (request.serviceMs - workMs)
+        patientWorkMs += SHARE_GAIN * ((if (request.isPatient) request.serviceMs else 0.0) - patientWorkMs)
         if (request.workClass.mustFinish || request.predictedWaitMs < MIN_CALIBRATED_WAIT_MS) return
         val ratio = (nowMs - request.submittedAtMs) * calibration / request.predictedWaitMs
         calibration = (calibration + WAIT_GAIN * (ratio - calibration)).coerceIn(MIN_CALIBRATION, MAX_CALIBRATION)
