--- a/measure/src/main/kotlin/org/lycheemount/measure/budgets/GrantPolicy.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/budgets/GrantPolicy.kt
@@ -1,5 +1,6 @@
 package org.lycheemount.measure.budgets
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.lycheemount.budget.BillsResult
@@ -77,13 +78,28 @@
         val id = RequestId("request-${request.index}")
         var reserved = admit(router, id, request) ?: return ServedAs.REFUSED
         var generated = 0
-        while (true) {
-            val allowed = minOf(request.outputTokens.toLong(), reserved - request.promptTokens).toInt()
-            delay((allowed - generated) * SimWorld.TOKEN_MS)
-            generated = allowed
-            if (generated == request.outputTokens) break
-            reserved = extend(router, id, request, reserved) ?: break
+        try {
+            while (true) {
+                val allowed = minOf(request.outputTokens.toLong(), reserved - request.promptTokens).toInt()
+                delay((allowed - generated) * SimWorld.TOKEN_MS)
+                generated = allowed
+                if (generated == request.outputTokens) break
+                reserved = extend(router, id, request, reserved) ?: break
+            }
+        } catch (death: CancellationException) {
+            // The engine may have generated all that the dead router had reserved.
+            world.usage.use(request.team, reserved)
+            throw death
         }
+        return settle(router, id, request, generated)
+    }
+
+    private fun settle(
+        router: Int,
+        id: RequestId,
+        request: SimRequest,
+        generated: Int,
+    ): ServedAs {
         val charge = Charge(TeamId("team-${request.team}"), MODEL, request.promptTokens.toLong(), generated.toLong())
         modules[router].ledger.settle(id, charge, world.clock.monotonicMs())
         settled[id] = router
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BillReplication.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BillReplication.kt
@@ -1,7 +1,6 @@
 package org.lycheemount.budget
 
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import org.lycheemount.common.RequestId
 import org.lycheemount.common.RouterIdentity
@@ -59,7 +58,8 @@
             if (reply == PeerReply.NotDelivered) abandonKeeper()
             return false
         }
-        if (peerCbor.decodeFromByteArray<BillCopiesAnswer>(reply.payload).incarnation != to.incarnation) {
+        val answer = decodePeerMessage<BillCopiesAnswer>(reply.payload) ?: return false
+        if (answer.incarnation != to.incarnation) {
             abandonKeeper()
             return true
         }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/ReplicaWriter.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/ReplicaWriter.kt
@@ -1,6 +1,5 @@
 package org.lycheemount.budget
 
-import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
@@ -23,7 +22,7 @@
 ) {
     private val copies = LinkedHashMap<RouterIdentity, LinkedHashMap<RequestId, Copy>>()
 
-    fun register() = peers.register(BILLS_CHANNEL) { from, payload -> keep(from, peerCbor.decodeFromByteArray(payload)) }
+    fun register() = peers.register(BILLS_CHANNEL) { from, payload -> decodePeerMessage<BillCopies>(payload)?.let { keep(from, it) } }
 
     fun keptBills(): Int = synchronized(copies) { copies.values.sumOf { it.size } }
 
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TransferDesk.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TransferDesk.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
-import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Clock
@@ -85,7 +84,7 @@
     ): Long {
         val reply = peers.call(peer.routerId, TOKENS_CHANNEL, encode(message), options.peerTimeoutMs)
         if (reply !is PeerReply.Answered) return 0
-        val answer = peerCbor.decodeFromByteArray<NeededAnswer>(reply.payload)
+        val answer = decodePeerMessage<NeededAnswer>(reply.payload) ?: return 0
         keptTokens[peer.routerId to message.budgetId] = answer.keptTokens
         return answer.sentTokens
     }
@@ -93,8 +92,9 @@
     private fun handle(
         from: RouterIdentity,
         payload: ByteArray,
-    ): ByteArray =
-        when (val message = peerCbor.decodeFromByteArray<TokenMessage>(payload)) {
+    ): ByteArray? =
+        when (val message = decodePeerMessage<TokenMessage>(payload)) {
+            null -> null
             is TokenMessage.Needed -> peerCbor.encodeToByteArray(donate(from, message))
             is TokenMessage.Transfer -> peerCbor.encodeToByteArray(receive(from, message))
         }
@@ -160,7 +160,7 @@
                 transfer.to.incarnation,
             )
         when (val reply = peers.call(transfer.to.routerId, TOKENS_CHANNEL, encode(message), options.peerTimeoutMs)) {
-            is PeerReply.Answered -> finish(transfer, peerCbor.decodeFromByteArray<TransferAnswer>(reply.payload))
+            is PeerReply.Answered -> finish(transfer, decodePeerMessage(reply.payload) ?: TransferAnswer.LATER)
             PeerReply.NotDelivered -> if (!transfer.maybeDelivered) finish(transfer, TransferAnswer.REFUSED)
             PeerReply.Unknown -> transfer.maybeDelivered = true
         }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TransferMessages.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TransferMessages.kt
@@ -2,7 +2,9 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
 import org.lycheemount.common.BudgetId
 import org.lycheemount.peer.PeerChannel
 
@@ -65,3 +67,11 @@
 }
 
 internal val peerCbor = Cbor { ignoreUnknownKeys = true }
+
+/** Null for a message that is not of the form [T]; such a message must not stop the background work. */
+internal inline fun <reified T> decodePeerMessage(payload: ByteArray): T? =
+    try {
+        peerCbor.decodeFromByteArray<T>(payload)
+    } catch (_: SerializationException) {
+        null
+    }
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/DefaultBudgetLedgerTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/DefaultBudgetLedgerTest.kt
@@ -59,6 +59,25 @@
             }
     }
 
+    @Nested
+    inner class `a malformed message from a peer` {
+        @Test
+        fun `is ignored, guarding against background work that a peer can stop`() =
+            fleetTest { fleet ->
+                fleet.fund(100_000)
+                val router = fleet.start("a")
+                val peer = fleet.start("b")
+                val garbage = byteArrayOf(1, 2, 3)
+
+                for (channel in listOf(TOKENS_CHANNEL, BILLS_CHANNEL)) {
+                    peer.messenger.call(router.identity.routerId, channel, garbage, 100)
+                }
+
+                assertTrue(router.spend("r1", 300))
+                assertTrue(router.maintenance.drain())
+            }
+    }
+
     @Nested
     inner class `a refusal` {
         @Test
