--- a/version/config/src/main/kotlin/org/lycheemount/config/ConfigurationService.kt
+++ b/version/config/src/main/kotlin/org/lycheemount/config/ConfigurationService.kt
@@ -96,8 +96,7 @@
         }
 
     private suspend fun loadThenPoll() {
-        awaitRouterCount()
-        delay(random.nextLong(peers.routerCount() * settings.startSpreadMsPerRouter + 1))
+        spreadStart()
         while (!replica.loaded) {
             if (loadOnce()) break
             delay(settings.startRetryMs / 2 + random.nextLong(settings.startRetryMs))
@@ -110,10 +109,14 @@
         }
     }
 
-    /** Before the first VM list every router would take itself for the only one, and all would read the table at once. */
-    private suspend fun awaitRouterCount() {
-        val endMs = clock.monotonicMs() + settings.routerCountWaitMs
-        while (peers.routerCount() <= 1 && clock.monotonicMs() < endMs) delay(ROUTER_COUNT_LOOK_MS)
+    /** Waits a random time that grows with the fleet, so that a start of all routers at once is spread over the table. */
+    private suspend fun spreadStart() {
+        var waitedMs = 0L
+        while (peers.routerCount() == 0 && waitedMs < settings.startRetryMs) {
+            delay(START_STEP_MS)
+            waitedMs += START_STEP_MS
+        }
+        delay(random.nextLong(peers.routerCount() * settings.startSpreadMsPerRouter + 1))
     }
 
     /** Takes the whole state from a peer where one has it, which spares the table when all routers start at once. */
@@ -183,7 +186,7 @@
 
     private companion object {
         private const val PULL_WISHES = 64
-        private const val ROUTER_COUNT_LOOK_MS = 10L
+        private const val START_STEP_MS = 10L
         private const val PEERS_ASKED_AT_START = 3
     }
 }
