--- a/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
@@ -1,6 +1,7 @@
 package org.lycheemount.measure
 
 import org.lycheemount.measure.budgets.BudgetsMeasurement
+import org.lycheemount.measure.claims.ClaimsMeasurement
 import org.lycheemount.measure.control.ControlMeasurement
 import org.lycheemount.measure.path.PathMeasurement
 import org.lycheemount.measure.routing.CacheMoveMeasurement
@@ -11,6 +12,7 @@
 private val measurements: List<Measurement> =
     listOf(
         BudgetsMeasurement(),
+        ClaimsMeasurement(),
         ControlMeasurement(),
         PathMeasurement(),
         CacheMoveMeasurement(),
--- a/process/claims/src/main/kotlin/org/lycheemount/claims/ClaimContext.kt
+++ b/process/claims/src/main/kotlin/org/lycheemount/claims/ClaimContext.kt
@@ -30,21 +30,23 @@
         }
 
     /**
-     * Returns a connected router for [partition] beside this one, in another zone if there is one, or null.
+     * Returns a second router beside [primary], of another zone if there is one, or null.
      * Every router ranks the candidates alike, and each partition ranks them differently, so that the load is spread.
      */
     fun chooseSecondary(
         partition: Int,
-        excluded: Set<RouterIdentity>,
+        primary: RouterIdentity,
+        excluded: Set<RouterIdentity> = emptySet(),
     ): RouterIdentity? =
-        peers
-            .connectedPeers()
-            .filterNot { it in excluded || it.routerId == self.routerId }
-            .sortedWith(compareBy({ it.zoneId == self.zoneId }, { rank(partition, it) }))
+        candidates()
+            .filterNot { it in excluded || it.routerId == primary.routerId }
+            .sortedWith(compareBy({ it.zoneId == primary.zoneId }, { rank(partition, it) }))
             .firstOrNull()
 
-    /** Whether this router comes first for a new partition among those that it is connected with. */
-    fun choosePrimary(partition: Int): RouterIdentity = (peers.connectedPeers() + self).minBy { rank(partition, it) }
+    /** Returns the router that a new partition gets as its primary. */
+    fun choosePrimary(partition: Int): RouterIdentity = candidates().minBy { rank(partition, it) }
+
+    private fun candidates() = peers.connectedPeers() + self
 
     private fun rank(
         partition: Int,
--- a/process/claims/src/main/kotlin/org/lycheemount/claims/PairKeeper.kt
+++ b/process/claims/src/main/kotlin/org/lycheemount/claims/PairKeeper.kt
@@ -20,7 +20,7 @@
         val before = state.view ?: return false
         if (!state.synced) return false
         val other = if (before.primary == context.self) before.secondary else before.primary
-        val secondary = context.chooseSecondary(partition, setOf(other)) ?: return false
+        val secondary = context.chooseSecondary(partition, context.self, setOf(other)) ?: return false
         return change(before, before.unknownUntilMs, secondary) && syncSecondary()
     }
 
@@ -33,7 +33,7 @@
         if (state.synced) return false
         if (!isTakenOver(before)) {
             if (!isLost(before)) return false
-            val secondary = context.chooseSecondary(partition, setOf(before.primary, before.secondary)) ?: return false
+            val secondary = context.chooseSecondary(partition, context.self, setOf(before.primary, before.secondary)) ?: return false
             val unknownUntilMs = context.clock.wallClockMs() + context.options.outcomeLifetimeMs
             if (!change(before, unknownUntilMs, secondary)) return false
         }
@@ -79,7 +79,7 @@
         found.row?.let(state::adopt)
         if (state.view != null || adoptFromPeers()) return true
         val primary = context.choosePrimary(partition)
-        val secondary = if (primary == context.self) context.chooseSecondary(partition, emptySet()) else context.self
+        val secondary = context.chooseSecondary(partition, primary)
         val row = PartitionRow(partition, FIRST_EPOCH, primary, secondary ?: return false)
         val outcome = context.changes.write(row, found.version)
         if (outcome is PairChangeOutcome.Current) state.adopt(outcome.row)
