--- a/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
@@ -3,6 +3,7 @@
 import org.lycheemount.measure.budgets.BudgetsCostMeasurement
 import org.lycheemount.measure.budgets.BudgetsMeasurement
 import org.lycheemount.measure.capacity.CapacityMeasurement
+import org.lycheemount.measure.claims.ClaimsMeasurement
 import org.lycheemount.measure.control.ControlMeasurement
 import org.lycheemount.measure.path.PathMeasurement
 import org.lycheemount.measure.routing.CacheMoveMeasurement
@@ -15,6 +16,7 @@
         BudgetsCostMeasurement(),
         BudgetsMeasurement(),
         CapacityMeasurement(),
+        ClaimsMeasurement(),
         ControlMeasurement(),
         PathMeasurement(),
         CacheMoveMeasurement(),
