--- a/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
@@ -1,6 +1,7 @@
 package org.lycheemount.measure
 
 import org.lycheemount.measure.budgets.BudgetsMeasurement
+import org.lycheemount.measure.control.ControlMeasurement
 import org.lycheemount.measure.path.PathMeasurement
 import org.lycheemount.measure.routing.CacheMoveMeasurement
 import org.lycheemount.measure.routing.RoutingCostMeasurement
@@ -10,7 +11,10 @@
 private val measurements: List<Measurement> =
     listOf(
         BudgetsMeasurement(),
+        ControlMeasurement(),
         PathMeasurement(),
+        CacheMoveMeasurement(),
+        RoutingCostMeasurement(),
         RoutingMeasurement(),
         RoutingCostMeasurement(),
         CacheMoveMeasurement(),
