--- a/app/router/src/main/kotlin/org/lycheemount/app/router/ControlParts.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/ControlParts.kt
@@ -58,8 +58,10 @@
     /** Reasons for which the router cannot serve yet. */
     fun notReadyReasons(): List<String> {
         if (fixed != null) return emptyList()
-        val readiness = configurationService.readiness() as? ConfigurationReadiness.NotReady ?: return emptyList()
-        return listOf("no_configuration: ${readiness.reason}")
+        return when (val readiness = configurationService.readiness()) {
+            is ConfigurationReadiness.NotReady -> listOf("no_configuration: ${readiness.reason}")
+            is ConfigurationReadiness.Ready -> if (readiness.sequence > 0) emptyList() else listOf("no_configuration: none was applied yet")
+        }
     }
 
     /**
--- a/standin/servers/src/main/kotlin/org/lycheemount/standin/check/Deployment.kt
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/check/Deployment.kt
@@ -1,5 +1,6 @@
 package org.lycheemount.standin.check
 
+import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
@@ -17,7 +18,7 @@
     val platform = read(directory, "platform.json", PlatformStandInSettings.serializer())
     val engines = read(directory, "engines.json", EnginesSettings.serializer())
     val services = read(directory, "services.json", ServicesSettings.serializer())
-    val configuration = read(directory, "configuration.json", ConfigurationSnapshot.serializer())
+    val configuration = parseConfiguration(directory.resolve("configuration.json").readText())
 
     /** Base URLs of the callers' interfaces, in the order of the file names. */
     val routerUrls: List<String> =
@@ -44,3 +45,9 @@
         deserializer: kotlinx.serialization.DeserializationStrategy<T>,
     ): T = standInJson.decodeFromString(deserializer, directory.resolve(name).readText())
 }
+
+// The file also has the budgets, which are no part of a snapshot.
+private val configurationJson = Json { ignoreUnknownKeys = true }
+
+/** Reads the configuration items of a file for `lycheectl apply`. */
+internal fun parseConfiguration(text: String): ConfigurationSnapshot = configurationJson.decodeFromString(text)
--- a/standin/servers/src/test/kotlin/org/lycheemount/standin/ShippedDeploymentsTest.kt
+++ b/standin/servers/src/test/kotlin/org/lycheemount/standin/ShippedDeploymentsTest.kt
@@ -1,11 +1,14 @@
 package org.lycheemount.standin
 
 import com.github.michaelbull.result.getOrElse
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
 import org.junit.jupiter.api.Nested
 import org.lycheemount.common.BackendTarget
-import org.lycheemount.config.ConfigurationSnapshot
 import org.lycheemount.settings.RouterSettings
 import org.lycheemount.settings.parseRouterSettings
+import org.lycheemount.standin.check.parseConfiguration
 import java.io.File
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -19,7 +22,14 @@
         val platform = standInJson.decodeFromString(PlatformStandInSettings.serializer(), read("platform.json"))
         val engines = standInJson.decodeFromString(EnginesSettings.serializer(), read("engines.json"))
         val services = standInJson.decodeFromString(ServicesSettings.serializer(), read("services.json"))
-        val configuration = standInJson.decodeFromString(ConfigurationSnapshot.serializer(), read("configuration.json"))
+        val configuration = parseConfiguration(read("configuration.json"))
+        val budgetIds: Set<String> =
+            standInJson
+                .parseToJsonElement(read("configuration.json"))
+                .jsonObject
+                .getValue("budgets")
+                .jsonArray
+                .mapTo(HashSet()) { it.jsonObject.getValue("budgetId").jsonPrimitive.content }
         val routers: List<RouterSettings> =
             directory.resolve("routers").listFiles().orEmpty().sorted().map { file ->
                 parseRouterSettings(file.readText()).getOrElse { error("${file.name}: $it") }
@@ -79,9 +89,9 @@
                 assertTrue(configuration.workClasses.keys.containsAll(classes))
                 assertEquals(
                     configuration.teams.values
-                        .map { "budget/${it.budgetId.value}" }
+                        .map { it.budgetId.value }
                         .toSet(),
-                    files.platform.rows.keys,
+                    files.budgetIds,
                 )
                 assertEquals(10, configuration.teams.size)
             }
