Wire claims, administration, membership and TLS into the router

Cause: the router ran with claims of one process only and without the administration listener. Change: RouterProcess uses process/claims, ControlPlane and createHttpServer; an operator's drain takes the same way as SIGTERM. A fixed configuration file still replaces the table's configuration.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterMain.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterMain.kt
@@ -14,7 +14,7 @@
         loadRouterSettings(Path.of(file)).getOrElse { faults ->
             fail(faults.joinToString("\n") { """event=invalid_setting field=${it.field} found="${it.found}" accepted="${it.accepted}"""" })
         }
-    val process = RouterProcess(settings)
+    val process = RouterProcess(settings, onDrainRequested = { thread(name = "drain") { exitProcess(0) } })
     runBlocking { process.start() }
     Runtime.getRuntime().addShutdownHook(
         thread(start = false, name = "shutdown") {
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -1,9 +1,5 @@
 package org.lycheemount.app.router
 
-import io.ktor.server.cio.CIO
-import io.ktor.server.engine.EmbeddedServer
-import io.ktor.server.engine.connector
-import io.ktor.server.engine.embeddedServer
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -11,10 +7,12 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.serialization.json.Json
 import org.lycheemount.backend.BackendHttp
 import org.lycheemount.backend.DefaultModelEngineClient
 import org.lycheemount.backend.DefaultPlainServiceClient
 import org.lycheemount.budget.BudgetOptions
+import org.lycheemount.budget.createBudgetAdministration
 import org.lycheemount.budget.createBudgetLedgerModule
 import org.lycheemount.caller.BackendObserver
 import org.lycheemount.caller.CallerInterface
@@ -22,23 +20,34 @@
 import org.lycheemount.caller.CallerServices
 import org.lycheemount.caller.DrainState
 import org.lycheemount.caller.WorkDispatcher
+import org.lycheemount.claims.ClaimsModule
+import org.lycheemount.claims.createClaims
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.common.DefaultEventLog
 import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.StateDumpSource
+import org.lycheemount.config.ConfigurationSnapshot
+import org.lycheemount.config.ConfigurationView
+import org.lycheemount.membership.Evidence
 import org.lycheemount.peer.socket.DefaultPeerMessenger
 import org.lycheemount.peer.socket.PeerSecret
-import org.lycheemount.peer.socket.ReloadingTlsContext
-import org.lycheemount.peer.socket.TlsFiles
 import org.lycheemount.platform.http.createPlatformClients
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.settings.RouterSettings
 import org.lycheemount.stream.StreamTimeouts
 import java.nio.file.Path
+import java.util.UUID
 import kotlin.io.path.readBytes
+import kotlin.io.path.readText
 
-/** One router: creates the parts by [settings], connects them, starts them and ends them in order. */
+/**
+ * One router: creates the parts by [settings], connects them, starts them and ends them in order.
+ *
+ * @param onDrainRequested called when an operator asks for a drain; has to bring about [stop].
+ */
 class RouterProcess(
     private val settings: RouterSettings,
+    private val onDrainRequested: () -> Unit = {},
 ) {
     private val clock = DefaultClock()
     private val eventLog = DefaultEventLog("router")
@@ -55,18 +64,25 @@
     private val drain = DrainState()
     private val peers = DefaultPeerMessenger(identity, PeerSecret(Path.of(settings.peerSecretFile).readBytes()), eventLog, tls = peerTls())
     private val budgets = createBudgetLedgerModule(platform.table, platform.vmDirectory, peers, clock, eventLog, budgetOptions())
-    private val control =
-        ControlParts(platform.table, platform.vmDirectory, peers, clock, eventLog, settings.configurationFile)
-    private val configuration = control.configuration
+    private val claims: ClaimsModule = createClaims(platform.table, peers, clock, eventLog, isGone = ::hasEnded)
+    private val control: ControlPlane = createControlPlane()
+    private val fixedConfiguration =
+        settings.configurationFile?.let {
+            Json.decodeFromString<ConfigurationSnapshot>(
+                Path.of(it).readText(),
+            )
+        }
+    private val configuration = fixedConfiguration?.let { snapshot -> ConfigurationView { snapshot } } ?: control.configuration
     private val callers = CallerInterface(callerServices())
-    private val server = createServer()
+    private val server = createHttpServer(settings.callers, eventLog) { callers.installInto(this) }
 
     /** Starts all parts and returns the port of the callers' interface. */
     suspend fun start(): Int {
         dispatcher.start(scope)
         observer.start(scope)
         peers.start(scope, settings.peers.host, settings.peers.port)
-        control.start(scope)
+        val adminPort = control.start(scope)
+        claims.start(scope)
         scope.launch { prepareBudgets() }
         budgets.maintenance.start(scope)
         server.start(wait = false)
@@ -75,7 +91,7 @@
                 .resolvedConnectors()
                 .first()
                 .port
-        eventLog.info("router_started", "router_id" to identity.routerId.value, "callers_port" to port)
+        eventLog.info("router_started", "router_id" to identity.routerId.value, "callers_port" to port, "admin_port" to adminPort)
         return port
     }
 
@@ -86,7 +102,9 @@
         delay(settings.requests.drainNoticeMs)
         drain.begin()
         drain.awaitIdle()
+        claims.flush()
         budgets.maintenance.drain()
+        control.stop()
         server.stop(STOP_GRACE_MS, STOP_TIMEOUT_MS)
         scope.cancel()
         backendHttp.close()
@@ -100,7 +118,7 @@
             configuration = configuration,
             ledger = budgets.ledger,
             replenisher = budgets.maintenance,
-            claims = TemporaryClaims(),
+            claims = claims.registry,
             dispatcher = dispatcher,
             engine = engine,
             plainServices = plainServices,
@@ -110,10 +128,32 @@
             scope = scope,
             drain = drain,
             limits = callerLimits(),
-            stateSources = control.stateSources + budgets.stateDump,
-            notReadyReasons = { control.notReadyReasons() + if (observer.hasList) emptyList() else listOf("vm_list_not_read") },
+            stateSources = stateSources() + control.stateSources,
+            notReadyReasons = { if (fixedConfiguration == null) control.notReadyReasons() else ownNotReadyReasons() },
         )
 
+    private fun createControlPlane(): ControlPlane =
+        ControlPlane(
+            settings.admin,
+            settings.adminKeys,
+            platform.table,
+            platform.vmDirectory,
+            peers,
+            createBudgetAdministration(platform.table) { UUID.randomUUID().toString() },
+            clock,
+            eventLog,
+            stateSources(),
+            otherNotReadyReasons = ::ownNotReadyReasons,
+            startDrain = onDrainRequested,
+        )
+
+    private fun stateSources(): List<StateDumpSource> = listOf(peers, budgets.stateDump, claims.stateDump)
+
+    private fun ownNotReadyReasons(): List<String> = if (observer.hasList) emptyList() else listOf("vm_list_not_read")
+
+    /** Whether [router] has certainly ended: its VM is gone, or a newer process has its place. */
+    private fun hasEnded(router: RouterIdentity): Boolean = control.membership.evidence(router) in setOf(Evidence.GONE, Evidence.REPLACED)
+
     private suspend fun prepareBudgets() {
         while (true) {
             budgets.maintenance.prepare(
@@ -131,13 +171,7 @@
             BudgetOptions(expectedOutageMs, outageGraceMs, driftMarginMs = outageGraceMs / 10, flushIntervalMs = flushIntervalMs)
         }
 
-    private fun peerTls() =
-        settings.peers.tls?.let {
-            ReloadingTlsContext(
-                TlsFiles(Path.of(it.certificateFile), Path.of(it.privateKeyFile), Path.of(it.trustedCertificatesFile)),
-                eventLog,
-            )
-        }
+    private fun peerTls() = settings.peers.tls?.let { reloadingTls(it, eventLog) }
 
     private fun callerLimits() =
         settings.requests.run {
@@ -150,17 +184,6 @@
             )
         }
 
-    private fun createServer(): EmbeddedServer<*, *> =
-        embeddedServer(
-            CIO,
-            configure = {
-                connector {
-                    host = settings.callers.host
-                    port = settings.callers.port
-                }
-            },
-        ) { callers.installInto(this) }
-
     private companion object {
         // No request is in progress any more; the grace only lets last bytes leave.
         private const val STOP_GRACE_MS = 100L
