Close claim partitions at a clean stop

Cause: after a clean restart of all routers every new idempotency key was answered as unknown for 2 h, because both members of each partition were lost. Change: a stopping primary writes all outcomes and marks the row as closed when no request runs; the next pair starts from the table at once. It gives up its part before the row is written, so an unknown outcome of that write is harmless. Figures: a test restarts all routers: the earlier outcome is repeated and a new key granted, and a partition with a running request stays unknown. Conclusion: only the simultaneous death of all routers leaves a time of refusals.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -90,7 +90,7 @@
         drain.begin()
         drain.awaitIdle()
         budgets.maintenance.drain()
-        claims.flush()
+        claims.close()
         server.stop(STOP_GRACE_MS, STOP_TIMEOUT_MS)
         scope.cancel()
         backendHttp.close()
--- a/process/claims/src/main/kotlin/org/lycheemount/claims/ClaimPartition.kt
+++ b/process/claims/src/main/kotlin/org/lycheemount/claims/ClaimPartition.kt
@@ -28,6 +28,9 @@
     /** Tries to take over when all members are lost. */
     suspend fun takeOverLost(): Boolean = lock.withLock { keeper.takeOverLost() }
 
+    /** Ends the pair at a clean stop of the primary. */
+    suspend fun close() = lock.withLock { keeper.close() }
+
     /** Takes in the partition's row as the table has it, null when absent; the primary repairs an older one. */
     suspend fun compareWithTable(row: PartitionRow?) {
         lock.withLock {
--- a/process/claims/src/main/kotlin/org/lycheemount/claims/ClaimsModule.kt
+++ b/process/claims/src/main/kotlin/org/lycheemount/claims/ClaimsModule.kt
@@ -24,8 +24,11 @@
     /** Starts the background work in [scope]. */
     fun start(scope: CoroutineScope): Job = implementation.start(scope)
 
-    /** Writes the outcomes that wait, as far as the table answers; to be called at shutdown. */
-    suspend fun flush() = implementation.flush()
+    /**
+     * Writes the outcomes that wait and closes this router's partitions, as far as the table answers. To be called at
+     * shutdown, when no request runs any more; claims can still be forwarded to other routers.
+     */
+    suspend fun close() = implementation.close()
 }
 
 /**
--- a/process/claims/src/main/kotlin/org/lycheemount/claims/DefaultClaimRegistry.kt
+++ b/process/claims/src/main/kotlin/org/lycheemount/claims/DefaultClaimRegistry.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
@@ -44,6 +45,12 @@
         while (context.outcomes.flush()) Unit
     }
 
+    /** Closes the partitions that this router is primary of, as far as the table answers within a few seconds. */
+    suspend fun close() {
+        withTimeoutOrNull(CLOSE_TIMEOUT_MS) { partitions.forEach { it.close() } }
+        flush()
+    }
+
     override suspend fun claim(
         teamId: TeamId,
         key: IdempotencyKey,
@@ -116,7 +123,7 @@
             if (newer.epoch > (partition.view?.epoch ?: 0)) partition.adopt(newer)
             if (partition.view != view) return null
         }
-        if (context.isGone(view.primary)) partition.takeOverLost()
+        if (view.closed || context.isGone(view.primary)) partition.takeOverLost()
         return null
     }
 
@@ -173,6 +180,7 @@
     }
 
     private companion object {
+        private const val CLOSE_TIMEOUT_MS = 5_000L
         private const val FIRST_WAIT_MS = 20L
         private const val LONGEST_WAIT_MS = 500L
         private const val FINISH_ATTEMPTS = 12
--- a/process/claims/src/main/kotlin/org/lycheemount/claims/PairKeeper.kt
+++ b/process/claims/src/main/kotlin/org/lycheemount/claims/PairKeeper.kt
@@ -33,9 +33,11 @@
         if (state.synced) return false
         if (!isTakenOver(before)) {
             if (!isLost(before)) return false
-            val secondary = context.chooseSecondary(partition, context.self, setOf(before.primary, before.secondary)) ?: return false
-            val unknownUntilMs = context.clock.wallClockMs() + context.options.outcomeLifetimeMs
-            if (!change(before, unknownUntilMs, secondary)) return false
+            val excluded = if (before.closed) emptySet() else setOf(before.primary, before.secondary)
+            val secondary = context.chooseSecondary(partition, context.self, excluded) ?: return false
+            val unknownUntilMs =
+                if (before.closed) before.unknownUntilMs else context.clock.wallClockMs() + context.options.outcomeLifetimeMs
+            if (!change(before, unknownUntilMs, secondary, fromTable = true)) return false
         }
         // Read after the change, so that no member of the old pair writes an outcome later.
         val recovered = context.outcomes.readAll(partition) ?: return false
@@ -44,6 +46,22 @@
         return syncSecondary()
     }
 
+    /**
+     * Ends the pair at a clean stop of the primary, unless a request runs or the table does not take every outcome.
+     * The next pair then starts with the table's outcomes and without a time of refusals.
+     */
+    suspend fun close() {
+        val view = state.view ?: return
+        if (!state.canDecide || state.all().any { it.outcome == null }) return
+        // Outcomes that an earlier primary recorded may not have been written by it.
+        state.all().forEach { context.outcomes.add(partition, it) }
+        while (context.outcomes.flush()) Unit
+        val found = context.changes.read(partition)
+        if (context.outcomes.waitingCount > 0 || found?.row != view) return
+        state.retire()
+        context.changes.write(view.copy(epoch = view.epoch + 1, fromTable = false, closed = true), found.version)
+    }
+
     /** Writes the pair again, in a new epoch, when a restored table shows an older one. */
     suspend fun repairRow(): Boolean {
         val before = state.view ?: return false
@@ -90,13 +108,14 @@
         before: PartitionRow,
         unknownUntilMs: Long,
         secondary: RouterIdentity,
+        fromTable: Boolean = false,
     ): Boolean {
         // A restored table may show an older epoch than the one that other routers are in.
         adoptFromPeers()
         if (state.view != before) return isNowOurs(before)
         val found = context.changes.read(partition) ?: return false
         if (found.row != null && state.adopt(found.row)) return isNowOurs(before)
-        val row = PartitionRow(partition, before.epoch + 1, context.self, secondary, unknownUntilMs)
+        val row = PartitionRow(partition, before.epoch + 1, context.self, secondary, unknownUntilMs, fromTable)
         // After an unknown outcome the row is read again by the next attempt; until then the old epoch goes on.
         val outcome = context.changes.write(row, found.version)
         if (outcome is PairChangeOutcome.Current) state.adopt(outcome.row)
@@ -125,12 +144,12 @@
     }
 
     /** Whether this router has written the row of a takeover but has not read the outcomes yet. */
-    private fun isTakenOver(row: PartitionRow) = row.primary == context.self && row.unknownUntilMs > 0
+    private fun isTakenOver(row: PartitionRow) = row.primary == context.self && row.fromTable
 
     /** Whether no router that holds the claims can still decide: a member counts as lost only on evidence, never by silence. */
     private fun isLost(row: PartitionRow): Boolean {
         val secondaryLost = context.isGone(row.secondary) || row.secondary == context.self
-        return context.isGone(row.primary) && secondaryLost
+        return row.closed || (context.isGone(row.primary) && secondaryLost)
     }
 
     private companion object {
--- a/process/claims/src/main/kotlin/org/lycheemount/claims/PartitionRow.kt
+++ b/process/claims/src/main/kotlin/org/lycheemount/claims/PartitionRow.kt
@@ -11,6 +11,8 @@
  * @property secondary must record a claim before it is granted.
  * @property unknownUntilMs table time until which keys without a record are refused as unknown, because both routers of
  *   an earlier pair were lost; 0 when nothing was lost.
+ * @property fromTable the primary starts with the outcomes in the table instead of its own records.
+ * @property closed the pair has ended with every outcome in the table and no request running; any router may follow.
  */
 @Serializable
 internal data class PartitionRow(
@@ -19,6 +21,8 @@
     val primary: RouterIdentity,
     val secondary: RouterIdentity,
     val unknownUntilMs: Long = 0,
+    val fromTable: Boolean = false,
+    val closed: Boolean = false,
 )
 
 internal const val FIRST_EPOCH = 1L
--- a/process/claims/src/main/kotlin/org/lycheemount/claims/PartitionState.kt
+++ b/process/claims/src/main/kotlin/org/lycheemount/claims/PartitionState.kt
@@ -56,7 +56,7 @@
     fun adopt(row: PartitionRow): Boolean {
         val known = view
         if (known != null && row.epoch <= known.epoch) return false
-        val brings = synced && row.primary == self && row.unknownUntilMs <= (known?.unknownUntilMs ?: 0)
+        val brings = synced && row.primary == self && !row.fromTable && !row.closed
         val startsEmpty = known == null && row.epoch == FIRST_EPOCH
         view = row
         synced = (isPrimary || isSecondary) && (brings || startsEmpty)
@@ -129,6 +129,11 @@
         synced = true
     }
 
+    /** Ends this member's part in the epoch, so that nothing is granted while the row that closes the pair is written. */
+    fun retire() {
+        synced = false
+    }
+
     /** Returns all records. */
     fun all(): List<ClaimRecord> = records.values.toList()
 
--- a/process/claims/src/test/kotlin/org/lycheemount/claims/ClaimFailureTest.kt
+++ b/process/claims/src/test/kotlin/org/lycheemount/claims/ClaimFailureTest.kt
@@ -134,6 +134,34 @@
             }
     }
 
+    @Nested
+    inner class `a clean stop of all routers` {
+        @Test
+        fun `keeps the outcomes and does not refuse new keys afterwards`() =
+            runTest {
+                val fleet = fleet(this)
+                fleet.routers.first().claim("k", "q1")
+                fleet.routers.first().finish("k", "q1")
+                fleet.routers.forEach { it.claims.close() }
+                fleet.routers.toList().forEach { fleet.restart(it) }
+
+                val outcomes = listOf("k" to "q2", "new" to "q3").map { fleet.routers.first().claim(it.first, it.second) }
+
+                assertEquals(listOf("finished ran 200 q1", "granted"), outcomes)
+            }
+
+        @Test
+        fun `does not close a partition in which a request runs`() =
+            runTest {
+                val fleet = fleet(this)
+                fleet.routers.first().claim("k", "q1")
+                fleet.routers.forEach { it.claims.close() }
+                fleet.routers.toList().forEach { fleet.restart(it) }
+
+                assertEquals("finished unknown", fleet.routers.first().claim("k", "q2"))
+            }
+    }
+
     @Nested
     inner class `a restored table` {
         @Test
--- a/process/claims/src/test/kotlin/org/lycheemount/claims/FaultScript.kt
+++ b/process/claims/src/test/kotlin/org/lycheemount/claims/FaultScript.kt
@@ -40,7 +40,7 @@
     private fun fault() {
         val alive = fleet.routers.filter { it.alive }
         val router = alive.random(random)
-        when (random.nextInt(9)) {
+        when (random.nextInt(10)) {
             0 -> alive.map { it.identity.routerId }.partition { random.nextBoolean() }.let { fleet.network.cut(it.first, it.second) }
             1, 2 -> fleet.network.heal()
             3 -> if (dead.size < 2) kill(router)
@@ -48,7 +48,8 @@
             5 -> router.pause.untilMs = fleet.clock.monotonicMs() + random.nextLong(6_000)
             6 -> router.link.cut = !router.link.cut
             7 -> fleet.table.available = !fleet.table.available || random.nextBoolean()
-            8 -> {
+            8 -> router.scope.launch { router.claims.close() }
+            9 -> {
                 router.link.lostAnswerShare = random.nextDouble(0.5)
                 router.link.lateCommitShare = random.nextDouble(0.3)
             }
