--- /dev/null
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/AdminListener.kt
@@ -0,0 +1,48 @@
+package org.lycheemount.app.router
+
+import org.lycheemount.admin.AdminInterface
+import org.lycheemount.admin.AdminKey
+import org.lycheemount.admin.AdminRole
+import org.lycheemount.admin.AdminServices
+import org.lycheemount.budget.BudgetAdministration
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.StateDumpSource
+import org.lycheemount.config.ConfigurationService
+import org.lycheemount.settings.RouterSettings
+
+/** The administration API on its own listener. */
+internal class AdminListener(
+    settings: RouterSettings,
+    identity: RouterIdentity,
+    configuration: ConfigurationService,
+    budgets: BudgetAdministration,
+    stateSources: List<StateDumpSource>,
+    eventLog: EventLog,
+    notReadyReasons: () -> List<String>,
+    startDrain: () -> Unit,
+) {
+    private val keys = settings.adminKeys.map { AdminKey(it.name, AdminRole.valueOf(it.role.uppercase()), it.keySha256, it.teamId) }
+    private val admin =
+        AdminInterface(
+            AdminServices(identity, configuration, budgets, keys, stateSources, eventLog, notReadyReasons, startDrain),
+        )
+    private val server = createHttpServer(settings.admin, eventLog) { admin.installInto(this) }
+
+    /** Starts the listener and returns its port. */
+    suspend fun start(): Int {
+        server.start(wait = false)
+        return server.engine
+            .resolvedConnectors()
+            .first()
+            .port
+    }
+
+    /** Stops the listener once requests in progress are answered, or after a second. */
+    fun stop() = server.stop(STOP_GRACE_MS, STOP_TIMEOUT_MS)
+
+    private companion object {
+        private const val STOP_GRACE_MS = 100L
+        private const val STOP_TIMEOUT_MS = 1_000L
+    }
+}
--- a/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/MeasureMain.kt
@@ -1,5 +1,6 @@
 package org.lycheemount.measure
 
+import org.lycheemount.measure.budgets.BudgetsCostMeasurement
 import org.lycheemount.measure.budgets.BudgetsMeasurement
 import org.lycheemount.measure.capacity.CapacityMeasurement
 import org.lycheemount.measure.control.ControlMeasurement
@@ -11,6 +12,7 @@
 
 private val measurements: List<Measurement> =
     listOf(
+        BudgetsCostMeasurement(),
         BudgetsMeasurement(),
         CapacityMeasurement(),
         ControlMeasurement(),
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/DefaultBudgetLedgerTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/DefaultBudgetLedgerTest.kt
@@ -29,6 +29,21 @@
                 assertEquals(emptyList(), status.holders)
             }
 
+        @Test
+        fun `bills a request of 0 tokens after its grant went idle, guarding against a bill without a grant`() =
+            fleetTest(BudgetOptions(idleReturnMs = 1_000)) { fleet ->
+                fleet.fund(100_000)
+                val router = fleet.start("a")
+                router.spend("r1", 300)
+                router.reserve("free", 0)
+                delay(60_000)
+
+                router.settle("free", 0)
+                delay(5_000)
+
+                assertEquals(setOf(RequestId("r1"), RequestId("free")), fleet.writtenBills().keys)
+            }
+
         @Test
         fun `settles a request twice with one bill, guarding against double billing by a retry`() =
             fleetTest { fleet ->
@@ -44,6 +59,25 @@
             }
     }
 
+    @Nested
+    inner class `a malformed message from a peer` {
+        @Test
+        fun `is ignored, guarding against background work that a peer can stop`() =
+            fleetTest { fleet ->
+                fleet.fund(100_000)
+                val router = fleet.start("a")
+                val peer = fleet.start("b")
+                val garbage = byteArrayOf(1, 2, 3)
+
+                for (channel in listOf(TOKENS_CHANNEL, BILLS_CHANNEL)) {
+                    peer.messenger.call(router.identity.routerId, channel, garbage, 100)
+                }
+
+                assertTrue(router.spend("r1", 300))
+                assertTrue(router.maintenance.drain())
+            }
+    }
+
     @Nested
     inner class `a refusal` {
         @Test
