--- a/measure/src/main/kotlin/org/lycheemount/measure/capacity/BudgetSlopes.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/capacity/BudgetSlopes.kt
@@ -37,7 +37,7 @@
 private val budgetCounts = listOf(1_000, 4_000, 13_000)
 private val billCounts = listOf(5_000, 10_000, 20_000)
 private val steadyCounts = listOf(1, 16, 64, 256, 1_024)
-private val upkeepCounts = listOf(256, 512, 1_024, 2_048)
+private val upkeepCounts = listOf(512, 2_048, 6_000, 13_000)
 private val slowFlush = BudgetOptions(flushIntervalMs = 3_000)
 private const val CALLS = 4_000
 private const val WORST_CASE_TOKENS = 2_000L
