--- a/standin/servers/src/test/kotlin/org/lycheemount/standin/ShippedDeploymentsTest.kt
+++ b/standin/servers/src/test/kotlin/org/lycheemount/standin/ShippedDeploymentsTest.kt
@@ -29,7 +29,11 @@
                 .jsonObject
                 .getValue("budgets")
                 .jsonArray
-                .mapTo(HashSet()) { it.jsonObject.getValue("budgetId").jsonPrimitive.content }
+                .mapTo(HashSet()) {
+                    it.jsonObject
+                        .getValue("budgetId")
+                        .jsonPrimitive.content
+                }
         val routers: List<RouterSettings> =
             directory.resolve("routers").listFiles().orEmpty().sorted().map { file ->
                 parseRouterSettings(file.readText()).getOrElse { error("${file.name}: $it") }
