Wire placement into the router

Cause: the placement loop ran only in tests; a configured model version never reached the engines. Change: each router runs the placement of the configured models in its zone under the lease; BackendEngineFleet observes and commands the engines of the VM list. Whether classes meet their targets is not yet part of the demand. Conclusion: wired; demand by class remains open.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -25,6 +25,7 @@
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.peer.socket.DefaultPeerMessenger
 import org.lycheemount.peer.socket.PeerSecret
+import org.lycheemount.placement.PlacementDependencies
 import org.lycheemount.platform.http.createPlatformClients
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.settings.RouterSettings
@@ -32,6 +33,7 @@
 import java.nio.file.Path
 import java.util.UUID
 import kotlin.io.path.readBytes
+import kotlin.random.Random
 
 /**
  * One router: creates the parts by [settings], connects them, starts them and ends them in order.
@@ -53,6 +55,7 @@
     private val engine = DefaultModelEngineClient(backendHttp)
     private val plainServices = DefaultPlainServiceClient(backendHttp)
     private val dispatcher = WorkDispatcher(createRequestScheduler(settings.zoneId, seed = identity.incarnation), clock)
+    private val engineFleet = BackendEngineFleet(engine) { dispatcher.backendServers() }
     private val observer = BackendObserver(platform.vmDirectory, engine, plainServices, dispatcher, eventLog)
     private val drain = DrainState()
     private val peers =
@@ -70,6 +73,7 @@
         ControlParts(platform.table, platform.vmDirectory, peers, clock, eventLog, settings.configurationFile)
     private val configuration = control.configuration
     private val claims = createClaims(platform.table, peers, clock, eventLog, control::hasEnded)
+    private val placement = PlacementParts(configuration, engineFleet, placementDependencies())
     private val callers = CallerInterface(callerServices())
     private val server = createHttpServer(settings.callers, eventLog) { callers.installInto(this) }
     private val admin = adminListener()
@@ -83,6 +87,7 @@
         scope.launch { prepareBudgets() }
         budgets.maintenance.start(scope)
         claims.start(scope)
+        placement.start(scope)
         server.start(wait = false)
         val adminPort = admin.start()
         val port =
@@ -131,6 +136,9 @@
             notReadyReasons = { control.notReadyReasons() + if (observer.hasList) emptyList() else listOf("vm_list_not_read") },
         )
 
+    private fun placementDependencies() =
+        PlacementDependencies(identity, platform.table, platform.weightStore, engineFleet, clock, eventLog, Random(identity.incarnation))
+
     private suspend fun prepareBudgets() {
         while (true) {
             budgets.maintenance.prepare(
