--- a/request/caller/src/test/kotlin/org/lycheemount/caller/RouterFixture.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/RouterFixture.kt
@@ -7,6 +7,8 @@
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.HttpStatement
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineScope
@@ -49,6 +51,7 @@
     teamLimits: TeamLimits = TeamLimits(),
     limits: CallerLimits = CallerLimits(streamTimeouts = StreamTimeouts(firstChunkMs = 5_000, nextChunkMs = 300)),
     network: (CoroutineScope) -> FakePeerNetwork = { FakePeerNetwork(it, latencyMs = 0) },
+    idleTimeoutSeconds: Int? = null,
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val backendHttp = BackendHttp()
@@ -93,9 +96,14 @@
     private val callers = CallerInterface(services)
     private val server =
         embeddedServer(
-            io.ktor.server.cio.CIO,
-            port = 0,
-            host = "127.0.0.1",
+            CIO,
+            configure = {
+                connector {
+                    host = "127.0.0.1"
+                    port = 0
+                }
+                idleTimeoutSeconds?.let { connectionIdleTimeoutSeconds = it }
+            },
         ) { callers.installInto(this) }.start(wait = false)
 
     suspend fun port(): Int =
