--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -78,6 +78,9 @@
     private val server = createHttpServer(settings.callers, eventLog) { callers.installInto(this) }
     private val admin = adminListener()
 
+    /** Requests admitted and not yet settled. */
+    val requestsInProgress: Int get() = drain.requestsInProgress
+
     /** Starts all parts and returns the port of the callers' interface. */
     suspend fun start(): Int {
         dispatcher.start(scope)
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/AdmissionTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/AdmissionTest.kt
@@ -139,8 +139,8 @@
         @Test
         fun `by slowness is answered in time and closes only the connection it came on`() =
             runBlocking<Unit> {
-                val impatient = RouterFixture(limits = CallerLimits(bodyTimeoutMs = 200), idleTimeoutSeconds = 1)
-                Socket("127.0.0.1", impatient.port()).use { socket ->
+                val shortIdleRouter = RouterFixture(limits = CallerLimits(bodyTimeoutMs = 200), idleTimeoutSeconds = 1)
+                Socket("127.0.0.1", shortIdleRouter.port()).use { socket ->
                     val headers = "Host: x\r\nAuthorization: Bearer key1\r\nContent-Length: 500\r\n\r\n"
                     socket.getOutputStream().write("POST ${RouterFixture.CHAT} HTTP/1.1\r\n$headers{".encodeToByteArray())
                     val answer = socket.getInputStream().readAllBytes().decodeToString()
@@ -148,11 +148,11 @@
                 }
                 assertEquals(
                     200,
-                    impatient.client
-                        .get(impatient.url("/health/live"))
+                    shortIdleRouter.client
+                        .get(shortIdleRouter.url("/health/live"))
                         .status.value,
                 )
-                impatient.close()
+                shortIdleRouter.close()
             }
     }
 
