Use the usual terms in names of the scheduler, the budgets and the configuration

Cause: the read-through met figurative names (patient work, wishes, a desk, remembrance). Change: delay-tolerant work, queued pulls, TransferExchange, retention; the key patientWorkPermille of the state dump is delayTolerantWorkPermille. Conclusion: names only, behaviour is unchanged.

--- a/measure/src/main/kotlin/org/lycheemount/measure/capacity/SchedulerSlopes.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/capacity/SchedulerSlopes.kt
@@ -26,7 +26,7 @@
 private const val REPORTS = 20_000
 private const val PROMPT_BLOCKS = 16
 private const val HOUR_MS = 3_600_000L
-private val patient = WorkClass(WorkClassId("patient"), HOUR_MS, HOUR_MS, mustFinish = true)
+private val delayTolerant = WorkClass(WorkClassId("delayTolerant"), HOUR_MS, HOUR_MS, mustFinish = true)
 
 internal fun schedulerSlopes(): List<Pair<String, Any>> =
     slope("backend_server", "bytes", serverCounts) { servers -> retainedBytes { schedulerOf(servers) } } +
@@ -37,7 +37,7 @@
 
 private fun schedulerOf(servers: Int): RequestScheduler {
     val scheduler = createRequestScheduler(ZoneId("zone-0"), seed = 7)
-    scheduler.onWorkClasses(listOf(patient))
+    scheduler.onWorkClasses(listOf(delayTolerant))
     scheduler.onBackendServers(serversOf(servers), nowMs = 0)
     return scheduler
 }
@@ -48,7 +48,7 @@
 ) = WorkItem(
     requestId = RequestId("request-$number"),
     teamId = TeamId("team-${number % 50}"),
-    workClassId = patient.workClassId,
+    workClassId = delayTolerant.workClassId,
     target = BackendTarget.Model(ModelId("model-0")),
     promptTokens = 16 * PROMPT_BLOCKS,
     maxOutputTokens = 300,
--- a/measure/src/main/kotlin/org/lycheemount/measure/routing/FleetSimulation.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/routing/FleetSimulation.kt
@@ -16,7 +16,7 @@
 private const val CONNECT_TIMEOUT_US = 50_000L
 private const val BROKEN_STREAM_DETECTION_US = 500_000L
 private const val CALLER_RECONNECT_US = 500_000L
-private const val PATIENCE_FACTOR = 4L
+private const val ABANDON_FACTOR = 4L
 private const val US_PER_MS = 1_000L
 private const val FALSE_REFUSAL_FREE_SHARE = 0.05
 private const val RUN_LIMIT_US = 1_800 * SECOND_US
@@ -65,8 +65,8 @@
         for (request in requests) {
             at(request.trace.atUs) { arrive(request) }
             if (request.trace.traffic.workClass.mustFinish) continue
-            val patienceUs = PATIENCE_FACTOR * request.trace.traffic.workClass.firstTokenTargetMs * US_PER_MS
-            at(request.trace.atUs + patienceUs) { if (request.firstTokenUs == null) giveUp(request) }
+            val abandonAfterUs = ABANDON_FACTOR * request.trace.traffic.workClass.firstTokenTargetMs * US_PER_MS
+            at(request.trace.atUs + abandonAfterUs) { if (request.firstTokenUs == null) giveUp(request) }
         }
         var openRequests = true
         while (openRequests && nowUs < RUN_LIMIT_US) {
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BillFlusher.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BillFlusher.kt
@@ -88,9 +88,9 @@
     private fun finish(written: List<UnwrittenBill>) {
         if (written.isEmpty()) return
         bills.remove(written)
-        val forgetAtMs = clock.monotonicMs() + options.settledMemoryMs
+        val evictAtMs = clock.monotonicMs() + options.settledMemoryMs
         for (bill in written) {
-            bill.reservation.forgetAtMs = forgetAtMs
+            bill.reservation.evictAtMs = evictAtMs
             synchronized(bill.account) { bill.grant.unwrittenBills-- }
         }
         for (account in written.map { it.account }.distinct()) dropSettledClosedGrants(account)
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
@@ -41,7 +41,7 @@
     val flusher = BillFlusher(accounts, bills, writer, session, clock, options, log)
     val reclaimer = GrantReclaimer(vmDirectory, writer, session, clock, options, log)
     val ledger = DefaultBudgetLedger(self.routerId, accounts, bills, clock, signals)
-    val transfers = TransferDesk(peers, accounts, clock, options, signals, keeper::newGrant, log)
+    val transfers = TransferExchange(peers, accounts, clock, options, signals, keeper::newGrant, log)
     val replication = BillReplication(peers, bills, options)
     val replicas = ReplicaWriter(peers, writer, session, reclaimer, clock, options, log)
     flusher.onWritten = replication::noteWritten
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetOptions.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetOptions.kt
@@ -15,7 +15,7 @@
  * @property peerTimeoutMs time to wait for the answer of a peer.
  * @property vmListIntervalMs time between two reads of the VM list.
  * @property idleReturnMs time without a request after which a router returns its whole grant.
- * @property replicaPatienceMs age from which a replicated bill is written although its owner still exists.
+ * @property replicaWriteDelayMs age from which a replicated bill is written although its owner still exists.
  * @property drainTimeoutMs longest time that [BudgetMaintenance.drain] waits for the table.
  * @property settledMemoryMs time for which a written bill is remembered, so that a second settlement returns it.
  */
@@ -32,7 +32,7 @@
     val peerTimeoutMs: Long = 1_000,
     val vmListIntervalMs: Long = 5_000,
     val idleReturnMs: Long = 600_000,
-    val replicaPatienceMs: Long = 300_000,
+    val replicaWriteDelayMs: Long = 300_000,
     val drainTimeoutMs: Long = 30_000,
     val settledMemoryMs: Long = 60_000,
 ) {
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetParts.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetParts.kt
@@ -9,7 +9,7 @@
     val keeper: GrantKeeper,
     val flusher: BillFlusher,
     val reclaimer: GrantReclaimer,
-    val transfers: TransferDesk,
+    val transfers: TransferExchange,
     val replication: BillReplication,
     val replicas: ReplicaWriter,
     val signals: WorkSignals,
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetLedger.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetLedger.kt
@@ -103,9 +103,9 @@
         }
     }
 
-    /** Forgets written bills whose time of remembrance is over. */
-    fun forgetWritten(nowMs: Long) {
-        reservations.values.removeIf { it.forgetAtMs <= nowMs }
+    /** Removes reservations of written bills whose retention has ended. */
+    fun evictWritten(nowMs: Long) {
+        reservations.values.removeIf { it.evictAtMs <= nowMs }
     }
 
     fun openReservations(): Int = reservations.values.count { it.bill == null }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/ReplicaWriter.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/ReplicaWriter.kt
@@ -60,7 +60,7 @@
             copies.values.removeIf { it.isEmpty() }
             for ((owner, ofOwner) in copies) {
                 val ended = reclaimer.isGone(owner.vmId) || (connected[owner.routerId]?.incarnation ?: 0) > owner.incarnation
-                val due = ofOwner.values.asSequence().filter { ended || nowMs - it.receivedAtMs >= options.replicaPatienceMs }
+                val due = ofOwner.values.asSequence().filter { ended || nowMs - it.receivedAtMs >= options.replicaWriteDelayMs }
                 val batch = due.take(options.billsPerTransaction).toList()
                 batch.forEach { it.ownerEnded = ended }
                 if (batch.isNotEmpty()) return batch
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/Reservation.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/Reservation.kt
@@ -11,5 +11,5 @@
 
     /** Monotonic time from which the written bill may be forgotten. */
     @Volatile
-    var forgetAtMs = Long.MAX_VALUE
+    var evictAtMs = Long.MAX_VALUE
 }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableWork.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableWork.kt
@@ -33,7 +33,7 @@
         if (sweep) {
             nextSweepAtMs = nowMs + SWEEP_MS
             for (account in parts.accounts.all()) synchronized(account) { account.meter.tick(nowMs) }
-            parts.ledger.forgetWritten(nowMs)
+            parts.ledger.evictWritten(nowMs)
         }
         if (nowMs >= nextVmListAtMs) {
             nextVmListAtMs = nowMs + options.vmListIntervalMs / 2 + random.nextLong(options.vmListIntervalMs)
@@ -102,7 +102,7 @@
                 val lastMs = maxOf(account.meter.lastUseAtMs, account.lastRefillAtMs)
                 val end = account.closing || draining || nowMs - lastMs > options.idleReturnMs
                 val target = targetFreeTokens(account.demand(routers = 1), options)
-                val above = grant.freeTokens > target * EXCESS_FACTOR && nowMs - account.lastRefillAtMs > EXCESS_PATIENCE_MS
+                val above = grant.freeTokens > target * EXCESS_FACTOR && nowMs - account.lastRefillAtMs > EXCESS_RETURN_DELAY_MS
                 end to if (above) grant.freeTokens - target else 0
             }
         if (end) parts.keeper.close(account)
@@ -136,6 +136,6 @@
         private const val JITTER_PARTS = 5L
         private const val SWEEP_MS = 1_000L
         private const val EXCESS_FACTOR = 2
-        private const val EXCESS_PATIENCE_MS = 30_000L
+        private const val EXCESS_RETURN_DELAY_MS = 30_000L
     }
 }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TransferDesk.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TransferExchange.kt
@@ -14,7 +14,7 @@
 import java.util.concurrent.atomic.AtomicLong
 
 /** Moves tokens between the grants of routers without the table. */
-internal class TransferDesk(
+internal class TransferExchange(
     private val peers: PeerMessenger,
     private val accounts: BudgetAccounts,
     private val clock: Clock,
--- a/process/claims/src/main/kotlin/org/lycheemount/claims/ClaimMessages.kt
+++ b/process/claims/src/main/kotlin/org/lycheemount/claims/ClaimMessages.kt
@@ -89,7 +89,7 @@
         val outcome: RecordedOutcome,
     ) : ClaimReply
 
-    /** The claim is refused, whoever is asked. */
+    /** The claim is refused, by every router. */
     @Serializable
     @SerialName("refused")
     data class Refused(
--- a/process/placement/src/main/kotlin/org/lycheemount/placement/PlacementController.kt
+++ b/process/placement/src/main/kotlin/org/lycheemount/placement/PlacementController.kt
@@ -11,7 +11,7 @@
 private const val MAX_COMMANDS_PER_ROUND = 8
 
 // An accepted load that does not show by then is planned again: the engine may have restarted.
-private const val LOAD_PATIENCE_MS = 60_000L
+private const val LOAD_TIMEOUT_MS = 60_000L
 private const val WEIGHT_STORE_RETRY_MS = 5_000L
 
 /** What one round of reconciliation ended with. */
@@ -99,7 +99,7 @@
         val byId = engines.associateBy { it.backendServerId }
         loadingSinceMs.entries.removeIf { (id, since) ->
             val engine = byId[id]
-            nowMs - since > LOAD_PATIENCE_MS || (engine != null && isComplete(engine, goal))
+            nowMs - since > LOAD_TIMEOUT_MS || (engine != null && isComplete(engine, goal))
         }
     }
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/BackendObserver.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/BackendObserver.kt
@@ -94,7 +94,7 @@
         load: EngineLoad,
     ) {
         val id = server.backendServerId
-        // The VM list lags, so a server that says that it is leaving is believed at once.
+        // The VM list lags, so a server that says that it is leaving gets no more work at once.
         val changed = if (load.leaving) reportedLeaving.add(id) else reportedLeaving.remove(id)
         if (changed) publish()
         dispatcher.onLoadReport(LoadReport(id, load.ageMs, load.runningRequests, load.queuedRequests, load.capacity))
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/Reserver.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/Reserver.kt
@@ -39,7 +39,7 @@
     }
 
     private companion object {
-        // A table that is up grants within two round trips; waiting longer would only delay an honest refusal.
+        // A table that is up grants within two round trips; waiting longer would only delay the refusal.
         private const val GRANT_WAIT_MS = 1_500L
     }
 }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -156,10 +156,10 @@
         while (lane.queue.size > 0) {
             val open = servers.values.filter { lane.target in it.server.targets && it.isOpen(nowMs) }
             if (open.isEmpty()) return
-            val homes = HomeServers(open, lane.patientShare)
+            val homes = HomeServers(open, lane.delayTolerantShare)
             val request = lane.queue.select { startRules.takers(open, homes, lane, it, nowMs).isNotEmpty() } ?: return
             val takers = startRules.takers(open, homes, lane, request, nowMs)
-            val home = homes.homeOf(request.item, request.isPatient)
+            val home = homes.homeOf(request.item, request.isDelayTolerant)
             val choice = selector.choose(takers, home, request.item, lane.estimator, nowMs) ?: return
             actions += start(lane, request, choice, nowMs)
         }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/HedgeRule.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/HedgeRule.kt
@@ -6,7 +6,7 @@
 private const val MIN_STEP_MS = 1.0
 
 // A second attempt at exactly the 95th percentile would double one request in twenty of a healthy route.
-private const val PATIENCE_FACTOR = 1.5
+private const val ABANDON_FACTOR = 1.5
 
 /**
  * Says when the calls of one team on one route get a second attempt at another server while the first still runs.
@@ -38,7 +38,7 @@
         remainingMs: Long?,
     ): Long? {
         if (!repeatable || otherOpenServers == 0 || samples < MIN_SAMPLES) return null
-        val delayMs = (quantileMs * PATIENCE_FACTOR).toLong()
+        val delayMs = (quantileMs * ABANDON_FACTOR).toLong()
         if (remainingMs != null && remainingMs < delayMs + quantileMs) return null
         return delayMs
     }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/HomeServers.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/HomeServers.kt
@@ -13,22 +13,22 @@
  */
 internal class HomeServers(
     open: List<ServerState>,
-    patientShare: Double,
+    delayTolerantShare: Double,
 ) {
     private val ordered = open.map { it.id }.sortedBy { mix(it.value.hashCode().toLong()) }
-    private val patientCount =
-        if (ordered.size < MIN_SERVERS_TO_SPLIT) 0 else Math.round(patientShare * ordered.size).toInt().coerceIn(0, ordered.size - 1)
+    private val delayTolerantCount =
+        if (ordered.size < MIN_SERVERS_TO_SPLIT) 0 else Math.round(delayTolerantShare * ordered.size).toInt().coerceIn(0, ordered.size - 1)
 
     fun homeOf(
         item: WorkItem,
-        patient: Boolean,
+        delayTolerant: Boolean,
     ): BackendServerId? {
         val root = item.prefixHashes.firstOrNull() ?: return null
         val homes =
             when {
-                patientCount == 0 -> ordered
-                patient -> ordered.subList(0, patientCount)
-                else -> ordered.subList(patientCount, ordered.size)
+                delayTolerantCount == 0 -> ordered
+                delayTolerant -> ordered.subList(0, delayTolerantCount)
+                else -> ordered.subList(delayTolerantCount, ordered.size)
             }
         return homes.maxByOrNull { mix(root xor mix(it.value.hashCode().toLong())) }
     }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/QueuedRequest.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/QueuedRequest.kt
@@ -4,7 +4,7 @@
 import org.lycheemount.config.WorkClass
 
 private const val AFFINITY_REFRESH_MS = 500L
-private const val PATIENT_TARGET_MS = 10_000L
+private const val DELAY_TOLERANT_TARGET_MS = 10_000L
 private const val CHOICE_SLACK_SHARE = 0.1
 
 /**
@@ -27,7 +27,7 @@
     val dropAtMs: Long? get() = latestStart.dropAtMs
 
     /** Whether the class lets the request wait for long. */
-    val isPatient: Boolean get() = workClass.firstTokenTargetMs >= PATIENT_TARGET_MS
+    val isDelayTolerant: Boolean get() = workClass.firstTokenTargetMs >= DELAY_TOLERANT_TARGET_MS
 
     private var affineServers: Set<BackendServerId> = emptySet()
     private var affineAtMs = Long.MIN_VALUE / 2
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/SchedulerStateDump.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/SchedulerStateDump.kt
@@ -28,7 +28,7 @@
     }
     put("queuedRequests", lane.queue.size)
     put("fleetSharePermille", (lane.fleetShare * PERMILLE).toInt())
-    put("patientWorkPermille", (lane.patientShare * PERMILLE).toInt())
+    put("delayTolerantWorkPermille", (lane.delayTolerantShare * PERMILLE).toInt())
     put("firstTokenStretchPermille", (lane.estimator.firstTokenStretch * PERMILLE).toInt())
     put("decodeMsPerToken", lane.estimator.decodeMsPerToken)
 }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
@@ -108,11 +108,11 @@
         reported.onOwnLoad(ownInFlight, nowMs)
     }
 
-    /** When the server counts as hung if nothing comes from it until then, or null when it owes no first token. */
+    /** When the server counts as hung if nothing comes from it until then, or null when no first token is outstanding. */
     fun hangAtMs(): Long? {
         val waiting = inFlight.values.firstOrNull { it.firstTokenAtMs == null } ?: return null
-        val patienceMs = maxOf(HANG_FLOOR_MS, (HANG_FACTOR * waiting.estimate.firstTokenMs).toLong())
-        return maxOf(waiting.startedAtMs, lastProgressAtMs) + patienceMs
+        val hangTimeoutMs = maxOf(HANG_FLOOR_MS, (HANG_FACTOR * waiting.estimate.firstTokenMs).toLong())
+        return maxOf(waiting.startedAtMs, lastProgressAtMs) + hangTimeoutMs
     }
 
     private fun pendingTokens(request: StartedRequest) = request.item.promptTokens - request.predictedCachedTokens
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/StartRules.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/StartRules.kt
@@ -1,8 +1,8 @@
 package org.lycheemount.scheduling
 
 // A request that may wait leaves this much of a server free for requests that may not.
-private const val PATIENT_RESERVE = 2.0
-private const val PATIENT_SLACK_MS = 5_000L
+private const val DELAY_TOLERANT_RESERVE = 2.0
+private const val DELAY_TOLERANT_SLACK_MS = 5_000L
 
 // On a server that is busier than this, a prompt is prefilled only when its own servers have had no room for a while:
 // prefills that a cache would have saved are what turns a full fleet into an overloaded one.
@@ -24,7 +24,7 @@
         if (withRoom.isEmpty() || request.item.prefixHashes.isEmpty() || !request.canChoose(nowMs)) return withRoom
         val affine =
             request.affineServers(nowMs) {
-                selector.affine(open, homes.homeOf(request.item, request.isPatient), request.item, nowMs)
+                selector.affine(open, homes.homeOf(request.item, request.isDelayTolerant), request.item, nowMs)
             }
         return withRoom.filter { it.id in affine || it.idleShare(nowMs) > IDLE_SHARE }
     }
@@ -38,6 +38,6 @@
         if (state.id in request.item.excludedServers || request.isPastDeadline(nowMs)) return false
         if (state.health.allowedRequests(nowMs) <= state.ownInFlight) return false
         val room = state.room(lane.fleetShare, nowMs)
-        return room > if (request.dueAtMs - nowMs >= PATIENT_SLACK_MS) PATIENT_RESERVE * lane.fleetShare else 0.0
+        return room > if (request.dueAtMs - nowMs >= DELAY_TOLERANT_SLACK_MS) DELAY_TOLERANT_RESERVE * lane.fleetShare else 0.0
     }
 }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/TargetQueue.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/TargetQueue.kt
@@ -25,11 +25,11 @@
     /** This router's share of the load of all servers of the target; 1 before the first report. */
     val fleetShare: Double get() = if (totalMean <= 0.0) 1.0 else (ownMean / totalMean).coerceIn(MIN_FLEET_SHARE, 1.0)
 
-    private var patientWorkMs = 0.0
+    private var delayTolerantWorkMs = 0.0
     private var workMs = 0.0
 
     /** Share of the started work that may wait. */
-    val patientShare: Double get() = if (workMs <= 0.0) 0.0 else patientWorkMs / workMs
+    val delayTolerantShare: Double get() = if (workMs <= 0.0) 0.0 else delayTolerantWorkMs / workMs
 
     fun onReport(
         own: Int,
@@ -62,7 +62,7 @@
     ) {
         meanServiceMs = if (meanServiceMs == 0.0) request.serviceMs else meanServiceMs + WAIT_GAIN * (request.serviceMs - meanServiceMs)
         workMs += SHARE_GAIN * (request.serviceMs - workMs)
-        patientWorkMs += SHARE_GAIN * ((if (request.isPatient) request.serviceMs else 0.0) - patientWorkMs)
+        delayTolerantWorkMs += SHARE_GAIN * ((if (request.isDelayTolerant) request.serviceMs else 0.0) - delayTolerantWorkMs)
         if (request.workClass.mustFinish || request.predictedWaitMs < MIN_CALIBRATED_WAIT_MS) return
         val ratio = (nowMs - request.submittedAtMs) * calibration / request.predictedWaitMs
         calibration = (calibration + WAIT_GAIN * (ratio - calibration)).coerceIn(MIN_CALIBRATION, MAX_CALIBRATION)
--- a/version/config/src/main/kotlin/org/lycheemount/config/ConfigurationService.kt
+++ b/version/config/src/main/kotlin/org/lycheemount/config/ConfigurationService.kt
@@ -38,8 +38,8 @@
 
     private val tableSync = TableSync(table, replica, clock, log)
     private val peerSync = PeerSync(messenger, replica)
-    private val pullWishes = Channel<RouterId>(PULL_WISHES)
-    private val wished = ConcurrentHashMap.newKeySet<RouterId>()
+    private val pullQueue = Channel<RouterId>(PULL_QUEUE_CAPACITY)
+    private val queuedPulls = ConcurrentHashMap.newKeySet<RouterId>()
 
     /** Changes the durable configuration. */
     val store: ConfigurationStore = DefaultConfigurationStore(table, replica, tableSync, log, random) { push(it, except = null) }
@@ -56,7 +56,7 @@
         }
         messenger.register(pullChannel) { _, payload -> peerSync.answer(payload) }
         scope.launch { loadThenPoll() }
-        scope.launch { pullOnWish() }
+        scope.launch { runQueuedPulls() }
     }
 
     /** Tells that [from] holds configuration up to [sequence], as its heartbeats say. */
@@ -64,7 +64,7 @@
         from: RouterId,
         sequence: Long,
     ) {
-        if (sequence > replica.sequence) wishPull(from)
+        if (sequence > replica.sequence) enqueuePull(from)
     }
 
     /** Returns whether this router has a configuration, and how old its last confirmation by the table is. */
@@ -132,15 +132,15 @@
         return replica.loaded
     }
 
-    private suspend fun pullOnWish() {
-        for (peer in pullWishes) {
-            wished -= peer
+    private suspend fun runQueuedPulls() {
+        for (peer in pullQueue) {
+            queuedPulls -= peer
             guarded("configuration_pull_failed") { peerSync.pull(peer) }
         }
     }
 
-    private fun wishPull(peer: RouterId) {
-        if (wished.add(peer) && !pullWishes.trySend(peer).isSuccess) wished -= peer
+    private fun enqueuePull(peer: RouterId) {
+        if (queuedPulls.add(peer) && !pullQueue.trySend(peer).isSuccess) queuedPulls -= peer
     }
 
     private fun onPush(
@@ -151,7 +151,7 @@
         val change = rowJson.decodeFromString(ConfigurationChange.serializer(), message.change)
         when (replica.apply(change)) {
             ApplyOutcome.Applied -> push(change, except = from.routerId)
-            ApplyOutcome.Gap -> wishPull(from.routerId)
+            ApplyOutcome.Gap -> enqueuePull(from.routerId)
             ApplyOutcome.AlreadyKnown -> Unit
         }
     }
@@ -185,7 +185,7 @@
     }
 
     private companion object {
-        private const val PULL_WISHES = 64
+        private const val PULL_QUEUE_CAPACITY = 64
         private const val START_STEP_MS = 10L
         private const val PEERS_ASKED_AT_START = 3
     }
