--- a/request/caller/src/test/kotlin/org/lycheemount/caller/AdmissionTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/AdmissionTest.kt
@@ -18,6 +18,7 @@
 import org.lycheemount.common.TeamId
 import org.lycheemount.config.TeamLimits
 import java.net.Socket
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
@@ -122,6 +123,24 @@
                 assertContains(responses[2].bodyAsText(), "max_tokens: accepted are 1 or more")
             }
 
+        @Test
+        fun `at random is refused as not run and reserves nothing`() =
+            runBlocking<Unit> {
+                val random = Random(SEED)
+                val valid = """{"model":"m1","messages":[{"role":"user","content":"hello"}],"max_tokens":5}"""
+                repeat(FUZZED_BODIES) {
+                    val cut = random.nextInt(1, valid.length)
+                    val noise = String(CharArray(random.nextInt(1, 20)) { random.nextInt(1, 0x2FF).toChar() })
+                    // A quotation mark after the cut leaves no valid JSON whatever the noise is.
+                    val body = valid.take(cut) + noise + "\"{"
+
+                    val response = post(body)
+
+                    assertEquals(400 to "not-run", response.status.value to response.headers[OUTCOME_HEADER], body)
+                }
+                assertContains(router.client.get(router.url("/state")).bodyAsText(), "\"requestsInProgress\":0")
+            }
+
         @Test
         fun `by size closes only the connection it came on`() =
             runBlocking<Unit> {
@@ -173,4 +192,9 @@
             bearerAuth("key1")
             setBody(body)
         }
+
+    private companion object {
+        private const val SEED = 7
+        private const val FUZZED_BODIES = 300
+    }
 }
