Let an operator write off the grant of a router that will not return

Cause: a grant whose router vanished without timely evidence stays allocated, so a budget answered 503 instead of 429 at its end, and the design promised a write-off that did not exist. Change: writeOff closes the row and charges all that it holds; the reclaimer and the write-off share closeGrant. The API has POST /admin/v1/budgets/{id}/grants/{grantId}/write-off, lycheectl write-off. Nothing is given to another router, so it needs no evidence that the holder has ended. Conclusion: safe also against a holder that still runs, by closing its row.

--- a/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/CommandLine.kt
+++ b/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/CommandLine.kt
@@ -127,6 +127,11 @@
                 val tokens by option(ArgType.String, "tokens", description = "Tokens to add").required();
                 { versioned(tokens) { change("POST", "/budgets/$budget/top-ups", topUpBody(id, it)) } }
             },
+            command("write-off", "Closes the grant of a router that will not return and charges it to the budget") {
+                val budget by argument(ArgType.String, "budget")
+                val grant by argument(ArgType.String, "grant", description = "Id of the grant, as `budget` shows it");
+                { change("POST", "/budgets/$budget/grants/$grant/write-off") }
+            },
             command("bills", "Lists bills of a budget") {
                 val budget by argument(ArgType.String, "budget")
                 val after by option(ArgType.String, "after", description = "Request id to begin after");
--- a/app/ctl/src/test/kotlin/org/lycheemount/app/ctl/CommandsTest.kt
+++ b/app/ctl/src/test/kotlin/org/lycheemount/app/ctl/CommandsTest.kt
@@ -120,7 +120,7 @@
             }
     }
 
-    private inner class RouterBench : BudgetAdministration {
+    private inner class RouterFixture : BudgetAdministration {
         val table = FakeTableService(DefaultClock())
         val topUps = mutableMapOf<String, Long>()
         private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
@@ -174,6 +174,11 @@
             tokens: Long,
         ): BudgetChange = BudgetChange.Applied(tokens, repeated = topUps.put(topUpId, tokens) != null)
 
+        override suspend fun writeOff(
+            budgetId: BudgetId,
+            grantId: String,
+        ): BudgetChange = if (grantId == "known") BudgetChange.Applied(0, repeated = false) else BudgetChange.NotFound
+
         override suspend fun status(budgetId: BudgetId): BudgetStatusResult = BudgetStatusResult.NotFound
 
         override suspend fun bills(
@@ -183,17 +188,17 @@
         ): BillsResult = BillsResult.Page(emptyList(), more = false)
     }
 
-    private fun onRouter(body: suspend RouterBench.() -> Unit) {
-        val bench = RouterBench()
+    private fun onRouter(body: suspend RouterFixture.() -> Unit) {
+        val fixture = RouterFixture()
         try {
             runBlocking(Dispatchers.Default) {
                 withTimeout(60_000) {
-                    bench.start()
-                    bench.body()
+                    fixture.start()
+                    fixture.body()
                 }
             }
         } finally {
-            bench.stop()
+            fixture.stop()
         }
     }
 }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAdministration.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAdministration.kt
@@ -15,6 +15,15 @@
         tokens: Long,
     ): BudgetChange
 
+    /**
+     * Closes the grant [grantId] and charges all that it holds to the budget, so that nothing of it is expected back.
+     * Nothing is given to another router, so the limit holds even if the holder still runs. A repeated call changes nothing.
+     */
+    suspend fun writeOff(
+        budgetId: BudgetId,
+        grantId: String,
+    ): BudgetChange
+
     /** Reads the totals of a budget and who holds its tokens. */
     suspend fun status(budgetId: BudgetId): BudgetStatusResult
 
@@ -49,7 +58,7 @@
         val acceptedRange: String,
     ) : BudgetChange
 
-    /** There is no such budget. */
+    /** There is no such budget or grant. */
     data object NotFound : BudgetChange
 
     /** The top-up id was used before with [earlierTokens]; nothing changed. */
@@ -108,7 +117,7 @@
         val status: BudgetStatus,
     ) : BudgetStatusResult
 
-    /** There is no such budget. */
+    /** There is no such budget or grant. */
     data object NotFound : BudgetStatusResult
 
     /** The table gave no answer. */
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetRows.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetRows.kt
@@ -49,6 +49,22 @@
     val chargedTokens: Long = 0,
 )
 
+/** Closes [grant]: [reclaimedTokens] of what it holds become unallocated, and the rest stays charged to [budget]. */
+internal fun closeGrant(
+    budget: BudgetRow,
+    grant: GrantRow,
+    reclaimedTokens: Long,
+): Pair<BudgetRow, GrantRow> {
+    val charged = grant.grantedTokens + grant.receivedTokens - reclaimedTokens - grant.sentTokens
+    val changed =
+        budget.copy(
+            unallocatedTokens = budget.unallocatedTokens + reclaimedTokens,
+            closedTokens = budget.closedTokens + charged,
+            transferTokens = budget.transferTokens + grant.sentTokens - grant.receivedTokens,
+        )
+    return changed to grant.copy(closed = true, chargedTokens = charged)
+}
+
 /** A written bill and the grant that it was charged to. */
 @Serializable
 internal data class BillRow(
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetAdministration.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetAdministration.kt
@@ -69,6 +69,39 @@
         )
     }
 
+    override suspend fun writeOff(
+        budgetId: BudgetId,
+        grantId: String,
+    ): BudgetChange {
+        invalidId("budgetId", budgetId.value)?.let { return it }
+        invalidId("grantId", grantId)?.let { return it }
+        val budgetKey = budgetKey(budgetId)
+        val grantKey = grantKey(budgetId, grantId)
+        return change(listOf(budgetKey, grantKey)) { rows ->
+            val budgetRow = rows[budgetKey] ?: return@change Decided(BudgetChange.NotFound)
+            val grantRow = rows[grantKey] ?: return@change Decided(BudgetChange.NotFound)
+            planWriteOff(budgetRow, grantRow)
+        }
+    }
+
+    private fun planWriteOff(
+        budgetRow: TableRow,
+        grantRow: TableRow,
+    ): Step {
+        val budget = decodeRow<BudgetRow>(budgetRow.value)
+        val grant = decodeRow<GrantRow>(grantRow.value)
+        if (grant.closed) return Decided(BudgetChange.Applied(budget.limitTokens, repeated = true))
+        val (changed, closed) = closeGrant(budget, grant, reclaimedTokens = 0)
+        return Write(
+            TableTransaction(
+                newTransactionId(),
+                listOf(RowCheck(budgetRow.key, budgetRow.version), RowCheck(grantRow.key, grantRow.version)),
+                listOf(writeRow(budgetRow.key, changed), writeRow(grantRow.key, closed)),
+            ),
+            BudgetChange.Applied(budget.limitTokens, repeated = false),
+        )
+    }
+
     override suspend fun status(budgetId: BudgetId): BudgetStatusResult {
         // Grants first: a grant taken between the two reads then lacks from the holders, and the budget is never shown too large.
         val grants =
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
@@ -89,16 +89,8 @@
         grant: GrantRow,
     ): Attempt {
         val budget = decodeRow<BudgetRow>(budgetRow.value)
-        val held = grant.grantedTokens + grant.receivedTokens
-        val reclaimed = (held - grant.ceilingTokens).coerceAtLeast(0)
-        val charged = held - reclaimed - grant.sentTokens
-        val changed =
-            budget.copy(
-                unallocatedTokens = budget.unallocatedTokens + reclaimed,
-                closedTokens = budget.closedTokens + charged,
-                transferTokens = budget.transferTokens + grant.sentTokens - grant.receivedTokens,
-            )
-        val closed = grant.copy(closed = true, chargedTokens = charged)
+        val reclaimed = (grant.grantedTokens + grant.receivedTokens - grant.ceilingTokens).coerceAtLeast(0)
+        val (changed, closed) = closeGrant(budget, grant, reclaimed)
         return Attempt(
             TableTransaction(
                 session.nextTransactionId(),
@@ -107,7 +99,12 @@
             ),
             grants = emptyList(),
             onCommitted = {
-                log.info("grant_reclaimed", "grant" to grant.grantId, "reclaimedTokens" to reclaimed, "chargedTokens" to charged)
+                log.info(
+                    "grant_reclaimed",
+                    "grant" to grant.grantId,
+                    "reclaimedTokens" to reclaimed,
+                    "chargedTokens" to closed.chargedTokens,
+                )
             },
         )
     }
--- a/request/admin/src/main/kotlin/org/lycheemount/admin/AdminInterface.kt
+++ b/request/admin/src/main/kotlin/org/lycheemount/admin/AdminInterface.kt
@@ -89,6 +89,13 @@
         get("/budgets/{id}") { answer(call, AdminRole.READ) { budgets.get(budgetId(call)) } }
         put("/budgets/{id}") { answer(call, AdminRole.OPERATOR) { budgets.create(budgetId(call)) } }
         post("/budgets/{id}/top-ups") { answer(call, AdminRole.OPERATOR) { withBody(call) { budgets.topUp(budgetId(call), it) } } }
+        post("/budgets/{id}/grants/{grantId}/write-off") {
+            answer(call, AdminRole.OPERATOR) { key ->
+                val grantId = call.parameters["grantId"].orEmpty()
+                services.eventLog.info("write_off_requested", "operator" to key.name, "grant" to grantId)
+                budgets.writeOff(budgetId(call), grantId)
+            }
+        }
         get("/budgets/{id}/bills") {
             answer(call, AdminRole.READ) {
                 withLong(call, "limit", 1L..MAX_PAGE, DEFAULT_PAGE) {
--- a/request/admin/src/main/kotlin/org/lycheemount/admin/BudgetHandler.kt
+++ b/request/admin/src/main/kotlin/org/lycheemount/admin/BudgetHandler.kt
@@ -45,6 +45,15 @@
         return reply(budgets.topUp(budgetId, topUpId, tokens), budgetId, topUpId)
     }
 
+    suspend fun writeOff(
+        budgetId: BudgetId,
+        grantId: String,
+    ): AdminReply {
+        val change = budgets.writeOff(budgetId, grantId)
+        if (change is BudgetChange.NotFound) return notFound("budget ${budgetId.value} has no grant $grantId")
+        return reply(change, budgetId, changeId = grantId)
+    }
+
     suspend fun get(budgetId: BudgetId): AdminReply =
         when (val result = budgets.status(budgetId)) {
             is BudgetStatusResult.Found -> ok(describe(result.status))
--- a/request/admin/src/test/kotlin/org/lycheemount/admin/AdminBench.kt
+++ b/request/admin/src/test/kotlin/org/lycheemount/admin/AdminFixture.kt
@@ -51,6 +51,11 @@
         return BudgetChange.Applied(topUps.values.sum(), repeated = earlier != null)
     }
 
+    override suspend fun writeOff(
+        budgetId: BudgetId,
+        grantId: String,
+    ): BudgetChange = if (grantId == "known") BudgetChange.Applied(0, repeated = false) else BudgetChange.NotFound
+
     override suspend fun status(budgetId: BudgetId): BudgetStatusResult = BudgetStatusResult.NotFound
 
     override suspend fun bills(
@@ -69,7 +74,7 @@
 }
 
 /** The administration API of one router over HTTP on loopback, with the table in memory. */
-internal class AdminBench {
+internal class AdminFixture {
     val table = FakeTableService(DefaultClock())
     val budgets = FakeBudgetAdministration()
     val log = FakeEventLog()
@@ -136,16 +141,16 @@
     }
 }
 
-internal fun onAdmin(body: suspend AdminBench.() -> Unit) {
-    val bench = AdminBench()
+internal fun onAdmin(body: suspend AdminFixture.() -> Unit) {
+    val fixture = AdminFixture()
     try {
         runBlocking(Dispatchers.Default) {
             withTimeout(60_000) {
-                bench.start()
-                bench.body()
+                fixture.start()
+                fixture.body()
             }
         }
     } finally {
-        bench.stop()
+        fixture.stop()
     }
 }
--- a/request/admin/src/test/kotlin/org/lycheemount/admin/AdminInterfaceTest.kt
+++ b/request/admin/src/test/kotlin/org/lycheemount/admin/AdminInterfaceTest.kt
@@ -24,6 +24,7 @@
                 "POST" to "/admin/v1/changes",
                 "PUT" to "/admin/v1/budgets/b",
                 "POST" to "/admin/v1/budgets/b/top-ups",
+                "POST" to "/admin/v1/budgets/b/grants/known/write-off",
                 "POST" to "/admin/v1/republish",
                 "POST" to "/admin/v1/drain",
                 "POST" to "/admin/v1/teams/other/keys",
@@ -51,6 +52,13 @@
                 assertEquals(0, drains)
             }
 
+        @Test
+        fun `of an operator covers the write-off of a grant, and an unknown one is not found`() =
+            onAdmin {
+                assertEquals(200, call("POST", "/admin/v1/budgets/b/grants/known/write-off").status)
+                assertEquals(404, call("POST", "/admin/v1/budgets/b/grants/other/write-off").status)
+            }
+
         @Test
         fun `of a team admin covers the keys of its own team, shown once and stored as a hash`() =
             onAdmin {
