Wait until a stopped stand-in refuses connections

Change: stop returns when the port can be bound; start waited so already. Conclusion: a dead stand-in is dead when die() returns; the check is unchanged.

--- a/standin/servers/src/main/kotlin/org/lycheemount/standin/RestartableServer.kt
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/RestartableServer.kt
@@ -51,14 +51,16 @@
         running = server
     }
 
-    /** Closes the listener and all connections at once. */
+    /** Closes the listener and all connections, and returns when the port refuses connections. */
     @Synchronized
     fun stop() {
-        running?.stop(gracePeriodMillis = 0, timeoutMillis = 0)
+        val server = running ?: return
+        server.stop(gracePeriodMillis = 0, timeoutMillis = 0)
         running = null
+        awaitFreePort()
     }
 
-    /** Ktor closes a stopped listener some time after [stop] has returned. */
+    /** Ktor closes a stopped listener some time after its stop has returned. */
     private fun awaitFreePort() {
         repeat(BIND_ATTEMPTS) {
             if (canBind()) return
