Share one discarding event log among the measurements

Cause: five measurements each had an event log of their own that writes nothing. Change: DiscardingEventLog in the measure module serves all five.

--- a/measure/src/main/kotlin/org/lycheemount/measure/capacity/BudgetSlopes.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/capacity/BudgetSlopes.kt
@@ -15,7 +15,6 @@
 import org.lycheemount.budget.createBudgetLedgerModule
 import org.lycheemount.common.BackendTarget
 import org.lycheemount.common.BudgetId
-import org.lycheemount.common.EventLog
 import org.lycheemount.common.ModelId
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RequestId
@@ -24,6 +23,7 @@
 import org.lycheemount.common.TeamId
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
+import org.lycheemount.measure.DiscardingEventLog
 import org.lycheemount.measure.control.TableLoad
 import org.lycheemount.measure.control.decimal
 import org.lycheemount.testing.FakeClock
@@ -226,24 +226,12 @@
                 FakeVmDirectory(clock).apply { add(identity) },
                 FakePeerNetwork(scope).join(identity),
                 clock,
-                NoLog,
+                DiscardingEventLog,
                 options,
                 random = Random(1),
             )
     }
 
-    private object NoLog : EventLog {
-        override fun info(
-            event: String,
-            vararg fields: Pair<String, Any?>,
-        ) = Unit
-
-        override fun warn(
-            event: String,
-            vararg fields: Pair<String, Any?>,
-        ) = Unit
-    }
-
     private companion object {
         private const val TOP_UP_TOKENS = 1_000_000_000_000L
         private const val START_MS = 3_000L
--- a/measure/src/main/kotlin/org/lycheemount/measure/capacity/ClaimSlopes.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/capacity/ClaimSlopes.kt
@@ -10,7 +10,6 @@
 import org.lycheemount.claims.ClaimsModule
 import org.lycheemount.claims.RecordedOutcome
 import org.lycheemount.claims.createClaims
-import org.lycheemount.common.EventLog
 import org.lycheemount.common.IdempotencyKey
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RequestId
@@ -19,6 +18,7 @@
 import org.lycheemount.common.TeamId
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
+import org.lycheemount.measure.DiscardingEventLog
 import org.lycheemount.measure.control.TableLoad
 import org.lycheemount.measure.control.decimal
 import org.lycheemount.testing.FakeClock
@@ -59,7 +59,7 @@
     private val modules: List<ClaimsModule> =
         (0 until 2).map {
             val identity = RouterIdentity(RouterId("router-$it"), VmId("vm-$it"), RegionId("region"), ZoneId("zone-$it"), 1)
-            createClaims(table, network.join(identity), clock, NoLog, isGone = { false }).apply { start(scope) }
+            createClaims(table, network.join(identity), clock, DiscardingEventLog, isGone = { false }).apply { start(scope) }
         }
 
     fun claimAndFinish(claims: Int) {
@@ -87,18 +87,6 @@
         }
     }
 
-    private object NoLog : EventLog {
-        override fun info(
-            event: String,
-            vararg fields: Pair<String, Any?>,
-        ) = Unit
-
-        override fun warn(
-            event: String,
-            vararg fields: Pair<String, Any?>,
-        ) = Unit
-    }
-
     private companion object {
         private const val STEP_MS = 10L
         private val TEAM = TeamId("team")
--- a/measure/src/main/kotlin/org/lycheemount/measure/claims/ClaimsFleet.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/claims/ClaimsFleet.kt
@@ -7,12 +7,12 @@
 import kotlinx.coroutines.test.TestScope
 import org.lycheemount.claims.createClaims
 import org.lycheemount.common.Clock
-import org.lycheemount.common.EventLog
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
+import org.lycheemount.measure.DiscardingEventLog
 import org.lycheemount.testing.FakePeerNetwork
 import org.lycheemount.testing.FakeTableLink
 import org.lycheemount.testing.FakeTableService
@@ -34,7 +34,7 @@
         val identity = RouterIdentity(RouterId("r$number"), VmId("vm$number"), RegionId("region"), ZoneId("zone$zone"), 1)
         val scope = CoroutineScope(this@ClaimsFleet.scope.backgroundScope.run { coroutineContext + SupervisorJob(coroutineContext[Job]) })
         val link = FakeTableLink(table, this@ClaimsFleet.scope.backgroundScope)
-        val claims = createClaims(link, network.join(identity), clock, NoLog, { it in gone })
+        val claims = createClaims(link, network.join(identity), clock, DiscardingEventLog, { it in gone })
         var alive = true
             private set
 
@@ -89,15 +89,3 @@
         private const val EPOCH_MS = 1_700_000_000_000L
     }
 }
-
-private object NoLog : EventLog {
-    override fun info(
-        event: String,
-        vararg fields: Pair<String, Any?>,
-    ) = Unit
-
-    override fun warn(
-        event: String,
-        vararg fields: Pair<String, Any?>,
-    ) = Unit
-}
--- a/measure/src/main/kotlin/org/lycheemount/measure/control/ControlFleet.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/control/ControlFleet.kt
@@ -10,7 +10,6 @@
 import kotlinx.coroutines.test.StandardTestDispatcher
 import kotlinx.coroutines.test.TestCoroutineScheduler
 import org.lycheemount.common.Clock
-import org.lycheemount.common.EventLog
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.RouterIdentity
@@ -23,6 +22,7 @@
 import org.lycheemount.config.ConfigurationService
 import org.lycheemount.config.ItemEdit
 import org.lycheemount.config.PropagationSettings
+import org.lycheemount.measure.DiscardingEventLog
 import org.lycheemount.membership.MembershipListener
 import org.lycheemount.membership.MembershipService
 import org.lycheemount.platform.RouterVm
@@ -86,7 +86,8 @@
 
     /** Writes the initial configuration and starts all routers. */
     fun start() {
-        val writer = ConfigurationService(table, network.join(places[0].identity(0)), TableOnly(1), clock, QuietLog, random = Random(1))
+        val writer =
+            ConfigurationService(table, network.join(places[0].identity(0)), TableOnly(1), clock, DiscardingEventLog, random = Random(1))
         val writing = scope.launch { writeInitialConfiguration(writer.store, shape.teams, shape.models) }
         scheduler.advanceTimeBy(START_MS)
         check(writing.isCompleted && !writing.isCancelled) { "the initial configuration was not written" }
@@ -204,9 +205,10 @@
             val joined = network.join(place.identity(clock.wallClockMs()))
             val messenger = CountingMessenger(joined, scope, { links }, ::extraDelayMs, counts)
             val seed = shape.seed * 100_000 + index * 10 + starts
-            val membership = MembershipService(messenger, directory, clock, QuietLog, Listener(), random = Random(seed)) { sequence() }
+            val membership =
+                MembershipService(messenger, directory, clock, DiscardingEventLog, Listener(), random = Random(seed)) { sequence() }
             val peers = if (shape.usesPeers) MembershipPeers(membership) else TableOnly(shape.routers)
-            service = ConfigurationService(link, messenger, peers, clock, QuietLog, shape.propagation, Random(seed + 1))
+            service = ConfigurationService(link, messenger, peers, clock, DiscardingEventLog, shape.propagation, Random(seed + 1))
             job =
                 scope.launch {
                     if (shape.usesPeers) membership.start(this)
@@ -272,18 +274,6 @@
         override fun pushTargets() = emptyList<RouterId>()
     }
 
-    private object QuietLog : EventLog {
-        override fun info(
-            event: String,
-            vararg fields: Pair<String, Any?>,
-        ) = Unit
-
-        override fun warn(
-            event: String,
-            vararg fields: Pair<String, Any?>,
-        ) = Unit
-    }
-
     private companion object {
         private const val MS_PER_SECOND = 1_000L
         private const val WALL_CLOCK_START_MS = 1_700_000_000_000L
--- a/measure/src/main/kotlin/org/lycheemount/measure/control/SocketFleet.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/control/SocketFleet.kt
@@ -9,7 +9,6 @@
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import org.lycheemount.common.DefaultClock
-import org.lycheemount.common.EventLog
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.RouterIdentity
@@ -21,6 +20,7 @@
 import org.lycheemount.config.ConfigurationPeers
 import org.lycheemount.config.ConfigurationService
 import org.lycheemount.config.ItemEdit
+import org.lycheemount.measure.DiscardingEventLog
 import org.lycheemount.membership.MembershipListener
 import org.lycheemount.membership.MembershipService
 import org.lycheemount.peer.socket.DefaultPeerMessenger
@@ -110,11 +110,18 @@
     ) {
         private val identity =
             RouterIdentity(RouterId("router-$index"), VmId("vm-$index"), RegionId("region-0"), ZoneId("zone-${index % 4}"), incarnation = 1)
-        val messenger = DefaultPeerMessenger(identity, PeerSecret(SECRET.toByteArray()), SilentLog)
+        val messenger = DefaultPeerMessenger(identity, PeerSecret(SECRET.toByteArray()), DiscardingEventLog)
         private val membership: MembershipService =
-            MembershipService(messenger, directory(), clock, SilentLog, Listener(), random = Random(index)) { service.replica.sequence }
+            MembershipService(
+                messenger,
+                directory(),
+                clock,
+                DiscardingEventLog,
+                Listener(),
+                random = Random(index),
+            ) { service.replica.sequence }
         val service: ConfigurationService =
-            ConfigurationService(table, messenger, Peers(), clock, SilentLog, random = Random(100 + index))
+            ConfigurationService(table, messenger, Peers(), clock, DiscardingEventLog, random = Random(100 + index))
 
         suspend fun bind(): RouterVm {
             val port = messenger.start(scope, "127.0.0.1", 0)
@@ -167,18 +174,6 @@
             override suspend fun findTransaction(transactionId: String) = tableLock.withLock { inner.findTransaction(transactionId) }
         }
 
-    private object SilentLog : EventLog {
-        override fun info(
-            event: String,
-            vararg fields: Pair<String, Any?>,
-        ) = Unit
-
-        override fun warn(
-            event: String,
-            vararg fields: Pair<String, Any?>,
-        ) = Unit
-    }
-
     private companion object {
         private const val ROUTERS = 7
         private const val START_MS = 3_000L
