--- a/version/config/src/main/kotlin/org/lycheemount/config/ConfigurationSnapshot.kt
+++ b/version/config/src/main/kotlin/org/lycheemount/config/ConfigurationSnapshot.kt
@@ -10,6 +10,8 @@
  * One immutable state of the whole configuration.
  *
  * @property sequence number of the last change contained; never goes back within a router.
+ * @property routes requests that are passed through by host and path.
+ * @property routedServices services that [routes] lead to.
  */
 @Serializable
 data class ConfigurationSnapshot(
@@ -18,4 +20,7 @@
     val workClasses: Map<WorkClassId, WorkClass> = emptyMap(),
     val models: Map<ModelId, Model> = emptyMap(),
     val services: Map<ServiceId, PlainService> = emptyMap(),
+    val routes: List<Route> = emptyList(),
+    val routedServices: Map<ServiceId, RoutedService> = emptyMap(),
+    val listenerLimits: ListenerLimits = ListenerLimits(),
 )
--- /dev/null
+++ b/version/config/src/main/kotlin/org/lycheemount/config/FollowedConfiguration.kt
@@ -0,0 +1,32 @@
+package org.lycheemount.config
+
+import org.lycheemount.common.EventLog
+
+/** Configuration that an operator publishes as whole snapshots elsewhere; never goes back to an older one. Safe to call from any thread. */
+class FollowedConfiguration(
+    private val eventLog: EventLog,
+) : ConfigurationView {
+    @Volatile
+    private var snapshot = ConfigurationSnapshot()
+
+    /** Whether a snapshot has been accepted. */
+    val isPresent: Boolean get() = snapshot.sequence > 0
+
+    override fun current(): ConfigurationSnapshot = snapshot
+
+    /** Puts [candidate] in force if it is newer than the present snapshot; false otherwise. */
+    @Synchronized
+    fun accept(candidate: ConfigurationSnapshot): Boolean {
+        if (candidate.sequence <= snapshot.sequence) return false
+        val previous = snapshot.sequence
+        snapshot = candidate
+        eventLog.info(
+            "configuration_in_force",
+            "version" to candidate.sequence,
+            "previous" to previous,
+            "routes" to candidate.routes.size,
+            "teams" to candidate.teams.size,
+        )
+        return true
+    }
+}
--- /dev/null
+++ b/version/config/src/main/kotlin/org/lycheemount/config/Route.kt
@@ -0,0 +1,109 @@
+package org.lycheemount.config
+
+import kotlinx.serialization.Serializable
+import org.lycheemount.common.ServiceId
+
+/** Names a route; also the id of the class of work of its requests. */
+@JvmInline
+@Serializable
+value class RouteId(
+    val value: String,
+)
+
+/** What may be repeated of a request. */
+@Serializable
+enum class RouteKind {
+    /** May run more than once. */
+    IDEMPOTENT,
+
+    /** Runs at most once. */
+    NON_IDEMPOTENT,
+
+    /** Answered by a stream of numbered events; runs at most once unless it can be resumed. */
+    STREAMING,
+}
+
+/** Part of the requests of a route that goes to [serviceId], in proportion to [weight]. */
+@Serializable
+data class RouteDestination(
+    val serviceId: ServiceId,
+    val weight: Int = 1,
+)
+
+/**
+ * Passes requests for [host] whose path starts with [pathPrefix] through to services.
+ *
+ * @property pathPrefix begins and ends with a slash.
+ * @property timeoutMs longest time that a request is kept waiting.
+ * @property targetLatencyMs time from arrival to the answer, for streams to the first event, that callers expect.
+ * @property gapTargetMs longest pause between two events of a stream that callers expect.
+ * @property maxAttempts greatest number of backend servers that one request is sent to.
+ * @property priority 0 is the most urgent.
+ * @property isPublic whether requests need no bearer key.
+ * @property isResumable whether a stream can go on at another server after a given event.
+ */
+@Serializable
+data class Route(
+    val routeId: RouteId,
+    val host: String,
+    val pathPrefix: String,
+    val kind: RouteKind,
+    val destinations: List<RouteDestination>,
+    val timeoutMs: Long,
+    val targetLatencyMs: Long,
+    val gapTargetMs: Long? = null,
+    val maxAttempts: Int = 1,
+    val priority: Int = 0,
+    val isPublic: Boolean = false,
+    val isResumable: Boolean = false,
+) {
+    /** Whether a request may run again after an attempt that may have run. */
+    val isRepeatable: Boolean get() = kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAMING && isResumable)
+
+    /** Picks the destination of a request by [fraction], evenly distributed in 0 until 1. */
+    fun destination(fraction: Double): ServiceId {
+        val total = destinations.sumOf { it.weight }
+        var rest = fraction * total
+        for (destination in destinations) {
+            rest -= destination.weight
+            if (rest < 0) return destination.serviceId
+        }
+        return destinations.last().serviceId
+    }
+}
+
+/**
+ * A service that routes lead to.
+ *
+ * @property maxConnections connections that one server accepts from all routers together.
+ * @property engine null for a plain service.
+ */
+@Serializable
+data class RoutedService(
+    val serviceId: ServiceId,
+    val maxConnections: Int,
+    val engine: EngineTraits? = null,
+)
+
+/**
+ * Properties of the model engines of a service.
+ *
+ * @property tokensPerEvent output tokens in one event of a stream.
+ */
+@Serializable
+data class EngineTraits(
+    val tokensPerEvent: Int,
+)
+
+/**
+ * What a caller may send to a listener.
+ *
+ * @property idleTimeoutMs time after which an idle connection may be closed.
+ */
+@Serializable
+data class ListenerLimits(
+    val maxHeaderBytes: Int = 16_384,
+    val maxBodyBytes: Int = 4 * 1024 * 1024,
+    val headerTimeoutMs: Long = 3_000,
+    val idleTimeoutMs: Long = 15_000,
+)
