Pass requests of routes through to backend servers

Cause: the router spoke its own dialects to callers and servers, and no request could be passed on unchanged.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -9,6 +9,8 @@
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.availableForRead
+import io.ktor.utils.io.copyTo
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writer
 import kotlinx.coroutines.CoroutineScope
@@ -20,42 +22,52 @@
 import java.util.concurrent.ConcurrentLinkedDeque
 
 /**
- * Kept connections to model engines. A connection carries one generation at a time and is kept only after a complete answer.
+ * Kept connections to backend servers. A connection carries one request at a time and is kept only after a complete answer.
  *
  * The HTTP client opens a connection for each request, which took most of the time that a router added to a first token.
  */
-internal class EngineConnections(
+internal class BackendConnections(
     private val connectTimeoutMs: Long,
 ) : AutoCloseable {
     private val selector = SelectorManager(Dispatchers.IO)
-    private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<EngineConnection>>()
+    private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<BackendConnection>>()
 
     /** Returns an idle connection to [server], or null. */
-    fun takeIdle(server: BackendServer): EngineConnection? {
+    fun takeIdle(server: BackendServer): BackendConnection? {
         val connections = idle[addressOf(server)] ?: return null
         while (true) {
             val connection = connections.pollLast() ?: return null
-            if (connection.isUsable(System.nanoTime() - MAX_IDLE_NS)) return connection
+            if (connection.isUsable(System.nanoTime())) return connection
             connection.close()
         }
     }
 
     /** Opens a connection to [server]; a failure throws [ConnectException] and has had no effect at the server. */
-    suspend fun open(server: BackendServer): EngineConnection =
+    suspend fun open(server: BackendServer): BackendConnection =
         withTimeoutOrNull(connectTimeoutMs) {
-            EngineConnection(aSocket(selector).tcp().connect(server.host, server.port) { noDelay = true })
+            BackendConnection(aSocket(selector).tcp().connect(server.host, server.port) { noDelay = true })
         } ?: throw ConnectException("no connection within $connectTimeoutMs ms")
 
-    /** Keeps [connection] after a complete answer. */
+    /** Keeps [connection] for [idleMs] after a complete answer. */
     fun keep(
         server: BackendServer,
-        connection: EngineConnection,
+        connection: BackendConnection,
+        idleMs: Long = DEFAULT_IDLE_MS,
     ) {
-        connection.idleSinceNs = System.nanoTime()
+        connection.usableUntilNs = System.nanoTime() + idleMs * NS_PER_MS
         val connections = idle.computeIfAbsent(addressOf(server)) { ConcurrentLinkedDeque() }
         if (connections.size >= MAX_IDLE_CONNECTIONS) connection.close() else connections.addLast(connection)
     }
 
+    /** Closes connections that were idle for too long or that the server has closed. */
+    fun closeUnusable() {
+        val nowNs = System.nanoTime()
+        for (connections in idle.values) {
+            connections.filterNot { it.isUsable(nowNs) }.forEach { if (connections.remove(it)) it.close() }
+        }
+        idle.values.removeIf { it.isEmpty() }
+    }
+
     override fun close() {
         idle.values.forEach { connections -> connections.forEach { it.close() } }
         selector.close()
@@ -63,24 +75,29 @@
 
     private fun addressOf(server: BackendServer) = "${server.host}:${server.port}"
 
-    private companion object {
-        // Shorter than the idle timeout of common HTTP servers, so that a kept connection is rarely a closed one.
-        private const val MAX_IDLE_NS = 10_000_000_000L
+    internal companion object {
+        /** Shorter than the idle timeout of common HTTP servers, so that a kept connection is rarely a closed one. */
+        const val DEFAULT_IDLE_MS = 10_000L
+        private const val NS_PER_MS = 1_000_000L
         private const val MAX_IDLE_CONNECTIONS = 128
     }
 }
 
-/** One connection to a model engine; used by one coroutine at a time. */
-internal class EngineConnection(
+/** One connection to a backend server; used by one coroutine at a time. */
+internal class BackendConnection(
     private val socket: Socket,
 ) : AutoCloseable {
     private val input = socket.openReadChannel()
     private val output = socket.openWriteChannel(autoFlush = false)
 
     @Volatile
-    var idleSinceNs: Long = 0
+    var usableUntilNs: Long = 0
 
-    fun isUsable(earliestIdleNs: Long): Boolean = idleSinceNs - earliestIdleNs > 0 && !input.isClosedForRead && !output.isClosedForWrite
+    /** True when the server has sent bytes that belong to no answer read so far. */
+    val hasSurplus: Boolean get() = input.availableForRead > 0
+
+    /** Bytes on an idle connection belong to no request, so whatever follows them cannot be trusted. */
+    fun isUsable(nowNs: Long): Boolean = usableUntilNs - nowNs > 0 && !hasSurplus && !input.isClosedForRead && !output.isClosedForWrite
 
     /** Sends a POST of [body] and returns the head of the answer, or null when the server has closed the connection. */
     suspend fun post(
@@ -89,16 +106,31 @@
         body: ByteArray,
     ): Response? {
         val head = "POST $path HTTP/1.1\r\nHost: ${server.host}:${server.port}\r\nContent-Type: application/json\r\n"
-        output.writeFully("${head}Content-Length: ${body.size}\r\n\r\n".encodeToByteArray() + body)
+        send("${head}Content-Length: ${body.size}\r\n\r\n".encodeToByteArray(), body)
+        return readHead()
+    }
+
+    /** Sends a request of [head], which ends with an empty line, and [body]. */
+    suspend fun send(
+        head: ByteArray,
+        body: ByteArray,
+    ) {
+        output.writeFully(head)
+        if (body.isNotEmpty()) output.writeFully(body)
         output.flush()
-        return parseResponse(input)
     }
 
+    /** Returns the head of the next answer, or null when the server has closed the connection. */
+    suspend fun readHead(): Response? = parseResponse(input)
+
     /** Decodes the body that follows [response], in [scope]. */
     fun body(
         scope: CoroutineScope,
         response: Response,
     ): ByteReadChannel = scope.writer(Dispatchers.Unconfined) { parseHttpBody(response.headers, input, channel) }.channel
 
+    /** The bytes up to the end of the connection, in [scope]. */
+    fun bodyUntilClose(scope: CoroutineScope): ByteReadChannel = scope.writer(Dispatchers.Unconfined) { input.copyTo(channel) }.channel
+
     override fun close() = socket.close()
 }
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendHttp.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendHttp.kt
@@ -26,7 +26,7 @@
     private val controlTimeoutMs: Long = DEFAULT_CONTROL_TIMEOUT_MS,
 ) : AutoCloseable {
     internal val json = Json { ignoreUnknownKeys = true }
-    internal val engineConnections = EngineConnections(connectTimeoutMs)
+    internal val connections = BackendConnections(connectTimeoutMs)
 
     // Each request has its own connection, so that a failure to connect is certain to have had no effect.
     internal val client =
@@ -68,7 +68,7 @@
         }
 
     override fun close() {
-        engineConnections.close()
+        connections.close()
         client.close()
     }
 
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultModelEngineClient.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultModelEngineClient.kt
@@ -96,16 +96,16 @@
         request: GenerateRequest,
     ) {
         val body = http.json.encodeToString(GenerateRequest.serializer(), request).encodeToByteArray()
-        val kept = http.engineConnections.takeIdle(server)
+        val kept = http.connections.takeIdle(server)
         if (kept != null && exchange(server, kept, body)) return
         // A kept connection that ends without an answer was closed by the engine while idle; a new one tells for sure.
-        if (!exchange(server, http.engineConnections.open(server), body)) emit(GenerateEvent.Failed(AttemptFailure.BROKEN_CONNECTION))
+        if (!exchange(server, http.connections.open(server), body)) emit(GenerateEvent.Failed(AttemptFailure.BROKEN_CONNECTION))
     }
 
     /** Runs one generation on [connection]; false when the engine closed it before any answer. */
     private suspend fun FlowCollector<GenerateEvent>.exchange(
         server: BackendServer,
-        connection: EngineConnection,
+        connection: BackendConnection,
         body: ByteArray,
     ): Boolean {
         var complete = false
@@ -131,12 +131,12 @@
             }
             return true
         } finally {
-            if (complete) http.engineConnections.keep(server, connection) else connection.close()
+            if (complete) http.connections.keep(server, connection) else connection.close()
         }
     }
 
     private suspend fun answerHead(
-        connection: EngineConnection,
+        connection: BackendConnection,
         server: BackendServer,
         body: ByteArray,
     ): Response? =
--- /dev/null
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultPassThroughClient.kt
@@ -0,0 +1,177 @@
+package org.lycheemount.backend
+
+import io.ktor.http.cio.Response
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.discard
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.withTimeoutOrNull
+import org.lycheemount.common.BackendServer
+
+/** Pass-through client over kept connections. */
+class DefaultPassThroughClient(
+    http: BackendHttp,
+) : PassThroughClient {
+    private val connections = http.connections
+
+    override suspend fun <T> exchange(
+        server: BackendServer,
+        call: PassThroughCall,
+        handle: suspend (PassThroughAnswer) -> T,
+    ): PassThroughOutcome<T> {
+        val connection =
+            connections.takeIdle(server) ?: try {
+                connections.open(server)
+            } catch (failure: Exception) {
+                currentCoroutineContext().ensureActive()
+                return PassThroughOutcome.Failed(AttemptFailure.CONNECT_FAILED, failure.message.orEmpty())
+            }
+        var keepMs: Long? = null
+        try {
+            val head =
+                when (val sent = sendAndReadHead(connection, server, call)) {
+                    is HeadOutcome.Failed -> return PassThroughOutcome.Failed(AttemptFailure.BROKEN_CONNECTION, sent.detail)
+                    is HeadOutcome.Received -> sent
+                }
+            return coroutineScope {
+                val body = bodyOf(connection, head, call)
+                val result = handle(PassThroughAnswer(head.answer, body, connection::close))
+                val complete = body.isClosedForRead && body.closedCause == null
+                if (complete && head.isKept && !connection.hasSurplus) keepMs = head.idleMs
+                // The decoder of an answer that has not ended would wait for its bytes for ever.
+                coroutineContext.cancelChildren()
+                PassThroughOutcome.Handled(result)
+            }
+        } finally {
+            keepMs?.let { connections.keep(server, connection, it) } ?: connection.close()
+        }
+    }
+
+    private suspend fun sendAndReadHead(
+        connection: BackendConnection,
+        server: BackendServer,
+        call: PassThroughCall,
+    ): HeadOutcome =
+        try {
+            connection.send(encodeHead(server, call), call.body)
+            readOwnHead(connection, call)
+        } catch (failure: Exception) {
+            currentCoroutineContext().ensureActive()
+            HeadOutcome.Failed(failure.message ?: failure.javaClass.simpleName)
+        }
+
+    /** Skips answers to earlier requests, which a faulty server may send late on the same connection. */
+    private suspend fun readOwnHead(
+        connection: BackendConnection,
+        call: PassThroughCall,
+    ): HeadOutcome {
+        repeat(MAX_FOREIGN_ANSWERS) {
+            val response = connection.readHead() ?: return HeadOutcome.Failed("the server closed the connection")
+            val received = received(response)
+            if (call.isOwnAnswer(received.answer)) return received
+            val skipped = withTimeoutOrNull(SKIP_TIMEOUT_MS) { skipBody(connection, received, call) }
+            if (skipped != true) return HeadOutcome.Failed("an answer to another request came and has no end")
+        }
+        return HeadOutcome.Failed("only answers to other requests came")
+    }
+
+    private suspend fun skipBody(
+        connection: BackendConnection,
+        head: HeadOutcome.Received,
+        call: PassThroughCall,
+    ): Boolean {
+        if (!head.isKept) return false
+        coroutineScope { bodyOf(connection, head, call).discard() }
+        return true
+    }
+
+    private fun received(response: Response): HeadOutcome.Received {
+        val all = ArrayList<Pair<String, String>>()
+        response.headers.offsets().forEach {
+            all += response.headers.nameAtOffset(it).toString() to response.headers.valueAtOffset(it).toString()
+        }
+        val answer = AnswerHead(response.status, all.filterNot { it.first.lowercase() in HOP_BY_HOP_HEADERS })
+        return HeadOutcome.Received(response, answer, AnswerHead(response.status, all))
+    }
+
+    private fun kotlinx.coroutines.CoroutineScope.bodyOf(
+        connection: BackendConnection,
+        head: HeadOutcome.Received,
+        call: PassThroughCall,
+    ): ByteReadChannel =
+        when {
+            call.method == "HEAD" || head.answer.httpStatus in STATUSES_WITHOUT_BODY -> ByteReadChannel.Empty
+            head.isFramed -> connection.body(this, head.response)
+            else -> connection.bodyUntilClose(this)
+        }
+
+    private fun encodeHead(
+        server: BackendServer,
+        call: PassThroughCall,
+    ): ByteArray =
+        buildString {
+            append(call.method).append(' ').append(call.target).append(" HTTP/1.1\r\n")
+            if (call.headers.none { it.first.equals("host", ignoreCase = true) }) append("Host: ${server.host}:${server.port}\r\n")
+            for ((name, value) in call.headers) append(name).append(": ").append(value).append("\r\n")
+            if (call.body.isNotEmpty() || call.method in METHODS_WITH_BODY) append("Content-Length: ${call.body.size}\r\n")
+            append("\r\n")
+        }.encodeToByteArray()
+
+    private sealed interface HeadOutcome {
+        class Received(
+            val response: Response,
+            val answer: AnswerHead,
+            private val all: AnswerHead,
+        ) : HeadOutcome {
+            val isFramed: Boolean = all.header("content-length") != null || all.header("transfer-encoding") != null
+            val isKept: Boolean =
+                (isFramed || answer.httpStatus in STATUSES_WITHOUT_BODY) &&
+                    all.header("connection")?.contains("close", ignoreCase = true) != true
+
+            /** The server closes the connection after its timeout; half of it leaves time for the next request to arrive. */
+            val idleMs: Long
+                get() {
+                    val timeoutS =
+                        all
+                            .header("keep-alive")
+                            ?.let { KEEP_ALIVE_TIMEOUT.find(it) }
+                            ?.groupValues
+                            ?.get(1)
+                            ?.toLongOrNull()
+                    return timeoutS?.let { it * MS_PER_SECOND / 2 } ?: UNSTATED_IDLE_MS
+                }
+        }
+
+        class Failed(
+            val detail: String,
+        ) : HeadOutcome
+    }
+
+    private companion object {
+        private const val MAX_FOREIGN_ANSWERS = 3
+
+        // An answer that belongs to no request is complete already; longer waits would only hold up the own one.
+        private const val SKIP_TIMEOUT_MS = 100L
+
+        // A server that states no timeout may close an idle connection soon.
+        private const val UNSTATED_IDLE_MS = 1_000L
+        private const val MS_PER_SECOND = 1_000L
+        private val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d+)")
+        private val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
+        private val STATUSES_WITHOUT_BODY = setOf(204, 304)
+        private val HOP_BY_HOP_HEADERS =
+            setOf(
+                "connection",
+                "content-length",
+                "keep-alive",
+                "proxy-authenticate",
+                "proxy-authorization",
+                "te",
+                "trailer",
+                "transfer-encoding",
+                "upgrade",
+            )
+    }
+}
--- /dev/null
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/PassThroughClient.kt
@@ -0,0 +1,78 @@
+package org.lycheemount.backend
+
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.availableForRead
+import io.ktor.utils.io.discard
+import org.lycheemount.common.BackendServer
+
+/**
+ * A request to be passed through unchanged but for its headers.
+ *
+ * @property target path and query as the caller sent them.
+ * @property headers all headers of the request but those of the connection and of the body's framing.
+ * @property isOwnAnswer whether an answer with these headers belongs to this request; others on the same connection are skipped.
+ */
+class PassThroughCall(
+    val method: String,
+    val target: String,
+    val headers: List<Pair<String, String>>,
+    val body: ByteArray,
+    val isOwnAnswer: (AnswerHead) -> Boolean = { true },
+)
+
+/** Status and headers of an answer, without the headers of the connection and of the body's framing. */
+class AnswerHead(
+    val httpStatus: Int,
+    val headers: List<Pair<String, String>>,
+) {
+    /** Returns the first header called [name], in any case, or null. */
+    fun header(name: String): String? = headers.firstOrNull { it.first.equals(name, ignoreCase = true) }?.second
+}
+
+/**
+ * An answer whose head has come.
+ *
+ * @property body ends when the answer is complete; reading throws when it breaks off before.
+ */
+class PassThroughAnswer(
+    val head: AnswerHead,
+    val body: ByteReadChannel,
+    private val closeConnection: () -> Unit = {},
+) {
+    /** Ends the answer by closing its connection, which makes the server drop the request. */
+    fun abandon() = closeConnection()
+
+    /** Reads up to [maxBytes] of a body that nobody wants, so that the connection can be kept. */
+    suspend fun discard(maxBytes: Long) {
+        body.discard(maxBytes)
+        if (body.availableForRead == 0) body.awaitContent()
+    }
+}
+
+/** Outcome of passing a request through to one server. */
+sealed interface PassThroughOutcome<out T> {
+    /** An answer came and was handled with [result]. */
+    data class Handled<T>(
+        val result: T,
+    ) : PassThroughOutcome<T>
+
+    /** No head of an answer came. */
+    data class Failed(
+        val failure: AttemptFailure,
+        val detail: String,
+    ) : PassThroughOutcome<Nothing>
+}
+
+/** Passes requests through to backend servers and never repeats one. */
+interface PassThroughClient {
+    /**
+     * Sends [call] to [server] once and has [handle] read the answer. The connection is kept only if [handle] has read the body
+     * to its end; otherwise, and on cancellation, it is closed, which makes the server drop the request.
+     * Exceptions of [handle] are passed on.
+     */
+    suspend fun <T> exchange(
+        server: BackendServer,
+        call: PassThroughCall,
+        handle: suspend (PassThroughAnswer) -> T,
+    ): PassThroughOutcome<T>
+}
--- a/process/common/src/main/kotlin/org/lycheemount/common/RefusalReason.kt
+++ b/process/common/src/main/kotlin/org/lycheemount/common/RefusalReason.kt
@@ -31,6 +31,7 @@
     DEADLINE_PAST("deadline_past", 503),
     NO_BACKEND_SERVER("no_backend_server", 503),
     BACKEND_FAILED("backend_failed", 502),
+    BACKEND_TIMEOUT("backend_timeout", 504),
     DRAINING("draining", 503),
     NOT_READY("not_ready", 503),
     CLAIM_UNAVAILABLE("claim_unavailable", 503),
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/CallerShared.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/CallerShared.kt
@@ -16,7 +16,7 @@
     val bodyReader = BodyReader(services.limits)
     val requestIds = RequestIdFactory(services.peers.self)
     val gate = RequestGate(services.drain, services.clock)
-    val reserver = Reserver(services)
+    val reserver = Reserver(services.ledger, services.replenisher, services.clock)
     val openRequests = OpenRequests()
     val claims = ClaimGuard(services.claims, services.clock)
     val metrics = CallerMetrics(services.metricsRegistry, services.drain)
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/Reserver.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/Reserver.kt
@@ -3,25 +3,32 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import org.lycheemount.budget.BudgetLedger
+import org.lycheemount.budget.BudgetReplenisher
 import org.lycheemount.budget.ReservationOutcome
 import org.lycheemount.common.BudgetId
+import org.lycheemount.common.Clock
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.RequestId
 
 /** Reserves tokens from the grants of this router; waits for a grant only where the request would be refused otherwise. */
 internal class Reserver(
-    private val services: CallerServices,
+    private val ledger: BudgetLedger,
+    private val replenisher: BudgetReplenisher,
+    private val clock: Clock,
 ) {
-    /** Reserves between [minimumTokens] and [maximumTokens] and returns the number. */
+    /** Reserves between [minimumTokens] and [maximumTokens] and returns the number; waits for a grant for at most [waitMs]. */
     suspend fun reserve(
         requestId: RequestId,
         budgetId: BudgetId,
         minimumTokens: Long,
         maximumTokens: Long,
+        waitMs: Long = GRANT_WAIT_MS,
     ): Result<Long, Refusal> {
         val first = attempt(requestId, budgetId, minimumTokens, maximumTokens)
         if (first.isOk) return first
-        if (!services.replenisher.awaitTokens(budgetId, minimumTokens, GRANT_WAIT_MS)) return first
+        replenisher.awaitTokens(budgetId, minimumTokens, waitMs)
+        // Also without tokens: by now the budget may be known to be exhausted, which the first refusal could not say.
         return attempt(requestId, budgetId, minimumTokens, maximumTokens)
     }
 
@@ -31,8 +38,8 @@
         minimumTokens: Long,
         maximumTokens: Long,
     ): Result<Long, Refusal> {
-        val nowMs = services.clock.monotonicMs()
-        return when (val outcome = services.ledger.reserveUpTo(requestId, budgetId, minimumTokens, maximumTokens, nowMs)) {
+        val nowMs = clock.monotonicMs()
+        return when (val outcome = ledger.reserveUpTo(requestId, budgetId, minimumTokens, maximumTokens, nowMs)) {
             is ReservationOutcome.Reserved -> Ok(outcome.reservedTokens)
             is ReservationOutcome.Refused -> Err(outcome.refusal)
         }
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/EventBlocks.kt
@@ -0,0 +1,98 @@
+package org.lycheemount.caller.routed
+
+/**
+ * Cuts a stream of server-sent events into whole events and reads their ids. Not thread-safe.
+ *
+ * A server may break off in the middle of an event, and an event that was passed on in part could not be resumed.
+ */
+internal class EventBlocks {
+    private var buffer = ByteArray(INITIAL_BYTES)
+    private var size = 0
+    private var searchedTo = 0
+
+    /** Id of the last whole event, or null. */
+    var lastEventId: Long? = null
+        private set
+
+    /** Id of the first event since the last call of [startRun], or null. */
+    var firstEventId: Long? = null
+        private set
+
+    /** Number of whole events that have an id. */
+    var eventCount = 0
+        private set
+
+    /** Bytes that belong to an event that has not ended. */
+    val pendingBytes: Int get() = size
+
+    /** Forgets an event that broke off, before the events of another run follow. */
+    fun startRun() {
+        size = 0
+        searchedTo = 0
+        firstEventId = null
+    }
+
+    /** Adds [length] bytes and returns all events that are whole now; empty when there are none. */
+    fun add(
+        bytes: ByteArray,
+        length: Int,
+    ): ByteArray {
+        if (size + length > buffer.size) buffer = buffer.copyOf(maxOf(buffer.size * 2, size + length))
+        bytes.copyInto(buffer, size, 0, length)
+        size += length
+        val end = endOfLastEvent()
+        if (end == 0) return NOTHING
+        val whole = buffer.copyOf(end)
+        buffer.copyInto(buffer, 0, end, size)
+        size -= end
+        searchedTo = 0
+        readIds(whole)
+        return whole
+    }
+
+    /** An event ends with an empty line, where lines end with LF or CR LF. */
+    private fun endOfLastEvent(): Int {
+        val earliest = maxOf(searchedTo - 2, 1)
+        for (index in size - 1 downTo earliest) {
+            if (buffer[index] != LF) continue
+            val previous = if (buffer[index - 1] == CR) index - 2 else index - 1
+            if (previous >= 0 && buffer[previous] == LF) return index + 1
+        }
+        searchedTo = size
+        return 0
+    }
+
+    private fun readIds(events: ByteArray) {
+        var lineStart = 0
+        for (index in events.indices) {
+            if (events[index] != LF) continue
+            if (startsWithId(events, lineStart, index)) readId(events, lineStart + ID_FIELD.size, index)
+            lineStart = index + 1
+        }
+    }
+
+    private fun startsWithId(
+        events: ByteArray,
+        start: Int,
+        end: Int,
+    ): Boolean = end - start > ID_FIELD.size && ID_FIELD.indices.all { events[start + it] == ID_FIELD[it] }
+
+    private fun readId(
+        events: ByteArray,
+        start: Int,
+        end: Int,
+    ) {
+        val id = events.decodeToString(start, end).trim().toLongOrNull() ?: return
+        if (firstEventId == null) firstEventId = id
+        lastEventId = id
+        eventCount++
+    }
+
+    private companion object {
+        private const val INITIAL_BYTES = 1_024
+        private const val LF = '\n'.code.toByte()
+        private const val CR = '\r'.code.toByte()
+        private val ID_FIELD = "id:".encodeToByteArray()
+        private val NOTHING = ByteArray(0)
+    }
+}
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequest.kt
@@ -0,0 +1,76 @@
+package org.lycheemount.caller.routed
+
+import io.ktor.http.Headers
+import org.lycheemount.caller.RequestGate
+import org.lycheemount.common.BackendTarget
+import org.lycheemount.common.ModelId
+import org.lycheemount.common.RequestId
+import org.lycheemount.common.TeamId
+import org.lycheemount.config.Route
+import org.lycheemount.config.RoutedService
+
+/**
+ * A valid request of a route by an admitted team.
+ *
+ * @property teamId null on a public route.
+ * @property expiresAtMs monotonic time at which both the route's timeout and the caller's deadline count as reached.
+ * @property configurationSequence configuration that the request was admitted under.
+ */
+internal class RoutedRequest(
+    val requestId: RequestId,
+    val terms: RequestTerms,
+    val route: Route,
+    val service: RoutedService,
+    val entry: RequestGate.Entry,
+    val teamId: TeamId?,
+    val method: String,
+    val target: String,
+    val callerHeaders: Headers,
+    val body: ByteArray,
+    val arrivedAtMs: Long,
+    val expiresAtMs: Long,
+    val configurationSequence: Long,
+) {
+    val backendTarget: BackendTarget =
+        if (service.engine == null) {
+            BackendTarget.Service(service.serviceId)
+        } else {
+            BackendTarget.Model(ModelId(service.serviceId.value))
+        }
+
+    /** Tokens that the request uses at most; null when it is not addressed to a model. */
+    val maxTokens: Long? = terms.promptTokens?.let { it.toLong() + terms.maxOutputTokens }
+
+    /** Time until the answer is no longer wanted, at least 1 ms. */
+    fun remainingMs(nowMs: Long): Long = (expiresAtMs - nowMs).coerceAtLeast(1)
+
+    /** Whether the use of tokens counts against a prepaid total of the team. */
+    val isPrepaid: Boolean get() = entry.team.prepaidTokens != null
+
+    val prefixHashes: List<Long> = prefixHashes(terms.promptParts)
+}
+
+/** Chained hashes of a prompt's blocks of [PREFIX_BLOCK_TOKENS]; a block that two parts share belongs to the later one. */
+internal fun prefixHashes(parts: List<PromptPart>): List<Long> {
+    val hashes = ArrayList<Long>()
+    var chain = HASH_SEED
+    var tokens = 0
+    for (part in parts) {
+        chain = mix(chain xor part.id)
+        tokens += part.tokens
+        var index = 0L
+        while ((hashes.size + 1) * PREFIX_BLOCK_TOKENS <= tokens) hashes += mix(chain + ++index)
+    }
+    return hashes
+}
+
+private fun mix(value: Long): Long {
+    val multiplied = value * HASH_MULTIPLIER
+    return multiplied xor (multiplied ushr HASH_SHIFT)
+}
+
+/** Tokens in one block; small enough to tell the parts of prompts apart, large enough for cheap comparisons. */
+private const val PREFIX_BLOCK_TOKENS = 64
+private const val HASH_SEED = 0x2545F4914F6CDD1DL
+private const val HASH_MULTIPLIER = -0x61c8864680b583ebL
+private const val HASH_SHIFT = 29
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -21,6 +21,7 @@
     zoneId: ZoneId,
     seed: Long,
     weights: SelectorWeights = SelectorWeights(),
+    private val initialSpeeds: InitialSpeeds = InitialSpeeds(),
 ) : RequestScheduler {
     private val random = Random(seed)
     private val selector = ServerSelector(zoneId, random, weights)
@@ -62,7 +63,7 @@
         item: WorkItem,
         nowMs: Long,
     ): SubmitOutcome {
-        val lane = lanes.getOrPut(item.target) { TargetQueue(item.target) }
+        val lane = lanes.getOrPut(item.target) { TargetQueue(item.target, initialSpeeds) }
         val candidates = servers.values.filter { serves(it, item) && !it.server.leaving && !it.health.isLeaving(nowMs) }
         if (candidates.isEmpty()) return SubmitOutcome.Refused(admission.noServer())
         val workClass = workClasses[item.workClassId] ?: defaultWorkClass(item.workClassId)
@@ -105,7 +106,7 @@
     ) {
         val state = servers[report.backendServerId] ?: return
         for (target in state.server.targets) {
-            val lane = lanes.getOrPut(target) { TargetQueue(target) }
+            val lane = lanes.getOrPut(target) { TargetQueue(target, initialSpeeds) }
             if (state.onReport(report, lane.fleetShare, nowMs)) lane.onReport(state.reported.ownAtReport, state.reported.totalAtReport)
         }
     }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServiceEstimator.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServiceEstimator.kt
@@ -3,9 +3,6 @@
 import org.lycheemount.common.BackendTarget
 import org.lycheemount.common.WorkClassId
 
-private const val INITIAL_PREFILL_MS_PER_TOKEN = 0.2
-private const val INITIAL_DECODE_MS_PER_TOKEN = 25.0
-private const val INITIAL_SERVICE_MS = 20.0
 private const val INITIAL_OUTPUT_SHARE = 0.5
 private const val MIN_PREFILL_SAMPLE_TOKENS = 64
 
@@ -22,18 +19,26 @@
     val serviceMs: Double get() = firstTokenMs + decodeMs
 }
 
+/** Speeds that are assumed until service has been observed. The defaults are those of large models on single accelerators. */
+data class InitialSpeeds(
+    val prefillMsPerToken: Double = 0.2,
+    val decodeMsPerToken: Double = 25.0,
+    val serviceMs: Double = 20.0,
+)
+
 /** Learns from observed service how long work takes at a target. */
 internal class ServiceEstimator(
     private val target: BackendTarget,
+    private val initial: InitialSpeeds = InitialSpeeds(),
 ) {
     private val outputTokens = HashMap<WorkClassId, Double>()
     private val observedServiceMs = HashMap<WorkClassId, Double>()
     private val estimatedServiceMs = HashMap<WorkClassId, Double>()
     private val serviceCallMs = HashMap<WorkClassId, Double>()
-    private var prefillMsPerToken = INITIAL_PREFILL_MS_PER_TOKEN
+    private var prefillMsPerToken = initial.prefillMsPerToken
 
     /** Mean time of one output token; rises with the load of the engines. */
-    var decodeMsPerToken = INITIAL_DECODE_MS_PER_TOKEN
+    var decodeMsPerToken = initial.decodeMsPerToken
         private set
 
     /** Mean ratio of the time to first token to its estimate; above 1 while prefills delay each other. */
@@ -45,7 +50,7 @@
         cachedTokens: Int,
     ): ServiceEstimate {
         if (target is BackendTarget.Service) {
-            return ServiceEstimate(serviceCallMs[item.workClassId] ?: INITIAL_SERVICE_MS, decodeMs = 0.0)
+            return ServiceEstimate(serviceCallMs[item.workClassId] ?: initial.serviceMs, decodeMs = 0.0)
         }
         return ServiceEstimate(prefillMs(item.promptTokens - cachedTokens), expectedOutputTokens(item) * decodeMsPerToken)
     }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/TargetQueue.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/TargetQueue.kt
@@ -14,9 +14,10 @@
 /** Queue of one model or service with the estimates that admission is based on. */
 internal class TargetQueue(
     val target: BackendTarget,
+    initialSpeeds: InitialSpeeds = InitialSpeeds(),
 ) {
     val queue = FairQueue { TEAM_LEAD_REQUESTS * meanServiceMs }
-    val estimator = ServiceEstimator(target)
+    val estimator = ServiceEstimator(target, initialSpeeds)
     private var calibration = 1.0
     private var meanServiceMs = 0.0
     private var ownMean = 0.0
