Size grants for short cuts and reclaim from an earlier process on the same VM

A process restarted on its VM stranded its grant until a write-off. Change: options for the sizing; grants may hold an equal share of what is unallocated; limits may be set by a configuration; an earlier process on the same VM counts as ended at the first answer of the table; no wait for tokens that nobody can bring. What a request of 70,000 tokens needs at most still finds no grant during a cut.

--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccount.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccount.kt
@@ -6,8 +6,8 @@
 /** What this router holds and knows of one budget. All access under the monitor of the account. */
 internal class BudgetAccount(
     val budgetId: BudgetId,
+    val meter: SpendMeter = SpendMeter(),
 ) {
-    val meter = SpendMeter()
     var grant: Grant? = null
 
     /** Grants that another router closed while bills or reservations of them were open here. */
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccounts.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccounts.kt
@@ -4,13 +4,15 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /** The accounts of this router, by budget. */
-internal class BudgetAccounts {
+internal class BudgetAccounts(
+    private val rateWindowMs: Long,
+) {
     private val accounts = ConcurrentHashMap<BudgetId, BudgetAccount>()
 
     @Volatile
     private var sorted = emptyList<BudgetAccount>()
 
-    fun getOrCreate(budgetId: BudgetId): BudgetAccount = accounts.computeIfAbsent(budgetId) { BudgetAccount(it) }
+    fun getOrCreate(budgetId: BudgetId): BudgetAccount = accounts.computeIfAbsent(budgetId) { BudgetAccount(it, SpendMeter(rateWindowMs)) }
 
     fun find(budgetId: BudgetId): BudgetAccount? = accounts[budgetId]
 
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetMaintenance.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetMaintenance.kt
@@ -19,6 +19,7 @@
     private val clock: Clock,
     private val options: BudgetOptions,
     private val log: EventLog,
+    private val hasPeers: () -> Boolean,
 ) : BudgetReplenisher {
     private var job: Job? = null
 
@@ -65,6 +66,8 @@
         }
         parts.signals.work()
         parts.signals.ask()
+        // Nobody can bring tokens in time, so the caller had better try another router at once.
+        if (tableWork.inOutage && !hasPeers()) return false
         val granted = withTimeoutOrNull(timeoutMs) { waiter.granted.await() } ?: false
         synchronized(account) { account.waiters -= waiter }
         return granted
@@ -81,6 +84,19 @@
         parts.signals.work()
     }
 
+    /** Has the limits of [budgetIds] read anew after a change, before a request is refused for what was known of them. */
+    fun onLimitsChanged(budgetIds: Set<BudgetId>) {
+        for (budgetId in budgetIds) {
+            val account = parts.accounts.getOrCreate(budgetId)
+            synchronized(account) {
+                account.knowledge = null
+                account.budgetRow = null
+                account.needsAttention = true
+            }
+        }
+        parts.signals.work()
+    }
+
     private suspend fun tableLoop() =
         coroutineScope {
             while (isActive) {
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
@@ -21,7 +21,11 @@
     internal val parts: BudgetParts,
 )
 
-/** Creates the ledger of the router [peers] belongs to; nothing runs before [BudgetMaintenance.start]. */
+/**
+ * Creates the ledger of the router [peers] belongs to; nothing runs before [BudgetMaintenance.start].
+ *
+ * @param routerCount routers that may draw on a budget, this one included.
+ */
 fun createBudgetLedgerModule(
     table: TableService,
     vmDirectory: VmDirectory,
@@ -30,17 +34,18 @@
     log: EventLog,
     options: BudgetOptions = BudgetOptions(),
     random: Random = Random.Default,
+    routerCount: () -> Int = { peers.connectedPeers().size + 1 },
 ): BudgetModule {
     val self = peers.self
-    val accounts = BudgetAccounts()
+    val accounts = BudgetAccounts(options.rateWindowMs)
     val bills = BillQueue()
     val signals = WorkSignals()
     val session = TableSession(table, clock, "budget-${self.routerId.value}-${self.incarnation}")
     val writer = TableWriter(self, session, clock, options, log)
-    val keeper = GrantKeeper(writer, session, clock, options, log) { peers.connectedPeers().size + 1 }
+    val keeper = GrantKeeper(writer, session, clock, options, log, routerCount)
     val flusher = BillFlusher(accounts, bills, writer, session, clock, options, log)
     val reclaimer = GrantReclaimer(vmDirectory, writer, session, clock, options, log)
-    val ledger = DefaultBudgetLedger(self.routerId, accounts, bills, clock, signals)
+    val ledger = DefaultBudgetLedger(self.routerId, accounts, bills, clock, signals, options.unavailableRetryMs)
     val transfers = TransferExchange(peers, accounts, clock, options, signals, keeper::newGrant, log)
     val replication = BillReplication(peers, bills, options)
     val replicas = ReplicaWriter(peers, writer, session, reclaimer, clock, options, log)
@@ -50,7 +55,7 @@
     val parts = BudgetParts(accounts, bills, ledger, writer, keeper, flusher, reclaimer, transfers, replication, replicas, signals)
     return BudgetModule(
         ledger,
-        BudgetMaintenance(parts, TableWork(parts, clock, options, random), clock, options, log),
+        BudgetMaintenance(parts, TableWork(parts, clock, options, random), clock, options, log) { peers.connectedPeers().isNotEmpty() },
         BudgetStateDump(parts, session, clock),
         parts,
     )
@@ -61,3 +66,9 @@
     table: TableService,
     newTransactionId: () -> String,
 ): BudgetAdministration = DefaultBudgetAdministration(table, newTransactionId)
+
+/** Creates the writer of limits; [newTransactionId] returns an id that no other call returns. */
+fun createBudgetLimitWriter(
+    table: TableService,
+    newTransactionId: () -> String,
+): BudgetLimitWriter = DefaultBudgetAdministration(table, newTransactionId)
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetOptions.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetOptions.kt
@@ -18,6 +18,14 @@
  * @property replicaWriteDelayMs age from which a replicated bill is written although its owner still exists.
  * @property drainTimeoutMs longest time that [BudgetMaintenance.drain] waits for the table.
  * @property settledMemoryMs time for which a written bill is remembered, so that a second settlement returns it.
+ * @property reservationsHeld free tokens that a grant aims at, as a multiple of the largest reservation seen lately.
+ * @property ceilingReservations room of a ceiling above the present use, as a multiple of the largest reservation seen lately.
+ * @property excessReturnDelayMs time after a refill before free tokens far above the target are returned.
+ * @property rateWindowMs time over which the rate of spend is averaged.
+ * @property ceilingSpendFactor room of a ceiling above the present use, as a multiple of the spend of [outageGraceMs].
+ * @property holdsEqualShare whether a grant aims at no less than this router's equal share of what is unallocated, so that an outage
+ *   finds most of a budget in the hands of routers also before they have measured their spend.
+ * @property unavailableRetryMs delay after which callers that were refused for want of tokens here may return.
  */
 data class BudgetOptions(
     val expectedOutageMs: Long = 3_600_000,
@@ -35,6 +43,13 @@
     val replicaWriteDelayMs: Long = 300_000,
     val drainTimeoutMs: Long = 30_000,
     val settledMemoryMs: Long = 60_000,
+    val reservationsHeld: Double = 8.0,
+    val ceilingReservations: Double = 4.0,
+    val excessReturnDelayMs: Long = 30_000,
+    val rateWindowMs: Long = 60_000,
+    val ceilingSpendFactor: Double = 2.0,
+    val holdsEqualShare: Boolean = false,
+    val unavailableRetryMs: Long = 1_000,
 ) {
     init {
         require(driftMarginMs in 0 until outageGraceMs) { "driftMarginMs must be below outageGraceMs" }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetRows.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetRows.kt
@@ -12,6 +12,7 @@
  *
  * @property closedTokens tokens charged to grants that are closed.
  * @property transferTokens tokens that closed grants sent to peers, less those that closed grants received.
+ * @property limitSequence configuration change that set the limit; 0 for a budget that grows by top-ups.
  */
 @Serializable
 internal data class BudgetRow(
@@ -19,6 +20,7 @@
     val unallocatedTokens: Long,
     val closedTokens: Long = 0,
     val transferTokens: Long = 0,
+    val limitSequence: Long = 0,
 )
 
 /**
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetAdministration.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetAdministration.kt
@@ -3,6 +3,7 @@
 import org.lycheemount.common.BudgetId
 import org.lycheemount.platform.CommitOutcome
 import org.lycheemount.platform.RowCheck
+import org.lycheemount.platform.RowWrite
 import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.TableRow
 import org.lycheemount.platform.TableService
@@ -12,7 +13,8 @@
 internal class DefaultBudgetAdministration(
     private val table: TableService,
     private val newTransactionId: () -> String,
-) : BudgetAdministration {
+) : BudgetAdministration,
+    BudgetLimitWriter {
     override suspend fun create(budgetId: BudgetId): BudgetChange {
         invalidId("budgetId", budgetId.value)?.let { return it }
         val key = budgetKey(budgetId)
@@ -69,6 +71,37 @@
         )
     }
 
+    override suspend fun setLimits(
+        limits: Map<BudgetId, Long>,
+        sequence: Long,
+    ): BudgetChange {
+        limits.keys.firstNotNullOfOrNull { invalidId("budgetId", it.value) }?.let { return it }
+        val total = limits.values.sum()
+        return change(limits.keys.map(::budgetKey)) { rows ->
+            val changed =
+                limits.mapNotNull { (budgetId, tokens) ->
+                    planLimit(budgetKey(budgetId), rows[budgetKey(budgetId)], tokens, sequence)
+                }
+            if (changed.isEmpty()) return@change Decided(BudgetChange.Applied(total, repeated = true))
+            val transaction = TableTransaction(newTransactionId(), changed.map { it.first }, changed.map { it.second })
+            Write(transaction, BudgetChange.Applied(total, repeated = false))
+        }
+    }
+
+    /** Null when the limit is in force or was set by a later change. */
+    private fun planLimit(
+        key: String,
+        row: TableRow?,
+        tokens: Long,
+        sequence: Long,
+    ): Pair<RowCheck, RowWrite>? {
+        val budget = row?.let { decodeRow<BudgetRow>(it.value) } ?: BudgetRow(0, 0)
+        if (row != null && (budget.limitSequence >= sequence || budget.limitTokens == tokens)) return null
+        val unallocated = budget.unallocatedTokens + tokens - budget.limitTokens
+        val changed = budget.copy(limitTokens = tokens, unallocatedTokens = unallocated, limitSequence = sequence)
+        return RowCheck(key, row?.version ?: 0) to writeRow(key, changed)
+    }
+
     override suspend fun writeOff(
         budgetId: BudgetId,
         grantId: String,
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetLedger.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetLedger.kt
@@ -15,6 +15,7 @@
     private val bills: BillQueue,
     private val clock: Clock,
     private val signals: WorkSignals,
+    private val unavailableRetryMs: Long,
 ) : BudgetLedger {
     private val reservations = ConcurrentHashMap<RequestId, Reservation>()
 
@@ -127,7 +128,7 @@
         account.want(tokens, nowMs)
         signals.work()
         signals.ask()
-        return ReservationOutcome.Refused(refusalFor(account, tokens, nowMs))
+        return ReservationOutcome.Refused(refusalFor(account, tokens, nowMs, unavailableRetryMs))
     }
 
     private companion object {
@@ -140,13 +141,12 @@
     account: BudgetAccount,
     tokens: Long,
     nowMs: Long,
+    unavailableRetryMs: Long,
 ): Refusal {
     val budget = account.budgetId.value
     if (account.knownExhausted(tokens, nowMs)) {
         val remaining = account.knowledge?.remainingTokens
         return Refusal(RefusalReason.BUDGET_EXHAUSTED, "budget $budget has $remaining tokens left, $tokens are needed")
     }
-    return Refusal(RefusalReason.BUDGET_UNAVAILABLE, "this router has too few tokens of budget $budget now", RETRY_AFTER_MS)
+    return Refusal(RefusalReason.BUDGET_UNAVAILABLE, "this router has too few tokens of budget $budget now", unavailableRetryMs)
 }
-
-private const val RETRY_AFTER_MS = 1_000L
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantKeeper.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantKeeper.kt
@@ -19,6 +19,9 @@
 ) {
     private val grantCount = AtomicLong()
 
+    /** Routers that may draw on a budget. */
+    val routers: Int get() = routerCount()
+
     /** A grant of this router without tokens; it has no row yet. */
     fun newGrant(budgetId: BudgetId): Grant =
         Grant(budgetId, "${writer.self.routerId.value}-${writer.self.incarnation}-${grantCount.getAndIncrement()}")
@@ -99,7 +102,8 @@
         synchronized(account) {
             val grant = account.grant
             if (account.closing || grant?.hasPendingRow == true) return false
-            refillTokens(account.demand(routerCount()), Long.MAX_VALUE / 2, options) > 0
+            refillTokens(account.demand(routerCount()), account.budgetRow?.unallocatedTokens ?: (Long.MAX_VALUE / 2), options) > 0 ||
+                refillTokens(account.demand(routerCount()), Long.MAX_VALUE / 2, options.copy(holdsEqualShare = false)) > 0
         }
 
     /** Notices a top-up or a return while the tokens seen last do not suffice. */
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
@@ -2,6 +2,7 @@
 
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
+import org.lycheemount.common.RouterIdentity
 import org.lycheemount.common.VmId
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.TableResult
@@ -22,6 +23,7 @@
     private val evidence = VmEvidence()
     private var scanDueAtMs: Long? = null
     private var scannedOnce = false
+    private var predecessorsDone = false
 
     fun isGone(vmId: VmId): Boolean = evidence.goneAt(vmId) != null
 
@@ -42,6 +44,31 @@
         }
     }
 
+    /**
+     * Reclaims from earlier processes on this VM, once after the start; they had ended before this one began. False when the table
+     * gave no answer.
+     */
+    suspend fun reclaimPredecessors(): Boolean {
+        if (predecessorsDone) return true
+        val rows = session.scanAll(GRANT_PREFIX) ?: return false
+        val left = rows.map { it to decodeRow<GrantRow>(it.value) }.filter { (_, grant) -> !grant.closed && isPredecessor(grant.holder) }
+        for ((row, grant) in left) {
+            if (mayReclaim(grant)) {
+                if (!reclaim(row, grant)) return false
+            } else {
+                log.warn("grant_stranded", "budget" to grant.budgetId.value, "grant" to grant.grantId, "tokens" to grant.grantedTokens)
+            }
+        }
+        // A grant whose reclaim lost its races is found again by the next pass.
+        predecessorsDone = left.none { (_, grant) -> mayReclaim(grant) }
+        return true
+    }
+
+    private fun isPredecessor(holder: RouterIdentity) = holder.vmId == writer.self.vmId && holder.incarnation < writer.self.incarnation
+
+    private fun goneAt(holder: RouterIdentity): Long? =
+        if (isPredecessor(holder)) session.firstContact?.tableTimeMs else evidence.goneAt(holder.vmId)
+
     /** Reclaims if a scan is due. False when the table gave no answer; the scan stays due then. */
     suspend fun reclaimIfDue(): Boolean {
         val dueAtMs = scanDueAtMs ?: return true
@@ -60,7 +87,7 @@
      * never spent more. Both times are the table's; the margin covers a holder whose clock runs faster than the table's.
      */
     private fun mayReclaim(grant: GrantRow): Boolean {
-        val goneAtTableTimeMs = evidence.goneAt(grant.holder.vmId) ?: return false
+        val goneAtTableTimeMs = goneAt(grant.holder) ?: return false
         return goneAtTableTimeMs <= grant.lastAckedTableTimeMs + options.outageGraceMs - options.driftMarginMs
     }
 
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
@@ -23,7 +23,17 @@
     options: BudgetOptions,
 ): Long {
     val outage = ceil(demand.ratePerMs * options.expectedOutageMs * OUTAGE_FACTOR).toLong()
-    return maxOf(outage, demand.largestReservation * RESERVATIONS_HELD, demand.wantedTokens * WANTED_FACTOR)
+    return maxOf(outage, (demand.largestReservation * options.reservationsHeld).toLong(), demand.wantedTokens * WANTED_FACTOR)
+}
+
+/** Tokens that a router wants to hold free while [unallocatedTokens] of the budget are left. */
+internal fun heldTokens(
+    demand: GrantDemand,
+    unallocatedTokens: Long,
+    options: BudgetOptions,
+): Long {
+    val target = targetFreeTokens(demand, options)
+    return if (options.holdsEqualShare) maxOf(target, unallocatedTokens / (demand.routers + 1)) else target
 }
 
 /**
@@ -35,7 +45,7 @@
     unallocatedTokens: Long,
     options: BudgetOptions,
 ): Long {
-    val target = targetFreeTokens(demand, options)
+    val target = heldTokens(demand, unallocatedTokens, options)
     val lacking = target - demand.freeTokens
     val urgent = (demand.wantedTokens - demand.freeTokens).coerceAtLeast(0)
     if (urgent == 0L && demand.freeTokens >= target * LOW_WATER_SHARE) return 0
@@ -51,8 +61,8 @@
     reservedTokens: Long,
     options: BudgetOptions,
 ): Long {
-    val spend = ceil(meter.ratePerMs * options.outageGraceMs * CEILING_FACTOR).toLong()
-    return spend + reservedTokens + meter.largestReservation * CEILING_RESERVATIONS
+    val spend = ceil(meter.ratePerMs * options.outageGraceMs * options.ceilingSpendFactor).toLong()
+    return spend + reservedTokens + (meter.largestReservation * options.ceilingReservations).toLong()
 }
 
 /** Size of a reservation: the worst case while tokens are plentiful, otherwise a first step of about twice the usual use. */
@@ -68,10 +78,7 @@
 }
 
 private const val OUTAGE_FACTOR = 1.5
-private const val RESERVATIONS_HELD = 8L
 private const val WANTED_FACTOR = 4L
 private const val LOW_WATER_SHARE = 0.7
-private const val CEILING_FACTOR = 2.0
-private const val CEILING_RESERVATIONS = 4L
 private const val PLENTIFUL_FACTOR = 16L
 private const val STEP_FACTOR = 2.0
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/SpendMeter.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/SpendMeter.kt
@@ -3,8 +3,14 @@
 import kotlin.math.exp
 import kotlin.math.max
 
-/** Measures how fast a router spends one budget and how callers' worst cases compare with their use. */
-internal class SpendMeter {
+/**
+ * Measures how fast a router spends one budget and how callers' worst cases compare with their use.
+ *
+ * @param windowMs time over which the recent rate is averaged.
+ */
+internal class SpendMeter(
+    private val windowMs: Long = DEFAULT_WINDOW_MS,
+) {
     private var tokensSinceTick = 0L
     private var lastTickMs: Long? = null
     private var fastPerMs = 0.0
@@ -20,10 +26,10 @@
     var lastUseAtMs = Long.MIN_VALUE / 2
         private set
 
-    /** Spend rate in tokens per millisecond: the greater of a one-minute and a ten-minute average, so that lulls do not shrink grants. */
+    /** Spend rate in tokens per millisecond: the greater of an average over one window and over ten, so that lulls do not shrink grants. */
     val ratePerMs: Double get() = max(fastPerMs, slowPerMs)
 
-    /** Rate of the last minute. */
+    /** Rate of the last window. */
     val recentRatePerMs: Double get() = fastPerMs
 
     fun recordReservation(
@@ -49,15 +55,15 @@
         if (elapsedMs <= 0) return
         val perMs = tokensSinceTick.toDouble() / elapsedMs
         tokensSinceTick = 0
-        fastPerMs += (1 - exp(-elapsedMs / FAST_MS)) * (perMs - fastPerMs)
-        slowPerMs += (1 - exp(-elapsedMs / SLOW_MS)) * (perMs - slowPerMs)
-        largestReservation = (largestReservation * exp(-elapsedMs / SLOW_MS)).toLong()
+        fastPerMs += (1 - exp(-elapsedMs.toDouble() / windowMs)) * (perMs - fastPerMs)
+        slowPerMs += (1 - exp(-elapsedMs.toDouble() / (windowMs * SLOW_WINDOWS))) * (perMs - slowPerMs)
+        largestReservation = (largestReservation * exp(-elapsedMs.toDouble() / (windowMs * SLOW_WINDOWS))).toLong()
     }
 
     private companion object {
         private const val TICK_MS = 1_000L
-        private const val FAST_MS = 60_000.0
-        private const val SLOW_MS = 600_000.0
+        private const val DEFAULT_WINDOW_MS = 60_000L
+        private const val SLOW_WINDOWS = 10
         private const val USE_SHARE_WEIGHT = 0.05
     }
 }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
@@ -40,6 +40,11 @@
     var lastContact: TableContact? = null
         private set
 
+    /** First response that this router received, null before it. */
+    @Volatile
+    var firstContact: TableContact? = null
+        private set
+
     fun nextTransactionId(): String = prefix + transactionCount++
 
     suspend fun read(keys: List<String>): TableSnapshot? = table.read(keys).snapshot()
@@ -98,6 +103,7 @@
 
     private fun noteContact(tableTimeMs: Long) {
         // A found transaction reports the time of its decision, which may be older than the last contact.
+        if (firstContact == null) firstContact = TableContact(tableTimeMs, clock.monotonicMs())
         val last = lastContact
         if (last == null || tableTimeMs > last.tableTimeMs) lastContact = TableContact(tableTimeMs, clock.monotonicMs())
     }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableWork.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableWork.kt
@@ -56,7 +56,7 @@
         nowMs: Long,
         sweep: Boolean,
     ): Boolean {
-        if (!parts.writer.resolvePending()) return false
+        if (!parts.writer.resolvePending() || !parts.reclaimer.reclaimPredecessors()) return false
         val accounts = if (sweep) parts.accounts.all() else parts.accounts.needingAttention()
         if (!refillAll(accounts, nowMs)) return false
         if (draining || nowMs >= nextFlushAtMs || parts.needsFlush(nowMs)) {
@@ -101,8 +101,8 @@
                 val grant = account.grant ?: return true
                 val lastMs = maxOf(account.meter.lastUseAtMs, account.lastRefillAtMs)
                 val end = account.closing || draining || nowMs - lastMs > options.idleReturnMs
-                val target = targetFreeTokens(account.demand(routers = 1), options)
-                val above = grant.freeTokens > target * EXCESS_FACTOR && nowMs - account.lastRefillAtMs > EXCESS_RETURN_DELAY_MS
+                val target = heldTokens(account.demand(parts.keeper.routers), account.budgetRow?.unallocatedTokens ?: 0, options)
+                val above = grant.freeTokens > target * EXCESS_FACTOR && nowMs - account.lastRefillAtMs > options.excessReturnDelayMs
                 end to if (above) grant.freeTokens - target else 0
             }
         if (end) parts.keeper.close(account)
@@ -136,6 +136,5 @@
         private const val JITTER_PARTS = 5L
         private const val SWEEP_MS = 1_000L
         private const val EXCESS_FACTOR = 2
-        private const val EXCESS_RETURN_DELAY_MS = 30_000L
     }
 }
