--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterMain.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterMain.kt
@@ -2,18 +2,26 @@
 
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.runBlocking
+import org.lycheemount.app.router.gateway.runGateway
+import org.lycheemount.settings.SettingsFault
 import org.lycheemount.settings.loadRouterSettings
 import java.nio.file.Path
 import kotlin.concurrent.thread
 import kotlin.system.exitProcess
 
-/** Starts one router process with the settings file that the only argument names. */
+/**
+ * Starts one router process: `lycheemount SETTINGS_FILE`, or `lycheemount gateway [SETTINGS_FILE]` on a platform whose operators
+ * publish routes; without a file name it is taken from the environment.
+ */
 fun main(arguments: Array<String>) {
-    val file = arguments.singleOrNull() ?: fail("usage: lycheemount SETTINGS_FILE")
-    val settings =
-        loadRouterSettings(Path.of(file)).getOrElse { faults ->
-            fail(faults.joinToString("\n") { """event=invalid_setting field=${it.field} found="${it.found}" accepted="${it.accepted}"""" })
-        }
+    if (arguments.firstOrNull() == GATEWAY) {
+        val file =
+            arguments.getOrNull(1) ?: System.getenv(SETTINGS_VARIABLE)
+                ?: fail("neither an argument nor $SETTINGS_VARIABLE names a settings file")
+        return runGateway(Path.of(file))
+    }
+    val file = arguments.singleOrNull() ?: fail("usage: lycheemount SETTINGS_FILE | lycheemount gateway [SETTINGS_FILE]")
+    val settings = loadRouterSettings(Path.of(file)).getOrElse { fail(report(it)) }
     val process = RouterProcess(settings, requestShutdown = { thread(name = "drain") { exitProcess(0) } })
     runBlocking { process.start() }
     Runtime.getRuntime().addShutdownHook(
@@ -26,7 +34,13 @@
     Thread.currentThread().join()
 }
 
-private fun fail(message: String): Nothing {
+internal fun report(faults: List<SettingsFault>): String =
+    faults.joinToString("\n") { """event=invalid_setting field=${it.field} found="${it.found}" accepted="${it.accepted}"""" }
+
+internal fun fail(message: String): Nothing {
     System.err.println(message)
     exitProcess(2)
 }
+
+private const val GATEWAY = "gateway"
+private const val SETTINGS_VARIABLE = "LYCHEEMOUNT_NODE_FILE"
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -58,10 +58,11 @@
     private val engineFleet = BackendEngineFleet(engine) { dispatcher.backendServers() }
     private val observer = BackendObserver(platform.vmDirectory, engine, plainServices, dispatcher, eventLog)
     private val drain = DrainState()
+    private val peerSecret = PeerSecret(Path.of(settings.peerSecretFile).readBytes())
     private val peers =
         DefaultPeerMessenger(
             identity,
-            PeerSecret(Path.of(settings.peerSecretFile).readBytes()),
+            { peerSecret },
             eventLog,
             tls =
                 settings.peers.tls?.let {
--- /dev/null
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControl.kt
@@ -0,0 +1,203 @@
+package org.lycheemount.app.router.gateway
+
+import com.github.michaelbull.result.fold
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.lycheemount.backend.ServerRoster
+import org.lycheemount.budget.BudgetChange
+import org.lycheemount.budget.BudgetLimitWriter
+import org.lycheemount.budget.BudgetMaintenance
+import org.lycheemount.caller.WorkDispatcher
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.BudgetId
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.config.ConfigurationSnapshot
+import org.lycheemount.config.FollowedConfiguration
+import org.lycheemount.platform.RowListener
+import org.lycheemount.platform.StoreRow
+import org.lycheemount.platform.adapter.CONFIGURATION_KEY
+import org.lycheemount.platform.adapter.decodeConfiguration
+import org.lycheemount.platform.adapter.decodeServerEntry
+
+/** Puts the operator's configuration in force as its row changes. */
+internal class ConfigurationListener(
+    private val configuration: FollowedConfiguration,
+    private val eventLog: EventLog,
+    private val onAccepted: (ConfigurationSnapshot) -> Unit,
+) : RowListener {
+    private val contact = StoreContactLog("operator", eventLog)
+
+    override fun onAllRows(rows: List<StoreRow>) = onChangedRows(rows)
+
+    override fun onChangedRows(rows: List<StoreRow>) {
+        val value = rows.lastOrNull { it.key == CONFIGURATION_KEY }?.value ?: return
+        decodeConfiguration(value).fold(
+            { if (configuration.accept(it)) onAccepted(it) },
+            { eventLog.warn("configuration_unreadable", "error" to it, "in_force" to configuration.current().sequence) },
+        )
+    }
+
+    override fun onAnswered() = contact.onAnswered()
+
+    override fun onFailed(detail: String) = contact.onFailed(detail)
+}
+
+/** Keeps the dispatcher's backend servers by the entries in the store. */
+internal class ServerListener(
+    private val dispatcher: WorkDispatcher,
+    private val clock: Clock,
+    private val eventLog: EventLog,
+) : RowListener {
+    private val roster = ServerRoster()
+    private val contact = StoreContactLog("servers", eventLog)
+    private val unreadable = HashSet<String>()
+
+    /** Whether the entries have been read at least once. */
+    @Volatile
+    var hasList = false
+        private set
+
+    override fun onAllRows(rows: List<StoreRow>) {
+        roster.onStoreAnswered(clock.monotonicMs())
+        roster.onList(rows.mapNotNull { row -> row.value?.let { decode(row.key, it) } }, clock.monotonicMs())
+        hasList = true
+        publish()
+    }
+
+    override fun onChangedRows(rows: List<StoreRow>) {
+        roster.onStoreAnswered(clock.monotonicMs())
+        for (row in rows) {
+            val value = row.value
+            if (value == null) {
+                roster.onRemoved(BackendServerId(row.key), clock.monotonicMs())
+            } else {
+                decode(row.key, value)?.let(roster::onEntry)
+            }
+        }
+        publish()
+    }
+
+    override fun onAnswered() {
+        contact.onAnswered()
+        roster.onStoreAnswered(clock.monotonicMs())
+        if (roster.expireLapsed(clock.monotonicMs())) publish()
+    }
+
+    override fun onFailed(detail: String) {
+        contact.onFailed(detail)
+        roster.onStoreAway()
+    }
+
+    private fun decode(
+        id: String,
+        value: ByteArray,
+    ) = decodeServerEntry(id, value).fold(
+        { it },
+        {
+            if (unreadable.add(id)) eventLog.warn("server_entry_unreadable", "server" to id, "error" to it)
+            null
+        },
+    )
+
+    private var published = emptyMap<BackendServerId, Boolean>()
+
+    private fun publish() {
+        val servers = roster.servers
+        val states = servers.associate { it.backendServerId to it.leaving }
+        if (states != published) {
+            val added = states.keys - published.keys
+            val removed = published.keys - states.keys
+            val leaving = states.filter { (id, leaving) -> leaving && published[id] == false }.keys
+            eventLog.info(
+                "servers_changed",
+                "known" to states.size,
+                "added" to added.joinToString(",") { it.value },
+                "removed" to removed.joinToString(",") { it.value },
+                "leaving" to leaving.joinToString(",") { it.value },
+            )
+            published = states
+        }
+        dispatcher.onBackendServers(servers)
+    }
+}
+
+/** Logs when the store is lost and regained. */
+internal class StoreContactLog(
+    private val rows: String,
+    private val eventLog: EventLog,
+) {
+    private var isReachable: Boolean? = null
+
+    fun onAnswered() {
+        if (isReachable != true) eventLog.info("store_reachable", "rows" to rows)
+        isReachable = true
+    }
+
+    fun onFailed(detail: String) {
+        if (isReachable != false) eventLog.warn("store_unreachable", "rows" to rows, "detail" to detail)
+        isReachable = false
+    }
+}
+
+/** Writes the prepaid totals of the configuration into the budgets; every router does so, and the first one succeeds. */
+internal class BudgetLimits(
+    private val writer: BudgetLimitWriter,
+    private val maintenance: BudgetMaintenance,
+    private val eventLog: EventLog,
+) {
+    private val pending = Channel<ConfigurationSnapshot>(Channel.CONFLATED)
+    private var applied = emptyMap<BudgetId, Long>()
+
+    /** Whether the totals of some configuration are in the table. */
+    @Volatile
+    var isApplied = false
+        private set
+
+    fun onConfiguration(snapshot: ConfigurationSnapshot) {
+        pending.trySend(snapshot)
+    }
+
+    fun start(scope: CoroutineScope) {
+        scope.launch { for (snapshot in pending) apply(snapshot) }
+    }
+
+    private suspend fun apply(snapshot: ConfigurationSnapshot) {
+        val limits =
+            snapshot.teams.values
+                .mapNotNull { team -> team.prepaidTokens?.let { team.budgetId to it } }
+                .toMap()
+        val changed = limits.filter { (budgetId, tokens) -> applied[budgetId] != tokens }
+        for (batch in changed.entries.chunked(BATCH)) {
+            if (!applyBatch(batch.associate { it.key to it.value }, snapshot.sequence)) return
+        }
+        applied = limits
+        isApplied = true
+        if (changed.isNotEmpty()) {
+            maintenance.onLimitsChanged(changed.keys)
+            maintenance.prepare(changed.keys)
+        }
+    }
+
+    /** Tries until the table has decided; false when a newer configuration has come meanwhile. */
+    private suspend fun applyBatch(
+        batch: Map<BudgetId, Long>,
+        sequence: Long,
+    ): Boolean {
+        while (true) {
+            val change = writer.setLimits(batch, sequence)
+            eventLog.info("budget_limits", "version" to sequence, "budgets" to batch.size, "outcome" to change.javaClass.simpleName)
+            if (change is BudgetChange.Applied) return true
+            if (!pending.isEmpty) return false
+            delay(RETRY_MS)
+        }
+    }
+
+    private companion object {
+        // A transaction holds at most 100 entries, checks and writes together.
+        private const val BATCH = 30
+        private const val RETRY_MS = 300L
+    }
+}
--- /dev/null
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayMain.kt
@@ -0,0 +1,24 @@
+package org.lycheemount.app.router.gateway
+
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.runBlocking
+import org.lycheemount.app.router.fail
+import org.lycheemount.app.router.report
+import org.lycheemount.settings.loadGatewaySettings
+import java.nio.file.Path
+import kotlin.concurrent.thread
+
+/** Runs a gateway with the settings in [file] until the process is ended by a signal. */
+internal fun runGateway(file: Path) {
+    val settings = loadGatewaySettings(file).getOrElse { fail(report(it)) }
+    val process = GatewayProcess(settings)
+    process.start()
+    Runtime.getRuntime().addShutdownHook(
+        thread(start = false, name = "shutdown") {
+            runBlocking { process.stop() }
+            // A JVM that ends by a signal exits with 128 + its number; a finished drain is a success.
+            Runtime.getRuntime().halt(0)
+        },
+    )
+    Thread.currentThread().join()
+}
--- /dev/null
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
@@ -0,0 +1,60 @@
+package org.lycheemount.app.router.gateway
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.membership.MembershipListener
+import org.lycheemount.membership.MembershipService
+import org.lycheemount.membership.MembershipSettings
+import org.lycheemount.membership.TableVmDirectory
+import org.lycheemount.membership.awaitFleetSecret
+import org.lycheemount.peer.socket.DefaultPeerMessenger
+import org.lycheemount.peer.socket.PeerEndpoint
+import org.lycheemount.peer.socket.PeerLinkSettings
+import org.lycheemount.peer.socket.PeerSecret
+import org.lycheemount.platform.RouterVm
+import org.lycheemount.platform.TableService
+
+/** Links to the other routers, which this router finds by the rows that they keep in the table. */
+internal class GatewayPeers(
+    private val table: TableService,
+    private val self: RouterVm,
+    identity: RouterIdentity,
+    clock: Clock,
+    eventLog: EventLog,
+) : MembershipListener {
+    private lateinit var secret: PeerSecret
+
+    val messenger = DefaultPeerMessenger(identity, { secret }, eventLog, LINK_SETTINGS)
+    val directory = TableVmDirectory(table, self, identity.incarnation, eventLog)
+    private val membership = MembershipService(messenger, directory, clock, eventLog, this, MEMBERSHIP_SETTINGS)
+
+    /** Routers of the fleet, this one included. */
+    val routerCount: Int get() = maxOf(1, membership.routerCount())
+
+    /** Links up in [scope] as soon as the table has answered. */
+    fun start(scope: CoroutineScope) {
+        scope.launch {
+            secret = PeerSecret(awaitFleetSecret(table))
+            messenger.start(scope, self.host, self.peerPort)
+            membership.start(scope)
+        }
+    }
+
+    override fun onPeers(
+        known: List<RouterVm>,
+        neighbours: Set<RouterId>,
+    ) = messenger.setPeers(known.map { PeerEndpoint(it.routerId, it.vmId, it.host, it.peerPort) }, neighbours)
+
+    private companion object {
+        // A cut between VMs lasts seconds, and what it holds up is not to hold up more than that.
+        private val LINK_SETTINGS =
+            PeerLinkSettings(handshakeTimeoutMs = 1_500, keepAliveMs = 1_000, idleTimeoutMs = 3_000, maxRetryMs = 1_000)
+
+        // New routers are to share budgets and retries within seconds.
+        private val MEMBERSHIP_SETTINGS = MembershipSettings(heartbeatMs = 2_000, heardWithinMs = 7_000, vmListMs = 3_000)
+    }
+}
--- /dev/null
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -0,0 +1,185 @@
+package org.lycheemount.app.router.gateway
+
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.routing.get
+import io.ktor.server.routing.routing
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.lycheemount.backend.BackendHttp
+import org.lycheemount.backend.DefaultPassThroughClient
+import org.lycheemount.budget.BudgetOptions
+import org.lycheemount.budget.createBudgetLedgerModule
+import org.lycheemount.budget.createBudgetLimitWriter
+import org.lycheemount.caller.DrainState
+import org.lycheemount.caller.WorkDispatcher
+import org.lycheemount.caller.routed.RetryTerms
+import org.lycheemount.caller.routed.RoutedInterface
+import org.lycheemount.caller.routed.RoutedServices
+import org.lycheemount.common.DefaultClock
+import org.lycheemount.common.DefaultEventLog
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.config.FollowedConfiguration
+import org.lycheemount.platform.RouterVm
+import org.lycheemount.platform.adapter.PlatformRequestDialect
+import org.lycheemount.platform.adapter.StoreClient
+import org.lycheemount.platform.adapter.createOperatorFollower
+import org.lycheemount.platform.adapter.createRowTableService
+import org.lycheemount.platform.adapter.createServerFollower
+import org.lycheemount.platform.http.PlatformHttp
+import org.lycheemount.scheduling.InitialSpeeds
+import org.lycheemount.scheduling.createRequestScheduler
+import org.lycheemount.settings.GatewaySettings
+import java.util.UUID
+
+/** One router on the users' platform: creates the parts by [settings], connects them, starts them and ends them in order. */
+class GatewayProcess(
+    private val settings: GatewaySettings,
+) {
+    private val clock = DefaultClock()
+    private val eventLog = DefaultEventLog("gateway")
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val identity = settings.run { RouterIdentity(routerId, vmId, regionId, zoneId, incarnation = clock.wallClockMs()) }
+    private val platformHttp = PlatformHttp(STORE_TIMEOUT_MS)
+    private val store = StoreClient(platformHttp, settings.storeAddress)
+    private val table = createRowTableService(store)
+    private val peers = GatewayPeers(table, routerVm(), identity, clock, eventLog)
+    private val configuration = FollowedConfiguration(eventLog)
+    private val dispatcher =
+        WorkDispatcher(createRequestScheduler(settings.zoneId, seed = identity.incarnation, ENGINE_SPEEDS), clock)
+    private val budgets =
+        createBudgetLedgerModule(
+            table,
+            peers.directory,
+            peers.messenger,
+            clock,
+            eventLog,
+            BUDGET_OPTIONS,
+            routerCount = { peers.routerCount },
+        )
+    private val limits =
+        BudgetLimits(createBudgetLimitWriter(table) { "limits-${UUID.randomUUID()}" }, budgets.maintenance, eventLog)
+    private val configurationListener = ConfigurationListener(configuration, eventLog, limits::onConfiguration)
+    private val servers = ServerListener(dispatcher, clock, eventLog)
+    private val backendHttp = BackendHttp(connectTimeoutMs = CONNECT_TIMEOUT_MS)
+    private val drain = DrainState()
+    private val routed = RoutedInterface(routedServices())
+    private val callersServer =
+        embeddedServer(CIO, configure = { listenOn(settings.callersAddress) }) { routed.installInto(this) }
+    private val readinessServer =
+        embeddedServer(CIO, configure = { listenOn(settings.readinessAddress) }) {
+            routing { get("{...}") { routed.readiness(call) } }
+        }
+
+    /** Starts all parts; the readiness check succeeds once configuration, servers and budgets are known. */
+    fun start() {
+        dispatcher.start(scope)
+        limits.start(scope)
+        scope.launch { createOperatorFollower(store).follow(configurationListener) }
+        scope.launch { createServerFollower(store).follow(servers) }
+        peers.start(scope)
+        budgets.maintenance.start(scope)
+        callersServer.start(wait = false)
+        readinessServer.start(wait = false)
+        eventLog.info(
+            "router_started",
+            "router" to identity.routerId.value,
+            "callers" to settings.callersAddress,
+            "zone" to identity.zoneId.value,
+        )
+    }
+
+    /** Fails readiness, lets new connections go elsewhere, finishes requests in progress and ends all parts. */
+    suspend fun stop() {
+        val stoppedAtMs = clock.monotonicMs()
+        eventLog.info("drain_started", "requests_in_progress" to drain.requestsInProgress)
+        drain.announce()
+        delay(NOTICE_MS)
+        drain.begin()
+        val graceMs = (settings.drainGraceS * MS_PER_SECOND).toLong() - END_MARGIN_MS
+        withTimeoutOrNull(graceMs - (clock.monotonicMs() - stoppedAtMs)) { drain.awaitIdle() }
+        withTimeoutOrNull(BUDGET_DRAIN_MS) { budgets.maintenance.drain() }
+        eventLog.info("router_stopped", "router" to identity.routerId.value, "requests_cut" to drain.requestsInProgress)
+        scope.cancel()
+    }
+
+    private fun routerVm() =
+        settings.run {
+            val (host, port) = peersAddress.split(':')
+            RouterVm(vmId, routerId, regionId, zoneId, host, port.toInt())
+        }
+
+    private fun routedServices() =
+        RoutedServices(
+            identity = identity,
+            clock = clock,
+            configuration = configuration,
+            ledger = budgets.ledger,
+            replenisher = budgets.maintenance,
+            dispatcher = dispatcher,
+            client = DefaultPassThroughClient(backendHttp),
+            dialect = PlatformRequestDialect(),
+            eventLog = eventLog,
+            metricsRegistry = PrometheusRegistry(),
+            retryTerms = settings.retryBudget.run { RetryTerms(ratio, slack, (windowS * MS_PER_SECOND).toLong()) },
+            routerCount = { peers.routerCount },
+            notReadyReasons = ::notReadyReasons,
+            drain = drain,
+        )
+
+    private fun notReadyReasons(): List<String> =
+        listOfNotNull(
+            "no_configuration".takeIf { !configuration.isPresent },
+            "no_servers".takeIf { !servers.hasList },
+            "no_budgets".takeIf { !limits.isApplied },
+        )
+
+    private companion object {
+        // The store answers within 4 ms and may be 60 times slower; a call that takes longer is better sent anew.
+        private const val STORE_TIMEOUT_MS = 1_000L
+
+        // Servers are at most a few milliseconds away; a lost packet is sent again after a second.
+        private const val CONNECT_TIMEOUT_MS = 400L
+        private const val MS_PER_SECOND = 1_000.0
+
+        // The load balancer checks once a second and takes a router out after two misses.
+        private const val NOTICE_MS = 3_000L
+
+        // Leaves time to return the grants before the process is killed.
+        private const val END_MARGIN_MS = 900L
+        private const val BUDGET_DRAIN_MS = 600L
+
+        // Engines read 64 prompt tokens in a millisecond and make a token in 4 ms and more.
+        private val ENGINE_SPEEDS = InitialSpeeds(prefillMsPerToken = 0.03, decodeMsPerToken = 8.0, serviceMs = 25.0)
+
+        // Grants outlast cuts from the store and from the other routers, which take seconds. The ceiling bounds what is lost with a
+        // process that is killed: it holds while a process that is restarted at once reclaims the rest, which takes 3 s.
+        private val BUDGET_OPTIONS =
+            BudgetOptions(
+                expectedOutageMs = 8_000,
+                outageGraceMs = 5_000,
+                driftMarginMs = 500,
+                flushIntervalMs = 500,
+                tickIntervalMs = 100,
+                billsPerTransaction = 30,
+                rowsPerTransaction = 15,
+                retryDelayMs = 200,
+                retryDelayMaxMs = 500,
+                reservationsHeld = 1.0,
+                ceilingReservations = 1.0,
+                ceilingSpendFactor = 1.3,
+                excessReturnDelayMs = 2_000,
+                rateWindowMs = 5_000,
+                vmListIntervalMs = 60_000,
+                holdsEqualShare = true,
+                unavailableRetryMs = 50,
+            )
+    }
+}
--- /dev/null
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/Listeners.kt
@@ -0,0 +1,16 @@
+package org.lycheemount.app.router.gateway
+
+import io.ktor.server.cio.CIOApplicationEngine
+import io.ktor.server.engine.connector
+
+/** Listens on [address], an IP address and a port. */
+internal fun CIOApplicationEngine.Configuration.listenOn(address: String) {
+    connector {
+        host = address.substringBeforeLast(':')
+        port = address.substringAfterLast(':').toInt()
+    }
+    // Longer than callers keep idle connections, so that the router is not the one to close them.
+    connectionIdleTimeoutSeconds = IDLE_TIMEOUT_S
+}
+
+private const val IDLE_TIMEOUT_S = 60
--- a/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
@@ -39,11 +39,12 @@
  *
  * Links to neighbours stay open and are dialed again with jittered backoff; a call to any other known router dials on demand.
  *
+ * @param secret called for each handshake, so that it may be known only after this messenger has been created.
  * @param tls null sends plain text; frames are then authenticated only by the handshake.
  */
 class DefaultPeerMessenger(
     override val self: RouterIdentity,
-    private val secret: PeerSecret,
+    secret: () -> PeerSecret,
     private val log: EventLog,
     private val settings: PeerLinkSettings = PeerLinkSettings(),
     tls: ReloadingTlsContext? = null,
--- a/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/Handshake.kt
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/Handshake.kt
@@ -18,7 +18,7 @@
  */
 internal class Handshake(
     private val self: RouterIdentity,
-    private val secret: PeerSecret,
+    private val secret: () -> PeerSecret,
 ) {
     /** Runs the dialing side up to its own proof; the link is usable once [awaitReady] returns. */
     suspend fun dial(
@@ -79,7 +79,7 @@
         private val acceptorNonce: ByteArray,
     ) {
         fun sign(label: ByteArray): ByteArray =
-            secret.sign(listOf(label, dialerNonce, acceptorNonce, encodeIdentity(dialer), encodeIdentity(acceptor)))
+            secret().sign(listOf(label, dialerNonce, acceptorNonce, encodeIdentity(dialer), encodeIdentity(acceptor)))
     }
 
     private companion object {
--- a/connection/peer/src/test/kotlin/org/lycheemount/peer/socket/PeerFixtures.kt
+++ b/connection/peer/src/test/kotlin/org/lycheemount/peer/socket/PeerFixtures.kt
@@ -42,7 +42,7 @@
         secret: ByteArray = fleetSecret,
         tls: ReloadingTlsContext? = null,
     ): Pair<DefaultPeerMessenger, PeerEndpoint> {
-        val messenger = DefaultPeerMessenger(identity, PeerSecret(secret), DefaultEventLog("peer"), settings, tls)
+        val messenger = DefaultPeerMessenger(identity, { PeerSecret(secret) }, DefaultEventLog("peer"), settings, tls)
         messenger.register(echo) { _, payload -> payload }
         val port = messenger.start(scope, "127.0.0.1", 0)
         return messenger to PeerEndpoint(identity.routerId, identity.vmId, "127.0.0.1", port)
--- a/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformExchange.kt
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformExchange.kt
@@ -1,7 +1,7 @@
 package org.lycheemount.platform.http
 
 /** What became of one HTTP exchange with the platform. */
-internal sealed interface PlatformExchange {
+sealed interface PlatformExchange {
     /** A complete response arrived. */
     class Answered(
         val httpStatus: Int,
--- a/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
@@ -21,11 +21,15 @@
 import java.net.ConnectException
 import java.nio.channels.UnresolvedAddressException
 
-/** Sends requests to the platform without retries and tells certain failures from uncertain ones. */
-internal class PlatformHttp(
+/**
+ * Sends requests to the platform without retries and tells certain failures from uncertain ones.
+ *
+ * @param callTimeoutMs time for one call, unless the call has a time of its own.
+ */
+class PlatformHttp(
     private val callTimeoutMs: Long,
 ) : AutoCloseable {
-    val json = Json { ignoreUnknownKeys = true }
+    internal val json = Json { ignoreUnknownKeys = true }
 
     // Each request has its own connection: one that is kept open and closed by the platform meanwhile would turn a
     // certain failure into an uncertain one.
@@ -40,22 +44,24 @@
             }
         }
 
+    /** Sends one request and waits for the whole response for at most [timeoutMs]. */
     suspend fun exchange(
         httpMethod: HttpMethod,
         url: String,
         body: ByteArray? = null,
         bodyType: ContentType = ContentType.Application.Json,
+        timeoutMs: Long = callTimeoutMs,
     ): PlatformExchange =
         try {
-            withTimeoutOrNull(callTimeoutMs) { send(httpMethod, url, body, bodyType) }
-                ?: PlatformExchange.Lost("no response within $callTimeoutMs ms")
+            withTimeoutOrNull(timeoutMs) { send(httpMethod, url, body, bodyType) }
+                ?: PlatformExchange.Lost("no response within $timeoutMs ms")
         } catch (failure: Exception) {
             currentCoroutineContext().ensureActive()
             if (isConnectFailure(failure)) PlatformExchange.NotSent("cannot connect") else PlatformExchange.Lost("connection broken")
         }
 
     /** Decodes a response; [repeatable] requests have no effect, so that a lost response counts as unavailable. */
-    fun <T> toResult(
+    internal fun <T> toResult(
         exchange: PlatformExchange,
         repeatable: Boolean,
         decode: (PlatformExchange.Answered) -> T,
@@ -66,7 +72,7 @@
             is PlatformExchange.Answered -> decodeAnswer(exchange, repeatable, decode)
         }
 
-    fun <T> decodeJson(
+    internal fun <T> decodeJson(
         answer: PlatformExchange.Answered,
         deserializer: DeserializationStrategy<T>,
     ): T = json.decodeFromString(deserializer, answer.body.decodeToString())
--- a/measure/src/main/kotlin/org/lycheemount/measure/control/SocketFleet.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/control/SocketFleet.kt
@@ -110,7 +110,7 @@
     ) {
         private val identity =
             RouterIdentity(RouterId("router-$index"), VmId("vm-$index"), RegionId("region-0"), ZoneId("zone-${index % 4}"), incarnation = 1)
-        val messenger = DefaultPeerMessenger(identity, PeerSecret(SECRET.toByteArray()), DiscardingEventLog)
+        val messenger = DefaultPeerMessenger(identity, { PeerSecret(SECRET.toByteArray()) }, DiscardingEventLog)
         private val membership: MembershipService =
             MembershipService(
                 messenger,
--- /dev/null
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/TableVmDirectory.kt
@@ -0,0 +1,72 @@
+package org.lycheemount.membership
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.lycheemount.common.EventLog
+import org.lycheemount.platform.CommitOutcome
+import org.lycheemount.platform.RouterVm
+import org.lycheemount.platform.RowCheck
+import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.TableRow
+import org.lycheemount.platform.TableService
+import org.lycheemount.platform.TableTransaction
+import org.lycheemount.platform.VmDirectory
+import org.lycheemount.platform.VmList
+
+/**
+ * List of router VMs for platforms that keep none: each router writes a row when it starts.
+ *
+ * Rows are never removed, because nothing proves that a VM will not return, and an absent VM counts as gone for good. The list
+ * serves to find other routers and to count them; a VM that was replaced stays counted.
+ *
+ * @param incarnation of this process; makes the id of its transaction.
+ */
+class TableVmDirectory(
+    private val table: TableService,
+    private val self: RouterVm,
+    private val incarnation: Long,
+    private val eventLog: EventLog,
+) : VmDirectory {
+    private val key = "$PREFIX${self.vmId.value}"
+    private var isRegistered = false
+
+    override suspend fun list(): TableResult<VmList> {
+        if (!isRegistered) isRegistered = register()
+        return when (val rows = table.scan(PREFIX)) {
+            is TableResult.Answered ->
+                TableResult.Answered(
+                    VmList(rows.value.rows.mapNotNull(::decode), emptyList(), rows.value.tableTimeMs),
+                )
+            is TableResult.Unavailable -> rows
+            is TableResult.Unknown -> rows
+        }
+    }
+
+    private suspend fun register(): Boolean {
+        val current = table.read(listOf(key))
+        if (current !is TableResult.Answered) return false
+        val present = current.value.find(key)
+        if (present != null && decode(present) == self) return true
+        val transaction =
+            TableTransaction(
+                "vm-${self.vmId.value}-$incarnation-${present?.version ?: 0}",
+                listOf(RowCheck(key, present?.version ?: 0)),
+                listOf(RowWrite(key, Json.encodeToString(RouterVm.serializer(), self))),
+            )
+        val outcome = table.commit(transaction)
+        return outcome is TableResult.Answered && outcome.value is CommitOutcome.Committed
+    }
+
+    private fun decode(row: TableRow): RouterVm? =
+        try {
+            Json.decodeFromString(RouterVm.serializer(), row.value)
+        } catch (exception: SerializationException) {
+            eventLog.warn("router_row_unreadable", "key" to row.key, "error" to exception.message)
+            null
+        }
+
+    private companion object {
+        private const val PREFIX = "router-vm/"
+    }
+}
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/FieldRule.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/FieldRule.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.json.JsonNull
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.doubleOrNull
 import kotlinx.serialization.json.longOrNull
 import java.net.URI
 import java.net.URISyntaxException
@@ -24,6 +25,15 @@
         override fun accepts(value: JsonElement): Boolean = value is JsonPrimitive && !value.isString && value.longOrNull in range
     }
 
+    /** A number within [range]. */
+    class Decimal(
+        private val range: ClosedFloatingPointRange<Double>,
+        required: Boolean = false,
+    ) : FieldRule(required, "${range.start} to ${range.endInclusive}") {
+        override fun accepts(value: JsonElement): Boolean =
+            value is JsonPrimitive && !value.isString && value.doubleOrNull?.let { it in range } == true
+    }
+
     /** Text that matches [pattern]. */
     class Text(
         private val pattern: Regex,
--- /dev/null
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/GatewaySettings.kt
@@ -0,0 +1,84 @@
+package org.lycheemount.settings
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.decodeFromJsonElement
+import org.lycheemount.common.RegionId
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
+import java.nio.file.Path
+
+/**
+ * Settings of a router that passes requests through by the routes of an operator, read from a JSON file at start.
+ *
+ * @property callersAddress IP address and port of the callers' listener.
+ * @property readinessAddress IP address and port of the listener for readiness checks.
+ * @property peersAddress IP address and port of the listener for links between routers.
+ * @property storeAddress IP address and port of the platform's store.
+ * @property drainGraceS time between SIGTERM and the end of the process.
+ */
+@Serializable
+data class GatewaySettings(
+    val routerId: RouterId,
+    val vmId: VmId,
+    val regionId: RegionId,
+    val zoneId: ZoneId,
+    val callersAddress: String,
+    val readinessAddress: String,
+    val peersAddress: String,
+    val storeAddress: String,
+    val drainGraceS: Double,
+    val retryBudget: RetryBudgetSettings,
+)
+
+/**
+ * Retries that all routers together may send to a service.
+ *
+ * @property ratio share of the requests in a window.
+ * @property slack retries in a window beside that share.
+ */
+@Serializable
+data class RetryBudgetSettings(
+    val ratio: Double,
+    val slack: Double,
+    val windowS: Double,
+)
+
+/** Reads the settings in [file] and lists every fault that it finds. */
+fun loadGatewaySettings(file: Path): Result<GatewaySettings, List<SettingsFault>> =
+    parseGatewaySettings(readSettings(file).getOrElse { return Err(listOf(it)) })
+
+/** Parses and validates the settings of a gateway. */
+fun parseGatewaySettings(json: String): Result<GatewaySettings, List<SettingsFault>> {
+    val document = parseDocument(json).getOrElse { return Err(listOf(it)) }
+    val faults = findFaults(document, gatewaySettingsRules)
+    return if (faults.isEmpty()) Ok(Json.decodeFromJsonElement<GatewaySettings>(document)) else Err(faults)
+}
+
+private val address = FieldRule.Text(Regex("[0-9.]{7,15}:[0-9]{1,5}"), "an IPv4 address and a port, such as 10.0.0.1:8080")
+
+private val gatewaySettingsRules: Map<String, FieldRule> =
+    mapOf(
+        "routerId" to nameRule,
+        "vmId" to FieldRule.Text(Regex("[A-Za-z0-9_.-]{1,128}"), "1 to 128 letters, digits, -, . and _"),
+        "regionId" to nameRule,
+        "zoneId" to nameRule,
+        "callersAddress" to address,
+        "readinessAddress" to address,
+        "peersAddress" to address,
+        "storeAddress" to address,
+        "drainGraceS" to FieldRule.Decimal(0.0..3_600.0, required = true),
+        "retryBudget" to
+            FieldRule.Section(
+                mapOf(
+                    "ratio" to FieldRule.Decimal(0.0..1.0, required = true),
+                    "slack" to FieldRule.Decimal(0.0..1_000_000.0, required = true),
+                    "windowS" to FieldRule.Decimal(0.1..3_600.0, required = true),
+                ),
+            ),
+    )
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/SettingsLoader.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/SettingsLoader.kt
@@ -15,12 +15,7 @@
 
 /** Reads the settings in [file]; files that they name are looked up from its directory. Lists every fault that it finds. */
 fun loadRouterSettings(file: Path): Result<RouterSettings, List<SettingsFault>> {
-    val text =
-        try {
-            file.readText()
-        } catch (exception: IOException) {
-            return Err(listOf(SettingsFault("(file)", "unreadable: ${exception.message}", "a readable JSON file")))
-        }
+    val text = readSettings(file).getOrElse { return Err(listOf(it)) }
     val settings = parseRouterSettings(text).getOrElse { return Err(it) }
     val resolved = settings.resolveFiles(file.toAbsolutePath().parent)
     val faults = resolved.missingFiles()
@@ -29,26 +24,31 @@
 
 /** Parses and validates settings; the files that they name are not looked at. */
 fun parseRouterSettings(json: String): Result<RouterSettings, List<SettingsFault>> {
+    val document = parseDocument(json).getOrElse { return Err(listOf(it)) }
+    val faults = findFaults(document, routerSettingsRules)
+    return if (faults.isEmpty()) checkRelations(Json.decodeFromJsonElement<RouterSettings>(document)) else Err(faults)
+}
+
+internal fun readSettings(file: Path): Result<String, SettingsFault> =
+    try {
+        Ok(file.readText())
+    } catch (exception: IOException) {
+        Err(SettingsFault("(file)", "unreadable: ${exception.message}", "a readable JSON file"))
+    }
+
+internal fun parseDocument(json: String): Result<JsonObject, SettingsFault> {
     val document =
         try {
             Json.parseToJsonElement(json) as? JsonObject
         } catch (exception: SerializationException) {
-            return Err(
-                listOf(
-                    SettingsFault(
-                        "(document)",
-                        exception.message
-                            .orEmpty()
-                            .lineSequence()
-                            .first(),
-                        "a JSON object",
-                    ),
-                ),
-            )
+            val found =
+                exception.message
+                    .orEmpty()
+                    .lineSequence()
+                    .first()
+            return Err(SettingsFault("(document)", found, "a JSON object"))
         }
-    if (document == null) return Err(listOf(SettingsFault("(document)", "another JSON value", "a JSON object")))
-    val faults = findFaults(document, routerSettingsRules)
-    return if (faults.isEmpty()) checkRelations(Json.decodeFromJsonElement<RouterSettings>(document)) else Err(faults)
+    return document?.let(::Ok) ?: Err(SettingsFault("(document)", "another JSON value", "a JSON object"))
 }
 
 private fun checkRelations(settings: RouterSettings): Result<RouterSettings, List<SettingsFault>> {
@@ -91,7 +91,7 @@
         }
     }.filterNot { (_, file) -> Files.isReadable(Path.of(file)) }.map { (field, file) -> SettingsFault(field, file, "a readable file") }
 
-private val name = FieldRule.Text(Regex("[A-Za-z0-9_-]{1,64}"), "1 to 64 letters, digits, - and _")
+internal val nameRule = FieldRule.Text(Regex("[A-Za-z0-9_-]{1,64}"), "1 to 64 letters, digits, - and _")
 private val fileName = FieldRule.Text(Regex(".{1,4096}"), "the name of a readable file")
 
 private val listener =
@@ -109,10 +109,10 @@
 
 private val routerSettingsRules: Map<String, FieldRule> =
     mapOf(
-        "routerId" to name,
-        "vmId" to name,
-        "regionId" to name,
-        "zoneId" to name,
+        "routerId" to nameRule,
+        "vmId" to nameRule,
+        "regionId" to nameRule,
+        "zoneId" to nameRule,
         "callers" to listener,
         "admin" to listener,
         "peers" to listener,
@@ -153,7 +153,7 @@
         "adminKeys" to
             FieldRule.Sections(
                 mapOf(
-                    "name" to name,
+                    "name" to nameRule,
                     "role" to FieldRule.Text(Regex("read|team_admin|operator"), "read, team_admin or operator"),
                     "keySha256" to FieldRule.Text(Regex("[0-9a-f]{64}"), "lower-case hexadecimal SHA-256 of the key"),
                     "teamId" to FieldRule.Text(Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}"), "the id of a team", required = false),
