--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterMain.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterMain.kt
@@ -14,6 +14,8 @@
  * publish routes; without a file name it is taken from the environment.
  */
 fun main(arguments: Array<String>) {
+    // The engine's own hook would close the listeners at SIGTERM, while the drain still finishes requests.
+    System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
     if (arguments.firstOrNull() == GATEWAY) {
         val file =
             arguments.getOrNull(1) ?: System.getenv(SETTINGS_VARIABLE)
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/RecordedTraceTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/RecordedTraceTest.kt
@@ -80,6 +80,11 @@
             val status = fleet.status()
             fields["limitTokens"]?.let { assertEquals(it.jsonPrimitive.long, status.limitTokens, at) }
             fields["settledTokens"]?.let { assertEquals(it.jsonPrimitive.long, status.settledTokens, at) }
+            // The grant of a process that was restarted is reclaimed: what it may have used beyond its bills stays charged as well.
+            fields["settledTokensAtLeast"]?.let { assertTrue(status.settledTokens >= it.jsonPrimitive.long, at) }
+            fields["billedTokens"]?.let { billed ->
+                assertEquals(billed.jsonPrimitive.long, fleet.writtenBills().values.sumOf { it.charge.totalTokens }, at)
+            }
             fields["unallocatedTokens"]?.let { assertEquals(it.jsonPrimitive.long, status.unallocatedTokens, at) }
             fields["bill"]?.let { bill ->
                 val written = fleet.writtenBills().getValue(RequestId(bill.jsonPrimitive.content))
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/Attempts.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/Attempts.kt
@@ -65,9 +65,10 @@
         val outcome =
             try {
                 services.client.exchange(server, callFor(server, resumeAfter)) { answer -> handleOwn(server, answer, handle) }
+            } catch (failure: BrokenStreamException) {
+                throw failure
             } catch (failure: IOException) {
                 currentCoroutineContext().ensureActive()
-                if (failure is BrokenStreamException) throw failure
                 PassThroughOutcome.Failed(AttemptFailure.BROKEN_CONNECTION, failure.message.orEmpty())
             }
         val result =
--- /dev/null
+++ b/version/settings/src/test/kotlin/org/lycheemount/settings/GatewaySettingsTest.kt
@@ -0,0 +1,46 @@
+package org.lycheemount.settings
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+
+class GatewaySettingsTest {
+    private fun json(
+        callers: String = "10.1.0.40:8227",
+        ratio: String = "0.2",
+    ) = """
+        {"routerId": "frontend-fraser-1", "vmId": "frontend-fraser-1-10.1.0.40", "regionId": "bc-west", "zoneId": "fraser",
+         "callersAddress": "$callers", "readinessAddress": "10.1.0.40:8220", "peersAddress": "10.1.0.40:7340",
+         "storeAddress": "10.200.1.7:8223", "drainGraceS": 8, "retryBudget": {"ratio": $ratio, "slack": 54, "windowS": 10}}
+        """.trimIndent()
+
+    @Nested
+    inner class `settings as the platform renders them` {
+        @Test
+        fun `are accepted with whole and fractional numbers`() {
+            val settings = assertNotNull(parseGatewaySettings(json()).get())
+
+            assertEquals(8.0, settings.drainGraceS)
+            assertEquals(0.2, settings.retryBudget.ratio)
+        }
+    }
+
+    @Nested
+    inner class `settings with faults` {
+        @Test
+        fun `are refused with every fault by field and accepted range`() {
+            val faults = parseGatewaySettings(json(callers = "fraser", ratio = "7")).getError().orEmpty().associateBy { it.field }
+
+            assertEquals(setOf("callersAddress", "retryBudget.ratio"), faults.keys)
+            assertEquals("0.0 to 1.0", faults.getValue("retryBudget.ratio").accepted)
+        }
+
+        @Test
+        fun `are refused when they are no JSON, guarding against a template that was not rendered`() {
+            assertEquals(listOf("(document)"), parseGatewaySettings("{{node_name}}").getError()?.map { it.field })
+        }
+    }
+}
