Tell answers that broke off from complete ones, archive classes and warm up

Cause: tests with scripted servers found that Ktor's decoders end a body without an error when its connection closes early, so a cut order or stream would have looked complete; a stream that broke off was resumed at the server that had failed it; a broken connection of the caller counted as a failure of the server. The first requests of a JVM took twice as long as later ones, and all prompts of a class had the same home server, because they share their first block. Change: AnswerBody checks the framing itself; AnswerWriter tells the caller's connection apart; the home server follows the longest shared part of a prompt; ceilings are sized by typical instead of largest reservations; the build archives classes and a first start warms up before the router reports ready.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterMain.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterMain.kt
@@ -2,6 +2,7 @@
 
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.runBlocking
+import org.lycheemount.app.router.gateway.loadGatewayClasses
 import org.lycheemount.app.router.gateway.runGateway
 import org.lycheemount.settings.SettingsFault
 import org.lycheemount.settings.loadRouterSettings
@@ -16,6 +17,10 @@
 fun main(arguments: Array<String>) {
     // The engine's own hook would close the listeners at SIGTERM, while the drain still finishes requests.
     System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
+    if (arguments.firstOrNull() == CLASS_ARCHIVE) {
+        loadGatewayClasses()
+        exitProcess(0)
+    }
     if (arguments.firstOrNull() == GATEWAY) {
         val file =
             arguments.getOrNull(1) ?: System.getenv(SETTINGS_VARIABLE)
@@ -45,4 +50,7 @@
 }
 
 private const val GATEWAY = "gateway"
+
+// Used by the build only.
+private const val CLASS_ARCHIVE = "load-classes"
 private const val SETTINGS_VARIABLE = "LYCHEEMOUNT_NODE_FILE"
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -6,6 +6,7 @@
 import io.ktor.server.routing.get
 import io.ktor.server.routing.routing
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -73,6 +74,8 @@
     private val routed = RoutedInterface(routedServices())
     private val callersServer =
         embeddedServer(CIO, configure = { listenOn(settings.callersAddress) }) { routed.installInto(this) }
+    private val warmUp = GatewayWarmUp(identity, clock, budgets.ledger, budgets.maintenance)
+    private val warm = CompletableDeferred<Unit>()
     private val readinessServer =
         embeddedServer(CIO, configure = { listenOn(settings.readinessAddress) }) {
             routing { get("{...}") { routed.readiness(call) } }
@@ -88,6 +91,7 @@
         budgets.maintenance.start(scope)
         callersServer.start(wait = false)
         readinessServer.start(wait = false)
+        scope.launch { warmUp() }
         eventLog.info(
             "router_started",
             "router" to identity.routerId.value,
@@ -96,6 +100,16 @@
         )
     }
 
+    private suspend fun warmUp() {
+        val startedAtMs = clock.monotonicMs()
+        val answered = if (settings.isFirstStart) warmUp.run(WARM_UP_REQUESTS, WARM_UP_LIMIT_MS) else 0
+        eventLog.info("warmed_up", "requests" to answered, "elapsed_ms" to clock.monotonicMs() - startedAtMs)
+        warm.complete(Unit)
+    }
+
+    /** Waits for the end of the warm-up that [start] has begun. */
+    suspend fun awaitWarm() = warm.await()
+
     /** Fails readiness, lets new connections go elsewhere, finishes requests in progress and ends all parts. */
     suspend fun stop() {
         val stoppedAtMs = clock.monotonicMs()
@@ -138,6 +152,7 @@
         listOfNotNull(
             "no_configuration".takeIf { !configuration.isPresent },
             "no_servers".takeIf { !servers.hasList },
+            "warming_up".takeIf { !warm.isCompleted },
             "no_budgets".takeIf { !limits.isApplied },
         )
 
@@ -152,6 +167,10 @@
         // The load balancer checks once a second and takes a router out after two misses.
         private const val NOTICE_MS = 3_000L
 
+        // Most of the classes and compiled code of the request path are there after this many requests.
+        private const val WARM_UP_REQUESTS = 120
+        private const val WARM_UP_LIMIT_MS = 3_000L
+
         // Leaves time to return the grants before the process is killed.
         private const val END_MARGIN_MS = 900L
         private const val BUDGET_DRAIN_MS = 600L
@@ -173,7 +192,8 @@
                 retryDelayMs = 200,
                 retryDelayMaxMs = 500,
                 reservationsHeld = 1.0,
-                ceilingReservations = 1.0,
+                ceilingReservations = 1.5,
+                sizesByTypicalReservation = true,
                 ceilingSpendFactor = 1.3,
                 excessReturnDelayMs = 2_000,
                 rateWindowMs = 5_000,
--- /dev/null
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/AnswerBody.kt
@@ -0,0 +1,121 @@
+package org.lycheemount.backend
+
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.readAvailable
+import io.ktor.utils.io.readUTF8Line
+import java.io.EOFException
+import java.io.IOException
+
+/**
+ * Body of an answer, read by one coroutine.
+ *
+ * Ktor's decoders end a body without an error when its connection closes early, so that an answer that was cut would look complete.
+ */
+sealed class AnswerBody {
+    /** Whether the body has been read to its end. */
+    var isComplete: Boolean = false
+        protected set
+
+    /** Reads at least one byte into [bytes] and returns the number, or -1 at the end; an answer that breaks off throws [IOException]. */
+    suspend fun read(bytes: ByteArray): Int {
+        if (isComplete) return -1
+        val count = readMore(bytes)
+        if (count < 0) isComplete = true
+        return count
+    }
+
+    /** Reads to the end, but no more than [maxBytes] bytes. */
+    suspend fun readUpTo(maxBytes: Int): ByteArray {
+        var held = ByteArray(0)
+        val bytes = ByteArray(READ_BYTES)
+        while (held.size < maxBytes) {
+            val count = read(bytes)
+            if (count < 0) break
+            held += bytes.copyOf(count)
+        }
+        return held
+    }
+
+    internal abstract suspend fun readMore(bytes: ByteArray): Int
+
+    private companion object {
+        private const val READ_BYTES = 8_192
+    }
+}
+
+/** A body of no bytes. */
+internal class EmptyBody : AnswerBody() {
+    override suspend fun readMore(bytes: ByteArray): Int = -1
+}
+
+/** A body of a stated length. */
+internal class FixedLengthBody(
+    private val input: ByteReadChannel,
+    private var leftBytes: Long,
+) : AnswerBody() {
+    override suspend fun readMore(bytes: ByteArray): Int {
+        if (leftBytes == 0L) return -1
+        val count = readSome(input, bytes, leftBytes)
+        leftBytes -= count
+        return count
+    }
+}
+
+/** A body in chunks. */
+internal class ChunkedBody(
+    private val input: ByteReadChannel,
+) : AnswerBody() {
+    private var leftInChunkBytes = 0L
+
+    override suspend fun readMore(bytes: ByteArray): Int {
+        if (leftInChunkBytes == 0L) {
+            leftInChunkBytes = readChunkSize()
+            if (leftInChunkBytes == 0L) {
+                skipTrailers()
+                return -1
+            }
+        }
+        val count = readSome(input, bytes, leftInChunkBytes)
+        leftInChunkBytes -= count
+        if (leftInChunkBytes == 0L && readLine().isNotEmpty()) throw IOException("no line end after a chunk")
+        return count
+    }
+
+    private suspend fun readChunkSize(): Long {
+        val size = readLine().substringBefore(';').trim().toLongOrNull(HEXADECIMAL)
+        if (size == null || size < 0) throw IOException("no chunk size")
+        return size
+    }
+
+    private suspend fun skipTrailers() {
+        while (readLine().isNotEmpty()) Unit
+    }
+
+    private suspend fun readLine(): String = input.readUTF8Line(MAX_LINE_CHARS) ?: throw EOFException("the connection closed in a body")
+
+    private companion object {
+        private const val HEXADECIMAL = 16
+        private const val MAX_LINE_CHARS = 1_024
+    }
+}
+
+/** A body that ends with its connection; one whose connection is reset is not complete. */
+internal class UntilCloseBody(
+    private val input: ByteReadChannel,
+) : AnswerBody() {
+    override suspend fun readMore(bytes: ByteArray): Int {
+        val count = input.readAvailable(bytes)
+        if (count < 0) input.closedCause?.let { throw IOException("the connection broke in a body", it) }
+        return count
+    }
+}
+
+private suspend fun readSome(
+    input: ByteReadChannel,
+    bytes: ByteArray,
+    mostBytes: Long,
+): Int {
+    val count = input.readAvailable(bytes, 0, minOf(bytes.size.toLong(), mostBytes).toInt())
+    if (count < 0) throw EOFException("the connection closed in a body")
+    return count
+}
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -10,7 +10,6 @@
 import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.availableForRead
-import io.ktor.utils.io.copyTo
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writer
 import kotlinx.coroutines.CoroutineScope
@@ -129,8 +128,16 @@
         response: Response,
     ): ByteReadChannel = scope.writer(Dispatchers.Unconfined) { parseHttpBody(response.headers, input, channel) }.channel
 
-    /** The bytes up to the end of the connection, in [scope]. */
-    fun bodyUntilClose(scope: CoroutineScope): ByteReadChannel = scope.writer(Dispatchers.Unconfined) { input.copyTo(channel) }.channel
+    /** The body of an answer of [lengthBytes], in chunks, or up to the end of the connection when neither is stated. */
+    fun answerBody(
+        lengthBytes: Long?,
+        isChunked: Boolean,
+    ): AnswerBody =
+        when {
+            isChunked -> ChunkedBody(input)
+            lengthBytes != null -> FixedLengthBody(input, lengthBytes)
+            else -> UntilCloseBody(input)
+        }
 
     override fun close() = socket.close()
 }
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultPassThroughClient.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultPassThroughClient.kt
@@ -1,10 +1,6 @@
 package org.lycheemount.backend
 
 import io.ktor.http.cio.Response
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.discard
-import kotlinx.coroutines.cancelChildren
-import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeoutOrNull
@@ -35,15 +31,10 @@
                     is HeadOutcome.Failed -> return PassThroughOutcome.Failed(AttemptFailure.BROKEN_CONNECTION, sent.detail)
                     is HeadOutcome.Received -> sent
                 }
-            return coroutineScope {
-                val body = bodyOf(connection, head, call)
-                val result = handle(PassThroughAnswer(head.answer, body, connection::close))
-                val complete = body.isClosedForRead && body.closedCause == null
-                if (complete && head.isKept && !connection.hasSurplus) keepMs = head.idleMs
-                // The decoder of an answer that has not ended would wait for its bytes for ever.
-                coroutineContext.cancelChildren()
-                PassThroughOutcome.Handled(result)
-            }
+            val body = bodyOf(connection, head, call)
+            val result = handle(PassThroughAnswer(head.answer, body, connection::close))
+            if (body.isComplete && head.isKept && !connection.hasSurplus) keepMs = head.idleMs
+            return PassThroughOutcome.Handled(result)
         } finally {
             keepMs?.let { connections.keep(server, connection, it) } ?: connection.close()
         }
@@ -83,8 +74,9 @@
         call: PassThroughCall,
     ): Boolean {
         if (!head.isKept) return false
-        coroutineScope { bodyOf(connection, head, call).discard() }
-        return true
+        val body = bodyOf(connection, head, call)
+        body.readUpTo(MAX_SKIPPED_BYTES)
+        return body.isComplete
     }
 
     private fun received(response: Response): HeadOutcome.Received {
@@ -93,19 +85,18 @@
             all += response.headers.nameAtOffset(it).toString() to response.headers.valueAtOffset(it).toString()
         }
         val answer = AnswerHead(response.status, all.filterNot { it.first.lowercase() in HOP_BY_HOP_HEADERS })
-        return HeadOutcome.Received(response, answer, AnswerHead(response.status, all))
+        response.release()
+        return HeadOutcome.Received(answer, AnswerHead(answer.httpStatus, all))
     }
 
-    private fun kotlinx.coroutines.CoroutineScope.bodyOf(
+    private fun bodyOf(
         connection: BackendConnection,
         head: HeadOutcome.Received,
         call: PassThroughCall,
-    ): ByteReadChannel =
-        when {
-            call.method == "HEAD" || head.answer.httpStatus in STATUSES_WITHOUT_BODY -> ByteReadChannel.Empty
-            head.isFramed -> connection.body(this, head.response)
-            else -> connection.bodyUntilClose(this)
-        }
+    ): AnswerBody {
+        if (call.method == "HEAD" || head.answer.httpStatus in STATUSES_WITHOUT_BODY) return EmptyBody()
+        return connection.answerBody(head.lengthBytes, head.isChunked)
+    }
 
     private fun encodeHead(
         server: BackendServer,
@@ -121,11 +112,17 @@
 
     private sealed interface HeadOutcome {
         class Received(
-            val response: Response,
             val answer: AnswerHead,
             private val all: AnswerHead,
         ) : HeadOutcome {
-            val isFramed: Boolean = all.header("content-length") != null || all.header("transfer-encoding") != null
+            val lengthBytes: Long? =
+                all
+                    .header("content-length")
+                    ?.trim()
+                    ?.toLongOrNull()
+                    ?.takeIf { it >= 0 }
+            val isChunked: Boolean = all.header("transfer-encoding")?.contains("chunked", ignoreCase = true) == true
+            private val isFramed get() = isChunked || lengthBytes != null
             val isKept: Boolean =
                 (isFramed || answer.httpStatus in STATUSES_WITHOUT_BODY) &&
                     all.header("connection")?.contains("close", ignoreCase = true) != true
@@ -151,6 +148,7 @@
 
     private companion object {
         private const val MAX_FOREIGN_ANSWERS = 3
+        private const val MAX_SKIPPED_BYTES = 262_144
 
         // An answer that belongs to no request is complete already; longer waits would only hold up the own one.
         private const val SKIP_TIMEOUT_MS = 100L
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/PassThroughClient.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/PassThroughClient.kt
@@ -1,8 +1,5 @@
 package org.lycheemount.backend
 
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.availableForRead
-import io.ktor.utils.io.discard
 import org.lycheemount.common.BackendServer
 
 /**
@@ -29,24 +26,14 @@
     fun header(name: String): String? = headers.firstOrNull { it.first.equals(name, ignoreCase = true) }?.second
 }
 
-/**
- * An answer whose head has come.
- *
- * @property body ends when the answer is complete; reading throws when it breaks off before.
- */
+/** An answer whose head has come; its body is still to be read. */
 class PassThroughAnswer(
     val head: AnswerHead,
-    val body: ByteReadChannel,
+    val body: AnswerBody,
     private val closeConnection: () -> Unit = {},
 ) {
     /** Ends the answer by closing its connection, which makes the server drop the request. */
     fun abandon() = closeConnection()
-
-    /** Reads up to [maxBytes] of a body that nobody wants, so that the connection can be kept. */
-    suspend fun discard(maxBytes: Long) {
-        body.discard(maxBytes)
-        if (body.availableForRead == 0) body.awaitContent()
-    }
 }
 
 /** Outcome of passing a request through to one server. */
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetOptions.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetOptions.kt
@@ -25,6 +25,8 @@
  * @property ceilingSpendFactor room of a ceiling above the present use, as a multiple of the spend of [outageGraceMs].
  * @property holdsEqualShare whether a grant aims at no less than this router's equal share of what is unallocated, so that an outage
  *   finds most of a budget in the hands of routers also before they have measured their spend.
+ * @property sizesByTypicalReservation whether ceilings have room for reservations of typical rather than of the largest size; the
+ *   rare large one then waits for the table, or is refused during an outage, and less is charged when a router dies.
  * @property unavailableRetryMs delay after which callers that were refused for want of tokens here may return.
  */
 data class BudgetOptions(
@@ -49,6 +51,7 @@
     val rateWindowMs: Long = 60_000,
     val ceilingSpendFactor: Double = 2.0,
     val holdsEqualShare: Boolean = false,
+    val sizesByTypicalReservation: Boolean = false,
     val unavailableRetryMs: Long = 1_000,
 ) {
     init {
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
@@ -62,7 +62,8 @@
     options: BudgetOptions,
 ): Long {
     val spend = ceil(meter.ratePerMs * options.outageGraceMs * options.ceilingSpendFactor).toLong()
-    return spend + reservedTokens + (meter.largestReservation * options.ceilingReservations).toLong()
+    val reservation = if (options.sizesByTypicalReservation) meter.typicalReservation else meter.largestReservation
+    return spend + reservedTokens + (reservation * options.ceilingReservations).toLong()
 }
 
 /** Size of a reservation: the worst case while tokens are plentiful, otherwise a first step of about twice the usual use. */
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/SpendMeter.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/SpendMeter.kt
@@ -20,6 +20,11 @@
     var useShare = 1.0
         private set
 
+    /** Size of the reservations that hold most of the tokens: their mean, weighted by size. */
+    val typicalReservation: Long get() = if (reservedTokens <= 0) largestReservation else (reservedSquares / reservedTokens).toLong()
+    private var reservedTokens = 0.0
+    private var reservedSquares = 0.0
+
     /** Largest reservation seen lately. */
     var largestReservation = 0L
         private set
@@ -37,6 +42,8 @@
         nowMs: Long,
     ) {
         largestReservation = max(largestReservation, tokens)
+        reservedTokens += RESERVATION_WEIGHT * (tokens - reservedTokens)
+        reservedSquares += RESERVATION_WEIGHT * (tokens.toDouble() * tokens - reservedSquares)
         lastUseAtMs = max(lastUseAtMs, nowMs)
     }
 
@@ -65,5 +72,6 @@
         private const val DEFAULT_WINDOW_MS = 60_000L
         private const val SLOW_WINDOWS = 10
         private const val USE_SHARE_WEIGHT = 0.05
+        private const val RESERVATION_WEIGHT = 0.05
     }
 }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AnswerWriter.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AnswerWriter.kt
@@ -12,6 +12,7 @@
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.writeFully
 import org.lycheemount.backend.AnswerHead
+import java.io.IOException
 
 /** Writes the answer to one request. */
 internal class AnswerWriter(
@@ -43,7 +44,14 @@
         write: suspend (ByteWriteChannel) -> Unit,
     ) {
         isCommitted = true
-        call.respond(PassedThrough(head, length, write))
+        try {
+            call.respond(PassedThrough(head, length, write))
+        } catch (failure: BrokenStreamException) {
+            throw failure
+        } catch (failure: IOException) {
+            // Not a failure of the server, so nothing is to be sent again.
+            throw BrokenStreamException("the caller's connection broke: ${failure.message}")
+        }
     }
 
     private class PassedThrough(
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/Attempts.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/Attempts.kt
@@ -102,14 +102,15 @@
         terms.load?.let { services.dispatcher.onLoadReport(it) }
         if (!terms.isOwn) return AttemptOutcome.Failed(AttemptFailure.BROKEN_CONNECTION)
         terms.notRun?.let {
-            answer.discard(MAX_REFUSAL_BODY_BYTES)
+            answer.body.readUpTo(MAX_REFUSAL_BODY_BYTES)
             return AttemptOutcome.Failed(it)
         }
         mayHaveRun = true
         return handle(answer)
     }
 
-    private fun onFailed(
+    /** Notes that the attempt at [server] has failed. */
+    fun onFailed(
         server: BackendServer,
         failure: AttemptFailure,
     ) {
@@ -154,10 +155,11 @@
             deadlineAtMs = request.expiresAtMs,
             queueShare = request.entry.team.limits.queueShare,
             excludedServers = excluded.toSet(),
+            homeHash = request.homeHash,
         )
 
     private companion object {
-        private const val MAX_REFUSAL_BODY_BYTES = 65_536L
+        private const val MAX_REFUSAL_BODY_BYTES = 65_536
 
         // Servers that are full or gone are found out quickly; more of them in a row means that none will take the request.
         private const val MAX_UNCOUNTED_ATTEMPTS = 2
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
@@ -2,19 +2,17 @@
 
 import com.github.michaelbull.result.getOrElse
 import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.readAvailable
-import io.ktor.utils.io.readRemaining
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeout
-import kotlinx.io.readByteArray
 import org.lycheemount.backend.AnswerHead
 import org.lycheemount.backend.AttemptFailure
 import org.lycheemount.backend.PassThroughAnswer
 import org.lycheemount.budget.Charge
 import org.lycheemount.caller.Reserver
+import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.RefusalReason
@@ -84,7 +82,7 @@
                     is AttemptPermit.Granted -> permit.server
                     is AttemptPermit.Refused -> return ended(permit.refusal)
                 }
-            when (val outcome = attempts.send(server, resumeAfter = null, ::onAnswer)) {
+            when (val outcome = attempts.send(server, resumeAfter = null) { onAnswer(server, it) }) {
                 is AttemptOutcome.Ended -> return outcome.end
                 is AttemptOutcome.Failed -> if (!attempts.mayTryAgain(outcome.failure)) return ended(refusalFor(outcome.failure))
                 is AttemptOutcome.Repeated -> Unit
@@ -104,14 +102,18 @@
         return RoutedEnd.Answered(failed.head.httpStatus)
     }
 
-    private suspend fun onAnswer(answer: PassThroughAnswer): AttemptOutcome =
-        if (request.route.kind == RouteKind.STREAMING && StreamRelay.isEventStream(answer)) relay.pass(answer) else passWhole(answer)
+    private suspend fun onAnswer(
+        server: BackendServer,
+        answer: PassThroughAnswer,
+    ): AttemptOutcome {
+        val isStream = request.route.kind == RouteKind.STREAMING && StreamRelay.isEventStream(answer)
+        return if (isStream) relay.pass(server, answer) else passWhole(answer)
+    }
 
     /** Passes on an answer only when all of it has come, so that one that breaks off can still be repeated or reported. */
     private suspend fun passWhole(answer: PassThroughAnswer): AttemptOutcome {
-        val body = answer.body.readRemaining(MAX_HELD_BODY_BYTES).readByteArray()
-        answer.body.closedCause?.let { throw IOException(it) }
-        val isComplete = answer.body.isClosedForRead
+        val body = answer.body.readUpTo(MAX_HELD_BODY_BYTES)
+        val isComplete = answer.body.isComplete
         onFirstAnswer()
         if (isComplete && answer.head.httpStatus >= SERVER_ERROR_STATUS && attempts.mayTryAgain(AttemptFailure.SERVER_ERROR)) {
             failedAnswer = HeldAnswer(answer.head, body)
@@ -135,11 +137,15 @@
     ) {
         val bytes = ByteArray(READ_BYTES)
         while (true) {
-            val count = answer.body.readAvailable(bytes)
+            val count =
+                try {
+                    answer.body.read(bytes)
+                } catch (failure: IOException) {
+                    throw BrokenStreamException("the answer broke off: ${failure.message}")
+                }
             if (count < 0) break
             channel.writeFully(bytes, 0, count)
         }
-        answer.body.closedCause?.let { throw BrokenStreamException(it.message.orEmpty()) }
     }
 
     private fun onFirstAnswer() {
@@ -168,7 +174,7 @@
         private const val READ_BYTES = 8_192
 
         /** Bodies up to this size are held until they are complete; larger ones would take too much memory. */
-        private const val MAX_HELD_BODY_BYTES = 262_144L
+        private const val MAX_HELD_BODY_BYTES = 262_144
 
         // A table that is up grants within two round trips; waiting longer would only delay the refusal.
         private const val MAX_GRANT_WAIT_MS = 400L
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequest.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequest.kt
@@ -48,6 +48,15 @@
     val isPrepaid: Boolean get() = entry.team.prepaidTokens != null
 
     val prefixHashes: List<Long> = prefixHashes(terms.promptParts)
+
+    /** Names the backend server at which requests with the same shared parts meet. */
+    val homeHash: Long? = homeHash(terms.promptParts)
+}
+
+/** Hash of the longest part of a prompt that other requests share: its last part belongs to the request or its session alone. */
+internal fun homeHash(parts: List<PromptPart>): Long? {
+    if (parts.isEmpty()) return null
+    return parts.dropLast(1).ifEmpty { parts }.fold(HASH_SEED) { chain, part -> mix(chain xor part.id) }
 }
 
 /** Chained hashes of a prompt's blocks of [PREFIX_BLOCK_TOKENS]; a block that two parts share belongs to the later one. */
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
@@ -1,12 +1,12 @@
 package org.lycheemount.caller.routed
 
 import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import org.lycheemount.backend.AttemptFailure
 import org.lycheemount.backend.PassThroughAnswer
+import org.lycheemount.common.BackendServer
 import org.lycheemount.scheduling.ServiceEvent
 import org.lycheemount.stream.AttemptPermit
 import java.io.IOException
@@ -35,13 +35,16 @@
         }
 
     /** The head is sent with the first whole event: a stream that ends before it can still be sent to another server. */
-    suspend fun pass(answer: PassThroughAnswer): AttemptOutcome {
+    suspend fun pass(
+        server: BackendServer,
+        answer: PassThroughAnswer,
+    ): AttemptOutcome {
         val first = readEvents(answer) ?: return AttemptOutcome.Failed(AttemptFailure.BROKEN_CONNECTION)
         onFirstAnswer()
         var end: RoutedEnd = RoutedEnd.BrokenOff("the caller's connection broke")
         writer.streamed(answer.head) { channel ->
             channel.write(first)
-            end = if (passEvents(answer, channel)) ended(answer) else goOn(answer, channel)
+            end = if (passEvents(answer, channel)) ended(answer) else goOn(server, answer, channel)
             (end as? RoutedEnd.BrokenOff)?.let { throw BrokenStreamException(it.reason) }
         }
         return AttemptOutcome.Ended(end)
@@ -49,12 +52,13 @@
 
     /** Goes on at other servers after the stream has broken off. */
     private suspend fun goOn(
+        lastServer: BackendServer,
         broken: PassThroughAnswer,
         channel: ByteWriteChannel,
     ): RoutedEnd {
         // The connection's end makes the server drop the run before another one begins.
         broken.abandon()
-        services.dispatcher.onFailure(request.requestId, AttemptFailure.BROKEN_CONNECTION)
+        attempts.onFailed(lastServer, AttemptFailure.BROKEN_CONNECTION)
         var failure = AttemptFailure.BROKEN_CONNECTION
         while (attempts.mayTryAgain(failure)) {
             val server =
@@ -98,7 +102,7 @@
         channel: ByteWriteChannel,
     ): Boolean {
         while (true) channel.write(readEvents(answer) ?: break)
-        return answer.body.closedCause == null && events.pendingBytes == 0
+        return answer.body.isComplete && events.pendingBytes == 0
     }
 
     /** Waits for whole events; null at the end of the answer. */
@@ -107,7 +111,7 @@
         while (true) {
             val count =
                 try {
-                    answer.body.readAvailable(bytes)
+                    answer.body.read(bytes)
                 } catch (failure: IOException) {
                     currentCoroutineContext().ensureActive()
                     return null
--- /dev/null
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RawServer.kt
@@ -0,0 +1,107 @@
+package org.lycheemount.caller.routed
+
+import org.lycheemount.common.BackendServer
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.BackendTarget
+import org.lycheemount.common.ModelId
+import org.lycheemount.common.ServiceId
+import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
+import java.io.BufferedReader
+import java.io.InputStream
+import java.io.OutputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.LinkedBlockingQueue
+import kotlin.concurrent.thread
+
+/** A backend server that answers each request with the next of its scripted answers, byte for byte. */
+internal class RawServer(
+    private val id: String,
+) : AutoCloseable {
+    private val listener = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    private val script = LinkedBlockingQueue<Connection.() -> Unit>()
+
+    /** Heads of the requests that came, in order. */
+    val requests = CopyOnWriteArrayList<String>()
+
+    /** Gets an element when a caller has closed its connection before the scripted answer ended. */
+    val abandoned = LinkedBlockingQueue<Unit>()
+
+    init {
+        thread(isDaemon = true) {
+            while (!listener.isClosed) {
+                val socket = runCatching { listener.accept() }.getOrNull() ?: break
+                thread(isDaemon = true) { serve(socket) }
+            }
+        }
+    }
+
+    fun describe() =
+        BackendServer(
+            BackendServerId(id),
+            VmId(id),
+            ZoneId("z1"),
+            "127.0.0.1",
+            listener.localPort,
+            setOf(BackendTarget.Service(ServiceId("s1")), BackendTarget.Model(ModelId("s1"))),
+        )
+
+    /** Answers the next request with [answer]; the connection is closed afterwards unless it says otherwise. */
+    fun answer(answer: Connection.() -> Unit) = script.add(answer)
+
+    private fun serve(socket: Socket) =
+        socket.use {
+            val connection = Connection(socket, abandoned)
+            while (true) {
+                requests += connection.readHead() ?: return
+                script.take().invoke(connection)
+                if (!connection.isKept) return
+            }
+        }
+
+    override fun close() = listener.close()
+
+    internal class Connection(
+        private val socket: Socket,
+        private val abandoned: LinkedBlockingQueue<Unit>,
+    ) {
+        private val input: InputStream = socket.getInputStream()
+        private val output: OutputStream = socket.getOutputStream()
+        private val reader: BufferedReader = input.bufferedReader()
+
+        /** Whether further requests are read from the connection. */
+        var isKept = false
+
+        fun readHead(): String? {
+            val lines = generateSequence { runCatching { reader.readLine() }.getOrNull() }.takeWhile { it.isNotEmpty() }.toList()
+            return lines.joinToString("\n").ifEmpty { null }
+        }
+
+        fun write(text: String) {
+            output.write(text.encodeToByteArray())
+            output.flush()
+        }
+
+        fun head(
+            status: String,
+            vararg headers: String,
+        ) = write((listOf("HTTP/1.1 $status") + headers).joinToString("\r\n", postfix = "\r\n\r\n"))
+
+        fun chunk(text: String) = write("${text.length.toString(16)}\r\n$text\r\n")
+
+        fun event(id: Int) = chunk("id: $id\ndata: e$id\n\n")
+
+        fun startStream() = head("200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked", "X-Id: r")
+
+        fun endStream() = write("0\r\n\r\n")
+
+        /** Waits until the caller closes the connection. */
+        fun awaitClose() {
+            runCatching { input.read() }
+            abandoned.add(Unit)
+        }
+    }
+}
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/HomeServers.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/HomeServers.kt
@@ -23,7 +23,7 @@
         item: WorkItem,
         delayTolerant: Boolean,
     ): BackendServerId? {
-        val root = item.prefixHashes.firstOrNull() ?: return null
+        val root = item.homeHash ?: item.prefixHashes.firstOrNull() ?: return null
         val homes =
             when {
                 delayTolerantCount == 0 -> ordered
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/FieldRule.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/FieldRule.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.json.JsonNull
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
 import kotlinx.serialization.json.doubleOrNull
 import kotlinx.serialization.json.longOrNull
 import java.net.URI
@@ -34,6 +35,13 @@
             value is JsonPrimitive && !value.isString && value.doubleOrNull?.let { it in range } == true
     }
 
+    /** True or false. */
+    class Flag(
+        required: Boolean = false,
+    ) : FieldRule(required, "true or false") {
+        override fun accepts(value: JsonElement): Boolean = value is JsonPrimitive && !value.isString && value.booleanOrNull != null
+    }
+
     /** Text that matches [pattern]. */
     class Text(
         private val pattern: Regex,
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/GatewaySettings.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/GatewaySettings.kt
@@ -20,6 +20,7 @@
  * @property readinessAddress IP address and port of the listener for readiness checks.
  * @property peersAddress IP address and port of the listener for links between routers.
  * @property storeAddress IP address and port of the platform's store.
+ * @property isFirstStart whether the whole fleet starts for the first time; a restarted router skips its warm-up, to be back sooner.
  * @property drainGraceS time between SIGTERM and the end of the process.
  */
 @Serializable
@@ -33,6 +34,7 @@
     val peersAddress: String,
     val storeAddress: String,
     val drainGraceS: Double,
+    val isFirstStart: Boolean = false,
     val retryBudget: RetryBudgetSettings,
 )
 
@@ -72,6 +74,7 @@
         "readinessAddress" to address,
         "peersAddress" to address,
         "storeAddress" to address,
+        "isFirstStart" to FieldRule.Flag(),
         "drainGraceS" to FieldRule.Decimal(0.0..3_600.0, required = true),
         "retryBudget" to
             FieldRule.Section(
