Refuse for want of tokens within a tenth of the target, and confirm unknown routes and keys

A router behind in the configuration said 401 or 404 for a new key or route. A restarted process reclaimed only if its first contact came within the grace, which had to be 5 s. Change: the wait is a tenth of the route's target; unknown routes and keys are looked up again, at most five times a second, and answered 503 when that fails; the reclaim counts from the start of the process, and the grace is 3.2 s.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControl.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControl.kt
@@ -15,6 +15,7 @@
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
 import org.lycheemount.config.ConfigurationSnapshot
+import org.lycheemount.config.ConfigurationView
 import org.lycheemount.config.FollowedConfiguration
 import org.lycheemount.platform.RowListener
 import org.lycheemount.platform.StoreRow
@@ -26,7 +27,7 @@
 internal class ConfigurationListener(
     private val configuration: FollowedConfiguration,
     private val eventLog: EventLog,
-    private val onAccepted: (ConfigurationSnapshot) -> Unit,
+    private val onAccepted: () -> Unit,
 ) : RowListener {
     private val contact = StoreContactLog("operator", eventLog)
 
@@ -35,7 +36,7 @@
     override fun onChangedRows(rows: List<StoreRow>) {
         val value = rows.lastOrNull { it.key == CONFIGURATION_KEY }?.value ?: return
         decodeConfiguration(value).fold(
-            { if (configuration.accept(it)) onAccepted(it) },
+            { if (configuration.accept(it)) onAccepted() },
             { eventLog.warn("configuration_unreadable", "error" to it, "in_force" to configuration.current().sequence) },
         )
     }
@@ -146,9 +147,10 @@
 internal class BudgetLimits(
     private val writer: BudgetLimitWriter,
     private val maintenance: BudgetMaintenance,
+    private val configuration: ConfigurationView,
     private val eventLog: EventLog,
 ) {
-    private val pending = Channel<ConfigurationSnapshot>(Channel.CONFLATED)
+    private val changed = Channel<Unit>(Channel.CONFLATED)
     private var applied = emptyMap<BudgetId, Long>()
 
     /** Whether the totals of some configuration are in the table. */
@@ -156,12 +158,13 @@
     var isApplied = false
         private set
 
-    fun onConfiguration(snapshot: ConfigurationSnapshot) {
-        pending.trySend(snapshot)
+    /** A newer configuration is in force. */
+    fun onConfiguration() {
+        changed.trySend(Unit)
     }
 
     fun start(scope: CoroutineScope) {
-        scope.launch { for (snapshot in pending) apply(snapshot) }
+        scope.launch { for (change in changed) apply(configuration.current()) }
     }
 
     private suspend fun apply(snapshot: ConfigurationSnapshot) {
@@ -169,15 +172,15 @@
             snapshot.teams.values
                 .mapNotNull { team -> team.prepaidTokens?.let { team.budgetId to it } }
                 .toMap()
-        val changed = limits.filter { (budgetId, tokens) -> applied[budgetId] != tokens }
-        for (batch in changed.entries.chunked(BATCH)) {
+        val differing = limits.filter { (budgetId, tokens) -> applied[budgetId] != tokens }
+        for (batch in differing.entries.chunked(BATCH)) {
             if (!applyBatch(batch.associate { it.key to it.value }, snapshot.sequence)) return
         }
         applied = limits
         isApplied = true
-        if (changed.isNotEmpty()) {
-            maintenance.onLimitsChanged(changed.keys)
-            maintenance.prepare(changed.keys)
+        if (differing.isNotEmpty()) {
+            maintenance.onLimitsChanged(differing.keys)
+            maintenance.prepare(differing.keys)
         }
     }
 
@@ -190,7 +193,7 @@
             val change = writer.setLimits(batch, sequence)
             eventLog.info("budget_limits", "version" to sequence, "budgets" to batch.size, "outcome" to change.javaClass.simpleName)
             if (change is BudgetChange.Applied) return true
-            if (!pending.isEmpty) return false
+            if (!changed.isEmpty) return false
             delay(RETRY_MS)
         }
     }
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -66,8 +66,10 @@
             routerCount = { peers.routerCount },
         )
     private val limits =
-        BudgetLimits(createBudgetLimitWriter(table) { "limits-${UUID.randomUUID()}" }, budgets.maintenance, eventLog)
+        BudgetLimits(createBudgetLimitWriter(table) { "limits-${UUID.randomUUID()}" }, budgets.maintenance, configuration, eventLog)
     private val configurationListener = ConfigurationListener(configuration, eventLog, limits::onConfiguration)
+    private val operatorRows = createOperatorFollower(store)
+    private val refresher = ConfigurationRefresher(clock) { operatorRows.readOnce(configurationListener::onAllRows) }
     private val servers = ServerListener(dispatcher, clock, eventLog)
     private val backendHttp = BackendHttp(connectTimeoutMs = CONNECT_TIMEOUT_MS)
     private val drain = DrainState()
@@ -85,7 +87,7 @@
     fun start() {
         dispatcher.start(scope)
         limits.start(scope)
-        scope.launch { createOperatorFollower(store).follow(configurationListener) }
+        scope.launch { operatorRows.follow(configurationListener) }
         scope.launch { createServerFollower(store).follow(servers) }
         peers.start(scope)
         budgets.maintenance.start(scope)
@@ -145,6 +147,7 @@
             retryTerms = settings.retryBudget.run { RetryTerms(ratio, slack, (windowS * MS_PER_SECOND).toLong()) },
             routerCount = { peers.routerCount },
             notReadyReasons = ::notReadyReasons,
+            refreshConfiguration = refresher::refresh,
             drain = drain,
         )
 
@@ -179,12 +182,12 @@
         private val ENGINE_SPEEDS = InitialSpeeds(prefillMsPerToken = 0.03, decodeMsPerToken = 8.0, serviceMs = 25.0)
 
         // Grants outlast cuts from the store and from the other routers, which take seconds. The ceiling bounds what is lost with a
-        // process that is killed: it holds while a process that is restarted at once reclaims the rest, which takes 3 s.
+        // process that is killed: it holds while a process that is restarted at once reclaims the rest, which takes 2 s.
         private val BUDGET_OPTIONS =
             BudgetOptions(
                 expectedOutageMs = 8_000,
-                outageGraceMs = 5_000,
-                driftMarginMs = 500,
+                outageGraceMs = 3_200,
+                driftMarginMs = 300,
                 flushIntervalMs = 500,
                 tickIntervalMs = 100,
                 billsPerTransaction = 30,
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
@@ -67,7 +67,7 @@
     private fun isPredecessor(holder: RouterIdentity) = holder.vmId == writer.self.vmId && holder.incarnation < writer.self.incarnation
 
     private fun goneAt(holder: RouterIdentity): Long? =
-        if (isPredecessor(holder)) session.firstContact?.tableTimeMs else evidence.goneAt(holder.vmId)
+        if (isPredecessor(holder)) session.createdByTableTimeMs else evidence.goneAt(holder.vmId)
 
     /** Reclaims if a scan is due. False when the table gave no answer; the scan stays due then. */
     suspend fun reclaimIfDue(): Boolean {
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
@@ -40,19 +40,31 @@
     var lastContact: TableContact? = null
         private set
 
-    /** First response that this router received, null before it. */
+    private val createdAtMs = clock.monotonicMs()
+    private var firstCallAtMs: Long? = null
+
+    /**
+     * Table time by which this session existed, null before the first response. The first response was made after the first call
+     * was sent, so the time between the session's creation and that call lies before the response's time as well.
+     */
     @Volatile
-    var firstContact: TableContact? = null
+    var createdByTableTimeMs: Long? = null
         private set
 
     fun nextTransactionId(): String = prefix + transactionCount++
 
-    suspend fun read(keys: List<String>): TableSnapshot? = table.read(keys).snapshot()
+    suspend fun read(keys: List<String>): TableSnapshot? {
+        noteCall()
+        return table.read(keys).snapshot()
+    }
 
     suspend fun scan(
         prefix: String,
         afterKey: String?,
-    ): TableSnapshot? = table.scan(prefix, afterKey).snapshot()
+    ): TableSnapshot? {
+        noteCall()
+        return table.scan(prefix, afterKey).snapshot()
+    }
 
     /** All rows under [prefix], or null when a page could not be read. */
     suspend fun scanAll(prefix: String): List<TableRow>? {
@@ -65,7 +77,7 @@
     }
 
     suspend fun commit(transaction: TableTransaction): CommitResult =
-        when (val result = table.commit(transaction)) {
+        when (val result = table.commit(transaction.also { noteCall() })) {
             is TableResult.Answered -> decided(result.value)
             is TableResult.Unavailable -> CommitResult.NoEffect
             is TableResult.Unknown -> resolve(transaction)
@@ -103,11 +115,15 @@
 
     private fun noteContact(tableTimeMs: Long) {
         // A found transaction reports the time of its decision, which may be older than the last contact.
-        if (firstContact == null) firstContact = TableContact(tableTimeMs, clock.monotonicMs())
+        if (createdByTableTimeMs == null) createdByTableTimeMs = tableTimeMs - ((firstCallAtMs ?: createdAtMs) - createdAtMs)
         val last = lastContact
         if (last == null || tableTimeMs > last.tableTimeMs) lastContact = TableContact(tableTimeMs, clock.monotonicMs())
     }
 
+    private fun noteCall() {
+        if (firstCallAtMs == null) firstCallAtMs = clock.monotonicMs()
+    }
+
     private companion object {
         private const val RESOLVE_ATTEMPTS = 2
         private const val RESOLVE_DELAY_MS = 50L
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
@@ -69,7 +69,7 @@
     private suspend fun reserve(): Refusal? {
         val tokens = request.maxTokens ?: return null
         if (!request.isPrepaid) return null
-        val waitMs = minOf(MAX_GRANT_WAIT_MS, remainingMs() / 2)
+        val waitMs = minOf(request.route.targetLatencyMs / GRANT_WAIT_PARTS, remainingMs() / 2)
         reserver.reserve(request.requestId, request.entry.team.budgetId, tokens, tokens, waitMs).getOrElse { return it }
         isReserved = true
         return null
@@ -176,8 +176,9 @@
         /** Bodies up to this size are held until they are complete; larger ones would take too much memory. */
         private const val MAX_HELD_BODY_BYTES = 262_144
 
-        // A table that is up grants within two round trips; waiting longer would only delay the refusal.
-        private const val MAX_GRANT_WAIT_MS = 400L
+        // A table that is up grants within two round trips of 10 ms. A caller that is refused within a tenth of its target can still
+        // be served in time by another router, which may hold tokens.
+        private const val GRANT_WAIT_PARTS = 10
 
         // Another router or server may well take the request at once.
         private const val RETRY_AFTER_MS = 100L
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedInterface.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedInterface.kt
@@ -188,8 +188,9 @@
         if (reasons.isNotEmpty()) return Err(Refusal(RefusalReason.NOT_READY, reasons.joinToString(), NOT_READY_RETRY_MS))
         val first = lookUp(call)
         if (first.isOk) return first
-        services.refreshConfiguration()
-        return lookUp(call)
+        if (services.refreshConfiguration()) return lookUp(call)
+        // The route or key may have been added meanwhile, so "unknown" could be false.
+        return Err(Refusal(RefusalReason.NOT_READY, "the configuration could not be confirmed", NOT_READY_RETRY_MS))
     }
 
     private fun lookUp(call: ApplicationCall): Result<Admitted, Refusal> {
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedServices.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedServices.kt
@@ -18,6 +18,7 @@
  * @property routerCount number of routers that share the retry budget.
  * @property notReadyReasons reasons why requests cannot be served yet; empty when the process is ready.
  * @property refreshConfiguration reads the configuration anew; called before a request is refused for an unknown route or key.
+ *   False when it could not be read.
  */
 class RoutedServices(
     val identity: RouterIdentity,
@@ -33,7 +34,7 @@
     val retryTerms: RetryTerms,
     val routerCount: () -> Int,
     val notReadyReasons: () -> List<String>,
-    val refreshConfiguration: suspend () -> Unit = {},
+    val refreshConfiguration: suspend () -> Boolean = { true },
     val drain: DrainState = DrainState(),
     val limits: CallerLimits = CallerLimits(),
 )
