Send prompts with the same shared parts to one server from every router

Change: the home server counts as holding the shared parts; the log line of a request names the shared part. Figures: replay of 1,500 prompts of 30 sessions at 7 routers: at least 0.8 meet at one server (SharedPromptTest).

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/Attempts.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/Attempts.kt
@@ -156,6 +156,7 @@
             queueShare = request.entry.team.limits.queueShare,
             excludedServers = excluded.toSet(),
             homeHash = request.homeHash,
+            sharedTokens = request.sharedTokens,
         )
 
     private companion object {
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedInterface.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedInterface.kt
@@ -165,6 +165,8 @@
             "route" to request.route.routeId.value,
             "team" to request.teamId?.value,
             "config" to request.configurationSequence,
+            "prompt_tokens" to request.terms.promptTokens,
+            "shared_prompt" to request.homeHash?.toULong()?.toString(HEXADECIMAL),
             "attempts" to execution.attemptCount,
             "server" to execution.lastServerId?.value,
             "first_ms" to execution.firstAnswerMs,
@@ -255,6 +257,7 @@
 
     private companion object {
         private const val KIND = "routed"
+        private const val HEXADECIMAL = 16
 
         // A router that starts has its configuration within a second.
         private const val NOT_READY_RETRY_MS = 500L
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequest.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequest.kt
@@ -51,6 +51,9 @@
 
     /** Names the backend server at which requests with the same shared parts meet. */
     val homeHash: Long? = homeHash(terms.promptParts)
+
+    /** Prompt tokens of those shared parts. */
+    val sharedTokens: Int = terms.promptParts.dropLast(1).sumOf { it.tokens }
 }
 
 /** Hash of the longest part of a prompt that other requests share: its last part belongs to the request or its session alone. */
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
@@ -63,12 +63,19 @@
         item: WorkItem,
         nowMs: Long,
     ): Set<BackendServerId> {
-        val matched = open.associate { it.id to it.prefixes.matchedBlocks(item.prefixHashes, nowMs) }
+        val matched = open.associate { it.id to expectedCachedTokens(it, it.id == home, item, nowMs) }
         val most = matched.values.maxOrNull() ?: 0
         if (most == 0) return setOfNotNull(home)
         return matched.filterValues { it >= AFFINE_SHARE * most }.keys
     }
 
+    private fun expectedCachedTokens(
+        state: ServerState,
+        isHome: Boolean,
+        item: WorkItem,
+        nowMs: Long,
+    ): Int = maxOf(cachedTokens(item, state.prefixes.matchedBlocks(item.prefixHashes, nowMs)), if (isHome) item.sharedTokens else 0)
+
     private fun score(
         state: ServerState,
         isHome: Boolean,
@@ -77,10 +84,11 @@
         nowMs: Long,
     ): ScoredServer {
         val matched = state.prefixes.matchedBlocks(item.prefixHashes, nowMs)
-        val uncached = item.promptTokens - cachedTokens(item, matched)
+        val cached = expectedCachedTokens(state, isHome, item, nowMs)
+        val uncached = item.promptTokens - cached
         val load = state.load(nowMs)
         val relativeLoad = load / maxOf(1.0, state.limit.limit)
-        val estimate = estimator.estimate(item, cachedTokens(item, matched))
+        val estimate = estimator.estimate(item, cached)
         val queueMs = estimator.prefillMs(state.pendingPrefillTokens)
         val sharedMs = weights.prefillSharing * load * (estimator.prefillMs(uncached) - estimator.prefillMs(0))
         val loadMs = weights.load * relativeLoad * maxOf(estimate.serviceMs, 1.0)
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/WorkItem.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/WorkItem.kt
@@ -14,6 +14,8 @@
  * @property queueShare greatest share of the queue that the team may hold.
  * @property homeHash hash that names the home server of the request, so that prompts that share a long part meet there; the first
  *   block's when null, which suits prompts whose shared parts are not known.
+ * @property sharedTokens prompt tokens of the parts that [homeHash] names; the home server counts as holding them, because every
+ *   router sends such prompts there.
  * @property excludedServers servers on which an earlier attempt failed.
  */
 data class WorkItem(
@@ -29,4 +31,5 @@
     val queueShare: Double = 1.0,
     val excludedServers: Set<BackendServerId> = emptySet(),
     val homeHash: Long? = null,
+    val sharedTokens: Int = 0,
 )
--- /dev/null
+++ b/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/SharedPromptTest.kt
@@ -0,0 +1,106 @@
+package org.lycheemount.scheduling
+
+import org.junit.jupiter.api.Nested
+import org.lycheemount.common.BackendServer
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.BackendTarget
+import org.lycheemount.common.ModelId
+import org.lycheemount.common.RequestId
+import org.lycheemount.common.TeamId
+import org.lycheemount.common.VmId
+import org.lycheemount.common.WorkClassId
+import org.lycheemount.common.ZoneId
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertTrue
+
+/** Replays prompts of a few sessions that arrive at seven routers, which tell each other nothing. */
+class SharedPromptTest {
+    private val target = BackendTarget.Model(ModelId("m"))
+    private val servers =
+        (1..13).map { BackendServer(BackendServerId("s$it"), VmId("s$it"), ZoneId("z${it % 3}"), "10.0.0.$it", 80, setOf(target)) }
+
+    /**
+     * Share of the requests that went to the server which got most requests of their session. Requests run for [RUN_MS], and each
+     * answer tells the load of its server, as far as all routers have brought it about.
+     */
+    private fun concentration(statesSharedPart: Boolean): Double {
+        val random = Random(7)
+        val routers = (1..7).map { createRequestScheduler(ZoneId("z${it % 3}"), seed = it.toLong()) }
+        routers.forEach { it.onBackendServers(servers, 0) }
+        val placed = HashMap<Int, HashMap<BackendServerId, Int>>()
+        val running = ArrayDeque<Running>()
+        for (number in 0 until REQUESTS) {
+            val nowMs = number * GAP_MS
+            while (running.isNotEmpty() && running.first().endsAtMs <= nowMs) end(running.removeFirst(), running)
+            val session = random.nextInt(SESSIONS)
+            val router = routers[random.nextInt(routers.size)]
+            val id = RequestId("r$number")
+            router.submit(item(id, session, number, nowMs, statesSharedPart), nowMs)
+            val start = router.poll(nowMs).filterIsInstance<SchedulerAction.Start>().singleOrNull { it.requestId == id } ?: continue
+            placed.getOrPut(session) { HashMap() }.merge(start.backendServerId, 1, Int::plus)
+            router.onServiceEvent(id, ServiceEvent.FirstToken, nowMs + FIRST_TOKEN_MS)
+            running += Running(id, router, start.backendServerId, nowMs + RUN_MS)
+        }
+        return placed.values.sumOf { it.values.max() }.toDouble() / REQUESTS
+    }
+
+    private fun end(
+        ended: Running,
+        others: List<Running>,
+    ) {
+        val load = others.count { it.serverId == ended.serverId }
+        ended.router.onServiceEvent(ended.id, ServiceEvent.Completed(outputTokens = 100), ended.endsAtMs)
+        ended.router.onLoadReport(LoadReport(ended.serverId, ageMs = 0, load, queuedRequests = 0, capacity = 32), ended.endsAtMs)
+    }
+
+    private class Running(
+        val id: RequestId,
+        val router: RequestScheduler,
+        val serverId: BackendServerId,
+        val endsAtMs: Long,
+    )
+
+    private fun item(
+        id: RequestId,
+        session: Int,
+        number: Int,
+        nowMs: Long,
+        statesSharedPart: Boolean,
+    ): WorkItem {
+        // All prompts share the first 8 blocks, those of a session the next 76, and the rest is their own.
+        val hashes = List(8) { it.toLong() } + List(76) { 1_000L * (session + 1) + it } + List(100) { 1_000_000L * (number + 1) + it }
+        return WorkItem(
+            requestId = id,
+            teamId = TeamId("t"),
+            workClassId = WorkClassId("c"),
+            target = target,
+            promptTokens = hashes.size * 64,
+            maxOutputTokens = 200,
+            prefixHashes = hashes,
+            arrivedAtMs = nowMs,
+            homeHash = if (statesSharedPart) session * 7919L + 1 else null,
+            sharedTokens = if (statesSharedPart) 84 * 64 else 0,
+        )
+    }
+
+    @Nested
+    inner class `prompts of a session that arrive at different routers` {
+        @Test
+        fun `meet at one server when their shared parts are stated, guarding against parts that each router has read elsewhere`() {
+            val stated = concentration(statesSharedPart = true)
+            val unstated = concentration(statesSharedPart = false)
+
+            assertTrue(stated >= 0.8, "only $stated of the requests went to the server of their session")
+            assertTrue(stated > unstated, "$stated with stated parts, $unstated without")
+        }
+    }
+
+    private companion object {
+        private const val REQUESTS = 1_500
+        private const val SESSIONS = 30
+        private const val GAP_MS = 20L
+        private const val FIRST_TOKEN_MS = 200L
+        private const val RUN_MS = 1_500L
+    }
+}
