Share one discarding event log in process/common

Change: DiscardingEventLog moves to process/common and replaces them; a method of BackendConnections that nobody called is gone. Measured: the build of all modules; logic unchanged.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
@@ -38,7 +38,7 @@
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.BackendTarget
 import org.lycheemount.common.Clock
-import org.lycheemount.common.EventLog
+import org.lycheemount.common.DiscardingEventLog
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.common.ServiceId
@@ -116,7 +116,7 @@
         dispatcher = dispatcher,
         client = DefaultPassThroughClient(backendHttp),
         dialect = LoopbackDialect,
-        eventLog = SilentEventLog,
+        eventLog = DiscardingEventLog,
         metricsRegistry = PrometheusRegistry(),
         retryTerms = RetryTerms(ratio = 0.0, slack = 0.0, windowMs = 1_000),
         routerCount = { 1 },
@@ -176,18 +176,6 @@
         ) = AnswerHead(refusal.reason.httpStatus, emptyList())
     }
 
-    private object SilentEventLog : EventLog {
-        override fun info(
-            event: String,
-            vararg fields: Pair<String, Any?>,
-        ) = Unit
-
-        override fun warn(
-            event: String,
-            vararg fields: Pair<String, Any?>,
-        ) = Unit
-    }
-
     private companion object {
         private const val HOST = "warm-up"
         private const val PLAIN = "/plain"
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -58,15 +58,6 @@
         if (connections.size >= MAX_IDLE_CONNECTIONS) connection.close() else connections.addLast(connection)
     }
 
-    /** Closes connections that were idle for too long or that the server has closed. */
-    fun closeUnusable() {
-        val nowNs = System.nanoTime()
-        for (connections in idle.values) {
-            connections.filterNot { it.isUsable(nowNs) }.forEach { if (connections.remove(it)) it.close() }
-        }
-        idle.values.removeIf { it.isEmpty() }
-    }
-
     override fun close() {
         idle.values.forEach { connections -> connections.forEach { it.close() } }
         selector.close()
--- a/measure/src/main/kotlin/org/lycheemount/measure/budgets/BudgetsCostMeasurement.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/budgets/BudgetsCostMeasurement.kt
@@ -14,6 +14,7 @@
 import org.lycheemount.common.BackendTarget
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Clock
+import org.lycheemount.common.DiscardingEventLog
 import org.lycheemount.common.ModelId
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RequestId
@@ -126,7 +127,7 @@
         val identity = RouterIdentity(RouterId("router"), VmId("vm"), RegionId("region"), ZoneId("zone"), incarnation = 1)
         val vms = FakeVmDirectory(clock).apply { add(identity) }
         val peers = FakePeerNetwork(scope).join(identity)
-        return createBudgetLedgerModule(table, vms, peers, clock, NoLog, BudgetOptions(), Random(1))
+        return createBudgetLedgerModule(table, vms, peers, clock, DiscardingEventLog, BudgetOptions(), Random(1))
     }
 
     private fun idleSecondUs(scheduler: TestCoroutineScheduler): Double {
--- a/measure/src/main/kotlin/org/lycheemount/measure/budgets/GrantPolicy.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/budgets/GrantPolicy.kt
@@ -13,6 +13,7 @@
 import org.lycheemount.budget.createBudgetLedgerModule
 import org.lycheemount.common.BackendTarget
 import org.lycheemount.common.BudgetId
+import org.lycheemount.common.DiscardingEventLog
 import org.lycheemount.common.ModelId
 import org.lycheemount.common.RefusalReason
 import org.lycheemount.common.RegionId
@@ -52,7 +53,14 @@
         modules =
             identities.mapIndexed { router, identity ->
                 vms.add(identity)
-                createBudgetLedgerModule(links[router], vms, network.join(identity), world.clock, NoLog, random = Random(router))
+                createBudgetLedgerModule(
+                    links[router],
+                    vms,
+                    network.join(identity),
+                    world.clock,
+                    DiscardingEventLog,
+                    random = Random(router),
+                )
             }
     }
 
--- a/measure/src/main/kotlin/org/lycheemount/measure/budgets/MeasurementSupport.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/budgets/MeasurementSupport.kt
@@ -4,7 +4,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestCoroutineScheduler
 import org.lycheemount.common.Clock
-import org.lycheemount.common.EventLog
+import org.lycheemount.common.DiscardingEventLog
 
 internal class SchedulerClock(
     private val scheduler: TestCoroutineScheduler,
@@ -18,18 +18,6 @@
     }
 }
 
-internal object NoLog : EventLog {
-    override fun info(
-        event: String,
-        vararg fields: Pair<String, Any?>,
-    ) = Unit
-
-    override fun warn(
-        event: String,
-        vararg fields: Pair<String, Any?>,
-    ) = Unit
-}
-
 /** Runs [body] to its end at the present virtual time. */
 internal fun CoroutineScope.runNow(
     scheduler: TestCoroutineScheduler,
--- a/measure/src/main/kotlin/org/lycheemount/measure/capacity/BudgetSlopes.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/capacity/BudgetSlopes.kt
@@ -15,6 +15,7 @@
 import org.lycheemount.budget.createBudgetLedgerModule
 import org.lycheemount.common.BackendTarget
 import org.lycheemount.common.BudgetId
+import org.lycheemount.common.DiscardingEventLog
 import org.lycheemount.common.ModelId
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RequestId
@@ -23,7 +24,6 @@
 import org.lycheemount.common.TeamId
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
-import org.lycheemount.measure.DiscardingEventLog
 import org.lycheemount.measure.control.TableLoad
 import org.lycheemount.measure.control.decimal
 import org.lycheemount.testing.FakeClock
--- a/measure/src/main/kotlin/org/lycheemount/measure/capacity/ClaimSlopes.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/capacity/ClaimSlopes.kt
@@ -10,6 +10,7 @@
 import org.lycheemount.claims.ClaimsModule
 import org.lycheemount.claims.RecordedOutcome
 import org.lycheemount.claims.createClaims
+import org.lycheemount.common.DiscardingEventLog
 import org.lycheemount.common.IdempotencyKey
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RequestId
@@ -18,7 +19,6 @@
 import org.lycheemount.common.TeamId
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
-import org.lycheemount.measure.DiscardingEventLog
 import org.lycheemount.measure.control.TableLoad
 import org.lycheemount.measure.control.decimal
 import org.lycheemount.testing.FakeClock
--- a/measure/src/main/kotlin/org/lycheemount/measure/claims/ClaimsFleet.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/claims/ClaimsFleet.kt
@@ -7,12 +7,12 @@
 import kotlinx.coroutines.test.TestScope
 import org.lycheemount.claims.createClaims
 import org.lycheemount.common.Clock
+import org.lycheemount.common.DiscardingEventLog
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
-import org.lycheemount.measure.DiscardingEventLog
 import org.lycheemount.testing.FakePeerNetwork
 import org.lycheemount.testing.FakeTableLink
 import org.lycheemount.testing.FakeTableService
--- a/measure/src/main/kotlin/org/lycheemount/measure/control/ControlFleet.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/control/ControlFleet.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.test.StandardTestDispatcher
 import kotlinx.coroutines.test.TestCoroutineScheduler
 import org.lycheemount.common.Clock
+import org.lycheemount.common.DiscardingEventLog
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.RouterIdentity
@@ -22,7 +23,6 @@
 import org.lycheemount.config.ConfigurationService
 import org.lycheemount.config.ItemEdit
 import org.lycheemount.config.PropagationSettings
-import org.lycheemount.measure.DiscardingEventLog
 import org.lycheemount.membership.MembershipListener
 import org.lycheemount.membership.MembershipService
 import org.lycheemount.platform.RouterVm
--- a/measure/src/main/kotlin/org/lycheemount/measure/control/SocketFleet.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/control/SocketFleet.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
 import org.lycheemount.common.DefaultClock
+import org.lycheemount.common.DiscardingEventLog
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.RouterIdentity
@@ -20,7 +21,6 @@
 import org.lycheemount.config.ConfigurationPeers
 import org.lycheemount.config.ConfigurationService
 import org.lycheemount.config.ItemEdit
-import org.lycheemount.measure.DiscardingEventLog
 import org.lycheemount.membership.MembershipListener
 import org.lycheemount.membership.MembershipService
 import org.lycheemount.peer.socket.DefaultPeerMessenger
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
@@ -11,7 +11,7 @@
 import org.lycheemount.common.BackendTarget
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Clock
-import org.lycheemount.common.EventLog
+import org.lycheemount.common.DiscardingEventLog
 import org.lycheemount.common.ModelId
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RequestId
@@ -84,7 +84,7 @@
         val messenger = FaultyMessenger(network.join(identity), scope, ownScope, Random(seed + identity.hashCode()))
         val link = FakeTableLink(table, scope, random = Random(seed + identity.incarnation.toInt()))
         private val module =
-            createBudgetLedgerModule(link, vms, messenger, clock, SilentLog, options, Random(seed + identity.hashCode()))
+            createBudgetLedgerModule(link, vms, messenger, clock, DiscardingEventLog, options, Random(seed + identity.hashCode()))
         val parts = module.parts
         val ledger = module.ledger
         val maintenance = module.maintenance
@@ -145,18 +145,6 @@
 
 internal fun charge(tokens: Long) = Charge(TeamId("team"), BackendTarget.Model(ModelId("loft-model")), 0, tokens)
 
-internal object SilentLog : EventLog {
-    override fun info(
-        event: String,
-        vararg fields: Pair<String, Any?>,
-    ) = Unit
-
-    override fun warn(
-        event: String,
-        vararg fields: Pair<String, Any?>,
-    ) = Unit
-}
-
 /** Runs [body] with a fleet whose background work ends with the test. */
 internal fun fleetTest(
     options: BudgetOptions = BudgetOptions(),
--- a/process/claims/src/test/kotlin/org/lycheemount/claims/ClaimFleet.kt
+++ b/process/claims/src/test/kotlin/org/lycheemount/claims/ClaimFleet.kt
@@ -10,7 +10,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import org.lycheemount.common.Clock
-import org.lycheemount.common.EventLog
+import org.lycheemount.common.DiscardingEventLog
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.RouterIdentity
@@ -50,7 +50,7 @@
         val pause = Pause(testScope)
         val link = FakeTableLink(table, testScope.backgroundScope, latencyMs = 2, random = random)
         val messenger: PeerMessenger = OwnScopeMessenger(network.join(identity), scope, pause)
-        val claims = createClaims(link, messenger, clock, SilentLog, { it in gone }, options)
+        val claims = createClaims(link, messenger, clock, DiscardingEventLog, { it in gone }, options)
         var alive = true
             private set
 
@@ -138,15 +138,3 @@
         }
     }
 }
-
-internal object SilentLog : EventLog {
-    override fun info(
-        event: String,
-        vararg fields: Pair<String, Any?>,
-    ) = Unit
-
-    override fun warn(
-        event: String,
-        vararg fields: Pair<String, Any?>,
-    ) = Unit
-}
--- a/measure/src/main/kotlin/org/lycheemount/measure/DiscardingEventLog.kt
+++ b/process/common/src/main/kotlin/org/lycheemount/common/DiscardingEventLog.kt
@@ -1,9 +1,7 @@
-package org.lycheemount.measure
+package org.lycheemount.common
 
-import org.lycheemount.common.EventLog
-
-/** Event log that writes nothing, so that logging is no part of a measured cost. */
-internal object DiscardingEventLog : EventLog {
+/** Event log that writes nothing, for measurements, tests and requests that nobody has sent. */
+object DiscardingEventLog : EventLog {
     override fun info(
         event: String,
         vararg fields: Pair<String, Any?>,
--- a/process/placement/src/test/kotlin/org/lycheemount/placement/PlacementControllerTest.kt
+++ b/process/placement/src/test/kotlin/org/lycheemount/placement/PlacementControllerTest.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
-import org.lycheemount.common.EventLog
+import org.lycheemount.common.DiscardingEventLog
 import org.lycheemount.common.ModelId
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.ZoneId
@@ -215,7 +215,7 @@
         router: String,
         fleet: EngineFleet,
         scope: String = "zone",
-    ) = PlacementController(zone, lease(router, scope), fleet, store, clock, SilentEventLog)
+    ) = PlacementController(zone, lease(router, scope), fleet, store, clock, DiscardingEventLog)
 
     private var transactions = 0
 
@@ -237,15 +237,3 @@
         return TableResult.Answered(retryAfterMs?.let { WeightLoadPermit.RateLimited(it) } ?: WeightLoadPermit.Granted)
     }
 }
-
-private object SilentEventLog : EventLog {
-    override fun info(
-        event: String,
-        vararg fields: Pair<String, Any?>,
-    ) = Unit
-
-    override fun warn(
-        event: String,
-        vararg fields: Pair<String, Any?>,
-    ) = Unit
-}
