Answer requests with Connection: close whose call Ktor takes for abandoned

The CIO engine reports the caller's connection as closed once it has read the last request on it, and HttpRequestLifecycle then cancels the call. Ruled out: a reset connection (the caller saw the end of the connection without an error) and the listener's start. Change: only requests without that header are cancelled with their connection, in both callers' interfaces; a test sends 60 of them.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/CallerInterface.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/CallerInterface.kt
@@ -3,8 +3,6 @@
 import io.ktor.http.ContentType
 import io.ktor.server.application.Application
 import io.ktor.server.application.ApplicationCall
-import io.ktor.server.application.install
-import io.ktor.server.http.HttpRequestLifecycle
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.delete
 import io.ktor.server.routing.get
@@ -37,11 +35,12 @@
     /** Adds the routes to [application]. Its engine must report closed connections, as CIO and Netty do. */
     fun installInto(application: Application) {
         application.routing {
-            install(HttpRequestLifecycle) { cancelCallOnClose = true }
-            post("/v1/chat/completions") { guarded(call) { chat.handle(call) } }
-            get("/v1/models") { guarded(call) { models(call) } }
-            delete("/v1/requests/{id}") { guarded(call) { cancel.handle(call) } }
-            route("/services/{service}/{path...}") { handle { guarded(call) { plain.handle(call) } } }
+            cancelledWithCaller {
+                post("/v1/chat/completions") { guarded(call) { chat.handle(call) } }
+                get("/v1/models") { guarded(call) { models(call) } }
+                delete("/v1/requests/{id}") { guarded(call) { cancel.handle(call) } }
+                route("/services/{service}/{path...}") { handle { guarded(call) { plain.handle(call) } } }
+            }
             get("/metrics") { guarded(call) { operations.metrics(call) } }
             get("/state") { guarded(call) { operations.state(call) } }
             get("/health/live") { guarded(call) { operations.live(call) } }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedInterface.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedInterface.kt
@@ -10,8 +10,6 @@
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.application.ApplicationCallPipeline
 import io.ktor.server.application.call
-import io.ktor.server.application.install
-import io.ktor.server.http.HttpRequestLifecycle
 import io.ktor.server.request.httpMethod
 import io.ktor.server.request.uri
 import io.ktor.server.response.respondText
@@ -25,6 +23,7 @@
 import org.lycheemount.caller.Reserver
 import org.lycheemount.caller.TeamAuthenticator
 import org.lycheemount.caller.WireOutcome
+import org.lycheemount.caller.cancelledWithCaller
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.RefusalReason
@@ -54,8 +53,7 @@
     /** Serves all requests of [application]. Its engine must report closed connections, as CIO and Netty do. */
     fun installInto(application: Application) {
         application.routing {
-            install(HttpRequestLifecycle) { cancelCallOnClose = true }
-            route("{...}") { handle { guarded(call) } }
+            cancelledWithCaller { route("{...}") { handle { guarded(call) } } }
         }
     }
 
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedInterfaceTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedInterfaceTest.kt
@@ -176,6 +176,17 @@
             assertEquals("second", body(exchange("/order/2")))
         }
 
+        @Test
+        fun `reaches every caller that closes after it, guarding against requests that the engine takes for abandoned`() {
+            val answers =
+                (1..60).map {
+                    first.answer { head("200 OK", "Content-Length: 2", "X-Id: r", "Connection: close").also { write("ok") } }
+                    body(exchange("/order/$it"))
+                }
+
+            assertEquals(List(60) { "ok" }, answers)
+        }
+
         @Test
         fun `without a length ends with its connection`() {
             first.answer {
