--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedInterfaceTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedInterfaceTest.kt
@@ -1,6 +1,5 @@
 package org.lycheemount.caller.routed
 
-import io.ktor.http.Headers
 import io.ktor.server.cio.CIO
 import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
@@ -8,17 +7,13 @@
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
-import org.lycheemount.backend.AnswerHead
-import org.lycheemount.backend.AttemptFailure
 import org.lycheemount.backend.BackendHttp
 import org.lycheemount.backend.DefaultPassThroughClient
 import org.lycheemount.caller.FakeLedger
 import org.lycheemount.caller.FakeScheduler
 import org.lycheemount.caller.WorkDispatcher
-import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.DefaultClock
-import org.lycheemount.common.Refusal
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.RouterIdentity
@@ -331,29 +326,5 @@
         }
     }
 
-    private object PlainDialect : RequestDialect {
-        override fun readTerms(headers: Headers): RequestTerms {
-            val tokens = headers["X-Tokens"]?.split(',')?.map { it.toInt() }
-            return RequestTerms(headers["X-Id"], null, tokens?.get(0), tokens?.get(1) ?: 0, emptyList(), null)
-        }
-
-        override fun attemptHeaders(
-            callerHeaders: Headers,
-            attempt: AttemptTerms,
-        ) = listOf("X-Id" to callerHeaders["X-Id"].orEmpty()) + listOfNotNull(attempt.resumeAfterEventId?.let { "Resume-After" to "$it" })
-
-        override fun readAnswer(
-            head: AnswerHead,
-            callerRequestId: String?,
-            serverId: BackendServerId,
-        ) = AnswerTerms(head.header("X-Id") == callerRequestId, head.header("X-Not-Run")?.let { AttemptFailure.REFUSED_BUSY }, load = null)
-
-        override fun refusalHead(
-            refusal: Refusal,
-            callerRequestId: String?,
-            mayHaveRun: Boolean,
-        ) = AnswerHead(refusal.reason.httpStatus, emptyList())
-    }
-
     private fun sha256(text: String) = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()))
 }
