Let ceilings of grants grow with the time without contact, and grants follow measured spend

The others were held back by the ceiling in its first seconds. After power losses the whole ceiling of 3.2 s stayed charged, or the whole grant when the restart took longer.

Change: a ceiling starts at the spend of 2 s and grows until the outage grace, now 4.5 s, is over; a restarted router charges what its predecessor could have used by its own start, which is now the start of main. A router may take half of what is unallocated for spend that it has measured. The spend rate is not lowered by the time before a start.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayMain.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayMain.kt
@@ -4,14 +4,17 @@
 import kotlinx.coroutines.runBlocking
 import org.lycheemount.app.router.fail
 import org.lycheemount.app.router.report
+import org.lycheemount.common.DefaultClock
 import org.lycheemount.settings.loadGatewaySettings
 import java.nio.file.Path
 import kotlin.concurrent.thread
 
 /** Runs a gateway with the settings in [file] until the process is ended by a signal. */
 internal fun runGateway(file: Path) {
+    val clock = DefaultClock()
+    val startedAtMs = clock.monotonicMs()
     val settings = loadGatewaySettings(file).getOrElse { fail(report(it)) }
-    val process = GatewayProcess(settings)
+    val process = GatewayProcess(settings, clock, startedAtMs)
     process.start()
     Runtime.getRuntime().addShutdownHook(
         thread(start = false, name = "shutdown") {
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -24,6 +24,7 @@
 import org.lycheemount.caller.routed.RetryTerms
 import org.lycheemount.caller.routed.RoutedInterface
 import org.lycheemount.caller.routed.RoutedServices
+import org.lycheemount.common.Clock
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.common.DefaultEventLog
 import org.lycheemount.common.RouterIdentity
@@ -40,11 +41,16 @@
 import org.lycheemount.settings.GatewaySettings
 import java.util.UUID
 
-/** One router on the users' platform: creates the parts by [settings], connects them, starts them and ends them in order. */
+/**
+ * One router on the users' platform: creates the parts by [settings], connects them, starts them and ends them in order.
+ *
+ * @param startedAtMs monotonic time of [clock] at which this process was running already.
+ */
 class GatewayProcess(
     private val settings: GatewaySettings,
+    private val clock: Clock = DefaultClock(),
+    startedAtMs: Long = clock.monotonicMs(),
 ) {
-    private val clock = DefaultClock()
     private val eventLog = DefaultEventLog("gateway")
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val identity = settings.run { RouterIdentity(routerId, vmId, regionId, zoneId, incarnation = clock.wallClockMs()) }
@@ -63,6 +69,7 @@
             clock,
             eventLog,
             BUDGET_OPTIONS,
+            startedAtMs = startedAtMs,
             routerCount = { peers.routerCount },
         )
     private val limits =
@@ -182,11 +189,11 @@
         private val ENGINE_SPEEDS = InitialSpeeds(prefillMsPerToken = 0.03, decodeMsPerToken = 8.0, serviceMs = 25.0)
 
         // Grants outlast cuts from the store and from the other routers, which take seconds. The ceiling bounds what is lost with a
-        // process that is killed: it holds while a process that is restarted at once reclaims the rest, which takes 2 s.
+        // process that is killed: it grows while a restarted process may reclaim the rest. VMs are back 4 s after a power loss.
         private val BUDGET_OPTIONS =
             BudgetOptions(
                 expectedOutageMs = 8_000,
-                outageGraceMs = 3_200,
+                outageGraceMs = 4_500,
                 driftMarginMs = 300,
                 flushIntervalMs = 500,
                 tickIntervalMs = 100,
@@ -195,13 +202,15 @@
                 retryDelayMs = 200,
                 retryDelayMaxMs = 500,
                 reservationsHeld = 1.0,
-                ceilingReservations = 1.5,
+                ceilingReservations = 3.0,
                 sizesByTypicalReservation = true,
-                ceilingSpendFactor = 1.3,
+                ceilingSpendFactor = 2.0,
+                ceilingLeadMs = 2_000,
                 excessReturnDelayMs = 2_000,
                 rateWindowMs = 5_000,
                 vmListIntervalMs = 60_000,
                 holdsEqualShare = true,
+                demandShare = 0.5,
                 unavailableRetryMs = 50,
             )
     }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
@@ -24,6 +24,8 @@
 /**
  * Creates the ledger of the router [peers] belongs to; nothing runs before [BudgetMaintenance.start].
  *
+ * @param startedAtMs monotonic time at which this process was running already; the earlier it is, the more of an earlier process's
+ *   grants can be reclaimed.
  * @param routerCount routers that may draw on a budget, this one included.
  */
 fun createBudgetLedgerModule(
@@ -34,13 +36,14 @@
     log: EventLog,
     options: BudgetOptions = BudgetOptions(),
     random: Random = Random.Default,
+    startedAtMs: Long = clock.monotonicMs(),
     routerCount: () -> Int = { peers.connectedPeers().size + 1 },
 ): BudgetModule {
     val self = peers.self
     val accounts = BudgetAccounts(options.rateWindowMs)
     val bills = BillQueue()
     val signals = WorkSignals()
-    val session = TableSession(table, clock, "budget-${self.routerId.value}-${self.incarnation}")
+    val session = TableSession(table, clock, "budget-${self.routerId.value}-${self.incarnation}", startedAtMs)
     val writer = TableWriter(self, session, clock, options, log)
     val keeper = GrantKeeper(writer, session, clock, options, log, routerCount)
     val flusher = BillFlusher(accounts, bills, writer, session, clock, options, log)
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetOptions.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetOptions.kt
@@ -22,9 +22,13 @@
  * @property ceilingReservations room of a ceiling above the present use, as a multiple of the largest reservation seen lately.
  * @property excessReturnDelayMs time after a refill before free tokens far above the target are returned.
  * @property rateWindowMs time over which the rate of spend is averaged.
- * @property ceilingSpendFactor room of a ceiling above the present use, as a multiple of the spend of [outageGraceMs].
+ * @property ceilingSpendFactor room of a ceiling above the present use at the end of [outageGraceMs], as a multiple of the spend of
+ *   that time.
+ * @property ceilingLeadMs part of [outageGraceMs] whose spend a ceiling covers at the contact; the rest is added as time passes.
  * @property holdsEqualShare whether a grant aims at no less than this router's equal share of what is unallocated, so that an outage
  *   finds most of a budget in the hands of routers also before they have measured their spend.
+ * @property demandShare part of what is unallocated that one router may take at once for a spend that it has measured. Above 0 it
+ *   serves budgets whose callers keep to few routers; the first router to ask may then hold most of a budget that is nearly used up.
  * @property sizesByTypicalReservation whether ceilings have room for reservations of typical rather than of the largest size; the
  *   rare large one then waits for the table, or is refused during an outage, and less is charged when a router dies.
  * @property unavailableRetryMs delay after which callers that were refused for want of tokens here may return.
@@ -50,12 +54,15 @@
     val excessReturnDelayMs: Long = 30_000,
     val rateWindowMs: Long = 60_000,
     val ceilingSpendFactor: Double = 2.0,
+    val ceilingLeadMs: Long = outageGraceMs,
     val holdsEqualShare: Boolean = false,
+    val demandShare: Double = 0.0,
     val sizesByTypicalReservation: Boolean = false,
     val unavailableRetryMs: Long = 1_000,
 ) {
     init {
         require(driftMarginMs in 0 until outageGraceMs) { "driftMarginMs must be below outageGraceMs" }
+        require(ceilingLeadMs in 0..outageGraceMs) { "ceilingLeadMs must be in 0..outageGraceMs" }
         require(flushIntervalMs in 1 until outageGraceMs / 2) { "flushIntervalMs must be below half of outageGraceMs" }
     }
 }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetRows.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetRows.kt
@@ -28,7 +28,8 @@
  *
  * @property settledTokens sum of the written bills of this grant.
  * @property sentTokens tokens transferred to peers; part of the use that [ceilingTokens] bounds.
- * @property ceilingTokens bound on spent, reserved and sent tokens until [lastAckedTableTimeMs] plus the outage grace.
+ * @property ceilingTokens bound on spent, reserved and sent tokens at [lastAckedTableTimeMs]; see [ceilingAfterTokens].
+ * @property ceilingTokensPerMs growth of that bound until the outage grace is over.
  * @property lastAckedTableTimeMs table time of the last response that the holder had received when it wrote this row.
  * @property holderListed true once the holder has seen its own VM in the VM list; without it, absence proves nothing.
  * @property holderTransactionId last transaction of the holder that wrote this row; tells a lost answer from a failed check.
@@ -49,7 +50,11 @@
     val holderTransactionId: String = "",
     val closed: Boolean = false,
     val chargedTokens: Long = 0,
-)
+    val ceilingTokensPerMs: Double = 0.0,
+) {
+    /** Bound on spent, reserved and sent tokens [elapsedMs] after the contact, which lies within the outage grace. */
+    fun ceilingAfterTokens(elapsedMs: Long): Long = ceilingTokens + (ceilingTokensPerMs * elapsedMs.coerceAtLeast(0)).toLong()
+}
 
 /** Closes [grant]: [reclaimedTokens] of what it holds become unallocated, and the rest stays charged to [budget]. */
 internal fun closeGrant(
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetLedger.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetLedger.kt
@@ -148,5 +148,19 @@
         val remaining = account.knowledge?.remainingTokens
         return Refusal(RefusalReason.BUDGET_EXHAUSTED, "budget $budget has $remaining tokens left, $tokens are needed")
     }
-    return Refusal(RefusalReason.BUDGET_UNAVAILABLE, "this router has too few tokens of budget $budget now", unavailableRetryMs)
+    return Refusal(RefusalReason.BUDGET_UNAVAILABLE, unavailableDetail(account, tokens, nowMs), unavailableRetryMs)
+}
+
+private fun unavailableDetail(
+    account: BudgetAccount,
+    tokens: Long,
+    nowMs: Long,
+): String {
+    val grant = account.grant
+    val usable = account.usableTokens(nowMs)
+    val free = grant?.freeTokens ?: 0
+    val unallocated = account.budgetRow?.unallocatedTokens
+    val rowAgeMs = grant?.row?.let { nowMs - grant.rowWrittenAtMs }
+    return "budget ${account.budgetId.value}: $tokens tokens needed, $usable of $free free ones usable here, " +
+        "grant written $rowAgeMs ms ago, $unallocated unallocated"
 }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/Grant.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/Grant.kt
@@ -29,7 +29,7 @@
     private var withheldTokens = 0L
 
     /** Without a row the table can give none of the tokens to another router, so nothing bounds their use. */
-    private var confirmedBound = SpendBound(0, Long.MIN_VALUE)
+    private var confirmedBound: SpendBound? = null
     private var pending: PendingRow? = null
 
     /** Monotonic time of the last confirmed write of the row. */
@@ -53,7 +53,7 @@
 
     /** Tokens that may be reserved or sent at [nowMs]. */
     fun usableTokens(nowMs: Long): Long {
-        val bound = minOf(confirmedBound.at(nowMs), pending?.bound?.at(nowMs) ?: Long.MAX_VALUE)
+        val bound = minOf(confirmedBound?.at(nowMs) ?: Long.MAX_VALUE, pending?.bound?.at(nowMs) ?: Long.MAX_VALUE)
         return minOf(freeTokens, bound - usedTokens).coerceAtLeast(0)
     }
 
@@ -99,14 +99,20 @@
         receivedTokens += tokens
     }
 
-    /** Starts a write of the row; until [confirm] or [abandon] both rows bound the use of the grant. */
+    /**
+     * Starts a write of the row; until [confirm] or [abandon] both rows bound the use of the grant.
+     *
+     * @param contactAtMs monotonic time of the contact that [proposed] names.
+     * @param outageGraceMs time after that contact from which the row no longer bounds the use.
+     */
     fun propose(
         proposed: GrantRow,
-        liftedAtMs: Long,
+        contactAtMs: Long,
+        outageGraceMs: Long,
     ) {
         check(pending == null) { "grant $grantId has a pending row" }
         check(proposed.ceilingTokens >= usedTokens) { "ceiling of grant $grantId is below its use" }
-        pending = PendingRow(proposed, SpendBound(proposed.ceilingTokens, liftedAtMs))
+        pending = PendingRow(proposed, SpendBound(proposed, contactAtMs, contactAtMs + outageGraceMs))
         withheldTokens = ((row?.grantedTokens ?: 0) - proposed.grantedTokens).coerceAtLeast(0)
     }
 
@@ -146,9 +152,10 @@
     )
 
     private class SpendBound(
-        private val ceilingTokens: Long,
+        private val row: GrantRow,
+        private val contactAtMs: Long,
         private val liftedAtMs: Long,
     ) {
-        fun at(nowMs: Long): Long = if (nowMs >= liftedAtMs) Long.MAX_VALUE else ceilingTokens
+        fun at(nowMs: Long): Long = if (nowMs >= liftedAtMs) Long.MAX_VALUE else row.ceilingAfterTokens(nowMs - contactAtMs)
     }
 }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
@@ -56,7 +56,13 @@
             if (mayReclaim(grant)) {
                 if (!reclaim(row, grant)) return false
             } else {
-                log.warn("grant_stranded", "budget" to grant.budgetId.value, "grant" to grant.grantId, "tokens" to grant.grantedTokens)
+                log.warn(
+                    "grant_stranded",
+                    "budget" to grant.budgetId.value,
+                    "grant" to grant.grantId,
+                    "tokens" to grant.grantedTokens,
+                    "goneAfterMs" to goneAt(grant.holder)?.minus(grant.lastAckedTableTimeMs),
+                )
             }
         }
         // A grant whose reclaim lost its races is found again by the next pass.
@@ -67,7 +73,7 @@
     private fun isPredecessor(holder: RouterIdentity) = holder.vmId == writer.self.vmId && holder.incarnation < writer.self.incarnation
 
     private fun goneAt(holder: RouterIdentity): Long? =
-        if (isPredecessor(holder)) session.createdByTableTimeMs else evidence.goneAt(holder.vmId)
+        if (isPredecessor(holder)) session.runningByTableTimeMs else evidence.goneAt(holder.vmId)
 
     /** Reclaims if a scan is due. False when the table gave no answer; the scan stays due then. */
     suspend fun reclaimIfDue(): Boolean {
@@ -83,14 +89,18 @@
     }
 
     /**
-     * The holder stayed within its ceiling until the outage grace after the contact that the row names. It was gone before, so it
-     * never spent more. Both times are the table's; the margin covers a holder whose clock runs faster than the table's.
+     * Tokens that the holder may have used at most, or null when nothing bounds them below the whole grant. The holder stayed within
+     * its ceiling until the outage grace after the contact that the row names, and was gone before the end of it. Both times are the
+     * table's; the margin covers a holder whose clock runs faster than the table's.
      */
-    private fun mayReclaim(grant: GrantRow): Boolean {
-        val goneAtTableTimeMs = goneAt(grant.holder) ?: return false
-        return goneAtTableTimeMs <= grant.lastAckedTableTimeMs + options.outageGraceMs - options.driftMarginMs
+    private fun useBoundTokens(grant: GrantRow): Long? {
+        val goneAtTableTimeMs = goneAt(grant.holder) ?: return null
+        val heldOutMs = goneAtTableTimeMs - grant.lastAckedTableTimeMs + options.driftMarginMs
+        return if (heldOutMs <= options.outageGraceMs) grant.ceilingAfterTokens(heldOutMs) else null
     }
 
+    private fun mayReclaim(grant: GrantRow): Boolean = useBoundTokens(grant) != null
+
     private suspend fun reclaim(
         row: TableRow,
         grant: GrantRow,
@@ -100,8 +110,9 @@
             val current = snapshot.find(row.key) ?: return true
             val budget = snapshot.find(budgetKey(grant.budgetId)) ?: return true
             val held = decodeRow<GrantRow>(current.value)
-            if (held.closed || !mayReclaim(held)) return true
-            when (writer.run(reclaimAttempt(budget, current, held))) {
+            val useBound = useBoundTokens(held)
+            if (held.closed || useBound == null) return true
+            when (writer.run(reclaimAttempt(budget, current, held, useBound))) {
                 AttemptResult.COMMITTED -> return true
                 AttemptResult.NO_ANSWER -> return false
                 AttemptResult.LOST_RACE -> Unit
@@ -114,9 +125,10 @@
         budgetRow: TableRow,
         grantRow: TableRow,
         grant: GrantRow,
+        useBoundTokens: Long,
     ): Attempt {
         val budget = decodeRow<BudgetRow>(budgetRow.value)
-        val reclaimed = (grant.grantedTokens + grant.receivedTokens - grant.ceilingTokens).coerceAtLeast(0)
+        val reclaimed = (grant.grantedTokens + grant.receivedTokens - useBoundTokens).coerceAtLeast(0)
         val (changed, closed) = closeGrant(budget, grant, reclaimed)
         return Attempt(
             TableTransaction(
@@ -130,7 +142,9 @@
                     "grant_reclaimed",
                     "grant" to grant.grantId,
                     "reclaimedTokens" to reclaimed,
+                    "settledTokens" to grant.settledTokens,
                     "chargedTokens" to closed.chargedTokens,
+                    "goneAfterMs" to goneAt(grant.holder)?.minus(grant.lastAckedTableTimeMs),
                 )
             },
         )
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
@@ -37,8 +37,9 @@
 }
 
 /**
- * Tokens to take from [unallocatedTokens] now; 0 above the low-water mark. Each router takes at most its share of what is left, so
- * that grants shrink towards the end of the budget and no router takes the rest of it ahead of need.
+ * Tokens to take from [unallocatedTokens] now; 0 above the low-water mark. Each router takes at most its share of what is left, or
+ * [BudgetOptions.demandShare] of it for a spend that it has measured, so that grants shrink towards the end of the budget and no
+ * router takes the rest of it ahead of need.
  */
 internal fun refillTokens(
     demand: GrantDemand,
@@ -50,22 +51,36 @@
     val urgent = (demand.wantedTokens - demand.freeTokens).coerceAtLeast(0)
     if (urgent == 0L && demand.freeTokens >= target * LOW_WATER_SHARE) return 0
     val share = unallocatedTokens / (demand.routers + 1)
-    val planned = minOf(lacking, share - (demand.freeTokens - share).coerceAtLeast(0)).coerceAtLeast(0)
+    val equal = minOf(lacking, share - (demand.freeTokens - share).coerceAtLeast(0))
+    val measured = targetFreeTokens(demand, options) - demand.freeTokens
+    val planned = maxOf(equal, minOf(measured, (unallocatedTokens * options.demandShare).toLong()), 0)
     if (urgent == 0L && planned < demand.largestReservation) return 0
     return minOf(maxOf(planned, urgent), unallocatedTokens)
 }
 
-/** Ceiling above the present use: covers the spend until a router without contact may ignore it, with some reservations to spare. */
+/**
+ * Ceiling above the present use: covers the spend until a router without contact may ignore it, less what
+ * [ceilingGrowthTokensPerMs] adds until then, with some reservations to spare.
+ */
 internal fun ceilingHeadroomTokens(
     meter: SpendMeter,
     reservedTokens: Long,
     options: BudgetOptions,
 ): Long {
-    val spend = ceil(meter.ratePerMs * options.outageGraceMs * options.ceilingSpendFactor).toLong()
+    val spend = ceil(meter.ratePerMs * options.ceilingLeadMs * options.ceilingSpendFactor).toLong()
     val reservation = if (options.sizesByTypicalReservation) meter.typicalReservation else meter.largestReservation
     return spend + reservedTokens + (reservation * options.ceilingReservations).toLong()
 }
 
+/**
+ * Growth of a ceiling with the time since the contact. A router that is restarted soon after the contact finds that its predecessor
+ * may have spent little, and one that lost the table for longer is not held back by a ceiling for a moment.
+ */
+internal fun ceilingGrowthTokensPerMs(
+    meter: SpendMeter,
+    options: BudgetOptions,
+): Double = meter.ratePerMs * options.ceilingSpendFactor * (1 - options.ceilingLeadMs.toDouble() / options.outageGraceMs)
+
 /** Size of a reservation: the worst case while tokens are plentiful, otherwise a first step of about twice the usual use. */
 internal fun reservationTokens(
     usableTokens: Long,
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/SpendMeter.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/SpendMeter.kt
@@ -14,6 +14,9 @@
     private var tokensSinceTick = 0L
     private var lastTickMs: Long? = null
     private var fastPerMs = 0.0
+
+    /** Share of the window that has been measured: below 1 after a start, when an average that began at 0 is too low. */
+    private var fastWeight = 0.0
     private var slowPerMs = 0.0
 
     /** Share of the reserved worst case that requests use, averaged; 1 until known. */
@@ -32,7 +35,7 @@
         private set
 
     /** Spend rate in tokens per millisecond: the greater of an average over one window and over ten, so that lulls do not shrink grants. */
-    val ratePerMs: Double get() = max(fastPerMs, slowPerMs)
+    val ratePerMs: Double get() = max(fastPerMs / max(fastWeight, LEAST_WEIGHT), slowPerMs)
 
     /** Rate of the last window. */
     val recentRatePerMs: Double get() = fastPerMs
@@ -62,7 +65,9 @@
         if (elapsedMs <= 0) return
         val perMs = tokensSinceTick.toDouble() / elapsedMs
         tokensSinceTick = 0
-        fastPerMs += (1 - exp(-elapsedMs.toDouble() / windowMs)) * (perMs - fastPerMs)
+        val weight = 1 - exp(-elapsedMs.toDouble() / windowMs)
+        fastPerMs += weight * (perMs - fastPerMs)
+        fastWeight += weight * (1 - fastWeight)
         slowPerMs += (1 - exp(-elapsedMs.toDouble() / (windowMs * SLOW_WINDOWS))) * (perMs - slowPerMs)
         largestReservation = (largestReservation * exp(-elapsedMs.toDouble() / (windowMs * SLOW_WINDOWS))).toLong()
     }
@@ -70,6 +75,9 @@
     private companion object {
         private const val TICK_MS = 1_000L
         private const val DEFAULT_WINDOW_MS = 60_000L
+
+        /** A shorter part of the window than this tells too little of the rate. */
+        private const val LEAST_WEIGHT = 0.3
         private const val SLOW_WINDOWS = 10
         private const val USE_SHARE_WEIGHT = 0.05
         private const val RESERVATION_WEIGHT = 0.05
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
@@ -26,11 +26,16 @@
     data object Unresolved : CommitResult
 }
 
-/** Calls of the table with the last contact kept in both time scales. Used by one coroutine at a time. */
+/**
+ * Calls of the table with the last contact kept in both time scales. Used by one coroutine at a time.
+ *
+ * @param startedAtMs monotonic time at which this process was running already.
+ */
 internal class TableSession(
     private val table: TableService,
     private val clock: Clock,
     transactionPrefix: String,
+    private val startedAtMs: Long = clock.monotonicMs(),
 ) {
     private val prefix = "$transactionPrefix-"
     private var transactionCount = 0L
@@ -40,15 +45,14 @@
     var lastContact: TableContact? = null
         private set
 
-    private val createdAtMs = clock.monotonicMs()
     private var firstCallAtMs: Long? = null
 
     /**
-     * Table time by which this session existed, null before the first response. The first response was made after the first call
-     * was sent, so the time between the session's creation and that call lies before the response's time as well.
+     * Table time by which this process was running, null before the first response. The first response was made after the first call
+     * was sent, so the time between the process's start and that call lies before the response's time as well.
      */
     @Volatile
-    var createdByTableTimeMs: Long? = null
+    var runningByTableTimeMs: Long? = null
         private set
 
     fun nextTransactionId(): String = prefix + transactionCount++
@@ -115,7 +119,7 @@
 
     private fun noteContact(tableTimeMs: Long) {
         // A found transaction reports the time of its decision, which may be older than the last contact.
-        if (createdByTableTimeMs == null) createdByTableTimeMs = tableTimeMs - ((firstCallAtMs ?: createdAtMs) - createdAtMs)
+        if (runningByTableTimeMs == null) runningByTableTimeMs = tableTimeMs - ((firstCallAtMs ?: startedAtMs) - startedAtMs)
         val last = lastContact
         if (last == null || tableTimeMs > last.tableTimeMs) lastContact = TableContact(tableTimeMs, clock.monotonicMs())
     }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableWriter.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableWriter.kt
@@ -90,11 +90,12 @@
                 sentTokens = grant.sentTokens,
                 receivedTokens = grant.receivedTokens,
                 ceilingTokens = if (base.closed) base.ceilingTokens else ceiling,
+                ceilingTokensPerMs = if (base.closed) base.ceilingTokensPerMs else ceilingGrowthTokensPerMs(account.meter, options),
                 lastAckedTableTimeMs = contact.tableTimeMs,
                 holderListed = listed,
                 holderTransactionId = transactionId,
             )
-        if (!base.closed) grant.propose(proposed, contact.receivedAtMs + options.outageGraceMs)
+        if (!base.closed) grant.propose(proposed, contact.receivedAtMs, options.outageGraceMs)
         return GrantWrite(account, grant, proposed)
     }
 
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/GrantTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/GrantTest.kt
@@ -19,7 +19,7 @@
         ceilingTokens: Long,
         liftedAtMs: Long,
     ) = Grant(BUDGET, "g").apply {
-        propose(row(ceilingTokens), liftedAtMs)
+        propose(row(ceilingTokens), contactAtMs = 0, outageGraceMs = liftedAtMs)
         confirm(version = 1, nowMs = 0)
     }
 
@@ -29,7 +29,7 @@
         fun `with a lower ceiling bounds the use at once, guarding against a write that took effect unseen`() {
             val grant = grantWithCeiling(ceilingTokens = 800, liftedAtMs = 100)
 
-            grant.propose(row(300), liftedAtMs = 150)
+            grant.propose(row(300), contactAtMs = 50, outageGraceMs = 100)
 
             assertEquals(300, grant.usableTokens(50))
             assertEquals(300, grant.usableTokens(149))
@@ -40,7 +40,7 @@
         fun `with a higher ceiling does not raise the bound, guarding against a write that had no effect`() {
             val grant = grantWithCeiling(ceilingTokens = 300, liftedAtMs = 100)
 
-            grant.propose(row(800), liftedAtMs = 50)
+            grant.propose(row(800), contactAtMs = 0, outageGraceMs = 50)
 
             assertEquals(300, grant.usableTokens(99))
             assertEquals(1_000, grant.usableTokens(100))
@@ -50,7 +50,7 @@
         fun `withholds returned tokens until it is decided, guarding against tokens spent here and granted elsewhere`() {
             val grant = grantWithCeiling(ceilingTokens = 900, liftedAtMs = 100)
 
-            grant.propose(row(900).copy(grantedTokens = 400), liftedAtMs = 100)
+            grant.propose(row(900).copy(grantedTokens = 400), contactAtMs = 0, outageGraceMs = 100)
 
             assertEquals(400, grant.usableTokens(50))
             grant.abandon()
@@ -58,6 +58,27 @@
         }
     }
 
+    @Nested
+    inner class `a ceiling that grows` {
+        private val grant =
+            Grant(BUDGET, "g").apply {
+                propose(row(200).copy(ceilingTokensPerMs = 2.0), contactAtMs = 1_000, outageGraceMs = 300)
+                confirm(version = 1, nowMs = 1_005)
+            }
+
+        @Test
+        fun `bounds the use by the time since the contact, guarding against a refusal while the outage grace runs`() {
+            assertEquals(200, grant.usableTokens(1_000))
+            assertEquals(400, grant.usableTokens(1_100))
+            assertEquals(1_000, grant.usableTokens(1_300))
+        }
+
+        @Test
+        fun `does not shrink below its start, guarding against times that were read before the contact`() {
+            assertEquals(200, grant.usableTokens(990))
+        }
+    }
+
     @Nested
     inner class `a repeated transfer` {
         private val inbox = TransferInbox()
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/PredecessorTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/PredecessorTest.kt
@@ -42,6 +42,53 @@
             }
     }
 
+    @Nested
+    inner class `a process whose ceiling grows` {
+        private val options = BudgetOptions(ceilingLeadMs = 10_000)
+
+        private suspend fun chargedAfter(
+            fleet: BudgetFleet,
+            downMs: Long,
+        ): Long {
+            spendingRouter(fleet).kill()
+            delay(downMs)
+            fleet.start("r", incarnation = 2, vmName = "vm")
+            delay(10_000)
+            return earlierGrant(fleet).chargedTokens
+        }
+
+        @Test
+        fun `costs less the sooner it is restarted, guarding against a mass restart that charges the spend of the whole grace`() {
+            var sooner = 0L
+            var later = 0L
+            fleetTest(options) { fleet -> sooner = chargedAfter(fleet, downMs = 2_000) }
+            fleetTest(options) { fleet -> later = chargedAfter(fleet, downMs = 60_000) }
+
+            assertTrue(sooner < later, "$sooner $later")
+        }
+
+        @Test
+        fun `is charged for no less than it could use, guarding against tokens spent twice`() =
+            fleetTest(options) { fleet ->
+                val router = spendingRouter(fleet)
+                router.link.cut = true
+                delay(40_000)
+                val account = router.parts.accounts.getOrCreate(BUDGET)
+                assertTrue(router.spend("beyond", account.usableTokens(fleet.clock.monotonicMs())))
+                val used = account.grant?.usedTokens ?: 0
+
+                router.kill()
+                delay(2_000)
+                fleet.start("r", incarnation = 2, vmName = "vm")
+                delay(10_000)
+
+                val after = earlierGrant(fleet)
+                assertTrue(after.reclaimed)
+                assertTrue(after.chargedTokens >= used, "${after.chargedTokens} $used")
+                assertTrue(after.chargedTokens < after.grantedTokens)
+            }
+    }
+
     @Nested
     inner class `a process that is restarted on its VM after the grace` {
         @Test
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/SpendMeterTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/SpendMeterTest.kt
@@ -6,6 +6,29 @@
 import kotlin.test.assertTrue
 
 class SpendMeterTest {
+    @Nested
+    inner class `the rate of a router that has just started` {
+        private fun rateAfter(seconds: Int): Double {
+            val meter = SpendMeter(windowMs = 5_000)
+            meter.tick(0)
+            for (second in 1..seconds) {
+                meter.recordUse(2_000, worstCaseTokens = 4_000)
+                meter.tick(second * 1_000L)
+            }
+            return meter.ratePerMs
+        }
+
+        @Test
+        fun `is not lowered by the time before the start, guarding against low ceilings in an outage soon after a start`() {
+            assertEquals(2.0, rateAfter(seconds = 3), absoluteTolerance = 0.01)
+        }
+
+        @Test
+        fun `is not read off a single second, guarding against grants sized by one burst`() {
+            assertTrue(rateAfter(seconds = 1) < 1.5)
+        }
+    }
+
     @Nested
     inner class `the typical reservation` {
         @Test
