Serve short requests while draining, without budgets too; bounded log output and metrics on an address

When fewer than half of a zone's routers are ready, the load balancer uses all of them, so that routers under a rolling restart go on getting requests. A router whose budgets were not written yet refused orders that need no budget. The end of a stream that broke off was logged like a caller that left. The head of each answer was decoded twice. A request that no server ran was charged its prompt.

Change: a draining router takes requests whose own time limit ends before the process does. Only a missing configuration or server list refuses requests; warm-up and budgets only fail the readiness check. Log lines go through a bounded queue that drops plain lines first and counts them; metrics, with histograms of the routed path, are served on port 9464.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterMain.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterMain.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.runBlocking
 import org.lycheemount.app.router.gateway.loadGatewayClasses
 import org.lycheemount.app.router.gateway.runGateway
+import org.lycheemount.app.router.logging.flushLogOutput
 import org.lycheemount.settings.SettingsFault
 import org.lycheemount.settings.loadRouterSettings
 import java.nio.file.Path
@@ -34,6 +35,7 @@
     Runtime.getRuntime().addShutdownHook(
         thread(start = false, name = "shutdown") {
             runBlocking { process.stop() }
+            flushLogOutput()
             // A JVM that ends by a signal exits with 128 + its number; a finished drain is a success.
             Runtime.getRuntime().halt(0)
         },
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.lycheemount.app.router.logging.registerLogMetrics
 import org.lycheemount.backend.BackendHttp
 import org.lycheemount.backend.DefaultModelEngineClient
 import org.lycheemount.backend.DefaultPlainServiceClient
@@ -132,7 +133,7 @@
             plainServices = plainServices,
             peers = peers,
             eventLog = eventLog,
-            metricsRegistry = PrometheusRegistry(),
+            metricsRegistry = PrometheusRegistry().also(::registerLogMetrics),
             scope = scope,
             drain = drain,
             limits = callerLimits(),
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayClassArchive.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayClassArchive.kt
@@ -24,6 +24,7 @@
                 ZoneId("archive"),
                 callersAddress = "127.0.0.1:0",
                 readinessAddress = "127.0.0.1:0",
+                metricsAddress = "127.0.0.1:0",
                 peersAddress = "127.0.0.1:0",
                 storeAddress = nowhere,
                 drainGraceS = 1.0,
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayMain.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayMain.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.runBlocking
 import org.lycheemount.app.router.fail
+import org.lycheemount.app.router.logging.flushLogOutput
 import org.lycheemount.app.router.report
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.settings.loadGatewaySettings
@@ -19,6 +20,7 @@
     Runtime.getRuntime().addShutdownHook(
         thread(start = false, name = "shutdown") {
             runBlocking { process.stop() }
+            flushLogOutput()
             // A JVM that ends by a signal exits with 128 + its number; a finished drain is a success.
             Runtime.getRuntime().halt(0)
         },
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -14,12 +14,14 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.lycheemount.app.router.logging.registerLogMetrics
 import org.lycheemount.backend.BackendHttp
 import org.lycheemount.backend.DefaultPassThroughClient
 import org.lycheemount.budget.BudgetOptions
 import org.lycheemount.budget.createBudgetLedgerModule
 import org.lycheemount.budget.createBudgetLimitWriter
 import org.lycheemount.caller.DrainState
+import org.lycheemount.caller.MetricsHandler
 import org.lycheemount.caller.WorkDispatcher
 import org.lycheemount.caller.routed.RetryTerms
 import org.lycheemount.caller.routed.RoutedInterface
@@ -80,14 +82,25 @@
     private val servers = ServerListener(dispatcher, clock, eventLog)
     private val backendHttp = BackendHttp(connectTimeoutMs = CONNECT_TIMEOUT_MS)
     private val drain = DrainState()
+    private val metricsRegistry = PrometheusRegistry().also(::registerLogMetrics)
+    private val metricsHandler = MetricsHandler(metricsRegistry)
     private val routed = RoutedInterface(routedServices())
     private val callersServer =
         embeddedServer(CIO, configure = { listenOn(settings.callersAddress) }) { routed.installInto(this) }
     private val warmUp = GatewayWarmUp(identity, clock, budgets.ledger, budgets.maintenance)
     private val warm = CompletableDeferred<Unit>()
-    private val readinessServer =
-        embeddedServer(CIO, configure = { listenOn(settings.readinessAddress) }) {
-            routing { get("{...}") { routed.readiness(call) } }
+    private val operationsServer =
+        embeddedServer(
+            CIO,
+            configure = {
+                listenOn(settings.readinessAddress)
+                listenOn(settings.metricsAddress)
+            },
+        ) {
+            routing {
+                get("/metrics") { metricsHandler.answer(call) }
+                get("{...}") { routed.readiness(call) }
+            }
         }
 
     /** Starts all parts; the readiness check succeeds once configuration, servers and budgets are known. */
@@ -99,7 +112,7 @@
         peers.start(scope)
         budgets.maintenance.start(scope)
         callersServer.start(wait = false)
-        readinessServer.start(wait = false)
+        operationsServer.start(wait = false)
         scope.launch { warmUp() }
         eventLog.info(
             "router_started",
@@ -125,9 +138,10 @@
         eventLog.info("drain_started", "requests_in_progress" to drain.requestsInProgress)
         drain.announce()
         delay(NOTICE_MS)
-        drain.begin()
-        val graceMs = (settings.drainGraceS * MS_PER_SECOND).toLong() - END_MARGIN_MS
-        withTimeoutOrNull(graceMs - (clock.monotonicMs() - stoppedAtMs)) { drain.awaitIdle() }
+        val endsAtMs = stoppedAtMs + (settings.drainGraceS * MS_PER_SECOND).toLong() - END_MARGIN_MS
+        // While most routers of a zone leave at once, the load balancer goes on sending requests to them.
+        drain.begin(admittedUntilMs = endsAtMs)
+        withTimeoutOrNull(endsAtMs - clock.monotonicMs()) { drain.awaitIdle() }
         withTimeoutOrNull(BUDGET_DRAIN_MS) { budgets.maintenance.drain() }
         eventLog.info("router_stopped", "router" to identity.routerId.value, "requests_cut" to drain.requestsInProgress)
         scope.cancel()
@@ -150,22 +164,28 @@
             client = DefaultPassThroughClient(backendHttp),
             dialect = PlatformRequestDialect(),
             eventLog = eventLog,
-            metricsRegistry = PrometheusRegistry(),
+            metricsRegistry = metricsRegistry,
             retryTerms = settings.retryBudget.run { RetryTerms(ratio, slack, (windowS * MS_PER_SECOND).toLong()) },
             routerCount = { peers.routerCount },
             notReadyReasons = ::notReadyReasons,
+            cannotServeReasons = ::cannotServeReasons,
             refreshConfiguration = refresher::refresh,
             drain = drain,
         )
 
-    private fun notReadyReasons(): List<String> =
+    private fun cannotServeReasons(): List<String> =
         listOfNotNull(
             "no_configuration".takeIf { !configuration.isPresent },
             "no_servers".takeIf { !servers.hasList },
-            "warming_up".takeIf { !warm.isCompleted },
-            "no_budgets".takeIf { !limits.isApplied },
         )
 
+    private fun notReadyReasons(): List<String> =
+        cannotServeReasons() +
+            listOfNotNull(
+                "warming_up".takeIf { !warm.isCompleted },
+                "no_budgets".takeIf { !limits.isApplied },
+            )
+
     private companion object {
         // The store answers within 4 ms and may be 60 times slower; a call that takes longer is better sent anew.
         private const val STORE_TIMEOUT_MS = 1_000L
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/DrainState.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/DrainState.kt
@@ -8,6 +8,7 @@
     private var inProgress = 0
     private var announced = false
     private var draining = false
+    private var admittedUntilMs = Long.MIN_VALUE
 
     /** Requests that have been admitted and are not settled. */
     @get:Synchronized
@@ -17,10 +18,15 @@
     @get:Synchronized
     val isDraining: Boolean get() = announced
 
-    /** Admits one request, which [leave] must follow; false once draining has begun. */
+    /**
+     * Admits one request, which [leave] must follow. Once draining has begun, it admits only requests whose time is over before the
+     * process ends.
+     *
+     * @param expiresAtMs monotonic time at which the request has ended for certain.
+     */
     @Synchronized
-    fun enter(): Boolean {
-        if (draining) return false
+    fun enter(expiresAtMs: Long = Long.MAX_VALUE): Boolean {
+        if (draining && expiresAtMs > admittedUntilMs) return false
         inProgress++
         return true
     }
@@ -36,7 +42,7 @@
     fun leave() {
         check(inProgress > 0) { "no request in progress" }
         inProgress--
-        if (draining && inProgress == 0) idle.complete(Unit)
+        if (draining && inProgress == 0) end()
     }
 
     /** Fails the readiness check, so that the load balancer sends new work elsewhere before [begin] refuses it. */
@@ -45,12 +51,22 @@
         announced = true
     }
 
-    /** Refuses new work from now on. */
+    /**
+     * Refuses new work from now on.
+     *
+     * @param admittedUntilMs monotonic time; requests that have ended by then are still admitted while others are in progress.
+     */
     @Synchronized
-    fun begin() {
+    fun begin(admittedUntilMs: Long = Long.MIN_VALUE) {
         announced = true
         draining = true
-        if (inProgress == 0) idle.complete(Unit)
+        this.admittedUntilMs = admittedUntilMs
+        if (inProgress == 0) end()
+    }
+
+    private fun end() {
+        admittedUntilMs = Long.MIN_VALUE
+        idle.complete(Unit)
     }
 
     /** Waits until no request is in progress after [begin]. */
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/MetricsHandler.kt
@@ -0,0 +1,23 @@
+package org.lycheemount.caller
+
+import io.ktor.http.ContentType
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.respondBytes
+import io.prometheus.metrics.config.EscapingScheme
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.io.ByteArrayOutputStream
+
+/** Serves the metrics of [registry] in the text format of Prometheus. */
+class MetricsHandler(
+    private val registry: PrometheusRegistry,
+) {
+    private val writer = PrometheusTextFormatWriter.create()
+
+    /** Answers [call] with the present values. */
+    suspend fun answer(call: ApplicationCall) {
+        val bytes = ByteArrayOutputStream()
+        writer.write(bytes, registry.scrape(), EscapingScheme.DEFAULT)
+        call.respondBytes(bytes.toByteArray(), ContentType.parse(writer.contentType))
+    }
+}
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/OperationsHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/OperationsHandler.kt
@@ -3,30 +3,22 @@
 import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
-import io.ktor.server.response.respondBytes
 import io.ktor.server.response.respondText
-import io.prometheus.metrics.config.EscapingScheme
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonArray
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import org.lycheemount.common.StateDumpSource
-import java.io.ByteArrayOutputStream
 
 /** Serves `/metrics`, `/state`, `/health/live` and `/health/ready`, which need no key. */
 internal class OperationsHandler(
     private val services: CallerServices,
     private val shared: CallerShared,
 ) {
-    private val metricsWriter = PrometheusTextFormatWriter.create()
+    private val metrics = MetricsHandler(services.metricsRegistry)
 
-    suspend fun metrics(call: ApplicationCall) {
-        val bytes = ByteArrayOutputStream()
-        metricsWriter.write(bytes, services.metricsRegistry.scrape(), EscapingScheme.DEFAULT)
-        call.respondBytes(bytes.toByteArray(), ContentType.parse(metricsWriter.contentType))
-    }
+    suspend fun metrics(call: ApplicationCall) = metrics.answer(call)
 
     suspend fun state(call: ApplicationCall) {
         val sources = services.stateSources + listOf(services.dispatcher, shared.openRequests)
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/RequestGate.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/RequestGate.kt
@@ -21,8 +21,9 @@
     fun enter(
         team: Team,
         route: String,
+        expiresAtMs: Long = Long.MAX_VALUE,
     ): Result<Entry, Refusal> {
-        if (!drain.enter()) return Err(Refusal(RefusalReason.DRAINING, "this router is shutting down", retryAfterMs = 1_000))
+        if (!drain.enter(expiresAtMs)) return Err(Refusal(RefusalReason.DRAINING, "this router is shutting down", retryAfterMs = 1_000))
         val refusal =
             synchronized(this) {
                 limiter.enter(team.teamId, team.limits, clock.monotonicMs()) ?: null.also { retryBudget(team.teamId, route).onRequest() }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/Attempts.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/Attempts.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
+import org.lycheemount.backend.AnswerHead
 import org.lycheemount.backend.AttemptFailure
 import org.lycheemount.backend.PassThroughAnswer
 import org.lycheemount.backend.PassThroughCall
@@ -35,6 +36,7 @@
 internal class Attempts(
     private val services: RoutedServices,
     private val retries: RetryGate,
+    private val metrics: RoutedMetrics,
     private val request: RoutedRequest,
 ) {
     private val excluded = HashSet<BackendServerId>()
@@ -43,6 +45,14 @@
     var mayHaveRun = false
         private set
 
+    /** True from the start of an attempt to its outcome; stays so when the request is cancelled in between. */
+    var isUnderWay = false
+        private set
+
+    /** Time spent waiting for servers. */
+    var queueMs = 0L
+        private set
+
     /** Attempts so far. */
     var count = 0
         private set
@@ -52,7 +62,16 @@
         private set
 
     /** Waits for a server that has not failed this request. */
-    suspend fun acquire(): AttemptPermit = services.dispatcher.acquire(workItem())
+    suspend fun acquire(): AttemptPermit {
+        val askedAtMs = services.clock.monotonicMs()
+        try {
+            return services.dispatcher.acquire(workItem())
+        } finally {
+            val waitedMs = services.clock.monotonicMs() - askedAtMs
+            queueMs += waitedMs
+            metrics.onQueueWait(request.route.kind, waitedMs)
+        }
+    }
 
     /** Sends the request to [server] once, to go on after the event [resumeAfter] if given, and has [handle] read the answer. */
     suspend fun send(
@@ -62,9 +81,17 @@
     ): AttemptOutcome {
         lastServerId = server.backendServerId
         count++
+        isUnderWay = true
+        var terms: AnswerTerms? = null
+        val call =
+            callFor(server, resumeAfter) { head ->
+                val read = services.dialect.readAnswer(head, request.terms.requestId, server.backendServerId)
+                terms = read
+                read.isOwn
+            }
         val outcome =
             try {
-                services.client.exchange(server, callFor(server, resumeAfter)) { answer -> handleOwn(server, answer, handle) }
+                services.client.exchange(server, call) { answer -> handleOwn(answer, checkNotNull(terms), handle) }
             } catch (failure: BrokenStreamException) {
                 throw failure
             } catch (failure: IOException) {
@@ -76,8 +103,9 @@
                 is PassThroughOutcome.Handled -> outcome.result
                 is PassThroughOutcome.Failed -> AttemptOutcome.Failed(outcome.failure)
             }
+        isUnderWay = false
         when (result) {
-            is AttemptOutcome.Ended -> Unit
+            is AttemptOutcome.Ended -> metrics.onAttempt(request.route.kind, "answered")
             is AttemptOutcome.Failed -> onFailed(server, result.failure)
             is AttemptOutcome.Repeated -> onFailed(server, result.failure)
         }
@@ -94,13 +122,11 @@
     }
 
     private suspend fun handleOwn(
-        server: BackendServer,
         answer: PassThroughAnswer,
+        terms: AnswerTerms,
         handle: suspend (PassThroughAnswer) -> AttemptOutcome,
     ): AttemptOutcome {
-        val terms = services.dialect.readAnswer(answer.head, request.terms.requestId, server.backendServerId)
         terms.load?.let { services.dispatcher.onLoadReport(it) }
-        if (!terms.isOwn) return AttemptOutcome.Failed(AttemptFailure.BROKEN_CONNECTION)
         terms.notRun?.let {
             answer.body.readUpTo(MAX_REFUSAL_BODY_BYTES)
             return AttemptOutcome.Failed(it)
@@ -115,6 +141,7 @@
         failure: AttemptFailure,
     ) {
         services.dispatcher.onFailure(request.requestId, failure)
+        metrics.onAttempt(request.route.kind, failure.name.lowercase())
         excluded += server.backendServerId
         if (!failure.certainlyNotRun) mayHaveRun = true
         services.eventLog.info(
@@ -131,6 +158,7 @@
     private fun callFor(
         server: BackendServer,
         resumeAfter: Long?,
+        isOwnAnswer: (AnswerHead) -> Boolean,
     ): PassThroughCall {
         val attempt = AttemptTerms(server.backendServerId, request.teamId, request.remainingMs(services.clock.monotonicMs()), resumeAfter)
         return PassThroughCall(
@@ -138,7 +166,7 @@
             target = request.target,
             headers = services.dialect.attemptHeaders(request.callerHeaders, attempt),
             body = request.body,
-            isOwnAnswer = { services.dialect.readAnswer(it, request.terms.requestId, server.backendServerId).isOwn },
+            isOwnAnswer = isOwnAnswer,
         )
     }
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
@@ -1,6 +1,6 @@
 package org.lycheemount.caller.routed
 
-import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.getError
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.TimeoutCancellationException
@@ -26,10 +26,11 @@
     private val services: RoutedServices,
     private val reserver: Reserver,
     retries: RetryGate,
+    private val metrics: RoutedMetrics,
     private val request: RoutedRequest,
     private val writer: AnswerWriter,
 ) {
-    private val attempts = Attempts(services, retries, request)
+    private val attempts = Attempts(services, retries, metrics, request)
     private val relay = StreamRelay(services, request, attempts, writer, ::onFirstAnswer)
     private var failedAnswer: HeldAnswer? = null
     private var isReserved = false
@@ -40,6 +41,13 @@
     /** Server of the last attempt; null before the first. */
     val lastServerId: BackendServerId? get() = attempts.lastServerId
 
+    /** Time spent waiting for servers, over all attempts. */
+    val queueMs: Long get() = attempts.queueMs
+
+    /** Time spent waiting for prepaid tokens. */
+    var tokenWaitMs = 0L
+        private set
+
     /** Time from arrival to the head of the answer; null while there is none. */
     var firstAnswerMs: Long? = null
         private set
@@ -49,6 +57,8 @@
         reserve()?.let { return RoutedEnd.NotRun(it) }
         try {
             return withTimeout(remainingMs()) { runAttempts() }
+        } catch (broken: BrokenStreamException) {
+            return RoutedEnd.BrokenOff(broken.message.orEmpty())
         } catch (timeout: TimeoutCancellationException) {
             // A cancelled caller is not a timeout.
             currentCoroutineContext().ensureActive()
@@ -70,9 +80,12 @@
         val tokens = request.maxTokens ?: return null
         if (!request.isPrepaid) return null
         val waitMs = minOf(request.route.targetLatencyMs / GRANT_WAIT_PARTS, remainingMs() / 2)
-        reserver.reserve(request.requestId, request.entry.team.budgetId, tokens, tokens, waitMs).getOrElse { return it }
-        isReserved = true
-        return null
+        val askedAtMs = services.clock.monotonicMs()
+        val reserved = reserver.reserve(request.requestId, request.entry.team.budgetId, tokens, tokens, waitMs)
+        tokenWaitMs = services.clock.monotonicMs() - askedAtMs
+        metrics.onTokenWait(request.route.kind, tokenWaitMs)
+        isReserved = reserved.isOk
+        return reserved.getError()
     }
 
     private suspend fun runAttempts(): RoutedEnd {
@@ -158,7 +171,7 @@
     private fun settle() {
         if (!isReserved) return
         val nowMs = services.clock.monotonicMs()
-        if (!attempts.mayHaveRun && attempts.count == 0) return services.ledger.release(request.requestId, nowMs)
+        if (!attempts.mayHaveRun && !attempts.isUnderWay) return services.ledger.release(request.requestId, nowMs)
         val prompt = request.terms.promptTokens?.toLong() ?: 0L
         val charge = Charge(request.entry.team.teamId, request.backendTarget, prompt, relay.outputTokens.toLong())
         services.ledger.settle(request.requestId, charge, nowMs)
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedInterface.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedInterface.kt
@@ -46,6 +46,7 @@
     private val reserver = Reserver(services.ledger, services.replenisher, services.clock)
     private val retries = RetryGate(services.retryTerms, services.routerCount, services.clock)
     private val metrics = CallerMetrics(services.metricsRegistry, services.drain)
+    private val routedMetrics = RoutedMetrics(services.metricsRegistry, services.configuration, services.dispatcher)
 
     @Volatile
     private var index = RouteIndex(services.configuration.current())
@@ -96,10 +97,8 @@
         val admitted = admit(call).getOrElse { return refuse(writer, terms, null, it) }
         val entry =
             gate
-                .enter(
-                    admitted.team ?: PUBLIC_TEAM,
-                    admitted.route.routeId.value,
-                ).getOrElse { return refuse(writer, terms, null, it) }
+                .enter(admitted.team ?: PUBLIC_TEAM, admitted.route.routeId.value, expiresAtMs(admitted.route, terms, arrivedAtMs))
+                .getOrElse { return refuse(writer, terms, null, it) }
         try {
             val body = bodyReader.read(call).getOrElse { return refuse(writer, terms, null, it) }
             val request = requestOf(call, terms, admitted, entry, body, arrivedAtMs)
@@ -129,15 +128,21 @@
         callerHeaders = call.request.headers,
         body = body,
         arrivedAtMs = arrivedAtMs,
-        expiresAtMs = arrivedAtMs + minOf(admitted.route.timeoutMs, terms.deadlineMs ?: Long.MAX_VALUE),
+        expiresAtMs = expiresAtMs(admitted.route, terms, arrivedAtMs),
         configurationSequence = admitted.sequence,
     )
 
+    private fun expiresAtMs(
+        route: Route,
+        terms: RequestTerms,
+        arrivedAtMs: Long,
+    ): Long = arrivedAtMs + minOf(route.timeoutMs, terms.deadlineMs ?: Long.MAX_VALUE)
+
     private suspend fun execute(
         writer: AnswerWriter,
         request: RoutedRequest,
     ) {
-        val execution = RoutedExecution(services, reserver, retries, request, writer)
+        val execution = RoutedExecution(services, reserver, retries, routedMetrics, request, writer)
         var end: RoutedEnd? = null
         try {
             end = execution.run()
@@ -157,6 +162,8 @@
         execution: RoutedExecution,
         end: RoutedEnd?,
     ) {
+        val elapsedMs = services.clock.monotonicMs() - request.arrivedAtMs
+        routedMetrics.onEnd(request.route.kind, describe(end).substringBefore(':'), elapsedMs, execution.firstAnswerMs)
         services.eventLog.info(
             "request_ended",
             "request_id" to request.terms.requestId,
@@ -167,15 +174,17 @@
             "shared_prompt" to request.homeHash?.toULong()?.toString(HEXADECIMAL),
             "attempts" to execution.attemptCount,
             "server" to execution.lastServerId?.value,
+            "token_wait_ms" to execution.tokenWaitMs,
+            "queue_ms" to execution.queueMs,
             "first_ms" to execution.firstAnswerMs,
-            "total_ms" to services.clock.monotonicMs() - request.arrivedAtMs,
+            "total_ms" to elapsedMs,
             "outcome" to describe(end),
         )
     }
 
     private fun describe(end: RoutedEnd?): String =
         when (end) {
-            null -> "caller_gone_or_broken_off"
+            null -> "caller_gone"
             is RoutedEnd.Answered -> "answered_${end.httpStatus}"
             is RoutedEnd.NotRun -> "not_run:${end.refusal.reason.wireName}"
             is RoutedEnd.Unknown -> "unknown:${end.refusal.reason.wireName}"
@@ -184,7 +193,7 @@
 
     /** Finds route and team; reads the configuration anew before it refuses what another router may know already. */
     private suspend fun admit(call: ApplicationCall): Result<Admitted, Refusal> {
-        val reasons = services.notReadyReasons()
+        val reasons = services.cannotServeReasons()
         if (reasons.isNotEmpty()) return Err(Refusal(RefusalReason.NOT_READY, reasons.joinToString(), NOT_READY_RETRY_MS))
         val first = lookUp(call)
         if (first.isOk) return first
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
@@ -0,0 +1,117 @@
+package org.lycheemount.caller.routed
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.lycheemount.caller.WorkDispatcher
+import org.lycheemount.common.BackendServer
+import org.lycheemount.config.ConfigurationView
+import org.lycheemount.config.RouteKind
+
+/** Metrics of routed requests. Labels never hold values that callers choose freely. */
+internal class RoutedMetrics(
+    registry: PrometheusRegistry,
+    configuration: ConfigurationView,
+    dispatcher: WorkDispatcher,
+) {
+    private val requestSeconds =
+        histogram(
+            "lycheemount_routed_request_seconds",
+            "Time from the arrival of a request to its end.",
+            "kind",
+            "outcome",
+        ).register(registry)
+    private val firstAnswerSeconds =
+        histogram("lycheemount_routed_first_answer_seconds", "Time from arrival to the first of the answer.", "kind").register(registry)
+    private val tokenWaitSeconds =
+        histogram("lycheemount_routed_token_wait_seconds", "Time that a request waited for prepaid tokens.", "kind").register(registry)
+    private val queueSeconds =
+        histogram("lycheemount_routed_queue_seconds", "Time that an attempt waited for a server.", "kind").register(registry)
+    private val attempts: Counter =
+        Counter
+            .builder()
+            .name("lycheemount_routed_attempts_total")
+            .help("Attempts at servers, by kind of request and result.")
+            .labelNames("kind", "result")
+            .register(registry)
+
+    init {
+        gauge(registry, "lycheemount_configuration_sequence", "Version of the configuration in force.") {
+            configuration.current().sequence.toDouble()
+        }
+        gauge(registry, "lycheemount_backend_servers", "Backend servers that requests may be sent to.") {
+            dispatcher
+                .backendServers()
+                .count { !it.leaving }
+                .toDouble()
+        }
+        gauge(registry, "lycheemount_backend_servers_leaving", "Backend servers that are about to leave.") {
+            dispatcher
+                .backendServers()
+                .count(BackendServer::leaving)
+                .toDouble()
+        }
+    }
+
+    /** A request has ended after [elapsedMs]; [outcome] is one of a few fixed words. */
+    fun onEnd(
+        kind: RouteKind,
+        outcome: String,
+        elapsedMs: Long,
+        firstAnswerMs: Long?,
+    ) {
+        requestSeconds.labelValues(label(kind), outcome).observe(elapsedMs / MS_PER_SECOND)
+        firstAnswerMs?.let { firstAnswerSeconds.labelValues(label(kind)).observe(it / MS_PER_SECOND) }
+    }
+
+    /** A request has waited [waitedMs] for tokens of its team, whether it got them or not. */
+    fun onTokenWait(
+        kind: RouteKind,
+        waitedMs: Long,
+    ) = tokenWaitSeconds.labelValues(label(kind)).observe(waitedMs / MS_PER_SECOND)
+
+    /** An attempt has waited [waitedMs] for its server, whether it got one or not. */
+    fun onQueueWait(
+        kind: RouteKind,
+        waitedMs: Long,
+    ) = queueSeconds.labelValues(label(kind)).observe(waitedMs / MS_PER_SECOND)
+
+    /** An attempt has ended; [result] is "answered" or the failure. */
+    fun onAttempt(
+        kind: RouteKind,
+        result: String,
+    ) = attempts.labelValues(label(kind), result).inc()
+
+    private fun label(kind: RouteKind) = kind.name.lowercase()
+
+    private fun histogram(
+        name: String,
+        help: String,
+        vararg labels: String,
+    ): Histogram.Builder =
+        Histogram
+            .builder()
+            .name(name)
+            .help(help)
+            .labelNames(*labels)
+            .classicOnly()
+
+    private fun gauge(
+        registry: PrometheusRegistry,
+        name: String,
+        help: String,
+        value: () -> Double,
+    ) {
+        GaugeWithCallback
+            .builder()
+            .name(name)
+            .help(help)
+            .callback { it.call(value()) }
+            .register(registry)
+    }
+
+    private companion object {
+        private const val MS_PER_SECOND = 1_000.0
+    }
+}
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedServices.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedServices.kt
@@ -16,7 +16,8 @@
  * What the interface for routed requests works with.
  *
  * @property routerCount number of routers that share the retry budget.
- * @property notReadyReasons reasons why requests cannot be served yet; empty when the process is ready.
+ * @property notReadyReasons reasons why other routers had better take new connections; empty when the process is ready.
+ * @property cannotServeReasons reasons why no request that comes all the same can be served; empty while some can.
  * @property refreshConfiguration reads the configuration anew; called before a request is refused for an unknown route or key.
  *   False when it could not be read.
  */
@@ -34,6 +35,7 @@
     val retryTerms: RetryTerms,
     val routerCount: () -> Int,
     val notReadyReasons: () -> List<String>,
+    val cannotServeReasons: () -> List<String> = notReadyReasons,
     val refreshConfiguration: suspend () -> Boolean = { true },
     val drain: DrainState = DrainState(),
     val limits: CallerLimits = CallerLimits(),
--- /dev/null
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/DrainStateTest.kt
@@ -0,0 +1,54 @@
+package org.lycheemount.caller
+
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class DrainStateTest {
+    private val drain = DrainState()
+
+    private fun awaitIdle() = runBlocking { withTimeout(1_000) { drain.awaitIdle() } }
+
+    @Nested
+    inner class `a process that drains` {
+        @Test
+        fun `takes requests that are over before its end, guarding against refusals while all routers of a zone are restarted`() {
+            assertTrue(drain.enter())
+            drain.begin(admittedUntilMs = 5_000)
+
+            assertTrue(drain.enter(expiresAtMs = 5_000))
+        }
+
+        @Test
+        fun `refuses requests that may outlast it, guarding against an answer that is cut off`() {
+            assertTrue(drain.enter())
+            drain.begin(admittedUntilMs = 5_000)
+
+            assertFalse(drain.enter(expiresAtMs = 5_001))
+            assertFalse(drain.enter())
+        }
+
+        @Test
+        fun `takes nothing any more once it was idle, guarding against requests that come while it ends`() {
+            assertTrue(drain.enter())
+            drain.begin(admittedUntilMs = 5_000)
+            assertTrue(drain.enter(expiresAtMs = 1_000))
+            drain.leave()
+            drain.leave()
+
+            awaitIdle()
+            assertFalse(drain.enter(expiresAtMs = 1_000))
+        }
+
+        @Test
+        fun `takes nothing when it was idle from the start`() {
+            drain.begin(admittedUntilMs = 5_000)
+
+            awaitIdle()
+            assertFalse(drain.enter(expiresAtMs = 1_000))
+        }
+    }
+}
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedInterfaceTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedInterfaceTest.kt
@@ -280,6 +280,7 @@
             assertTrue("id: 1" in answer, answer)
             assertFalse(answer.endsWith("0\r\n\r\n"), answer)
             assertEquals(0, second.requests.size)
+            assertEquals("broken_off:the stream broke off at event 1", outcomeLogged())
         }
 
         @Test
@@ -296,6 +297,19 @@
 
             assertNotNull(first.abandoned.poll(10, TimeUnit.SECONDS))
             assertEquals(35, assertNotNull(ledger.bills.poll(10, TimeUnit.SECONDS)).charge.totalTokens)
+            assertEquals("caller_gone", outcomeLogged())
+        }
+
+        @Test
+        fun `that no server ran is not charged, guarding against prepaid tokens lost to servers that are full`() {
+            first.answer { head("503 Service Unavailable", "X-Not-Run: 1", "X-Id: r", "Content-Length: 0") }
+            second.answer { head("503 Service Unavailable", "X-Not-Run: 1", "X-Id: r", "Content-Length: 0") }
+
+            val answer = exchange("/chat/1", "X-Tokens: 30,40")
+
+            assertTrue(answer.startsWith("HTTP/1.1 503"), answer)
+            assertEquals("not_run:no_backend_server", outcomeLogged())
+            assertEquals(0, ledger.bills.size)
         }
 
         @Test
@@ -326,5 +340,19 @@
         }
     }
 
+    /** Outcome in the line that ends the request, which may follow the caller's last byte. */
+    private fun outcomeLogged(): Any? {
+        repeat(LOG_POLLS) {
+            log.events.firstOrNull { (name, _) -> name == "request_ended" }?.let { (_, fields) -> return fields["outcome"] }
+            Thread.sleep(LOG_POLL_MS)
+        }
+        return null
+    }
+
     private fun sha256(text: String) = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()))
+
+    private companion object {
+        private const val LOG_POLLS = 1_000
+        private const val LOG_POLL_MS = 10L
+    }
 }
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/GatewaySettings.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/GatewaySettings.kt
@@ -18,6 +18,7 @@
  *
  * @property callersAddress IP address and port of the callers' listener.
  * @property readinessAddress IP address and port of the listener for readiness checks.
+ * @property metricsAddress IP address and port of the listener for metrics, under `/metrics`.
  * @property peersAddress IP address and port of the listener for links between routers.
  * @property storeAddress IP address and port of the platform's store.
  * @property isFirstStart whether the whole fleet starts for the first time; a restarted router skips its warm-up, to be back sooner.
@@ -31,6 +32,7 @@
     val zoneId: ZoneId,
     val callersAddress: String,
     val readinessAddress: String,
+    val metricsAddress: String,
     val peersAddress: String,
     val storeAddress: String,
     val drainGraceS: Double,
@@ -72,6 +74,7 @@
         "zoneId" to nameRule,
         "callersAddress" to address,
         "readinessAddress" to address,
+        "metricsAddress" to address,
         "peersAddress" to address,
         "storeAddress" to address,
         "isFirstStart" to FieldRule.Flag(),
--- a/version/settings/src/test/kotlin/org/lycheemount/settings/GatewaySettingsTest.kt
+++ b/version/settings/src/test/kotlin/org/lycheemount/settings/GatewaySettingsTest.kt
@@ -13,7 +13,8 @@
         ratio: String = "0.2",
     ) = """
         {"routerId": "frontend-fraser-1", "vmId": "frontend-fraser-1-10.1.0.40", "regionId": "bc-west", "zoneId": "fraser",
-         "callersAddress": "$callers", "readinessAddress": "10.1.0.40:8220", "peersAddress": "10.1.0.40:7340",
+         "callersAddress": "$callers", "readinessAddress": "10.1.0.40:8220", "metricsAddress": "10.1.0.40:9464",
+         "peersAddress": "10.1.0.40:7340",
          "storeAddress": "10.200.1.7:8223", "drainGraceS": 8, "retryBudget": {"ratio": $ratio, "slack": 54, "windowS": 10}}
         """.trimIndent()
 
