Refill, reclaim and close grants together, before other work, over kept connections to the store

Each call of the store opened a connection. Ceilings counted open reservations twice.

Change: one read and one transaction for all refills, reclaims or closes of a pass; refills come first, those that requests wait for before the others. A drain has what is left of the grace. The store is called by the client of the backend servers, which keeps its connections. The headroom of a ceiling no longer adds the open reservations, which the present use holds already.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -37,7 +37,6 @@
 import org.lycheemount.platform.adapter.createOperatorFollower
 import org.lycheemount.platform.adapter.createRowTableService
 import org.lycheemount.platform.adapter.createServerFollower
-import org.lycheemount.platform.http.PlatformHttp
 import org.lycheemount.scheduling.InitialSpeeds
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.settings.GatewaySettings
@@ -56,8 +55,9 @@
     private val eventLog = DefaultEventLog("gateway")
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val identity = settings.run { RouterIdentity(routerId, vmId, regionId, zoneId, incarnation = clock.wallClockMs()) }
-    private val platformHttp = PlatformHttp(STORE_TIMEOUT_MS)
-    private val store = StoreClient(platformHttp, settings.storeAddress)
+    private val backendHttp = BackendHttp(connectTimeoutMs = CONNECT_TIMEOUT_MS)
+    private val client = DefaultPassThroughClient(backendHttp)
+    private val store = StoreClient(KeptPlatformTransport(client, STORE_TIMEOUT_MS), settings.storeAddress)
     private val table = createRowTableService(store)
     private val peers = GatewayPeers(table, routerVm(), identity, clock, eventLog)
     private val configuration = FollowedConfiguration(eventLog)
@@ -80,7 +80,6 @@
     private val operatorRows = createOperatorFollower(store)
     private val refresher = ConfigurationRefresher(clock) { operatorRows.readOnce(configurationListener::onAllRows) }
     private val servers = ServerListener(dispatcher, clock, eventLog)
-    private val backendHttp = BackendHttp(connectTimeoutMs = CONNECT_TIMEOUT_MS)
     private val drain = DrainState()
     private val metricsRegistry = PrometheusRegistry().also(::registerLogMetrics)
     private val metricsHandler = MetricsHandler(metricsRegistry)
@@ -138,11 +137,12 @@
         eventLog.info("drain_started", "requests_in_progress" to drain.requestsInProgress)
         drain.announce()
         delay(NOTICE_MS)
-        val endsAtMs = stoppedAtMs + (settings.drainGraceS * MS_PER_SECOND).toLong() - END_MARGIN_MS
+        val graceEndsAtMs = stoppedAtMs + (settings.drainGraceS * MS_PER_SECOND).toLong()
+        val endsAtMs = graceEndsAtMs - END_MARGIN_MS
         // While most routers of a zone leave at once, the load balancer goes on sending requests to them.
         drain.begin(admittedUntilMs = endsAtMs)
         withTimeoutOrNull(endsAtMs - clock.monotonicMs()) { drain.awaitIdle() }
-        withTimeoutOrNull(BUDGET_DRAIN_MS) { budgets.maintenance.drain() }
+        withTimeoutOrNull(graceEndsAtMs - EXIT_MARGIN_MS - clock.monotonicMs()) { budgets.maintenance.drain() }
         eventLog.info("router_stopped", "router" to identity.routerId.value, "requests_cut" to drain.requestsInProgress)
         scope.cancel()
     }
@@ -161,7 +161,7 @@
             ledger = budgets.ledger,
             replenisher = budgets.maintenance,
             dispatcher = dispatcher,
-            client = DefaultPassThroughClient(backendHttp),
+            client = client,
             dialect = PlatformRequestDialect(),
             eventLog = eventLog,
             metricsRegistry = metricsRegistry,
@@ -203,7 +203,7 @@
 
         // Leaves time to return the grants before the process is killed.
         private const val END_MARGIN_MS = 900L
-        private const val BUDGET_DRAIN_MS = 600L
+        private const val EXIT_MARGIN_MS = 300L
 
         // Engines read 64 prompt tokens in a millisecond and make a token in 4 ms and more.
         private val ENGINE_SPEEDS = InitialSpeeds(prefillMsPerToken = 0.03, decodeMsPerToken = 8.0, serviceMs = 25.0)
--- /dev/null
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/KeptPlatformTransport.kt
@@ -0,0 +1,92 @@
+package org.lycheemount.app.router.gateway
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpMethod
+import io.ktor.http.Url
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.withTimeoutOrNull
+import org.lycheemount.backend.AttemptFailure
+import org.lycheemount.backend.PassThroughCall
+import org.lycheemount.backend.PassThroughClient
+import org.lycheemount.backend.PassThroughOutcome
+import org.lycheemount.common.BackendServer
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
+import org.lycheemount.platform.http.PlatformExchange
+import org.lycheemount.platform.http.PlatformTransport
+import java.io.IOException
+
+/**
+ * Requests to the platform's store over kept connections, by the client that also serves requests of callers. A router that starts
+ * has fewer classes to load this way, and a call needs no connection of its own.
+ *
+ * The store may close a kept connection just when a request is sent. The exchange is then lost, which every call of the store allows
+ * for: reads are repeated, and transactions are looked up by their id.
+ *
+ * @param callTimeoutMs time for one call, unless the call has a time of its own.
+ */
+internal class KeptPlatformTransport(
+    private val client: PassThroughClient,
+    private val callTimeoutMs: Long,
+) : PlatformTransport {
+    override suspend fun exchange(
+        httpMethod: HttpMethod,
+        url: String,
+        body: ByteArray?,
+        bodyType: ContentType,
+        timeoutMs: Long?,
+    ): PlatformExchange {
+        val target = Url(url)
+        val call =
+            PassThroughCall(
+                method = httpMethod.value,
+                target = target.encodedPathAndQuery,
+                headers = if (body == null) emptyList() else listOf(HttpHeaders.ContentType to bodyType.toString()),
+                body = body ?: ByteArray(0),
+            )
+        val limitMs = timeoutMs ?: callTimeoutMs
+        return try {
+            withTimeoutOrNull(limitMs) { send(serverAt(target), call) } ?: PlatformExchange.Lost("no response within $limitMs ms")
+        } catch (failure: IOException) {
+            currentCoroutineContext().ensureActive()
+            PlatformExchange.Lost("connection broken: ${failure.message}")
+        }
+    }
+
+    private suspend fun send(
+        server: BackendServer,
+        call: PassThroughCall,
+    ): PlatformExchange {
+        val outcome =
+            client.exchange(server, call) { answer ->
+                val bytes = answer.body.readUpTo(MAX_BODY_BYTES)
+                if (answer.body.isComplete) {
+                    PlatformExchange.Answered(answer.head.httpStatus, bytes)
+                } else {
+                    PlatformExchange.Lost("response of more than $MAX_BODY_BYTES bytes")
+                }
+            }
+        return when (outcome) {
+            is PassThroughOutcome.Handled -> outcome.result
+            is PassThroughOutcome.Failed -> failed(outcome)
+        }
+    }
+
+    private fun failed(outcome: PassThroughOutcome.Failed): PlatformExchange =
+        if (outcome.failure == AttemptFailure.CONNECT_FAILED) {
+            PlatformExchange.NotSent("cannot connect: ${outcome.detail}")
+        } else {
+            PlatformExchange.Lost("connection broken: ${outcome.detail}")
+        }
+
+    private fun serverAt(target: Url) =
+        BackendServer(BackendServerId("store"), VmId("store"), ZoneId("store"), target.host, target.port, targets = emptySet())
+
+    private companion object {
+        // A page of the store holds at most a configuration of some megabytes.
+        private const val MAX_BODY_BYTES = 32 * 1_048_576
+    }
+}
--- /dev/null
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/KeptPlatformTransportTest.kt
@@ -0,0 +1,98 @@
+package org.lycheemount.app.router.gateway
+
+import io.ktor.http.HttpMethod
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.lycheemount.backend.BackendHttp
+import org.lycheemount.backend.DefaultPassThroughClient
+import org.lycheemount.platform.http.PlatformExchange
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+class KeptPlatformTransportTest {
+    private val backendHttp = BackendHttp()
+    private val transport = KeptPlatformTransport(DefaultPassThroughClient(backendHttp), callTimeoutMs = 300)
+    private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
+    private val connections = AtomicInteger()
+
+    @Volatile
+    private var response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=5\r\n\r\nok"
+
+    init {
+        thread(isDaemon = true) {
+            while (!listener.isClosed) {
+                val socket = runCatching { listener.accept() }.getOrNull() ?: break
+                connections.incrementAndGet()
+                thread(isDaemon = true) { serve(socket) }
+            }
+        }
+    }
+
+    @AfterEach
+    fun close() {
+        listener.close()
+        backendHttp.close()
+    }
+
+    /** Answers each request with [response]; closes the connection after one that is not complete. */
+    private fun serve(socket: Socket) =
+        socket.use {
+            val lines = socket.getInputStream().bufferedReader()
+            while (true) {
+                var line = lines.readLine() ?: return
+                while (line.isNotEmpty()) line = lines.readLine() ?: return
+                socket.getOutputStream().write(response.encodeToByteArray())
+                socket.getOutputStream().flush()
+                if (!response.endsWith("ok")) Thread.sleep(PAUSE_MS)
+                if (!response.endsWith("ok")) return
+            }
+        }
+
+    private fun exchange() = runBlocking { transport.exchange(HttpMethod.Get, "http://127.0.0.1:${listener.localPort}/-/rows?table=a%20b") }
+
+    @Nested
+    inner class `calls one after the other` {
+        @Test
+        fun `share one connection, guarding against the cost of one for each call`() {
+            repeat(3) { assertEquals("ok", assertIs<PlatformExchange.Answered>(exchange()).body.decodeToString()) }
+
+            assertEquals(1, connections.get())
+        }
+    }
+
+    @Nested
+    inner class `a call` {
+        @Test
+        fun `whose response breaks off is lost, guarding against half a page that is taken for a whole one`() {
+            response = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf"
+
+            assertIs<PlatformExchange.Lost>(exchange())
+        }
+
+        @Test
+        fun `without a response in time is lost`() {
+            response = ""
+
+            assertIs<PlatformExchange.Lost>(exchange())
+        }
+
+        @Test
+        fun `that finds no listener was not sent`() {
+            listener.close()
+
+            assertIs<PlatformExchange.NotSent>(exchange())
+        }
+    }
+
+    private companion object {
+        private const val BACKLOG = 8
+        private const val PAUSE_MS = 400L
+    }
+}
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/AnswerBody.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/AnswerBody.kt
@@ -3,6 +3,7 @@
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.readUTF8Line
+import java.io.ByteArrayOutputStream
 import java.io.EOFException
 import java.io.IOException
 
@@ -26,14 +27,14 @@
 
     /** Reads to the end, but no more than [maxBytes] bytes. */
     suspend fun readUpTo(maxBytes: Int): ByteArray {
-        var held = ByteArray(0)
+        val held = ByteArrayOutputStream()
         val bytes = ByteArray(READ_BYTES)
-        while (held.size < maxBytes) {
+        while (held.size() < maxBytes) {
             val count = read(bytes)
             if (count < 0) break
-            held += bytes.copyOf(count)
+            held.write(bytes, 0, count)
         }
-        return held
+        return held.toByteArray()
     }
 
     internal abstract suspend fun readMore(bytes: ByteArray): Int
--- a/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
@@ -28,7 +28,8 @@
  */
 class PlatformHttp(
     private val callTimeoutMs: Long,
-) : AutoCloseable {
+) : PlatformTransport,
+    AutoCloseable {
     internal val json = Json { ignoreUnknownKeys = true }
 
     // Each request has its own connection: one that is kept open and closed by the platform meanwhile would turn a
@@ -44,21 +45,22 @@
             }
         }
 
-    /** Sends one request and waits for the whole response for at most [timeoutMs]. */
-    suspend fun exchange(
+    override suspend fun exchange(
         httpMethod: HttpMethod,
         url: String,
-        body: ByteArray? = null,
-        bodyType: ContentType = ContentType.Application.Json,
-        timeoutMs: Long = callTimeoutMs,
-    ): PlatformExchange =
-        try {
-            withTimeoutOrNull(timeoutMs) { send(httpMethod, url, body, bodyType) }
-                ?: PlatformExchange.Lost("no response within $timeoutMs ms")
+        body: ByteArray?,
+        bodyType: ContentType,
+        timeoutMs: Long?,
+    ): PlatformExchange {
+        val limitMs = timeoutMs ?: callTimeoutMs
+        return try {
+            withTimeoutOrNull(limitMs) { send(httpMethod, url, body, bodyType) }
+                ?: PlatformExchange.Lost("no response within $limitMs ms")
         } catch (failure: Exception) {
             currentCoroutineContext().ensureActive()
             if (isConnectFailure(failure)) PlatformExchange.NotSent("cannot connect") else PlatformExchange.Lost("connection broken")
         }
+    }
 
     /** Decodes a response; [repeatable] requests have no effect, so that a lost response counts as unavailable. */
     internal fun <T> toResult(
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BillFlusher.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BillFlusher.kt
@@ -124,7 +124,7 @@
             return true
         }
         if (nowMs - grant.rowWrittenAtMs >= options.outageGraceMs / ROW_WRITES_PER_GRACE) return true
-        val headroom = ceilingHeadroomTokens(account.meter, grant.reservedTokens, options)
+        val headroom = ceilingHeadroomTokens(account.meter, options)
         val spare = row.ceilingTokens - grant.usedTokens
         return spare < headroom * RAISE_SHARE || spare > headroom * 2 + account.meter.largestReservation
     }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantKeeper.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantKeeper.kt
@@ -26,14 +26,23 @@
     fun newGrant(budgetId: BudgetId): Grant =
         Grant(budgetId, "${writer.self.routerId.value}-${writer.self.incarnation}-${grantCount.getAndIncrement()}")
 
-    /** Refills the grant of [account] if it is below its low-water mark. False when the table gave no answer. */
-    suspend fun refill(account: BudgetAccount): Boolean {
+    /** Refills the grants of [accounts] that are below their low-water mark. False when the table gave no answer. */
+    suspend fun refill(accounts: List<BudgetAccount>): Boolean {
+        for (batch in accounts.chunked(options.rowsPerTransaction)) if (!refillBatch(batch)) return false
+        return true
+    }
+
+    /** A router that has just started refills all of its budgets, which takes one transaction instead of one for each. */
+    private suspend fun refillBatch(batch: List<BudgetAccount>): Boolean {
         repeat(RACE_ATTEMPTS) {
-            if (!needsRefill(account)) return true
-            if (account.budgetRow == null && !readBudget(account)) return false
-            val attempt = planRefill(account) ?: return rereadBudget(account)
-            when (writer.run(attempt)) {
-                AttemptResult.COMMITTED -> return true
+            val needing = batch.filter(::needsRefill)
+            if (needing.isEmpty()) return true
+            if (!readBudgets(needing.filter { it.budgetRow == null })) return false
+            val transactionId = session.nextTransactionId()
+            val planned = needing.mapNotNull { account -> planRefill(account, transactionId)?.let { account to it } }.toMap()
+            if (planned.isEmpty()) return rereadBudgets(needing)
+            when (writer.run(combined(transactionId, planned.values))) {
+                AttemptResult.COMMITTED -> return rereadBudgets(needing - planned.keys)
                 AttemptResult.NO_ANSWER -> return false
                 AttemptResult.LOST_RACE -> Unit
             }
@@ -47,7 +56,7 @@
      */
     suspend fun learnRemaining(account: BudgetAccount): Boolean {
         val grants = session.scanAll(grantPrefix(account.budgetId)) ?: return false
-        if (!readBudget(account)) return false
+        if (!readBudgets(listOf(account))) return false
         synchronized(account) {
             val budget = account.budgetRow ?: ABSENT_BUDGET
             val open = grants.map { decodeRow<GrantRow>(it.value) }.filter { !it.closed }
@@ -62,18 +71,21 @@
         account: BudgetAccount,
         tokens: (Grant) -> Long,
     ): Boolean {
-        if (account.budgetRow == null && !readBudget(account)) return false
+        if (account.budgetRow == null && !readBudgets(listOf(account))) return false
         val attempt = synchronized(account) { planReturn(account, tokens) } ?: return false
         return writer.run(attempt) == AttemptResult.COMMITTED
     }
 
-    /** Ends the grant of [account] when nothing of it is in use any more. False when that did not happen now. */
-    suspend fun close(account: BudgetAccount): Boolean {
-        if (account.closing) return verifyClose(account)
-        if (synchronized(account) { dropUnusedGrant(account) }) return true
-        if (account.budgetRow == null && !readBudget(account)) return false
-        val attempt = synchronized(account) { planClose(account) } ?: return false
-        return writer.run(attempt) == AttemptResult.COMMITTED
+    /** Ends the grants of [accounts] of which nothing is in use any more, as far as that works now. */
+    suspend fun close(accounts: List<BudgetAccount>) {
+        if (!verifyCloses(accounts.filter { it.closing })) return
+        val open = accounts.filterNot { account -> synchronized(account) { account.closing || dropUnusedGrant(account) } }
+        if (!readBudgets(open.filter { it.budgetRow == null })) return
+        for (batch in open.chunked(options.rowsPerTransaction)) {
+            val transactionId = session.nextTransactionId()
+            val attempts = batch.mapNotNull { account -> synchronized(account) { planClose(account, transactionId) } }
+            if (attempts.isNotEmpty() && writer.run(combined(transactionId, attempts)) == AttemptResult.NO_ANSWER) return
+        }
     }
 
     /** A first grant whose transaction had no effect has neither a row nor tokens. */
@@ -85,17 +97,19 @@
     }
 
     /** Only its holder deletes a grant row, so the absence of the row shows that a close whose answer was lost took effect. */
-    private suspend fun verifyClose(account: BudgetAccount): Boolean {
-        val grant = synchronized(account) { account.grant } ?: return true
-        val key = grantKey(account.budgetId, grant.grantId)
-        val snapshot = session.read(listOf(key)) ?: return false
-        synchronized(account) {
-            val row = snapshot.find(key)
-            account.closing = false
-            if (row == null) account.grant = null else grant.adopt(decodeRow(row.value), row.version)
-            account.retireClosedGrant()
-            return row == null
+    private suspend fun verifyCloses(accounts: List<BudgetAccount>): Boolean {
+        val grants = accounts.mapNotNull { account -> synchronized(account) { account.grant }?.let { account to it } }
+        if (grants.isEmpty()) return true
+        val snapshot = session.read(grants.map { (account, grant) -> grantKey(account.budgetId, grant.grantId) }) ?: return false
+        for ((account, grant) in grants) {
+            synchronized(account) {
+                val row = snapshot.find(grantKey(account.budgetId, grant.grantId))
+                account.closing = false
+                if (row == null) account.grant = null else grant.adopt(decodeRow(row.value), row.version)
+                account.retireClosedGrant()
+            }
         }
+        return true
     }
 
     private fun needsRefill(account: BudgetAccount): Boolean =
@@ -106,31 +120,41 @@
                 refillTokens(account.demand(routerCount()), Long.MAX_VALUE / 2, options.copy(holdsEqualShare = false)) > 0
         }
 
-    /** Notices a top-up or a return while the tokens seen last do not suffice. */
-    private suspend fun rereadBudget(account: BudgetAccount): Boolean {
-        val intervalMs = synchronized(account) { if (account.wantedTokens > 0) WANTED_REREAD_MS else REREAD_MS }
-        return clock.monotonicMs() - account.budgetReadAtMs < intervalMs || readBudget(account)
+    /** Notices top-ups and returns while the tokens seen last do not suffice. */
+    private suspend fun rereadBudgets(accounts: List<BudgetAccount>): Boolean {
+        val nowMs = clock.monotonicMs()
+        return readBudgets(
+            accounts.filter { account ->
+                val intervalMs = synchronized(account) { if (account.wantedTokens > 0) WANTED_REREAD_MS else REREAD_MS }
+                nowMs - account.budgetReadAtMs >= intervalMs
+            },
+        )
     }
 
-    private suspend fun readBudget(account: BudgetAccount): Boolean {
-        val snapshot = session.read(listOf(budgetKey(account.budgetId))) ?: return false
-        val row = snapshot.find(budgetKey(account.budgetId))
-        synchronized(account) {
-            account.budgetRow = row?.let { decodeRow<BudgetRow>(it.value) } ?: ABSENT_BUDGET
-            account.budgetVersion = row?.version ?: 0
-            account.budgetReadAtMs = clock.monotonicMs()
+    private suspend fun readBudgets(accounts: List<BudgetAccount>): Boolean {
+        if (accounts.isEmpty()) return true
+        val snapshot = session.read(accounts.map { budgetKey(it.budgetId) }) ?: return false
+        for (account in accounts) {
+            val row = snapshot.find(budgetKey(account.budgetId))
+            synchronized(account) {
+                account.budgetRow = row?.let { decodeRow<BudgetRow>(it.value) } ?: ABSENT_BUDGET
+                account.budgetVersion = row?.version ?: 0
+                account.budgetReadAtMs = clock.monotonicMs()
+            }
         }
         return true
     }
 
-    private fun planRefill(account: BudgetAccount): Attempt? =
+    private fun planRefill(
+        account: BudgetAccount,
+        transactionId: String,
+    ): Attempt? =
         synchronized(account) {
             account.retireClosedGrant()
             val budget = account.budgetRow ?: return null
             val tokens = refillTokens(account.demand(routerCount()), budget.unallocatedTokens, options)
             if (tokens <= 0) return null
             val grant = account.grant ?: newGrant(account.budgetId).also { account.grant = it }
-            val transactionId = session.nextTransactionId()
             val write = writer.proposeRow(account, grant, transactionId, grantedDelta = tokens) ?: return null
             val changed = budget.copy(unallocatedTokens = budget.unallocatedTokens - tokens)
             budgetAttempt(write, transactionId, changed) {
@@ -157,7 +181,10 @@
         }
     }
 
-    private fun planClose(account: BudgetAccount): Attempt? {
+    private fun planClose(
+        account: BudgetAccount,
+        transactionId: String,
+    ): Attempt? {
         val grant = account.grant ?: return null
         val budget = account.budgetRow ?: return null
         val row = grant.row ?: return null
@@ -172,7 +199,6 @@
                 transferTokens = budget.transferTokens + grant.sentTokens - grant.receivedTokens,
             )
         val key = grantKey(account.budgetId, grant.grantId)
-        val transactionId = session.nextTransactionId()
         return Attempt(
             transaction =
                 TableTransaction(
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
@@ -1,5 +1,6 @@
 package org.lycheemount.budget
 
+import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.RouterIdentity
@@ -7,6 +8,7 @@
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.TableRow
+import org.lycheemount.platform.TableSnapshot
 import org.lycheemount.platform.TableTransaction
 import org.lycheemount.platform.VmDirectory
 import org.lycheemount.platform.VmList
@@ -52,21 +54,11 @@
         if (predecessorsDone) return true
         val rows = session.scanAll(GRANT_PREFIX) ?: return false
         val left = rows.map { it to decodeRow<GrantRow>(it.value) }.filter { (_, grant) -> !grant.closed && isPredecessor(grant.holder) }
-        for ((row, grant) in left) {
-            if (mayReclaim(grant)) {
-                if (!reclaim(row, grant)) return false
-            } else {
-                log.warn(
-                    "grant_stranded",
-                    "budget" to grant.budgetId.value,
-                    "grant" to grant.grantId,
-                    "tokens" to grant.grantedTokens,
-                    "goneAfterMs" to goneAt(grant.holder)?.minus(grant.lastAckedTableTimeMs),
-                )
-            }
-        }
+        val (bounded, stranded) = left.partition { (_, grant) -> mayReclaim(grant) }
+        for ((_, grant) in stranded) logStranded(grant)
+        if (!reclaimAll(bounded)) return false
         // A grant whose reclaim lost its races is found again by the next pass.
-        predecessorsDone = left.none { (_, grant) -> mayReclaim(grant) }
+        predecessorsDone = bounded.isEmpty()
         return true
     }
 
@@ -83,7 +75,7 @@
         val open = rows.map { it to decodeRow<GrantRow>(it.value) }.filter { (_, grant) -> !grant.closed }
         val list = list() ?: return false
         for ((_, grant) in open) if (grant.holderListed) evidence.noteAbsent(grant.holder.vmId, list)
-        for ((row, grant) in open) if (mayReclaim(grant) && !reclaim(row, grant)) return false
+        if (!reclaimAll(open.filter { (_, grant) -> mayReclaim(grant) })) return false
         scanDueAtMs = null
         return true
     }
@@ -101,18 +93,24 @@
 
     private fun mayReclaim(grant: GrantRow): Boolean = useBoundTokens(grant) != null
 
-    private suspend fun reclaim(
-        row: TableRow,
-        grant: GrantRow,
-    ): Boolean {
+    /** Reclaims grants of different budgets together; a transaction writes each budget once at most. */
+    private suspend fun reclaimAll(grants: List<Pair<TableRow, GrantRow>>): Boolean {
+        val byBudget = grants.groupBy { (_, grant) -> grant.budgetId }.values
+        for (round in 0 until (byBudget.maxOfOrNull { it.size } ?: 0)) {
+            val ofDifferentBudgets = byBudget.mapNotNull { it.getOrNull(round) }
+            for (batch in ofDifferentBudgets.chunked(options.rowsPerTransaction)) if (!reclaimBatch(batch)) return false
+        }
+        return true
+    }
+
+    private suspend fun reclaimBatch(grants: List<Pair<TableRow, GrantRow>>): Boolean {
         repeat(RACE_ATTEMPTS) {
-            val snapshot = session.read(listOf(budgetKey(grant.budgetId), row.key)) ?: return false
-            val current = snapshot.find(row.key) ?: return true
-            val budget = snapshot.find(budgetKey(grant.budgetId)) ?: return true
-            val held = decodeRow<GrantRow>(current.value)
-            val useBound = useBoundTokens(held)
-            if (held.closed || useBound == null) return true
-            when (writer.run(reclaimAttempt(budget, current, held, useBound))) {
+            val snapshot =
+                session.read(grants.flatMap { (row, grant) -> listOf(budgetKey(grant.budgetId), row.key) }) ?: return false
+            val transactionId = session.nextTransactionId()
+            val attempts = grants.mapNotNull { (row, grant) -> planReclaim(snapshot, row.key, grant.budgetId, transactionId) }
+            if (attempts.isEmpty()) return true
+            when (writer.run(combined(transactionId, attempts))) {
                 AttemptResult.COMMITTED -> return true
                 AttemptResult.NO_ANSWER -> return false
                 AttemptResult.LOST_RACE -> Unit
@@ -121,18 +119,32 @@
         return true
     }
 
+    private fun planReclaim(
+        snapshot: TableSnapshot,
+        grantKey: String,
+        budgetId: BudgetId,
+        transactionId: String,
+    ): Attempt? {
+        val current = snapshot.find(grantKey) ?: return null
+        val budget = snapshot.find(budgetKey(budgetId)) ?: return null
+        val held = decodeRow<GrantRow>(current.value)
+        val useBound = useBoundTokens(held)
+        return if (held.closed || useBound == null) null else reclaimAttempt(budget, current, useBound, transactionId)
+    }
+
     private fun reclaimAttempt(
         budgetRow: TableRow,
         grantRow: TableRow,
-        grant: GrantRow,
         useBoundTokens: Long,
+        transactionId: String,
     ): Attempt {
+        val grant = decodeRow<GrantRow>(grantRow.value)
         val budget = decodeRow<BudgetRow>(budgetRow.value)
         val reclaimed = (grant.grantedTokens + grant.receivedTokens - useBoundTokens).coerceAtLeast(0)
         val (changed, closed) = closeGrant(budget, grant, reclaimed)
         return Attempt(
             TableTransaction(
-                session.nextTransactionId(),
+                transactionId,
                 listOf(RowCheck(budgetRow.key, budgetRow.version), RowCheck(grantRow.key, grantRow.version)),
                 listOf(writeRow(budgetRow.key, changed), writeRow(grantRow.key, closed)),
             ),
@@ -150,6 +162,15 @@
         )
     }
 
+    private fun logStranded(grant: GrantRow) =
+        log.warn(
+            "grant_stranded",
+            "budget" to grant.budgetId.value,
+            "grant" to grant.grantId,
+            "tokens" to grant.grantedTokens,
+            "goneAfterMs" to goneAt(grant.holder)?.minus(grant.lastAckedTableTimeMs),
+        )
+
     private suspend fun list(): VmList? = (vmDirectory.list() as? TableResult.Answered)?.value
 
     private companion object {
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
@@ -60,16 +60,15 @@
 
 /**
  * Ceiling above the present use: covers the spend until a router without contact may ignore it, less what
- * [ceilingGrowthTokensPerMs] adds until then, with some reservations to spare.
+ * [ceilingGrowthTokensPerMs] adds until then, with some reservations to spare. The present use counts open reservations already.
  */
 internal fun ceilingHeadroomTokens(
     meter: SpendMeter,
-    reservedTokens: Long,
     options: BudgetOptions,
 ): Long {
     val spend = ceil(meter.ratePerMs * options.ceilingLeadMs * options.ceilingSpendFactor).toLong()
     val reservation = if (options.sizesByTypicalReservation) meter.typicalReservation else meter.largestReservation
-    return spend + reservedTokens + (reservation * options.ceilingReservations).toLong()
+    return spend + (reservation * options.ceilingReservations).toLong()
 }
 
 /**
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableWork.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableWork.kt
@@ -56,15 +56,16 @@
         nowMs: Long,
         sweep: Boolean,
     ): Boolean {
-        if (!parts.writer.resolvePending() || !parts.reclaimer.reclaimPredecessors()) return false
+        if (!parts.writer.resolvePending()) return false
         val accounts = if (sweep) parts.accounts.all() else parts.accounts.needingAttention()
         if (!refillAll(accounts, nowMs)) return false
+        if (!parts.reclaimer.reclaimPredecessors()) return false
         if (draining || nowMs >= nextFlushAtMs || parts.needsFlush(nowMs)) {
             if (!parts.flusher.flush()) return false
             nextFlushAtMs = nowMs + flushDelayMs()
         }
         if (sweep) parts.transfers.abandonLost { parts.reclaimer.isGone(it.vmId) || drainedFor(nowMs) > DRAIN_TRANSFER_MS }
-        if (sweep) for (account in accounts) if (!reduce(account, nowMs)) return false
+        if (sweep && !reduce(accounts, nowMs)) return false
         return parts.reclaimer.reclaimIfDue() && parts.replicas.writeDue()
     }
 
@@ -73,15 +74,17 @@
         nowMs: Long,
     ): Boolean {
         if (draining) return true
-        for (account in accounts) if (!refill(account, nowMs)) return false
+        // Requests that wait for tokens go before refills ahead of need.
+        val (waiting, others) = accounts.partition { synchronized(it) { it.wantedTokens > 0 } }
+        if (!parts.keeper.refill(waiting + others)) return false
+        for (account in accounts) if (!learnIfWanting(account, nowMs)) return false
         return true
     }
 
-    private suspend fun refill(
+    private suspend fun learnIfWanting(
         account: BudgetAccount,
         nowMs: Long,
     ): Boolean {
-        if (!parts.keeper.refill(account)) return false
         val learn =
             synchronized(account) {
                 if (nowMs - account.wantedAtMs > WANT_MEMORY_MS) account.wantedTokens = 0
@@ -91,25 +94,38 @@
         return !learn || parts.keeper.learnRemaining(account)
     }
 
-    /** Returns the grant of an idle budget, and what a grant holds far above its target. */
+    /** Returns the grants of idle budgets, and what a grant holds far above its target. */
     private suspend fun reduce(
-        account: BudgetAccount,
+        accounts: List<BudgetAccount>,
         nowMs: Long,
     ): Boolean {
-        val (end, excess) =
-            synchronized(account) {
-                val grant = account.grant ?: return true
-                val lastMs = maxOf(account.meter.lastUseAtMs, account.lastRefillAtMs)
-                val end = account.closing || draining || nowMs - lastMs > options.idleReturnMs
-                val target = heldTokens(account.demand(parts.keeper.routers), account.budgetRow?.unallocatedTokens ?: 0, options)
-                val above = grant.freeTokens > target * EXCESS_FACTOR && nowMs - account.lastRefillAtMs > options.excessReturnDelayMs
-                end to if (above) grant.freeTokens - target else 0
-            }
-        if (end) parts.keeper.close(account)
-        if (!end && excess > 0) parts.keeper.giveBack(account) { excess }
+        val (ending, others) = accounts.partition { synchronized(it) { isEnding(it, nowMs) } }
+        parts.keeper.close(ending)
+        for (account in others) {
+            val excess = synchronized(account) { excessTokens(account, nowMs) }
+            if (excess > 0 && !parts.writer.inDoubt) parts.keeper.giveBack(account) { excess }
+        }
         return !parts.writer.inDoubt
     }
 
+    private fun isEnding(
+        account: BudgetAccount,
+        nowMs: Long,
+    ): Boolean {
+        val lastMs = maxOf(account.meter.lastUseAtMs, account.lastRefillAtMs)
+        return account.grant != null && (account.closing || draining || nowMs - lastMs > options.idleReturnMs)
+    }
+
+    private fun excessTokens(
+        account: BudgetAccount,
+        nowMs: Long,
+    ): Long {
+        val grant = account.grant ?: return 0
+        val target = heldTokens(account.demand(parts.keeper.routers), account.budgetRow?.unallocatedTokens ?: 0, options)
+        val above = grant.freeTokens > target * EXCESS_FACTOR && nowMs - account.lastRefillAtMs > options.excessReturnDelayMs
+        return if (above) grant.freeTokens - target else 0
+    }
+
     private fun drainedFor(nowMs: Long): Long {
         if (!draining) return 0
         if (drainingSinceMs == null) drainingSinceMs = nowMs
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableWriter.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableWriter.kt
@@ -27,6 +27,18 @@
     val onFailed: (current: Map<String, CurrentRow>?) -> Unit = {},
 )
 
+/** One transaction for all of [attempts], which must name the same [transactionId] and different rows. */
+internal fun combined(
+    transactionId: String,
+    attempts: Collection<Attempt>,
+): Attempt =
+    Attempt(
+        TableTransaction(transactionId, attempts.flatMap { it.transaction.checks }, attempts.flatMap { it.transaction.writes }),
+        attempts.flatMap { it.grants },
+        onCommitted = { versions -> attempts.forEach { it.onCommitted(versions) } },
+        onFailed = { current -> attempts.forEach { it.onFailed(current) } },
+    )
+
 internal enum class AttemptResult { COMMITTED, LOST_RACE, NO_ANSWER }
 
 /** A row as the table reported it with a conflict. */
@@ -80,7 +92,7 @@
         val contact = session.lastContact ?: return null
         val base = grant.row ?: GrantRow(grant.grantId, grant.budgetId, self, grantedTokens = 0)
         val granted = base.grantedTokens + grantedDelta
-        val headroom = ceilingHeadroomTokens(account.meter, grant.reservedTokens, options)
+        val headroom = ceilingHeadroomTokens(account.meter, options)
         // Not capped by the granted tokens: tokens received from a peer before the next write are usable at once.
         val ceiling = grant.usedTokens + headroom
         val proposed =
