Explain one request from the logs of all routers with lycheectl explain

The lines of a request and what each router that saw it believed of store, configuration, servers and budget, in order of time, from files or standard input.

--- a/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/CommandLine.kt
+++ b/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/CommandLine.kt
@@ -6,6 +6,7 @@
 import kotlinx.cli.default
 import kotlinx.cli.optional
 import kotlinx.cli.required
+import kotlinx.cli.vararg
 import java.util.UUID
 
 private const val EXIT_CODES =
@@ -33,7 +34,7 @@
     private var action: Action? = null
 
     fun parse(arguments: Array<String>): Pair<CommonOptions, Action>? {
-        parser.subcommands(*(reads() + changes() + files() + budgets()).toTypedArray())
+        parser.subcommands(*(reads() + changes() + files() + budgets() + logs()).toTypedArray())
         parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
         return action?.let { CommonOptions(url, keyFile, trusted, format) to it }
     }
@@ -139,6 +140,15 @@
             },
         )
 
+    private fun logs(): List<Subcommand> =
+        listOf(
+            command("explain", "Shows what the logs of all routers say of one request, in order") {
+                val requestId by argument(ArgType.String, "request-id", "The caller's id of the attempt")
+                val files by argument(ArgType.String, "file", "Log files, one for each router; standard input if none").vararg().optional();
+                { explain(requestId, files) }
+            },
+        )
+
     private fun command(
         name: String,
         description: String,
--- a/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/Commands.kt
+++ b/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/Commands.kt
@@ -8,6 +8,7 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import org.lycheemount.config.FieldError
+import java.io.BufferedReader
 import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
@@ -56,6 +57,30 @@
         return ExitCode.OK
     }
 
+    /** Needs no router: reads [files], or standard input when there are none. */
+    fun explain(
+        requestId: String,
+        files: List<String>,
+    ): ExitCode {
+        val history = RequestHistory(requestId)
+        try {
+            if (files.isEmpty()) readLog(System.`in`.bufferedReader(), "stdin", history)
+            for (file in files) Files.newBufferedReader(Path.of(file)).use { readLog(it, Path.of(file).fileName.toString(), history) }
+        } catch (exception: IOException) {
+            return refuse(listOf(FieldError(exception.message.orEmpty(), "readable log files")))
+        }
+        val lines = history.lines()
+        if (lines.isEmpty()) return refuse(listOf(FieldError(requestId, "id of a request in the logs")))
+        output.lines("lines", lines.map(LogLine::describe))
+        return ExitCode.OK
+    }
+
+    private fun readLog(
+        reader: BufferedReader,
+        source: String,
+        history: RequestHistory,
+    ) = reader.forEachLine { line -> parseLogLine(line, source)?.let(history::add) }
+
     suspend fun diff(
         file: String,
         prune: Boolean,
--- a/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/Output.kt
+++ b/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/Output.kt
@@ -27,6 +27,20 @@
         out.appendLine(if (format == OutputFormat.JSON) pretty.encodeToString(JsonObject.serializer(), body) else asText(body))
     }
 
+    /** Writes [lines] as they are, or under [name] as JSON. */
+    fun lines(
+        name: String,
+        lines: List<String>,
+    ) {
+        if (format ==
+            OutputFormat.JSON
+        ) {
+            result(JsonObject(mapOf(name to JsonArray(lines.map(::JsonPrimitive)))))
+        } else {
+            lines.forEach(out::appendLine)
+        }
+    }
+
     fun error(body: JsonObject) {
         if (format == OutputFormat.JSON) result(body) else err.appendLine(asText(body))
     }
--- /dev/null
+++ b/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/RequestHistory.kt
@@ -0,0 +1,65 @@
+package org.lycheemount.app.ctl
+
+/**
+ * Collects from the logs of all routers what explains one request: its own lines, and what each router that saw it believed of the
+ * store, the configuration, the servers tried and the budget when the request arrived. Lines of one source come in their order.
+ */
+internal class RequestHistory(
+    private val requestId: String,
+) {
+    private val beliefs = HashMap<String, LinkedHashMap<String, LogLine>>()
+    private val beliefsAtArrival = LinkedHashMap<String, List<LogLine>>()
+    private val own = mutableListOf<LogLine>()
+
+    fun add(line: LogLine) {
+        if (line.fields["request_id"] == requestId || line.fields["requestId"] == requestId) {
+            beliefsAtArrival.getOrPut(line.source) { beliefs[line.source]?.values?.toList().orEmpty() }
+            own += line
+        } else {
+            for (subject in subjectsOf(line)) beliefs.getOrPut(line.source) { LinkedHashMap() }.replaceLast(subject, line)
+        }
+    }
+
+    /** All lines that concern the request, in order of time; empty when no log names it. */
+    fun lines(): List<LogLine> {
+        val mentioned = own.flatMap { it.fields.values }.flatMap { WORD.findAll(it).map { word -> word.value } }.toSet()
+        val relevant =
+            beliefsAtArrival.values.flatten().filter { line ->
+                subjectsOf(line).any { subject -> ALWAYS.any(subject::startsWith) || subject.substringAfter(':') in mentioned }
+            }
+        // Equal times keep the order of the log: what a router believed stands before what it decided.
+        return (relevant.distinct() + own).sortedBy { it.time }
+    }
+
+    /** What the line says something new about. */
+    private fun subjectsOf(line: LogLine): List<String> =
+        when (line.event) {
+            "store_reachable", "store_unreachable" -> listOf("store:${line.fields["rows"]}")
+            "configuration_in_force" -> listOf("configuration")
+            "router_started", "drain_started" -> listOf("process")
+            "servers_changed" ->
+                SERVER_LISTS
+                    .flatMap {
+                        line.fields[it].orEmpty().split(
+                            ',',
+                        )
+                    }.filter(String::isNotEmpty)
+                    .map { "server:$it" }
+            "grant_refilled", "grant_reduced", "grant_returned", "grant_stranded" -> listOf("grant:${line.fields["budget"]}")
+            else -> emptyList()
+        }
+
+    private fun LinkedHashMap<String, LogLine>.replaceLast(
+        subject: String,
+        line: LogLine,
+    ) {
+        remove(subject)
+        put(subject, line)
+    }
+
+    private companion object {
+        private val WORD = Regex("[A-Za-z0-9_.-]+")
+        private val ALWAYS = listOf("store:", "configuration", "process")
+        private val SERVER_LISTS = listOf("added", "removed", "leaving")
+    }
+}
