--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/Attempts.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/Attempts.kt
@@ -144,7 +144,7 @@
         metrics.onAttempt(request.route.kind, failure.name.lowercase())
         excluded += server.backendServerId
         if (!failure.certainlyNotRun) mayHaveRun = true
-        services.eventLog.info(
+        services.eventLog.warn(
             "attempt_failed",
             "request_id" to request.terms.requestId,
             "route" to request.route.routeId.value,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedInterface.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedInterface.kt
@@ -164,22 +164,31 @@
     ) {
         val elapsedMs = services.clock.monotonicMs() - request.arrivedAtMs
         routedMetrics.onEnd(request.route.kind, describe(end).substringBefore(':'), elapsedMs, execution.firstAnswerMs)
-        services.eventLog.info(
-            "request_ended",
-            "request_id" to request.terms.requestId,
-            "route" to request.route.routeId.value,
-            "team" to request.teamId?.value,
-            "config" to request.configurationSequence,
-            "prompt_tokens" to request.terms.promptTokens,
-            "shared_prompt" to request.homeHash?.toULong()?.toString(HEXADECIMAL),
-            "attempts" to execution.attemptCount,
-            "server" to execution.lastServerId?.value,
-            "token_wait_ms" to execution.tokenWaitMs,
-            "queue_ms" to execution.queueMs,
-            "first_ms" to execution.firstAnswerMs,
-            "total_ms" to elapsedMs,
-            "outcome" to describe(end),
-        )
+        val fields =
+            arrayOf(
+                "request_id" to request.terms.requestId,
+                "route" to request.route.routeId.value,
+                "team" to request.teamId?.value,
+                "config" to request.configurationSequence,
+                "prompt_tokens" to request.terms.promptTokens,
+                "shared_prompt" to request.homeHash?.toULong()?.toString(HEXADECIMAL),
+                "attempts" to execution.attemptCount,
+                "server" to execution.lastServerId?.value,
+                "token_wait_ms" to execution.tokenWaitMs,
+                "queue_ms" to execution.queueMs,
+                "first_ms" to execution.firstAnswerMs,
+                "total_ms" to elapsedMs,
+                "outcome" to describe(end),
+            )
+        // Lines below warnings are dropped first when the log output does not keep up.
+        if (end is RoutedEnd.Answered) {
+            services.eventLog.info(
+                "request_ended",
+                *fields,
+            )
+        } else {
+            services.eventLog.warn("request_ended", *fields)
+        }
     }
 
     private fun describe(end: RoutedEnd?): String =
@@ -237,7 +246,7 @@
     ) {
         val outcome = if (mayHaveRun) WireOutcome.UNKNOWN else WireOutcome.NOT_RUN
         metrics.requests.labelValues(KIND, outcome.wireName, refusal.reason.wireName).inc()
-        services.eventLog.info(
+        services.eventLog.warn(
             "request_refused",
             "request_id" to terms.requestId,
             "route" to request?.route?.routeId?.value,
