Weigh the load of engines by what it slows down when placing prompts

The cost of a full server was 0.4 of a request's time, while these engines take 0.05 ms of 4.2 ms longer for a batch of 64, so that small differences of load outweighed a shared part.

Change: createRequestScheduler takes the slowdown of a full engine; the gateway states 0.05. Services that are no models keep 0.4.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -62,7 +62,7 @@
     private val peers = GatewayPeers(table, routerVm(), identity, clock, eventLog)
     private val configuration = FollowedConfiguration(eventLog)
     private val dispatcher =
-        WorkDispatcher(createRequestScheduler(settings.zoneId, seed = identity.incarnation, ENGINE_SPEEDS), clock)
+        WorkDispatcher(createRequestScheduler(settings.zoneId, seed = identity.incarnation, ENGINE_SPEEDS, FULL_ENGINE_SLOWDOWN), clock)
     private val budgets =
         createBudgetLedgerModule(
             table,
@@ -208,6 +208,9 @@
         // Engines read 64 prompt tokens in a millisecond and make a token in 4 ms and more.
         private val ENGINE_SPEEDS = InitialSpeeds(prefillMsPerToken = 0.03, decodeMsPerToken = 8.0, serviceMs = 25.0)
 
+        // A batch of 64 requests takes 0.05 ms of 4.2 ms longer than one of a single request.
+        private const val FULL_ENGINE_SLOWDOWN = 0.05
+
         // Grants outlast cuts from the store and from the other routers, which take seconds. The ceiling bounds what is lost with a
         // process that is killed: it grows while a restarted process may reclaim the rest. VMs are back 4 s after a power loss.
         private val BUDGET_OPTIONS =
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
@@ -1,6 +1,7 @@
 package org.lycheemount.scheduling
 
 import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.BackendTarget
 import org.lycheemount.common.ZoneId
 import kotlin.random.Random
 
@@ -19,12 +20,14 @@
  * Weights of the choice of a backend server; found by `bin/measure routing`.
  *
  * @property load cost of a full server relative to the request's decode time.
+ * @property modelLoad the same for requests to models, whose engines batch them.
  * @property prefillSharing share of the running requests that a prefill delays.
  * @property home preference for the home server of a prefix, relative to the prefill of the whole prompt.
  * @property bandShare servers within this share of the best cost count as equally good.
  */
 internal data class SelectorWeights(
     val load: Double = 0.4,
+    val modelLoad: Double = load,
     val prefillSharing: Double = 1.0,
     val home: Double = 0.2,
     val bandShare: Double = 0.1,
@@ -91,7 +94,8 @@
         val estimate = estimator.estimate(item, cached)
         val queueMs = estimator.prefillMs(state.pendingPrefillTokens)
         val sharedMs = weights.prefillSharing * load * (estimator.prefillMs(uncached) - estimator.prefillMs(0))
-        val loadMs = weights.load * relativeLoad * maxOf(estimate.serviceMs, 1.0)
+        val loadWeight = if (item.target is BackendTarget.Model) weights.modelLoad else weights.load
+        val loadMs = loadWeight * relativeLoad * maxOf(estimate.serviceMs, 1.0)
         val wholePrefillMs = estimator.prefillMs(item.promptTokens) - estimator.prefillMs(0)
         val homeMs = if (isHome) weights.home * (1 + weights.prefillSharing * load) * wholePrefillMs else 0.0
         val zoneMs = if (state.server.zoneId == zoneId) 0.0 else OTHER_ZONE_MS
--- a/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/SharedPromptTest.kt
+++ b/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/SharedPromptTest.kt
@@ -24,9 +24,13 @@
      * Share of the requests that went to the server which got most requests of their session. Requests run for [RUN_MS], and each
      * answer tells the load of its server, as far as all routers have brought it about.
      */
-    private fun concentration(statesSharedPart: Boolean): Double {
+    private fun concentration(
+        statesSharedPart: Boolean,
+        sharedBlocks: Int = 76,
+        createRouter: (Int) -> RequestScheduler = { createRequestScheduler(ZoneId("z${it % 3}"), seed = it.toLong()) },
+    ): Double {
         val random = Random(7)
-        val routers = (1..7).map { createRequestScheduler(ZoneId("z${it % 3}"), seed = it.toLong()) }
+        val routers = (1..7).map(createRouter)
         routers.forEach { it.onBackendServers(servers, 0) }
         val placed = HashMap<Int, HashMap<BackendServerId, Int>>()
         val running = ArrayDeque<Running>()
@@ -36,7 +40,7 @@
             val session = random.nextInt(SESSIONS)
             val router = routers[random.nextInt(routers.size)]
             val id = RequestId("r$number")
-            router.submit(item(id, session, number, nowMs, statesSharedPart), nowMs)
+            router.submit(item(id, session, number, nowMs, if (statesSharedPart) sharedBlocks else null), nowMs)
             val start = router.poll(nowMs).filterIsInstance<SchedulerAction.Start>().singleOrNull { it.requestId == id } ?: continue
             placed.getOrPut(session) { HashMap() }.merge(start.backendServerId, 1, Int::plus)
             router.onServiceEvent(id, ServiceEvent.FirstToken, nowMs + FIRST_TOKEN_MS)
@@ -66,10 +70,12 @@
         session: Int,
         number: Int,
         nowMs: Long,
-        statesSharedPart: Boolean,
+        statedBlocks: Int?,
     ): WorkItem {
-        // All prompts share the first 8 blocks, those of a session the next 76, and the rest is their own.
-        val hashes = List(8) { it.toLong() } + List(76) { 1_000L * (session + 1) + it } + List(100) { 1_000_000L * (number + 1) + it }
+        val ofSession = statedBlocks ?: 76
+        // All prompts share the first 8 blocks, those of a session the next ones, and the rest is their own.
+        val hashes =
+            List(8) { it.toLong() } + List(ofSession) { 1_000L * (session + 1) + it } + List(100) { 1_000_000L * (number + 1) + it }
         return WorkItem(
             requestId = id,
             teamId = TeamId("t"),
@@ -79,8 +85,8 @@
             maxOutputTokens = 200,
             prefixHashes = hashes,
             arrivedAtMs = nowMs,
-            homeHash = if (statesSharedPart) session * 7919L + 1 else null,
-            sharedTokens = if (statesSharedPart) 84 * 64 else 0,
+            homeHash = statedBlocks?.let { session * 7919L + 1 },
+            sharedTokens = statedBlocks?.let { (8 + it) * 64 } ?: 0,
         )
     }
 
@@ -96,6 +102,24 @@
         }
     }
 
+    @Nested
+    inner class `short shared parts on engines that batch well` {
+        private val speeds = InitialSpeeds(prefillMsPerToken = 0.03, decodeMsPerToken = 8.0, serviceMs = 25.0)
+
+        private fun concentration(fullEngineSlowdown: Double) =
+            concentration(statesSharedPart = true, sharedBlocks = 4) {
+                createRequestScheduler(ZoneId("z${it % 3}"), seed = it.toLong(), speeds, fullEngineSlowdown)
+            }
+
+        @Test
+        fun `are read once more often than by the default weight, guarding against a load that costs more than it slows down`() {
+            val batching = concentration(fullEngineSlowdown = 0.05)
+            val default = concentration(fullEngineSlowdown = SelectorWeights().modelLoad)
+
+            assertTrue(batching > default, "$batching by a small slowdown, $default by the default")
+        }
+    }
+
     private companion object {
         private const val REQUESTS = 1_500
         private const val SESSIONS = 30
