Read the settings again after SIGHUP or a change of the file

Cause: a JVM without a handler of its own takes SIGHUP for the order to end: the router drained and exited, with the requests that came late.

Change: SIGHUP has the settings file read again, and the router looks at the file every 2 s. Retry budget and drain grace change while it runs; other changes are reported as needing a restart, and a file with faults leaves the settings in force.

Before: SettingsFileTest ends its JVM without the handler.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayMain.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayMain.kt
@@ -6,6 +6,7 @@
 import org.lycheemount.app.router.logging.flushLogOutput
 import org.lycheemount.app.router.report
 import org.lycheemount.common.DefaultClock
+import org.lycheemount.common.DefaultEventLog
 import org.lycheemount.settings.loadGatewaySettings
 import java.nio.file.Path
 import kotlin.concurrent.thread
@@ -16,6 +17,8 @@
     val startedAtMs = clock.monotonicMs()
     val settings = loadGatewaySettings(file).getOrElse { fail(report(it)) }
     val process = GatewayProcess(settings, clock, startedAtMs)
+    val settingsFile = SettingsFile(file, DefaultEventLog("gateway"), process::onSettingsChanged)
+    settingsFile.checkAtHangup()
     process.start()
     Runtime.getRuntime().addShutdownHook(
         thread(start = false, name = "shutdown") {
@@ -25,5 +28,12 @@
             Runtime.getRuntime().halt(0)
         },
     )
-    Thread.currentThread().join()
+    // The file may also change without a signal.
+    while (true) {
+        Thread.sleep(SETTINGS_CHECK_MS)
+        settingsFile.check()
+    }
 }
+
+// A changed retry budget may be in force some seconds later.
+private const val SETTINGS_CHECK_MS = 2_000L
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -53,6 +53,9 @@
     startedAtMs: Long = clock.monotonicMs(),
 ) {
     private val eventLog = DefaultEventLog("gateway")
+
+    @Volatile
+    private var inForce = settings
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val identity = settings.run { RouterIdentity(routerId, vmId, regionId, zoneId, incarnation = clock.wallClockMs()) }
     private val backendHttp = BackendHttp(connectTimeoutMs = CONNECT_TIMEOUT_MS)
@@ -121,6 +124,21 @@
         )
     }
 
+    /** Puts the retry budget and the drain grace of [changed] in force; all other settings need a restart. */
+    fun onSettingsChanged(changed: GatewaySettings) {
+        inForce = settings.copy(retryBudget = changed.retryBudget, drainGraceS = changed.drainGraceS)
+        eventLog.info("settings_reloaded", "retry_budget" to inForce.retryBudget, "drain_grace_s" to inForce.drainGraceS)
+        if (inForce !=
+            changed.copy(isFirstStart = inForce.isFirstStart)
+        ) {
+            eventLog.warn(
+                "settings_need_restart",
+                "in_force" to inForce,
+                "in_file" to changed,
+            )
+        }
+    }
+
     private suspend fun warmUp() {
         val startedAtMs = clock.monotonicMs()
         val answered = if (settings.isFirstStart) warmUp.run(WARM_UP_REQUESTS, WARM_UP_LIMIT_MS) else 0
@@ -137,7 +155,7 @@
         eventLog.info("drain_started", "requests_in_progress" to drain.requestsInProgress)
         drain.announce()
         delay(NOTICE_MS)
-        val graceEndsAtMs = stoppedAtMs + (settings.drainGraceS * MS_PER_SECOND).toLong()
+        val graceEndsAtMs = stoppedAtMs + (inForce.drainGraceS * MS_PER_SECOND).toLong()
         val endsAtMs = graceEndsAtMs - END_MARGIN_MS
         // While most routers of a zone leave at once, the load balancer goes on sending requests to them.
         drain.begin(admittedUntilMs = endsAtMs)
@@ -165,7 +183,7 @@
             dialect = PlatformRequestDialect(),
             eventLog = eventLog,
             metricsRegistry = metricsRegistry,
-            retryTerms = settings.retryBudget.run { RetryTerms(ratio, slack, (windowS * MS_PER_SECOND).toLong()) },
+            retryTerms = { inForce.retryBudget.run { RetryTerms(ratio, slack, (windowS * MS_PER_SECOND).toLong()) } },
             routerCount = { peers.routerCount },
             notReadyReasons = ::notReadyReasons,
             cannotServeReasons = ::cannotServeReasons,
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
@@ -118,7 +118,7 @@
         dialect = LoopbackDialect,
         eventLog = DiscardingEventLog,
         metricsRegistry = PrometheusRegistry(),
-        retryTerms = RetryTerms(ratio = 0.0, slack = 0.0, windowMs = 1_000),
+        retryTerms = { RetryTerms(ratio = 0.0, slack = 0.0, windowMs = 1_000) },
         routerCount = { 1 },
         notReadyReasons = { emptyList() },
     )
--- /dev/null
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/SettingsFileTest.kt
@@ -0,0 +1,74 @@
+package org.lycheemount.app.router.gateway
+
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.io.TempDir
+import org.lycheemount.settings.GatewaySettings
+import org.lycheemount.testing.FakeEventLog
+import sun.misc.Signal
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+
+class SettingsFileTest {
+    @TempDir
+    lateinit var directory: Path
+
+    private val log = FakeEventLog()
+    private val changes = LinkedBlockingQueue<GatewaySettings>()
+    private val file get() = directory.resolve("settings.json")
+
+    private fun write(ratio: String) =
+        Files.writeString(
+            file,
+            """
+            {"routerId": "r", "vmId": "v", "regionId": "g", "zoneId": "z", "callersAddress": "127.0.0.1:1",
+             "readinessAddress": "127.0.0.1:2", "metricsAddress": "127.0.0.1:3", "peersAddress": "127.0.0.1:4",
+             "storeAddress": "127.0.0.1:5", "drainGraceS": 8, "retryBudget": {"ratio": $ratio, "slack": 54, "windowS": 10}}
+            """.trimIndent(),
+        )
+
+    private fun openFile() = SettingsFile(file, log, changes::add)
+
+    @Nested
+    inner class `a settings file that changes` {
+        @Test
+        fun `is read again, and once only`() {
+            write("0.2")
+            val settings = openFile()
+            settings.check()
+            write("0.1")
+            repeat(2) { settings.check() }
+
+            assertEquals(listOf(0.1), changes.map { it.retryBudget.ratio })
+        }
+
+        @Test
+        fun `into one with a fault is reported by field and leaves the settings in force`() {
+            write("0.2")
+            val settings = openFile()
+            write("7")
+            repeat(2) { settings.check() }
+
+            assertEquals(0, changes.size)
+            assertEquals(listOf("retryBudget.ratio"), log.events.filter { it.first == "settings_refused" }.map { it.second["field"] })
+        }
+    }
+
+    @Nested
+    inner class `a hangup signal` {
+        @Test
+        fun `has the settings read again and does not end the process`() {
+            write("0.2")
+            openFile().checkAtHangup()
+            write("0.3")
+
+            Signal.raise(Signal("HUP"))
+
+            assertEquals(0.3, assertNotNull(changes.poll(10, TimeUnit.SECONDS)).retryBudget.ratio)
+        }
+    }
+}
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RetryAllowance.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RetryAllowance.kt
@@ -17,12 +17,14 @@
 /**
  * This router's part of the retry budget of each service. Pure; not thread-safe.
  *
+ * [terms] may change at any time; retries made so far count by the new ones.
+ *
  * The routers do not talk about it, so each one takes its part of the slack and of the ratio such that the sum of all parts
  * holds in any window: also when routers are cut off from one another, when further ones join, and when all of them have
  * just started with empty counts.
  */
 internal class RetryAllowance(
-    private val terms: RetryTerms,
+    var terms: RetryTerms,
 ) {
     private val services = HashMap<ServiceId, Counts>()
 
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedInterfaceTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedInterfaceTest.kt
@@ -74,7 +74,7 @@
                 dialect = PlainDialect,
                 eventLog = log,
                 metricsRegistry = PrometheusRegistry(),
-                retryTerms = RetryTerms(ratio = 1.0, slack = 100.0, windowMs = 1_000),
+                retryTerms = { RetryTerms(ratio = 1.0, slack = 100.0, windowMs = 1_000) },
                 routerCount = { 1 },
                 notReadyReasons = { emptyList() },
             ),
