--- /dev/null
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/FailureExplainedTest.kt
@@ -0,0 +1,89 @@
+package org.lycheemount.caller.routed
+
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+
+/** Finds the causes of failed requests from nothing but their id and the log, by the steps of docs/OPERATIONS.md. */
+internal class FailureExplainedTest : RoutedFixture() {
+    /** The fields of the events called [name] that bear the caller's id. */
+    private fun linesOf(name: String): List<Map<String, Any?>> {
+        assertNotNull(outcomeLogged())
+        return log.events.filter { (event, fields) -> event == name && fields["request_id"] == "r" }.map { it.second }
+    }
+
+    @Nested
+    inner class `a refusal that the caller disputes` {
+        @Test
+        fun `shows its reason, that nothing ran, and the wait for tokens`() {
+            exchange("/chat/1", "X-Tokens: 600000,600000")
+
+            val ended = linesOf("request_ended").single()
+            val refused = linesOf("request_refused").single()
+            assertEquals("not-run", refused["outcome"])
+            assertEquals("not_run:${refused["reason"]}", ended["outcome"])
+            assertEquals(0, ended["attempts"])
+            assertNotNull(ended["token_wait_ms"])
+            assertEquals("t1", ended["team"])
+        }
+    }
+
+    @Nested
+    inner class `an order whose outcome is unknown` {
+        @Test
+        fun `shows the server that took it and how its connection ended`() {
+            first.answer { }
+
+            exchange("/order/1")
+
+            val failed = linesOf("attempt_failed").single()
+            assertEquals("i-1", failed["server"])
+            assertEquals("broken_connection", failed["failure"])
+            assertEquals(true, failed["may_have_run"])
+            assertEquals("unknown", linesOf("request_refused").single()["outcome"])
+            assertEquals("i-1", linesOf("request_ended").single()["server"])
+        }
+    }
+
+    @Nested
+    inner class `a stream that broke off or came late` {
+        @Test
+        fun `shows the server that broke off and the event reached`() {
+            first.answer {
+                startStream()
+                event(1)
+            }
+
+            exchange("/chat/1")
+
+            assertEquals("broken_off:the stream broke off at event 1", linesOf("request_ended").single()["outcome"])
+            assertEquals("i-1", linesOf("attempt_failed").single()["server"])
+        }
+
+        @Test
+        fun `shows that the time went into a server that failed before another one answered`() {
+            first.answer {
+                Thread.sleep(SLOW_FAILURE_MS)
+            }
+            second.answer {
+                startStream()
+                event(1)
+                endStream()
+            }
+
+            exchange("/draft/1")
+
+            val ended = linesOf("request_ended").single()
+            assertEquals("answered_200", ended["outcome"])
+            assertEquals(2, ended["attempts"])
+            assertEquals(0L, ended["token_wait_ms"])
+            assertEquals("i-1", linesOf("attempt_failed").single()["server"])
+            assertEquals(true, (ended["first_ms"] as Long) - (ended["queue_ms"] as Long) >= SLOW_FAILURE_MS)
+        }
+    }
+
+    private companion object {
+        private const val SLOW_FAILURE_MS = 200L
+    }
+}
