Share what the gateway had written a second time

- hashKey in version/config is the one definition of a key's hash for configuration, authenticator, administration and measurements.
- GrantReclaimer decodes each grant once and states the time since its last contact in one place; GrantKeeper does not copy its options for every account of every pass.
- RoutedInterface describes the end of a request once; two budget tests share the steady spend that they begin with.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterMain.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterMain.kt
@@ -32,16 +32,20 @@
     val settings = loadRouterSettings(Path.of(file)).getOrElse { fail(report(it)) }
     val process = RouterProcess(settings, requestShutdown = { thread(name = "drain") { exitProcess(0) } })
     runBlocking { process.start() }
+    stopAtShutdown { process.stop() }
+    Thread.currentThread().join()
+}
+
+/** Has [stop] run when a signal ends the process. */
+internal fun stopAtShutdown(stop: suspend () -> Unit) =
     Runtime.getRuntime().addShutdownHook(
         thread(start = false, name = "shutdown") {
-            runBlocking { process.stop() }
+            runBlocking { stop() }
             flushLogOutput()
             // A JVM that ends by a signal exits with 128 + its number; a finished drain is a success.
             Runtime.getRuntime().halt(0)
         },
     )
-    Thread.currentThread().join()
-}
 
 internal fun report(faults: List<SettingsFault>): String =
     faults.joinToString("\n") { """event=invalid_setting field=${it.field} found="${it.found}" accepted="${it.accepted}"""" }
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
@@ -8,7 +8,6 @@
 import io.ktor.http.Headers
 import io.ktor.server.cio.CIO
 import io.ktor.server.engine.EmbeddedServer
-import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.response.respondBytesWriter
 import io.ktor.server.response.respondText
@@ -138,16 +137,7 @@
     }
 
     private fun listener(module: io.ktor.server.application.Application.() -> Unit): EmbeddedServer<*, *> =
-        embeddedServer(
-            CIO,
-            configure = {
-                connector {
-                    host = "127.0.0.1"
-                    port = 0
-                }
-            },
-            module = module,
-        ).start(wait = false)
+        embeddedServer(CIO, configure = { listenOn("127.0.0.1:0") }, module = module).start(wait = false)
 
     private suspend fun EmbeddedServer<*, *>.port() =
         engine
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/KeptPlatformTransportTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/KeptPlatformTransportTest.kt
@@ -50,8 +50,9 @@
                 while (line.isNotEmpty()) line = lines.readLine() ?: return
                 socket.getOutputStream().write(response.encodeToByteArray())
                 socket.getOutputStream().flush()
-                if (!response.endsWith("ok")) Thread.sleep(PAUSE_MS)
-                if (!response.endsWith("ok")) return
+                if (response.endsWith("ok")) continue
+                Thread.sleep(PAUSE_MS)
+                return
             }
         }
 
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/SettingsFileTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/SettingsFileTest.kt
@@ -1,8 +1,10 @@
 package org.lycheemount.app.router.gateway
 
+import com.github.michaelbull.result.get
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.io.TempDir
 import org.lycheemount.settings.GatewaySettings
+import org.lycheemount.settings.loadGatewaySettings
 import org.lycheemount.testing.FakeEventLog
 import sun.misc.Signal
 import java.nio.file.Files
@@ -31,7 +33,7 @@
             """.trimIndent(),
         )
 
-    private fun openFile() = SettingsFile(file, log, changes::add)
+    private fun openFile() = SettingsFile(file, assertNotNull(loadGatewaySettings(file).get()), log, changes::add)
 
     @Nested
     inner class `a settings file that changes` {
--- a/measure/src/main/kotlin/org/lycheemount/measure/capacity/StreamSlopes.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/capacity/StreamSlopes.kt
@@ -4,9 +4,8 @@
 import org.lycheemount.backend.EngineChunk
 import org.lycheemount.backend.GenerateEvent
 import org.lycheemount.common.RequestId
+import org.lycheemount.config.hashKey
 import org.lycheemount.stream.AnswerAssembler
-import java.security.MessageDigest
-import java.util.HexFormat
 
 private val tokenCounts = listOf(1, 4, 16)
 private val assemblerCounts = listOf(10_000, 20_000, 40_000)
@@ -35,8 +34,6 @@
 
 /** The steps of authentication: SHA-256 of the key, its hexadecimal form and a look-up among the hashes of all teams. */
 private fun keyNanos(): Double {
-    val teams = (0 until TEAMS * 2).associateBy { hashOf("key-of-team-$it") }
-    return cpuNanosPerOperation(KEYS) { number -> check(hashOf("key-of-team-${number % TEAMS}") in teams) }
+    val teams = (0 until TEAMS * 2).associateBy { hashKey("key-of-team-$it") }
+    return cpuNanosPerOperation(KEYS) { number -> check(hashKey("key-of-team-${number % TEAMS}") in teams) }
 }
-
-private fun hashOf(key: String): String = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray()))
--- a/measure/src/main/kotlin/org/lycheemount/measure/path/PathFleet.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/path/PathFleet.kt
@@ -20,6 +20,7 @@
 import org.lycheemount.config.Team
 import org.lycheemount.config.TeamLimits
 import org.lycheemount.config.WorkClass
+import org.lycheemount.config.hashKey
 import org.lycheemount.platform.RouterVm
 import org.lycheemount.platform.VmList
 import org.lycheemount.settings.ListenerSettings
@@ -34,8 +35,6 @@
 import org.lycheemount.standin.startPlatformStandIn
 import java.net.ServerSocket
 import java.nio.file.Path
-import java.security.MessageDigest
-import java.util.HexFormat
 import java.util.UUID
 import kotlin.io.path.createTempDirectory
 import kotlin.io.path.writeText
@@ -123,7 +122,7 @@
         val team = TeamId("team")
         val workClass = WorkClassId("measured")
         val limits = TeamLimits(requestsPerSecond = 1e6, concurrentRequests = 10_000, queueShare = 1.0)
-        val keyHash = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(KEY.encodeToByteArray()))
+        val keyHash = hashKey(KEY)
         return ConfigurationSnapshot(
             sequence = 1,
             teams = mapOf(team to Team(team, BUDGET, setOf(keyHash), limits)),
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantKeeper.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantKeeper.kt
@@ -19,6 +19,9 @@
 ) {
     private val grantCount = AtomicLong()
 
+    /** Options that tell whether the demand alone asks for a refill, however little of the budget was unallocated when it was read last. */
+    private val demandOptions = options.copy(holdsEqualShare = false)
+
     /** Routers that may draw on a budget. */
     val routers: Int get() = routerCount()
 
@@ -116,8 +119,9 @@
         synchronized(account) {
             val grant = account.grant
             if (account.closing || grant?.hasPendingRow == true) return false
-            refillTokens(account.demand(routerCount()), account.budgetRow?.unallocatedTokens ?: (Long.MAX_VALUE / 2), options) > 0 ||
-                refillTokens(account.demand(routerCount()), Long.MAX_VALUE / 2, options.copy(holdsEqualShare = false)) > 0
+            val demand = account.demand(routers)
+            refillTokens(demand, account.budgetRow?.unallocatedTokens ?: PLENTY_TOKENS, options) > 0 ||
+                refillTokens(demand, PLENTY_TOKENS, demandOptions) > 0
         }
 
     /** Notices top-ups and returns while the tokens seen last do not suffice. */
@@ -152,7 +156,7 @@
         synchronized(account) {
             account.retireClosedGrant()
             val budget = account.budgetRow ?: return null
-            val tokens = refillTokens(account.demand(routerCount()), budget.unallocatedTokens, options)
+            val tokens = refillTokens(account.demand(routers), budget.unallocatedTokens, options)
             if (tokens <= 0) return null
             val grant = account.grant ?: newGrant(account.budgetId).also { account.grant = it }
             val write = writer.proposeRow(account, grant, transactionId, grantedDelta = tokens) ?: return null
@@ -269,6 +273,7 @@
 
     private companion object {
         private const val RACE_ATTEMPTS = 4
+        private const val PLENTY_TOKENS = Long.MAX_VALUE / 2
         private const val WANTED_REREAD_MS = 500L
         private const val REREAD_MS = 5_000L
         private val ABSENT_BUDGET = BudgetRow(0, 0)
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
@@ -67,6 +67,9 @@
     private fun goneAt(holder: RouterIdentity): Long? =
         if (isPredecessor(holder)) session.runningByTableTimeMs else evidence.goneAt(holder.vmId)
 
+    /** Time between the contact that [grant] names and the end of its holder; null while the holder may exist. */
+    private fun goneAfterMs(grant: GrantRow): Long? = goneAt(grant.holder)?.minus(grant.lastAckedTableTimeMs)
+
     /** Reclaims if a scan is due. False when the table gave no answer; the scan stays due then. */
     suspend fun reclaimIfDue(): Boolean {
         val dueAtMs = scanDueAtMs ?: return true
@@ -86,8 +89,7 @@
      * table's; the margin covers a holder whose clock runs faster than the table's.
      */
     private fun useBoundTokens(grant: GrantRow): Long? {
-        val goneAtTableTimeMs = goneAt(grant.holder) ?: return null
-        val heldOutMs = goneAtTableTimeMs - grant.lastAckedTableTimeMs + options.driftMarginMs
+        val heldOutMs = (goneAfterMs(grant) ?: return null) + options.driftMarginMs
         return if (heldOutMs <= options.outageGraceMs) grant.ceilingAfterTokens(heldOutMs) else null
     }
 
@@ -129,16 +131,16 @@
         val budget = snapshot.find(budgetKey(budgetId)) ?: return null
         val held = decodeRow<GrantRow>(current.value)
         val useBound = useBoundTokens(held)
-        return if (held.closed || useBound == null) null else reclaimAttempt(budget, current, useBound, transactionId)
+        return if (held.closed || useBound == null) null else reclaimAttempt(budget, current, held, useBound, transactionId)
     }
 
     private fun reclaimAttempt(
         budgetRow: TableRow,
         grantRow: TableRow,
+        grant: GrantRow,
         useBoundTokens: Long,
         transactionId: String,
     ): Attempt {
-        val grant = decodeRow<GrantRow>(grantRow.value)
         val budget = decodeRow<BudgetRow>(budgetRow.value)
         val reclaimed = (grant.grantedTokens + grant.receivedTokens - useBoundTokens).coerceAtLeast(0)
         val (changed, closed) = closeGrant(budget, grant, reclaimed)
@@ -156,7 +158,7 @@
                     "reclaimedTokens" to reclaimed,
                     "settledTokens" to grant.settledTokens,
                     "chargedTokens" to closed.chargedTokens,
-                    "goneAfterMs" to goneAt(grant.holder)?.minus(grant.lastAckedTableTimeMs),
+                    "goneAfterMs" to goneAfterMs(grant),
                 )
             },
         )
@@ -168,7 +170,7 @@
             "budget" to grant.budgetId.value,
             "grant" to grant.grantId,
             "tokens" to grant.grantedTokens,
-            "goneAfterMs" to goneAt(grant.holder)?.minus(grant.lastAckedTableTimeMs),
+            "goneAfterMs" to goneAfterMs(grant),
         )
 
     private suspend fun list(): VmList? = (vmDirectory.list() as? TableResult.Answered)?.value
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
@@ -26,6 +26,7 @@
 import org.lycheemount.testing.FakeVmDirectory
 import kotlin.coroutines.ContinuationInterceptor
 import kotlin.random.Random
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.minutes
 
 internal val BUDGET = BudgetId("assessments")
@@ -121,6 +122,15 @@
             return true
         }
 
+        /** Waits for the first grants, then spends 1,000 tokens a second for 200 s, so that the rate of spend is known. */
+        suspend fun spendSteadily() {
+            delay(20_000)
+            repeat(200) {
+                assertTrue(spend("r$it", 1_000))
+                delay(1_000)
+            }
+        }
+
         /** Ends the process without any further message. */
         fun kill() {
             job.cancel()
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/PredecessorTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/PredecessorTest.kt
@@ -14,11 +14,7 @@
     private suspend fun spendingRouter(fleet: BudgetFleet): BudgetFleet.Router {
         fleet.fund(1_000_000)
         val router = fleet.start("r", incarnation = 1, vmName = "vm")
-        delay(20_000)
-        repeat(200) {
-            assertTrue(router.spend("r$it", 1_000))
-            delay(1_000)
-        }
+        router.spendSteadily()
         return router
     }
 
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/ReclaimTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/ReclaimTest.kt
@@ -16,11 +16,7 @@
         fleet.fund(1_000_000)
         val holder = fleet.start("holder")
         fleet.start("peer")
-        delay(20_000)
-        repeat(200) {
-            assertTrue(holder.spend("r$it", 1_000))
-            delay(1_000)
-        }
+        holder.spendSteadily()
         return holder
     }
 
--- a/request/admin/src/main/kotlin/org/lycheemount/admin/AdminKey.kt
+++ b/request/admin/src/main/kotlin/org/lycheemount/admin/AdminKey.kt
@@ -1,6 +1,7 @@
 package org.lycheemount.admin
 
 import org.lycheemount.common.TeamId
+import org.lycheemount.config.hashKey
 import java.security.MessageDigest
 
 /** What the holder of an administration key may do. Each role includes the ones before it. */
@@ -41,7 +42,7 @@
     /** Returns the key that [authorization], the header's value, presents, or null when it presents none. */
     fun authenticate(authorization: String?): AdminKey? {
         val presented = authorization?.takeIf { it.startsWith(SCHEME) }?.removePrefix(SCHEME)?.trim() ?: return null
-        val hash = sha256Hex(presented).toByteArray()
+        val hash = hashKey(presented).toByteArray()
         return keys.filter { MessageDigest.isEqual(it.keySha256.toByteArray(), hash) }.firstOrNull()
     }
 
@@ -49,6 +50,3 @@
         private const val SCHEME = "Bearer "
     }
 }
-
-internal fun sha256Hex(text: String): String =
-    MessageDigest.getInstance("SHA-256").digest(text.toByteArray()).joinToString("") { "%02x".format(it) }
--- a/request/admin/src/main/kotlin/org/lycheemount/admin/TeamKeyHandler.kt
+++ b/request/admin/src/main/kotlin/org/lycheemount/admin/TeamKeyHandler.kt
@@ -8,6 +8,7 @@
 import org.lycheemount.config.ItemEdit
 import org.lycheemount.config.ItemKey
 import org.lycheemount.config.ItemKind
+import org.lycheemount.config.hashKey
 import java.security.SecureRandom
 import java.util.Base64
 
@@ -21,7 +22,7 @@
         teamId: TeamId,
     ): AdminReply {
         val key = "lm-" + Base64.getUrlEncoder().withoutPadding().encodeToString(ByteArray(KEY_BYTES).also { random.nextBytes(it) })
-        val hash = sha256Hex(key)
+        val hash = hashKey(key)
         val reply = changeHashes(operator, teamId) { it + hash }
         if (reply.status.value != HTTP_OK) return reply
         val body = (reply.body as JsonObject) + mapOf("key" to JsonPrimitive(key), "keySha256" to JsonPrimitive(hash))
--- a/request/admin/src/test/kotlin/org/lycheemount/admin/AdminFixture.kt
+++ b/request/admin/src/test/kotlin/org/lycheemount/admin/AdminFixture.kt
@@ -32,6 +32,7 @@
 import org.lycheemount.common.ZoneId
 import org.lycheemount.config.ConfigurationPeers
 import org.lycheemount.config.ConfigurationService
+import org.lycheemount.config.hashKey
 import org.lycheemount.testing.FakeEventLog
 import org.lycheemount.testing.FakePeerNetwork
 import org.lycheemount.testing.FakeTableService
@@ -90,9 +91,9 @@
     val configuration = ConfigurationService(table, FakePeerNetwork(scope).join(identity), peers, DefaultClock(), log)
     private val keys =
         listOf(
-            AdminKey("reader", AdminRole.READ, sha256Hex("read-key")),
-            AdminKey("lead", AdminRole.TEAM_ADMIN, sha256Hex("team-key"), TeamId("claims")),
-            AdminKey("ops", AdminRole.OPERATOR, sha256Hex("operator-key")),
+            AdminKey("reader", AdminRole.READ, hashKey("read-key")),
+            AdminKey("lead", AdminRole.TEAM_ADMIN, hashKey("team-key"), TeamId("claims")),
+            AdminKey("ops", AdminRole.OPERATOR, hashKey("operator-key")),
         )
     private val admin =
         AdminInterface(
--- a/request/admin/src/test/kotlin/org/lycheemount/admin/AdminInterfaceTest.kt
+++ b/request/admin/src/test/kotlin/org/lycheemount/admin/AdminInterfaceTest.kt
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Nested
 import org.lycheemount.common.TeamId
 import org.lycheemount.config.FieldError
+import org.lycheemount.config.hashKey
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -69,7 +70,7 @@
                     created.body
                         .getValue("key")
                         .jsonPrimitive.content
-                val hash = sha256Hex(key)
+                val hash = hashKey(key)
                 val stored =
                     configuration
                         .current()
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/TeamAuthenticator.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/TeamAuthenticator.kt
@@ -8,8 +8,7 @@
 import org.lycheemount.config.ConfigurationSnapshot
 import org.lycheemount.config.ConfigurationView
 import org.lycheemount.config.Team
-import java.security.MessageDigest
-import java.util.HexFormat
+import org.lycheemount.config.hashKey
 
 /** Finds the team of a bearer key by the key's SHA-256. Safe to call from any thread. */
 internal class TeamAuthenticator(
@@ -21,7 +20,7 @@
     fun authenticate(authorization: String?): Result<Team, Refusal> {
         val key = authorization?.takeIf { it.startsWith(SCHEME, ignoreCase = true) }?.substring(SCHEME.length)?.trim()
         if (key.isNullOrEmpty()) return refused("a bearer key is required")
-        val hash = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray()))
+        val hash = hashKey(key)
         return currentIndex().teams[hash]?.let(::Ok) ?: refused("the bearer key is not known")
     }
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedInterface.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedInterface.kt
@@ -163,7 +163,8 @@
         end: RoutedEnd?,
     ) {
         val elapsedMs = services.clock.monotonicMs() - request.arrivedAtMs
-        routedMetrics.onEnd(request.route.kind, describe(end).substringBefore(':'), elapsedMs, execution.firstAnswerMs)
+        val outcome = describe(end)
+        routedMetrics.onEnd(request.route.kind, outcome.substringBefore(':'), elapsedMs, execution.firstAnswerMs)
         val fields =
             arrayOf(
                 "request_id" to request.terms.requestId,
@@ -178,17 +179,11 @@
                 "queue_ms" to execution.queueMs,
                 "first_ms" to execution.firstAnswerMs,
                 "total_ms" to elapsedMs,
-                "outcome" to describe(end),
+                "outcome" to outcome,
             )
         // Lines below warnings are dropped first when the log output does not keep up.
-        if (end is RoutedEnd.Answered) {
-            services.eventLog.info(
-                "request_ended",
-                *fields,
-            )
-        } else {
-            services.eventLog.warn("request_ended", *fields)
-        }
+        val log = services.eventLog
+        if (end is RoutedEnd.Answered) log.info("request_ended", *fields) else log.warn("request_ended", *fields)
     }
 
     private fun describe(end: RoutedEnd?): String =
--- a/version/config/src/main/kotlin/org/lycheemount/config/Team.kt
+++ b/version/config/src/main/kotlin/org/lycheemount/config/Team.kt
@@ -3,11 +3,16 @@
 import kotlinx.serialization.Serializable
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.TeamId
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/** Lower-case hexadecimal SHA-256 of a bearer [key], the only form in which configurations hold it. */
+fun hashKey(key: String): String = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(key.encodeToByteArray()))
 
 /**
  * A team and its limits.
  *
- * @property keyHashes lower-case hexadecimal SHA-256 of each bearer key.
+ * @property keyHashes [hashKey] of each bearer key.
  * @property prepaidTokens total that the team may use, where the configuration sets it instead of top-ups; null otherwise.
  * @property priority takes the place of the priority of the team's routes; null when it has none.
  */
