Check the liveness of peer links with one timer instead of several per link

The largest source: each link to a neighbour was polled every 100 ms for having to be dialed again, and had a timer of its own for keep-alives, for each frame read and for each batch written. Change: a neighbour is dialed again when its link ends; one loop per router sends keep-alives on links that have sent nothing else and closes links that are silent or whose peer reads nothing. Silence is counted in checks, so a router that got no processor time for a while reads before it closes its links.

--- a/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
@@ -81,6 +81,7 @@
             selector.close()
         }
         scope.launch { closeUnusedLinks() }
+        scope.launch { checkLinks() }
         return (server.localAddress as InetSocketAddress).port
     }
 
@@ -270,12 +271,24 @@
         if (self.routerId.value > routerId.value) delay(settings.initialRetryDelayMs + random.nextLong(settings.initialRetryDelayMs))
         var retryDelayMs = settings.initialRetryDelayMs
         while (true) {
-            retryDelayMs =
-                if (dialOnDemand(routerId) != null) settings.initialRetryDelayMs else minOf(retryDelayMs * 2, settings.maxRetryDelayMs)
+            val link = dialOnDemand(routerId)
+            if (link != null) {
+                link.awaitClosed()
+                retryDelayMs = settings.initialRetryDelayMs
+            } else {
+                retryDelayMs = minOf(retryDelayMs * 2, settings.maxRetryDelayMs)
+            }
             delay(retryDelayMs / 2 + random.nextLong(retryDelayMs / 2 + 1))
         }
     }
 
+    private suspend fun checkLinks() {
+        while (scope.isActive) {
+            delay(settings.keepAliveIntervalMs)
+            links.all().forEach { it.checkLiveness() }
+        }
+    }
+
     private suspend fun closeUnusedLinks() {
         while (scope.isActive) {
             delay(settings.unusedLinkTimeoutMs)
--- a/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/PeerLink.kt
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/PeerLink.kt
@@ -3,12 +3,9 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.RouterIdentity
@@ -35,6 +32,15 @@
     private val callIds = AtomicLong()
     private val activeHandlers = AtomicInteger()
     private val closed = AtomicBoolean()
+    private val ended = CompletableDeferred<String>()
+    private val sentSinceLastCheck = AtomicBoolean()
+
+    // Counted in checks rather than measured, so that a process that got no processor time for a while reads before it closes links.
+    private val checksWithoutFrame = AtomicInteger()
+    private val checksWithoutWriteProgress = AtomicInteger()
+
+    @Volatile
+    private var isWriting = false
 
     /** Calls and messages since the last [checkAndClearUsed], so that an unused link can be closed. */
     private val useCount = AtomicLong()
@@ -45,27 +51,45 @@
 
     val pendingCalls: Int get() = calls.size
 
-    /** Reads and writes frames and sends keep-alives until the link fails or is closed; returns the reason. */
+    /** Reads and writes frames until the link fails or is closed; returns the reason. */
     suspend fun run(): String {
-        val reason =
-            try {
-                coroutineScope {
-                    launch { writeLoop() }
-                    launch { keepAliveLoop() }
-                    readLoop(this)
-                }
-            } catch (timeout: TimeoutCancellationException) {
-                "no complete frame within ${settings.idleTimeoutMs} ms"
-            } catch (failure: Exception) {
-                failure.message ?: failure.javaClass.simpleName
-            } finally {
-                close()
+        var failureDetail = "cancelled"
+        try {
+            coroutineScope {
+                launch { writeLoop() }
+                readLoop(this)
             }
-        return reason
+        } catch (failure: Exception) {
+            failureDetail = failure.message ?: failure.javaClass.simpleName
+        } finally {
+            close(failureDetail)
+        }
+        return ended.await()
     }
 
-    fun close() {
+    /** Waits until the link is closed by either side. */
+    suspend fun awaitClosed() {
+        ended.await()
+    }
+
+    /**
+     * Sends a keep-alive if nothing else was sent since the last call, and closes a link whose peer sends or reads nothing. The owner
+     * calls this for all links at the keep-alive interval, which takes one timer instead of several for each link.
+     */
+    fun checkLiveness() {
+        val maxChecks = settings.idleTimeoutMs / settings.keepAliveIntervalMs
+        when {
+            checksWithoutFrame.incrementAndGet() > maxChecks -> close("no complete frame within ${settings.idleTimeoutMs} ms")
+            isWriting && checksWithoutWriteProgress.incrementAndGet() > maxChecks ->
+                close("peer read nothing for ${settings.idleTimeoutMs} ms")
+            !sentSinceLastCheck.getAndSet(false) -> enqueue(OutboundFrame(encodedKeepAlive))
+        }
+    }
+
+    /** Closes the link for [reason], unless it is closed already. */
+    fun close(reason: String = "closed by this router") {
         if (!closed.compareAndSet(false, true)) return
+        ended.complete(reason)
         frames.close()
         sendQueue.close()
         while (true) sendQueue.tryReceive().getOrNull()?.also { it.withdraw() } ?: break
@@ -111,13 +135,15 @@
             return false
         }
         if (closed.get()) message.withdraw()
+        sentSinceLastCheck.set(true)
         return true
     }
 
     private suspend fun writeLoop() {
         for (first in sendQueue) {
-            withTimeoutOrNull(settings.idleTimeoutMs) { writeBatch(first) }
-                ?: throw LinkFailure("peer read nothing for ${settings.idleTimeoutMs} ms")
+            isWriting = true
+            writeBatch(first)
+            isWriting = false
         }
     }
 
@@ -132,19 +158,15 @@
 
     private suspend fun writeUnlessWithdrawn(message: OutboundFrame) {
         queuedBytes.addAndGet(-message.body.size.toLong())
+        checksWithoutWriteProgress.set(0)
         if (message.claim()) frames.write(message.body)
     }
 
-    private suspend fun keepAliveLoop() {
-        while (true) {
-            delay(settings.keepAliveIntervalMs)
-            enqueue(OutboundFrame(encodeFrame(WireFrame.KeepAlive)))
-        }
-    }
-
     private suspend fun readLoop(scope: CoroutineScope): Nothing {
         while (true) {
-            when (val frame = withTimeout(settings.idleTimeoutMs) { frames.read(settings.maxFrameBytes) }) {
+            val frame = frames.read(settings.maxFrameBytes)
+            checksWithoutFrame.set(0)
+            when (frame) {
                 is WireFrame.Call -> dispatch(scope, frame.callId, frame.channel, frame.payload)
                 is WireFrame.Message -> dispatch(scope, null, frame.channel, frame.payload)
                 is WireFrame.Reply -> calls.remove(frame.callId)?.complete(PeerReply.Received(frame.payload))
@@ -205,5 +227,6 @@
         private const val QUEUED = 0
         private const val CLAIMED = 1
         private const val WITHDRAWN = 2
+        private val encodedKeepAlive = encodeFrame(WireFrame.KeepAlive)
     }
 }
--- a/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/PeerLinkSettings.kt
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/PeerLinkSettings.kt
@@ -5,7 +5,10 @@
  *
  * @property maxFrameBytes maximum length of a frame after authentication.
  * @property sendQueueFrames maximum number of frames queued on one link; further frames are rejected.
- * @property idleTimeoutMs time without a complete frame after which a link is closed.
+ * @property keepAliveIntervalMs interval at which a keep-alive is sent on links that have sent nothing else since, and at which silent
+ *   links are found.
+ * @property idleTimeoutMs time without a complete frame after which a link is closed. It should exceed twice the keep-alive interval, which
+ *   is the longest time for which a sound peer sends nothing.
  * @property unusedLinkTimeoutMs time without a call or message after which an on-demand link is closed; links to neighbours stay open.
  * @property replacedLinkGraceMs time for which a replaced link stays open, so that calls in progress can complete.
  * @property maxPendingHandshakes maximum number of unauthenticated inbound connections.
