Follow the rows of routers by the change feed of a table of their own

Change: TableVmDirectory follows a feed of a separate table; a poll without changes returns no rows.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
@@ -17,10 +17,14 @@
 import org.lycheemount.peer.socket.PeerSecret
 import org.lycheemount.platform.RouterVm
 import org.lycheemount.platform.TableService
+import org.lycheemount.platform.adapter.StoreClient
+import org.lycheemount.platform.adapter.createRowFeed
+import org.lycheemount.platform.adapter.createRowTableService
 
 /** Peer links to the other routers, which are discovered through the rows that they keep in the table. */
 internal class GatewayPeers(
     private val table: TableService,
+    store: StoreClient,
     private val self: RouterVm,
     identity: RouterIdentity,
     clock: Clock,
@@ -29,7 +33,14 @@
     private lateinit var fleetSecret: PeerSecret
 
     val messenger = DefaultPeerMessenger(identity, { fleetSecret }, eventLog, PEER_LINK_SETTINGS)
-    val directory = TableVmDirectory(table, self, identity.incarnation, eventLog)
+    val directory =
+        TableVmDirectory(
+            createRowTableService(store, VM_TABLE_NAME),
+            createRowFeed(store, VM_TABLE_NAME),
+            self,
+            identity.incarnation,
+            eventLog,
+        )
     private val membership = MembershipService(messenger, directory, clock, eventLog, this, MEMBERSHIP_SETTINGS)
 
     /** Number of routers in the fleet, including this one. */
@@ -50,9 +61,11 @@
     ) = messenger.setPeers(known.map { PeerEndpoint(it.routerId, it.vmId, it.host, it.peerPort) }, neighbours)
 
     private companion object {
+        private const val VM_TABLE_NAME = "lycheemount-vms"
+
         // A network partition between VMs lasts seconds. Short timeouts keep the links from being down much longer.
         private val PEER_LINK_SETTINGS =
-            PeerLinkSettings(handshakeTimeoutMs = 1_500, keepAliveIntervalMs = 1_000, idleTimeoutMs = 3_000, maxRetryDelayMs = 1_000)
+            PeerLinkSettings(handshakeTimeoutMs = 1_500, keepAliveIntervalMs = 1_500, idleTimeoutMs = 3_000, maxRetryDelayMs = 1_000)
 
         // New routers must get their share of budgets and retries within seconds.
         private val MEMBERSHIP_SETTINGS =
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -63,7 +63,7 @@
     private val client = DefaultPassThroughClient(backendHttp)
     private val store = StoreClient(KeepAlivePlatformTransport(client, STORE_TIMEOUT_MS), settings.storeAddress)
     private val table = createRowTableService(store)
-    private val peers = GatewayPeers(table, routerVm(), identity, clock, eventLog)
+    private val peers = GatewayPeers(table, store, routerVm(), identity, clock, eventLog)
     private val configuration = PublishedConfiguration(eventLog)
     private val dispatcher =
         WorkDispatcher(createRequestScheduler(settings.zoneId, seed = identity.incarnation, INITIAL_SPEEDS, FULL_ENGINE_SLOWDOWN), clock)
--- a/process/membership/src/main/kotlin/org/lycheemount/membership/TableVmDirectory.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/TableVmDirectory.kt
@@ -1,14 +1,18 @@
 package org.lycheemount.membership
 
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.lycheemount.common.EventLog
 import org.lycheemount.platform.CommitOutcome
 import org.lycheemount.platform.RouterVm
 import org.lycheemount.platform.RowCheck
+import org.lycheemount.platform.RowFeed
+import org.lycheemount.platform.RowListener
 import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.StoreRow
 import org.lycheemount.platform.TableResult
-import org.lycheemount.platform.TableRow
 import org.lycheemount.platform.TableService
 import org.lycheemount.platform.TableTransaction
 import org.lycheemount.platform.VmDirectory
@@ -20,51 +24,70 @@
  * Rows are never removed, because a VM that is missing from a list counts as gone for good, and nothing proves that a VM will not
  * return. The list is used to find and to count routers; the count includes replaced VMs.
  *
+ * @param table table that holds the rows of VMs and nothing else that changes often, since each router follows all of its changes.
+ * @param feed feed of the rows of [table].
  * @param incarnation incarnation of this process, part of the id of its transaction.
  */
 class TableVmDirectory(
     private val table: TableService,
+    private val feed: RowFeed,
     private val self: RouterVm,
     private val incarnation: Long,
     private val eventLog: EventLog,
 ) : VmDirectory {
     private val key = "$PREFIX${self.vmId.value}"
     private var isRegistered = false
+    private val mutex = Mutex()
+    private val routersByKey = sortedMapOf<String, RouterVm>()
+    private var failureDetail = ""
 
-    override suspend fun list(): TableResult<VmList> {
-        if (!isRegistered) isRegistered = register()
-        return when (val rows = table.scan(PREFIX)) {
-            is TableResult.Response ->
-                TableResult.Response(
-                    VmList(rows.value.rows.mapNotNull(::decode), emptyList(), rows.value.tableTimeMs),
-                )
-            is TableResult.Unavailable -> rows
-            is TableResult.Unknown -> rows
+    private val rowListener =
+        object : RowListener {
+            override fun onAllRows(rows: List<StoreRow>) = onChangedRows(rows)
+
+            override fun onChangedRows(rows: List<StoreRow>) {
+                for (row in rows) if (row.key.startsWith(PREFIX)) decode(row)?.let { routersByKey[row.key] = it }
+            }
+
+            override fun onResponded() = Unit
+
+            override fun onFailed(detail: String) {
+                failureDetail = detail
+            }
+        }
+
+    override suspend fun list(): TableResult<VmList> =
+        mutex.withLock {
+            if (!isRegistered) isRegistered = register()
+            if (!feed.poll(rowListener)) return TableResult.Unavailable(failureDetail)
+            TableResult.Response(VmList(routersByKey.values.toList(), emptyList(), checkNotNull(feed.lastResponseTableTimeMs)))
         }
-    }
 
     private suspend fun register(): Boolean {
         val current = table.read(listOf(key))
         if (current !is TableResult.Response) return false
         val existing = current.value.find(key)
-        if (existing != null && decode(existing) == self) return true
+        val value = Json.encodeToString(RouterVm.serializer(), self)
+        if (existing?.value == value) return true
         val transaction =
             TableTransaction(
                 "vm-${self.vmId.value}-$incarnation-${existing?.version ?: 0}",
                 listOf(RowCheck(key, existing?.version ?: 0)),
-                listOf(RowWrite(key, Json.encodeToString(RouterVm.serializer(), self))),
+                listOf(RowWrite(key, value)),
             )
         val outcome = table.commit(transaction)
         return outcome is TableResult.Response && outcome.value is CommitOutcome.Committed
     }
 
-    private fun decode(row: TableRow): RouterVm? =
-        try {
-            Json.decodeFromString(RouterVm.serializer(), row.value)
+    private fun decode(row: StoreRow): RouterVm? {
+        val value = row.value ?: return null
+        return try {
+            Json.decodeFromString(RouterVm.serializer(), value.decodeToString())
         } catch (exception: SerializationException) {
             eventLog.warn("router_row_unreadable", "key" to row.key, "error" to exception.message)
             null
         }
+    }
 
     private companion object {
         private const val PREFIX = "router-vm/"
