Let the budget's loops sleep until their next work is due

Cause: ten passes a second over all budgets, and waits of 0.5 and 1 s for replication and transfers that have nothing to send; rows of idle grants went into transactions of 15 although no bills took the rest of the 100 entries. Rows take the place of missing bills in a transaction.

--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BillFlusher.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BillFlusher.kt
@@ -35,7 +35,9 @@
     private fun plan(): WriteAttempt? {
         val batch = bills.oldest(options.billsPerTransaction)
         val byGrant = batch.groupBy { it.grant }.entries.take(options.rowsPerTransaction)
-        val stale = staleGrants().filter { (_, grant) -> grant !in byGrant.map { it.key } }.take(options.rowsPerTransaction - byGrant.size)
+        // A row takes as many entries of a transaction as a bill, so rows take the place of bills that are missing.
+        val maxRows = options.rowsPerTransaction + options.billsPerTransaction - batch.size
+        val stale = staleGrants().filter { (_, grant) -> grant !in byGrant.map { it.key } }.take(maxRows - byGrant.size)
         val transactionId = session.nextTransactionId()
         val billed =
             byGrant.mapNotNull { (grant, grantBills) ->
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BillReplicator.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BillReplicator.kt
@@ -42,6 +42,9 @@
     var replicaPeer: RouterIdentity? = null
         private set
 
+    /** Whether all bills are replicated. */
+    val isIdle: Boolean get() = bills.notReplicated(1).isEmpty()
+
     /** Records bills whose replicas may be dropped. */
     fun recordWritten(bills: List<Bill>) {
         synchronized(writtenIds) {
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetMaintenance.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetMaintenance.kt
@@ -101,14 +101,16 @@
         coroutineScope {
             while (isActive) {
                 tableMaintenance.runPass()
-                components.signals.awaitTableWork(if (tableMaintenance.draining) DRAIN_PASS_MS else options.tickIntervalMs)
+                components.signals.awaitTableWork(tableMaintenance.untilNextPassMs())
             }
         }
 
     private suspend fun replicationLoop() =
         coroutineScope {
             while (isActive) {
-                if (!components.replicator.replicate()) components.signals.awaitReplication(REPLICATE_RETRY_MS)
+                if (!components.replicator.replicate()) {
+                    components.signals.awaitReplication(if (components.replicator.isIdle) IDLE_WAIT_MS else REPLICATE_RETRY_MS)
+                }
             }
         }
 
@@ -116,7 +118,7 @@
         coroutineScope {
             while (isActive) {
                 components.transfers.sendOpenTransfers(this)
-                components.signals.awaitTransfer(TRANSFER_RETRY_MS)
+                components.signals.awaitTransfer(if (components.transfers.isIdle) IDLE_WAIT_MS else TRANSFER_RETRY_MS)
             }
         }
 
@@ -154,7 +156,8 @@
     }
 
     private companion object {
-        private const val DRAIN_PASS_MS = 50L
+        // Signals end the wait when there is work, so this only bounds the effect of a lost one.
+        private const val IDLE_WAIT_MS = 10_000L
         private const val REPLICATE_RETRY_MS = 500L
         private const val TRANSFER_RETRY_MS = 1_000L
         private const val PEER_REQUEST_INTERVAL_MS = 50L
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetOptions.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetOptions.kt
@@ -8,9 +8,10 @@
  *   Must be the same on all routers.
  * @property driftMarginMs safety margin of reclaim for clocks that run at different speeds; part of [outageGraceMs].
  * @property flushIntervalMs interval between writes of bills.
- * @property tickIntervalMs longest time between passes of the background work.
+ * @property tickIntervalMs time between passes of the background work while an account lacks tokens or the table does not respond.
  * @property billsPerTransaction maximum number of bills in a transaction.
- * @property rowsPerTransaction maximum number of grant rows in a transaction.
+ * @property rowsPerTransaction maximum number of grant rows in a transaction that holds [billsPerTransaction] bills. A transaction
+ *   with fewer bills may hold as many more rows.
  * @property retryDelayMs initial delay after a failed table call; doubles with each failure up to [retryDelayMaxMs].
  * @property peerTimeoutMs timeout of a call to a peer.
  * @property vmListIntervalMs average interval between reads of the VM list.
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableMaintenance.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableMaintenance.kt
@@ -51,6 +51,13 @@
         nextAttemptAtMs = nowMs + delayMs / 2 + random.nextLong(delayMs / 2 + 1)
     }
 
+    /** Time until the next pass is due, unless it is requested earlier. */
+    fun untilNextPassMs(): Long {
+        if (draining) return DRAIN_PASS_MS
+        if (inOutage || components.writer.inDoubt || components.accounts.needingAttention().isNotEmpty()) return options.tickIntervalMs
+        return (minOf(nextFlushAtMs, nextSweepAtMs, nextVmListAtMs) - clock.monotonicMs()).coerceAtLeast(MIN_PASS_DELAY_MS)
+    }
+
     /** Runs the steps of one pass: grants, then bills, then the rest. Returns false when the table did not respond. */
     private suspend fun runSteps(
         nowMs: Long,
@@ -149,6 +156,8 @@
 
     private companion object {
         private const val MAX_DOUBLINGS = 5
+        private const val DRAIN_PASS_MS = 50L
+        private const val MIN_PASS_DELAY_MS = 10L
 
         /** Time for peers to acknowledge transfers before a draining router returns its grants without waiting for them. */
         private const val DRAIN_TRANSFER_MS = 5_000L
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TransferExchange.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TransferExchange.kt
@@ -32,6 +32,9 @@
     @Volatile
     var draining = false
 
+    /** Whether there is no transfer to send or to send again. */
+    val isIdle: Boolean get() = outgoing.isEmpty()
+
     fun register() = peers.register(TOKENS_CHANNEL) { from, payload -> onMessage(from, payload) }
 
     /**
