--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
@@ -1,19 +1,8 @@
 package org.lycheemount.app.router.gateway
 
-import io.ktor.client.HttpClient
-import io.ktor.client.request.get
-import io.ktor.client.request.header
-import io.ktor.client.statement.bodyAsBytes
-import io.ktor.http.ContentType
 import io.ktor.http.Headers
 import io.ktor.server.cio.CIO
-import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
-import io.ktor.server.response.respondBytesWriter
-import io.ktor.server.response.respondText
-import io.ktor.server.routing.get
-import io.ktor.server.routing.routing
-import io.ktor.utils.io.writeStringUtf8
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -22,6 +11,8 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lycheemount.backend.BackendHttp
 import org.lycheemount.backend.DefaultPassThroughClient
+import org.lycheemount.backend.PassThroughCall
+import org.lycheemount.backend.PassThroughClient
 import org.lycheemount.backend.ResponseHead
 import org.lycheemount.budget.BudgetLedger
 import org.lycheemount.budget.BudgetReplenisher
@@ -61,40 +52,40 @@
     private val ledger: BudgetLedger,
     private val replenisher: BudgetReplenisher,
 ) {
-    /** Sends up to [requestCount] requests and returns the number that completed within [timeoutMs]. */
+    /** Sends up to [requestCount] requests, one after the other, and returns the number that completed within [timeoutMs]. */
     suspend fun run(
         requestCount: Int,
         timeoutMs: Long,
     ): Int {
         val scope = CoroutineScope(Dispatchers.Default + Job())
         val backendHttp = BackendHttp()
-        val client = HttpClient(io.ktor.client.engine.cio.CIO) { expectSuccess = false }
-        val backendServer = startServer { installBackendRoutes(this) }
+        val client = DefaultPassThroughClient(backendHttp)
+        val backendServer = LoopbackServer().apply { start(scope) }
         val dispatcher = WorkDispatcher(createRequestScheduler(identity.zoneId, seed = 1), clock)
-        val routed = RoutedRequestHandler(routedServices(dispatcher, backendHttp))
-        val routerServer = startServer { routed.installInto(this) }
+        val routed = RoutedRequestHandler(routedServices(dispatcher, client))
+        val routerServer = embeddedServer(CIO, configure = { listenOn("127.0.0.1:0") }) { routed.installInto(this) }.start(wait = false)
         var completedRequests = 0
         try {
             dispatcher.start(scope)
-            dispatcher.onBackendServers(listOf(backendServerAt(backendServer.port())))
+            dispatcher.onBackendServers(listOf(serverAt(backendServer.port)))
+            val router = serverAt(routerServer.engine.resolvedConnectors().first().port)
             withTimeoutOrNull(timeoutMs) {
                 repeat(requestCount) { number ->
-                    val path = if (number % 2 == 0) STREAM_PATH else PLAIN_PATH
-                    client.get("http://127.0.0.1:${routerServer.port()}$path/") { header("Host", HOST) }.bodyAsBytes()
+                    val call = PassThroughCall("POST", if (number % 2 == 0) "$STREAM_PATH/" else "$PLAIN_PATH/", CALLER_HEADERS, REQUEST_BODY)
+                    client.exchange(router, call) { it.body.readUpTo(MAX_RESPONSE_BYTES) }
                     completedRequests++
                 }
             }
         } finally {
             scope.cancel()
-            client.close()
             routerServer.stop(0, 0)
-            backendServer.stop(0, 0)
+            backendServer.close()
             backendHttp.close()
         }
         return completedRequests
     }
 
-    private fun backendServerAt(port: Int) =
+    private fun serverAt(port: Int) =
         BackendServer(
             BackendServerId("warm-up"),
             VmId("warm-up"),
@@ -106,7 +97,7 @@
 
     private fun routedServices(
         dispatcher: WorkDispatcher,
-        backendHttp: BackendHttp,
+        client: PassThroughClient,
     ) = RoutedServices(
         identity = identity,
         clock = clock,
@@ -114,7 +105,7 @@
         ledger = ledger,
         replenisher = replenisher,
         dispatcher = dispatcher,
-        client = DefaultPassThroughClient(backendHttp),
+        client = client,
         dialect = LoopbackDialect,
         eventLog = DiscardingEventLog,
         metricsRegistry = PrometheusRegistry(),
@@ -123,29 +114,6 @@
         notReadyReasons = { emptyList() },
     )
 
-    private fun installBackendRoutes(application: io.ktor.server.application.Application) {
-        application.routing {
-            get("$PLAIN_PATH/") { call.respondText("warm-up") }
-            get("$STREAM_PATH/") {
-                call.respondBytesWriter(ContentType.Text.EventStream) {
-                    repeat(EVENTS_PER_STREAM) { number ->
-                        writeStringUtf8("id: ${number + 1}\ndata: warm-up\n\n")
-                        flush()
-                    }
-                }
-            }
-        }
-    }
-
-    private fun startServer(module: io.ktor.server.application.Application.() -> Unit): EmbeddedServer<*, *> =
-        embeddedServer(CIO, configure = { listenOn("127.0.0.1:0") }, module = module).start(wait = false)
-
-    private suspend fun EmbeddedServer<*, *>.port() =
-        engine
-            .resolvedConnectors()
-            .first()
-            .port
-
     private object LoopbackDialect : RequestDialect {
         override fun readMetadata(headers: Headers) = RequestMetadata(null, DEADLINE_MS, null, 0, emptyList(), null)
 
@@ -170,8 +138,10 @@
     private companion object {
         private const val HOST = "warm-up"
         private const val PLAIN_PATH = "/plain"
-        private const val STREAM_PATH = "/stream"
-        private const val EVENTS_PER_STREAM = 20
+        private const val STREAM_PATH = LoopbackServer.STREAM_PATH
+        private const val MAX_RESPONSE_BYTES = 65_536
+        private val CALLER_HEADERS = listOf("Host" to HOST)
+        private val REQUEST_BODY = "warm-up".encodeToByteArray()
         private const val DEADLINE_MS = 5_000L
         private val SERVICE_ID = ServiceId("warm-up")
         private val CONFIGURATION =
