--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/LoopbackServer.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/LoopbackServer.kt
@@ -13,8 +13,8 @@
 import io.ktor.utils.io.readUTF8Line
 import io.ktor.utils.io.writeStringUtf8
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.launch
+import org.lycheemount.common.createSelectorThread
 import java.io.IOException
 
 /**
@@ -22,7 +22,8 @@
  * requests of this process only.
  */
 internal class LoopbackServer : AutoCloseable {
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val selectorThread = createSelectorThread("loopback-selector")
+    private val selector = SelectorManager(selectorThread)
     private lateinit var listener: ServerSocket
 
     /** Port on 127.0.0.1; known after [start]. */
@@ -42,6 +43,7 @@
     override fun close() {
         listener.close()
         selector.close()
+        selectorThread.close()
     }
 
     private suspend fun serveUntilClosed(connection: Socket) {
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lycheemount.common.BackendServer
+import org.lycheemount.common.createSelectorThread
 import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
@@ -30,7 +31,8 @@
 internal class BackendConnections(
     private val connectTimeoutMs: Long,
 ) : AutoCloseable {
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val selectorThread = createSelectorThread("backend-selector")
+    private val selector = SelectorManager(selectorThread)
     private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<BackendConnection>>()
 
     /** Returns an idle connection to [server], or null. */
@@ -63,6 +65,7 @@
     override fun close() {
         idle.values.forEach { connections -> connections.forEach { it.close() } }
         selector.close()
+        selectorThread.close()
     }
 
     private fun addressOf(server: BackendServer) = "${server.host}:${server.port}"
--- a/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
@@ -7,7 +7,6 @@
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
@@ -26,6 +25,7 @@
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.common.StateDumpSource
+import org.lycheemount.common.createSelectorThread
 import org.lycheemount.peer.PeerChannel
 import org.lycheemount.peer.PeerHandler
 import org.lycheemount.peer.PeerMessenger
@@ -59,7 +59,8 @@
     private val neighbourJobs = mutableMapOf<RouterId, Job>()
     private val dialLocks = ConcurrentHashMap<RouterId, Mutex>()
     private val pendingHandshakes = AtomicInteger()
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val selectorThread = createSelectorThread("peer-selector")
+    private val selector = SelectorManager(selectorThread)
     private lateinit var scope: CoroutineScope
 
     /** Bytes sent and received over all links. */
@@ -79,6 +80,7 @@
             server.close()
             links.all().forEach { it.close() }
             selector.close()
+            selectorThread.close()
         }
         scope.launch { closeUnusedLinks() }
         scope.launch { checkLinks() }
