Raise the first ceilings of a team by a part of the free tokens

Change: the meter's window begins with the first use; until it is filled, ceilings include a quarter of the free tokens, less the share of the window that has been measured.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -249,6 +249,7 @@
                 sizesByTypicalReservation = true,
                 ceilingSpendFactor = 2.0,
                 ceilingInitialSpanMs = 2_000,
+                ceilingUnmeasuredShare = 0.25,
                 excessReturnDelayMs = 2_000,
                 rateWindowMs = 5_000,
                 vmListIntervalMs = 60_000,
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BillFlusher.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BillFlusher.kt
@@ -127,7 +127,7 @@
             return true
         }
         if (nowMs - grant.rowWrittenAtMs >= options.outageGraceMs / ROW_WRITES_PER_GRACE) return true
-        val headroomTokens = ceilingHeadroomTokens(account.meter, options)
+        val headroomTokens = ceilingHeadroomTokens(account.meter, grant.freeTokens, options)
         val spareTokens = row.ceilingTokens - grant.usedTokens
         return spareTokens < headroomTokens * MIN_HEADROOM_SHARE ||
             spareTokens > headroomTokens * 2 + account.meter.largestReservationTokens
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetOptions.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetOptions.kt
@@ -25,6 +25,8 @@
  * @property rateWindowMs averaging window of the spend rate.
  * @property ceilingSpendFactor headroom of a ceiling at the end of [outageGraceMs], as a multiple of the spend expected in that time.
  * @property ceilingInitialSpanMs part of [outageGraceMs] whose spend a ceiling covers from the start; the rest accrues over time.
+ * @property ceilingUnmeasuredShare part of the free tokens by which a ceiling is higher before the first use; the addition ends when the
+ *   spend has been measured for a whole [rateWindowMs].
  * @property holdsEqualShare whether a grant targets at least this router's equal share of the unallocated tokens. Most of a budget is
  *   then available on routers during an outage, even before they have measured their spend.
  * @property demandShare part of the unallocated tokens that a router may take at once for its measured spend. A value above 0 suits
@@ -55,6 +57,7 @@
     val rateWindowMs: Long = 60_000,
     val ceilingSpendFactor: Double = 2.0,
     val ceilingInitialSpanMs: Long = outageGraceMs,
+    val ceilingUnmeasuredShare: Double = 0.0,
     val holdsEqualShare: Boolean = false,
     val demandShare: Double = 0.0,
     val sizesByTypicalReservation: Boolean = false,
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
@@ -65,15 +65,18 @@
 
 /**
  * Headroom of a new ceiling above the current use, which includes open reservations. Covers the expected spend until the end of the
- * outage grace, minus the part that [ceilingGrowthTokensPerMs] adds over time, plus a few reservations.
+ * outage grace, minus the part that [ceilingGrowthTokensPerMs] adds over time, plus a few reservations. Until the spend has been measured
+ * for a whole window, a part of the [freeTokens] of the grant is added, so that the first requests of a team need not wait for the table.
  */
 internal fun ceilingHeadroomTokens(
     meter: SpendMeter,
+    freeTokens: Long,
     options: BudgetOptions,
 ): Long {
     val spendTokens = ceil(meter.ratePerMs * options.ceilingInitialSpanMs * options.ceilingSpendFactor).toLong()
     val reservationTokens = if (options.sizesByTypicalReservation) meter.typicalReservationTokens else meter.largestReservationTokens
-    return spendTokens + (reservationTokens * options.ceilingReservations).toLong()
+    val unmeasuredTokens = (freeTokens.coerceAtLeast(0) * options.ceilingUnmeasuredShare * (1 - meter.measuredShare)).toLong()
+    return spendTokens + (reservationTokens * options.ceilingReservations).toLong() + unmeasuredTokens
 }
 
 /**
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/SpendMeter.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/SpendMeter.kt
@@ -13,6 +13,7 @@
 ) {
     private var tokensSinceTick = 0L
     private var lastTickMs: Long? = null
+    private var isUsed = false
     private var shortAveragePerMs = 0.0
 
     /** Weight of the samples in the short average; below 1 after the start, when the average is biased towards its initial 0. */
@@ -23,6 +24,9 @@
     var usageRatio = 1.0
         private set
 
+    /** Part of the window that has been measured, from 0 to 1. The window begins with the first use. */
+    val measuredShare: Double get() = shortAverageWeight
+
     /** Mean reservation size, weighted by size: the size of the reservations that hold most of the tokens. */
     val typicalReservationTokens: Long
         get() = if (meanReservationTokens > 0) (meanSquaredReservation / meanReservationTokens).toLong() else largestReservationTokens
@@ -55,6 +59,7 @@
         tokens: Long,
         worstCaseTokens: Long,
     ) {
+        isUsed = true
         tokensSinceTick += tokens
         if (worstCaseTokens > 0) usageRatio += USAGE_RATIO_WEIGHT * (tokens.toDouble() / worstCaseTokens - usageRatio)
     }
@@ -63,7 +68,8 @@
         val elapsedMs = nowMs - (lastTickMs ?: nowMs)
         if (lastTickMs != null && elapsedMs < TICK_MS) return
         lastTickMs = nowMs
-        if (elapsedMs <= 0) return
+        // The time before the first use says nothing about the rate of the team's traffic.
+        if (elapsedMs <= 0 || !isUsed) return
         val perMs = tokensSinceTick.toDouble() / elapsedMs
         tokensSinceTick = 0
         val weight = 1 - exp(-elapsedMs.toDouble() / windowMs)
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableWriter.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableWriter.kt
@@ -92,7 +92,7 @@
         val contact = session.lastContact ?: return null
         val base = grant.row ?: GrantRow(grant.grantId, grant.budgetId, self, grantedTokens = 0)
         val granted = base.grantedTokens + grantedDeltaTokens
-        val headroom = ceilingHeadroomTokens(account.meter, options)
+        val headroom = ceilingHeadroomTokens(account.meter, grant.freeTokens + grantedDeltaTokens, options)
         // The granted tokens do not cap the ceiling: tokens received from a peer are usable before the next write.
         val ceiling = grant.usedTokens + headroom
         val proposed =
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/GrantSizingTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/GrantSizingTest.kt
@@ -35,6 +35,32 @@
         }
     }
 
+    @Nested
+    inner class `the ceiling of a grant` {
+        private val options = BudgetOptions(rateWindowMs = 5_000, ceilingUnmeasuredShare = 0.25)
+
+        @Test
+        fun `covers several of the first requests of a team, guarding against refusals while most of the grant is free`() {
+            val meter = SpendMeter(windowMs = 5_000)
+            meter.recordReservation(2_000, nowMs = 0)
+
+            assertTrue(ceilingHeadroomTokens(meter, freeTokens = 160_000, options) >= 5 * 8_000)
+        }
+
+        @Test
+        fun `follows the measured spend alone after a whole window, guarding against tokens charged to a killed router`() {
+            val meter = SpendMeter(windowMs = 5_000)
+            meter.recordReservation(2_000, nowMs = 0)
+            for (second in 0..60) {
+                meter.recordUse(1_000, worstCaseTokens = 2_000)
+                meter.tick(second * 1_000L)
+            }
+
+            val withoutFreeTokens = ceilingHeadroomTokens(meter, freeTokens = 0, options)
+            assertEquals(withoutFreeTokens, ceilingHeadroomTokens(meter, freeTokens = 160_000, options))
+        }
+    }
+
     @Nested
     inner class `a router without measured spend` {
         @Test
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/SpendMeterTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/SpendMeterTest.kt
@@ -23,6 +23,14 @@
             assertEquals(2.0, rateAfter(seconds = 3), absoluteTolerance = 0.01)
         }
 
+        @Test
+        fun `does not count idle time before the first use as measured, guarding against low ceilings at the start of traffic`() {
+            val meter = SpendMeter(windowMs = 5_000)
+            for (second in 0..15) meter.tick(second * 1_000L)
+
+            assertEquals(0.0, meter.measuredShare)
+        }
+
         @Test
         fun `is not scaled up from a single second, guarding against grants sized by one burst`() {
             assertTrue(rateAfter(seconds = 1) < 1.5)
