Refuse requests at once that a router short of processor time cannot serve on time

Change: a request first lets all ready tasks run. Among the ready tasks is the one that notices that the caller has left.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
@@ -68,10 +68,28 @@
         try {
             dispatcher.start(scope)
             dispatcher.onBackendServers(listOf(serverAt(backendServer.port)))
-            val router = serverAt(routerServer.engine.resolvedConnectors().first().port)
+            val router =
+                serverAt(
+                    routerServer.engine
+                        .resolvedConnectors()
+                        .first()
+                        .port,
+                )
             withTimeoutOrNull(timeoutMs) {
                 repeat(requestCount) { number ->
-                    val call = PassThroughCall("POST", if (number % 2 == 0) "$STREAM_PATH/" else "$PLAIN_PATH/", CALLER_HEADERS, REQUEST_BODY)
+                    val call =
+                        PassThroughCall(
+                            "POST",
+                            if (number % 2 ==
+                                0
+                            ) {
+                                "$STREAM_PATH/"
+                            } else {
+                                "$PLAIN_PATH/"
+                            },
+                            CALLER_HEADERS,
+                            REQUEST_BODY,
+                        )
                     client.exchange(router, call) { it.body.readUpTo(MAX_RESPONSE_BYTES) }
                     completedRequests++
                 }
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/LoopbackServer.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/LoopbackServer.kt
@@ -56,7 +56,10 @@
                 while (true) {
                     val line = input.readUTF8Line(MAX_LINE_CHARS) ?: return
                     if (line.isEmpty()) break
-                    if (line.startsWith(CONTENT_LENGTH, ignoreCase = true)) bodyBytes = line.substring(CONTENT_LENGTH.length).trim().toLong()
+                    if (line.startsWith(CONTENT_LENGTH, ignoreCase = true)) {
+                        bodyBytes =
+                            line.substring(CONTENT_LENGTH.length).trim().toLong()
+                    }
                 }
                 input.discardExact(bodyBytes)
                 if (STREAM_PATH in requestLine) respondWithStream(output) else output.writeStringUtf8(PLAIN_RESPONSE)
--- a/process/common/src/main/kotlin/org/lycheemount/common/RefusalReason.kt
+++ b/process/common/src/main/kotlin/org/lycheemount/common/RefusalReason.kt
@@ -33,6 +33,7 @@
     BACKEND_FAILED("backend_failed", 502),
     BACKEND_TIMEOUT("backend_timeout", 504),
     DRAINING("draining", 503),
+    OVERLOADED("overloaded", 503),
     NOT_READY("not_ready", 503),
     CLAIM_UNAVAILABLE("claim_unavailable", 503),
     PEER_UNREACHABLE("peer_unreachable", 503),
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -16,6 +16,7 @@
 import io.ktor.server.routing.route
 import io.ktor.server.routing.routing
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.yield
 import org.lycheemount.caller.AdmissionController
 import org.lycheemount.caller.BodyReader
 import org.lycheemount.caller.CallerMetrics
@@ -91,13 +92,18 @@
         call: ApplicationCall,
         writer: ResponseWriter,
     ) {
-        val arrivedAtMs = services.clock.monotonicMs()
+        val queueDelayMs = measureQueueDelayMs()
+        val arrivedAtMs = services.clock.monotonicMs() - queueDelayMs - OverloadPolicy.waitBeforeHandlerMs(queueDelayMs)
         val metadata = services.dialect.readMetadata(call.request.headers)
         if (services.drain.isDraining) writer.closeConnection()
         val matched = matchRoute(call).getOrElse { return refuse(writer, metadata, null, it) }
+        val expiresAtMs = expiresAtMs(matched.route, metadata, arrivedAtMs)
+        OverloadPolicy
+            .refusalFor(queueDelayMs, matched.route.targetLatencyMs, expiresAtMs - services.clock.monotonicMs())
+            ?.let { return refuse(writer, metadata, null, it) }
         val admission =
             admissionController
-                .admit(matched.team ?: PUBLIC_TEAM, matched.route.routeId.value, expiresAtMs(matched.route, metadata, arrivedAtMs))
+                .admit(matched.team ?: PUBLIC_TEAM, matched.route.routeId.value, expiresAtMs)
                 .getOrElse { return refuse(writer, metadata, null, it) }
         try {
             val body = bodyReader.read(call).getOrElse { return refuse(writer, metadata, null, it) }
@@ -109,6 +115,16 @@
         }
     }
 
+    /**
+     * Lets all tasks that are ready run first and returns how long that took. Among them is the one that notices that the caller has
+     * closed its connection, which cancels the request before it is sent to a server.
+     */
+    private suspend fun measureQueueDelayMs(): Long {
+        val startedAtMs = services.clock.monotonicMs()
+        yield()
+        return services.clock.monotonicMs() - startedAtMs
+    }
+
     private fun requestOf(
         call: ApplicationCall,
         metadata: RequestMetadata,
