Fail the readiness check of a router that is overloaded for a second

Cause: the load balancer chooses routers by a hash of the caller. Change: a router whose requests wait 25 ms or more for the processor, half of at least eight within a second, fails its readiness check for 4 s, so that new callers go elsewhere.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -49,6 +49,8 @@
     private val metrics = CallerMetrics(services.metricsRegistry, services.drain)
     private val routedMetrics = RoutedMetrics(services.metricsRegistry, services.configuration, services.dispatcher)
 
+    private val overloadMonitor = OverloadMonitor(services.eventLog)
+
     @Volatile
     private var index = RouteIndex(services.configuration.current())
 
@@ -66,7 +68,12 @@
         call.respondText(reasons.joinToString("\n"), status = status)
     }
 
-    private fun notReadyReasons() = services.notReadyReasons() + if (services.drain.isDraining) listOf("draining") else emptyList()
+    private fun notReadyReasons() =
+        services.notReadyReasons() +
+            listOfNotNull(
+                "draining".takeIf { services.drain.isDraining },
+                "overloaded".takeIf { overloadMonitor.isOverloaded(services.clock.monotonicMs()) },
+            )
 
     /** Handles [call]; an unexpected exception fails only this request. */
     private suspend fun handlingErrors(call: ApplicationCall) {
@@ -122,7 +129,8 @@
     private suspend fun measureQueueDelayMs(): Long {
         val startedAtMs = services.clock.monotonicMs()
         yield()
-        return services.clock.monotonicMs() - startedAtMs
+        val nowMs = services.clock.monotonicMs()
+        return (nowMs - startedAtMs).also { overloadMonitor.onRequest(it, nowMs) }
     }
 
     private fun requestOf(
