Give a request three turns to notice that its caller has left

Cause: 5 requests of an overloaded router were sent on after their callers had left (GONE), read a second late together with the end of their connection. One turn does not reach the parser of the connection. Change: three turns; the queueing delay is a third of the time that they take.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -99,8 +99,9 @@
         call: ApplicationCall,
         writer: ResponseWriter,
     ) {
+        val enteredAtMs = services.clock.monotonicMs()
         val queueDelayMs = measureQueueDelayMs()
-        val arrivedAtMs = services.clock.monotonicMs() - queueDelayMs - OverloadPolicy.waitBeforeHandlerMs(queueDelayMs)
+        val arrivedAtMs = enteredAtMs - OverloadPolicy.waitBeforeHandlerMs(queueDelayMs)
         val metadata = services.dialect.readMetadata(call.request.headers)
         if (services.drain.isDraining) writer.closeConnection()
         val matched = matchRoute(call).getOrElse { return refuse(writer, metadata, null, it) }
@@ -123,14 +124,14 @@
     }
 
     /**
-     * Lets all tasks that are ready run first and returns how long that took. Among them is the one that notices that the caller has
+     * Lets all tasks that are ready run and returns how long one of them waits. Among them are those that notice that the caller has
      * closed its connection, which cancels the request before it is sent to a server.
      */
     private suspend fun measureQueueDelayMs(): Long {
         val startedAtMs = services.clock.monotonicMs()
-        yield()
+        repeat(TURNS_TO_NOTICE_CLOSE) { yield() }
         val nowMs = services.clock.monotonicMs()
-        return (nowMs - startedAtMs).also { overloadMonitor.onRequest(it, nowMs) }
+        return ((nowMs - startedAtMs) / TURNS_TO_NOTICE_CLOSE).also { overloadMonitor.onRequest(it, nowMs) }
     }
 
     private fun requestOf(
@@ -292,6 +293,9 @@
 
     private companion object {
         private const val KIND = "routed"
+
+        // The socket is read to its end, the parser of the connection sees the end, and the request is cancelled.
+        private const val TURNS_TO_NOTICE_CLOSE = 3
         private const val HEXADECIMAL = 16
 
         // A starting router receives its configuration within a second.
