--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -124,14 +124,14 @@
     }
 
     /**
-     * Lets all tasks that are ready run and returns how long one of them waits. Among them are those that notice that the caller has
-     * closed its connection, which cancels the request before it is sent to a server.
+     * Lets all tasks that are ready run a few times and returns how long one of them waits. Among them are those that notice that a
+     * caller has just closed its connection, which cancels its request before it is sent to a server.
      */
     private suspend fun measureQueueDelayMs(): Long {
         val startedAtMs = services.clock.monotonicMs()
-        repeat(TURNS_TO_NOTICE_CLOSE) { yield() }
+        repeat(MEASURED_TURNS) { yield() }
         val nowMs = services.clock.monotonicMs()
-        return ((nowMs - startedAtMs) / TURNS_TO_NOTICE_CLOSE).also { overloadMonitor.onRequest(it, nowMs) }
+        return ((nowMs - startedAtMs) / MEASURED_TURNS).also { overloadMonitor.onRequest(it, nowMs) }
     }
 
     private fun requestOf(
@@ -295,7 +295,7 @@
         private const val KIND = "routed"
 
         // The socket is read to its end, the parser of the connection sees the end, and the request is cancelled.
-        private const val TURNS_TO_NOTICE_CLOSE = 3
+        private const val MEASURED_TURNS = 3
         private const val HEXADECIMAL = 16
 
         // A starting router receives its configuration within a second.
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
@@ -39,7 +39,8 @@
     protected val ledger = FakeLedger()
     protected val log = FakeEventLog()
     private val backendHttp = BackendHttp()
-    private val dispatcher = WorkDispatcher(FakeScheduler(), DefaultClock())
+    protected val scheduler = FakeScheduler()
+    private val dispatcher = WorkDispatcher(scheduler, DefaultClock())
     private val snapshot =
         ConfigurationSnapshot(
             sequence = 1,
@@ -134,12 +135,16 @@
     protected fun body(response: String) = response.substringAfter("\r\n\r\n")
 
     /** Waits for the log line that ends the request, which may be written after the caller's last byte, and returns its outcome. */
-    protected fun awaitLoggedOutcome(): Any? {
+    protected fun awaitLoggedOutcome(): Any? = awaitLoggedOutcomes(1).firstOrNull()
+
+    /** Waits for the log lines that end [count] requests, and returns their outcomes. */
+    protected fun awaitLoggedOutcomes(count: Int): List<Any?> {
         repeat(LOG_POLLS) {
-            log.events.firstOrNull { (name, _) -> name == "request_ended" }?.let { (_, fields) -> return fields["outcome"] }
+            val outcomes = log.events.filter { (name, _) -> name == "request_ended" }.map { (_, fields) -> fields["outcome"] }
+            if (outcomes.size >= count) return outcomes
             Thread.sleep(LOG_POLL_MS)
         }
-        return null
+        return emptyList()
     }
 
     private companion object {
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
@@ -1,6 +1,7 @@
 package org.lycheemount.caller.routed
 
 import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Tag
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -203,6 +204,19 @@
         }
     }
 
+    @Nested
+    inner class `a request that is read together with the end of its connection` {
+        @Test
+        @Tag("known-red")
+        fun `is dropped, guarding against an overloaded router that works for callers who have left`() {
+            scheduler.isPaused = true
+
+            repeat(10) { open("/read/$it").close() }
+
+            assertEquals(List(10) { "caller_gone" }, awaitLoggedOutcomes(10))
+        }
+    }
+
     @Nested
     inner class `a request for an unknown route` {
         @Test
