--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/LoopbackServer.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/LoopbackServer.kt
@@ -8,6 +8,7 @@
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
 import io.ktor.network.sockets.port
+import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.discardExact
 import io.ktor.utils.io.readUTF8Line
@@ -15,6 +16,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.lycheemount.common.createSelectorThread
+import java.io.EOFException
 import java.io.IOException
 
 /**
@@ -52,16 +54,7 @@
         try {
             while (true) {
                 val requestLine = input.readUTF8Line(MAX_LINE_CHARS) ?: return
-                var bodyBytes = 0L
-                while (true) {
-                    val line = input.readUTF8Line(MAX_LINE_CHARS) ?: return
-                    if (line.isEmpty()) break
-                    if (line.startsWith(CONTENT_LENGTH, ignoreCase = true)) {
-                        bodyBytes =
-                            line.substring(CONTENT_LENGTH.length).trim().toLong()
-                    }
-                }
-                input.discardExact(bodyBytes)
+                input.discardExact(readBodyLength(input))
                 if (STREAM_PATH in requestLine) respondWithStream(output) else output.writeStringUtf8(PLAIN_RESPONSE)
                 output.flush()
             }
@@ -70,6 +63,16 @@
         }
     }
 
+    /** Reads the headers of a request and returns the length of its body in bytes. */
+    private suspend fun readBodyLength(input: ByteReadChannel): Long {
+        var bodyBytes = 0L
+        while (true) {
+            val line = input.readUTF8Line(MAX_LINE_CHARS) ?: throw EOFException("connection closed in a head")
+            if (line.isEmpty()) return bodyBytes
+            if (line.startsWith(CONTENT_LENGTH, ignoreCase = true)) bodyBytes = line.substring(CONTENT_LENGTH.length).trim().toLong()
+        }
+    }
+
     private suspend fun respondWithStream(output: ByteWriteChannel) {
         output.writeStringUtf8(STREAM_HEAD)
         for (event in EVENT_CHUNKS) {
