--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
@@ -65,7 +65,7 @@
 
         // A network partition between VMs lasts seconds. Short timeouts keep the links from being down much longer.
         private val PEER_LINK_SETTINGS =
-            PeerLinkSettings(handshakeTimeoutMs = 1_500, keepAliveIntervalMs = 1_500, idleTimeoutMs = 3_000, maxRetryDelayMs = 1_000)
+            PeerLinkSettings(handshakeTimeoutMs = 1_500, keepAliveIntervalMs = 1_000, idleTimeoutMs = 3_000, maxRetryDelayMs = 1_000)
 
         // New routers must get their share of budgets and retries within seconds.
         private val MEMBERSHIP_SETTINGS =
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
@@ -2,6 +2,7 @@
 
 import io.ktor.http.Headers
 import io.ktor.server.cio.CIO
+import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CoroutineScope
@@ -68,29 +69,11 @@
         try {
             dispatcher.start(scope)
             dispatcher.onBackendServers(listOf(serverAt(backendServer.port)))
-            val router =
-                serverAt(
-                    routerServer.engine
-                        .resolvedConnectors()
-                        .first()
-                        .port,
-                )
+            val router = serverAt(portOf(routerServer))
             withTimeoutOrNull(timeoutMs) {
                 repeat(requestCount) { number ->
-                    val call =
-                        PassThroughCall(
-                            "POST",
-                            if (number % 2 ==
-                                0
-                            ) {
-                                "$STREAM_PATH/"
-                            } else {
-                                "$PLAIN_PATH/"
-                            },
-                            CALLER_HEADERS,
-                            REQUEST_BODY,
-                        )
-                    client.exchange(router, call) { it.body.readUpTo(MAX_RESPONSE_BYTES) }
+                    val path = if (number % 2 == 0) STREAM_PATH else PLAIN_PATH
+                    client.exchange(router, callTo(path)) { it.body.readUpTo(MAX_RESPONSE_BYTES) }
                     completedRequests++
                 }
             }
@@ -103,6 +86,14 @@
         return completedRequests
     }
 
+    private suspend fun portOf(server: EmbeddedServer<*, *>) =
+        server.engine
+            .resolvedConnectors()
+            .first()
+            .port
+
+    private fun callTo(path: String) = PassThroughCall("POST", "$path/", CALLER_HEADERS, REQUEST_BODY)
+
     private fun serverAt(port: Int) =
         BackendServer(
             BackendServerId("warm-up"),
