Log where the tokens of a short budget are, and what stranded grants have settled

Cause: after a restart of all routers, logs did not tell whether tokens were spent, stranded with processes that had ended, or held by other routers. grant_stranded named granted tokens, most of which may be spent. Change: budget_balance, at most once a second for a budget that lacks tokens, and settled tokens and ceilings in grant_stranded.

--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantAllocator.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantAllocator.kt
@@ -3,6 +3,7 @@
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
+import org.lycheemount.common.VmId
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.RowWrite
 import org.lycheemount.platform.TableTransaction
@@ -19,6 +20,9 @@
 ) {
     private val grantCount = AtomicLong()
 
+    /** Latest incarnation of the process on each VM, as far as grants of any budget show it. */
+    private val lastIncarnations = HashMap<VmId, Long>()
+
     /** Options for sizing a refill by demand alone, in case the last read of the unallocated tokens is outdated. */
     private val demandOptions = options.copy(holdsEqualShare = false)
 
@@ -65,10 +69,33 @@
             val open = grants.map { decodeRow<GrantRow>(it.value) }.filter { !it.closed }
             val heldTokens = open.sumOf { it.grantedTokens - it.settledTokens } + budget.transferTokens
             account.balance = BudgetBalance(budget.unallocatedTokens + heldTokens, clock.monotonicMs())
+            logBalance(account, budget, open)
         }
         return true
     }
 
+    /** Logs where the tokens of a budget are while a request of this router lacks some. */
+    private fun logBalance(
+        account: BudgetAccount,
+        budget: BudgetRow,
+        open: List<GrantRow>,
+    ) {
+        for (grant in open) lastIncarnations.merge(grant.holder.vmId, grant.holder.incarnation, ::maxOf)
+        val (ended, current) = open.partition { it.holder.incarnation < lastIncarnations.getValue(it.holder.vmId) }
+        val (own, others) = current.partition { it.holder == writer.self }
+        log.info(
+            "budget_balance",
+            "budget" to account.budgetId.value,
+            "neededTokens" to account.unmetDemandTokens,
+            "limitTokens" to budget.limitTokens,
+            "unallocatedTokens" to budget.unallocatedTokens,
+            "chargedTokens" to budget.closedTokens + open.sumOf { it.settledTokens },
+            "heldHereTokens" to own.sumOf { it.grantedTokens - it.settledTokens },
+            "heldByOthersTokens" to others.sumOf { it.grantedTokens - it.settledTokens },
+            "heldByEndedTokens" to ended.sumOf { it.grantedTokens - it.settledTokens },
+        )
+    }
+
     /** Gives [tokens] of the free tokens back to the budget. Returns true if this was committed. */
     suspend fun returnTokens(
         account: BudgetAccount,
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
@@ -155,6 +155,7 @@
             onCommitted = {
                 log.info(
                     "grant_reclaimed",
+                    "budget" to grant.budgetId.value,
                     "grant" to grant.grantId,
                     "reclaimedTokens" to reclaimed,
                     "settledTokens" to grant.settledTokens,
@@ -171,6 +172,9 @@
             "budget" to grant.budgetId.value,
             "grant" to grant.grantId,
             "tokens" to grant.grantedTokens,
+            "settledTokens" to grant.settledTokens,
+            "ceilingTokens" to grant.ceilingTokens,
+            "ceilingTokensPerS" to (grant.ceilingTokensPerMs * MS_PER_SECOND).toLong(),
             "goneAfterMs" to goneAfterMs(grant),
         )
 
@@ -180,6 +184,7 @@
         private const val SCANNING_ROUTER_COUNT = 3
         private const val SCAN_STAGGER_MS = 5_000L
         private const val MAX_COMMIT_ATTEMPTS = 4
+        private const val MS_PER_SECOND = 1_000
     }
 }
 
