Quarantine prompt segments on which servers crash, across all routers

Cause: a crash was taken for a failure of the server alone. No router kept or passed on what the server had been about to respond to, and each sent further requests of the kind, twice where the route may be repeated. Change: process/quarantine. Routers report the prompts that a crashed server had not responded to into a table that all follow; segments that explain several crashes are refused as not run by all routers, before tokens are reserved and before each attempt. A response clears a segment; ordinary crashes have nothing in common and blame nobody. Tests: the replay of such traffic fails without the quarantine (the test of the disabled one shows it: more than three late sends) and holds with it on 60 traces; handler, restart, outage of the table and servers that crash together have their own.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -35,8 +35,10 @@
 import org.lycheemount.platform.adapter.PlatformRequestDialect
 import org.lycheemount.platform.adapter.StoreClient
 import org.lycheemount.platform.adapter.createOperatorRowWatcher
+import org.lycheemount.platform.adapter.createRowFeed
 import org.lycheemount.platform.adapter.createRowTableService
 import org.lycheemount.platform.adapter.createServerRowWatcher
+import org.lycheemount.quarantine.SharedPromptQuarantine
 import org.lycheemount.scheduling.InitialSpeeds
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.settings.GatewaySettings
@@ -81,6 +83,15 @@
     private val budgetLimits =
         BudgetLimitUpdater(createBudgetLimitWriter(table) { "limits-${UUID.randomUUID()}" }, budgets.maintenance, configuration, eventLog)
     private val configurationListener = ConfigurationRowListener(configuration, eventLog, budgetLimits::onConfigurationChanged)
+    private val quarantine =
+        SharedPromptQuarantine(
+            createRowTableService(store, QUARANTINE_TABLE_NAME),
+            createRowFeed(store, QUARANTINE_TABLE_NAME, QUARANTINE_LONG_POLL_MS),
+            identity,
+            clock,
+            eventLog,
+            backendHttp::refusesConnections,
+        )
     private val operatorRowWatcher = createOperatorRowWatcher(store)
     private val configurationRefresher = ConfigurationRefresher(clock) { operatorRowWatcher.readOnce(configurationListener::onAllRows) }
     private val serverListener = ServerRowListener(dispatcher, clock, eventLog)
@@ -113,6 +124,7 @@
         scope.launch { operatorRowWatcher.watch(configurationListener) }
         scope.launch { createServerRowWatcher(store).watch(serverListener) }
         peers.start(scope)
+        quarantine.start(scope)
         budgets.maintenance.start(scope)
         callersServer.start(wait = false)
         operationsServer.start(wait = false)
@@ -189,6 +201,7 @@
             notReadyReasons = ::notReadyReasons,
             cannotServeReasons = ::cannotServeReasons,
             refreshConfiguration = configurationRefresher::refresh,
+            quarantine = quarantine,
             drain = drain,
         )
 
@@ -209,6 +222,11 @@
         // The store responds within 4 ms, or 60 times that when it is slow. A call that takes longer is better retried.
         private const val STORE_TIMEOUT_MS = 1_000L
 
+        private const val QUARANTINE_TABLE_NAME = "lycheemount-quarantine"
+
+        // Like that of the operator's row: bounds the time after which a call on an unresponsive connection times out.
+        private const val QUARANTINE_LONG_POLL_MS = 1_500L
+
         // Servers are a few milliseconds away at most. A lost SYN packet would be retransmitted only after a second.
         private const val CONNECT_TIMEOUT_MS = 400L
         private const val MS_PER_SECOND = 1_000.0
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -14,9 +14,12 @@
 import io.ktor.utils.io.writer
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.createSelectorThread
+import java.io.IOException
 import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
@@ -51,6 +54,18 @@
             BackendConnection(aSocket(selector).tcp().connect(server.host, server.port) { noDelay = true })
         } ?: throw ConnectException("no connection within $connectTimeoutMs ms")
 
+    /** Whether [server] refuses a new connection. False if it does not respond within the connect timeout. */
+    suspend fun areRefusedBy(server: BackendServer): Boolean =
+        withTimeoutOrNull(connectTimeoutMs) {
+            try {
+                aSocket(selector).tcp().connect(server.host, server.port).close()
+                false
+            } catch (failure: IOException) {
+                currentCoroutineContext().ensureActive()
+                true
+            }
+        } ?: false
+
     /** Returns [connection] to the pool for [keepAliveMs] after a complete response. */
     fun releaseIdle(
         server: BackendServer,
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendHttp.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendHttp.kt
@@ -68,6 +68,9 @@
             null
         }
 
+    /** Whether [server] refuses connections, as it does while no process listens on its port. False if it does not respond at all. */
+    suspend fun refusesConnections(server: BackendServer): Boolean = connections.areRefusedBy(server)
+
     override fun close() {
         connections.close()
         client.close()
--- a/process/common/src/main/kotlin/org/lycheemount/common/RefusalReason.kt
+++ b/process/common/src/main/kotlin/org/lycheemount/common/RefusalReason.kt
@@ -36,6 +36,7 @@
     OVERLOADED("overloaded", 503),
     NOT_READY("not_ready", 503),
     CLAIM_UNAVAILABLE("claim_unavailable", 503),
+    PROMPT_QUARANTINED("prompt_quarantined", 503),
     PEER_UNREACHABLE("peer_unreachable", 503),
     CALLER_GONE("caller_gone", 499),
 }
--- /dev/null
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashEvidence.kt
@@ -0,0 +1,198 @@
+package org.lycheemount.quarantine
+
+import org.lycheemount.common.VmId
+
+/**
+ * Segments that are held responsible for crashes. If there are several, each crash had all of them among its suspects, in one prompt, and
+ * nothing tells which of them it was.
+ *
+ * @property crashCount number of crashes that they explain.
+ * @property untilTableTimeMs table time at which requests with all of them may be sent again, in milliseconds.
+ */
+internal data class QuarantinedSegments(
+    val segments: Set<SegmentId>,
+    val crashCount: Int,
+    val untilTableTimeMs: Long,
+)
+
+/**
+ * Finds the prompt segments that crash backend servers. Does no I/O; not thread-safe.
+ *
+ * Load pattern: requests with a segment on which servers crash arrive at all routers, no two alike, among sound requests that have their
+ * other segments. Each crash leaves several suspects, because a server handles many requests at once. Only the segment that crashes
+ * servers is among the suspects of every one of these crashes, and no server ever responds to it.
+ *
+ * A segment is therefore cleared of all earlier crashes when a server responds to it. Of the others, those that explain most crashes
+ * are held responsible first, and crashes that are explained count against no other segment. Among segments that explain the same
+ * number of crashes, the one that fewest requests share is responsible. Crashes that have nothing in common blame no segment.
+ *
+ * Segments of one prompt that explain the same crashes are quarantined together: a request with only some of them is sent, and its
+ * outcome tells them apart.
+ */
+internal class CrashEvidence {
+    private val reports = LinkedHashMap<String, CrashReport>()
+    private val clearedAtTableTimeMs = HashMap<SegmentId, Long>()
+
+    /** Keys of the reports. */
+    val reportKeys: Set<String> get() = reports.keys
+
+    /** Adds or replaces the report under [key]. */
+    fun add(
+        key: String,
+        report: CrashReport,
+    ) {
+        reports[key] = report
+        while (reports.size > MAX_REPORTS) reports.remove(reports.keys.first())
+    }
+
+    /** Removes the report under [key]. */
+    fun remove(key: String) {
+        reports.remove(key)
+    }
+
+    /** A server responded at [atTableTimeMs] to a request with [segment]. */
+    fun clear(
+        segment: SegmentId,
+        atTableTimeMs: Long,
+    ) {
+        clearedAtTableTimeMs.merge(segment, atTableTimeMs, ::maxOf)
+    }
+
+    /** Removes what is older than [tableTimeMs] and concerns none of the [responsible] segments. Returns the keys of removed reports. */
+    fun removeBefore(
+        tableTimeMs: Long,
+        responsible: Set<SegmentId>,
+    ): List<String> {
+        val old = reports.filterValues { it.atTableTimeMs < tableTimeMs }
+        val expired = old.filterValues { report -> report.suspects.none { prompt -> prompt.all.any(responsible::contains) } }.keys
+        reports.keys.removeAll(expired)
+        val earliestCrashMs = reports.values.minOfOrNull { it.atTableTimeMs } ?: Long.MAX_VALUE
+        clearedAtTableTimeMs.values.removeIf { it < earliestCrashMs }
+        return expired.toList()
+    }
+
+    /** Segments that are suspected of at least one crash. */
+    fun suspectedSegments(): Set<SegmentId> = openSuspicions().keys
+
+    /**
+     * Returns the segments that are held responsible for crashes, including those whose quarantine has ended.
+     *
+     * @param hasWorked whether servers have responded to a segment before. It then takes more crashes to hold it responsible.
+     */
+    fun responsibleSegments(hasWorked: (SegmentId) -> Boolean): List<QuarantinedSegments> {
+        val suspicions = openSuspicions()
+        val crashTimes = crashTimes()
+        val unexplained = HashSet(crashTimes.keys)
+        val responsible = ArrayList<QuarantinedSegments>()
+        while (true) {
+            val candidates =
+                suspicions
+                    .mapValues { (_, suspicion) -> suspicion.crashes.intersect(unexplained) }
+                    .filter { (segment, crashes) ->
+                        crashes.size >= minCrashCount(suspicions.getValue(segment).position, hasWorked(segment))
+                    }
+            val mostCrashes = candidates.values.maxOfOrNull { it.size } ?: return responsible
+            val mostSuspected = candidates.filterValues { it.size == mostCrashes }
+            val position = mostSuspected.keys.maxOf { suspicions.getValue(it).position }
+            val blamed = mostSuspected.filterKeys { suspicions.getValue(it).position == position }
+            for (segments in indistinguishable(blamed, unexplained)) {
+                val lastCrashMs = blamed.getValue(segments.first()).maxOf(crashTimes::getValue)
+                responsible += QuarantinedSegments(segments, mostCrashes, lastCrashMs + durationMs(mostCrashes))
+            }
+            blamed.values.forEach(unexplained::removeAll)
+        }
+    }
+
+    /**
+     * Largest sets of the [blamed] segments that were suspected together, in one prompt, in each of the crashes that they explain. Each of
+     * the [blamed] segments explains as many of the [crashes].
+     */
+    private fun indistinguishable(
+        blamed: Map<SegmentId, Set<VmId>>,
+        crashes: Set<VmId>,
+    ): List<Set<SegmentId>> {
+        val suspectedSets =
+            reports.values
+                .filter { it.serverRun in crashes }
+                .flatMap { report -> report.suspects.map { prompt -> prompt.all.intersect(blamed.keys) to report.serverRun } }
+                .filter { (segments, _) -> segments.isNotEmpty() }
+        val sets = (suspectedSets.map { it.first } + blamed.keys.map(::setOf)).distinct()
+        val complete =
+            sets.filter { set ->
+                val explained = suspectedSets.filter { (segments, _) -> segments.containsAll(set) }.mapTo(HashSet()) { it.second }
+                explained.size == blamed.getValue(set.first()).size
+            }
+        return complete.filter { set -> complete.none { it != set && it.containsAll(set) } }
+    }
+
+    /** The earliest report of a crash is the closest to it. */
+    private fun crashTimes(): Map<VmId, Long> =
+        reports.values.groupBy { it.serverRun }.mapValues { (_, of) ->
+            of.minOf { it.atTableTimeMs }
+        }
+
+    private fun openSuspicions(): Map<SegmentId, Suspicion> {
+        val suspicions = HashMap<SegmentId, Suspicion>()
+        val crashTimes = crashTimes()
+        for (report in reports.values) {
+            for (prompt in report.suspects) addSuspicions(suspicions, report.serverRun, crashTimes.getValue(report.serverRun), prompt)
+        }
+        return suspicions
+    }
+
+    private fun addSuspicions(
+        suspicions: HashMap<SegmentId, Suspicion>,
+        serverRun: VmId,
+        crashedAtMs: Long,
+        prompt: PromptSegments,
+    ) {
+        for ((index, segment) in prompt.all.withIndex()) {
+            if ((clearedAtTableTimeMs[segment] ?: Long.MIN_VALUE) >= crashedAtMs) continue
+            val position = positionOf(index, prompt)
+            val suspicion = suspicions.getOrPut(segment) { Suspicion(position) }
+            suspicion.position = minOf(suspicion.position, position)
+            suspicion.crashes += serverRun
+        }
+    }
+
+    private fun positionOf(
+        index: Int,
+        prompt: PromptSegments,
+    ): Position =
+        when (index) {
+            prompt.shared.size -> Position.OWN
+            0 -> Position.FIRST
+            else -> Position.SHARED
+        }
+
+    private fun minCrashCount(
+        position: Position,
+        hasWorked: Boolean,
+    ): Int = if (position == Position.FIRST || hasWorked) MIN_CRASHES_OF_COMMON_SEGMENT else MIN_CRASHES
+
+    /** Place of a segment in its prompts, in order of the number of requests that it is common to. */
+    private enum class Position { FIRST, SHARED, OWN }
+
+    private class Suspicion(
+        var position: Position,
+    ) {
+        val crashes = HashSet<VmId>()
+    }
+
+    private companion object {
+        private const val MAX_REPORTS = 1_000
+
+        /** A single crash has many possible causes. */
+        private const val MIN_CRASHES = 2
+
+        /** Common segments are among the suspects of most crashes, also of several servers that crash together for another reason. */
+        private const val MIN_CRASHES_OF_COMMON_SEGMENT = 4
+
+        private const val SECOND_MS = 1_000L
+        private val DURATIONS_MS = listOf(4 * SECOND_MS, 60 * SECOND_MS, 600 * SECOND_MS)
+        private const val LONGEST_DURATION_MS = 86_400 * SECOND_MS
+
+        /** The first duration is short, since two crashes may have a segment in common by chance. */
+        private fun durationMs(crashCount: Int): Long = DURATIONS_MS.getOrElse(crashCount - MIN_CRASHES) { LONGEST_DURATION_MS }
+    }
+}
--- /dev/null
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashReport.kt
@@ -0,0 +1,26 @@
+package org.lycheemount.quarantine
+
+import kotlinx.serialization.Serializable
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.VmId
+
+/**
+ * What one router had sent to a backend server that crashed.
+ *
+ * @property serverRun the run of the server that ended; the same in the reports of all routers.
+ * @property atTableTimeMs table time of the crash, in milliseconds.
+ * @property suspects prompts of the requests whose response had not begun.
+ */
+@Serializable
+internal data class CrashReport(
+    val serverRun: VmId,
+    val reporter: RouterId,
+    val atTableTimeMs: Long,
+    val suspects: List<PromptSegments>,
+)
+
+/** Records that a server responded at [atTableTimeMs] to a request with a segment that was suspected. */
+@Serializable
+internal data class SegmentClearance(
+    val atTableTimeMs: Long,
+)
--- /dev/null
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
@@ -0,0 +1,111 @@
+package org.lycheemount.quarantine
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class SharedPromptQuarantineTest {
+    private fun fleetTest(
+        seed: Int = 1,
+        isEnabled: Boolean = true,
+        body: suspend TestScope.(HarmfulTrafficFleet) -> Unit,
+    ) = runTest {
+        val scope = CoroutineScope(coroutineContext + Job())
+        try {
+            body(HarmfulTrafficFleet(scope, testScheduler, seed, isEnabled))
+        } finally {
+            scope.cancel()
+        }
+    }
+
+    @Nested
+    inner class `requests with a segment that crashes servers` {
+        @Test
+        fun `stop reaching servers after five crashes, while sound requests with their other segments do not`() {
+            for (share in listOf(0.02, 0.05, 0.25)) {
+                for (seed in 1..SEEDS) {
+                    fleetTest(seed) { fleet ->
+                        fleet.run(share)
+
+                        val context = "share $share, seed $seed, crashes ${fleet.crashTimesMs}"
+                        assertTrue(fleet.lateHarmfulSends() <= MAX_LATE_SENDS, "${fleet.lateHarmfulSends()} late sends, $context")
+                        assertTrue(fleet.soundSentFirst >= fleet.soundCount / 2, "${fleet.soundSentFirst} of ${fleet.soundCount}, $context")
+                    }
+                }
+            }
+        }
+
+        @Test
+        fun `reach servers for as long as they come without a quarantine, as a replay of the same traffic shows`() {
+            fleetTest(isEnabled = false) { fleet ->
+                fleet.run(harmfulShare = 0.05)
+
+                assertTrue(fleet.lateHarmfulSends() > MAX_LATE_SENDS, "${fleet.lateHarmfulSends()} late sends")
+            }
+        }
+
+        @Test
+        fun `are refused by a router that has just started, guarding against a restart that forgets what the fleet has learned`() {
+            fleetTest { fleet ->
+                fleet.run(harmfulShare = 0.25)
+                val restarted = fleet.startRouter(0)
+                delay(CONTACT_MS)
+
+                assertNotNull(restarted.refusalFor(PromptSegments(listOf(SegmentId(1), HARMFUL), SegmentId(7))))
+                assertNull(restarted.refusalFor(PromptSegments(listOf(SegmentId(1), SegmentId(100)), SegmentId(7))))
+            }
+        }
+
+        @Test
+        fun `are refused by routers that have learned of them while the table does not respond`() {
+            fleetTest { fleet ->
+                fleet.run(harmfulShare = 0.25)
+                fleet.table.isAvailable = false
+                val before = fleet.harmfulSendTimesMs.size
+
+                fleet.run(harmfulShare = 0.25)
+
+                assertEquals(before, fleet.harmfulSendTimesMs.size)
+            }
+        }
+    }
+
+    @Nested
+    inner class `servers that crash for another reason` {
+        @Test
+        fun `cause no more than a few refusals, also when several of them crash together and again`() {
+            for (seed in 1..SEEDS) {
+                fleetTest(seed) { fleet ->
+                    launch {
+                        repeat(3) {
+                            delay(HarmfulTrafficFleet.TRAFFIC_MS / 4)
+                            fleet.crashAtOnce(4)
+                        }
+                    }
+
+                    fleet.run(harmfulShare = 0.0)
+
+                    val refused = fleet.soundCount - fleet.soundSentFirst
+                    assertTrue(refused <= MAX_LATE_SENDS, "$refused of ${fleet.soundCount} refused, seed $seed")
+                }
+            }
+        }
+    }
+
+    private companion object {
+        private const val SEEDS = 20
+
+        /** Harmful requests that may still be sent when all routers have had time to learn of the fifth crash, as the platform states it. */
+        private const val MAX_LATE_SENDS = 3
+    }
+}
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -9,6 +9,7 @@
 import org.lycheemount.backend.ResponseHead
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.Refusal
 import org.lycheemount.common.WorkClassId
 import org.lycheemount.scheduling.WorkItem
 import org.lycheemount.stream.AttemptPermit
@@ -61,8 +62,29 @@
     var lastServerId: BackendServerId? = null
         private set
 
+    /** Whether a server has begun to respond to this request. */
+    private var hasResponseStarted = false
+
     /** Waits for a server on which no attempt of this request has failed. */
     suspend fun awaitServer(): AttemptPermit {
+        quarantineRefusal()?.let { return AttemptPermit.Refused(it) }
+        val permit = acquireServer()
+        // Other routers may have learned meanwhile that servers crash on this prompt.
+        val refusal = quarantineRefusal() ?: return permit
+        services.dispatcher.cancel(request.requestId)
+        return AttemptPermit.Refused(refusal)
+    }
+
+    /** Returns why this request must not be sent to any server, or null. */
+    fun quarantineRefusal(): Refusal? = request.prompt?.let(services.quarantine::refusalFor)
+
+    /** A server has begun to respond to this request. */
+    fun onResponseStarted() {
+        hasResponseStarted = true
+        request.prompt?.let(services.quarantine::onResponseStarted)
+    }
+
+    private suspend fun acquireServer(): AttemptPermit {
         val startedAtMs = services.clock.monotonicMs()
         try {
             return services.dispatcher.acquire(workItem())
@@ -148,6 +170,9 @@
         metrics.onAttempt(request.route.kind, failure.name.lowercase())
         excludedServers += server.backendServerId
         if (!failure.hadNoEffect) mayHaveRun = true
+        if (failure == AttemptFailure.BROKEN_CONNECTION && !hasResponseStarted) {
+            request.prompt?.let { services.quarantine.onAttemptBroken(server, it) }
+        }
         services.eventLog.warn(
             "attempt_failed",
             "request_id" to request.metadata.requestId,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
@@ -54,7 +54,7 @@
 
     /** Runs and settles the request; it is also settled when the coroutine is cancelled because the caller disconnected. */
     suspend fun run(): RoutedOutcome {
-        reserve()?.let { return RoutedOutcome.NotRun(it) }
+        (attempts.quarantineRefusal() ?: reserve())?.let { return RoutedOutcome.NotRun(it) }
         try {
             return withTimeout(remainingMs()) { runAttempts() }
         } catch (exception: TruncatedResponseException) {
@@ -163,6 +163,7 @@
 
     private fun onResponseHead() {
         if (firstResponseMs == null) firstResponseMs = services.clock.monotonicMs() - request.arrivedAtMs
+        attempts.onResponseStarted()
         services.dispatcher.onServiceEvent(request.requestId, ServiceEvent.FirstToken)
     }
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
@@ -8,12 +8,14 @@
 import org.lycheemount.common.BackendServer
 import org.lycheemount.config.ConfigurationView
 import org.lycheemount.config.RouteKind
+import org.lycheemount.quarantine.PromptQuarantine
 
 /** Metrics of routed requests. Label values are bounded: none of them is chosen freely by callers. */
 internal class RoutedMetrics(
     registry: PrometheusRegistry,
     configuration: ConfigurationView,
     dispatcher: WorkDispatcher,
+    quarantine: PromptQuarantine,
 ) {
     private val requestSeconds =
         histogram(
@@ -53,6 +55,9 @@
                 .count(BackendServer::leaving)
                 .toDouble()
         }
+        gauge(registry, "lycheemount_quarantined_prompt_segments", "Prompt segments, or sets of them, whose requests are refused.") {
+            quarantine.quarantinedCount.toDouble()
+        }
     }
 
     /** Records the end of a request after [elapsedMs]; [outcome] is one of a fixed set of values. */
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequest.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequest.kt
@@ -8,6 +8,8 @@
 import org.lycheemount.common.TeamId
 import org.lycheemount.config.Route
 import org.lycheemount.config.RoutedService
+import org.lycheemount.quarantine.PromptSegments
+import org.lycheemount.quarantine.SegmentId
 
 /**
  * A validated routed request that has passed admission.
@@ -47,6 +49,10 @@
     /** Whether tokens are charged against a prepaid total of the team. */
     val isPrepaid: Boolean get() = admission.team.prepaidTokens != null
 
+    /** Segments of the prompt; null when the caller does not tell them. */
+    val prompt: PromptSegments? =
+        metadata.promptSegments.map { SegmentId(it.id) }.let { ids -> ids.lastOrNull()?.let { PromptSegments(ids.dropLast(1), it) } }
+
     val prefixHashes: List<Long> = prefixHashes(metadata.promptSegments)
 
     /** Routes requests with the same shared prompt segments to the same backend server. */
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -47,7 +47,7 @@
     private val reserver = TokenReserver(services.ledger, services.replenisher, services.clock)
     private val retryLimiter = RetryLimiter(services.retryBudgetPolicy, services.routerCount, services.clock)
     private val metrics = CallerMetrics(services.metricsRegistry, services.drain)
-    private val routedMetrics = RoutedMetrics(services.metricsRegistry, services.configuration, services.dispatcher)
+    private val routedMetrics = RoutedMetrics(services.metricsRegistry, services.configuration, services.dispatcher, services.quarantine)
 
     private val overloadMonitor = OverloadMonitor(services.eventLog)
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedServices.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedServices.kt
@@ -11,6 +11,8 @@
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.config.ConfigurationView
+import org.lycheemount.quarantine.DisabledPromptQuarantine
+import org.lycheemount.quarantine.PromptQuarantine
 
 /**
  * Dependencies of [RoutedRequestHandler].
@@ -22,6 +24,7 @@
  * @property cannotServeReasons reasons for which every request is refused; empty while requests can be served.
  * @property refreshConfiguration reloads the configuration; called before a request is refused for an unknown route or key. Returns
  *   false when it could not be loaded.
+ * @property quarantine keeps prompts on which servers crash away from further servers.
  */
 class RoutedServices(
     val identity: RouterIdentity,
@@ -39,6 +42,7 @@
     val notReadyReasons: () -> List<String>,
     val cannotServeReasons: () -> List<String> = notReadyReasons,
     val refreshConfiguration: suspend () -> Boolean = { true },
+    val quarantine: PromptQuarantine = DisabledPromptQuarantine,
     val drain: DrainState = DrainState(),
     val limits: CallerLimits = CallerLimits(),
 )
--- /dev/null
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RecordingQuarantine.kt
@@ -0,0 +1,40 @@
+package org.lycheemount.caller.routed
+
+import org.lycheemount.common.BackendServer
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RefusalReason
+import org.lycheemount.quarantine.PromptQuarantine
+import org.lycheemount.quarantine.PromptSegments
+import org.lycheemount.quarantine.SegmentId
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** Quarantine that records what it is told, and refuses prompts with [refusedSegment]. */
+internal class RecordingQuarantine : PromptQuarantine {
+    val brokenPrompts = CopyOnWriteArrayList<PromptSegments>()
+    val startedPrompts = CopyOnWriteArrayList<PromptSegments>()
+
+    @Volatile
+    var refusedSegment: SegmentId? = null
+
+    /** Refuses [refusedSegment] only from this number of broken attempts on. */
+    @Volatile
+    var refusesAfterBrokenAttempts = 0
+
+    override val quarantinedCount = 0
+
+    override fun refusalFor(prompt: PromptSegments): Refusal? =
+        Refusal(RefusalReason.PROMPT_QUARANTINED, "test").takeIf {
+            refusedSegment in prompt.all && brokenPrompts.size >= refusesAfterBrokenAttempts
+        }
+
+    override fun onResponseStarted(prompt: PromptSegments) {
+        startedPrompts += prompt
+    }
+
+    override fun onAttemptBroken(
+        server: BackendServer,
+        prompt: PromptSegments,
+    ) {
+        brokenPrompts += prompt
+    }
+}
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
@@ -40,6 +40,7 @@
     protected val log = FakeEventLog()
     private val backendHttp = BackendHttp()
     protected val scheduler = FakeScheduler()
+    protected val quarantine = RecordingQuarantine()
     private val dispatcher = WorkDispatcher(scheduler, DefaultClock())
     private val snapshot =
         ConfigurationSnapshot(
@@ -71,6 +72,7 @@
                 retryBudgetPolicy = { RetryBudgetPolicy(ratio = 1.0, slack = 100.0, windowMs = 1_000) },
                 routerCount = { 1 },
                 notReadyReasons = { emptyList() },
+                quarantine = quarantine,
             ),
         )
     private val server =
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
@@ -2,6 +2,8 @@
 
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Tag
+import org.lycheemount.quarantine.PromptSegments
+import org.lycheemount.quarantine.SegmentId
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -63,6 +65,53 @@
         }
     }
 
+    @Nested
+    inner class `a prompt on which servers crash` {
+        private val segments = "X-Segments: 1,99,7"
+        private val prompt = PromptSegments(listOf(SegmentId(1), SegmentId(99)), SegmentId(7))
+
+        @Test
+        fun `is suspected only if the connection breaks before the first event, guarding against a crash that blames other requests`() {
+            first.enqueue { head("200 OK", "Content-Type: text/event-stream", "X-Id: r") }
+            exchange("/chat/1", segments)
+            assertEquals(listOf(prompt), quarantine.brokenPrompts.toList())
+            assertEquals(emptyList(), quarantine.startedPrompts.toList())
+
+            first.enqueue {
+                head("200 OK", "Content-Type: text/event-stream", "X-Id: r", "Content-Length: 1000")
+                write("id: 1\ndata: a\n\n")
+            }
+            exchange("/chat/2", segments)
+
+            assertEquals(1, quarantine.brokenPrompts.size)
+            assertEquals(listOf(prompt), quarantine.startedPrompts.toList())
+        }
+
+        @Test
+        fun `is refused as not run once it is quarantined, guarding against servers that crash one after the other`() {
+            quarantine.refusedSegment = SegmentId(99)
+
+            val response = exchange("/chat/1", segments)
+
+            assertTrue(response.startsWith("HTTP/1.1 503"), response)
+            assertEquals("not_run:prompt_quarantined", awaitLoggedOutcome())
+            assertEquals(0, first.requests.size + second.requests.size)
+        }
+
+        @Test
+        fun `is not retried at another server once it is quarantined, and not reported as not run`() {
+            quarantine.refusedSegment = SegmentId(99)
+            quarantine.refusesAfterBrokenAttempts = 1
+            first.enqueue { head("200 OK", "Content-Type: text/event-stream", "X-Id: r") }
+            second.enqueue { head("200 OK", "Content-Type: text/event-stream", "X-Id: r") }
+
+            exchange("/draft/1", segments)
+
+            assertEquals("unknown:prompt_quarantined", awaitLoggedOutcome())
+            assertEquals(1, first.requests.size + second.requests.size)
+        }
+    }
+
     @Nested
     inner class `an order whose response is truncated` {
         @Test
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
@@ -6,11 +6,15 @@
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.Refusal
 
-/** Dialect for tests: `X-Id` is the request id, `X-Tokens` its prompt and output tokens; `X-Not-Run` marks a refusal by the server. */
+/**
+ * Dialect for tests: `X-Id` is the request id, `X-Tokens` its prompt and output tokens, `X-Segments` the ids of its prompt segments;
+ * `X-Not-Run` marks a refusal by the server.
+ */
 internal object TestDialect : RequestDialect {
     override fun readMetadata(headers: Headers): RequestMetadata {
         val tokens = headers["X-Tokens"]?.split(',')?.map { it.toInt() }
-        return RequestMetadata(headers["X-Id"], null, tokens?.get(0), tokens?.get(1) ?: 0, emptyList(), null)
+        val segments = headers["X-Segments"]?.split(',').orEmpty().map { PromptSegment(it.toLong(), tokens = 1) }
+        return RequestMetadata(headers["X-Id"], null, tokens?.get(0), tokens?.get(1) ?: 0, segments, null)
     }
 
     override fun attemptHeaders(
