Count the start of a process from the read that got a response, not from the first call

Callers saw: fewer tokens of their teams after a router had restarted while it was cut off from the store. Change: the read that got the first response tells the start by its own time of sending. The test fails before.

--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
@@ -45,11 +45,9 @@
     var lastContact: TableContact? = null
         private set
 
-    private var firstCallAtMs: Long? = null
-
     /**
-     * Table time before which this process was running; null before the first response. The table made that response after the first
-     * call was sent, so the time from the start of the process to that call can be subtracted from it.
+     * Table time before which this process was running; null before the first response to a read. The table made that response after
+     * the read was sent, so the time from the start of the process to the read can be subtracted from it.
      */
     @Volatile
     var startedBeforeTableTimeMs: Long? = null
@@ -58,16 +56,16 @@
     fun nextTransactionId(): String = prefix + transactionCount++
 
     suspend fun read(keys: List<String>): TableSnapshot? {
-        recordFirstCall()
-        return table.read(keys).snapshot()
+        val sentAtMs = clock.monotonicMs()
+        return table.read(keys).snapshot(sentAtMs)
     }
 
     suspend fun scan(
         prefix: String,
         afterKey: String?,
     ): TableSnapshot? {
-        recordFirstCall()
-        return table.scan(prefix, afterKey).snapshot()
+        val sentAtMs = clock.monotonicMs()
+        return table.scan(prefix, afterKey).snapshot(sentAtMs)
     }
 
     /** Returns all rows under [prefix], or null when a page could not be read. */
@@ -81,7 +79,7 @@
     }
 
     suspend fun commit(transaction: TableTransaction): CommitResult =
-        when (val result = table.commit(transaction.also { recordFirstCall() })) {
+        when (val result = table.commit(transaction)) {
             is TableResult.Response -> toCommitResult(result.value)
             is TableResult.Unavailable -> CommitResult.NoEffect
             is TableResult.Unknown -> resolve(transaction)
@@ -111,23 +109,19 @@
             is CommitOutcome.Conflict -> CommitResult.Conflict(outcome.current).also { recordContact(outcome.tableTimeMs) }
         }
 
-    private fun TableResult<TableSnapshot>.snapshot(): TableSnapshot? {
+    private fun TableResult<TableSnapshot>.snapshot(sentAtMs: Long): TableSnapshot? {
         if (this !is TableResult.Response) return null
+        if (startedBeforeTableTimeMs == null) startedBeforeTableTimeMs = value.tableTimeMs - (sentAtMs - startedAtMs)
         recordContact(value.tableTimeMs)
         return value
     }
 
     private fun recordContact(tableTimeMs: Long) {
         // The lookup of a transaction returns the time of its outcome, which may be older than the last contact.
-        if (startedBeforeTableTimeMs == null) startedBeforeTableTimeMs = tableTimeMs - ((firstCallAtMs ?: startedAtMs) - startedAtMs)
         val last = lastContact
         if (last == null || tableTimeMs > last.tableTimeMs) lastContact = TableContact(tableTimeMs, clock.monotonicMs())
     }
 
-    private fun recordFirstCall() {
-        if (firstCallAtMs == null) firstCallAtMs = clock.monotonicMs()
-    }
-
     private companion object {
         private const val RESOLVE_ATTEMPTS = 2
         private const val RESOLVE_DELAY_MS = 50L
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/PredecessorTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/PredecessorTest.kt
@@ -45,10 +45,14 @@
         private suspend fun chargedTokensAfterRestart(
             fleet: BudgetFleet,
             downtimeMs: Long,
+            partitionMs: Long = 0,
         ): Long {
             startSpendingRouter(fleet).kill()
             delay(downtimeMs)
-            fleet.start("r", incarnation = 2, vmName = "vm")
+            val successor = fleet.start("r", incarnation = 2, vmName = "vm")
+            successor.tableLink.isPartitioned = true
+            delay(partitionMs)
+            successor.tableLink.isPartitioned = false
             delay(10_000)
             return predecessorGrant(fleet).chargedTokens
         }
@@ -66,6 +70,18 @@
             )
         }
 
+        @Test
+        fun `is not charged for the time in which its successor did not reach the table, guarding against a restart during a partition`() {
+            var chargedAtOnce = 0L
+            var chargedAfterPartition = 0L
+            fleetTest(options) { fleet -> chargedAtOnce = chargedTokensAfterRestart(fleet, downtimeMs = 2_000) }
+            fleetTest(options) { fleet ->
+                chargedAfterPartition = chargedTokensAfterRestart(fleet, downtimeMs = 2_000, partitionMs = 60_000)
+            }
+
+            assertEquals(chargedAtOnce, chargedAfterPartition)
+        }
+
         @Test
         fun `is charged at least the tokens that it used, guarding against tokens spent twice`() =
             fleetTest(options) { fleet ->
