Bound the head, the trailers and the events of a server's response

Callers would see: a router that runs out of memory, and all of its requests lost, when one server sends header lines, or an event, without an end. Seen in a test only; operators of similar systems have warned of it. Cause: Ktor's parser reads header lines until memory runs out; a buffered event and the trailers of a chunked body had no bound either. Change: a head ends with 64 KB, an event with 1 MB, trailers with 64 lines; the connection is closed, and the attempt counts as broken. Measured: the test closes the connection before 64 MB are sent.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -10,6 +10,7 @@
 import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.availableForRead
+import io.ktor.utils.io.readUTF8Line
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writer
 import kotlinx.coroutines.CoroutineScope
@@ -131,8 +132,17 @@
         output.flush()
     }
 
-    /** Returns the next response head, or null if the server closed the connection. */
-    suspend fun readHead(): Response? = parseResponse(input)
+    /** Returns the next response head, or null if the server closed the connection. Throws [IOException] if the head is too large. */
+    suspend fun readHead(): Response? {
+        val head = StringBuilder()
+        while (true) {
+            val line = input.readUTF8Line(MAX_HEAD_CHARS) ?: return null
+            head.append(line).append("\r\n")
+            if (line.isEmpty()) return parseResponse(ByteReadChannel(head.toString()))
+            // Ktor's parser keeps reading header lines until memory runs out.
+            if (head.length > MAX_HEAD_CHARS) throw IOException("the response head exceeds $MAX_HEAD_CHARS characters")
+        }
+    }
 
     /** Decodes the body that follows [response], in [scope]. */
     fun body(
@@ -152,4 +162,8 @@
         }
 
     override fun close() = socket.close()
+
+    private companion object {
+        private const val MAX_HEAD_CHARS = 65_536
+    }
 }
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/ResponseBody.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/ResponseBody.kt
@@ -90,7 +90,8 @@
     }
 
     private suspend fun skipTrailers() {
-        while (readLine().isNotEmpty()) Unit
+        repeat(MAX_TRAILERS) { if (readLine().isEmpty()) return }
+        throw IOException("more than $MAX_TRAILERS trailers")
     }
 
     private suspend fun readLine(): String = input.readUTF8Line(MAX_LINE_CHARS) ?: throw EOFException("the connection closed in a body")
@@ -98,6 +99,7 @@
     private companion object {
         private const val HEXADECIMAL = 16
         private const val MAX_LINE_CHARS = 1_024
+        private const val MAX_TRAILERS = 64
     }
 }
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
@@ -105,7 +105,7 @@
         return response.body.isComplete && events.pendingBytes == 0
     }
 
-    /** Waits for complete events; returns null at the end of the response. */
+    /** Waits for complete events; returns null at the end of the response, or if an event has no end. */
     private suspend fun readEvents(response: PassThroughResponse): ByteArray? {
         val bytes = ByteArray(READ_BYTES)
         while (true) {
@@ -119,6 +119,7 @@
             if (count < 0) return null
             val completeEvents = events.append(bytes, count)
             if (completeEvents.isNotEmpty()) return completeEvents
+            if (events.pendingBytes > MAX_EVENT_BYTES) return null
         }
     }
 
@@ -129,6 +130,7 @@
 
     companion object {
         private const val READ_BYTES = 8_192
+        private const val MAX_EVENT_BYTES = 1_048_576
         private const val OK_STATUS = 200
 
         /** Whether [response] is a successful event stream. */
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
@@ -5,6 +5,7 @@
 import org.lycheemount.quarantine.PromptSegments
 import org.lycheemount.quarantine.SegmentId
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -65,6 +66,46 @@
         }
     }
 
+    @Nested
+    inner class `a response without an end` {
+        private val sentBytes = AtomicLong()
+
+        /** Sends [line] until the router closes the connection, or until far more has been sent than socket buffers hold. */
+        private fun RawServer.Connection.sendWithoutEnd(line: String) {
+            val lines = line.repeat(LINES_PER_WRITE)
+            while (sentBytes.get() < MOST_SENT_BYTES) {
+                write(lines)
+                sentBytes.addAndGet(lines.length.toLong())
+            }
+        }
+
+        @Test
+        fun `in its head closes the connection, guarding against a server that uses up the memory of a router`() {
+            first.enqueue {
+                write("HTTP/1.1 200 OK\r\nX-Id: r\r\n")
+                sendWithoutEnd("X-Pad: 0123456789\r\n")
+            }
+
+            val response = exchange("/order/1")
+
+            assertTrue(response.startsWith("HTTP/1.1 502"), response)
+            assertTrue(sentBytes.get() < MOST_SENT_BYTES, "the router read $sentBytes bytes")
+        }
+
+        @Test
+        fun `in an event closes the connection, guarding against a server that uses up the memory of a router`() {
+            first.enqueue {
+                head("200 OK", "Content-Type: text/event-stream", "X-Id: r")
+                sendWithoutEnd("data: 0123456789\n")
+            }
+
+            val response = exchange("/chat/1")
+
+            assertTrue(response.startsWith("HTTP/1.1 502"), response)
+            assertTrue(sentBytes.get() < MOST_SENT_BYTES, "the router read $sentBytes bytes")
+        }
+    }
+
     @Nested
     inner class `a prompt on which servers crash` {
         private val segments = "X-Segments: 1,99,7"
@@ -284,4 +325,9 @@
             )
         }
     }
+
+    private companion object {
+        private const val LINES_PER_WRITE = 1_000
+        private const val MOST_SENT_BYTES = 64L * 1_048_576
+    }
 }
