Bound reports of crashes and their writes, and evaluate clearances only where they matter

Cause: found when reading the change. A report of many suspects would not fit into a row of the store and would be written again for ever, ahead of all later reports; each clearance evaluated all reports again, at large fleets many times after a crash. Change: 200 suspects a report, 150 attempts a row (a minute), and no evaluation for segments that explain nothing.

--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
@@ -114,7 +114,7 @@
         synchronized(lock) {
             val attempts = brokenByRun[server.vmId]
             if (attempts != null) {
-                attempts.prompts += prompt
+                if (attempts.prompts.size < MAX_SUSPECTS) attempts.prompts += prompt
                 return
             }
             brokenByRun[server.vmId] = BrokenAttempts(server, tableTimeMs(), mutableListOf(prompt))
@@ -148,7 +148,8 @@
         val clearance = SegmentClearance(tableTimeMs())
         evidence.clear(segment, clearance.atTableTimeMs)
         writes.trySend(RowWrite("$CLEARED_PREFIX$segment", Json.encodeToString(SegmentClearance.serializer(), clearance)))
-        evaluate()
+        // A segment that explains no crashes changes nothing for the others, and many are cleared after a crash.
+        if (responsible.any { segment in it.segments }) evaluate() else suspected -= segment
     }
 
     private fun apply(row: StoreRow) {
@@ -185,13 +186,18 @@
         for (removed in before - responsible.toSet()) log.info("segments_released", "segments" to removed.segments.joinToString(","))
     }
 
-    /** Commits [write] together with the removal of old reports. Repeats it until the table has responded. */
+    /** Commits [write] together with the removal of old reports. Repeats it while the table does not respond. */
     private suspend fun commit(write: RowWrite) {
         val expired =
             synchronized(lock) { evidence.removeBefore(tableTimeMs() - RETENTION_MS, responsible.flatMapTo(HashSet()) { it.segments }) }
         val writes = listOf(write) + expired.take(MAX_REMOVED_ROWS).map { RowWrite(it, null) }
         val transactionId = "quarantine-${self.routerId.value}-${self.incarnation}-${writeCount++}"
-        while (table.commit(TableTransaction(transactionId, emptyList(), writes)) !is TableResult.Response) delay(RETRY_DELAY_MS)
+        val transaction = TableTransaction(transactionId, emptyList(), writes)
+        repeat(MAX_WRITE_ATTEMPTS) {
+            if (table.commit(transaction) is TableResult.Response) return
+            delay(RETRY_DELAY_MS)
+        }
+        log.warn("quarantine_row_not_written", "key" to write.key, "attempts" to MAX_WRITE_ATTEMPTS)
     }
 
     private fun tableTimeMs(): Long = tableContact?.let { (tableTimeMs, atMs) -> tableTimeMs + clock.monotonicMs() - atMs } ?: 0
@@ -214,6 +220,12 @@
         /** Crashes of sound servers that are further apart have nothing in common. */
         private const val RETENTION_MS = 3_600_000L
         private const val MAX_REMOVED_ROWS = 50
+
+        /** A report must fit into a row of the store. */
+        private const val MAX_SUSPECTS = 200
+
+        /** A row that the table refuses must not hold back the ones after it for longer than reports matter. */
+        private const val MAX_WRITE_ATTEMPTS = 150
         private const val MAX_PENDING_WRITES = 200
         private const val MAX_WORKING_SEGMENTS = 10_000
         private const val MAX_RETRY_AFTER_MS = 10_000L
