Keep all reports of a crash that a router notices in parts

Cause: found when reading the change. The second report of the same crash by a router replaced the first one, in its memory and in the table, so that the harmful request was no longer among the suspects if its connection broke more than 20 ms before another. Change: reports have numbers of their own; Retry-After tells the whole remaining time; writes that are dropped are logged.

--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashEvidence.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashEvidence.kt
@@ -33,9 +33,6 @@
     private val reports = LinkedHashMap<String, CrashReport>()
     private val clearedAtTableTimeMs = HashMap<SegmentId, Long>()
 
-    /** Keys of the reports. */
-    val reportKeys: Set<String> get() = reports.keys
-
     /** Adds or replaces the report under [key]. */
     fun add(
         key: String,
--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
@@ -43,8 +43,10 @@
     private val workingSegments = RecentSegments(MAX_WORKING_SEGMENTS)
     private val brokenByRun = HashMap<VmId, BrokenAttempts>()
     private val brokenRuns = Channel<VmId>(Channel.UNLIMITED)
-    private val writes = Channel<RowWrite>(MAX_PENDING_WRITES, BufferOverflow.DROP_OLDEST)
+    private val writes =
+        Channel<RowWrite>(MAX_PENDING_WRITES, BufferOverflow.DROP_OLDEST) { log.warn("quarantine_row_not_written", "key" to it.key) }
     private var writeCount = 0L
+    private var reportCount = 0L
 
     /** Store time of the last response, with the monotonic time at which it arrived; null before the first. */
     private var tableContact: Pair<Long, Long>? = null
@@ -75,6 +77,7 @@
                 synchronized(lock) { tableContact = feed.lastResponseTableTimeMs?.let { it to clock.monotonicMs() } }
             }
 
+            // The watchers of the operator's and the servers' rows log when the store is unreachable.
             override fun onFailed(detail: String) = Unit
         }
 
@@ -94,7 +97,7 @@
         return Refusal(
             RefusalReason.PROMPT_QUARANTINED,
             "${quarantined.crashCount} servers have crashed on prompt segments ${quarantined.segments.joinToString()}",
-            minOf(quarantined.untilTableTimeMs - nowMs, MAX_RETRY_AFTER_MS),
+            retryAfterMs = quarantined.untilTableTimeMs - nowMs,
         )
     }
 
@@ -137,7 +140,8 @@
             )
             if (!ended) return
             val report = CrashReport(run, self.routerId, attempts.atTableTimeMs, attempts.prompts)
-            val key = "$CRASH_PREFIX${run.value}/${self.routerId.value}"
+            // A busy router may notice further broken connections of the same crash later, which make a second report.
+            val key = "$CRASH_PREFIX${run.value}/${self.routerId.value}/${self.incarnation}/${reportCount++}"
             evidence.add(key, report)
             writes.trySend(RowWrite(key, Json.encodeToString(CrashReport.serializer(), report)))
             evaluate()
@@ -228,6 +232,5 @@
         private const val MAX_WRITE_ATTEMPTS = 150
         private const val MAX_PENDING_WRITES = 200
         private const val MAX_WORKING_SEGMENTS = 10_000
-        private const val MAX_RETRY_AFTER_MS = 10_000L
     }
 }
--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/HarmfulTrafficFleet.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/HarmfulTrafficFleet.kt
@@ -74,6 +74,9 @@
     /** Harmful requests that were sent when the routers had had time to learn of the fifth crash. */
     fun lateHarmfulSends(): Int = harmfulSendTimesMs.count { it > (crashTimesMs.getOrNull(4) ?: return 0) + CONTACT_MS }
 
+    /** Describes a server that refuses connections. */
+    fun endedServer(index: Int): BackendServer = Server(SERVER_COUNT + index).describe()
+
     fun crashAtOnce(count: Int) =
         servers
             .filter { it.isUp }
--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
@@ -80,6 +80,26 @@
         }
     }
 
+    @Nested
+    inner class `connections of a crashed server that break one after the other` {
+        @Test
+        fun `leave all of their requests suspected, guarding against a late report that replaces the one with the harmful request`() {
+            fleetTest { fleet ->
+                val router = fleet.startRouter(0)
+                delay(CONTACT_MS)
+                for (number in 1L..2L) {
+                    val ended = fleet.endedServer(number.toInt())
+                    router.onAttemptBroken(ended, PromptSegments(listOf(SegmentId(1), HARMFUL), SegmentId(100 + number)))
+                    delay(500)
+                    router.onAttemptBroken(ended, PromptSegments(listOf(SegmentId(1), SegmentId(10 + number)), SegmentId(200 + number)))
+                    delay(500)
+                }
+
+                assertNotNull(router.refusalFor(PromptSegments(listOf(SegmentId(1), HARMFUL), SegmentId(7))))
+            }
+        }
+    }
+
     @Nested
     inner class `servers that crash for another reason` {
         @Test
