Clear suspected prompt segments only on success

Cause: found when reading the change. A server answers 504 for a request whose deadline passed in its queue; the request had not begun to run, but its segments, harmful ones among them, were cleared of all crashes. Change: only the first event of a stream, or a complete 2xx response, clears segments. Measured: new test of the handler passes; not run on the code before.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
@@ -128,6 +128,8 @@
         val body = response.body.readUpTo(MAX_BUFFERED_BODY_BYTES)
         val isComplete = response.body.isComplete
         onResponseHead()
+        // An error may come from a server that never began to run the request, so it does not show that the prompt is harmless.
+        if (response.head.httpStatus in SUCCESS_STATUSES) attempts.onResponseStarted()
         if (isComplete && response.head.httpStatus >= SERVER_ERROR_STATUS && attempts.tryRetry(AttemptFailure.SERVER_ERROR)) {
             failedResponse = BufferedResponse(response.head, body)
             return AttemptOutcome.FailedAndRetried(AttemptFailure.SERVER_ERROR)
@@ -163,7 +165,6 @@
 
     private fun onResponseHead() {
         if (firstResponseMs == null) firstResponseMs = services.clock.monotonicMs() - request.arrivedAtMs
-        attempts.onResponseStarted()
         services.dispatcher.onServiceEvent(request.requestId, ServiceEvent.FirstToken)
     }
 
@@ -184,6 +185,7 @@
     )
 
     private companion object {
+        private val SUCCESS_STATUSES = 200..299
         private const val SERVER_ERROR_STATUS = 500
         private const val READ_BYTES = 8_192
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
@@ -41,6 +41,7 @@
     ): AttemptOutcome {
         val first = readEvents(response) ?: return AttemptOutcome.Failed(AttemptFailure.BROKEN_CONNECTION)
         onResponseHead()
+        attempts.onResponseStarted()
         var result: RoutedOutcome = RoutedOutcome.Truncated("the caller's connection was lost")
         writer.writeStream(response.head) { channel ->
             channel.write(first)
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
@@ -128,6 +128,16 @@
             assertEquals(listOf(prompt), quarantine.startedPrompts.toList())
         }
 
+        @Test
+        fun `is not cleared by an error, guarding against a request that timed out in a server's queue before it could crash it`() {
+            first.enqueue(completeResponse("late", "504 Gateway Timeout"))
+
+            val response = exchange("/chat/1", segments)
+
+            assertTrue(response.startsWith("HTTP/1.1 504"), response)
+            assertEquals(emptyList(), quarantine.startedPrompts.toList())
+        }
+
         @Test
         fun `is refused as not run once it is quarantined, guarding against servers that crash one after the other`() {
             quarantine.refusedSegment = SegmentId(99)
