Log the steps of a shutdown with the time since its start

The logs show neither when a router begins to refuse requests nor when its drain ends, so the time between the last request and the end of the process cannot be told apart by cause.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -172,9 +172,24 @@
         val drainEndsAtMs = graceEndsAtMs - DRAIN_END_MARGIN_MS
         // If most routers of a zone drain at once, the load balancer keeps sending them requests, so new ones are admitted until the end.
         drain.startDraining(admittedUntilMs = drainEndsAtMs)
+        eventLog.info(
+            "drain_refusing",
+            "requests_in_progress" to drain.requestsInProgress,
+            "drain_ends_in_ms" to drainEndsAtMs - clock.monotonicMs(),
+        )
         withTimeoutOrNull(drainEndsAtMs - clock.monotonicMs()) { drain.awaitIdle() }
+        eventLog.info(
+            "drain_ended",
+            "requests_in_progress" to drain.requestsInProgress,
+            "elapsed_ms" to clock.monotonicMs() - stopRequestedAtMs,
+        )
         withTimeoutOrNull(graceEndsAtMs - EXIT_MARGIN_MS - clock.monotonicMs()) { budgets.maintenance.drain() }
-        eventLog.info("router_stopped", "router" to identity.routerId.value, "requests_cut" to drain.requestsInProgress)
+        eventLog.info(
+            "router_stopped",
+            "router" to identity.routerId.value,
+            "requests_cut" to drain.requestsInProgress,
+            "elapsed_ms" to clock.monotonicMs() - stopRequestedAtMs,
+        )
         scope.cancel()
     }
 
