Reproduce requests that are read and never answered at a shutdown, known red

A gateway process with its store, configuration and backend server on loopback is stopped in the test JVM.

--- /dev/null
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
@@ -0,0 +1,106 @@
+package org.lycheemount.app.router.gateway
+
+import io.ktor.http.ContentType
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.get
+import io.ktor.server.routing.routing
+import io.ktor.utils.io.writeStringUtf8
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.lycheemount.common.RegionId
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
+import org.lycheemount.platform.adapter.FakeStore
+import org.lycheemount.settings.GatewaySettings
+import org.lycheemount.settings.RetryBudgetSettings
+import java.net.ServerSocket
+
+/** Dependencies of one gateway on loopback: the platform's store, an operator's configuration and one backend server. */
+internal class GatewayFixture : AutoCloseable {
+    private val store = FakeStore().apply { waitsForChanges = true }
+    private val backendServer =
+        embeddedServer(CIO, configure = { listenOn("127.0.0.1:0") }) {
+            routing {
+                get("/plain/") { respondAsServer(call) { call.respondText("done") } }
+                get("/hanging/") { awaitCancellation() }
+                get("/endless/") { respondAsServer(call) { respondWithoutEnd(call) } }
+            }
+        }.start(wait = false)
+
+    init {
+        val port =
+            runBlocking {
+                backendServer.engine
+                    .resolvedConnectors()
+                    .first()
+                    .port
+            }
+        store.put("op", "config", CONFIGURATION)
+        store.put("servers", "i-1", """{"service":"s","address":"127.0.0.1:$port","zone":"z","slots":8,"state":"ready","sequence":1}""")
+    }
+
+    /** Settings of a gateway that has [drainGraceS] seconds to stop. */
+    fun settings(drainGraceS: Double) =
+        GatewaySettings(
+            routerId = RouterId("r1"),
+            vmId = VmId("vm1"),
+            regionId = RegionId("region"),
+            zoneId = ZoneId("z"),
+            callersAddress = freeAddress(),
+            readinessAddress = freeAddress(),
+            metricsAddress = freeAddress(),
+            peersAddress = freeAddress(),
+            storeAddress = store.address,
+            drainGraceS = drainGraceS,
+            retryBudget = RetryBudgetSettings(ratio = 0.2, slack = 10.0, windowS = 10.0),
+        )
+
+    override fun close() {
+        backendServer.stop(0, 0)
+        store.close()
+    }
+
+    private suspend fun respondAsServer(
+        call: ApplicationCall,
+        respond: suspend () -> Unit,
+    ) {
+        call.response.header("X-Request-Id", call.request.headers["X-Request-Id"].orEmpty())
+        call.response.header("X-Response-Seal", "seal")
+        respond()
+    }
+
+    private suspend fun respondWithoutEnd(call: ApplicationCall) =
+        call.respondBytesWriter(ContentType.Text.EventStream) {
+            var eventId = 0
+            while (true) {
+                writeStringUtf8("id: ${++eventId}\ndata: event\n\n")
+                flush()
+                delay(EVENT_INTERVAL_MS)
+            }
+        }
+
+    private fun freeAddress() = ServerSocket(0).use { "127.0.0.1:${it.localPort}" }
+
+    private companion object {
+        private const val EVENT_INTERVAL_MS = 50L
+        private val CONFIGURATION =
+            """
+            {"version": 1,
+             "services": [{"name": "s"}],
+             "routes": [
+               {"name": "plain", "host": "h", "path_prefix": "/plain/", "kind": "idempotent", "timeout_ms": 1000, "service": "s", "public": true},
+               {"name": "hanging", "host": "h", "path_prefix": "/hanging/", "kind": "non_idempotent", "timeout_ms": 60000, "service": "s",
+                "public": true},
+               {"name": "endless", "host": "h", "path_prefix": "/endless/", "kind": "streaming", "timeout_ms": 60000, "service": "s",
+                "public": true}
+             ]}
+            """.trimIndent()
+    }
+}
