Move FakeStore into a module of its own

deploy/build compiles no tests, so Maven could not resolve the test JAR of platform-adapter and the build for the users' platform failed. The fake is now main code of platform-testing, which tests of platform-adapter and app-router depend on.

--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
@@ -17,7 +17,7 @@
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
-import org.lycheemount.platform.adapter.FakeStore
+import org.lycheemount.platform.adapter.testing.FakeStore
 import org.lycheemount.settings.GatewaySettings
 import org.lycheemount.settings.RetryBudgetSettings
 import java.net.ServerSocket
