--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -268,7 +268,7 @@
         private const val WARM_UP_TIMEOUT_MS = 3_000L
 
         // Requests that were sent before their callers learned of the shutdown have arrived by then.
-        private const val CONNECTION_LINGER_MS = 200L
+        private const val CONNECTION_LINGER_MS = 150L
 
         // Engines process 64 prompt tokens per millisecond and take 4 ms or more per generated token.
         private val INITIAL_SPEEDS = InitialSpeeds(prefillMsPerToken = 0.03, decodeMsPerToken = 8.0, serviceMs = 25.0)
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ShutdownSchedule.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ShutdownSchedule.kt
@@ -30,7 +30,7 @@
 // The load balancer checks once a second and removes a router after two failed checks.
 private const val NOTICE_MS = 3_000L
 private const val LISTENER_MARGIN_MS = 1_500L
-private const val RESPONSES_MARGIN_MS = 800L
+private const val RESPONSES_MARGIN_MS = 600L
 
 // Leaves time for the exit of the process on a busy processor.
-private const val EXIT_MARGIN_MS = 500L
+private const val EXIT_MARGIN_MS = 400L
