Move the loop that follows a table beside its interface

Cause: the loop that polls a table lay in RowWatcher, so a listener could be tested with real polls only. Change: RowFeed.follow holds the loop; ServerRowListener takes the decoder of an entry. No change of behaviour.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
@@ -1,5 +1,6 @@
 package org.lycheemount.app.router.gateway
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
@@ -10,6 +11,7 @@
 import org.lycheemount.budget.BudgetLimitWriter
 import org.lycheemount.budget.BudgetMaintenance
 import org.lycheemount.caller.WorkDispatcher
+import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Clock
@@ -46,11 +48,16 @@
     override fun onFailed(detail: String) = reachabilityLog.onFailed(detail)
 }
 
-/** Updates the dispatcher's backend servers from their rows in the store. */
+/**
+ * Updates the dispatcher's backend servers from their rows in the store.
+ *
+ * @param decodeEntry decodes the row of a server, given its id and value, or returns what is wrong with it.
+ */
 internal class ServerRowListener(
     private val dispatcher: WorkDispatcher,
     private val clock: Clock,
     private val eventLog: EventLog,
+    private val decodeEntry: (String, ByteArray) -> Result<BackendServer, String> = ::decodeServerEntry,
 ) : RowListener {
     private val directory = ServerDirectory()
     private val reachabilityLog = StoreReachabilityLog("servers", eventLog)
@@ -95,7 +102,7 @@
     private fun decode(
         id: String,
         value: ByteArray,
-    ) = decodeServerEntry(id, value).fold(
+    ) = decodeEntry(id, value).fold(
         { it },
         {
             if (reportedServerIds.add(id)) eventLog.warn("server_entry_unreadable", "server" to id, "error" to it)
--- a/process/platform/src/main/kotlin/org/lycheemount/platform/RowFeed.kt
+++ b/process/platform/src/main/kotlin/org/lycheemount/platform/RowFeed.kt
@@ -1,5 +1,7 @@
 package org.lycheemount.platform
 
+import kotlinx.coroutines.delay
+
 /** Rows of one table of the platform's store, followed from call to call. Used by one coroutine at a time. */
 interface RowFeed {
     /** Store time at which the last successful [poll] was answered, in milliseconds; null before the first. */
@@ -11,3 +13,20 @@
      */
     suspend fun poll(listener: RowListener): Boolean
 }
+
+/**
+ * Reports rows and failures to [listener] until the coroutine is cancelled.
+ *
+ * @param pollIntervalMs pause after a successful call.
+ * @param retryDelayMs pause after a failed call.
+ */
+suspend fun RowFeed.follow(
+    listener: RowListener,
+    pollIntervalMs: Long,
+    retryDelayMs: Long,
+) {
+    while (true) {
+        val succeeded = poll(listener)
+        delay(if (succeeded) pollIntervalMs else retryDelayMs)
+    }
+}
