Remove servers whose entries lapsed when their grace ends, not up to a second later

Callers saw: requests sent to servers that had left. Cause: lapsed entries are kept for 2.2 s after the store's return and then removed by the next poll, and polls come once a second, so they were kept for 3.0 s. Change: the listener tells the loop that polls the table when it needs the next call: when the grace ends. A timer that removes them without a call would judge by a poll of 0.2 to 1.2 s before, and drop servers that register again in between, or that cannot while a second outage has begun; the call at that time shows both. Nothing is shared between threads.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
@@ -68,6 +68,8 @@
     var hasServerList = false
         private set
 
+    override val nextCallWithinMs: Long? get() = directory.graceEndsAtMs?.let { maxOf(0, it - clock.monotonicMs()) }
+
     override fun onAllRows(rows: List<StoreRow>) {
         directory.onStoreResponded(clock.monotonicMs())
         directory.onList(rows.mapNotNull { row -> row.value?.let { decode(row.key, it) } }, clock.monotonicMs())
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/ServerDirectory.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/ServerDirectory.kt
@@ -22,6 +22,12 @@
     /** Servers to use, including those that announced their shutdown. */
     val servers: List<BackendServer> get() = listedServers.values + expiredServers.values
 
+    /**
+     * Time at which [removeExpired] has to be called after one more read of the store, which shows the servers that are registered again;
+     * null without expired entries.
+     */
+    val graceEndsAtMs: Long? get() = if (expiredServers.isEmpty()) null else storeRecoveredAtMs + expiryGraceMs
+
     /** The store has not responded to this router, or no longer responds. */
     fun onStoreUnavailable() {
         isStoreUnavailable = true
--- a/process/platform/src/main/kotlin/org/lycheemount/platform/RowFeed.kt
+++ b/process/platform/src/main/kotlin/org/lycheemount/platform/RowFeed.kt
@@ -17,7 +17,7 @@
 /**
  * Reports rows and failures to [listener] until the coroutine is cancelled.
  *
- * @param pollIntervalMs pause after a successful call.
+ * @param pollIntervalMs pause after a successful call, unless the listener needs the next one sooner.
  * @param retryDelayMs pause after a failed call.
  */
 suspend fun RowFeed.follow(
@@ -27,6 +27,6 @@
 ) {
     while (true) {
         val succeeded = poll(listener)
-        delay(if (succeeded) pollIntervalMs else retryDelayMs)
+        delay(if (succeeded) minOf(pollIntervalMs, listener.nextCallWithinMs ?: pollIntervalMs) else retryDelayMs)
     }
 }
--- a/process/platform/src/main/kotlin/org/lycheemount/platform/RowListener.kt
+++ b/process/platform/src/main/kotlin/org/lycheemount/platform/RowListener.kt
@@ -13,6 +13,9 @@
 
     /** Called when a call to the store failed; [detail] describes the error. */
     fun onFailed(detail: String)
+
+    /** Time in milliseconds after which the listener needs the next call; null if any time will do. */
+    val nextCallWithinMs: Long? get() = null
 }
 
 /**
