Do not keep servers that leave after a single failed call to the store

Callers saw: in tests only, requests sent to a server up to 2.2 s after its removal was read, more than drain_ms after it. Cause: any failed call, also one whose connection was closed as it was sent, or that the store refused with 429, counted as an outage in which entries may lapse. A server that left in the 2.2 s after it was kept as if its entry had lapsed. Change: an outage counts once it is as long as it takes an entry to lapse: two intervals of 1.2 s, since entries lapse after three without a write. Failures in short succession are one outage, also with responses in between, since a store that fails every other call may fail the calls of servers too. The two tests of ServerDirectory that tell of an outage now give the times of its responses and failures. Measured: ServerRowListenerTest, removal with the poll that reads it; the test failed before (the server was still used). The test of the store that fails every other call holds before and after.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
@@ -98,7 +98,7 @@
 
     override fun onFailed(detail: String) {
         reachabilityLog.onFailed(detail)
-        directory.onStoreUnavailable()
+        directory.onStoreUnavailable(clock.monotonicMs())
     }
 
     private fun decode(
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ServerRowListenerTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ServerRowListenerTest.kt
@@ -143,12 +143,53 @@
             }
     }
 
+    @Nested
+    inner class `an entry that is removed after a failure too short for entries to lapse` {
+        @Test
+        fun `is not used any more as soon as its removal is read, so that no request reaches a server that has left`() =
+            runRouter {
+                rows.register("gone", "live")
+                advanceTo(5_000)
+                rows.isReachable = false
+                rows.awaitFailure()
+                rows.isReachable = true
+                rows.awaitResponse()
+
+                rows.remove("gone")
+                rows.awaitResponse()
+
+                assertEquals(setOf("live"), usedServerIds)
+            }
+    }
+
+    @Nested
+    inner class `an entry that lapsed while the store failed every other call` {
+        @Test
+        fun `is used until live servers have registered again`() =
+            runRouter {
+                rows.register("a", "b")
+                advanceTo(5_000)
+                repeat(3) {
+                    rows.isReachable = false
+                    rows.awaitFailure()
+                    rows.isReachable = true
+                    rows.awaitResponse()
+                }
+
+                rows.remove("a")
+                rows.awaitResponse()
+
+                assertEquals(setOf("a", "b"), usedServerIds)
+            }
+    }
+
     /** Rows of servers in a store that takes [LATENCY_MS] to respond and does not respond while it is unreachable. */
     private class ServerRows : RowFeed {
         private val entries = HashMap<String, String>()
         private val changes = ArrayList<StoreRow>()
         private var deliveredChanges: Int? = null
         private var responses = 0
+        private var failures = 0
         var isReachable = true
 
         override val lastResponseTableTimeMs: Long? get() = null
@@ -168,9 +209,16 @@
             while (responses == before) delay(1)
         }
 
+        /** Waits for the next failed call. */
+        suspend fun awaitFailure() {
+            val before = failures
+            while (failures == before) delay(1)
+        }
+
         override suspend fun poll(listener: RowListener): Boolean {
             if (!isReachable) {
                 delay(CONNECT_TIMEOUT_MS)
+                failures++
                 listener.onFailed("no connection")
                 return false
             }
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/ServerDirectory.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/ServerDirectory.kt
@@ -10,13 +10,18 @@
  * removed entry is no evidence that its server is gone. Removing all servers at once would cause every request to be rejected.
  *
  * @param expiryGraceMs time after the recovery of the store in which live servers write their entries again.
+ * @param minOutageMs length of an outage of the store after which entries of live servers may have expired.
  */
 class ServerDirectory(
     private val expiryGraceMs: Long = DEFAULT_EXPIRY_GRACE_MS,
+    private val minOutageMs: Long = DEFAULT_MIN_OUTAGE_MS,
 ) {
     private val listedServers = LinkedHashMap<BackendServerId, BackendServer>()
     private val expiredServers = LinkedHashMap<BackendServerId, BackendServer>()
     private var isStoreUnavailable = false
+    private var storeRespondedAtMs: Long? = null
+    private var storeFailedAtMs: Long? = null
+    private var outageStartedAtMs: Long? = null
     private var storeRecoveredAtMs = Long.MIN_VALUE / 2
 
     /** Servers to use, including those that announced their shutdown. */
@@ -28,16 +33,20 @@
      */
     val graceEndsAtMs: Long? get() = if (expiredServers.isEmpty()) null else storeRecoveredAtMs + expiryGraceMs
 
-    /** The store has not responded to this router, or no longer responds. */
-    fun onStoreUnavailable() {
+    /** A call to the store failed at [nowMs]. */
+    fun onStoreUnavailable(nowMs: Long) {
+        val failedAtMs = storeFailedAtMs
+        // Calls that fail in short succession are one outage, even if the store responds to some in between.
+        if (failedAtMs == null || nowMs - failedAtMs > minOutageMs) outageStartedAtMs = storeRespondedAtMs
+        storeFailedAtMs = nowMs
         isStoreUnavailable = true
     }
 
     /** The store responded at [nowMs]. */
     fun onStoreResponded(nowMs: Long) {
-        if (!isStoreUnavailable) return
+        if (isStoreUnavailable && nowMs - (outageStartedAtMs ?: nowMs) >= minOutageMs) storeRecoveredAtMs = nowMs
         isStoreUnavailable = false
-        storeRecoveredAtMs = nowMs
+        storeRespondedAtMs = nowMs
     }
 
     /** Replaces all entries with [current], the list read at [nowMs]. */
@@ -75,5 +84,8 @@
     private companion object {
         // Live servers write their entries about every 1.2 s and reappear within about two seconds of the store's recovery.
         private const val DEFAULT_EXPIRY_GRACE_MS = 2_200L
+
+        // An entry expires after three such intervals without a write, of which one may have passed before the outage.
+        private const val DEFAULT_MIN_OUTAGE_MS = 2_400L
     }
 }
--- a/connection/backend/src/test/kotlin/org/lycheemount/backend/ServerDirectoryTest.kt
+++ b/connection/backend/src/test/kotlin/org/lycheemount/backend/ServerDirectoryTest.kt
@@ -22,8 +22,9 @@
     inner class `entries that expired while the store was unavailable` {
         @Test
         fun `are used until live servers have registered again, so that an outage does not leave the fleet without servers`() {
+            directory.onStoreResponded(0)
             directory.onList(listOf(server("a"), server("b")), nowMs = 0)
-            directory.onStoreUnavailable()
+            directory.onStoreUnavailable(1_000)
 
             directory.onStoreResponded(10_000)
             directory.onList(listOf(server("a")), 10_000)
@@ -37,8 +38,9 @@
 
         @Test
         fun `are removed immediately if the server had announced its shutdown`() {
+            directory.onStoreResponded(0)
             directory.onList(listOf(server("a", leaving = true)), nowMs = 0)
-            directory.onStoreUnavailable()
+            directory.onStoreUnavailable(1_000)
             directory.onStoreResponded(10_000)
 
             directory.onList(emptyList(), 10_000)
