Keep servers whose entries lapsed while the router itself was stopped

Callers saw: in tests only, servers that were live left unused for up to a second or two. Cause: an outage counted only if one of the router's own calls had failed. A process that is stopped for most of an outage, and continues after it, finds entries gone and took them for servers that had left. Change: the time since the last response counts, whether calls failed or not. A suspension that the monotonic clock does not count is not seen. Measured: ServerRowListenerTest; the test failed before (expected [a, b], was [b]).

--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ServerRowListenerTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ServerRowListenerTest.kt
@@ -183,6 +183,24 @@
             }
     }
 
+    @Nested
+    inner class `an entry that lapsed in an outage during which the router was frozen` {
+        @Test
+        fun `is used until live servers have registered again, though no call has failed`() =
+            runRouter {
+                rows.register("a", "b")
+                advanceTo(5_000)
+                rows.remove("a")
+                rows.freezeForMs(9_000)
+                rows.awaitResponse()
+                assertEquals(setOf("a", "b"), usedServerIds)
+
+                rows.register("a")
+                advanceBy(5_000)
+                assertEquals(listOf(setOf("a", "b")), usedServerIdsOverTime)
+            }
+    }
+
     /** Rows of servers in a store that takes [LATENCY_MS] to respond and does not respond while it is unreachable. */
     private class ServerRows : RowFeed {
         private val entries = HashMap<String, String>()
@@ -190,6 +208,7 @@
         private var deliveredChanges: Int? = null
         private var responses = 0
         private var failures = 0
+        private var frozenMs = 0L
         var isReachable = true
 
         override val lastResponseTableTimeMs: Long? get() = null
@@ -215,7 +234,14 @@
             while (failures == before) delay(1)
         }
 
+        /** Delays the next call, as if the process were stopped before it. */
+        fun freezeForMs(durationMs: Long) {
+            frozenMs = durationMs
+        }
+
         override suspend fun poll(listener: RowListener): Boolean {
+            delay(frozenMs)
+            frozenMs = 0
             if (!isReachable) {
                 delay(CONNECT_TIMEOUT_MS)
                 failures++
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/ServerDirectory.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/ServerDirectory.kt
@@ -44,7 +44,9 @@
 
     /** The store responded at [nowMs]. */
     fun onStoreResponded(nowMs: Long) {
-        if (isStoreUnavailable && nowMs - (outageStartedAtMs ?: nowMs) >= minOutageMs) storeRecoveredAtMs = nowMs
+        // The process may have been stopped during the outage, so that none of its calls failed.
+        val unavailableSinceMs = if (isStoreUnavailable) outageStartedAtMs else storeRespondedAtMs
+        if (unavailableSinceMs != null && nowMs - unavailableSinceMs >= minOutageMs) storeRecoveredAtMs = nowMs
         isStoreUnavailable = false
         storeRespondedAtMs = nowMs
     }
