Close idle connections to servers that get no more requests

Callers saw: nothing yet. Each server that left kept up to 128 descriptors of each router, until the process ended. Cause: an idle connection was checked, and closed if it had expired, only when the next request went to the same address. Change: BackendConnections searches all idle connections for expired ones, at most once in five seconds, as connections are returned.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -24,6 +24,7 @@
 import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
+import java.util.concurrent.atomic.AtomicLong
 
 /**
  * Pool of keep-alive connections to backend servers. A connection carries one request at a time and is reused only after a
@@ -31,13 +32,17 @@
  *
  * The HTTP client opens a connection for each request, which accounted for most of the latency that a router added to the
  * first token.
+ *
+ * @param sweepIntervalMs least time between two searches for expired idle connections.
  */
 internal class BackendConnections(
     private val connectTimeoutMs: Long,
+    private val sweepIntervalMs: Long = DEFAULT_SWEEP_INTERVAL_MS,
 ) : AutoCloseable {
     private val selectorThread = createSelectorThread("backend-selector")
     private val selector = SelectorManager(selectorThread)
     private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<BackendConnection>>()
+    private val nextSweepAtNs = AtomicLong(System.nanoTime() + sweepIntervalMs * NS_PER_MS)
 
     /** Returns an idle connection to [server], or null. */
     fun acquireIdle(server: BackendServer): BackendConnection? {
@@ -73,9 +78,27 @@
         connection: BackendConnection,
         keepAliveMs: Long = DEFAULT_KEEP_ALIVE_MS,
     ) {
-        connection.usableUntilNs = System.nanoTime() + keepAliveMs * NS_PER_MS
-        val connections = idle.computeIfAbsent(addressOf(server)) { ConcurrentLinkedDeque() }
-        if (connections.size >= MAX_IDLE_CONNECTIONS) connection.close() else connections.addLast(connection)
+        val nowNs = System.nanoTime()
+        connection.usableUntilNs = nowNs + keepAliveMs * NS_PER_MS
+        idle.compute(addressOf(server)) { _, existing ->
+            val connections = existing ?: ConcurrentLinkedDeque()
+            if (connections.size >= MAX_IDLE_CONNECTIONS) connection.close() else connections.addLast(connection)
+            connections
+        }
+        sweepIfDue(nowNs)
+    }
+
+    /** Closes idle connections that no request may use any more, above all those to servers that have left. */
+    private fun sweepIfDue(nowNs: Long) {
+        val dueAtNs = nextSweepAtNs.get()
+        if (nowNs - dueAtNs < 0 || !nextSweepAtNs.compareAndSet(dueAtNs, nowNs + sweepIntervalMs * NS_PER_MS)) return
+        for (address in idle.keys) {
+            idle.computeIfPresent(address) { _, connections ->
+                // Only whoever removes a connection may close it, since a request may acquire it meanwhile.
+                connections.filterNot { it.isUsable(nowNs) }.filter(connections::remove).forEach { it.close() }
+                connections.takeIf { it.isNotEmpty() }
+            }
+        }
     }
 
     override fun close() {
@@ -90,6 +113,7 @@
         /** Shorter than the idle timeout of common HTTP servers, so that the server has rarely closed an idle connection. */
         const val DEFAULT_KEEP_ALIVE_MS = 10_000L
         private const val NS_PER_MS = 1_000_000L
+        private const val DEFAULT_SWEEP_INTERVAL_MS = 5_000L
         private const val MAX_IDLE_CONNECTIONS = 128
     }
 }
