Refuse a request whose body ends early

Callers saw: a server ran a part of an order if its caller's connection ended in the middle of the body; the router had sent it on with the length of the part. Cause: Ktor's CIO engine reports the end of the connection as the end of the body, and BodyReader did not compare its size with the length that the caller had declared. The cancellation of a call whose caller has left comes later than the body, or not at all with Connection: close. Change: a body that is shorter than its Content-Length is refused with 400. Measured: RoutedRequestHandlerTest; the test failed before (expected no request at a server, was 1).

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/BodyReader.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/BodyReader.kt
@@ -22,7 +22,14 @@
             withTimeoutOrNull(limits.bodyTimeoutMs) {
                 call.receiveChannel().readRemaining(limits.maxBodyBytes + 1L).readByteArray()
             } ?: return Err(Refusal(RefusalReason.REQUEST_TIMEOUT, "the body did not arrive within ${limits.bodyTimeoutMs} ms"))
-        return if (body.size > limits.maxBodyBytes) tooLarge() else Ok(body)
+        val lengthBytes = call.request.contentLength()
+        return when {
+            body.size > limits.maxBodyBytes -> tooLarge()
+            // Ktor's CIO engine reports the end of the connection as the end of the body.
+            lengthBytes != null && body.size < lengthBytes ->
+                Err(Refusal(RefusalReason.INVALID_REQUEST, "body: ended after ${body.size} of $lengthBytes bytes"))
+            else -> Ok(body)
+        }
     }
 
     private fun tooLarge() = Err(Refusal(RefusalReason.REQUEST_TOO_LARGE, "body: must be at most ${limits.maxBodyBytes} bytes"))
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
@@ -114,8 +114,11 @@
     protected fun open(
         path: String,
         vararg headers: String,
+        hasBody: Boolean = false,
     ) = Socket("127.0.0.1", port()).apply {
-        val lines = listOf("POST $path HTTP/1.1", "Host: h", "Authorization: Bearer key", "X-Id: r", "Content-Length: 0") + headers
+        val lines =
+            listOf("POST $path HTTP/1.1", "Host: h", "Authorization: Bearer key", "X-Id: r") +
+                (if (hasBody) emptyList() else listOf("Content-Length: 0")) + headers
         getOutputStream().write(lines.joinToString("\r\n", postfix = "\r\n\r\n").encodeToByteArray())
     }
 
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.Tag
 import org.lycheemount.quarantine.PromptSegments
 import org.lycheemount.quarantine.SegmentId
+import java.net.Socket
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.test.Test
@@ -317,6 +318,26 @@
         }
     }
 
+    @Nested
+    inner class `a request whose caller leaves before its body is complete` {
+        private fun sendPartOfBody(): Socket =
+            open("/read/", "Content-Length: 100", hasBody = true).also { it.getOutputStream().write(ByteArray(10)) }
+
+        private fun endRequest(socket: Socket) =
+            socket.use {
+                it.shutdownOutput()
+                it.soTimeout = 1_000
+                runCatching { it.getInputStream().readAllBytes() }
+            }
+
+        @Test
+        fun `does not reach a server, guarding against an order with a part of its lines`() {
+            endRequest(sendPartOfBody())
+
+            assertEquals(0, first.requests.size + second.requests.size)
+        }
+    }
+
     @Nested
     inner class `a request for an unknown route` {
         @Test
