Stop using a server whose entry another writer has overwritten

What callers would see: requests sent to a server that has ended, for as long as the row lies there, because another writer's unreadable row had replaced the server's own.

Cause: ServerRowListener skipped an unreadable row among changes, so the earlier entry stayed in use, while the same row in a full list removed it. PROTOCOL.md, "Service discovery": such an entry names no server to use.

Change: both ways treat it as removed. A live server is back with its next heartbeat. The warning is logged again when an entry becomes unreadable anew; before it was logged once in the life of the process.

Measured: ServerRowListenerTest, "in place of a server's entry names no server" failed before (expected [i-2], was [i-1, i-2]), as did "is used again, and the next odd one is logged again" (1 line instead of 2). "Leaves the other entries in use" passed before as well and guards that.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
@@ -54,7 +54,7 @@
 ) : RowListener {
     private val directory = ServerDirectory()
     private val reachabilityLog = StoreReachabilityLog("servers", eventLog)
-    private val reportedServerIds = HashSet<String>()
+    private val unreadableServerIds = HashSet<String>()
 
     /** Whether the rows have been read at least once. */
     @Volatile
@@ -71,12 +71,9 @@
     override fun onChangedRows(rows: List<StoreRow>) {
         directory.onStoreResponded(clock.monotonicMs())
         for (row in rows) {
-            val value = row.value
-            if (value == null) {
-                directory.onRemoved(BackendServerId(row.key), clock.monotonicMs())
-            } else {
-                decode(row.key, value)?.let(directory::onEntry)
-            }
+            val server = row.value?.let { decode(row.key, it) }
+            // An unreadable entry names no server, as in a list of all rows. A live server soon writes its own entry again.
+            if (server == null) directory.onRemoved(BackendServerId(row.key), clock.monotonicMs()) else directory.onEntry(server)
         }
         publish()
     }
@@ -96,9 +93,9 @@
         id: String,
         value: ByteArray,
     ) = decodeServerEntry(id, value).fold(
-        { it },
+        { server -> server.also { unreadableServerIds -= id } },
         {
-            if (reportedServerIds.add(id)) eventLog.warn("server_entry_unreadable", "server" to id, "error" to it)
+            if (unreadableServerIds.add(id)) eventLog.warn("server_entry_unreadable", "server" to id, "error" to it)
             null
         },
     )
