--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
@@ -115,9 +115,10 @@
         path: String,
         vararg headers: String,
         hasBody: Boolean = false,
+        id: String = "r",
     ) = Socket("127.0.0.1", port()).apply {
         val lines =
-            listOf("POST $path HTTP/1.1", "Host: h", "Authorization: Bearer key", "X-Id: r") +
+            listOf("POST $path HTTP/1.1", "Host: h", "Authorization: Bearer key", "X-Id: $id") +
                 (if (hasBody) emptyList() else listOf("Content-Length: 0")) + headers
         getOutputStream().write(lines.joinToString("\r\n", postfix = "\r\n\r\n").encodeToByteArray())
     }
@@ -126,8 +127,9 @@
     protected fun exchange(
         path: String,
         vararg headers: String,
+        id: String = "r",
     ): String =
-        open(path, "Connection: close", *headers)
+        open(path, "Connection: close", *headers, id = id)
             .use {
                 runCatching { it.getInputStream().readAllBytes() }.getOrDefault(ByteArray(0))
             }.decodeToString()
@@ -135,7 +137,8 @@
     protected fun completeResponse(
         body: String,
         status: String = "200 OK",
-    ): RawServer.Connection.() -> Unit = { head(status, "Content-Length: ${body.length}", "X-Id: r", "X-Mark: m").also { write(body) } }
+        id: String = "r",
+    ): RawServer.Connection.() -> Unit = { head(status, "Content-Length: ${body.length}", "X-Id: $id", "X-Mark: m").also { write(body) } }
 
     protected fun body(response: String) = response.substringAfter("\r\n\r\n")
 
