--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -189,16 +189,18 @@
         log("drain_refusing")
         withTimeoutOrNull(untilMs(schedule.listenerClosesMs)) { drain.awaitIdle() }
         log("listener_closing")
-        coroutineScope {
-            launch { closeCallersServer(untilMs(schedule.responsesEndMs)) }
-            launch { withTimeoutOrNull(untilMs(schedule.exitMs)) { budgets.maintenance.drain() } }
-            withTimeoutOrNull(untilMs(schedule.responsesEndMs)) { drain.awaitIdle() }
-            log("drain_ended", "requests_cut" to drain.endRequests())
-        }
+        val requestsCut =
+            coroutineScope {
+                launch { closeCallersServer(untilMs(schedule.responsesEndMs)) }
+                launch { withTimeoutOrNull(untilMs(schedule.exitMs)) { budgets.maintenance.drain() } }
+                withTimeoutOrNull(untilMs(schedule.responsesEndMs)) { drain.awaitIdle() }
+                log("drain_ended")
+                drain.endRequests()
+            }
         operationsServer.stopSuspend(0, 0)
         scope.cancel()
         backendHttp.close()
-        log("router_stopped", "router" to identity.routerId.value)
+        log("router_stopped", "router" to identity.routerId.value, "requests_cut" to requestsCut)
     }
 
     /**
