Add a failing test for large requests that are refused while their budgets have tokens

The test runs 95 routers with 40 budgets in virtual time. Requests of the three kinds arrive at random routers, 233 a second, so that a router sees a request of a budget every 16 s. SerialPartitionTable handles transactions one after another, 300 a second, as the one partition of the platform's store does.

--- a/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
@@ -20,6 +20,7 @@
 import org.lycheemount.common.TeamId
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
+import org.lycheemount.platform.TableService
 import org.lycheemount.testing.FakePeerNetwork
 import org.lycheemount.testing.FakeTableLink
 import org.lycheemount.testing.FakeTableService
@@ -37,6 +38,7 @@
     scheduler: TestCoroutineScheduler,
     private val options: BudgetOptions = BudgetOptions(),
     private val seed: Int = 1,
+    serveTable: (TableService, Clock) -> TableService = { table, _ -> table },
 ) {
     val clock =
         object : Clock {
@@ -45,6 +47,7 @@
             override fun wallClockMs() = TABLE_EPOCH_MS + scheduler.currentTime
         }
     val table = FakeTableService(clock)
+    private val servedTable = serveTable(table, clock)
     val vmDirectory = FakeVmDirectory(clock)
     val network = FakePeerNetwork(scope, seed = seed)
     val routers = linkedMapOf<String, Router>()
@@ -84,7 +87,7 @@
         val dispatcher = PausableDispatcher(dispatcherOf(scope))
         private val routerScope = scope + job + dispatcher
         val messenger = FaultyMessenger(network.join(identity), scope, routerScope, Random(seed + identity.hashCode()))
-        val tableLink = FakeTableLink(table, scope, random = Random(seed + identity.incarnation.toInt()))
+        val tableLink = FakeTableLink(servedTable, scope, random = Random(seed + identity.incarnation.toInt()))
         private val module =
             createBudgetLedgerModule(
                 tableLink,
@@ -168,11 +171,12 @@
 internal fun fleetTest(
     options: BudgetOptions = BudgetOptions(),
     seed: Int = 1,
+    serveTable: (TableService, Clock) -> TableService = { table, _ -> table },
     body: suspend TestScope.(BudgetFleet) -> Unit,
 ) = kotlinx.coroutines.test.runTest(timeout = TEST_TIMEOUT) {
     val fleetScope = CoroutineScope(coroutineContext + Job())
     try {
-        body(BudgetFleet(fleetScope, testScheduler, options, seed))
+        body(BudgetFleet(fleetScope, testScheduler, options, seed, serveTable))
     } finally {
         fleetScope.cancel()
     }
--- /dev/null
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/LargeRequestRefusalTest.kt
@@ -0,0 +1,81 @@
+package org.lycheemount.budget
+
+import kotlinx.coroutines.delay
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Tag
+import org.lycheemount.testing.SerialPartitionTable
+import kotlin.test.Test
+import kotlin.test.assertTrue
+
+class LargeRequestRefusalTest {
+    /** Starts routers at short intervals and lets them take their first grants. */
+    private suspend fun startRouters(
+        fleet: BudgetFleet,
+        traffic: ThinTraffic,
+        count: Int,
+    ) {
+        repeat(count) {
+            fleet.start("r$it").maintenance.prefetchGrants(traffic.budgetIds.toSet())
+            delay(START_INTERVAL_MS)
+        }
+        delay(FIRST_GRANTS_MS)
+    }
+
+    @Nested
+    inner class `a fleet of 95 routers that each see few requests of a budget` {
+        @Test
+        @Tag("known-red")
+        fun `serves large requests that the budget as a whole covers, guarding against refusals while tokens are idle`() =
+            fleetTest(GATEWAY_OPTIONS, serveTable = { table, clock -> SerialPartitionTable(table, clock, PARTITION_PER_SECOND) }) { fleet ->
+                val traffic = ThinTraffic(fleet, KINDS, BUDGET_COUNT, plannedSpanMs = 34_000, seed = 1)
+                traffic.fundBudgets()
+                startRouters(fleet, traffic, ROUTER_COUNT)
+                traffic.run(this, TRAFFIC_MS)
+
+                assertTrue(traffic.servedShareOfLargest(0.1) >= MIN_SERVED_SHARE, traffic.describe())
+                assertTrue(traffic.servedShareOfLargest(1.0) >= MIN_SERVED_SHARE, traffic.describe())
+            }
+    }
+
+    private companion object {
+        private const val ROUTER_COUNT = 95
+        private const val BUDGET_COUNT = 40
+        private const val PARTITION_PER_SECOND = 300
+        private const val START_INTERVAL_MS = 10L
+        private const val FIRST_GRANTS_MS = 10_000L
+        private const val TRAFFIC_MS = 15_000L
+        private const val MIN_SERVED_SHARE = 0.95
+
+        private val KINDS =
+            listOf(
+                RequestKind(perSecond = 50.9, meanTokens = 12_000.0, maxTokens = 60_000, waitMs = 101),
+                RequestKind(perSecond = 67.1, meanTokens = 1_100.0, maxTokens = 10_000, waitMs = 60),
+                RequestKind(perSecond = 115.0, meanTokens = 2_400.0, maxTokens = 10_000, waitMs = 120),
+            )
+
+        private val GATEWAY_OPTIONS =
+            BudgetOptions(
+                expectedOutageMs = 8_000,
+                outageGraceMs = 4_500,
+                driftMarginMs = 300,
+                flushIntervalMs = 500,
+                tickIntervalMs = 100,
+                billsPerTransaction = 30,
+                rowsPerTransaction = 15,
+                retryDelayMs = 200,
+                retryDelayMaxMs = 500,
+                targetFreeReservations = 1.0,
+                ceilingReservations = 3.0,
+                sizesByTypicalReservation = true,
+                ceilingInitialSpanMs = 2_000,
+                ceilingReleaseMs = 60_000,
+                ceilingUnmeasuredShare = 0.25,
+                excessReturnDelayMs = 2_000,
+                rateWindowMs = 5_000,
+                vmListIntervalMs = 60_000,
+                holdsEqualShare = true,
+                demandShare = 0.5,
+                unavailableRetryMs = 50,
+            )
+    }
+}
