Keep routers from defeating each other's transactions on the rows of budgets

Cause: four in five transactions of the fleet conflicted. Each router refilled up to 15 budgets in one transaction, for waiting requests and ahead of need alike, so one row that another router had changed failed all of them, and tried again at once, up to four times. In a queue of 95 routers only the first transaction then finds its rows unchanged. Free tokens above twice the equal share were returned in a transaction for each budget, on a row read long before; the share shrinks as the others take theirs, so the first routers to start returned tokens that the fleet then took again.

Change: a waiting request gets a transaction of its own, after a read of the row if it is older than 20 ms; a read is not a transaction of the partition. Refills ahead of need and returns wait for a turn, whose interval grows with the number of routers and doubles after a conflict (RefillPacer); postponed refills run in the next turn. Rows of several budgets are read one by one, not in a consistent read, which is a transaction too: a refill checks their versions anyway.

--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantAllocator.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantAllocator.kt
@@ -8,6 +8,7 @@
 import org.lycheemount.platform.RowWrite
 import org.lycheemount.platform.TableTransaction
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
 
 /** Takes grants of tokens from budgets in the table, refills them and returns them. */
 internal class GrantAllocator(
@@ -16,9 +17,14 @@
     private val clock: Clock,
     private val options: BudgetOptions,
     private val log: EventLog,
+    private val random: Random,
     private val routerCount: () -> Int,
 ) {
     private val grantCount = AtomicLong()
+    private val pacer = RefillPacer(random)
+
+    /** Accounts whose refill ahead of need waits for the next turn. */
+    private var postponedAccounts = emptyList<BudgetAccount>()
 
     /** Latest incarnation of the process on each VM, as far as grants of any budget show it. */
     private val lastIncarnations = HashMap<VmId, Long>()
@@ -33,23 +39,16 @@
     fun newGrant(budgetId: BudgetId): Grant =
         Grant(budgetId, "${writer.self.routerId.value}-${writer.self.incarnation}-${grantCount.getAndIncrement()}")
 
-    /** Refills the grants of [accounts] that are below their low-water mark. Returns false when the table did not respond. */
-    suspend fun refill(accounts: List<BudgetAccount>): Boolean {
-        for (batch in accounts.chunked(options.rowsPerTransaction)) if (!refillBatch(batch)) return false
-        return true
-    }
-
-    /** Refills a batch in one transaction; a router that has just started refills all of its budgets at once. */
-    private suspend fun refillBatch(batch: List<BudgetAccount>): Boolean {
+    /**
+     * Refills the grant of [account] for waiting requests, in a transaction of its own, so that a conflict on another budget does not
+     * delay them. Returns false when the table did not respond.
+     */
+    suspend fun refillWaiting(account: BudgetAccount): Boolean {
+        val batch = listOf(account).filter(::needsRefill)
+        if (!rereadBudgets(batch.filterNot(::canRefill)) || !readOldBudgets(batch.filter(::canRefill))) return false
         repeat(MAX_COMMIT_ATTEMPTS) {
-            val needing = batch.filter(::needsRefill)
-            if (needing.isEmpty()) return true
-            if (!readBudgets(needing.filter { it.budgetRow == null })) return false
-            val transactionId = session.nextTransactionId()
-            val planned = needing.mapNotNull { account -> planRefill(account, transactionId)?.let { account to it } }.toMap()
-            if (planned.isEmpty()) return rereadBudgets(needing)
-            when (writer.run(combineAttempts(transactionId, planned.values))) {
-                WriteAttemptResult.COMMITTED -> return rereadBudgets(needing - planned.keys)
+            when (tryRefill(batch)) {
+                null, WriteAttemptResult.COMMITTED -> return true
                 WriteAttemptResult.NO_RESPONSE -> return false
                 WriteAttemptResult.CONFLICT -> Unit
             }
@@ -57,6 +56,36 @@
         return true
     }
 
+    /**
+     * Refills the grants of [accounts] that are below their low-water mark, ahead of need. A router that has just started refills many
+     * budgets in one transaction. After a conflict, the rest is left for a later turn, since routers that try again at once keep each
+     * other from committing. Returns false when the table did not respond.
+     */
+    suspend fun refillAhead(accounts: List<BudgetAccount>): Boolean {
+        val needing = (accounts + postponedAccounts).distinct().filter(::needsRefill)
+        if (!rereadBudgets(needing.filterNot(::canRefill))) return false
+        postponedAccounts = needing.filter(::canRefill).shuffled(random)
+        while (postponedAccounts.isNotEmpty() && pacer.isDue(clock.monotonicMs())) {
+            val batch = postponedAccounts.take(options.rowsPerTransaction)
+            if (!readOldBudgets(batch)) return false
+            val result = tryRefill(batch)
+            if (result == WriteAttemptResult.NO_RESPONSE) return false
+            if (result != null) pacer.record(result, clock.monotonicMs(), routers)
+            if (result != WriteAttemptResult.CONFLICT) postponedAccounts = postponedAccounts.drop(batch.size)
+        }
+        return true
+    }
+
+    /** Time until the turn of refills ahead of need that were postponed; null if there are none. */
+    val untilPostponedRefillMs: Long? get() = if (postponedAccounts.isEmpty()) null else pacer.untilDueMs(clock.monotonicMs())
+
+    /** Refills [batch] in one transaction from the last known rows. Returns null if there is nothing to take. */
+    private suspend fun tryRefill(batch: List<BudgetAccount>): WriteAttemptResult? {
+        val transactionId = session.nextTransactionId()
+        val planned = batch.filter(::canRefill).mapNotNull { planRefill(it, transactionId) }
+        return if (planned.isEmpty()) null else writer.run(combineAttempts(transactionId, planned))
+    }
+
     /**
      * Reads the budget and all of its grants, so that refusals can distinguish an exhausted budget from tokens held by other routers.
      * Returns false when the table did not respond.
@@ -96,14 +125,23 @@
         )
     }
 
-    /** Gives [tokens] of the free tokens back to the budget. Returns true if this was committed. */
+    /**
+     * Gives free tokens back to their budgets: for each account the number that [tokens] returns, which is called again with the latest
+     * row. Keeps to the pace of refills ahead of need.
+     */
     suspend fun returnTokens(
-        account: BudgetAccount,
-        tokens: (Grant) -> Long,
-    ): Boolean {
-        if (account.budgetRow == null && !readBudgets(listOf(account))) return false
-        val attempt = synchronized(account) { planReturn(account, tokens) } ?: return false
-        return writer.run(attempt) == WriteAttemptResult.COMMITTED
+        accounts: List<BudgetAccount>,
+        tokens: (BudgetAccount, Grant) -> Long,
+    ) {
+        for (batch in accounts.chunked(options.rowsPerTransaction)) {
+            if (!pacer.isDue(clock.monotonicMs()) || !readOldBudgets(batch)) return
+            val transactionId = session.nextTransactionId()
+            val attempts = batch.mapNotNull { account -> synchronized(account) { planReturn(account, transactionId, tokens) } }
+            if (attempts.isEmpty()) continue
+            val result = writer.run(combineAttempts(transactionId, attempts))
+            if (result == WriteAttemptResult.NO_RESPONSE) return
+            pacer.record(result, clock.monotonicMs(), routers)
+        }
     }
 
     /** Returns the grants of [accounts] that are no longer in use. Grants that cannot be closed now are left for a later pass. */
@@ -142,15 +180,25 @@
         return true
     }
 
+    /** Whether [account] lacks tokens, even if its budget had none to give when its row was last read. */
     private fun needsRefill(account: BudgetAccount): Boolean =
+        canRefill(account) ||
+            synchronized(account) { isRefillable(account) && refillTokens(account.demand(routers), UNLIMITED_TOKENS, demandOptions) > 0 }
+
+    private fun canRefill(account: BudgetAccount): Boolean =
         synchronized(account) {
-            val grant = account.grant
-            if (account.closing || grant?.hasPendingRow == true) return false
-            val demand = account.demand(routers)
-            refillTokens(demand, account.budgetRow?.unallocatedTokens ?: UNLIMITED_TOKENS, options) > 0 ||
-                refillTokens(demand, UNLIMITED_TOKENS, demandOptions) > 0
+            val unallocatedTokens = account.budgetRow?.unallocatedTokens ?: UNLIMITED_TOKENS
+            isRefillable(account) && refillTokens(account.demand(routers), unallocatedTokens, options) > 0
         }
 
+    private fun isRefillable(account: BudgetAccount): Boolean = !account.closing && account.grant?.hasPendingRow != true
+
+    /** Reads the rows of [accounts] that have probably been changed by other routers since they were last read. */
+    private suspend fun readOldBudgets(accounts: List<BudgetAccount>): Boolean {
+        val oldBeforeMs = clock.monotonicMs() - MAX_ROW_AGE_MS
+        return readBudgets(accounts.filter { it.budgetRow == null || it.budgetReadAtMs < oldBeforeMs })
+    }
+
     /** Reads budgets again, at a bounded rate, to pick up top-ups and returns while the last known tokens do not suffice. */
     private suspend fun rereadBudgets(accounts: List<BudgetAccount>): Boolean {
         val nowMs = clock.monotonicMs()
@@ -163,8 +211,12 @@
     }
 
     private suspend fun readBudgets(accounts: List<BudgetAccount>): Boolean {
-        if (accounts.isEmpty()) return true
-        val snapshot = session.read(accounts.map { budgetKey(it.budgetId) }) ?: return false
+        for (batch in accounts.chunked(options.rowsPerTransaction)) if (!readBatch(batch)) return false
+        return true
+    }
+
+    private suspend fun readBatch(accounts: List<BudgetAccount>): Boolean {
+        val snapshot = session.readEach(accounts.map { budgetKey(it.budgetId) }) ?: return false
         for (account in accounts) {
             val row = snapshot.find(budgetKey(account.budgetId))
             synchronized(account) {
@@ -196,15 +248,15 @@
 
     private fun planReturn(
         account: BudgetAccount,
-        amount: (Grant) -> Long,
+        transactionId: String,
+        amount: (BudgetAccount, Grant) -> Long,
     ): WriteAttempt? {
         val grant = account.grant ?: return null
         val budget = account.budgetRow ?: return null
         val row = grant.row ?: return null
         if (grant.closed || grant.hasPendingRow || account.closing) return null
-        val tokens = minOf(amount(grant), grant.freeTokens, row.grantedTokens)
+        val tokens = minOf(amount(account, grant), grant.freeTokens, row.grantedTokens)
         if (tokens <= 0) return null
-        val transactionId = session.nextTransactionId()
         val write = writer.proposeRow(account, grant, transactionId, grantedDeltaTokens = -tokens) ?: return null
         val changed = budget.copy(unallocatedTokens = budget.unallocatedTokens + tokens)
         return budgetAttempt(write, transactionId, changed) {
@@ -287,6 +339,7 @@
         row: BudgetRow,
         version: Long?,
     ) {
+        if (version != null) account.budgetReadAtMs = clock.monotonicMs()
         account.budgetRow = row.takeIf { version != null }
         account.budgetVersion = version ?: 0
     }
@@ -298,10 +351,14 @@
         val row = current[budgetKey(account.budgetId)] ?: return
         account.budgetRow = decodeRow(row.value)
         account.budgetVersion = row.version
+        account.budgetReadAtMs = clock.monotonicMs()
     }
 
     private companion object {
         private const val MAX_COMMIT_ATTEMPTS = 4
+
+        /** Age from which a row is read again, since a failed transaction costs more than a read. */
+        private const val MAX_ROW_AGE_MS = 20L
         private const val UNLIMITED_TOKENS = Long.MAX_VALUE / 2
         private const val UNMET_DEMAND_REREAD_MS = 500L
         private const val REREAD_MS = 5_000L
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
@@ -41,6 +41,19 @@
     return if (options.holdsEqualShare) maxOf(targetTokens, unallocatedTokens / (demand.routers + 1)) else targetTokens
 }
 
+/**
+ * Free tokens above which a router returns some. The equal share shrinks as the other routers take theirs, so a router that was the first
+ * to take one returns tokens only far above it.
+ */
+internal fun excessLimitTokens(
+    demand: GrantDemand,
+    unallocatedTokens: Long,
+    options: BudgetOptions,
+): Long {
+    val equalShareTokens = if (options.holdsEqualShare) unallocatedTokens / (demand.routers + 1) else 0
+    return maxOf(demandTargetTokens(demand, options) * EXCESS_FACTOR, equalShareTokens * EQUAL_SHARE_EXCESS_FACTOR)
+}
+
 /**
  * Tokens to take from [unallocatedTokens] now; 0 above the low-water mark. A router takes at most its equal share of the unallocated
  * tokens, or [BudgetOptions.demandShare] of them for its measured spend. Grants thus shrink as the budget is used up, and no router
@@ -115,6 +128,8 @@
 /** Lets the spend rise during a long outage, for which grants are sized with [OUTAGE_FACTOR]. */
 private const val LATE_SPEND_FACTOR = 1.5
 private const val UNMET_DEMAND_FACTOR = 4L
+private const val EXCESS_FACTOR = 2
+private const val EQUAL_SHARE_EXCESS_FACTOR = 4
 private const val LOW_WATER_SHARE = 0.7
 private const val PLENTIFUL_FACTOR = 16L
 private const val STEP_FACTOR = 2.0
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableMaintenance.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableMaintenance.kt
@@ -55,7 +55,8 @@
     fun untilNextPassMs(): Long {
         if (draining) return DRAIN_PASS_MS
         if (inOutage || components.writer.inDoubt || components.accounts.needingAttention().isNotEmpty()) return options.tickIntervalMs
-        return (minOf(nextFlushAtMs, nextSweepAtMs, nextVmListAtMs) - clock.monotonicMs()).coerceAtLeast(MIN_PASS_DELAY_MS)
+        val untilDueMs = minOf(nextFlushAtMs, nextSweepAtMs, nextVmListAtMs) - clock.monotonicMs()
+        return minOf(untilDueMs, components.allocator.untilPostponedRefillMs ?: untilDueMs).coerceAtLeast(MIN_PASS_DELAY_MS)
     }
 
     /** Runs the steps of one pass: grants, then bills, then the rest. Returns false when the table did not respond. */
@@ -87,8 +88,9 @@
     ): Boolean {
         if (draining) return true
         // Accounts with waiting requests take precedence over refills ahead of need.
-        val (waiting, others) = accounts.partition { synchronized(it) { it.unmetDemandTokens > 0 } }
-        if (!components.allocator.refill(waiting + others)) return false
+        val (waiting, others) = accounts.partition { synchronized(it) { it.waiters.isNotEmpty() } }
+        if (!waiting.all { components.allocator.refillWaiting(it) }) return false
+        if (!components.allocator.refillAhead(others)) return false
         for (account in accounts) if (!readBalanceIfNeeded(account, nowMs)) return false
         return true
     }
@@ -113,10 +115,8 @@
     ): Boolean {
         val (closable, others) = accounts.partition { synchronized(it) { shouldCloseGrant(it, nowMs) } }
         components.allocator.closeGrants(closable)
-        for (account in others) {
-            val excess = synchronized(account) { excessTokens(account, nowMs) }
-            if (excess > 0 && !components.writer.inDoubt) components.allocator.returnTokens(account) { excess }
-        }
+        val excessive = others.filter { synchronized(it) { excessTokens(it, nowMs) > 0 } }
+        if (!components.writer.inDoubt) components.allocator.returnTokens(excessive) { account, _ -> excessTokens(account, nowMs) }
         return !components.writer.inDoubt
     }
 
@@ -133,9 +133,11 @@
         nowMs: Long,
     ): Long {
         val grant = account.grant ?: return 0
-        val target = targetFreeTokens(account.demand(components.allocator.routers), account.budgetRow?.unallocatedTokens ?: 0, options)
-        val isExcessive = grant.freeTokens > target * EXCESS_FACTOR && nowMs - account.lastRefillAtMs > options.excessReturnDelayMs
-        return if (isExcessive) grant.freeTokens - target else 0
+        val demand = account.demand(components.allocator.routers)
+        val unallocatedTokens = account.budgetRow?.unallocatedTokens ?: 0
+        val isExcessive = grant.freeTokens > excessLimitTokens(demand, unallocatedTokens, options)
+        if (!isExcessive || nowMs - account.lastRefillAtMs <= options.excessReturnDelayMs) return 0
+        return grant.freeTokens - targetFreeTokens(demand, unallocatedTokens, options)
     }
 
     private fun drainingDurationMs(nowMs: Long): Long {
@@ -166,6 +168,5 @@
         private const val BACKLOG_SPEEDUP = 4L
         private const val JITTER_DIVISOR = 5L
         private const val SWEEP_INTERVAL_MS = 1_000L
-        private const val EXCESS_FACTOR = 2
     }
 }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
@@ -1,5 +1,8 @@
 package org.lycheemount.budget
 
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import org.lycheemount.common.Clock
 import org.lycheemount.platform.CommitOutcome
@@ -60,6 +63,15 @@
         return table.read(keys).snapshot(sentAtMs)
     }
 
+    /** Reads the rows under [keys] with a call for each, which a table handles without a transaction. They are not of one moment. */
+    suspend fun readEach(keys: List<String>): TableSnapshot? {
+        val sentAtMs = clock.monotonicMs()
+        val results = coroutineScope { keys.map { async { table.read(listOf(it)) } }.awaitAll() }
+        val snapshots = results.map { (it as? TableResult.Response ?: return null).value }
+        val oldestMs = snapshots.minOfOrNull { it.tableTimeMs } ?: return null
+        return TableResult.Response(TableSnapshot(snapshots.flatMap { it.rows }, oldestMs)).snapshot(sentAtMs)
+    }
+
     suspend fun scan(
         prefix: String,
         afterKey: String?,
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/GrantSizingTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/GrantSizingTest.kt
@@ -70,4 +70,26 @@
             assertEquals(50_000, refillTokens(idleRouterDemand, unallocatedTokens = 400_000, demandShareOptions))
         }
     }
+
+    @Nested
+    inner class `95 routers that take their equal shares one after the other` {
+        private val options = demandShareOptions
+
+        private fun idleDemand(freeTokens: Long) =
+            GrantDemand(freeTokens, ratePerMs = 0.0, largestReservationTokens = 2_000, unmetDemandTokens = 0, routers = 95)
+
+        @Test
+        fun `keep them although the share shrinks, guarding against returns that conflict with the refills of the other routers`() {
+            var unallocatedTokens = 1_000_000L
+            val shares =
+                List(95) {
+                    refillTokens(idleDemand(0), unallocatedTokens, options).also { unallocatedTokens -= it }
+                }
+
+            val policyBefore = shares.count { it > 2 * targetFreeTokens(idleDemand(it), unallocatedTokens, options) }
+            val policyNow = shares.count { it > excessLimitTokens(idleDemand(it), unallocatedTokens, options) }
+            assertTrue(policyBefore > 0, "no router returned tokens before")
+            assertEquals(0, policyNow)
+        }
+    }
 }
