Flush less often in a large fleet

Cause: each router flushes grant rows and bills twice a second, whatever the number of routers. 95 routers ask for 204 flushes a second of a partition that handles 300 transactions, before any refill.

Change: fleetFlushesPerSecond bounds the flushes of all routers together. The interval of a router grows with their number, up to a third of the outage grace, in which a ceiling must be written several times. Bills are on a peer at once and reach the table up to 1.5 s later in the largest fleets. Seven routers keep 500 ms.

The largest requests still lack tokens, and LargeRequestRefusalTest still fails.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -257,6 +257,7 @@
                 outageGraceMs = 4_500,
                 driftMarginMs = 300,
                 flushIntervalMs = 500,
+                fleetFlushesPerSecond = 75,
                 tickIntervalMs = 100,
                 billsPerTransaction = 30,
                 rowsPerTransaction = 15,
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetOptions.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetOptions.kt
@@ -8,6 +8,8 @@
  *   be the same on all routers.
  * @property driftMarginMs safety margin of reclaim for clocks that run at different speeds; part of [outageGraceMs].
  * @property flushIntervalMs interval between writes of bills.
+ * @property fleetFlushesPerSecond flushes of all routers together that the table should handle; a large fleet flushes less often than
+ *   each [flushIntervalMs], but at least three times in [outageGraceMs]. Null for no limit.
  * @property tickIntervalMs time between passes of the background work while an account lacks tokens or the table does not respond.
  * @property billsPerTransaction maximum number of bills in a transaction.
  * @property rowsPerTransaction maximum number of grant rows in a transaction that holds [billsPerTransaction] bills. A transaction
@@ -43,6 +45,7 @@
     val outageGraceMs: Long = 120_000,
     val driftMarginMs: Long = 12_000,
     val flushIntervalMs: Long = 1_000,
+    val fleetFlushesPerSecond: Int? = null,
     val tickIntervalMs: Long = 250,
     val billsPerTransaction: Int = 256,
     val rowsPerTransaction: Int = 64,
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
@@ -111,6 +111,18 @@
     options: BudgetOptions,
 ): Double? = options.ceilingReleaseMs?.let { maxOf(meter.ratePerMs * LATE_SPEND_FACTOR, restTokens.toDouble() / it) }
 
+/**
+ * Interval between the flushes of a router, so that all [routers] together flush no more often than [BudgetOptions.fleetFlushesPerSecond].
+ * A ceiling must be written several times in an outage grace.
+ */
+internal fun flushIntervalMs(
+    routers: Int,
+    options: BudgetOptions,
+): Long {
+    val sharedMs = options.fleetFlushesPerSecond?.let { ceil(routers * 1_000.0 / it).toLong() } ?: 0
+    return maxOf(options.flushIntervalMs, minOf(sharedMs, options.outageGraceMs / MIN_FLUSHES_PER_GRACE))
+}
+
 /** Size of a reservation: the worst case while tokens are plentiful, otherwise a first step of about twice the average use. */
 internal fun reservationTokens(
     usableTokens: Long,
@@ -130,6 +142,7 @@
 private const val UNMET_DEMAND_FACTOR = 4L
 private const val EXCESS_FACTOR = 2
 private const val EQUAL_SHARE_EXCESS_FACTOR = 4
+private const val MIN_FLUSHES_PER_GRACE = 3
 private const val LOW_WATER_SHARE = 0.7
 private const val PLENTIFUL_FACTOR = 16L
 private const val STEP_FACTOR = 2.0
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableMaintenance.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableMaintenance.kt
@@ -149,7 +149,8 @@
     /** Shortens the delay while there is a backlog of bills, but keeps the rate of writes bounded. */
     private fun flushDelayMs(): Long {
         val backlog = components.bills.size() > options.billsPerTransaction
-        val delayMs = if (backlog) options.flushIntervalMs / BACKLOG_SPEEDUP else options.flushIntervalMs
+        val intervalMs = flushIntervalMs(components.allocator.routers, options)
+        val delayMs = if (backlog) intervalMs / BACKLOG_SPEEDUP else intervalMs
         return delayMs - random.nextLong(delayMs / JITTER_DIVISOR + 1)
     }
 
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/GrantSizingTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/GrantSizingTest.kt
@@ -92,4 +92,21 @@
             assertEquals(0, policyNow)
         }
     }
+
+    @Nested
+    inner class `the flushes of a fleet` {
+        private val options = BudgetOptions(outageGraceMs = 4_500, driftMarginMs = 300, flushIntervalMs = 500, fleetFlushesPerSecond = 75)
+
+        @Test
+        fun `keep the interval of a small fleet`() = assertEquals(500, flushIntervalMs(7, options))
+
+        @Test
+        fun `stay below the rate of the whole fleet, guarding against a partition of the table that is busy without a pause`() {
+            assertTrue(95 * 1_000.0 / flushIntervalMs(95, options) <= 75)
+            assertTrue(95 * 1_000.0 / options.flushIntervalMs > 75)
+        }
+
+        @Test
+        fun `write a ceiling three times in an outage grace at any size`() = assertEquals(1_500, flushIntervalMs(600, options))
+    }
 }
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/LargeRequestRefusalTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/LargeRequestRefusalTest.kt
@@ -76,6 +76,7 @@
                 holdsEqualShare = true,
                 demandShare = 0.5,
                 unavailableRetryMs = 50,
+                fleetFlushesPerSecond = 75,
             )
     }
 }
