--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
@@ -41,6 +41,19 @@
     return if (options.holdsEqualShare) maxOf(targetTokens, unallocatedTokens / (demand.routers + 1)) else targetTokens
 }
 
+/**
+ * Free tokens above which a router returns some. The equal share shrinks as the other routers take theirs, so a router that was the first
+ * to take one returns tokens only far above it.
+ */
+internal fun excessLimitTokens(
+    demand: GrantDemand,
+    unallocatedTokens: Long,
+    options: BudgetOptions,
+): Long {
+    val equalShareTokens = if (options.holdsEqualShare) unallocatedTokens / (demand.routers + 1) else 0
+    return maxOf(demandTargetTokens(demand, options) * EXCESS_FACTOR, equalShareTokens * EQUAL_SHARE_EXCESS_FACTOR)
+}
+
 /**
  * Tokens to take from [unallocatedTokens] now; 0 above the low-water mark. A router takes at most its equal share of the unallocated
  * tokens, or [BudgetOptions.demandShare] of them for its measured spend. Grants thus shrink as the budget is used up, and no router
@@ -98,6 +111,18 @@
     options: BudgetOptions,
 ): Double? = options.ceilingReleaseMs?.let { maxOf(meter.ratePerMs * LATE_SPEND_FACTOR, restTokens.toDouble() / it) }
 
+/**
+ * Interval between the flushes of a router, so that all [routers] together flush no more often than [BudgetOptions.fleetFlushesPerSecond].
+ * A ceiling must be written several times in an outage grace.
+ */
+internal fun flushIntervalMs(
+    routers: Int,
+    options: BudgetOptions,
+): Long {
+    val sharedMs = options.fleetFlushesPerSecond?.let { ceil(routers * 1_000.0 / it).toLong() } ?: 0
+    return maxOf(options.flushIntervalMs, minOf(sharedMs, options.outageGraceMs / MIN_FLUSHES_PER_GRACE))
+}
+
 /** Size of a reservation: the worst case while tokens are plentiful, otherwise a first step of about twice the average use. */
 internal fun reservationTokens(
     usableTokens: Long,
@@ -115,6 +140,9 @@
 /** Lets the spend rise during a long outage, for which grants are sized with [OUTAGE_FACTOR]. */
 private const val LATE_SPEND_FACTOR = 1.5
 private const val UNMET_DEMAND_FACTOR = 4L
+private const val EXCESS_FACTOR = 2
+private const val EQUAL_SHARE_EXCESS_FACTOR = 4
+private const val MIN_FLUSHES_PER_GRACE = 3
 private const val LOW_WATER_SHARE = 0.7
 private const val PLENTIFUL_FACTOR = 16L
 private const val STEP_FACTOR = 2.0
