Reproduce requests that wait for the configuration and are cut at a shutdown, known red

What callers saw, in runs of a real process: while the store is slow or silent, 3 requests in each of 5 stops for an unknown route were closed without a response, up to 928 ms after they were sent.

Cause: a request is counted as in progress only once it has been admitted. Before that it may wait for a newer configuration, 250 ms for each of several requests in turn. The drain is idle meanwhile and closes the connections.

--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
@@ -62,7 +62,13 @@
             retryBudget = RetryBudgetSettings(ratio = 0.2, slack = 10.0, windowS = 10.0),
         )
 
+    /** From now on, the store does not respond. */
+    fun silenceStore() {
+        store.isSilent = true
+    }
+
     override fun close() {
+        store.isSilent = false
         backendServer.stop(0, 0)
         store.close()
     }
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayShutdownTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayShutdownTest.kt
@@ -6,10 +6,12 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Tag
 import java.io.IOException
 import java.net.ConnectException
 import java.net.InetSocketAddress
 import java.net.Socket
+import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
@@ -52,6 +54,23 @@
         }
     }
 
+    @Nested
+    inner class `while the store does not respond` {
+        @Test
+        @Tag("known-red")
+        fun `requests that wait for a newer configuration get a response, guarding against connections that are closed without one`() {
+            val stopped = thread { runBlocking { process.stop() } }
+            Thread.sleep(NOTICE_MS - CONFIGURATION_WAIT_MS)
+            fixture.silenceStore()
+            val connections = List(WAITING_REQUESTS) { CallerConnection().apply { send("/not-configured/") } }
+
+            val heads = connections.map { runCatching { it.readHead() }.getOrElse { failure -> failure.message.orEmpty() } }
+            stopped.join()
+
+            assertEquals(emptyList(), heads.filterNot { "HTTP/1.1 " in it })
+        }
+    }
+
     @Nested
     inner class `at the end of the grace period` {
         @Test
@@ -113,6 +132,9 @@
     private companion object {
         private const val START_TIMEOUT_MS = 20_000L
         private const val READ_TIMEOUT_MS = 10_000
+        private const val NOTICE_MS = 2_000L
+        private const val CONFIGURATION_WAIT_MS = 500L
+        private const val WAITING_REQUESTS = 6
         private const val END_OF_STREAM = -1
         private const val LAST_CHUNK = "0\r\n\r\n"
     }
