Log requests whose callers leave before a server is chosen

Callers saw: nothing. An operator found no line for a request that was cancelled while its body was read, or before. Cause: the line that ends a request is written where it is executed; a call that is cancelled earlier ended without one. Change: RoutedRequestHandler writes request_ended with the outcome caller_gone and no attempts for these as well.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -98,11 +98,32 @@
     private suspend fun handle(
         call: ApplicationCall,
         writer: ResponseWriter,
+    ) {
+        val metadata = services.dialect.readMetadata(call.request.headers)
+        var isExecuting = false
+        try {
+            admitAndRead(call, writer, metadata) { request ->
+                isExecuting = true
+                execute(writer, request)
+            }
+        } catch (exception: CancellationException) {
+            if (!isExecuting) {
+                services.eventLog.warn("request_ended", "request_id" to metadata.requestId, "attempts" to 0, "outcome" to CALLER_GONE)
+            }
+            throw exception
+        }
+    }
+
+    /** Passes the request of [call] to [onRequest] once it is admitted and complete, or refuses it. */
+    private suspend fun admitAndRead(
+        call: ApplicationCall,
+        writer: ResponseWriter,
+        metadata: RequestMetadata,
+        onRequest: suspend (RoutedRequest) -> Unit,
     ) {
         val enteredAtMs = services.clock.monotonicMs()
         val queueDelayMs = measureQueueDelayMs()
         val arrivedAtMs = enteredAtMs - OverloadPolicy.waitBeforeHandlerMs(queueDelayMs)
-        val metadata = services.dialect.readMetadata(call.request.headers)
         if (services.drain.isDraining) writer.closeConnection()
         val matched = matchRoute(call).getOrElse { return refuse(writer, metadata, null, it) }
         val expiresAtMs = expiresAtMs(matched.route, metadata, arrivedAtMs)
@@ -117,7 +138,7 @@
             val body = bodyReader.read(call).getOrElse { return refuse(writer, metadata, null, it) }
             val request = requestOf(call, metadata, matched, admission, body, arrivedAtMs)
             retryLimiter.onRequest(request.service.serviceId)
-            execute(writer, request)
+            onRequest(request)
         } finally {
             admission.release()
         }
@@ -213,7 +234,7 @@
 
     private fun describe(outcome: RoutedOutcome?): String =
         when (outcome) {
-            null -> "caller_gone"
+            null -> CALLER_GONE
             is RoutedOutcome.Responded -> "answered_${outcome.httpStatus}"
             is RoutedOutcome.NotRun -> "not_run:${outcome.refusal.reason.wireName}"
             is RoutedOutcome.Unknown -> "unknown:${outcome.refusal.reason.wireName}"
@@ -293,6 +314,7 @@
 
     private companion object {
         private const val KIND = "routed"
+        private const val CALLER_GONE = "caller_gone"
 
         // The socket is read to its end, the parser of the connection sees the end, and the request is cancelled.
         private const val MEASURED_TURNS = 3
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
@@ -31,6 +31,7 @@
 import org.lycheemount.testing.FakeEventLog
 import org.lycheemount.testing.sha256Hex
 import java.net.Socket
+import kotlin.test.fail
 
 /** [RoutedRequestHandler] between callers and two scripted backend servers, over real sockets. */
 internal abstract class RoutedFixture {
@@ -152,6 +153,15 @@
         return emptyList()
     }
 
+    /** Waits until [condition] holds, and fails if it does not for ten seconds. */
+    protected fun await(condition: () -> Boolean) {
+        repeat(LOG_POLLS) {
+            if (condition()) return
+            Thread.sleep(LOG_POLL_MS)
+        }
+        fail("the condition did not hold in time")
+    }
+
     private companion object {
         private const val LOG_POLLS = 1_000
         private const val LOG_POLL_MS = 10L
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
@@ -336,6 +336,14 @@
 
             assertEquals(0, first.requests.size + second.requests.size)
         }
+
+        @Test
+        fun `is logged with its id, so that the log tells where a request went that got no response`() {
+            repeat(10) { sendPartOfBody().use { Thread.sleep(20) } }
+
+            // Which event it is depends on whether the end of the connection or that of the body is noticed first.
+            await { log.events.count { (name, fields) -> name in END_EVENTS && fields["request_id"] == "r" } >= 10 }
+        }
     }
 
     @Nested
@@ -358,6 +366,7 @@
     }
 
     private companion object {
+        private val END_EVENTS = setOf("request_ended", "request_refused")
         private const val LINES_PER_WRITE = 1_000
         private const val MOST_SENT_BYTES = 64L * 1_048_576
     }
