Wait for the handler in the test of the log of callers who leave early

Cause: the test closed the connection 20 ms after the request. Change: it waits until the handler has read the configuration, which comes before the body.

--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
@@ -31,6 +31,7 @@
 import org.lycheemount.testing.FakeEventLog
 import org.lycheemount.testing.sha256Hex
 import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.test.fail
 
 /** [RoutedRequestHandler] between callers and two scripted backend servers, over real sockets. */
@@ -57,12 +58,18 @@
                 ),
             routedServices = mapOf(ServiceId("s1") to RoutedService(ServiceId("s1"), 100, EngineProperties(tokensPerEvent = 5))),
         )
+
+    /** Times that the configuration was read. Each request reads it after its handler has started. */
+    protected val configurationReads = AtomicInteger()
     private val handler =
         RoutedRequestHandler(
             RoutedServices(
                 identity = RouterIdentity(RouterId("r"), VmId("v"), RegionId("g"), ZoneId("z1"), 1),
                 clock = DefaultClock(),
-                configuration = { snapshot },
+                configuration = {
+                    configurationReads.incrementAndGet()
+                    snapshot
+                },
                 ledger = ledger,
                 replenisher = ledger,
                 dispatcher = dispatcher,
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
@@ -352,7 +352,10 @@
 
         @Test
         fun `is logged with its id, so that the log tells where a request went that got no response`() {
-            repeat(10) { sendPartOfBody().use { Thread.sleep(20) } }
+            repeat(10) {
+                val readsBefore = configurationReads.get()
+                sendPartOfBody().use { await { configurationReads.get() > readsBefore } }
+            }
 
             // Which event it is depends on whether the end of the connection or that of the body is noticed first.
             await { log.events.count { (name, fields) -> name in END_EVENTS && fields["request_id"] == "r" } >= 10 }
