--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
@@ -423,6 +423,11 @@
         private fun sendPartOfBody(): Socket =
             open("/read/", "Content-Length: 100", hasBody = true).also { it.getOutputStream().write(ByteArray(10)) }
 
+        private fun sendPartOfChunkedBody(): Socket =
+            open("/read/", "Transfer-Encoding: chunked", hasBody = true).also {
+                it.getOutputStream().write("5\r\nhello\r\n".encodeToByteArray())
+            }
+
         private fun endRequest(socket: Socket) =
             socket.use {
                 it.shutdownOutput()
@@ -436,6 +441,25 @@
 
             assertEquals(0, first.requests.size + second.requests.size)
         }
+
+        @Test
+        @Tag("known-red")
+        fun `does not reach a server if its body is sent in chunks`() {
+            repeat(10) { endRequest(sendPartOfChunkedBody()) }
+
+            assertEquals(0, first.requests.size + second.requests.size)
+        }
+
+        @Test
+        fun `is logged with its id, so that the log tells where a request went that got no response`() {
+            repeat(10) {
+                val readsBefore = configurationReads.get()
+                sendPartOfBody().use { await { configurationReads.get() > readsBefore } }
+            }
+
+            // Which event it is depends on whether the end of the connection or that of the body is noticed first.
+            await { log.events.count { (name, fields) -> name in END_EVENTS && fields["request_id"] == "r" } >= 10 }
+        }
     }
 
     @Nested
@@ -458,6 +482,7 @@
     }
 
     private companion object {
+        private val END_EVENTS = setOf("request_ended", "request_refused")
         private const val LINES_PER_WRITE = 1_000
         private const val MOST_SENT_BYTES = 64L * 1_048_576
     }
