Do not take a refusal without an id for that of the current request

What callers would see: 503 ("not run, try again") for an order that a server has run or is running, or that order run again at a second server. A faulty server writes an earlier refusal once more on a kept connection, just after the next request was sent.

Cause: a response that says "not run" but carries no request id counted as the request's own on any connection. Only on a connection that has carried no other request can it be no one else's.

Change: a response now belongs to this request, to another one, or does not say. The last kind is accepted on a new connection only. On a reused one the connection is closed and the request may have run. A copy with an id of its own was and is skipped, bytes on an idle connection close it.

Measured: RoutedRequestHandlerTest, "that refuses without an id leaves the outcome unknown", failed with the earlier rule: the second server got the order as well (expected 0 requests, was 1). It passes now. The other tests of the class guard what held before. The test of a late complete response moved there; it gives its two requests ids of their own and also checks that the connection was reused.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
@@ -15,6 +15,7 @@
 import org.lycheemount.backend.PassThroughCall
 import org.lycheemount.backend.PassThroughClient
 import org.lycheemount.backend.ResponseHead
+import org.lycheemount.backend.ResponseOwner
 import org.lycheemount.budget.BudgetLedger
 import org.lycheemount.budget.BudgetReplenisher
 import org.lycheemount.caller.WorkDispatcher
@@ -135,7 +136,7 @@
             head: ResponseHead,
             callerRequestId: String?,
             serverId: BackendServerId,
-        ) = ResponseMetadata(matchesRequest = true, notRun = null, load = null)
+        ) = ResponseMetadata(ResponseOwner.THIS_REQUEST, notRun = null, load = null)
 
         override fun refusalHead(
             refusal: Refusal,
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -104,6 +104,15 @@
     @Volatile
     var usableUntilNs: Long = 0
 
+    /** Number of requests sent on this connection. */
+    var requestCount = 0
+        private set
+
+    /** Records that a request is about to be sent. */
+    fun onRequest() {
+        requestCount++
+    }
+
     /** True if the server has sent bytes that belong to no response read so far. */
     val hasUnexpectedBytes: Boolean get() = input.availableForRead > 0
 
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultPassThroughClient.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultPassThroughClient.kt
@@ -46,6 +46,7 @@
         call: PassThroughCall,
     ): HeadOutcome =
         try {
+            connection.onRequest()
             connection.send(encodeHead(server, call), call.body)
             readOwnResponseHead(connection, call)
         } catch (failure: Exception) {
@@ -61,7 +62,12 @@
         repeat(MAX_UNRELATED_RESPONSES) {
             val response = connection.readHead() ?: return HeadOutcome.Failed("the server closed the connection")
             val received = toReceivedHead(response)
-            if (call.isOwnResponse(received.response)) return received
+            when (call.ownerOf(received.response)) {
+                ResponseOwner.THIS_REQUEST -> return received
+                ResponseOwner.UNIDENTIFIED ->
+                    return if (connection.requestCount == 1) received else HeadOutcome.Failed("received a response that may not be its own")
+                ResponseOwner.OTHER_REQUEST -> Unit
+            }
             val skipped = withTimeoutOrNull(SKIP_TIMEOUT_MS) { skipBody(connection, received, call) }
             if (skipped != true) return HeadOutcome.Failed("received an incomplete response to another request")
         }
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/PassThroughClient.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/PassThroughClient.kt
@@ -7,16 +7,28 @@
  *
  * @property target path and query exactly as the caller sent them.
  * @property headers all headers of the request except connection and body framing headers.
- * @property isOwnResponse whether a response with these headers belongs to this request; other responses on the connection are skipped.
+ * @property ownerOf the request to which a response with these headers belongs.
  */
 class PassThroughCall(
     val method: String,
     val target: String,
     val headers: List<Pair<String, String>>,
     val body: ByteArray,
-    val isOwnResponse: (ResponseHead) -> Boolean = { true },
+    val ownerOf: (ResponseHead) -> ResponseOwner = { ResponseOwner.THIS_REQUEST },
 )
 
+/** The request to which a response on a connection belongs. */
+enum class ResponseOwner {
+    /** The request that was sent last. */
+    THIS_REQUEST,
+
+    /** An earlier request on the connection; the response is skipped. */
+    OTHER_REQUEST,
+
+    /** The response does not say. It can only belong to the first request on a connection. */
+    UNIDENTIFIED,
+}
+
 /** Status and headers of a response, without connection and body framing headers. */
 class ResponseHead(
     val httpStatus: Int,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -7,6 +7,7 @@
 import org.lycheemount.backend.PassThroughOutcome
 import org.lycheemount.backend.PassThroughResponse
 import org.lycheemount.backend.ResponseHead
+import org.lycheemount.backend.ResponseOwner
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.Refusal
@@ -113,7 +114,7 @@
             callFor(server, resumeAfterEventId) { head ->
                 val parsed = services.dialect.readResponse(head, request.metadata.requestId, server.backendServerId)
                 metadata = parsed
-                parsed.matchesRequest
+                parsed.owner
             }
         val outcome =
             try {
@@ -187,7 +188,7 @@
     private fun callFor(
         server: BackendServer,
         resumeAfterEventId: Long?,
-        isOwnResponse: (ResponseHead) -> Boolean,
+        ownerOf: (ResponseHead) -> ResponseOwner,
     ): PassThroughCall {
         val attempt =
             AttemptMetadata(server.backendServerId, request.teamId, request.remainingMs(services.clock.monotonicMs()), resumeAfterEventId)
@@ -196,7 +197,7 @@
             target = request.target,
             headers = services.dialect.attemptHeaders(request.callerHeaders, attempt),
             body = request.body,
-            isOwnResponse = isOwnResponse,
+            ownerOf = ownerOf,
         )
     }
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
@@ -3,6 +3,7 @@
 import io.ktor.http.Headers
 import org.lycheemount.backend.AttemptFailure
 import org.lycheemount.backend.ResponseHead
+import org.lycheemount.backend.ResponseOwner
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.TeamId
@@ -73,12 +74,12 @@
 /**
  * Metadata from the head of a backend server response.
  *
- * @property matchesRequest whether the response belongs to the request.
+ * @property owner the request to which the response belongs.
  * @property notRun the failure when the server reports that it did not run the request, else null.
  * @property load null when the server does not report its load.
  */
 class ResponseMetadata(
-    val matchesRequest: Boolean,
+    val owner: ResponseOwner,
     val notRun: AttemptFailure?,
     val load: LoadReport?,
 )
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RawServer.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RawServer.kt
@@ -15,6 +15,7 @@
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
 /** A backend server that sends the next scripted response, byte for byte, to each request. */
@@ -27,6 +28,9 @@
     /** Heads of the received requests, in order. */
     val requests = CopyOnWriteArrayList<String>()
 
+    /** Number of accepted connections. */
+    val connectionCount = AtomicInteger()
+
     /** Receives an element when the client closes a connection for which the script waits in [Connection.awaitClose]. */
     val callerDisconnects = LinkedBlockingQueue<Unit>()
 
@@ -34,6 +38,7 @@
         thread(isDaemon = true) {
             while (!listener.isClosed) {
                 val socket = runCatching { listener.accept() }.getOrNull() ?: break
+                connectionCount.incrementAndGet()
                 thread(isDaemon = true) { serve(socket) }
             }
         }
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
@@ -114,8 +114,9 @@
     protected fun open(
         path: String,
         vararg headers: String,
+        id: String = "r",
     ) = Socket("127.0.0.1", port()).apply {
-        val lines = listOf("POST $path HTTP/1.1", "Host: h", "Authorization: Bearer key", "X-Id: r", "Content-Length: 0") + headers
+        val lines = listOf("POST $path HTTP/1.1", "Host: h", "Authorization: Bearer key", "X-Id: $id", "Content-Length: 0") + headers
         getOutputStream().write(lines.joinToString("\r\n", postfix = "\r\n\r\n").encodeToByteArray())
     }
 
@@ -123,8 +124,9 @@
     protected fun exchange(
         path: String,
         vararg headers: String,
+        id: String = "r",
     ): String =
-        open(path, "Connection: close", *headers)
+        open(path, "Connection: close", *headers, id = id)
             .use {
                 runCatching { it.getInputStream().readAllBytes() }.getOrDefault(ByteArray(0))
             }.decodeToString()
@@ -132,7 +134,8 @@
     protected fun completeResponse(
         body: String,
         status: String = "200 OK",
-    ): RawServer.Connection.() -> Unit = { head(status, "Content-Length: ${body.length}", "X-Id: r", "X-Mark: m").also { write(body) } }
+        id: String = "r",
+    ): RawServer.Connection.() -> Unit = { head(status, "Content-Length: ${body.length}", "X-Id: $id", "X-Mark: m").also { write(body) } }
 
     protected fun body(response: String) = response.substringAfter("\r\n\r\n")
 
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
@@ -28,22 +28,6 @@
             assertFalse("Authorization" in first.requests.single())
         }
 
-        @Test
-        fun `to another request that arrives first on a reused connection is skipped`() {
-            first.enqueue {
-                keepAlive = true
-                head("200 OK", "Content-Length: 5", "X-Id: r")
-                write("first")
-                head("200 OK", "Content-Length: 4", "X-Id: x")
-                write("late")
-            }
-            first.enqueue(completeResponse("second"))
-            first.enqueue(completeResponse("second"))
-
-            assertEquals("first", body(exchange("/order/1")))
-            assertEquals("second", body(exchange("/order/2")))
-        }
-
         @Test
         fun `reaches every caller that sends Connection close, guarding against requests that the engine considers abandoned`() {
             val bodies =
@@ -189,6 +173,86 @@
         }
     }
 
+    @Nested
+    inner class `a late response to an earlier request on a reused connection` {
+        private fun RawServer.Connection.refuse(vararg headers: String) =
+            head("503 Service Unavailable", "X-Not-Run: 1", "Content-Length: 0", *headers)
+
+        /** Handles a request on a connection that is kept, so that the next request arrives on it as well. */
+        private fun serveFirstRequest(respond: RawServer.Connection.() -> Unit = completeResponse("one", id = "a")) {
+            first.enqueue {
+                keepAlive = true
+                respond()
+            }
+            exchange("/order/1", id = "a")
+        }
+
+        @Test
+        fun `is skipped`() {
+            serveFirstRequest()
+            first.enqueue {
+                completeResponse("late", id = "a")()
+                completeResponse("two", id = "b")()
+            }
+
+            assertEquals("two", body(exchange("/order/2", id = "b")))
+            assertEquals(1, first.connectionCount.get())
+        }
+
+        @Test
+        fun `that refuses is skipped, guarding against an order that ran and is reported as not run`() {
+            serveFirstRequest()
+            first.enqueue {
+                refuse("X-Id: a")
+                completeResponse("two", id = "b")()
+            }
+
+            assertEquals("two", body(exchange("/order/2", id = "b")))
+            assertEquals(0, second.requests.size)
+        }
+
+        @Test
+        fun `that refuses without an id leaves the outcome unknown, guarding against an order that is executed twice`() {
+            serveFirstRequest()
+            first.enqueue {
+                refuse()
+                awaitClose()
+            }
+
+            val response = exchange("/order/2", id = "b")
+
+            assertEquals(1, first.connectionCount.get())
+            assertEquals(0, second.requests.size)
+            assertTrue(response.startsWith("HTTP/1.1 502"), response)
+            assertEquals("unknown:backend_failed", awaitLoggedOutcomes(2).last())
+        }
+
+        @Test
+        fun `that arrives while the connection is idle closes it`() {
+            serveFirstRequest {
+                completeResponse("one", id = "a")()
+                Thread.sleep(50)
+                refuse("X-Id: a")
+            }
+            Thread.sleep(200)
+            first.enqueue(completeResponse("two", id = "b"))
+
+            assertEquals("two", body(exchange("/order/2", id = "b")))
+            assertEquals(2, first.connectionCount.get())
+        }
+    }
+
+    @Nested
+    inner class `a refusal on a new connection` {
+        @Test
+        fun `needs no id, as no earlier request can have caused it`() {
+            first.enqueue { head("503 Service Unavailable", "X-Not-Run: 1", "Content-Length: 0") }
+            second.enqueue(completeResponse("served"))
+
+            assertEquals("served", body(exchange("/order/1")))
+        }
+    }
+
     @Nested
     inner class `a request that a server did not run` {
         @Test
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
@@ -3,6 +3,7 @@
 import io.ktor.http.Headers
 import org.lycheemount.backend.AttemptFailure
 import org.lycheemount.backend.ResponseHead
+import org.lycheemount.backend.ResponseOwner
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.Refusal
 
@@ -26,7 +27,16 @@
         head: ResponseHead,
         callerRequestId: String?,
         serverId: BackendServerId,
-    ) = ResponseMetadata(head.header("X-Id") == callerRequestId, head.header("X-Not-Run")?.let { AttemptFailure.REFUSED_BUSY }, load = null)
+    ): ResponseMetadata {
+        val notRun = head.header("X-Not-Run")?.let { AttemptFailure.REFUSED_BUSY }
+        val owner =
+            when (head.header("X-Id")) {
+                callerRequestId -> ResponseOwner.THIS_REQUEST
+                null -> if (notRun == null) ResponseOwner.OTHER_REQUEST else ResponseOwner.UNIDENTIFIED
+                else -> ResponseOwner.OTHER_REQUEST
+            }
+        return ResponseMetadata(owner, notRun, load = null)
+    }
 
     override fun refusalHead(
         refusal: Refusal,
