Send a repeated request id on another connection

What callers would see: an order that is executed twice, or reported as not run, if its caller sends an id again that a server has refused. A late copy of that refusal carries the same id, so the router believed that the second request was not run, and had a second server run it.

Cause: the id tells responses apart only if a connection carries it once.

Change: a connection remembers the last 32 ids, and a request whose id is among them gets another connection.

Measured: RoutedRequestHandlerTest, "cannot be taken for one to a repeated request id", failed without the check (expected "once", was "twice"), and passes now.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -39,13 +39,24 @@
     private val selector = SelectorManager(selectorThread)
     private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<BackendConnection>>()
 
-    /** Returns an idle connection to [server], or null. */
-    fun acquireIdle(server: BackendServer): BackendConnection? {
+    /** Returns an idle connection to [server] that has not carried [requestId] lately, or null. */
+    fun acquireIdle(
+        server: BackendServer,
+        requestId: String? = null,
+    ): BackendConnection? {
         val connections = idle[addressOf(server)] ?: return null
-        while (true) {
-            val connection = connections.pollLast() ?: return null
-            if (connection.isUsable(System.nanoTime())) return connection
-            connection.close()
+        val unsuitable = ArrayList<BackendConnection>(0)
+        try {
+            while (true) {
+                val connection = connections.pollLast() ?: return null
+                when {
+                    !connection.isUsable(System.nanoTime()) -> connection.close()
+                    requestId != null && connection.hasCarried(requestId) -> unsuitable += connection
+                    else -> return connection
+                }
+            }
+        } finally {
+            unsuitable.asReversed().forEach(connections::addLast)
         }
     }
 
@@ -104,15 +115,23 @@
     @Volatile
     var usableUntilNs: Long = 0
 
+    private val recentRequestIds = ArrayDeque<String>()
+
     /** Number of requests sent on this connection. */
     var requestCount = 0
         private set
 
-    /** Records that a request is about to be sent. */
-    fun onRequest() {
+    /** Records that a request with the id [requestId] is about to be sent. */
+    fun onRequest(requestId: String?) {
         requestCount++
+        if (requestId == null) return
+        if (recentRequestIds.size == MAX_RECENT_IDS) recentRequestIds.removeFirst()
+        recentRequestIds.addLast(requestId)
     }
 
+    /** Whether a request with the id [requestId] is among the last ones on this connection. */
+    fun hasCarried(requestId: String): Boolean = requestId in recentRequestIds
+
     /** True if the server has sent bytes that belong to no response read so far. */
     val hasUnexpectedBytes: Boolean get() = input.availableForRead > 0
 
@@ -174,5 +193,6 @@
 
     private companion object {
         private const val MAX_HEAD_CHARS = 65_536
+        private const val MAX_RECENT_IDS = 32
     }
 }
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultPassThroughClient.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultPassThroughClient.kt
@@ -18,7 +18,7 @@
         handle: suspend (PassThroughResponse) -> T,
     ): PassThroughOutcome<T> {
         val connection =
-            connections.acquireIdle(server) ?: try {
+            connections.acquireIdle(server, call.requestId) ?: try {
                 connections.open(server)
             } catch (failure: Exception) {
                 currentCoroutineContext().ensureActive()
@@ -46,7 +46,7 @@
         call: PassThroughCall,
     ): HeadOutcome =
         try {
-            connection.onRequest()
+            connection.onRequest(call.requestId)
             connection.send(encodeHead(server, call), call.body)
             readOwnResponseHead(connection, call)
         } catch (failure: Exception) {
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/PassThroughClient.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/PassThroughClient.kt
@@ -7,6 +7,8 @@
  *
  * @property target path and query exactly as the caller sent them.
  * @property headers all headers of the request except connection and body framing headers.
+ * @property requestId id by which [ownerOf] recognises the response; it is not sent. A connection that has carried it lately is not used,
+ *   since a late copy of the earlier response could not be told from the response to this request.
  * @property ownerOf the request to which a response with these headers belongs.
  */
 class PassThroughCall(
@@ -14,6 +16,7 @@
     val target: String,
     val headers: List<Pair<String, String>>,
     val body: ByteArray,
+    val requestId: String? = null,
     val ownerOf: (ResponseHead) -> ResponseOwner = { ResponseOwner.THIS_REQUEST },
 )
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -197,6 +197,7 @@
             target = request.target,
             headers = services.dialect.attemptHeaders(request.callerHeaders, attempt),
             body = request.body,
+            requestId = request.metadata.requestId,
             ownerOf = ownerOf,
         )
     }
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
@@ -227,6 +227,19 @@
             assertEquals("unknown:backend_failed", awaitLoggedOutcomes(2).last())
         }
 
+        @Test
+        fun `cannot be taken for one to a repeated request id, guarding against an order that is executed twice`() {
+            second.enqueue { refuse("X-Id: a") }
+            serveFirstRequest { refuse("X-Id: a") }
+            first.enqueue {
+                if (first.connectionCount.get() == 1) refuse("X-Id: a") else completeResponse("once", id = "a")()
+            }
+            second.enqueue(completeResponse("twice", id = "a"))
+
+            assertEquals("once", body(exchange("/order/1", id = "a")))
+            assertEquals(1, second.requests.size)
+        }
+
         @Test
         fun `that arrives while the connection is idle closes it`() {
             serveFirstRequest {
