Do not relay a 503 that the server has not declared as not run

What callers would see: 503, 429 or 408 from a server without its statement that the request did not run. Callers take these statuses as a promise and send the request again, although it may have run (REFUSED).

Cause: any response with the request's id was relayed as it was.

Change: such a response counts as a failure after which the request may have run. An idempotent request is retried, any other ends with 502.

Measured: RoutedRequestHandlerTest, "is reported as an unknown outcome", failed before (HTTP/1.1 503) and passes now; "is retried for an idempotent request" passed before as well.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
@@ -136,7 +136,7 @@
             head: ResponseHead,
             callerRequestId: String?,
             serverId: BackendServerId,
-        ) = ResponseMetadata(ResponseOwner.THIS_REQUEST, notRun = null, load = null)
+        ) = ResponseMetadata(ResponseOwner.THIS_REQUEST, notRun = null, hasNotRunStatus = false, load = null)
 
         override fun refusalHead(
             refusal: Refusal,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -159,6 +159,11 @@
             return AttemptOutcome.Failed(it)
         }
         mayHaveRun = true
+        // Only the server's own statement shows that the request did not run, so the caller must not get this status.
+        if (metadata.hasNotRunStatus) {
+            response.body.readUpTo(MAX_REFUSAL_BODY_BYTES)
+            return AttemptOutcome.Failed(AttemptFailure.SERVER_ERROR)
+        }
         return onResponse(response)
     }
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
@@ -76,10 +76,12 @@
  *
  * @property owner the request to which the response belongs.
  * @property notRun the failure when the server reports that it did not run the request, else null.
+ * @property hasNotRunStatus whether callers take the status as a promise that the request did not run, also without [notRun].
  * @property load null when the server does not report its load.
  */
 class ResponseMetadata(
     val owner: ResponseOwner,
     val notRun: AttemptFailure?,
+    val hasNotRunStatus: Boolean,
     val load: LoadReport?,
 )
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
@@ -255,6 +255,29 @@
         }
     }
 
+    @Nested
+    inner class `a 503 response without the server's statement that the request did not run` {
+        @Test
+        fun `is reported as an unknown outcome, guarding against an order that ran and whose caller sends it again`() {
+            first.enqueue(completeResponse("internal detail", "503 Service Unavailable"))
+
+            val response = exchange("/order/1")
+
+            assertTrue(response.startsWith("HTTP/1.1 502"), response)
+            assertFalse("internal detail" in response, response)
+            assertEquals("unknown:backend_failed", awaitLoggedOutcome())
+            assertEquals(0, second.requests.size)
+        }
+
+        @Test
+        fun `is retried for an idempotent request`() {
+            first.enqueue(completeResponse("internal detail", "503 Service Unavailable"))
+            second.enqueue(completeResponse("served"))
+
+            assertEquals("served", body(exchange("/read/1")))
+        }
+    }
+
     @Nested
     inner class `a refusal on a new connection` {
         @Test
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
@@ -35,7 +35,7 @@
                 null -> if (notRun == null) ResponseOwner.OTHER_REQUEST else ResponseOwner.UNIDENTIFIED
                 else -> ResponseOwner.OTHER_REQUEST
             }
-        return ResponseMetadata(owner, notRun, load = null)
+        return ResponseMetadata(owner, notRun, hasNotRunStatus = head.httpStatus == 503, load = null)
     }
 
     override fun refusalHead(
