Require the request's id in an engine's refusal on a reused connection

What callers would see: a chat completion that is reported as not run although the engine is generating it, after a faulty engine wrote a refusal once more on a kept connection.

Cause: DefaultModelEngineClient believed any refusal on any connection; the engine protocol had no id in a refusal. Plain service calls are not affected, since each of them has a connection of its own.

Change: responses to /v1/generate carry x-request-id, as the stand-in now sends it. A refusal with another id, or without one on a reused connection, counts as a broken connection, after which the request may have run.

Measured: ReusedEngineConnectionTest, "without the request's id" and "with the id of an earlier request", failed before (REFUSED_BUSY instead of BROKEN_CONNECTION) and pass now, as do the two cases of a proper refusal.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultModelEngineClient.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultModelEngineClient.kt
@@ -102,16 +102,20 @@
     ) {
         val body = http.json.encodeToString(GenerateRequest.serializer(), request).encodeToByteArray()
         val idleConnection = http.connections.acquireIdle(server)
-        if (idleConnection != null && exchange(server, idleConnection, body)) return
+        if (idleConnection != null && exchange(server, idleConnection, request.requestId, body, isReused = true)) return
         // If an idle connection ends without a response, the engine has probably closed it. A new connection gives a definite result.
-        if (!exchange(server, http.connections.open(server), body)) emit(GenerateEvent.Failed(AttemptFailure.BROKEN_CONNECTION))
+        if (!exchange(server, http.connections.open(server), request.requestId, body, isReused = false)) {
+            emit(GenerateEvent.Failed(AttemptFailure.BROKEN_CONNECTION))
+        }
     }
 
     /** Runs one generation on [connection]; returns false if the engine closed it before any response. */
     private suspend fun FlowCollector<GenerateEvent>.exchange(
         server: BackendServer,
         connection: BackendConnection,
+        requestId: RequestId,
         body: ByteArray,
+        isReused: Boolean,
     ): Boolean {
         var isComplete = false
         try {
@@ -121,7 +125,7 @@
                 return true
             }
             val response = head.response ?: return false
-            val failure = failureOf(response)
+            val failure = failureOf(response, requestId, isReused)
             if (failure != null) {
                 emit(failure)
                 return true
@@ -152,8 +156,18 @@
             null
         }
 
-    private fun failureOf(response: Response): GenerateEvent? {
-        parseRefusal(response.headers[REFUSED_HEADER]?.toString())?.let { return GenerateEvent.Failed(it) }
+    private fun failureOf(
+        response: Response,
+        requestId: RequestId,
+        isReused: Boolean,
+    ): GenerateEvent? {
+        val refusal = parseRefusal(response.headers[REFUSED_HEADER]?.toString())
+        if (refusal != null) {
+            val respondedId = response.headers[DefaultPlainServiceClient.REQUEST_ID_HEADER]?.toString()
+            // On a reused connection, a refusal without this request's id may be a late copy of an earlier one.
+            val isOwn = respondedId == requestId.value || (respondedId == null && !isReused)
+            return GenerateEvent.Failed(if (isOwn) refusal else AttemptFailure.BROKEN_CONNECTION)
+        }
         return if (response.status == OK_STATUS) null else GenerateEvent.Failed(AttemptFailure.SERVER_ERROR)
     }
 
--- a/standin/servers/src/main/kotlin/org/lycheemount/standin/EngineRoutes.kt
+++ b/standin/servers/src/main/kotlin/org/lycheemount/standin/EngineRoutes.kt
@@ -23,6 +23,7 @@
 import org.lycheemount.backend.CancelRequest
 import org.lycheemount.backend.CancelResponse
 import org.lycheemount.backend.CommandResponse
+import org.lycheemount.backend.DefaultPlainServiceClient
 import org.lycheemount.backend.EngineAction
 import org.lycheemount.backend.EngineCommand
 import org.lycheemount.backend.EngineLoad
@@ -88,6 +89,7 @@
     request: GenerateRequest,
 ) {
     val events = Channel<EngineEvent>(Channel.UNLIMITED)
+    call.response.header(DefaultPlainServiceClient.REQUEST_ID_HEADER, request.requestId.value)
     when (engine.driver.submit(toEngineJob(request), events)) {
         EngineAdmission.ACCEPTED -> {
             engine.countAcceptance(request.requestId)
