Discard a partial first event before a stream starts at another server

What callers would see: an event that is joined from two runs, or the text of an error in front of the first event. A server breaks off inside the first event of a stream that may be repeated, and the next server's first event is appended to that fragment.

Cause: the event buffer was only cleared when a stream was resumed, not when it started anew after an attempt that had delivered nothing.

Change: each attempt clears it.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
@@ -39,6 +39,7 @@
         server: BackendServer,
         response: PassThroughResponse,
     ): AttemptOutcome {
+        events.startAttempt()
         val first = readEvents(response) ?: return AttemptOutcome.Failed(AttemptFailure.BROKEN_CONNECTION)
         onResponseHead()
         attempts.onResponseStarted()
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RawServer.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RawServer.kt
@@ -103,10 +103,21 @@
 
         fun endStream() = write("0\r\n\r\n")
 
+        /** Resets the connection after the client has read what was written so far. */
+        fun reset() {
+            Thread.sleep(RESET_DELAY_MS)
+            socket.setSoLinger(true, 0)
+            socket.close()
+        }
+
         /** Waits until the client closes the connection. */
         fun awaitClose() {
             runCatching { input.read() }
             callerDisconnects.add(Unit)
         }
     }
+
+    private companion object {
+        private const val RESET_DELAY_MS = 100L
+    }
 }
