Do not resume a stream whose events have no ids

What callers would see: all events once more, from the first one on, in the middle of a response. The stream broke after events without ids, and the next server got no id to resume after.

Cause: the check of the first resumed event was left out if no id was known.

Change: such a stream is aborted, as one that may not be resumed.

Measured: BrokenStreamTest, "a stream without event ids is not resumed", failed before (the event came twice, and the response looked complete) and passes now.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
@@ -61,6 +61,7 @@
         // Closing the connection makes the server cancel the request before it is sent to another server.
         truncated.abort()
         attempts.recordFailure(lastServer, AttemptFailure.BROKEN_CONNECTION)
+        if (events.lastEventId == null) return RoutedOutcome.Truncated("the events of the stream have no ids to resume at")
         var failure = AttemptFailure.BROKEN_CONNECTION
         while (attempts.tryRetry(failure)) {
             val server =
@@ -83,10 +84,10 @@
         channel: ByteWriteChannel,
     ): AttemptOutcome {
         if (!isEventStream(response)) return AttemptOutcome.Failed(AttemptFailure.SERVER_ERROR)
-        val lastEventId = events.lastEventId
+        val lastEventId = checkNotNull(events.lastEventId)
         val first = readEvents(response) ?: return AttemptOutcome.Failed(AttemptFailure.BROKEN_CONNECTION)
         // A stream resumed at another event would leave a gap or repeat events, so it is rejected.
-        if (lastEventId != null && events.firstEventId != lastEventId + 1) throw TruncatedResponseException("resumed at the wrong event")
+        if (events.firstEventId != lastEventId + 1) throw TruncatedResponseException("resumed at the wrong event")
         services.dispatcher.onServiceEvent(request.requestId, ServiceEvent.FirstToken)
         channel.write(first)
         if (!relayEvents(response, channel)) return AttemptOutcome.Failed(AttemptFailure.BROKEN_CONNECTION)
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/BrokenStreamTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/BrokenStreamTest.kt
@@ -111,6 +111,28 @@
         }
     }
 
+    @Nested
+    inner class `a stream without event ids` {
+        @Test
+        fun `is not resumed, guarding against events that are repeated from the start`() {
+            first.enqueue {
+                startStream()
+                chunk("data: a\n\n")
+            }
+            second.enqueue {
+                startStream()
+                chunk("data: a\n\n")
+                endStream()
+            }
+
+            val response = exchange("/draft/1")
+
+            assertEquals(1, Regex("data: a").findAll(response).count(), response)
+            assertFalse(looksComplete(response), response)
+            assertEquals(0, second.requests.size)
+        }
+    }
+
     @Nested
     inner class `a stream that breaks in its first event` {
         @Test
