Check the order of all events of a resumed stream

What callers would see: the text of an error, or a whole response with its head, in the middle of a stream that then ends as if complete, or events that come twice or are missing. The server that resumes a stream writes an error event, repeats or skips an event, or adds other bytes after its first event.

Cause: only the id of the first event of a resumed stream was compared with the last one that the caller had got.

Change: each event of a resumed stream must have the id after the last one; comments may stand between them. From the first event that does not, the response is discarded and the attempt fails as a server error, so that a stream may still be resumed at another server. PROTOCOL.md: a stream is a series of events with increasing ids. The first attempt is passed through as the server wrote it.

A stream that is resumed at the wrong first event was aborted before as well.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerSentEventBuffer.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerSentEventBuffer.kt
@@ -14,10 +14,12 @@
     var lastEventId: Long? = null
         private set
 
-    /** Id of the first event since the last call of [startAttempt], or null. */
-    var firstEventId: Long? = null
+    /** Whether an event of the current attempt did not follow the one before it. That event and all later ones are discarded. */
+    var isOutOfOrder = false
         private set
 
+    private var isResumed = false
+
     /** Number of complete events with an id. */
     var eventCount = 0
         private set
@@ -25,11 +27,16 @@
     /** Number of buffered bytes of an incomplete event. */
     val pendingBytes: Int get() = size
 
-    /** Discards an incomplete event before the events of the next attempt. */
-    fun startAttempt() {
+    /**
+     * Discards an incomplete event before the events of the next attempt.
+     *
+     * @param isResumed whether the attempt continues after [lastEventId]. Each of its events must then have the next id.
+     */
+    fun startAttempt(isResumed: Boolean) {
         size = 0
         scannedBytes = 0
-        firstEventId = null
+        isOutOfOrder = false
+        this.isResumed = isResumed
     }
 
     /** Appends [length] bytes and returns all events that are now complete; empty if there are none. */
@@ -42,12 +49,11 @@
         size += length
         val end = endOfLastEvent()
         if (end == 0) return EMPTY
-        val completeEvents = buffer.copyOf(end)
+        val acceptedEvents = buffer.copyOf(acceptEvents(end))
         buffer.copyInto(buffer, 0, end, size)
         size -= end
         scannedBytes = 0
-        readIds(completeEvents)
-        return completeEvents
+        return acceptedEvents
     }
 
     /** Returns the offset after the last complete event. An event ends with an empty line; lines end with LF or CR LF. */
@@ -62,36 +68,57 @@
         return 0
     }
 
-    private fun readIds(events: ByteArray) {
+    /** Reads the ids of the complete events up to [end]. Returns the offset of the first one that is out of order, or [end]. */
+    private fun acceptEvents(end: Int): Int {
+        var eventStart = 0
         var lineStart = 0
-        for (index in events.indices) {
-            if (events[index] != LF) continue
-            if (startsWithId(events, lineStart, index)) readId(events, lineStart + ID_FIELD.size, index)
+        var id: Long? = null
+        var hasFields = false
+        for (index in 0 until end) {
+            if (buffer[index] != LF) continue
+            val lineEnd = if (index > lineStart && buffer[index - 1] == CR) index - 1 else index
+            if (lineEnd == lineStart) {
+                if (isOutOfOrder || !accept(id, hasFields)) return eventStart
+                eventStart = index + 1
+                id = null
+                hasFields = false
+            } else if (buffer[lineStart] != COMMENT) {
+                hasFields = true
+                id = readId(lineStart, lineEnd) ?: id
+            }
             lineStart = index + 1
         }
+        return end
     }
 
-    private fun startsWithId(
-        events: ByteArray,
-        start: Int,
-        end: Int,
-    ): Boolean = end - start > ID_FIELD.size && ID_FIELD.indices.all { events[start + it] == ID_FIELD[it] }
+    private fun accept(
+        id: Long?,
+        hasFields: Boolean,
+    ): Boolean {
+        if (isResumed && hasFields && id != lastEventId?.plus(1)) {
+            isOutOfOrder = true
+            return false
+        }
+        if (id != null) {
+            lastEventId = id
+            eventCount++
+        }
+        return true
+    }
 
     private fun readId(
-        events: ByteArray,
         start: Int,
         end: Int,
-    ) {
-        val id = events.decodeToString(start, end).trim().toLongOrNull() ?: return
-        if (firstEventId == null) firstEventId = id
-        lastEventId = id
-        eventCount++
+    ): Long? {
+        if (end - start <= ID_FIELD.size || ID_FIELD.indices.any { buffer[start + it] != ID_FIELD[it] }) return null
+        return buffer.decodeToString(start + ID_FIELD.size, end).trim().toLongOrNull()
     }
 
     private companion object {
         private const val INITIAL_BYTES = 1_024
         private const val LF = '\n'.code.toByte()
         private const val CR = '\r'.code.toByte()
+        private const val COMMENT = ':'.code.toByte()
         private val ID_FIELD = "id:".encodeToByteArray()
         private val EMPTY = ByteArray(0)
     }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
@@ -39,7 +39,7 @@
         server: BackendServer,
         response: PassThroughResponse,
     ): AttemptOutcome {
-        events.startAttempt()
+        events.startAttempt(isResumed = false)
         val first = readEvents(response) ?: return AttemptOutcome.Failed(AttemptFailure.BROKEN_CONNECTION)
         onResponseHead()
         attempts.onResponseStarted()
@@ -69,7 +69,7 @@
                     is AttemptPermit.Granted -> permit.server
                     is AttemptPermit.Refused -> return RoutedOutcome.Truncated("no server for resuming: ${permit.refusal.reason.wireName}")
                 }
-            events.startAttempt()
+            events.startAttempt(isResumed = true)
             when (val outcome = attempts.send(server, events.lastEventId) { resume(it, channel) }) {
                 is AttemptOutcome.Completed -> return outcome.result
                 is AttemptOutcome.Failed -> failure = outcome.failure
@@ -84,16 +84,15 @@
         channel: ByteWriteChannel,
     ): AttemptOutcome {
         if (!isEventStream(response)) return AttemptOutcome.Failed(AttemptFailure.SERVER_ERROR)
-        val lastEventId = checkNotNull(events.lastEventId)
-        val first = readEvents(response) ?: return AttemptOutcome.Failed(AttemptFailure.BROKEN_CONNECTION)
-        // A stream resumed at another event would leave a gap or repeat events, so it is rejected.
-        if (events.firstEventId != lastEventId + 1) throw TruncatedResponseException("resumed at the wrong event")
+        val first = readEvents(response) ?: return AttemptOutcome.Failed(resumeFailure())
         services.dispatcher.onServiceEvent(request.requestId, ServiceEvent.FirstToken)
         channel.write(first)
-        if (!relayEvents(response, channel)) return AttemptOutcome.Failed(AttemptFailure.BROKEN_CONNECTION)
+        if (!relayEvents(response, channel)) return AttemptOutcome.Failed(resumeFailure())
         return AttemptOutcome.Completed(completed(response))
     }
 
+    private fun resumeFailure() = if (events.isOutOfOrder) AttemptFailure.SERVER_ERROR else AttemptFailure.BROKEN_CONNECTION
+
     private fun completed(response: PassThroughResponse): RoutedOutcome {
         services.dispatcher.onServiceEvent(request.requestId, ServiceEvent.Completed(outputTokens))
         return RoutedOutcome.Responded(response.head.httpStatus)
@@ -105,13 +104,13 @@
         channel: ByteWriteChannel,
     ): Boolean {
         while (true) channel.write(readEvents(response) ?: break)
-        return response.body.isComplete && events.pendingBytes == 0
+        return response.body.isComplete && events.pendingBytes == 0 && !events.isOutOfOrder
     }
 
-    /** Waits for complete events; returns null at the end of the response, or if an event has no end. */
+    /** Waits for complete events; returns null at the end of the response, or if an event is out of order or has no end. */
     private suspend fun readEvents(response: PassThroughResponse): ByteArray? {
         val bytes = ByteArray(READ_BYTES)
-        while (true) {
+        while (!events.isOutOfOrder) {
             val count =
                 try {
                     response.body.read(bytes)
@@ -124,6 +123,7 @@
             if (completeEvents.isNotEmpty()) return completeEvents
             if (events.pendingBytes > MAX_EVENT_BYTES) return null
         }
+        return null
     }
 
     private suspend fun ByteWriteChannel.write(events: ByteArray) {
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/BrokenStreamTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/BrokenStreamTest.kt
@@ -80,10 +80,55 @@
                 endStream()
             }
         }
+
+        @Test
+        fun `after some events is aborted without the text of the error, guarding against a stream that ends as if complete`() {
+            assertTruncated("as an error event", 3) {
+                startStream()
+                event(3)
+                chunk("event: error\ndata: failure\n\n")
+                endStream()
+            }
+            assertTruncated("as an error event with the event before", 3) {
+                startStream()
+                chunk("id: 3\ndata: e3\n\nevent: error\ndata: failure\n\n")
+                endStream()
+            }
+            assertTruncated("as a whole response", 3) {
+                startUnframedStream()
+                write("id: 3\ndata: e3\n\nHTTP/1.1 500 Internal Server Error\r\nX-Id: r\r\n\r\nfailure")
+            }
+        }
     }
 
     @Nested
     inner class `a resumed stream` {
+        @Test
+        fun `that repeats or skips events is aborted, guarding against events that are joined from two runs`() {
+            assertTruncated("starts too late", 2) {
+                startStream()
+                event(4)
+                endStream()
+            }
+            assertTruncated("repeats an event", 3) {
+                startStream()
+                event(3)
+                event(3)
+                endStream()
+            }
+            assertTruncated("repeats an event in one read", 3) {
+                startStream()
+                chunk("id: 3\ndata: e3\n\nid: 3\ndata: e3\n\n")
+                endStream()
+            }
+            assertTruncated("skips an event", 3) {
+                startStream()
+                event(3)
+                event(5)
+                endStream()
+            }
+        }
+
         @Test
         fun `that ends inside an event is aborted, guarding against a stream that ends as if complete`() {
             assertTruncated("without a length", 3) {
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerSentEventBufferTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerSentEventBufferTest.kt
@@ -3,11 +3,16 @@
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 
 class ServerSentEventBufferTest {
     private val buffer = ServerSentEventBuffer()
 
-    private fun append(text: String): String = text.encodeToByteArray().let { buffer.append(it, it.size) }.decodeToString()
+    private fun append(
+        text: String,
+        target: ServerSentEventBuffer = buffer,
+    ): String = text.encodeToByteArray().let { target.append(it, it.size) }.decodeToString()
 
     @Nested
     inner class `events that arrive in fragments` {
@@ -44,10 +49,36 @@
         fun `discards the incomplete event, guarding against an event joined from fragments of two attempts`() {
             append("id: 1\ndata: a\n\nid: 2\ndata: hal")
 
-            buffer.startAttempt()
+            buffer.startAttempt(isResumed = true)
 
             assertEquals("id: 2\ndata: whole\n\n", append("id: 2\ndata: whole\n\n"))
-            assertEquals(2L, buffer.firstEventId)
+            assertEquals(2L, buffer.lastEventId)
+            assertFalse(buffer.isOutOfOrder)
+        }
+
+        @Test
+        fun `that resumes discards events from the first one that does not follow, guarding against repeated and lost events`() {
+            for (wrong in listOf("id: 2\ndata: b\n\n", "id: 4\ndata: d\n\n", "event: error\ndata: e\n\n", "text\r\n\r\n")) {
+                val resumed = ServerSentEventBuffer()
+                append("id: 1\ndata: a\n\n", resumed)
+                resumed.startAttempt(isResumed = true)
+
+                val accepted = ": ping\n\nid: 2\ndata: b\n\n"
+                assertEquals(accepted, append("$accepted${wrong}id: 3\ndata: c\n\n", resumed), wrong)
+                assertTrue(resumed.isOutOfOrder, wrong)
+                assertEquals("", append("id: 3\ndata: c\n\n", resumed), wrong)
+                assertEquals(2L, resumed.lastEventId, wrong)
+            }
+        }
+
+        @Test
+        fun `that does not resume accepts events with any ids and without ids`() {
+            buffer.startAttempt(isResumed = false)
+
+            val events = "id: 7\ndata: a\n\nid: 9\ndata: b\n\ndata: c\n\n"
+
+            assertEquals(events, append(events))
+            assertEquals(9L, buffer.lastEventId)
         }
     }
 }
