Reject an engine's end of a completion before the delivered tokens

What callers would see: a chat stream that ends with [DONE] although it broke off and the next engine generated nothing.

Cause: an end was only rejected if the engine had counted more tokens than were delivered, not if it had counted fewer.

Change: both counts must be equal, otherwise the attempt has failed.

Measured: ChatStreamTest, "is not replaced by one that ends before the delivered tokens", failed before ([DONE] was sent) and passes now.

--- a/request/caller/src/test/kotlin/org/lycheemount/caller/ChatStreamTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/ChatStreamTest.kt
@@ -58,6 +58,20 @@
                 assertEquals(4, bill().completionTokens)
             }
 
+        @Test
+        fun `is not replaced by one that ends before the delivered tokens, guarding against a truncated stream that looks complete`() =
+            runBlocking<Unit> {
+                val failing = engine("e1") { listOf(ScriptStep.Send(0, 5), ScriptStep.Disconnect) }
+                val early = engine("e2") { listOf(ScriptStep.Finish("stop")) }
+                router.setBackendServers(failing, early)
+
+                val events = router.chat(stream = true).bodyAsText()
+
+                assertEquals(expectedTokens(5), deltas(events))
+                assertTrue("[DONE]" !in events, events)
+                assertContains(events, "\"outcome\":\"ran\"")
+            }
+
         @Test
         fun `before its first token leaves the outcome unknown, and the whole reservation is charged`() =
             runBlocking<Unit> {
--- a/request/stream/src/main/kotlin/org/lycheemount/stream/CompletionStream.kt
+++ b/request/stream/src/main/kotlin/org/lycheemount/stream/CompletionStream.kt
@@ -128,7 +128,7 @@
     }
 
     private fun onEngineFinished(event: GenerateEvent.Finished): CompletionStep? {
-        if (event.requestId != request.requestId || event.totalTokens > assembler.deliveredTokens) {
+        if (event.requestId != request.requestId || event.totalTokens != assembler.deliveredTokens) {
             return failAttempt(AttemptFailure.BROKEN_CONNECTION)
         }
         if (cachedPromptTokens == 0) cachedPromptTokens = event.cachedPromptTokens
