--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
@@ -41,7 +41,7 @@
     private val backendHttp = BackendHttp()
     protected val scheduler = FakeScheduler()
     protected val quarantine = RecordingQuarantine()
-    private val dispatcher = WorkDispatcher(scheduler, DefaultClock())
+    protected val dispatcher = WorkDispatcher(scheduler, DefaultClock())
     private val snapshot =
         ConfigurationSnapshot(
             sequence = 1,
@@ -53,6 +53,7 @@
                     route("/chat/", RouteKind.STREAMING),
                     route("/draft/", RouteKind.STREAMING).copy(isResumable = true),
                     route("/slow/", RouteKind.NON_IDEMPOTENT).copy(timeoutMs = 150),
+                    route("/brief/", RouteKind.STREAMING).copy(timeoutMs = 500),
                 ),
             routedServices = mapOf(ServiceId("s1") to RoutedService(ServiceId("s1"), 100, EngineProperties(tokensPerEvent = 5))),
         )
