Do not wait for the body of a refusal

What callers would see: a request that a server refused at once ends with 504 at its timeout, or with 502, because the body of the refusal has no end or is truncated. Neither tells the caller that the request did not run.

Cause: the body was read for as long as the request had time, and a truncated one counted as a broken connection.

Change: the head of a refusal decides. Its body is read for 100 ms at most so that the connection can be reused; otherwise the connection is closed.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.withTimeoutOrNull
 import org.lycheemount.backend.AttemptFailure
 import org.lycheemount.backend.PassThroughCall
 import org.lycheemount.backend.PassThroughOutcome
@@ -155,18 +156,33 @@
     ): AttemptOutcome {
         metadata.load?.let { services.dispatcher.onLoadReport(it) }
         metadata.notRun?.let {
-            response.body.readUpTo(MAX_REFUSAL_BODY_BYTES)
+            discardBody(response)
             return AttemptOutcome.Failed(it)
         }
         mayHaveRun = true
         // Only the server's own statement shows that the request did not run, so the caller must not get this status.
         if (metadata.hasNotRunStatus) {
-            response.body.readUpTo(MAX_REFUSAL_BODY_BYTES)
+            discardBody(response)
             return AttemptOutcome.Failed(AttemptFailure.SERVER_ERROR)
         }
         return onResponse(response)
     }
 
+    /** Reads a body that is not needed, so that the connection can be reused. It is closed if the body is not complete in time. */
+    private suspend fun discardBody(response: PassThroughResponse) {
+        try {
+            withTimeoutOrNull(DISCARD_TIMEOUT_MS) { response.body.readUpTo(MAX_REFUSAL_BODY_BYTES) }
+        } catch (failure: IOException) {
+            currentCoroutineContext().ensureActive()
+            services.eventLog.info(
+                "response_body_truncated",
+                "request_id" to request.metadata.requestId,
+                "server" to lastServerId?.value,
+                "error" to failure.message,
+            )
+        }
+    }
+
     /** Records the failure of the attempt at [server]. */
     fun recordFailure(
         server: BackendServer,
@@ -227,6 +243,9 @@
     private companion object {
         private const val MAX_REFUSAL_BODY_BYTES = 65_536
 
+        // A refusal is sent as a whole.
+        private const val DISCARD_TIMEOUT_MS = 100L
+
         // Full or unreachable servers fail fast; several of them in a row mean that no server will accept the request.
         private const val MAX_EXTRA_ATTEMPTS = 2
     }
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/SlowServerTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/SlowServerTest.kt
@@ -96,4 +96,33 @@
             assertTrue(elapsed < 5.seconds, "$elapsed")
         }
     }
+
+    @Nested
+    inner class `a refusal` {
+        @Test
+        fun `whose body has no end is retried at once, guarding against a request that waits for a body it does not need`() {
+            first.enqueue {
+                head("503 Service Unavailable", "X-Not-Run: 1", "X-Id: r")
+                trickle("busy")
+            }
+            second.enqueue(completeResponse("served"))
+
+            val (response, elapsed) = measureTimedValue { exchange("/order/1") }
+
+            assertEquals("served", body(response))
+            assertTrue(elapsed < 3.seconds, "$elapsed")
+            assertEquals(Unit, first.callerDisconnects.poll(5, TimeUnit.SECONDS))
+        }
+
+        @Test
+        fun `whose body is truncated still shows that the request did not run`() {
+            first.enqueue {
+                head("503 Service Unavailable", "X-Not-Run: 1", "X-Id: r", "Content-Length: 100")
+                write("busy")
+            }
+            second.enqueue(completeResponse("served"))
+
+            assertEquals("served", body(exchange("/order/1")))
+        }
+    }
 }
