--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableWriter.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableWriter.kt
@@ -58,6 +58,7 @@
     private val options: BudgetOptions,
     private val log: EventLog,
 ) {
+    private val statistics = TransactionStatistics(log)
     private var unresolved: WriteAttempt? = null
 
     /** True once this router has seen its own VM in the VM list. */
@@ -75,7 +76,10 @@
     /** Commits [attempt]. If its outcome stays unknown, it remains in doubt. */
     suspend fun run(attempt: WriteAttempt): WriteAttemptResult {
         check(unresolved == null) { "a transaction is in doubt" }
-        return applyResult(attempt, session.commit(attempt.transaction))
+        val sentAtMs = clock.monotonicMs()
+        val result = applyResult(attempt, session.commit(attempt.transaction))
+        statistics.record(result, sentAtMs, clock.monotonicMs())
+        return result
     }
 
     /**
