Keep the gateway's budget options in one place

GatewayProcess and two tests each had a copy of them, and that of FleetRestartTest lacked the sizes of transactions and the bound of flushes. All three now call createGatewayBudgetOptions, so FleetRestartTest runs with the options that the gateway has; its assertions are the same.

Also: returnTokens passes on no grant that its only caller ignored, and TransactionStatistics tests its interval once.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -19,9 +19,9 @@
 import org.lycheemount.app.router.logging.registerLogMetrics
 import org.lycheemount.backend.BackendHttp
 import org.lycheemount.backend.DefaultPassThroughClient
-import org.lycheemount.budget.BudgetOptions
 import org.lycheemount.budget.createBudgetLedgerModule
 import org.lycheemount.budget.createBudgetLimitWriter
+import org.lycheemount.budget.createGatewayBudgetOptions
 import org.lycheemount.caller.DrainState
 import org.lycheemount.caller.MetricsHandler
 import org.lycheemount.caller.WorkDispatcher
@@ -78,7 +78,7 @@
             peers.messenger,
             clock,
             eventLog,
-            BUDGET_OPTIONS,
+            createGatewayBudgetOptions(),
             startedAtMs = startedAtMs,
             routerCount = { peers.routerCount },
         )
@@ -287,35 +287,5 @@
 
         // A step of a batch of 64 requests takes 0.05 ms longer than the 4.2 ms of a single request.
         private const val FULL_ENGINE_SLOWDOWN = 0.05
-
-        // Grants must last through partitions from the store and from the other routers, which take seconds. The ceiling limits the
-        // tokens that are lost when a process is killed. It grows over time, so a restarted process can reclaim the rest. VMs are back
-        // 4 s after a power loss, but they may have been without the store before it.
-        private val BUDGET_OPTIONS =
-            BudgetOptions(
-                expectedOutageMs = 8_000,
-                outageGraceMs = 4_500,
-                driftMarginMs = 300,
-                flushIntervalMs = 500,
-                fleetFlushesPerSecond = 75,
-                tickIntervalMs = 100,
-                billsPerTransaction = 30,
-                rowsPerTransaction = 15,
-                retryDelayMs = 200,
-                retryDelayMaxMs = 500,
-                targetFreeReservations = 1.0,
-                ceilingReservations = 3.0,
-                sizesByTypicalReservation = true,
-                ceilingSpendFactor = 2.0,
-                ceilingInitialSpanMs = 2_000,
-                ceilingReleaseMs = 60_000,
-                ceilingUnmeasuredShare = 0.25,
-                excessReturnDelayMs = 2_000,
-                rateWindowMs = 5_000,
-                vmListIntervalMs = 60_000,
-                holdsEqualShare = true,
-                demandShare = 0.5,
-                unavailableRetryMs = 50,
-            )
     }
 }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantAllocator.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantAllocator.kt
@@ -131,7 +131,7 @@
      */
     suspend fun returnTokens(
         accounts: List<BudgetAccount>,
-        tokens: (BudgetAccount, Grant) -> Long,
+        tokens: (BudgetAccount) -> Long,
     ) {
         for (batch in accounts.chunked(options.rowsPerTransaction)) {
             if (!pacer.isDue(clock.monotonicMs()) || !readOldBudgets(batch)) return
@@ -249,13 +249,13 @@
     private fun planReturn(
         account: BudgetAccount,
         transactionId: String,
-        amount: (BudgetAccount, Grant) -> Long,
+        amount: (BudgetAccount) -> Long,
     ): WriteAttempt? {
         val grant = account.grant ?: return null
         val budget = account.budgetRow ?: return null
         val row = grant.row ?: return null
         if (grant.closed || grant.hasPendingRow || account.closing) return null
-        val tokens = minOf(amount(account, grant), grant.freeTokens, row.grantedTokens)
+        val tokens = minOf(amount(account), grant.freeTokens, row.grantedTokens)
         if (tokens <= 0) return null
         val write = writer.proposeRow(account, grant, transactionId, grantedDeltaTokens = -tokens) ?: return null
         val changed = budget.copy(unallocatedTokens = budget.unallocatedTokens + tokens)
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableMaintenance.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableMaintenance.kt
@@ -116,7 +116,7 @@
         val (closable, others) = accounts.partition { synchronized(it) { shouldCloseGrant(it, nowMs) } }
         components.allocator.closeGrants(closable)
         val excessive = others.filter { synchronized(it) { excessTokens(it, nowMs) > 0 } }
-        if (!components.writer.inDoubt) components.allocator.returnTokens(excessive) { account, _ -> excessTokens(account, nowMs) }
+        if (!components.writer.inDoubt) components.allocator.returnTokens(excessive) { excessTokens(it, nowMs) }
         return !components.writer.inDoubt
     }
 
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TransactionStatistics.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TransactionStatistics.kt
@@ -6,7 +6,7 @@
 internal class TransactionStatistics(
     private val log: EventLog,
 ) {
-    private var intervalEndsAtMs: Long? = null
+    private var intervalEndsAtMs = Long.MIN_VALUE
     private val counts = IntArray(WriteAttemptResult.entries.size)
     private var totalMs = 0L
     private var maxMs = 0L
@@ -17,9 +17,10 @@
         sentAtMs: Long,
         nowMs: Long,
     ) {
-        val endsAtMs = intervalEndsAtMs
-        if (endsAtMs != null && nowMs >= endsAtMs) logInterval()
-        if (endsAtMs == null || nowMs >= endsAtMs) intervalEndsAtMs = nowMs + INTERVAL_MS
+        if (nowMs >= intervalEndsAtMs) {
+            if (counts.any { it > 0 }) logInterval()
+            intervalEndsAtMs = nowMs + INTERVAL_MS
+        }
         counts[result.ordinal]++
         totalMs += nowMs - sentAtMs
         maxMs = maxOf(maxMs, nowMs - sentAtMs)
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/FleetRestartTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/FleetRestartTest.kt
@@ -42,7 +42,7 @@
     inner class `all routers are restarted after a table outage that was longer than the outage grace` {
         @Test
         fun `the fleet serves again, guarding against unspent tokens that stay charged to the grants of ended processes`() =
-            fleetTest(GATEWAY_OPTIONS) { fleet ->
+            fleetTest(createGatewayBudgetOptions()) { fleet ->
                 fleet.createFundedBudget(BUDGET_TOKENS)
                 startAll(fleet, incarnation = 1)
                 val traffic = Traffic(fleet)
@@ -83,27 +83,5 @@
 
         /** The least share of requests that must be served once a fleet has had time to recover. */
         private const val MIN_SERVED_SHARE = 0.25
-
-        private val GATEWAY_OPTIONS =
-            BudgetOptions(
-                expectedOutageMs = 8_000,
-                outageGraceMs = 4_500,
-                driftMarginMs = 300,
-                flushIntervalMs = 500,
-                tickIntervalMs = 100,
-                retryDelayMs = 200,
-                retryDelayMaxMs = 500,
-                targetFreeReservations = 1.0,
-                ceilingReservations = 3.0,
-                sizesByTypicalReservation = true,
-                ceilingInitialSpanMs = 2_000,
-                ceilingReleaseMs = 60_000,
-                ceilingUnmeasuredShare = 0.25,
-                excessReturnDelayMs = 2_000,
-                rateWindowMs = 5_000,
-                vmListIntervalMs = 60_000,
-                holdsEqualShare = true,
-                demandShare = 0.5,
-            )
     }
 }
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/LargeRequestRefusalTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/LargeRequestRefusalTest.kt
@@ -24,7 +24,12 @@
     inner class `a fleet of 95 routers that each see few requests of a budget` {
         @Test
         fun `serves large requests that the budget as a whole covers, guarding against refusals while tokens are idle`() =
-            fleetTest(GATEWAY_OPTIONS, serveTable = { table, clock -> SerialPartitionTable(table, clock, PARTITION_PER_SECOND) }) { fleet ->
+            fleetTest(createGatewayBudgetOptions(), serveTable = {
+                table,
+                clock,
+                ->
+                SerialPartitionTable(table, clock, PARTITION_PER_SECOND)
+            }) { fleet ->
                 val traffic = ThinTraffic(fleet, KINDS, BUDGET_COUNT, plannedSpanMs = 34_000, seed = 1)
                 traffic.fundBudgets()
                 startRouters(fleet, traffic, ROUTER_COUNT)
@@ -39,7 +44,7 @@
     inner class `a budget of which each of 40 routers holds little` {
         @Test
         fun `covers a large request without the table, guarding against a wait for a few peers one after the other`() =
-            fleetTest(GATEWAY_OPTIONS) { fleet ->
+            fleetTest(createGatewayBudgetOptions()) { fleet ->
                 fleet.createFundedBudget(SPREAD_TOKENS)
                 repeat(SPREAD_ROUTERS) { fleet.start("r$it").maintenance.prefetchGrants(setOf(BUDGET)) }
                 delay(FIRST_GRANTS_MS)
@@ -73,31 +78,5 @@
                 RequestKind(perSecond = 67.1, meanTokens = 1_100.0, maxTokens = 10_000, waitMs = 60),
                 RequestKind(perSecond = 115.0, meanTokens = 2_400.0, maxTokens = 10_000, waitMs = 120),
             )
-
-        private val GATEWAY_OPTIONS =
-            BudgetOptions(
-                expectedOutageMs = 8_000,
-                outageGraceMs = 4_500,
-                driftMarginMs = 300,
-                flushIntervalMs = 500,
-                tickIntervalMs = 100,
-                billsPerTransaction = 30,
-                rowsPerTransaction = 15,
-                retryDelayMs = 200,
-                retryDelayMaxMs = 500,
-                targetFreeReservations = 1.0,
-                ceilingReservations = 3.0,
-                sizesByTypicalReservation = true,
-                ceilingInitialSpanMs = 2_000,
-                ceilingReleaseMs = 60_000,
-                ceilingUnmeasuredShare = 0.25,
-                excessReturnDelayMs = 2_000,
-                rateWindowMs = 5_000,
-                vmListIntervalMs = 60_000,
-                holdsEqualShare = true,
-                demandShare = 0.5,
-                unavailableRetryMs = 50,
-                fleetFlushesPerSecond = 75,
-            )
     }
 }
