--- a/request/caller/src/main/kotlin/org/lycheemount/caller/AdmissionController.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/AdmissionController.kt
@@ -5,7 +5,6 @@
 import com.github.michaelbull.result.Result
 import org.lycheemount.common.Clock
 import org.lycheemount.common.Refusal
-import org.lycheemount.common.RefusalReason
 import org.lycheemount.common.TeamId
 import org.lycheemount.config.Team
 import java.util.concurrent.atomic.AtomicBoolean
@@ -23,7 +22,7 @@
         route: String,
         expiresAtMs: Long = Long.MAX_VALUE,
     ): Result<Admission, Refusal> {
-        if (!drain.tryAdmit(expiresAtMs)) return Err(Refusal(RefusalReason.DRAINING, "this router is shutting down", retryAfterMs = 1_000))
+        if (!drain.tryAdmit(expiresAtMs)) return Err(drainingRefusal(retryAfterMs = 1_000))
         val refusal =
             synchronized(this) {
                 limiter.tryAcquire(team.teamId, team.limits, clock.monotonicMs())
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/DrainState.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/DrainState.kt
@@ -5,10 +5,15 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.job
+import org.lycheemount.common.Refusal
+import org.lycheemount.common.RefusalReason
 
 /** Cancels the work on a request because the process is about to exit. */
 internal class ShutdownException : CancellationException("the router is shutting down")
 
+/** Refuses a request as not run because the process is about to exit. */
+internal fun drainingRefusal(retryAfterMs: Long) = Refusal(RefusalReason.DRAINING, "this router is shutting down", retryAfterMs)
+
 /** Counts the requests in progress, stops admission at shutdown and ends what is still running. Thread-safe. */
 class DrainState {
     private val idleSignal = CompletableDeferred<Unit>()
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
@@ -13,6 +13,7 @@
 import org.lycheemount.budget.Charge
 import org.lycheemount.caller.ShutdownException
 import org.lycheemount.caller.TokenReserver
+import org.lycheemount.caller.drainingRefusal
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.Refusal
@@ -84,7 +85,7 @@
         if (attempts.mayHaveRun || attempts.isInProgress) {
             RoutedOutcome.Unknown(Refusal(RefusalReason.BACKEND_TIMEOUT, "no response before this router shut down"))
         } else {
-            RoutedOutcome.NotRun(Refusal(RefusalReason.DRAINING, "this router is shutting down", RETRY_AFTER_MS))
+            RoutedOutcome.NotRun(drainingRefusal(RETRY_AFTER_MS))
         }
 
     private suspend fun reserve(): Refusal? {
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -25,6 +25,7 @@
 import org.lycheemount.caller.TokenReserver
 import org.lycheemount.caller.WireOutcome
 import org.lycheemount.caller.cancelOnDisconnect
+import org.lycheemount.caller.drainingRefusal
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.RefusalReason
@@ -248,7 +249,7 @@
         val first = findRoute(call)
         if (first.isOk) return first
         // The process may exit before the configuration is refreshed.
-        if (services.drain.isDraining) return Err(Refusal(RefusalReason.DRAINING, "this router is shutting down", NOT_READY_RETRY_MS))
+        if (services.drain.isDraining) return Err(drainingRefusal(NOT_READY_RETRY_MS))
         if (services.refreshConfiguration()) return findRoute(call)
         // The route or key may have been added meanwhile, so the caller must not be told that it is unknown.
         return Err(Refusal(RefusalReason.NOT_READY, "the configuration could not be refreshed", NOT_READY_RETRY_MS))
