Keep the platform's names in test fixtures inside platform/

GatewayFixture wrote rows and headers in the platform's format. They are now written by platform-testing; the fixture names routes and servers. Three tests share the parsing of an address and a caller's request, and OddServerEntryTest uses the real scheduler instead of a second fake of its ten methods. Assertions are the same.

--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayExitSoakTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayExitSoakTest.kt
@@ -35,7 +35,7 @@
     }
 
     /** Stops one process under the traffic of [seed]; every second seed has a stream that outlasts the grace period. */
-    internal fun stopOnce(seed: Long) {
+    private fun stopOnce(seed: Long) {
         val run = GatewayFixture().use { stopUnderTraffic(it, Random(seed), hasStream = seed % 2 == 0L) }
 
         assertEquals(emptyList(), run.lateCuts, "requests that were sent long before their connection ended; ${run.shutdownLog}")
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
@@ -17,9 +17,15 @@
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
+import org.lycheemount.platform.adapter.testing.FakeRoute
 import org.lycheemount.platform.adapter.testing.FakeStore
+import org.lycheemount.platform.adapter.testing.REQUEST_ID_HEADER
+import org.lycheemount.platform.adapter.testing.SIGNATURE_HEADER
+import org.lycheemount.platform.adapter.testing.publishRoutes
+import org.lycheemount.platform.adapter.testing.registerServer
 import org.lycheemount.settings.GatewaySettings
 import org.lycheemount.settings.RetryBudgetSettings
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 
 /** Dependencies of one gateway on loopback: the platform's store, an operator's configuration and one backend server. */
@@ -42,8 +48,8 @@
                     .first()
                     .port
             }
-        store.put("op", "config", CONFIGURATION)
-        store.put("servers", "i-1", """{"service":"s","address":"127.0.0.1:$port","zone":"z","slots":8,"state":"ready","sequence":1}""")
+        store.publishRoutes(ROUTES)
+        store.registerServer("i-1", "127.0.0.1:$port")
     }
 
     /** Settings of a gateway that has [drainGraceS] seconds to stop. */
@@ -77,8 +83,8 @@
         call: ApplicationCall,
         respond: suspend () -> Unit,
     ) {
-        call.response.header("X-Request-Id", call.request.headers["X-Request-Id"].orEmpty())
-        call.response.header("X-Response-Seal", "seal")
+        call.response.header(REQUEST_ID_HEADER, call.request.headers[REQUEST_ID_HEADER].orEmpty())
+        call.response.header(SIGNATURE_HEADER, "signature")
         respond()
     }
 
@@ -96,17 +102,17 @@
 
     private companion object {
         private const val EVENT_INTERVAL_MS = 50L
-        private val CONFIGURATION =
-            """
-            {"version": 1,
-             "services": [{"name": "s"}],
-             "routes": [
-               {"name": "plain", "host": "h", "path_prefix": "/plain/", "kind": "idempotent", "timeout_ms": 1000, "service": "s", "public": true},
-               {"name": "hanging", "host": "h", "path_prefix": "/hanging/", "kind": "non_idempotent", "timeout_ms": 60000, "service": "s",
-                "public": true},
-               {"name": "endless", "host": "h", "path_prefix": "/endless/", "kind": "streaming", "timeout_ms": 60000, "service": "s",
-                "public": true}
-             ]}
-            """.trimIndent()
+        private val ROUTES =
+            listOf(
+                FakeRoute("plain", "idempotent", timeoutMs = 1_000),
+                FakeRoute("hanging", "non_idempotent", timeoutMs = 60_000),
+                FakeRoute("endless", "streaming", timeoutMs = 60_000),
+            )
     }
 }
+
+/** Parses [address], given as `IP address:port`. */
+internal fun socketAddressOf(address: String) = InetSocketAddress(address.substringBefore(':'), address.substringAfter(':').toInt())
+
+/** A request for [path] as a caller of the platform sends it. */
+internal fun callerRequest(path: String): ByteArray = "GET $path HTTP/1.1\r\nHost: h\r\n$REQUEST_ID_HEADER: 1\r\n\r\n".encodeToByteArray()
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayShutdownTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayShutdownTest.kt
@@ -8,7 +8,6 @@
 import org.junit.jupiter.api.Nested
 import java.io.IOException
 import java.net.ConnectException
-import java.net.InetSocketAddress
 import java.net.Socket
 import kotlin.concurrent.thread
 import kotlin.test.Test
@@ -19,7 +18,7 @@
 class GatewayShutdownTest {
     private val fixture = GatewayFixture()
     private val settings = fixture.settings(drainGraceS = 4.0)
-    private val callersAddress = settings.callersAddress.run { InetSocketAddress(substringBefore(':'), substringAfter(':').toInt()) }
+    private val callersAddress = socketAddressOf(settings.callersAddress)
     private val process = GatewayProcess(settings)
 
     @BeforeEach
@@ -110,8 +109,7 @@
         private val socket = Socket().apply { connect(callersAddress) }
         private val input = socket.apply { soTimeout = READ_TIMEOUT_MS }.getInputStream().buffered()
 
-        fun send(path: String) =
-            socket.getOutputStream().write("GET $path HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\n\r\n".encodeToByteArray())
+        fun send(path: String) = socket.getOutputStream().write(callerRequest(path))
 
         fun readHead(): String =
             buildString {
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayStartTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayStartTest.kt
@@ -6,7 +6,6 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import java.net.ConnectException
-import java.net.InetSocketAddress
 import java.net.Socket
 import kotlin.test.Test
 import kotlin.test.assertFailsWith
@@ -30,8 +29,7 @@
                 stopped.await()
             }
 
-            val address = settings.callersAddress.run { InetSocketAddress(substringBefore(':'), substringAfter(':').toInt()) }
-            assertFailsWith<ConnectException> { Socket().connect(address) }
+            assertFailsWith<ConnectException> { Socket().connect(socketAddressOf(settings.callersAddress)) }
         }
     }
 }
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/OddServerEntryTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/OddServerEntryTest.kt
@@ -2,19 +2,9 @@
 
 import org.junit.jupiter.api.Nested
 import org.lycheemount.caller.WorkDispatcher
-import org.lycheemount.common.BackendServer
-import org.lycheemount.common.Refusal
-import org.lycheemount.common.RefusalReason
-import org.lycheemount.common.RequestId
-import org.lycheemount.config.WorkClass
+import org.lycheemount.common.ZoneId
 import org.lycheemount.platform.StoreRow
-import org.lycheemount.scheduling.CacheEvents
-import org.lycheemount.scheduling.LoadReport
-import org.lycheemount.scheduling.RequestScheduler
-import org.lycheemount.scheduling.SchedulerAction
-import org.lycheemount.scheduling.ServiceEvent
-import org.lycheemount.scheduling.SubmitOutcome
-import org.lycheemount.scheduling.WorkItem
+import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.testing.FakeClock
 import org.lycheemount.testing.FakeEventLog
 import kotlin.test.Test
@@ -23,10 +13,10 @@
 class OddServerEntryTest {
     private val clock = FakeClock()
     private val log = FakeEventLog()
-    private val scheduler = ServerRecorder()
-    private val listener = ServerRowListener(WorkDispatcher(scheduler, clock), clock, log)
+    private val dispatcher = WorkDispatcher(createRequestScheduler(ZoneId("z"), seed = 1), clock)
+    private val listener = ServerRowListener(dispatcher, clock, log)
 
-    private val usedServerIds get() = scheduler.servers.map { it.backendServerId.value }.sorted()
+    private val usedServerIds get() = dispatcher.backendServers().map { it.backendServerId.value }.sorted()
 
     private val unreadableCount get() = log.events.count { (name, _) -> name == "server_entry_unreadable" }
 
@@ -80,49 +70,4 @@
             assertEquals(2, unreadableCount)
         }
     }
-
-    /** Records the servers that the dispatcher passes on; refuses all requests. */
-    private class ServerRecorder : RequestScheduler {
-        var servers = emptyList<BackendServer>()
-            private set
-
-        override fun onBackendServers(
-            servers: List<BackendServer>,
-            nowMs: Long,
-        ) {
-            this.servers = servers
-        }
-
-        override fun submit(
-            item: WorkItem,
-            nowMs: Long,
-        ): SubmitOutcome = SubmitOutcome.Refused(Refusal(RefusalReason.NO_BACKEND_SERVER, "no server"))
-
-        override fun onWorkClasses(workClasses: Collection<WorkClass>) = Unit
-
-        override fun cancel(
-            requestId: RequestId,
-            nowMs: Long,
-        ) = Unit
-
-        override fun onServiceEvent(
-            requestId: RequestId,
-            event: ServiceEvent,
-            nowMs: Long,
-        ) = Unit
-
-        override fun onLoadReport(
-            report: LoadReport,
-            nowMs: Long,
-        ) = Unit
-
-        override fun onCacheEvents(
-            events: CacheEvents,
-            nowMs: Long,
-        ) = Unit
-
-        override fun poll(nowMs: Long): List<SchedulerAction> = emptyList()
-
-        override fun nextWakeUpMs(nowMs: Long): Long? = null
-    }
 }
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ShutdownCallers.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ShutdownCallers.kt
@@ -1,7 +1,6 @@
 package org.lycheemount.app.router.gateway
 
 import java.io.IOException
-import java.net.InetSocketAddress
 import java.net.Socket
 import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.concurrent.thread
@@ -27,7 +26,7 @@
     address: String,
     private val random: Random,
 ) {
-    private val address = InetSocketAddress(address.substringBefore(':'), address.substringAfter(':').toInt())
+    private val address = socketAddressOf(address)
     private val exchanges = ConcurrentLinkedQueue<CallerExchange>()
     private val threads = ArrayList<Thread>()
     private val startedAtMs = nowMs()
@@ -98,7 +97,7 @@
         val sentAtMs = nowMs()
         val outcome =
             try {
-                socket.getOutputStream().write("GET $path HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\n\r\n".encodeToByteArray())
+                socket.getOutputStream().write(callerRequest(path))
                 readHead(socket)
             } catch (failure: IOException) {
                 failure.message.orEmpty()
