--- a/review/stand/Rig.java
+++ b/review/stand/Rig.java
@@ -366,6 +366,8 @@
         final List<Msg> runs = Collections.synchronizedList(new ArrayList<>());
         final AtomicInteger beats = new AtomicInteger();
         final AtomicInteger atWork = new AtomicInteger();
+        /** Whether the bodies of runs are kept, for a comparison. */
+        volatile boolean keepsBodies = true;
 
         Worker(String id, String service, Handler handler) throws IOException {
             this.id = id;
@@ -400,6 +402,7 @@
                         continue;
                     }
                     readBody(in, m, false);
+                    if (!keepsBodies) m.body = new byte[0];
                     runs.add(m);
                     atWork.incrementAndGet();
                     try {
@@ -449,8 +452,8 @@
 
     // ---------------------------------------------------------------- routers
 
-    static int freePort() throws IOException {
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) { return s.getLocalPort(); }
+    static int freePort() {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) { return s.getLocalPort(); } catch (IOException e) { throw new UncheckedIOException(e); }
     }
 
     static class Router {
