--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves out the disruption.
+cd "$(dirname "$0")/../.."
+exec java -Xmx2g -cp review/target Case5
--- a/review/stand/Case4.java
+++ b/review/stand/Case4.java
@@ -41,7 +41,7 @@
             }
             log("streams " + STREAMS + ", answered whole " + endedAt.size() + ", clients that left " + leftAt.size() + ", at workers by then " + reached
                 + ", still at work half a second later " + still + " (more than a quarter break the rule)");
-            if (trouble && reached < 8 || endedAt.size() < STREAMS - leftAt.size()) throw new IllegalStateException("too little happened to judge");
+            if (trouble && reached < 8 || endedAt.size() < (STREAMS - leftAt.size()) * 8 / 10) throw new IllegalStateException("too little happened to judge");
             return still * 4 > reached;
         });
     }
