--- a/review/stand/Case2.java
+++ b/review/stand/Case2.java
@@ -39,7 +39,7 @@
                 POOL.submit(() -> photos(router, key));
                 sleep(trouble ? 50 : 800);
             }
-            long end = now() + (trouble ? 80_000 : 25_000);
+            long end = now() + (trouble ? 90_000 : 25_000);
             int ends = 0;
             while (now() < end && unanswered.size() <= 3) {
                 if (!router.process.isAlive()) {
