Review: run bits, and the record's path in each script

Each run.sh can be started by itself and names the record.txt that it writes. Checks, bounds and stand-ins are unchanged.

--- a/review/stand/Rig.java
+++ b/review/stand/Rig.java
@@ -536,7 +536,7 @@
         limit.setDaemon(true);
         limit.start();
         try {
-            record = new PrintWriter(Files.newBufferedWriter(ROOT.resolve("review/" + number + "/record.txt")));
+            record = new PrintWriter(Files.newBufferedWriter(ROOT.resolve(System.getProperty("record", "review/" + number + "/record.txt"))));
             folder = Files.createTempDirectory("review-" + number + "-");
             log("case " + number + ", disruption " + (trouble ? "on" : "off"));
             boolean broken = body.run(trouble, folder);
