--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
@@ -414,6 +414,59 @@
         }
     }
 
+    @Nested
+    inner class `a request with Connection close whose caller leaves` {
+        private fun leave(
+            path: String,
+            isSent: () -> Boolean,
+        ) = open(path, "Connection: close").use { await(isSent) }
+
+        @Test
+        fun `is cancelled while its server works on it, guarding against work for callers who have left`() {
+            first.enqueue { awaitClose() }
+
+            leave("/read/1") { first.requests.isNotEmpty() }
+
+            assertEquals("caller_gone", awaitLoggedOutcome())
+            assertNotNull(first.callerDisconnects.poll(10, TimeUnit.SECONDS))
+        }
+
+        @Test
+        fun `is cancelled between two events of its stream`() {
+            first.enqueue {
+                startStream()
+                event(1)
+                awaitClose()
+            }
+
+            open("/chat/1", "Connection: close").use { it.getInputStream().read() }
+
+            assertEquals("caller_gone", awaitLoggedOutcome())
+            assertNotNull(first.callerDisconnects.poll(10, TimeUnit.SECONDS))
+        }
+
+        @Test
+        fun `is cancelled while it waits for a server`() {
+            scheduler.isPaused = true
+
+            leave("/read/1") { configurationReads.get() > 0 }
+
+            assertEquals("caller_gone", awaitLoggedOutcome())
+        }
+
+        @Test
+        fun `is cancelled also if the caller closes only its sending side`() {
+            first.enqueue { awaitClose() }
+
+            open("/read/1", "Connection: close").use { socket ->
+                await { first.requests.isNotEmpty() }
+                socket.shutdownOutput()
+
+                assertEquals("caller_gone", awaitLoggedOutcome())
+            }
+        }
+    }
+
     @Nested
     inner class `a request that is read together with the end of its connection` {
         @Test
