Clear a prompt only when a server has got far enough with its response

Cause: the first event of a response was taken as proof that the prompt is harmless. It ended the suspicion of the request, cleared its segments of earlier crashes, and hid the crashes at servers where the stream was resumed.

Change: a prompt is served once its response is complete or has gone on for a second. Until then a broken connection makes it a suspect. Servers that crash within 100 ms of each other count once against common segments, since more of these are suspected now.

--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashEvidence.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashEvidence.kt
@@ -20,11 +20,12 @@
  *
  * Load pattern: requests with a segment on which servers crash arrive at all routers, no two alike, among sound requests that have their
  * other segments. Each crash leaves several suspects, because a server handles many requests at once. Only the segment that crashes
- * servers is among the suspects of every one of these crashes, and no server ever responds to it.
+ * servers is among the suspects of every one of these crashes, and no server ever gets far with a response to it.
  *
- * A segment is therefore cleared of all earlier crashes when a server responds to it. Of the others, those that explain most crashes
+ * A segment is therefore cleared of all earlier crashes when a server has responded to it, completely or for a while. Of the others, those that explain most crashes
  * are held responsible first, and crashes that are explained count against no other segment. Among segments that explain the same
- * number of crashes, the one that fewest requests share is responsible. Crashes that have nothing in common blame no segment.
+ * number of crashes, the one that fewest requests share is responsible. Crashes that have nothing in common blame no segment. Servers that
+ * crash together have a cause in common that is no prompt, so they count once against segments that many requests share.
  *
  * Segments of one prompt that explain the same crashes are quarantined together: a request with only some of them is sent, and its
  * outcome tells them apart.
@@ -86,7 +87,9 @@
                 suspicions
                     .mapValues { (_, suspicion) -> suspicion.crashes.intersect(unexplained) }
                     .filter { (segment, crashes) ->
-                        crashes.size >= minCrashCount(suspicions.getValue(segment).position, hasWorked(segment))
+                        val isCommon = suspicions.getValue(segment).position == Position.FIRST || hasWorked(segment)
+                        val crashTimesMs = crashes.map(crashTimes::getValue)
+                        if (isCommon) momentCount(crashTimesMs) >= MIN_MOMENTS_OF_COMMON_SEGMENT else crashes.size >= MIN_CRASHES
                     }
             val mostCrashes = candidates.values.maxOfOrNull { it.size } ?: return responsible
             val mostSuspected = candidates.filterValues { it.size == mostCrashes }
@@ -162,10 +165,17 @@
             else -> Position.SHARED
         }
 
-    private fun minCrashCount(
-        position: Position,
-        hasWorked: Boolean,
-    ): Int = if (position == Position.FIRST || hasWorked) MIN_CRASHES_OF_COMMON_SEGMENT else MIN_CRASHES
+    /** Number of moments at which servers crashed, alone or together. */
+    private fun momentCount(crashTimesMs: List<Long>): Int {
+        var count = 0
+        var momentEndsMs = Long.MIN_VALUE
+        for (crashTimeMs in crashTimesMs.sorted()) {
+            if (crashTimeMs < momentEndsMs) continue
+            count++
+            momentEndsMs = crashTimeMs + MOMENT_MS
+        }
+        return count
+    }
 
     /** Place of a segment in its prompts, in order of the number of requests that it is common to. */
     private enum class Position { FIRST, SHARED, OWN }
@@ -182,8 +192,11 @@
         /** A single crash has many possible causes. */
         private const val MIN_CRASHES = 2
 
-        /** Common segments are among the suspects of most crashes, also of several servers that crash together for another reason. */
-        private const val MIN_CRASHES_OF_COMMON_SEGMENT = 4
+        /** Common segments are among the suspects of most crashes, also of those that have another reason. */
+        private const val MIN_MOMENTS_OF_COMMON_SEGMENT = 4
+
+        /** Routers notice the crashes of servers that end together within this time. */
+        private const val MOMENT_MS = 100L
 
         private const val SECOND_MS = 1_000L
         private val DURATIONS_MS = listOf(4 * SECOND_MS, 60 * SECOND_MS, 600 * SECOND_MS)
--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashReport.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashReport.kt
@@ -9,7 +9,7 @@
  *
  * @property serverRun the run of the server that ended; the same in the reports of all routers.
  * @property atTableTimeMs table time of the crash, in milliseconds.
- * @property suspects prompts of the requests whose response had not begun.
+ * @property suspects prompts of the requests that the server was about to respond to or had just begun to respond to.
  */
 @Serializable
 internal data class CrashReport(
@@ -19,7 +19,7 @@
     val suspects: List<PromptSegments>,
 )
 
-/** Records that a server responded at [atTableTimeMs] to a request with a segment that was suspected. */
+/** Records that a server had responded at [atTableTimeMs] to a request with a segment that was suspected. */
 @Serializable
 internal data class SegmentClearance(
     val atTableTimeMs: Long,
--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/PromptQuarantine.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/PromptQuarantine.kt
@@ -11,23 +11,29 @@
     /** Returns why a request with [prompt] must not be sent to a server, or null if it may be sent. */
     fun refusalFor(prompt: PromptSegments): Refusal?
 
-    /** A server has begun to respond to a request with [prompt]. None of its segments crashes servers. */
-    fun onResponseStarted(prompt: PromptSegments)
+    /** A server has responded to a request with [prompt], completely or for [CRASH_WINDOW_MS]. None of its segments crashes servers. */
+    fun onPromptServed(prompt: PromptSegments)
 
-    /** The connection to [server] broke before the response to a request with [prompt] began. */
+    /** The connection to [server] broke before [onPromptServed] could be reported of a request with [prompt]. */
     fun onAttemptBroken(
         server: BackendServer,
         prompt: PromptSegments,
     )
 }
 
+/**
+ * Time from the first bytes of a response, in milliseconds, in which a server crashes if it crashes on the prompt. A crash does not hold
+ * back what has been sent before it.
+ */
+const val CRASH_WINDOW_MS: Long = 1_000
+
 /** Quarantine that refuses no prompt, for routers whose requests do not tell their segments. */
 object DisabledPromptQuarantine : PromptQuarantine {
     override val quarantinedCount: Int = 0
 
     override fun refusalFor(prompt: PromptSegments): Refusal? = null
 
-    override fun onResponseStarted(prompt: PromptSegments) = Unit
+    override fun onPromptServed(prompt: PromptSegments) = Unit
 
     override fun onAttemptBroken(
         server: BackendServer,
--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
@@ -101,7 +101,7 @@
         )
     }
 
-    override fun onResponseStarted(prompt: PromptSegments) {
+    override fun onPromptServed(prompt: PromptSegments) {
         synchronized(lock) {
             for (segment in prompt.all) {
                 workingSegments.add(segment)
--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/HarmfulTrafficFleet.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/HarmfulTrafficFleet.kt
@@ -26,6 +26,8 @@
 /**
  * Routers that share a table, and servers that end when they begin to respond to a harmful request, in virtual time. A router sends a
  * request to a second server if the first one fails, and a caller sends it once more.
+ *
+ * @param crashAfterMs time from the first bytes of a response after which a server ends that responds to a harmful request.
  */
 @OptIn(ExperimentalCoroutinesApi::class)
 internal class HarmfulTrafficFleet(
@@ -33,6 +35,7 @@
     scheduler: TestCoroutineScheduler,
     seed: Int,
     private val isEnabled: Boolean,
+    private val crashAfterMs: Long,
 ) {
     private val clock =
         object : Clock {
@@ -123,10 +126,19 @@
         request.hasFailed = false
         server.waiting += request
         delay(random.nextLong(20, 200))
-        if (!request.hasFailed && request.isHarmful) crash(server)
+        if (request.isHarmful) {
+            delay(crashAfterMs)
+            if (!request.hasFailed) crash(server)
+        }
+        val durationMs = random.nextLong(50, MAX_STREAM_MS)
+        delay(minOf(durationMs, CRASH_WINDOW_MS))
         server.waiting -= request
-        if (request.hasFailed) router.onAttemptBroken(description, request.prompt) else router.onResponseStarted(request.prompt)
-        return !request.hasFailed
+        if (request.hasFailed) {
+            router.onAttemptBroken(description, request.prompt)
+            return false
+        }
+        router.onPromptServed(request.prompt)
+        return true
     }
 
     private fun crash(server: Server) {
@@ -167,6 +179,7 @@
         private const val CALLER_TRIES = 2
         private const val CALLER_RETRY_MS = 100L
         private const val SERVER_DOWN_MS = 3_000L
+        private const val MAX_STREAM_MS = 5_000L
         private const val FIRST_SEGMENTS = 3
         private const val SECOND_SEGMENTS = 81
         private const val MEAN_INTERVAL_MS = 70L
--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
@@ -18,11 +18,12 @@
     private fun fleetTest(
         seed: Int = 1,
         isEnabled: Boolean = true,
+        crashAfterMs: Long = 0,
         body: suspend TestScope.(HarmfulTrafficFleet) -> Unit,
     ) = runTest {
         val scope = CoroutineScope(coroutineContext + Job())
         try {
-            body(HarmfulTrafficFleet(scope, testScheduler, seed, isEnabled))
+            body(HarmfulTrafficFleet(scope, testScheduler, seed, isEnabled, crashAfterMs))
         } finally {
             scope.cancel()
         }
@@ -45,6 +46,21 @@
             }
         }
 
+        @Test
+        fun `stop reaching servers also if these crash only after their first events, guarding against a response that proves too much`() {
+            for (crashAfterMs in listOf(30L, 300L)) {
+                for (seed in 1..SEEDS) {
+                    fleetTest(seed, crashAfterMs = crashAfterMs) { fleet ->
+                        fleet.run(harmfulShare = 0.1)
+
+                        val context = "crash after $crashAfterMs ms, seed $seed, crashes ${fleet.crashTimesMs}"
+                        assertTrue(fleet.lateHarmfulSends() <= MAX_LATE_SENDS, "${fleet.lateHarmfulSends()} late sends, $context")
+                        assertTrue(fleet.soundSentFirst >= fleet.soundCount / 2, "${fleet.soundSentFirst} of ${fleet.soundCount}, $context")
+                    }
+                }
+            }
+        }
+
         @Test
         fun `reach servers for as long as they come without a quarantine, as a replay of the same traffic shows`() {
             fleetTest(isEnabled = false) { fleet ->
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -13,6 +13,7 @@
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.WorkClassId
+import org.lycheemount.quarantine.CRASH_WINDOW_MS
 import org.lycheemount.scheduling.WorkItem
 import org.lycheemount.stream.AttemptPermit
 import java.io.IOException
@@ -64,8 +65,11 @@
     var lastServerId: BackendServerId? = null
         private set
 
-    /** Whether a server has begun to respond to this request. */
-    private var hasResponseStarted = false
+    /** Time at which the server of the current attempt began to respond; null before. */
+    private var respondingSinceMs: Long? = null
+
+    /** Whether the server of the current attempt has responded for long enough to show that it does not crash on the prompt. */
+    private var isPromptServed = false
 
     /** Waits for a server on which no attempt of this request has failed. */
     suspend fun awaitServer(): AttemptPermit {
@@ -80,10 +84,18 @@
     /** Returns why this request must not be sent to any server, or null. */
     fun quarantineRefusal(): Refusal? = request.prompt?.let(services.quarantine::refusalFor)
 
-    /** A server has begun to respond to this request. */
-    fun onResponseStarted() {
-        hasResponseStarted = true
-        request.prompt?.let(services.quarantine::onResponseStarted)
+    /** A part of a successful response has arrived. */
+    fun onResponsePart() {
+        val nowMs = services.clock.monotonicMs()
+        val sinceMs = respondingSinceMs ?: nowMs.also { respondingSinceMs = it }
+        if (nowMs - sinceMs >= CRASH_WINDOW_MS) onPromptServed()
+    }
+
+    /** The server has responded successfully, or for long enough to show that it does not crash on the prompt. */
+    fun onPromptServed() {
+        if (isPromptServed) return
+        isPromptServed = true
+        request.prompt?.let(services.quarantine::onPromptServed)
     }
 
     private suspend fun acquireServer(): AttemptPermit {
@@ -109,6 +121,8 @@
     ): AttemptOutcome {
         lastServerId = server.backendServerId
         count++
+        respondingSinceMs = null
+        isPromptServed = false
         isInProgress = true
         var metadata: ResponseMetadata? = null
         val call =
@@ -192,7 +206,7 @@
         metrics.onAttempt(request.route.kind, failure.name.lowercase())
         excludedServers += server.backendServerId
         if (!failure.hadNoEffect) mayHaveRun = true
-        if (failure == AttemptFailure.BROKEN_CONNECTION && !hasResponseStarted) {
+        if (failure == AttemptFailure.BROKEN_CONNECTION && !isPromptServed) {
             request.prompt?.let { services.quarantine.onAttemptBroken(server, it) }
         }
         services.eventLog.warn(
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
@@ -42,7 +42,6 @@
         events.startAttempt(isResumed = false)
         val first = readEvents(response) ?: return AttemptOutcome.Failed(AttemptFailure.BROKEN_CONNECTION)
         onResponseHead()
-        attempts.onResponseStarted()
         var result: RoutedOutcome = RoutedOutcome.Truncated("the caller's connection was lost")
         writer.writeStream(response.head) { channel ->
             channel.write(first)
@@ -104,7 +103,9 @@
         channel: ByteWriteChannel,
     ): Boolean {
         while (true) channel.write(readEvents(response) ?: break)
-        return response.body.isComplete && events.pendingBytes == 0 && !events.isOutOfOrder
+        val isComplete = response.body.isComplete && events.pendingBytes == 0 && !events.isOutOfOrder
+        if (isComplete) attempts.onPromptServed()
+        return isComplete
     }
 
     /** Waits for complete events; returns null at the end of the response, or if an event is out of order or has no end. */
@@ -119,6 +120,7 @@
                     return null
                 }
             if (count < 0) return null
+            attempts.onResponsePart()
             val completeEvents = events.append(bytes, count)
             if (completeEvents.isNotEmpty()) return completeEvents
             if (events.pendingBytes > MAX_EVENT_BYTES) return null
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RecordingQuarantine.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RecordingQuarantine.kt
@@ -11,7 +11,7 @@
 /** Quarantine that records what it is told, and refuses prompts with [refusedSegment]. */
 internal class RecordingQuarantine : PromptQuarantine {
     val brokenPrompts = CopyOnWriteArrayList<PromptSegments>()
-    val startedPrompts = CopyOnWriteArrayList<PromptSegments>()
+    val servedPrompts = CopyOnWriteArrayList<PromptSegments>()
 
     @Volatile
     var refusedSegment: SegmentId? = null
@@ -27,8 +27,8 @@
             refusedSegment in prompt.all && brokenPrompts.size >= refusesAfterBrokenAttempts
         }
 
-    override fun onResponseStarted(prompt: PromptSegments) {
-        startedPrompts += prompt
+    override fun onPromptServed(prompt: PromptSegments) {
+        servedPrompts += prompt
     }
 
     override fun onAttemptBroken(
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
@@ -1,6 +1,7 @@
 package org.lycheemount.caller.routed
 
 import org.junit.jupiter.api.Nested
+import org.lycheemount.quarantine.CRASH_WINDOW_MS
 import org.lycheemount.quarantine.PromptSegments
 import org.lycheemount.quarantine.SegmentId
 import java.net.Socket
@@ -96,21 +97,74 @@
         private val segments = "X-Segments: 1,99,7"
         private val prompt = PromptSegments(listOf(SegmentId(1), SegmentId(99)), SegmentId(7))
 
+        private fun RawServer.Connection.startUnchunkedStream(vararg headers: String) =
+            head("200 OK", "Content-Type: text/event-stream", "X-Id: r", *headers)
+
+        private fun RawServer.Connection.sendEvent(id: Int) = write("id: $id\ndata: a\n\n")
+
         @Test
-        fun `is suspected only if the connection breaks before the first event, guarding against a crash that blames other requests`() {
-            first.enqueue { head("200 OK", "Content-Type: text/event-stream", "X-Id: r") }
+        fun `is suspected if the connection breaks before the first event`() {
+            first.enqueue { startUnchunkedStream() }
+
             exchange("/chat/1", segments)
+
             assertEquals(listOf(prompt), quarantine.brokenPrompts.toList())
-            assertEquals(emptyList(), quarantine.startedPrompts.toList())
+            assertEquals(emptyList(), quarantine.servedPrompts.toList())
+        }
+
+        @Test
+        fun `is suspected also if its first events get out, guarding against servers that crash just after they began to respond`() {
+            first.enqueue {
+                startUnchunkedStream("Content-Length: 1000")
+                sendEvent(1)
+            }
+
+            exchange("/chat/1", segments)
+
+            assertEquals(listOf(prompt), quarantine.brokenPrompts.toList())
+            assertEquals(emptyList(), quarantine.servedPrompts.toList())
+        }
+
+        @Test
+        fun `is suspected at each server at which its stream is resumed`() {
+            for (server in listOf(first, second)) {
+                server.enqueue {
+                    startUnchunkedStream("Content-Length: 1000")
+                    sendEvent(if (server === first) 1 else 2)
+                }
+            }
 
+            exchange("/draft/1", segments)
+
+            assertEquals(listOf(prompt, prompt), quarantine.brokenPrompts.toList())
+        }
+
+        @Test
+        fun `is cleared once its stream has gone on for a while, guarding against a crash that blames other requests`() {
             first.enqueue {
-                head("200 OK", "Content-Type: text/event-stream", "X-Id: r", "Content-Length: 1000")
-                write("id: 1\ndata: a\n\n")
+                startUnchunkedStream("Content-Length: 1000")
+                sendEvent(1)
+                Thread.sleep(CRASH_WINDOW_MS + ARRIVAL_MS)
+                sendEvent(2)
             }
-            exchange("/chat/2", segments)
 
-            assertEquals(1, quarantine.brokenPrompts.size)
-            assertEquals(listOf(prompt), quarantine.startedPrompts.toList())
+            exchange("/chat/1", segments)
+
+            assertEquals(emptyList(), quarantine.brokenPrompts.toList())
+            assertEquals(listOf(prompt), quarantine.servedPrompts.toList())
+        }
+
+        @Test
+        fun `is cleared by a complete stream, however short`() {
+            first.enqueue {
+                startUnchunkedStream()
+                sendEvent(1)
+            }
+
+            exchange("/chat/1", segments)
+
+            assertEquals(emptyList(), quarantine.brokenPrompts.toList())
+            assertEquals(listOf(prompt), quarantine.servedPrompts.toList())
         }
 
         @Test
@@ -120,7 +174,7 @@
             val response = exchange("/chat/1", segments)
 
             assertTrue(response.startsWith("HTTP/1.1 504"), response)
-            assertEquals(emptyList(), quarantine.startedPrompts.toList())
+            assertEquals(emptyList(), quarantine.servedPrompts.toList())
         }
 
         @Test
