Close the connection in place of the end of a response that is broken off

Cause: a cancelled call ends its body's channel as a complete one does. CIO then neither ends nor closes the response, and Ktor's Netty adapter writes the last chunk.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnection.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnection.kt
@@ -18,6 +18,12 @@
     /** Whether a body on this connection is malformed, or the connection ended within it. No other request follows it then. */
     val hasBrokenBody: Boolean get() = channel.attr(CallerConnectionHandler.BROKEN_BODY).get() == true
 
+    /**
+     * Breaks off the response that is being written: what has been written of it is sent, and the connection is closed in place of its
+     * end, so that the caller cannot take it for complete.
+     */
+    fun breakOffResponse() = channel.attr(CallerConnectionHandler.BROKEN_RESPONSE).set(true)
+
     /** Waits until the thread of this connection has run all tasks that are ready, and has read its sockets. */
     suspend fun awaitRead() =
         suspendCancellableCoroutine { continuation ->
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -1,6 +1,8 @@
 package org.lycheemount.listener
 
+import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelDuplexHandler
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPromise
 import io.netty.handler.codec.http.HttpContent
@@ -78,7 +80,10 @@
         message: Any,
         promise: ChannelPromise,
     ) {
-        if (message is LastHttpContent && !isInterim(message)) promise.unvoid().addListener { onResponseWritten() }
+        if (message is LastHttpContent && !isInterim(message)) {
+            if (context.channel().attr(BROKEN_RESPONSE).get() == true) return closeInPlaceOf(message, promise)
+            promise.unvoid().addListener { onResponseWritten() }
+        }
         context.write(message, promise)
     }
 
@@ -91,6 +96,14 @@
 
     private fun isInterim(message: LastHttpContent) = message is HttpResponse && message.status().code() < FIRST_FINAL_STATUS
 
+    private fun closeInPlaceOf(
+        message: LastHttpContent,
+        promise: ChannelPromise,
+    ) {
+        ReferenceCountUtil.release(message)
+        context.writeAndFlush(Unpooled.EMPTY_BUFFER, promise).addListener(ChannelFutureListener.CLOSE)
+    }
+
     private fun onResponseWritten() {
         requestsInProgress--
         idleSinceNs = System.nanoTime()
@@ -114,5 +127,8 @@
 
         /** Set on a connection on which a body is malformed, or that ended within a body. */
         val BROKEN_BODY: AttributeKey<Boolean> = AttributeKey.valueOf("brokenBody")
+
+        /** Set on a connection whose current response must not be ended. */
+        val BROKEN_RESPONSE: AttributeKey<Boolean> = AttributeKey.valueOf("brokenResponse")
     }
 }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ResponseWriter.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ResponseWriter.kt
@@ -13,6 +13,7 @@
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.delay
 import org.lycheemount.backend.ResponseHead
+import org.lycheemount.listener.callerConnection
 import java.io.IOException
 
 /** Writes the response to one request. */
@@ -56,7 +57,18 @@
     ) {
         isCommitted = true
         try {
-            call.respond(PassThroughContent(head, length, write))
+            call.respond(
+                PassThroughContent(head, length) { channel ->
+                    var isWritten = false
+                    try {
+                        write(channel)
+                        isWritten = true
+                    } finally {
+                        // Ktor ends the response as if it were complete when the call is cancelled.
+                        if (!isWritten) call.callerConnection?.breakOffResponse()
+                    }
+                },
+            )
         } catch (failure: TruncatedResponseException) {
             throw failure
         } catch (failure: IOException) {
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
@@ -62,9 +62,11 @@
         } catch (exception: TruncatedResponseException) {
             return RoutedOutcome.Truncated(exception.message.orEmpty())
         } catch (exception: TimeoutCancellationException) {
+            // The abort of a response closes the caller's connection, which cancels this coroutine as well.
+            if (writer.isCommitted) return RoutedOutcome.Truncated("timeout")
             // Cancellation by the caller is not a timeout.
             currentCoroutineContext().ensureActive()
-            return if (writer.isCommitted) RoutedOutcome.Truncated("timeout") else timedOut()
+            return timedOut()
         } catch (exception: ShutdownException) {
             currentCoroutineContext().ensureActive()
             return if (writer.isCommitted) RoutedOutcome.Truncated("shutdown") else endedByShutdown()
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedRequestHandlerTest.kt
@@ -5,12 +5,14 @@
 import org.lycheemount.quarantine.PromptSegments
 import org.lycheemount.quarantine.SegmentId
 import java.net.Socket
+import java.net.SocketException
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
+import kotlin.test.assertNotEquals
 import kotlin.test.assertNotNull
 import kotlin.test.assertTrue
 
@@ -78,6 +80,71 @@
             assertTrue(sentBytes.get() < MOST_SENT_BYTES, "the router read $sentBytes bytes")
         }
 
+        @Test
+        fun `in its body is read no faster than the caller reads it, guarding against a server that uses up the memory of a router`() {
+            first.enqueue {
+                head("200 OK", "X-Id: r", "Connection: close")
+                sendWithoutEnd("0123456789\n")
+            }
+
+            open("/order/1", "Connection: close").use { caller ->
+                caller.getInputStream().readNBytes(1_000)
+                Thread.sleep(ARRIVAL_MS)
+
+                assertTrue(sentBytes.get() < MOST_SENT_BYTES, "the router read $sentBytes bytes")
+            }
+        }
+
+        @Test
+        fun `in its body ends at the route's timeout without looking complete, however fast the caller reads`() {
+            repeat(10) {
+                first.enqueue {
+                    head("200 OK", "X-Id: r", "Transfer-Encoding: chunked")
+                    runCatching { while (true) chunk("0123456789".repeat(LINES_PER_WRITE)) }
+                }
+
+                val responseEnd = open("/slow/1").use { readLastBytes(it, LAST_CHUNK.length) }
+
+                assertNotEquals(LAST_CHUNK, responseEnd)
+            }
+            assertEquals(List(10) { "broken_off:timeout" }, awaitLoggedOutcomes(10))
+        }
+
+        @Test
+        fun `in the size of a chunk closes the connection`() {
+            first.enqueue {
+                head("200 OK", "X-Id: r", "Transfer-Encoding: chunked")
+                sendWithoutEnd("0000000000")
+            }
+
+            val response = exchange("/order/1")
+
+            assertTrue(response.startsWith("HTTP/1.1 502"), response)
+            assertTrue(sentBytes.get() < MOST_SENT_BYTES, "the router read $sentBytes bytes")
+        }
+
+        /** Reads to the end of the connection and returns the last [count] bytes. */
+        private fun readLastBytes(
+            caller: Socket,
+            count: Int,
+        ): String {
+            caller.soTimeout = 10_000
+            val last = ArrayDeque<Byte>()
+            val bytes = ByteArray(65_536)
+            try {
+                while (true) {
+                    val read = caller.getInputStream().read(bytes)
+                    if (read < 0) break
+                    for (index in maxOf(0, read - count) until read) last += bytes[index]
+                    while (last.size > count) last.removeFirst()
+                }
+            } catch (failure: SocketException) {
+                // The router resets the connection of a response that it cannot complete.
+                log.info("connection_reset", "error" to failure.message)
+            }
+            return last.toByteArray().decodeToString()
+        }
+
         @Test
         fun `in an event closes the connection, guarding against a server that uses up the memory of a router`() {
             first.enqueue {
@@ -202,6 +269,34 @@
         }
     }
 
+    @Nested
+    inner class `a response that ends inside its head` {
+        private val head = "HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\n"
+
+        @Test
+        fun `is never relayed, wherever it ends, guarding against callers who take an empty or short body for the whole one`() {
+            for (length in 0 until head.length) {
+                first.enqueue { write(head.take(length)) }
+
+                val response = exchange("/order/$length")
+
+                assertTrue(response.startsWith("HTTP/1.1 502"), "after $length bytes of the head: $response")
+            }
+        }
+
+        @Test
+        fun `is never relayed as an event stream`() {
+            val streamHead = "HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Type: text/event-stream\r\n\r\n"
+            for (length in 0 until streamHead.length) {
+                first.enqueue { write(streamHead.take(length)) }
+
+                val response = exchange("/chat/$length")
+
+                assertTrue(response.startsWith("HTTP/1.1 502"), "after $length bytes of the head: $response")
+            }
+        }
+    }
+
     @Nested
     inner class `an order whose response is truncated` {
         @Test
@@ -443,6 +538,24 @@
             assertEquals(0, ledger.bills.size)
         }
 
+        @Test
+        fun `that outlasts the route's timeout is closed without its end, guarding against a truncated stream that looks complete`() {
+            repeat(3) {
+                first.enqueue {
+                    startStream()
+                    runCatching {
+                        repeat(100) {
+                            event(it + 1)
+                            Thread.sleep(20)
+                        }
+                    }
+                }
+
+                assertFalse(exchange("/brief/1").endsWith(LAST_CHUNK))
+            }
+            assertEquals(List(3) { "broken_off:timeout" }, awaitLoggedOutcomes(3))
+        }
+
         @Test
         fun `of a team without tokens is refused before it reaches a server`() {
             val response = exchange("/chat/1", "X-Tokens: 600000,600000")
@@ -615,6 +728,7 @@
         // Time in which bytes arrive over the loopback.
         private const val ARRIVAL_MS = 500L
         private const val LINES_PER_WRITE = 1_000
+        private const val LAST_CHUNK = "0\r\n\r\n"
         private const val MOST_SENT_BYTES = 64L * 1_048_576
     }
 }
