Run requests on the threads that serve the connections to servers

Cause: on Netty a request's coroutine ran on the thread of its caller's connection, which each step at a server (connection, head, body) had to wake.

Change: a request waits for two turns of its connection's thread, in which a caller that has left is noticed, and then runs on the default threads.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -16,6 +16,8 @@
 import io.ktor.server.routing.route
 import io.ktor.server.routing.routing
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.yield
 import org.lycheemount.caller.AdmissionController
 import org.lycheemount.caller.BodyReader
@@ -104,9 +106,13 @@
         val metadata = services.dialect.readMetadata(call.request.headers)
         var isExecuting = false
         try {
-            admitAndRead(call, writer, metadata) { request ->
-                isExecuting = true
-                execute(writer, request)
+            awaitRead(call)
+            // The connections to servers are served by these threads, so that each step of an attempt goes on without a change of thread.
+            withContext(Dispatchers.Default) {
+                admitAndRead(call, writer, metadata) { request ->
+                    isExecuting = true
+                    execute(writer, request)
+                }
             }
         } catch (exception: CancellationException) {
             if (!isExecuting) {
@@ -124,7 +130,7 @@
         onRequest: suspend (RoutedRequest) -> Unit,
     ) {
         val enteredAtMs = services.clock.monotonicMs()
-        val queueDelayMs = measureQueueDelayMs(call)
+        val queueDelayMs = measureQueueDelayMs()
         val arrivedAtMs = enteredAtMs - OverloadPolicy.waitBeforeHandlerMs(queueDelayMs)
         if (services.drain.isDraining) writer.closeConnection()
         val matched = matchRoute(call).getOrElse { return refuse(writer, metadata, null, it) }
@@ -147,14 +153,19 @@
     }
 
     /**
-     * Lets all tasks that are ready run a few times and returns how long one of them waits. The sockets are read meanwhile, so that the
-     * request of a caller that has just closed its connection is cancelled before it is sent to a server.
+     * Lets the connection read on, so that the request of a caller that has just closed it is cancelled before it is sent to a server.
+     * Throws [CancellationException] if the connection is closed.
      */
-    private suspend fun measureQueueDelayMs(call: ApplicationCall): Long {
-        val connection = call.callerConnection
+    private suspend fun awaitRead(call: ApplicationCall) {
+        val connection = call.callerConnection ?: return
+        repeat(READING_TURNS) { connection.awaitRead() }
+        if (!connection.isOpen) throw CancellationException("the caller has closed its connection")
+    }
+
+    /** Lets all tasks that are ready run a few times and returns how long one of them waits. */
+    private suspend fun measureQueueDelayMs(): Long {
         val startedAtMs = services.clock.monotonicMs()
-        repeat(MEASURED_TURNS) { connection?.awaitRead() ?: yield() }
-        if (connection?.isOpen == false) throw CancellationException("the caller has closed its connection")
+        repeat(MEASURED_TURNS) { yield() }
         val nowMs = services.clock.monotonicMs()
         return ((nowMs - startedAtMs) / MEASURED_TURNS).also { overloadMonitor.onRequest(it, nowMs) }
     }
@@ -322,7 +333,8 @@
         private const val KIND = "routed"
         private const val CALLER_GONE = "caller_gone"
 
-        // The current turn ends, and the next one reads the end of the connection and cancels the request.
+        // The current turn ends, and the next one reads the end of the connection.
+        private const val READING_TURNS = 2
         private const val MEASURED_TURNS = 3
         private const val HEXADECIMAL = 16
 
