Forget a caller's connection when it is closed

'is forgotten once it is closed' of CallerServerTest failed before (a task due in 1.0 s, the test's timeout) and passes now.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -11,12 +11,12 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.AttributeKey
 import io.netty.util.ReferenceCountUtil
+import io.netty.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 
 /**
  * Counts the requests in progress on one connection, closes the connection while it has none, and marks it when a body cannot be
- * read to its end.
- * Used by the thread of the connection, except for [closeOnceIdle].
+ * read to its end. Used by the thread of the connection, except for [closeOnceIdle].
  */
 internal class CallerConnectionHandler(
     private val idleTimeoutS: Long,
@@ -28,6 +28,7 @@
     private var isReadingBody = false
     private var closesOnceIdle = false
     private var idleSinceNs = System.nanoTime()
+    private var idleCheck: Future<*>? = null
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
@@ -55,6 +56,8 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
+        // A check that is due long after the end of its connection would keep it in memory.
+        idleCheck?.cancel(false)
         markBrokenBody()
         context.fireChannelInactive()
     }
@@ -111,7 +114,7 @@
     }
 
     private fun checkIdleIn(delayNs: Long) {
-        context.executor().schedule({ closeIfIdle() }, delayNs, TimeUnit.NANOSECONDS)
+        idleCheck = context.executor().schedule({ closeIfIdle() }, delayNs, TimeUnit.NANOSECONDS)
     }
 
     private fun closeIfIdle() {
--- a/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerServerTest.kt
+++ b/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerServerTest.kt
@@ -13,6 +13,7 @@
 import io.ktor.server.routing.routing
 import io.ktor.utils.io.readRemaining
 import io.ktor.utils.io.writeFully
+import io.netty.channel.embedded.EmbeddedChannel
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.awaitCancellation
@@ -180,6 +181,15 @@
             }
         }
 
+        @Test
+        fun `is forgotten once it is closed, guarding against short connections that fill the memory until their idle timeout`() {
+            val channel = EmbeddedChannel(CallerConnectionHandler(IDLE_TIMEOUT_S, {}, {}))
+
+            channel.pipeline().fireChannelInactive()
+
+            assertEquals(NO_SCHEDULED_TASK, channel.runScheduledPendingTasks())
+        }
+
         @Test
         fun `carries pipelined requests, whose responses keep their order`() {
             val requests = (1..20).joinToString("") { "GET /ping/p$it HTTP/1.1\r\nHost: h\r\n\r\n" }
@@ -293,6 +303,9 @@
     private companion object {
         private const val CLOSE = "Connection: close\r\n"
         private const val IDLE_TIMEOUT_S = 1L
+
+        // What Netty's test channel returns if nothing is scheduled.
+        private const val NO_SCHEDULED_TASK = -1L
         private const val READ_TIMEOUT_MS = 10_000
         private const val PART_BYTES = 65_536
 
