--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashEvidence.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashEvidence.kt
@@ -22,10 +22,11 @@
  * other segments. Each crash leaves several suspects, because a server handles many requests at once. Only the segment that crashes
  * servers is among the suspects of every one of these crashes, and no server ever gets far with a response to it.
  *
- * A segment is therefore cleared of all earlier crashes when a server has responded to it, completely or for a while. Of the others, those that explain most crashes
- * are held responsible first, and crashes that are explained count against no other segment. Among segments that explain the same
- * number of crashes, the one that fewest requests share is responsible. Crashes that have nothing in common blame no segment. Servers that
- * crash together have a cause in common that is no prompt, so they count once against segments that many requests share.
+ * A segment is therefore cleared of all earlier crashes when a server has responded to it, completely or for a while. Of the others,
+ * those that explain most crashes are held responsible first, and crashes that are explained count against no other segment. Among
+ * segments that explain the same number of crashes, the one that fewest requests share is responsible. Crashes that have nothing in
+ * common blame no segment. Servers that crash together have a cause in common that is no prompt, so they count once against segments
+ * that many requests share.
  *
  * Segments of one prompt that explain the same crashes are quarantined together: a request with only some of them is sent, and its
  * outcome tells them apart.
