Report a served prompt in one place, and read the clock only while it can matter

- A complete stream was reported by the function that relays its events; completed() is called just then, by both of its callers.
- onResponsePart did nothing for a response that is buffered in part, as it is called once there and needs two calls.
- The clock was read for each part of a stream, also once its prompt was served or if the request has none.
- The peers' address was split by hand beside hostOf and portOf.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -224,8 +224,7 @@
 
     private fun routerVm() =
         settings.run {
-            val (host, port) = peersAddress.split(':')
-            RouterVm(vmId, routerId, regionId, zoneId, host, port.toInt())
+            RouterVm(vmId, routerId, regionId, zoneId, hostOf(peersAddress), portOf(peersAddress))
         }
 
     private fun routedServices() =
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -86,6 +86,7 @@
 
     /** A part of a successful response has arrived. */
     fun onResponsePart() {
+        if (isPromptServed || request.prompt == null) return
         val nowMs = services.clock.monotonicMs()
         val sinceMs = respondingSinceMs ?: nowMs.also { respondingSinceMs = it }
         if (nowMs - sinceMs >= CRASH_WINDOW_MS) onPromptServed()
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
@@ -143,13 +143,7 @@
         val isComplete = response.body.isComplete
         onResponseHead()
         // An error may come from a server that never began to run the request, so it does not show that the prompt is harmless.
-        if (response.head.httpStatus in SUCCESS_STATUSES) {
-            if (isComplete) {
-                attempts.onPromptServed()
-            } else {
-                attempts.onResponsePart()
-            }
-        }
+        if (isComplete && response.head.httpStatus in SUCCESS_STATUSES) attempts.onPromptServed()
         if (isComplete && response.head.httpStatus >= SERVER_ERROR_STATUS && attempts.tryRetry(AttemptFailure.SERVER_ERROR)) {
             failedResponse = BufferedResponse(response.head, body)
             return AttemptOutcome.FailedAndRetried(AttemptFailure.SERVER_ERROR)
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
@@ -93,6 +93,7 @@
     private fun resumeFailure() = if (events.isOutOfOrder) AttemptFailure.SERVER_ERROR else AttemptFailure.BROKEN_CONNECTION
 
     private fun completed(response: PassThroughResponse): RoutedOutcome {
+        attempts.onPromptServed()
         services.dispatcher.onServiceEvent(request.requestId, ServiceEvent.Completed(outputTokens))
         return RoutedOutcome.Responded(response.head.httpStatus)
     }
@@ -103,9 +104,7 @@
         channel: ByteWriteChannel,
     ): Boolean {
         while (true) channel.write(readEvents(response) ?: break)
-        val isComplete = response.body.isComplete && events.pendingBytes == 0 && !events.isOutOfOrder
-        if (isComplete) attempts.onPromptServed()
-        return isComplete
+        return response.body.isComplete && events.pendingBytes == 0 && !events.isOutOfOrder
     }
 
     /** Waits for complete events; returns null at the end of the response, or if an event is out of order or has no end. */
