Log and count the tokens that stay charged without a bill

Change: BudgetShares computes where the tokens of a budget are; its parts add up to the limit. The row of a budget counts unbilled tokens, which each router serves as lycheemount_budget_unbilled_tokens. grant_reclaimed also logs what was in use when the row was written and the ceiling. The balance that decides between 402 and 503 is the same sum as before.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -99,7 +99,11 @@
     private val configurationRefresher = ConfigurationRefresher(clock) { operatorRowWatcher.readOnce(configurationListener::onAllRows) }
     private val serverListener = ServerRowListener(dispatcher, clock, eventLog)
     private val drain = DrainState()
-    private val metricsRegistry = PrometheusRegistry().also(::registerLogMetrics)
+    private val metricsRegistry =
+        PrometheusRegistry().also {
+            registerLogMetrics(it)
+            registerBudgetMetrics(it, budgets)
+        }
     private val metricsHandler = MetricsHandler(metricsRegistry)
     private val routedInterface = RoutedRequestHandler(routedServices())
     private val callersServer =
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
@@ -1,5 +1,6 @@
 package org.lycheemount.budget
 
+import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.StateDumpSource
@@ -19,7 +20,18 @@
     val maintenance: BudgetMaintenance,
     val stateDump: StateDumpSource,
     internal val components: BudgetComponents,
-)
+) {
+    /**
+     * Tokens that stay charged without a bill, for the budgets that this router has read and that have any. Ended processes may have used
+     * them, but nothing shows that they did.
+     */
+    fun unbilledTokens(): Map<BudgetId, Long> =
+        components.accounts
+            .all()
+            .mapNotNull { account -> synchronized(account) { account.budgetRow?.unbilledTokens }?.let { account.budgetId to it } }
+            .filter { (_, tokens) -> tokens > 0 }
+            .toMap()
+}
 
 /**
  * Creates the budget accounting of the router that [peers] belongs to. No background work runs before [BudgetMaintenance.start].
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetRows.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetRows.kt
@@ -13,6 +13,7 @@
  * @property closedTokens tokens charged to grants that are closed.
  * @property transferTokens tokens that closed grants sent to peers, minus those that closed grants received.
  * @property limitSequence sequence of the configuration change that set the limit; 0 for a budget funded by top-ups.
+ * @property unbilledTokens part of [closedTokens] for which there is no bill: what grants of ended processes may have used at most.
  */
 @Serializable
 internal data class BudgetRow(
@@ -21,12 +22,14 @@
     val closedTokens: Long = 0,
     val transferTokens: Long = 0,
     val limitSequence: Long = 0,
+    val unbilledTokens: Long = 0,
 )
 
 /**
  * Tokens allocated to one router process.
  *
  * @property settledTokens sum of the written bills of this grant.
+ * @property usedTokens spent, reserved and sent tokens when this row was written.
  * @property sentTokens tokens transferred to peers; they count towards the use that [ceilingTokens] bounds.
  * @property ceilingTokens upper bound on spent, reserved and sent tokens at [lastAckedTableTimeMs]; see [ceilingAfterTokens].
  * @property ceilingTokensPerMs growth of the ceiling until the end of the outage grace.
@@ -53,7 +56,14 @@
     val chargedTokens: Long = 0,
     val ceilingTokensPerMs: Double = 0.0,
     val lateCeilingTokensPerMs: Double? = null,
+    val usedTokens: Long = 0,
 ) {
+    /** Tokens that this open grant holds, used or not, but for those whose bills are written. */
+    val heldTokens: Long get() = grantedTokens + receivedTokens - sentTokens - settledTokens
+
+    /** Tokens charged to this closed grant for which there is no bill. */
+    val unbilledTokens: Long get() = chargedTokens - settledTokens
+
     /**
      * Upper bound on spent, reserved and sent tokens [elapsedMs] after the last contact, less those received since this row was written.
      * Null if the ceiling no longer binds.
@@ -81,6 +91,7 @@
             unallocatedTokens = budget.unallocatedTokens + reclaimedTokens,
             closedTokens = budget.closedTokens + charged,
             transferTokens = budget.transferTokens + grant.sentTokens - grant.receivedTokens,
+            unbilledTokens = budget.unbilledTokens + charged - grant.settledTokens,
         )
     return changed to grant.copy(closed = true, chargedTokens = charged)
 }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantAllocator.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantAllocator.kt
@@ -95,10 +95,9 @@
         if (!readBudgets(listOf(account))) return false
         synchronized(account) {
             val budget = account.budgetRow ?: ABSENT_BUDGET
-            val open = grants.map { decodeRow<GrantRow>(it.value) }.filter { !it.closed }
-            val heldTokens = open.sumOf { it.grantedTokens - it.settledTokens } + budget.transferTokens
-            account.balance = BudgetBalance(budget.unallocatedTokens + heldTokens, clock.monotonicMs())
-            logBalance(account, budget, open)
+            val shares = budgetShares(budget, grants.map { decodeRow<GrantRow>(it.value) })
+            account.balance = BudgetBalance(shares.remainingTokens, clock.monotonicMs())
+            logBalance(account, shares)
         }
         return true
     }
@@ -106,9 +105,9 @@
     /** Logs where the tokens of a budget are while a request of this router lacks some. */
     private fun logBalance(
         account: BudgetAccount,
-        budget: BudgetRow,
-        open: List<GrantRow>,
+        shares: BudgetShares,
     ) {
+        val open = shares.openGrants
         for (grant in open) lastIncarnations.merge(grant.holder.vmId, grant.holder.incarnation, ::maxOf)
         val (ended, current) = open.partition { it.holder.incarnation < lastIncarnations.getValue(it.holder.vmId) }
         val (own, others) = current.partition { it.holder == writer.self }
@@ -116,12 +115,14 @@
             "budget_balance",
             "budget" to account.budgetId.value,
             "neededTokens" to account.unmetDemandTokens,
-            "limitTokens" to budget.limitTokens,
-            "unallocatedTokens" to budget.unallocatedTokens,
-            "chargedTokens" to budget.closedTokens + open.sumOf { it.settledTokens },
-            "heldHereTokens" to own.sumOf { it.grantedTokens - it.settledTokens },
-            "heldByOthersTokens" to others.sumOf { it.grantedTokens - it.settledTokens },
-            "heldByEndedTokens" to ended.sumOf { it.grantedTokens - it.settledTokens },
+            "limitTokens" to shares.limitTokens,
+            "unallocatedTokens" to shares.unallocatedTokens,
+            "chargedTokens" to shares.billedTokens,
+            "unbilledTokens" to shares.unbilledTokens,
+            "inTransferTokens" to shares.inTransferTokens,
+            "heldHereTokens" to own.sumOf { it.heldTokens },
+            "heldByOthersTokens" to others.sumOf { it.heldTokens },
+            "heldByEndedTokens" to ended.sumOf { it.heldTokens },
         )
     }
 
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
@@ -160,6 +160,9 @@
                     "reclaimedTokens" to reclaimed,
                     "settledTokens" to grant.settledTokens,
                     "chargedTokens" to closed.chargedTokens,
+                    "unbilledTokens" to closed.unbilledTokens,
+                    "usedTokens" to grant.usedTokens,
+                    "ceilingTokens" to grant.ceilingTokens,
                     "goneAfterMs" to goneAfterMs(grant),
                 )
             },
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/ReplicaWriter.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/ReplicaWriter.kt
@@ -1,6 +1,7 @@
 package org.lycheemount.budget
 
 import kotlinx.serialization.encodeToByteArray
+import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.RequestId
@@ -133,21 +134,27 @@
         val tokens = bills.sumOf { it.tokens }
         val row = snapshot.find(grantKey)
         checks += RowCheck(grantKey, row?.version ?: 0)
-        if (row != null) {
-            val grant = decodeRow<GrantRow>(row.value)
-            grants[grantKey] = grant.copy(settledTokens = grant.settledTokens + tokens)
+        val budgetId =
+            bills
+                .first()
+                .row.bill.budgetId
+        if (row == null) {
+            changeBudget(budgetId) { it.copy(closedTokens = it.closedTokens + tokens, transferTokens = it.transferTokens - tokens) }
             return
         }
-        val budgetKey =
-            budgetKey(
-                bills
-                    .first()
-                    .row.bill.budgetId,
-            )
-        val budgetRow = snapshot.find(budgetKey) ?: return
-        if (budgetKey !in budgets) checks += RowCheck(budgetKey, budgetRow.version)
-        val budget = budgets.getOrPut(budgetKey) { decodeRow(budgetRow.value) }
-        budgets[budgetKey] = budget.copy(closedTokens = budget.closedTokens + tokens, transferTokens = budget.transferTokens - tokens)
+        val grant = decodeRow<GrantRow>(row.value)
+        grants[grantKey] = grant.copy(settledTokens = grant.settledTokens + tokens)
+        if (grant.closed) changeBudget(budgetId) { it.copy(unbilledTokens = it.unbilledTokens - tokens) }
+    }
+
+    private fun changeBudget(
+        budgetId: BudgetId,
+        change: (BudgetRow) -> BudgetRow,
+    ) {
+        val key = budgetKey(budgetId)
+        val row = snapshot.find(key) ?: return
+        if (key !in budgets) checks += RowCheck(key, row.version)
+        budgets[key] = change(budgets[key] ?: decodeRow(row.value))
     }
 
     fun writes() = grants.map { writeRow(it.key, it.value) } + budgets.map { writeRow(it.key, it.value) }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableWriter.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableWriter.kt
@@ -106,6 +106,7 @@
             base.copy(
                 grantedTokens = granted,
                 settledTokens = base.settledTokens + billedDeltaTokens,
+                usedTokens = grant.usedTokens,
                 sentTokens = grant.sentTokens,
                 receivedTokens = grant.receivedTokens,
                 ceilingTokens = if (base.closed) base.ceilingTokens else ceiling,
