--- a/process/budget/src/test/kotlin/org/lycheemount/budget/ThinTraffic.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/ThinTraffic.kt
@@ -23,8 +23,12 @@
     val waitMs: Long,
 )
 
-/** @property isCoverable whether the budget as a whole has the tokens when the request arrives. */
+/**
+ * @property sentAtMs monotonic time of the fleet.
+ * @property isCoverable whether the budget as a whole has the tokens when the request arrives.
+ */
 internal data class RequestResult(
+    val sentAtMs: Long,
     val tokens: Long,
     val isCoverable: Boolean,
     val isServed: Boolean,
@@ -35,6 +39,7 @@
  * beside the fleet tells what each budget has left.
  *
  * @param plannedSpanMs time for which the budgets cover the expected spend [BUDGET_FACTOR] times.
+ * @param usableShare part of each budget up to which requests count as coverable.
  */
 internal class ThinTraffic(
     private val fleet: BudgetFleet,
@@ -42,12 +47,14 @@
     budgetCount: Int,
     plannedSpanMs: Long,
     seed: Long,
+    usableShare: Double = 1.0,
 ) {
     private val random = Random(seed)
     private val shares = (1..budgetCount).map { 1 / it.toDouble().pow(SKEW) }.let { weights -> weights.map { it / weights.sum() } }
     private val tokensPerMs = kinds.sumOf { it.perSecond * it.meanTokens } / 1_000
     private val limitTokens = shares.map { (it * tokensPerMs * plannedSpanMs * BUDGET_FACTOR).toLong() }
     private val exactFreeTokens = limitTokens.toLongArray()
+    private val reserveTokens = limitTokens.map { (it * (1 - usableShare)).toLong() }
     private var requestCount = 0
     val results = mutableListOf<RequestResult>()
 
@@ -76,6 +83,12 @@
         jobs.joinAll()
     }
 
+    /** Tokens of all budgets that no request has used or reserved. */
+    val unusedTokens: Long get() = exactFreeTokens.sum()
+
+    /** Share of the coverable requests sent from [fromMs] on that were served. */
+    fun servedShareFrom(fromMs: Long): Double = servedShare(results.filter { it.sentAtMs >= fromMs })
+
     /** Share of the coverable requests among the largest [part] of all that were served. */
     fun servedShareOfLargest(part: Double): Double =
         servedShare(results.sortedByDescending { it.tokens }.take((results.size * part).toInt()))
@@ -99,14 +112,15 @@
         tokens: Long,
         waitMs: Long,
     ) {
-        val isCoverable = exactFreeTokens[budget] >= tokens
+        val sentAtMs = fleet.clock.monotonicMs()
+        val isCoverable = exactFreeTokens[budget] - reserveTokens[budget] >= tokens
         val name = "request-${requestCount++}"
         var isServed = router.reserve(name, tokens, budgetIds[budget]) is ReservationOutcome.Reserved
         if (!isServed) {
             router.maintenance.awaitTokens(budgetIds[budget], tokens, waitMs)
             isServed = router.reserve(name, tokens, budgetIds[budget]) is ReservationOutcome.Reserved
         }
-        results += RequestResult(tokens, isCoverable, isServed)
+        results += RequestResult(sentAtMs, tokens, isCoverable, isServed)
         if (!isServed) return
         exactFreeTokens[budget] -= tokens
         delay(RESPONSE_MS)
