Ask peers for the rest of the tokens that a request lacks

Callers got 503 although other routers held many times the tokens that their requests lacked, often a few hundred tokens short. Cause: each peer was asked for an equal part of what was lacking. Those with nothing gave nothing, and the next round came 20 to 640 ms later, when the request, which waits for 60 to 120 ms, had been refused. After a loss of the fleet the rest of a budget is spread unevenly. Change: peers that kept tokens are asked for the rest at once, the richest first. A new request ends the delay that earlier requests have run up.

--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccount.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccount.kt
@@ -44,6 +44,7 @@
         private set
     var nextPeerRequestAtMs = Long.MIN_VALUE / 2
         private set
+    private var lastPeerRequestAtMs = Long.MIN_VALUE / 2
     private var peerRequestDelayMs = PEER_REQUEST_DELAY_MS
 
     fun recordUnmetDemand(
@@ -54,6 +55,8 @@
         if (unmetDemandTokens == 0L) unmetDemandSinceMs = nowMs
         unmetDemandTokens = maxOf(unmetDemandTokens, tokens)
         unmetDemandAtMs = nowMs
+        // The delay is for requests that peers could not help before; this one may need less, and does not wait for long.
+        nextPeerRequestAtMs = minOf(nextPeerRequestAtMs, lastPeerRequestAtMs + NEW_DEMAND_DELAY_MS)
     }
 
     /** Largest number of tokens that a peer asked for and this router could not lend because of its ceiling. */
@@ -83,6 +86,7 @@
         promised: Boolean,
     ) {
         peerRequestDelayMs = if (promised) PEER_REQUEST_DELAY_MS else minOf(peerRequestDelayMs * 2, PEER_REQUEST_DELAY_MAX_MS)
+        lastPeerRequestAtMs = nowMs
         nextPeerRequestAtMs = nowMs + peerRequestDelayMs
     }
 
@@ -131,6 +135,7 @@
     private companion object {
         private const val PEER_REQUEST_DELAY_MS = 20L
         private const val PEER_REQUEST_DELAY_MAX_MS = 640L
+        private const val NEW_DEMAND_DELAY_MS = 40L
         private const val BALANCE_MAX_AGE_MS = 5_000L
 
         /** A peer asks again after [PEER_REQUEST_DELAY_MS] and more, which finds the raised ceiling. */
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TransferExchange.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TransferExchange.kt
@@ -43,32 +43,53 @@
     fun register() = peers.register(TOKENS_CHANNEL) { from, payload -> onMessage(from, payload) }
 
     /**
-     * Requests tokens from peers, some at a time, until [account] no longer lacks tokens. Each is asked for a part of what is lacking.
-     * Peers that have not been asked yet come first, then those that kept the most tokens at their last reply. Returns the number of
-     * tokens in transit.
+     * Requests tokens from peers, some at a time, until [account] no longer lacks tokens. Each is asked for an equal part of what is lacking.
+     * Peers that have not been asked yet come first, then those that kept the most tokens at their last reply. If tokens are still lacking,
+     * those that kept some are asked for the rest. Returns the number of tokens in transit.
      */
     suspend fun requestFromPeers(
         account: BudgetAccount,
         plannedTokens: Long,
     ): Long {
         val candidatePeers =
-            peers.connectedPeers().shuffled(random).sortedByDescending { lastKeptTokens[it.routerId to account.budgetId] ?: Long.MAX_VALUE }
+            peers
+                .connectedPeers()
+                .shuffled(random)
+                .sortedByDescending { keptTokens(it, account) ?: Long.MAX_VALUE }
+                .take(MAX_PEERS_PER_REQUEST)
         var inTransitTokens = 0L
-        for (askedPeers in candidatePeers.take(MAX_PEERS_PER_REQUEST).chunked(PEERS_AT_ONCE)) {
-            val shortfallTokens = synchronized(account) { account.shortfallTokens(clock.monotonicMs()) } - inTransitTokens
+        for (askedPeers in candidatePeers.chunked(PEERS_AT_ONCE)) {
+            val lackingTokens = lackingTokens(account, inTransitTokens)
             val outstandingPlannedTokens = plannedTokens - inTransitTokens
-            if (shortfallTokens <= 0 && outstandingPlannedTokens <= 0) break
+            if (lackingTokens <= 0 && outstandingPlannedTokens <= 0) return inTransitTokens
             val request =
                 TokenMessage.TokenRequest(
                     account.budgetId,
-                    partOf(shortfallTokens, askedPeers.size),
+                    partOf(lackingTokens, askedPeers.size),
                     partOf(outstandingPlannedTokens, askedPeers.size),
                 )
-            inTransitTokens += coroutineScope { askedPeers.map { async { requestTokens(it, request) } }.awaitAll() }.sum()
+            inTransitTokens += requestTokens(askedPeers.associateWith { request })
         }
-        return inTransitTokens
+        val lackingTokens = lackingTokens(account, inTransitTokens)
+        if (lackingTokens <= 0) return inTransitTokens
+        val parts = partsOfRest(lackingTokens, candidatePeers.associateWith { keptTokens(it, account) ?: 0 })
+        return inTransitTokens + requestTokens(parts.mapValues { (_, tokens) -> TokenMessage.TokenRequest(account.budgetId, tokens, 0) })
     }
 
+    private fun lackingTokens(
+        account: BudgetAccount,
+        inTransitTokens: Long,
+    ): Long = synchronized(account) { account.shortfallTokens(clock.monotonicMs()) } - inTransitTokens
+
+    private fun keptTokens(
+        peer: RouterIdentity,
+        account: BudgetAccount,
+    ): Long? = lastKeptTokens[peer.routerId to account.budgetId]
+
+    /** Sends each request to its peer, all at once, and returns the number of tokens that they promise. */
+    private suspend fun requestTokens(requests: Map<RouterIdentity, TokenMessage.TokenRequest>): Long =
+        coroutineScope { requests.map { (peer, request) -> async { requestTokens(peer, request) } }.awaitAll() }.sum()
+
     /**
      * Abandons transfers whose receiver has ended, according to [isGone] or to a newer incarnation. They may have been applied, so
      * their tokens stay charged as sent.
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TransferSizing.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TransferSizing.kt
@@ -32,6 +32,21 @@
     return urgentTokens + minOf(spareTokens, tokenRequest.plannedTokens)
 }
 
+/** Parts of [lackingTokens] to request from peers, as far as [keptTokens], the tokens that each of them has, cover it; the largest first. */
+internal fun <T> partsOfRest(
+    lackingTokens: Long,
+    keptTokens: Map<T, Long>,
+): Map<T, Long> {
+    var restTokens = lackingTokens
+    return buildMap {
+        for ((peer, tokens) in keptTokens.entries.sortedByDescending { it.value }) {
+            if (restTokens <= 0 || tokens <= 0) return@buildMap
+            put(peer, minOf(restTokens, tokens))
+            restTokens -= tokens
+        }
+    }
+}
+
 /** Tokens to request from peers during a table outage before this router runs out; 0 while its own tokens suffice. */
 internal fun plannedTransferTokens(
     meter: SpendMeter,
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/FleetLossTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/FleetLossTest.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import org.junit.jupiter.api.Nested
-import org.junit.jupiter.api.Tag
 import kotlin.test.Test
 import kotlin.test.assertTrue
 
@@ -64,7 +63,6 @@
     @Nested
     inner class `all routers lose power while budgets are scarce` {
         @Test
-        @Tag("known-red")
         fun `what budgets cover is served again as before, guarding against unused tokens that stay charged to ended processes`() =
             lossTest { budgets ->
                 val servedBefore = budgets.servedShare(BEFORE_LOSS_MS)
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/LargeRequestRefusalTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/LargeRequestRefusalTest.kt
@@ -58,6 +58,51 @@
             }
     }
 
+    @Nested
+    inner class `a budget whose rest is held by one of seven routers` {
+        @Test
+        fun `covers a request at another router at once, guarding against peers that are each asked for an equal part only`() =
+            fleetTest(createGatewayBudgetOptions()) { fleet ->
+                fleet.createFundedBudget(UNEVEN_TOKENS)
+                repeat(UNEVEN_ROUTERS) { fleet.start("r$it").maintenance.prefetchGrants(setOf(BUDGET)) }
+                delay(FIRST_GRANTS_MS)
+                fleet.table.isAvailable = false
+                // Ceilings no longer hold the grants back.
+                delay(LONG_OUTAGE_MS)
+                val routers = fleet.routers.values.toList()
+                for (router in routers.drop(1).dropLast(1)) {
+                    val grant =
+                        checkNotNull(
+                            router.components.accounts
+                                .getOrCreate(BUDGET)
+                                .grant,
+                        )
+                    router.reserve("rest-${router.identity.routerId.value}", grant.usableTokens(fleet.clock.monotonicMs()))
+                }
+                val lastGrant =
+                    checkNotNull(
+                        routers
+                            .last()
+                            .components.accounts
+                            .getOrCreate(BUDGET)
+                            .grant,
+                    )
+                val router = routers.first()
+                val ownTokens =
+                    checkNotNull(
+                        router.components.accounts
+                            .getOrCreate(BUDGET)
+                            .grant,
+                    ).usableTokens(fleet.clock.monotonicMs())
+                val tokens = ownTokens + lastGrant.usableTokens(fleet.clock.monotonicMs()) * 9 / 10
+
+                assertTrue(router.reserve("large", tokens) is ReservationOutcome.Refused)
+                router.maintenance.awaitTokens(BUDGET, tokens, UNEVEN_WAIT_MS)
+                val outcome = router.reserve("large", tokens)
+                assertTrue(outcome is ReservationOutcome.Reserved, "$outcome")
+            }
+    }
+
     private companion object {
         private const val ROUTER_COUNT = 95
         private const val BUDGET_COUNT = 40
@@ -72,6 +117,11 @@
         private const val LARGE_TOKENS = 30_000L
         private const val LARGE_WAIT_MS = 100L
 
+        private const val UNEVEN_ROUTERS = 7
+        private const val UNEVEN_TOKENS = 70_000L
+        private const val UNEVEN_WAIT_MS = 30L
+        private const val LONG_OUTAGE_MS = 120_000L
+
         private val KINDS =
             listOf(
                 RequestKind(perSecond = 50.9, meanTokens = 12_000.0, maxTokens = 60_000, waitMs = 101),
