Count tokens of a transfer that an ended sender had not recorded

Callers could get 402 while a router held tokens of their budget. Cause: a sender that ends before it records a transfer is charged for the tokens up to its ceiling, and their receiver records them as well. Change: a transfer that is recorded by its receiver only does not lower the balance.

--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetShares.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetShares.kt
@@ -5,8 +5,8 @@
  *
  * @property billedTokens tokens of written bills.
  * @property unbilledTokens tokens charged to grants of ended processes without a bill.
- * @property inTransferTokens tokens recorded as sent and not as received. Negative if the receiver's row is newer than the sender's, and for
- *   good if the sender ended before it recorded the transfer: its charge then includes tokens that the receiver holds.
+ * @property inTransferTokens tokens recorded as sent and not as received. Negative if the receiver's row is newer than the sender's, and
+ *   for good if the sender ended before it recorded the transfer: its charge then includes tokens that the receiver holds.
  */
 internal data class BudgetShares(
     val limitTokens: Long,
@@ -16,8 +16,8 @@
     val inTransferTokens: Long,
     val openGrants: List<GrantRow>,
 ) {
-    /** Tokens that are neither billed nor charged. */
-    val remainingTokens: Long get() = unallocatedTokens + openGrants.sumOf { it.heldTokens } + inTransferTokens
+    /** Tokens that some router may still use: those that are unallocated, held, or on their way to a router. */
+    val remainingTokens: Long get() = unallocatedTokens + openGrants.sumOf { it.heldTokens } + inTransferTokens.coerceAtLeast(0)
 }
 
 /** Shares of a budget with the row [budget] and all of its [grants], open and closed. */
