Name what a ceiling leaves until the grace ends, and what a peer is held back by

Cause: two quantities had the name limitTokens, two functions the name requestTokens. Change: names and the order of members; no behaviour.

--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccount.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccount.kt
@@ -47,6 +47,10 @@
     private var lastPeerRequestAtMs = Long.MIN_VALUE / 2
     private var peerRequestDelayMs = PEER_REQUEST_DELAY_MS
 
+    /** Largest number of tokens that a peer asked for and this router could not lend because of its ceiling. */
+    private var peerDemandTokens = 0L
+    private var peerDemandAtMs = Long.MIN_VALUE / 2
+
     fun recordUnmetDemand(
         tokens: Long,
         nowMs: Long,
@@ -55,14 +59,10 @@
         if (unmetDemandTokens == 0L) unmetDemandSinceMs = nowMs
         unmetDemandTokens = maxOf(unmetDemandTokens, tokens)
         unmetDemandAtMs = nowMs
-        // The delay is for requests that peers could not help before; this one may need less, and does not wait for long.
+        // Peers that could not cover earlier requests may cover this one, which does not wait for long.
         nextPeerRequestAtMs = minOf(nextPeerRequestAtMs, lastPeerRequestAtMs + NEW_DEMAND_DELAY_MS)
     }
 
-    /** Largest number of tokens that a peer asked for and this router could not lend because of its ceiling. */
-    private var peerDemandTokens = 0L
-    private var peerDemandAtMs = Long.MIN_VALUE / 2
-
     /** Records that a peer asked for [tokens], of which the ceiling of this router allowed only a part. */
     fun recordPeerDemand(
         tokens: Long,
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantSizing.kt
@@ -121,19 +121,28 @@
     val spendShape = spendCeilingShape(meter, demand.freeTokens, options)
     val budgetShare = options.ceilingBudgetShare.takeIf { flushIntervalMs(demand.routers, options) <= options.flushIntervalMs }
     if (budgetShare == null) return spendShape.copy(headroomTokens = maxOf(spendShape.headroomTokens, demand.awaitedTokens))
-    val unusedTokens = demand.freeTokens.coerceAtLeast(0) + demand.unallocatedTokens.coerceAtLeast(0) / demand.routers
-    val unusedShare = if (demand.limitTokens > 0) minOf(1.0, unusedTokens.toDouble() * demand.routers / demand.limitTokens) else 1.0
-    val intervalTokens = ceil(meter.ratePerMs * options.flushIntervalMs).toLong()
-    val limitTokens = maxOf((unusedTokens * unusedShare * budgetShare).toLong(), intervalTokens)
-    val headroomTokens = minOf(spendShape.headroomTokens, limitTokens)
-    val stepTokens = spendShape.afterGraceTokens(options.outageGraceMs) - limitTokens
+    val graceTokens = graceTokens(meter, demand, budgetShare, options)
+    val headroomTokens = minOf(spendShape.headroomTokens, graceTokens)
     return CeilingShape(
         headroomTokens = maxOf(headroomTokens, demand.awaitedTokens),
-        growthTokensPerMs = minOf(spendShape.growthTokensPerMs, (limitTokens - headroomTokens).toDouble() / options.outageGraceMs),
-        graceEndTokens = stepTokens.coerceAtLeast(0),
+        growthTokensPerMs = minOf(spendShape.growthTokensPerMs, (graceTokens - headroomTokens).toDouble() / options.outageGraceMs),
+        graceEndTokens = (spendShape.afterGraceTokens(options.outageGraceMs) - graceTokens).coerceAtLeast(0),
     )
 }
 
+/** Tokens that a router may use without the table until the outage grace ends, by what is left of the budget. */
+private fun graceTokens(
+    meter: SpendMeter,
+    demand: CeilingDemand,
+    budgetShare: Double,
+    options: BudgetOptions,
+): Long {
+    val unusedTokens = demand.freeTokens.coerceAtLeast(0) + demand.unallocatedTokens.coerceAtLeast(0) / demand.routers
+    val unusedShare = if (demand.limitTokens > 0) minOf(1.0, unusedTokens.toDouble() * demand.routers / demand.limitTokens) else 1.0
+    val intervalTokens = ceil(meter.ratePerMs * options.flushIntervalMs).toLong()
+    return maxOf((unusedTokens * unusedShare * budgetShare).toLong(), intervalTokens)
+}
+
 /**
  * Ceiling that covers the expected spend until the end of the outage grace, minus the part that its growth adds over time, plus a few
  * reservations. Until the spend has been measured for a whole window, a part of the [freeTokens] of the grant is added, so that the first
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TransferExchange.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TransferExchange.kt
@@ -68,12 +68,12 @@
                     partOf(lackingTokens, askedPeers.size),
                     partOf(outstandingPlannedTokens, askedPeers.size),
                 )
-            inTransitTokens += requestTokens(askedPeers.associateWith { request })
+            inTransitTokens += requestAtOnce(askedPeers.associateWith { request })
         }
         val lackingTokens = lackingTokens(account, inTransitTokens)
         if (lackingTokens <= 0) return inTransitTokens
         val parts = partsOfRest(lackingTokens, candidatePeers.associateWith { keptTokens(it, account) ?: 0 })
-        return inTransitTokens + requestTokens(parts.mapValues { (_, tokens) -> TokenMessage.TokenRequest(account.budgetId, tokens, 0) })
+        return inTransitTokens + requestAtOnce(parts.mapValues { (_, tokens) -> TokenMessage.TokenRequest(account.budgetId, tokens, 0) })
     }
 
     private fun lackingTokens(
@@ -87,7 +87,7 @@
     ): Long? = lastKeptTokens[peer.routerId to account.budgetId]
 
     /** Sends each request to its peer, all at once, and returns the number of tokens that they promise. */
-    private suspend fun requestTokens(requests: Map<RouterIdentity, TokenMessage.TokenRequest>): Long =
+    private suspend fun requestAtOnce(requests: Map<RouterIdentity, TokenMessage.TokenRequest>): Long =
         coroutineScope { requests.map { (peer, request) -> async { requestTokens(peer, request) } }.awaitAll() }.sum()
 
     /**
@@ -151,7 +151,8 @@
             val usableTokens = account.usableTokens(nowMs)
             val tokens = transferableTokens(senderState(account, usableTokens, to), tokenRequest, options)
             val grant = account.grant ?: return TokenRequestReply(0, usableTokens)
-            if (usableTokens < tokenRequest.shortfallTokens && usableTokens < grant.freeTokens) {
+            val isHeldBackByCeiling = usableTokens < tokenRequest.shortfallTokens && usableTokens < grant.freeTokens
+            if (isHeldBackByCeiling) {
                 account.recordPeerDemand(minOf(tokenRequest.shortfallTokens, grant.freeTokens), nowMs)
                 signals.signalTableWork()
             }
