Log the transfer of large responses of the store, and how far a router is behind

Cause: the logs could not tell whether a late configuration was still arriving, had been given up, or waited for the processor. Change: store_response (bytes, wait and transfer time, complete or not), configuration_read (decode time), configuration_behind and two metrics: the versions of peers come with the heartbeats.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
@@ -28,6 +28,7 @@
 /** Activates the operator's configuration when its row changes. */
 internal class ConfigurationRowListener(
     private val configuration: PublishedConfiguration,
+    private val clock: Clock,
     private val eventLog: EventLog,
     private val onAccepted: () -> Unit,
 ) : RowListener {
@@ -37,8 +38,13 @@
 
     override fun onChangedRows(rows: List<StoreRow>) {
         val value = rows.lastOrNull { it.key == CONFIGURATION_KEY }?.value ?: return
+        val startedAtMs = clock.monotonicMs()
         decodeConfiguration(value).fold(
-            { if (configuration.accept(it)) onAccepted() },
+            {
+                val decodeMs = clock.monotonicMs() - startedAtMs
+                eventLog.info("configuration_read", "version" to it.sequence, "bytes" to value.size, "decode_ms" to decodeMs)
+                if (configuration.accept(it)) onAccepted()
+            },
             { eventLog.warn("configuration_unreadable", "error" to it, "in_force" to configuration.current().sequence) },
         )
     }
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
@@ -6,6 +6,7 @@
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.RouterIdentity
+import org.lycheemount.config.ConfigurationView
 import org.lycheemount.membership.MembershipListener
 import org.lycheemount.membership.MembershipService
 import org.lycheemount.membership.MembershipSettings
@@ -29,6 +30,8 @@
     identity: RouterIdentity,
     clock: Clock,
     eventLog: EventLog,
+    configuration: ConfigurationView,
+    private val configurationLag: ConfigurationLag,
 ) : MembershipListener {
     private lateinit var fleetSecret: PeerSecret
 
@@ -41,7 +44,8 @@
             identity.incarnation,
             eventLog,
         )
-    private val membership = MembershipService(messenger, directory, clock, eventLog, this, MEMBERSHIP_SETTINGS)
+    private val membership =
+        MembershipService(messenger, directory, clock, eventLog, this, MEMBERSHIP_SETTINGS) { configuration.current().sequence }
 
     /** Number of routers in the fleet, including this one. */
     val routerCount: Int get() = maxOf(1, membership.routerCount())
@@ -60,6 +64,11 @@
         neighbours: Set<RouterId>,
     ) = messenger.setPeers(known.map { PeerEndpoint(it.routerId, it.vmId, it.host, it.peerPort) }, neighbours)
 
+    override fun onConfigurationSequence(
+        from: RouterId,
+        sequence: Long,
+    ) = configurationLag.onPeerVersion(from, sequence)
+
     private companion object {
         private const val VM_TABLE_NAME = "lycheemount-vms"
 
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -36,7 +36,6 @@
 import org.lycheemount.listener.createCallerServer
 import org.lycheemount.platform.RouterVm
 import org.lycheemount.platform.adapter.PlatformRequestDialect
-import org.lycheemount.platform.adapter.StoreClient
 import org.lycheemount.platform.adapter.createOperatorRowWatcher
 import org.lycheemount.platform.adapter.createRowFeed
 import org.lycheemount.platform.adapter.createRowTableService
@@ -66,10 +65,11 @@
     private val identity = settings.run { RouterIdentity(routerId, vmId, regionId, zoneId, incarnation = clock.wallClockMs()) }
     private val backendHttp = BackendHttp(connectTimeoutMs = CONNECT_TIMEOUT_MS)
     private val client = DefaultPassThroughClient(backendHttp)
-    private val store = StoreClient(KeepAlivePlatformTransport(client, STORE_TIMEOUT_MS), settings.storeAddress)
+    private val store = createStoreClient(client, settings.storeAddress, clock, eventLog)
     private val table = createRowTableService(store)
-    private val peers = GatewayPeers(table, store, routerVm(), identity, clock, eventLog)
     private val configuration = PublishedConfiguration(eventLog)
+    private val configurationLag = ConfigurationLag(configuration, clock, eventLog)
+    private val peers = GatewayPeers(table, store, routerVm(), identity, clock, eventLog, configuration, configurationLag)
     private val dispatcher =
         WorkDispatcher(createRequestScheduler(settings.zoneId, seed = identity.incarnation, INITIAL_SPEEDS, FULL_ENGINE_SLOWDOWN), clock)
     private val budgets =
@@ -85,7 +85,7 @@
         )
     private val budgetLimits =
         BudgetLimitUpdater(createBudgetLimitWriter(table) { "limits-${UUID.randomUUID()}" }, budgets.maintenance, configuration, eventLog)
-    private val configurationListener = ConfigurationRowListener(configuration, eventLog, budgetLimits::onConfigurationChanged)
+    private val configurationListener = ConfigurationRowListener(configuration, clock, eventLog, budgetLimits::onConfigurationChanged)
     private val quarantine =
         SharedPromptQuarantine(
             createRowTableService(store, QUARANTINE_TABLE_NAME),
@@ -103,6 +103,7 @@
         PrometheusRegistry().also {
             registerLogMetrics(it)
             registerBudgetMetrics(it, budgets)
+            registerConfigurationMetrics(it, configurationLag)
         }
     private val metricsHandler = MetricsHandler(metricsRegistry)
     private val routedInterface = RoutedRequestHandler(routedServices())
@@ -266,9 +267,6 @@
             )
 
     private companion object {
-        // The store responds within 4 ms, or 60 times that when it is slow. A call that takes longer is better retried.
-        private const val STORE_TIMEOUT_MS = 1_000L
-
         private const val QUARANTINE_TABLE_NAME = "lycheemount-quarantine"
 
         // Like that of the operator's row: bounds the time after which a call on an unresponsive connection times out.
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/KeepAlivePlatformTransport.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/KeepAlivePlatformTransport.kt
@@ -11,12 +11,17 @@
 import org.lycheemount.backend.PassThroughCall
 import org.lycheemount.backend.PassThroughClient
 import org.lycheemount.backend.PassThroughOutcome
+import org.lycheemount.backend.PassThroughResponse
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
+import org.lycheemount.platform.adapter.StoreClient
 import org.lycheemount.platform.http.PlatformExchange
 import org.lycheemount.platform.http.PlatformTransport
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 
 /**
@@ -31,6 +36,8 @@
 internal class KeepAlivePlatformTransport(
     private val client: PassThroughClient,
     private val callTimeoutMs: Long,
+    private val clock: Clock,
+    private val eventLog: EventLog,
 ) : PlatformTransport {
     override suspend fun exchange(
         httpMethod: HttpMethod,
@@ -61,13 +68,15 @@
         server: BackendServer,
         call: PassThroughCall,
     ): PlatformExchange {
+        val startedAtMs = clock.monotonicMs()
         val outcome =
             client.exchange(server, call) { response ->
-                val bytes = response.body.readUpTo(MAX_BODY_BYTES)
-                if (response.body.isComplete) {
-                    PlatformExchange.Response(response.head.httpStatus, bytes)
-                } else {
-                    PlatformExchange.Lost("response of more than $MAX_BODY_BYTES bytes")
+                val content = ByteArrayOutputStream()
+                val responseStartedAtMs = clock.monotonicMs()
+                try {
+                    readBody(response, content)
+                } finally {
+                    logTransfer(call, content.size(), response.body.isComplete, responseStartedAtMs - startedAtMs, responseStartedAtMs)
                 }
             }
         return when (outcome) {
@@ -76,6 +85,38 @@
         }
     }
 
+    private suspend fun readBody(
+        response: PassThroughResponse,
+        content: ByteArrayOutputStream,
+    ): PlatformExchange {
+        val buffer = ByteArray(READ_BUFFER_BYTES)
+        while (content.size() < MAX_BODY_BYTES) {
+            val count = response.body.read(buffer)
+            if (count < 0) return PlatformExchange.Response(response.head.httpStatus, content.toByteArray())
+            content.write(buffer, 0, count)
+        }
+        return PlatformExchange.Lost("response of more than $MAX_BODY_BYTES bytes")
+    }
+
+    /** Logs responses that are large or did not arrive in full: these take long on slow links. */
+    private fun logTransfer(
+        call: PassThroughCall,
+        bytes: Int,
+        isComplete: Boolean,
+        waitMs: Long,
+        startedAtMs: Long,
+    ) {
+        if (isComplete && bytes < MIN_LOGGED_BYTES) return
+        eventLog.info(
+            "store_response",
+            "call" to call.target,
+            "bytes" to bytes,
+            "complete" to isComplete,
+            "wait_ms" to waitMs,
+            "transfer_ms" to clock.monotonicMs() - startedAtMs,
+        )
+    }
+
     private fun toPlatformExchange(outcome: PassThroughOutcome.Failed): PlatformExchange =
         if (outcome.failure == AttemptFailure.CONNECT_FAILED) {
             PlatformExchange.NotSent("cannot connect: ${outcome.detail}")
@@ -89,5 +130,18 @@
     private companion object {
         // The largest value in a page is a configuration of a few megabytes.
         private const val MAX_BODY_BYTES = 32 * 1_048_576
+        private const val READ_BUFFER_BYTES = 8_192
+        private const val MIN_LOGGED_BYTES = 65_536
     }
 }
+
+/** Creates the client of the store at [address], `IP address:port`. */
+internal fun createStoreClient(
+    client: PassThroughClient,
+    address: String,
+    clock: Clock,
+    eventLog: EventLog,
+) = StoreClient(KeepAlivePlatformTransport(client, STORE_TIMEOUT_MS, clock, eventLog), address)
+
+// The store responds within 4 ms, or 60 times that when it is slow. A call that takes longer is better retried.
+private const val STORE_TIMEOUT_MS = 1_000L
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/KeepAlivePlatformTransportTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/KeepAlivePlatformTransportTest.kt
@@ -6,7 +6,9 @@
 import org.junit.jupiter.api.Nested
 import org.lycheemount.backend.BackendHttp
 import org.lycheemount.backend.DefaultPassThroughClient
+import org.lycheemount.common.DefaultClock
 import org.lycheemount.platform.http.PlatformExchange
+import org.lycheemount.testing.FakeEventLog
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -18,7 +20,8 @@
 
 class KeepAlivePlatformTransportTest {
     private val backendHttp = BackendHttp()
-    private val transport = KeepAlivePlatformTransport(DefaultPassThroughClient(backendHttp), callTimeoutMs = 300)
+    private val transport =
+        KeepAlivePlatformTransport(DefaultPassThroughClient(backendHttp), callTimeoutMs = 300, DefaultClock(), FakeEventLog())
     private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val connections = AtomicInteger()
 
