--- /dev/null
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
@@ -0,0 +1,122 @@
+package org.lycheemount.app.router.gateway
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Tag
+import org.lycheemount.common.Clock
+import org.lycheemount.config.PublishedConfiguration
+import org.lycheemount.platform.adapter.createOperatorRowWatcher
+import org.lycheemount.testing.FakeEventLog
+import kotlin.test.Test
+import kotlin.test.assertTrue
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class LargeConfigurationTest {
+    /** A router whose link leaves 350 bytes per millisecond to the store, so that a read of [ROUTES] routes takes 1.7 s. */
+    private inner class Router(
+        private val scope: TestScope,
+    ) {
+        private val clock =
+            object : Clock {
+                override fun monotonicMs() = scope.currentTime
+
+                override fun wallClockMs() = scope.currentTime
+            }
+        val link = SlowStoreLink(scope.backgroundScope, bytesPerMs = 350)
+        private val configuration = PublishedConfiguration(FakeEventLog())
+        private val listener = ConfigurationRowListener(configuration, clock, FakeEventLog()) {}
+        private val watcher = createOperatorRowWatcher(createStoreClient(link, "127.0.0.1:1", clock, FakeEventLog()))
+        val refresher = ConfigurationRefresher(clock) { watcher.readOnce(listener::onAllRows) }
+        val version get() = configuration.current().sequence
+
+        fun start() {
+            scope.backgroundScope.launch { watcher.watch(listener) }
+        }
+
+        /** Publishes [version] and checks that it is in force in time. */
+        suspend fun assertInForceInTime(version: Long) {
+            link.publish(version, ROUTES)
+            delay(CONFIGURATION_APPLY_MS)
+            assertTrue(this.version >= version, "version ${this.version} is in force $CONFIGURATION_APPLY_MS ms after $version")
+        }
+    }
+
+    private fun runRouter(steps: suspend Router.() -> Unit) = runTest { Router(this).steps() }
+
+    @Nested
+    @Tag("known-red")
+    inner class `a large configuration on a slow link` {
+        @Test
+        fun `is in force in time after a start, guarding against reads that are abandoned while they make progress`() =
+            runRouter {
+                start()
+                assertInForceInTime(1)
+            }
+
+        @Test
+        fun `is in force in time after the store has lost its history, guarding against a row that is never read to its end`() =
+            runRouter {
+                link.publish(1, routeCount = 10)
+                start()
+                delay(1_000)
+
+                link.compactHistory()
+                assertInForceInTime(2)
+            }
+
+        @Test
+        fun `is in force in time whenever it is published, guarding against responses that are cut off by the end of a long poll`() {
+            for (offsetMs in 0L..2_400L step 100) {
+                runRouter {
+                    link.publish(1, routeCount = 10)
+                    start()
+                    delay(1_000 + offsetMs)
+
+                    assertInForceInTime(2)
+                }
+            }
+        }
+    }
+
+    @Nested
+    @Tag("known-red")
+    inner class `callers that ask for unknown routes` {
+        @Test
+        fun `do not delay a large configuration, guarding against reads for them that fill the link`() =
+            runRouter {
+                link.publish(1, routeCount = 10)
+                start()
+                delay(1_000)
+                besideCallersOfUnknownRoutes {
+                    assertInForceInTime(2)
+                    assertInForceInTime(3)
+                }
+            }
+    }
+
+    /** Runs [steps] while callers ask for unknown routes all the time. */
+    private suspend fun Router.besideCallersOfUnknownRoutes(steps: suspend () -> Unit) =
+        coroutineScope {
+            val callers =
+                launch {
+                    while (true) {
+                        launch { refresher.refresh() }
+                        delay(REQUEST_INTERVAL_MS)
+                    }
+                }
+            steps()
+            callers.cancel()
+        }
+
+    private companion object {
+        private const val ROUTES = 1_450
+        private const val CONFIGURATION_APPLY_MS = 3_000L
+        private const val REQUEST_INTERVAL_MS = 50L
+    }
+}
--- /dev/null
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/SlowStoreLink.kt
@@ -0,0 +1,119 @@
+package org.lycheemount.app.router.gateway
+
+import io.ktor.http.parseQueryString
+import io.ktor.utils.io.ByteChannel
+import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.lycheemount.backend.PassThroughCall
+import org.lycheemount.backend.PassThroughClient
+import org.lycheemount.backend.PassThroughOutcome
+import org.lycheemount.backend.PassThroughResponse
+import org.lycheemount.backend.ResponseHead
+import org.lycheemount.backend.fixedLengthBody
+import org.lycheemount.common.BackendServer
+import java.util.Base64
+
+/**
+ * Client of a store that holds only the operator's configuration, behind a link whose bandwidth all responses share. Runs in virtual time.
+ *
+ * @param bytesPerMs bandwidth that is left for responses of the store.
+ */
+internal class SlowStoreLink(
+    private val scope: CoroutineScope,
+    private val bytesPerMs: Int,
+) : PassThroughClient {
+    private val revision = MutableStateFlow(0L)
+    private var configurationBase64 = ""
+    private var oldestRevision = 0L
+    private var transfers = 0
+
+    /** Number of responses that have carried the configuration, in part or in full. */
+    var configurationResponses = 0
+        private set
+
+    /** Publishes version [version] with [routeCount] routes. Only the newest route is called `added`. */
+    fun publish(
+        version: Long,
+        routeCount: Int,
+    ) {
+        configurationBase64 = Base64.getEncoder().encodeToString(configuration(version, routeCount).encodeToByteArray())
+        revision.value++
+    }
+
+    /** Drops the history of changes, so that the row has to be read again. */
+    fun compactHistory() {
+        revision.value++
+        oldestRevision = revision.value
+    }
+
+    override suspend fun <T> exchange(
+        server: BackendServer,
+        call: PassThroughCall,
+        handle: suspend (PassThroughResponse) -> T,
+    ): PassThroughOutcome<T> {
+        delay(ROUND_TRIP_MS)
+        val query = parseQueryString(call.target.substringAfter('?'))
+        val since = query["since_rev"]?.toLong()
+        if (since != null) withTimeoutOrNull(query["wait_ms"]!!.toLong()) { revision.first { it > since } }
+        val isCompacted = since != null && since < oldestRevision
+        val body = if (isCompacted) ByteArray(0) else rowsAfter(since ?: 0)
+        val channel = ByteChannel(autoFlush = true)
+        val transfer = scope.launch { send(body, channel) }
+        try {
+            val head = ResponseHead(if (isCompacted) GONE else OK, emptyList())
+            return PassThroughOutcome.Completed(handle(PassThroughResponse(head, fixedLengthBody(channel, body.size.toLong()))))
+        } finally {
+            transfer.cancel()
+        }
+    }
+
+    private fun rowsAfter(since: Long): ByteArray {
+        val current = revision.value
+        val row = """{"table":"op","part":"","key":"config","value":"$configurationBase64","row_version":$current}"""
+        val rows = if (current > since) row.also { configurationResponses++ } else ""
+        return """{"rows":[$rows],"has_more":false,"row_version":$current,"now_ms":1}""".encodeToByteArray()
+    }
+
+    private suspend fun send(
+        body: ByteArray,
+        channel: ByteChannel,
+    ) {
+        transfers++
+        try {
+            var sentBytes = 0
+            while (sentBytes < body.size) {
+                delay(TICK_MS)
+                val endByte = minOf(body.size, sentBytes + bytesPerMs * TICK_MS.toInt() / transfers)
+                channel.writeFully(body, sentBytes, endByte)
+                sentBytes = endByte
+            }
+        } finally {
+            transfers--
+        }
+    }
+
+    private fun configuration(
+        version: Long,
+        routeCount: Int,
+    ): String {
+        val routes = (1 until routeCount).map { "route-$it" } + "added"
+        return """{"version":$version,"services":[{"name":"s","max_connections":16}],"routes":[${routes.joinToString { route(it) }}]}"""
+    }
+
+    private fun route(name: String) =
+        """{"name":"$name","host":"shop-$name.example","path_prefix":"/$name/v1/","kind":"idempotent","timeout_ms":2400,""" +
+            """"target_latency_ms":149,"gap_target_ms":null,"max_attempts":2,"priority":5,"service":null,""" +
+            """"traffic_split":[{"service":"s","weight":100}],"public":false,"resumable":false,"sticky":false}"""
+
+    private companion object {
+        private const val ROUND_TRIP_MS = 4L
+        private const val TICK_MS = 10L
+        private const val OK = 200
+        private const val GONE = 410
+    }
+}
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/ResponseBody.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/ResponseBody.kt
@@ -103,6 +103,12 @@
     }
 }
 
+/** Creates a body of [lengthBytes] bytes that are read from [input]. */
+fun fixedLengthBody(
+    input: ByteReadChannel,
+    lengthBytes: Long,
+): ResponseBody = FixedLengthBody(input, lengthBytes)
+
 /** A body that ends when the connection closes. It is not complete if the connection is reset. */
 internal class UntilCloseBody(
     private val input: ByteReadChannel,
