Bound calls to the store by their progress, not as a whole

Cause: a call was given up 2.3 s after it began, or 1 s for a read of the row, also while its response was arriving, and the next call began with the first byte. 0.54 MB take 0.5 to 1.7 s on a busy link of 7 Mbit/s, so a version that is published late in a long poll, or a row that is read after a start or a lost history, took a second read, or never arrived. One function for both transports.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/KeepAlivePlatformTransport.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/KeepAlivePlatformTransport.kt
@@ -6,7 +6,6 @@
 import io.ktor.http.Url
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
-import kotlinx.coroutines.withTimeoutOrNull
 import org.lycheemount.backend.AttemptFailure
 import org.lycheemount.backend.PassThroughCall
 import org.lycheemount.backend.PassThroughClient
@@ -19,9 +18,11 @@
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
 import org.lycheemount.platform.adapter.StoreClient
+import org.lycheemount.platform.http.BodyRead
 import org.lycheemount.platform.http.PlatformExchange
 import org.lycheemount.platform.http.PlatformTransport
-import java.io.ByteArrayOutputStream
+import org.lycheemount.platform.http.readWhileProgressing
+import org.lycheemount.platform.http.withTimeoutUntilStarted
 import java.io.IOException
 
 /**
@@ -31,7 +32,7 @@
  * The store may close a keep-alive connection just as a request is sent. Such an exchange counts as lost. Callers of the store handle
  * this: they repeat reads and look up transactions by id.
  *
- * @param callTimeoutMs timeout of calls that do not specify one.
+ * @param callTimeoutMs timeout of calls that do not specify one, and of responses that make no progress.
  */
 internal class KeepAlivePlatformTransport(
     private val client: PassThroughClient,
@@ -56,7 +57,7 @@
             )
         val effectiveTimeoutMs = timeoutMs ?: callTimeoutMs
         return try {
-            withTimeoutOrNull(effectiveTimeoutMs) { send(storeServerAt(target), call) }
+            withTimeoutUntilStarted(effectiveTimeoutMs) { onStarted -> send(storeServerAt(target), call, onStarted) }
                 ?: PlatformExchange.Lost("no response within $effectiveTimeoutMs ms")
         } catch (failure: IOException) {
             currentCoroutineContext().ensureActive()
@@ -67,17 +68,13 @@
     private suspend fun send(
         server: BackendServer,
         call: PassThroughCall,
+        onStarted: () -> Unit,
     ): PlatformExchange {
         val startedAtMs = clock.monotonicMs()
         val outcome =
             client.exchange(server, call) { response ->
-                val content = ByteArrayOutputStream()
-                val responseStartedAtMs = clock.monotonicMs()
-                try {
-                    readBody(response, content)
-                } finally {
-                    logTransfer(call, content.size(), response.body.isComplete, responseStartedAtMs - startedAtMs, responseStartedAtMs)
-                }
+                onStarted()
+                readBody(call, response, waitMs = clock.monotonicMs() - startedAtMs)
             }
         return when (outcome) {
             is PassThroughOutcome.Completed -> outcome.result
@@ -86,16 +83,25 @@
     }
 
     private suspend fun readBody(
+        call: PassThroughCall,
         response: PassThroughResponse,
-        content: ByteArrayOutputStream,
+        waitMs: Long,
     ): PlatformExchange {
-        val buffer = ByteArray(READ_BUFFER_BYTES)
-        while (content.size() < MAX_BODY_BYTES) {
-            val count = response.body.read(buffer)
-            if (count < 0) return PlatformExchange.Response(response.head.httpStatus, content.toByteArray())
-            content.write(buffer, 0, count)
+        val startedAtMs = clock.monotonicMs()
+        var receivedBytes = 0
+        try {
+            val body =
+                readWhileProgressing(callTimeoutMs, MAX_BODY_BYTES) { bytes ->
+                    response.body.read(bytes).also { receivedBytes += maxOf(0, it) }
+                }
+            return when (body) {
+                is BodyRead.Complete -> PlatformExchange.Response(response.head.httpStatus, body.bytes)
+                is BodyRead.Stalled -> PlatformExchange.Lost("response stalled for $callTimeoutMs ms after ${body.receivedBytes} bytes")
+                BodyRead.TooLong -> PlatformExchange.Lost("response of more than $MAX_BODY_BYTES bytes")
+            }
+        } finally {
+            logTransfer(call, receivedBytes, response.body.isComplete, waitMs, startedAtMs)
         }
-        return PlatformExchange.Lost("response of more than $MAX_BODY_BYTES bytes")
     }
 
     /** Logs responses that are large or did not arrive in full: these take long on slow links. */
@@ -130,7 +136,6 @@
     private companion object {
         // The largest value in a page is a configuration of a few megabytes.
         private const val MAX_BODY_BYTES = 32 * 1_048_576
-        private const val READ_BUFFER_BYTES = 8_192
         private const val MIN_LOGGED_BYTES = 65_536
     }
 }
--- a/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
@@ -4,16 +4,16 @@
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.engine.cio.endpoint
 import io.ktor.client.plugins.defaultRequest
-import io.ktor.client.request.request
+import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.setBody
-import io.ktor.client.statement.bodyAsBytes
+import io.ktor.client.statement.bodyAsChannel
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpMethod
 import io.ktor.http.contentType
+import io.ktor.utils.io.readAvailable
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
-import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -24,7 +24,7 @@
 /**
  * Sends requests to the platform without retries and distinguishes definite failures from unknown outcomes.
  *
- * @param callTimeoutMs timeout of a call that sets none.
+ * @param callTimeoutMs timeout of a call that sets none, and of responses that make no progress.
  */
 class PlatformHttp(
     private val callTimeoutMs: Long,
@@ -55,7 +55,7 @@
     ): PlatformExchange {
         val effectiveTimeoutMs = timeoutMs ?: callTimeoutMs
         return try {
-            withTimeoutOrNull(effectiveTimeoutMs) { send(httpMethod, url, body, bodyType) }
+            withTimeoutUntilStarted(effectiveTimeoutMs) { onStarted -> send(httpMethod, url, body, bodyType, onStarted) }
                 ?: PlatformExchange.Lost("no response within $effectiveTimeoutMs ms")
         } catch (failure: Exception) {
             currentCoroutineContext().ensureActive()
@@ -87,17 +87,24 @@
         url: String,
         body: ByteArray?,
         bodyType: ContentType,
-    ): PlatformExchange {
-        val response =
-            client.request(url) {
+        onStarted: () -> Unit,
+    ): PlatformExchange =
+        client
+            .prepareRequest(url) {
                 method = httpMethod
                 if (body != null) {
                     contentType(bodyType)
                     setBody(body)
                 }
+            }.execute { response ->
+                onStarted()
+                val channel = response.bodyAsChannel()
+                when (val read = readWhileProgressing(callTimeoutMs, MAX_BODY_BYTES) { channel.readAvailable(it) }) {
+                    is BodyRead.Complete -> PlatformExchange.Response(response.status.value, read.bytes)
+                    is BodyRead.Stalled -> PlatformExchange.Lost("response stalled after ${read.receivedBytes} bytes")
+                    BodyRead.TooLong -> PlatformExchange.Lost("response of more than $MAX_BODY_BYTES bytes")
+                }
             }
-        return PlatformExchange.Response(response.status.value, response.bodyAsBytes())
-    }
 
     private fun <T> decodeResponse(
         response: PlatformExchange.Response,
@@ -126,6 +133,9 @@
     internal companion object {
         const val NOT_FOUND_STATUS = 404
         private const val MAX_CAUSE_DEPTH = 8
+
+        // Objects are at most 8 MB, pages of rows 1 MB.
+        private const val MAX_BODY_BYTES = 32 * 1_048_576
         private val SUCCESS_STATUSES = 200..299
 
         /** Statuses that the platform returns before it processes a request. */
--- a/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformTransport.kt
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformTransport.kt
@@ -9,7 +9,8 @@
      * Sends a request and waits for the complete response.
      *
      * @param url absolute HTTP URL.
-     * @param timeoutMs timeout of the exchange; null for the default.
+     * @param timeoutMs longest time without progress, null for the default: until the response begins, and then until it is complete or a
+     *   further part of it has arrived. A large response may take longer as a whole.
      */
     suspend fun exchange(
         httpMethod: HttpMethod,
