Read the configuration once for all requests with unknown routes or keys

Cause: each request for an unknown route or key started a read of the whole configuration that was cut off after 250 ms, and the next request started the same read again. On a slow link these reads took the bandwidth from the watcher that brought the new version. Change: such a request asks the watcher for a call that only returns what has changed. It ends a long poll to which the store has not responded, and waits for a response that is arriving for as long as half of the request's time, 2 s at most. Result: LargeConfigurationTest: 'callers that ask for unknown routes' failed before and passes; a request for a route that is arriving is served, and the document is carried once.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ConfigurationRefresher.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ConfigurationRefresher.kt
@@ -1,38 +1,55 @@
 package org.lycheemount.app.router.gateway
 
-import kotlinx.coroutines.sync.Mutex
-import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lycheemount.common.Clock
 
 /**
- * Rereads the configuration for requests whose route or key is unknown. Concurrent requests share one read, so that callers with
- * wrong keys cannot exhaust the store's rate limit.
+ * Makes sure that the active configuration is current before a request is refused for an unknown route or key. A confirmation serves all
+ * requests of the next [MIN_CHECK_INTERVAL_MS], so that callers with wrong keys cannot exhaust the store's rate limit.
  *
- * @param readConfiguration returns false if the store did not respond.
+ * @param isReceiving whether a response of the store is arriving, which may hold a newer version.
+ * @param awaitCurrent returns true once all versions that were published before the call are active, or false if the store does not
+ *   respond.
  */
 internal class ConfigurationRefresher(
     private val clock: Clock,
-    private val readConfiguration: suspend () -> Boolean,
+    private val isReceiving: () -> Boolean = { false },
+    private val awaitCurrent: suspend () -> Boolean,
 ) {
-    private val mutex = Mutex()
-    private var lastReadAtMs = Long.MIN_VALUE / 2
-    private var lastReadSucceeded = false
+    @Volatile
+    private var currentAsOfMs = Long.MIN_VALUE / 2
 
-    /** Returns true if the active configuration was read from the store within the last [MIN_READ_INTERVAL_MS]. */
-    suspend fun refresh(): Boolean =
-        mutex.withLock {
-            if (clock.monotonicMs() - lastReadAtMs >= MIN_READ_INTERVAL_MS) {
-                lastReadAtMs = clock.monotonicMs()
-                lastReadSucceeded = withTimeoutOrNull(READ_TIMEOUT_MS) { readConfiguration() } ?: false
-            }
-            lastReadSucceeded
+    /**
+     * Returns true if the active configuration was current within the last [MIN_CHECK_INTERVAL_MS].
+     *
+     * @param patienceMs longest wait for a version that is arriving. A store that does not begin to respond is not waited for as long.
+     */
+    suspend fun refresh(patienceMs: Long): Boolean {
+        val startedAtMs = clock.monotonicMs()
+        if (startedAtMs - currentAsOfMs < MIN_CHECK_INTERVAL_MS) return true
+        val isCurrent = check(startedAtMs + patienceMs)
+        if (isCurrent) currentAsOfMs = maxOf(currentAsOfMs, startedAtMs)
+        return isCurrent
+    }
+
+    private suspend fun check(untilMs: Long): Boolean =
+        coroutineScope {
+            val check = async { awaitCurrent() }
+            var result: Boolean? = null
+            do {
+                val remainingMs = untilMs - clock.monotonicMs()
+                result = withTimeoutOrNull(minOf(remainingMs, RESPONSE_TIMEOUT_MS)) { check.await() }
+            } while (result == null && remainingMs > RESPONSE_TIMEOUT_MS && isReceiving())
+            check.cancel()
+            result ?: false
         }
 
     private companion object {
-        private const val MIN_READ_INTERVAL_MS = 200L
+        private const val MIN_CHECK_INTERVAL_MS = 200L
 
         // The store normally responds within 4 ms. A request with an unknown key is not worth a longer wait.
-        private const val READ_TIMEOUT_MS = 250L
+        private const val RESPONSE_TIMEOUT_MS = 250L
     }
 }
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -96,7 +96,7 @@
             backendHttp::refusesConnections,
         )
     private val operatorRowWatcher = createOperatorRowWatcher(store)
-    private val configurationRefresher = ConfigurationRefresher(clock) { operatorRowWatcher.readOnce(configurationListener::onAllRows) }
+    private val configurationRefresher = ConfigurationRefresher(clock, operatorRowWatcher::isReceiving, operatorRowWatcher::awaitCurrent)
     private val serverListener = ServerRowListener(dispatcher, clock, eventLog)
     private val drain = DrainState()
     private val metricsRegistry =
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/KeepAlivePlatformTransport.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/KeepAlivePlatformTransport.kt
@@ -46,6 +46,7 @@
         body: ByteArray?,
         bodyType: ContentType,
         timeoutMs: Long?,
+        onResponse: () -> Unit,
     ): PlatformExchange {
         val target = Url(url)
         val call =
@@ -57,7 +58,12 @@
             )
         val effectiveTimeoutMs = timeoutMs ?: callTimeoutMs
         return try {
-            withTimeoutUntilStarted(effectiveTimeoutMs) { onStarted -> send(storeServerAt(target), call, onStarted) }
+            withTimeoutUntilStarted(effectiveTimeoutMs) { onStarted ->
+                send(storeServerAt(target), call) {
+                    onStarted()
+                    onResponse()
+                }
+            }
                 ?: PlatformExchange.Lost("no response within $effectiveTimeoutMs ms")
         } catch (failure: IOException) {
             currentCoroutineContext().ensureActive()
@@ -68,12 +74,12 @@
     private suspend fun send(
         server: BackendServer,
         call: PassThroughCall,
-        onStarted: () -> Unit,
+        onResponse: () -> Unit,
     ): PlatformExchange {
         val startedAtMs = clock.monotonicMs()
         val outcome =
             client.exchange(server, call) { response ->
-                onStarted()
+                onResponse()
                 readBody(call, response, waitMs = clock.monotonicMs() - startedAtMs)
             }
         return when (outcome) {
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ConfigurationRefresherTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ConfigurationRefresherTest.kt
@@ -10,26 +10,28 @@
 
 class ConfigurationRefresherTest {
     private val clock = FakeClock()
-    private var reads = 0
+    private var checks = 0
     private var isStoreAvailable = true
     private val refresher =
         ConfigurationRefresher(clock) {
-            reads++
+            checks++
             isStoreAvailable
         }
 
+    private suspend fun refresh() = refresher.refresh(patienceMs = 1_000)
+
     @Nested
     inner class `a refresh for an unknown route or key` {
         @Test
         fun `is shared by requests within 200 ms, so that callers with wrong keys do not exhaust the store's rate limit`() =
             runTest {
-                repeat(100) { assertTrue(refresher.refresh()) }
-                assertEquals(1, reads)
+                repeat(100) { assertTrue(refresh()) }
+                assertEquals(1, checks)
 
                 clock.advance(200)
-                assertTrue(refresher.refresh())
+                assertTrue(refresh())
 
-                assertEquals(2, reads)
+                assertEquals(2, checks)
             }
 
         @Test
@@ -37,7 +39,7 @@
             runTest {
                 isStoreAvailable = false
 
-                assertFalse(refresher.refresh())
+                assertFalse(refresh())
             }
     }
 }
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
@@ -8,12 +8,13 @@
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
-import org.junit.jupiter.api.Tag
 import org.lycheemount.common.Clock
 import org.lycheemount.config.PublishedConfiguration
 import org.lycheemount.platform.adapter.createOperatorRowWatcher
 import org.lycheemount.testing.FakeEventLog
 import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
 @OptIn(ExperimentalCoroutinesApi::class)
@@ -32,7 +33,8 @@
         private val configuration = PublishedConfiguration(FakeEventLog())
         private val listener = ConfigurationRowListener(configuration, clock, FakeEventLog()) {}
         private val watcher = createOperatorRowWatcher(createStoreClient(link, "127.0.0.1:1", clock, FakeEventLog()))
-        val refresher = ConfigurationRefresher(clock) { watcher.readOnce(listener::onAllRows) }
+        val refresher = ConfigurationRefresher(clock, watcher::isReceiving, watcher::awaitCurrent)
+        val nowMs get() = scope.currentTime
         val version get() = configuration.current().sequence
 
         fun start() {
@@ -84,7 +86,6 @@
     }
 
     @Nested
-    @Tag("known-red")
     inner class `callers that ask for unknown routes` {
         @Test
         fun `do not delay a large configuration, guarding against reads for them that fill the link`() =
@@ -99,13 +100,73 @@
             }
     }
 
+    @Nested
+    inner class `a request for a route that was just added` {
+        @Test
+        fun `waits for the configuration that is arriving, which is read once, guarding against 503 for routes that are there`() =
+            runRouter {
+                link.publish(1, routeCount = 10)
+                start()
+                delay(1_000)
+                link.publish(2, ROUTES)
+                delay(100)
+
+                assertTrue(refresher.refresh(patienceMs = 2_000))
+                assertEquals(2, version)
+                assertEquals(2, link.configurationResponses)
+            }
+
+        @Test
+        fun `does not wait longer than its deadline bears`() =
+            runRouter {
+                link.publish(1, routeCount = 10)
+                start()
+                delay(1_000)
+                link.publish(2, ROUTES)
+                delay(100)
+
+                val startedAtMs = nowMs
+                assertFalse(refresher.refresh(patienceMs = 700))
+                assertEquals(700, nowMs - startedAtMs)
+            }
+    }
+
+    @Nested
+    inner class `a request for an unknown route` {
+        @Test
+        fun `is answered at once while nothing changes, guarding against waits for the end of a long poll`() =
+            runRouter {
+                link.publish(1, routeCount = 10)
+                start()
+                delay(1_000)
+
+                val startedAtMs = nowMs
+                assertTrue(refresher.refresh(patienceMs = 2_000))
+                assertTrue(nowMs - startedAtMs < 20)
+                assertEquals(1, link.configurationResponses)
+            }
+
+        @Test
+        fun `is not kept waiting by a store that does not respond`() =
+            runRouter {
+                link.publish(1, routeCount = 10)
+                start()
+                delay(1_000)
+                link.isSilent = true
+
+                val startedAtMs = nowMs
+                assertFalse(refresher.refresh(patienceMs = 2_000))
+                assertEquals(250, nowMs - startedAtMs)
+            }
+    }
+
     /** Runs [steps] while callers ask for unknown routes all the time. */
     private suspend fun Router.besideCallersOfUnknownRoutes(steps: suspend () -> Unit) =
         coroutineScope {
             val callers =
                 launch {
                     while (true) {
-                        launch { refresher.refresh() }
+                        launch { refresher.refresh(patienceMs = 2_000) }
                         delay(REQUEST_INTERVAL_MS)
                     }
                 }
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/SlowStoreLink.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/SlowStoreLink.kt
@@ -4,6 +4,7 @@
 import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
@@ -32,6 +33,9 @@
     private var oldestRevision = 0L
     private var transfers = 0
 
+    /** While set, no call gets a response. */
+    var isSilent = false
+
     /** Number of responses that have carried the configuration, in part or in full. */
     var configurationResponses = 0
         private set
@@ -57,6 +61,7 @@
         handle: suspend (PassThroughResponse) -> T,
     ): PassThroughOutcome<T> {
         delay(ROUND_TRIP_MS)
+        if (isSilent) awaitCancellation()
         val query = parseQueryString(call.target.substringAfter('?'))
         val since = query["since_rev"]?.toLong()
         if (since != null) withTimeoutOrNull(query["wait_ms"]!!.toLong()) { revision.first { it > since } }
--- a/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
@@ -52,10 +52,16 @@
         body: ByteArray?,
         bodyType: ContentType,
         timeoutMs: Long?,
+        onResponse: () -> Unit,
     ): PlatformExchange {
         val effectiveTimeoutMs = timeoutMs ?: callTimeoutMs
         return try {
-            withTimeoutUntilStarted(effectiveTimeoutMs) { onStarted -> send(httpMethod, url, body, bodyType, onStarted) }
+            withTimeoutUntilStarted(effectiveTimeoutMs) { onStarted ->
+                send(httpMethod, url, body, bodyType) {
+                    onStarted()
+                    onResponse()
+                }
+            }
                 ?: PlatformExchange.Lost("no response within $effectiveTimeoutMs ms")
         } catch (failure: Exception) {
             currentCoroutineContext().ensureActive()
@@ -87,7 +93,7 @@
         url: String,
         body: ByteArray?,
         bodyType: ContentType,
-        onStarted: () -> Unit,
+        onResponse: () -> Unit,
     ): PlatformExchange =
         client
             .prepareRequest(url) {
@@ -97,7 +103,7 @@
                     setBody(body)
                 }
             }.execute { response ->
-                onStarted()
+                onResponse()
                 val channel = response.bodyAsChannel()
                 when (val read = readWhileProgressing(callTimeoutMs, MAX_BODY_BYTES) { channel.readAvailable(it) }) {
                     is BodyRead.Complete -> PlatformExchange.Response(response.status.value, read.bytes)
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -133,7 +133,7 @@
         val queueDelayMs = measureQueueDelayMs()
         val arrivedAtMs = enteredAtMs - OverloadPolicy.waitBeforeHandlerMs(queueDelayMs)
         if (services.drain.isDraining) writer.closeConnection()
-        val matched = matchRoute(call).getOrElse { return refuse(writer, metadata, null, it) }
+        val matched = matchRoute(call, metadata).getOrElse { return refuse(writer, metadata, null, it) }
         val expiresAtMs = expiresAtMs(matched.route, metadata, arrivedAtMs)
         OverloadPolicy
             .refusalFor(queueDelayMs, matched.route.targetLatencyMs, expiresAtMs - services.clock.monotonicMs())
@@ -257,18 +257,27 @@
         }
 
     /** Finds route and team. Refreshes the configuration before refusing a route or key that another router may already know. */
-    private suspend fun matchRoute(call: ApplicationCall): Result<RouteMatch, Refusal> {
+    private suspend fun matchRoute(
+        call: ApplicationCall,
+        metadata: RequestMetadata,
+    ): Result<RouteMatch, Refusal> {
         val reasons = services.cannotServeReasons()
         if (reasons.isNotEmpty()) return Err(Refusal(RefusalReason.NOT_READY, reasons.joinToString(), NOT_READY_RETRY_MS))
         val first = findRoute(call)
         if (first.isOk) return first
         // The process may exit before the configuration is refreshed.
         if (services.drain.isDraining) return Err(drainingRefusal(NOT_READY_RETRY_MS))
-        if (services.refreshConfiguration()) return findRoute(call)
+        val isCurrent = services.refreshConfiguration(configurationPatienceMs(metadata))
+        val second = findRoute(call)
+        if (isCurrent || second.isOk) return second
         // The route or key may have been added meanwhile, so the caller must not be told that it is unknown.
         return Err(Refusal(RefusalReason.NOT_READY, "the configuration could not be refreshed", NOT_READY_RETRY_MS))
     }
 
+    /** The request has to be served in the rest of its time. */
+    private fun configurationPatienceMs(metadata: RequestMetadata): Long =
+        minOf(MAX_CONFIGURATION_WAIT_MS, (metadata.deadlineMs ?: Long.MAX_VALUE) / 2)
+
     private fun findRoute(call: ApplicationCall): Result<RouteMatch, Refusal> {
         val current = currentIndex()
         val host = call.request.headers[HttpHeaders.Host].orEmpty()
@@ -340,6 +349,7 @@
 
         // A starting router receives its configuration within a second.
         private const val NOT_READY_RETRY_MS = 500L
+        private const val MAX_CONFIGURATION_WAIT_MS = 2_000L
         private val UNKNOWN_ROUTE = Refusal(RefusalReason.UNKNOWN_SERVICE, "no route matches the host and path")
         private val PUBLIC_TEAM = Team(TeamId("public"), BudgetId("public"))
     }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedServices.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedServices.kt
@@ -22,8 +22,8 @@
  * @property notReadyReasons reasons for which the readiness check fails, so that new connections go to other routers; empty when the
  *   process is ready.
  * @property cannotServeReasons reasons for which every request is refused; empty while requests can be served.
- * @property refreshConfiguration reloads the configuration; called before a request is refused for an unknown route or key. Returns
- *   false when it could not be loaded.
+ * @property refreshConfiguration makes sure that the active configuration is current, before a request is refused for an unknown route or
+ *   key. Its argument is the longest useful wait in milliseconds. Returns false if that could not be confirmed.
  * @property quarantine keeps prompts on which servers crash away from further servers.
  */
 class RoutedServices(
@@ -41,7 +41,7 @@
     val routerCount: () -> Int,
     val notReadyReasons: () -> List<String>,
     val cannotServeReasons: () -> List<String> = notReadyReasons,
-    val refreshConfiguration: suspend () -> Boolean = { true },
+    val refreshConfiguration: suspend (patienceMs: Long) -> Boolean = { true },
     val quarantine: PromptQuarantine = DisabledPromptQuarantine,
     val drain: DrainState = DrainState(),
     val limits: CallerLimits = CallerLimits(),
