--- a/request/caller/src/main/kotlin/org/lycheemount/caller/WorkDispatcher.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/WorkDispatcher.kt
@@ -22,7 +22,9 @@
 import org.lycheemount.scheduling.CacheEvents
 import org.lycheemount.scheduling.FailureKind
 import org.lycheemount.scheduling.LoadReport
+import org.lycheemount.scheduling.RequestLimitStatement
 import org.lycheemount.scheduling.RequestScheduler
+import org.lycheemount.scheduling.RouterFleet
 import org.lycheemount.scheduling.SchedulerAction
 import org.lycheemount.scheduling.ServiceEvent
 import org.lycheemount.scheduling.SubmitOutcome
@@ -118,6 +120,12 @@
     /** Passes a load report to the scheduler. */
     fun onLoadReport(report: LoadReport) = withScheduler { nowMs -> scheduler.onLoadReport(report, nowMs) }
 
+    /** Passes a server's statement about its request limit to the scheduler. */
+    fun onRequestLimit(statement: RequestLimitStatement) = withScheduler { nowMs -> scheduler.onRequestLimit(statement, nowMs) }
+
+    /** Replaces the routers that share the request limits of servers. */
+    fun onRouterFleet(fleet: RouterFleet) = withScheduler { nowMs -> scheduler.onRouterFleet(fleet, nowMs) }
+
     /** Passes prefix cache events to the scheduler. */
     fun onCacheEvents(events: CacheEvents) = withScheduler { nowMs -> scheduler.onCacheEvents(events, nowMs) }
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -125,6 +125,7 @@
         respondingSinceMs = null
         isPromptServed = false
         isInProgress = true
+        val sentAtMs = services.clock.monotonicMs()
         var metadata: ResponseMetadata? = null
         val call =
             callFor(server, resumeAfterEventId) { head ->
@@ -134,7 +135,10 @@
             }
         val outcome =
             try {
-                services.client.exchange(server, call) { response -> handleResponse(response, checkNotNull(metadata), onResponse) }
+                services.client.exchange(server, call) { response ->
+                    services.serverStatements.onResponse(server, metadata?.requestLimitText, sentAtMs)
+                    handleResponse(response, checkNotNull(metadata), onResponse)
+                }
             } catch (failure: TruncatedResponseException) {
                 throw failure
             } catch (failure: IOException) {
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
@@ -78,10 +78,12 @@
  * @property notRun the failure when the server reports that it did not run the request, else null.
  * @property hasNotRunStatus whether callers take the status as a promise that the request did not run, also without [notRun].
  * @property load null when the server does not report its load.
+ * @property requestLimitText the rate of requests that the server takes from all routers together, as it wrote it; null if it names none.
  */
 class ResponseMetadata(
     val owner: ResponseOwner,
     val notRun: AttemptFailure?,
     val hasNotRunStatus: Boolean,
     val load: LoadReport?,
+    val requestLimitText: String? = null,
 )
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedServices.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedServices.kt
@@ -24,6 +24,7 @@
  * @property cannotServeReasons reasons for which every request is refused; empty while requests can be served.
  * @property refreshConfiguration makes sure that the active configuration is current, before a request is refused for an unknown route or
  *   key. Its argument is the longest useful wait in milliseconds. Returns false if that could not be confirmed.
+ * @property serverStatements what backend servers say about themselves in their responses.
  * @property quarantine keeps prompts on which servers crash away from further servers.
  */
 class RoutedServices(
@@ -42,6 +43,7 @@
     val notReadyReasons: () -> List<String>,
     val cannotServeReasons: () -> List<String> = notReadyReasons,
     val refreshConfiguration: suspend (patienceMs: Long) -> Boolean = { true },
+    val serverStatements: ServerStatements = ServerStatements(dispatcher, clock, eventLog),
     val quarantine: PromptQuarantine = DisabledPromptQuarantine,
     val drain: DrainState = DrainState(),
     val limits: CallerLimits = CallerLimits(),
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
@@ -0,0 +1,87 @@
+package org.lycheemount.caller.routed
+
+import org.lycheemount.caller.WorkDispatcher
+import org.lycheemount.common.BackendServer
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.scheduling.RequestLimitStatement
+
+/** Keeps what backend servers say about themselves in their responses, and passes changes on to the dispatcher. Thread-safe. */
+class ServerStatements(
+    private val dispatcher: WorkDispatcher,
+    private val clock: Clock,
+    private val eventLog: EventLog,
+) {
+    private val limits = HashMap<BackendServerId, RequestLimitStatement>()
+    private val unreadableServers = HashSet<BackendServerId>()
+
+    /**
+     * Applies the request limit in a response of [server], as text, or its absence.
+     *
+     * @param sentAtMs time at which the request of this response was sent. A response without a limit ends only a limit that was named
+     *   before, since responses may overtake each other.
+     */
+    @Synchronized
+    fun onResponse(
+        server: BackendServer,
+        limitText: String?,
+        sentAtMs: Long,
+    ) {
+        val known = limits[server.backendServerId]?.takeIf { it.vmId == server.vmId }
+        if (limitText == null && (known == null || sentAtMs <= known.asOfMs)) return
+        val requestsPerS = limitText?.let { parseLimit(server.backendServerId, it) ?: return }
+        val asOfMs = if (limitText == null) sentAtMs else clock.monotonicMs()
+        apply(known, RequestLimitStatement(server.backendServerId, server.vmId, requestsPerS, asOfMs), SOURCE_RESPONSE)
+    }
+
+    private fun apply(
+        known: RequestLimitStatement?,
+        statement: RequestLimitStatement,
+        source: String,
+    ) {
+        if (known?.requestsPerS != statement.requestsPerS) {
+            eventLog.info(
+                "server_limit",
+                "server" to statement.backendServerId.value,
+                "requests_per_s" to statement.requestsPerS,
+                "before" to known?.requestsPerS,
+                "before_age_ms" to known?.let { clock.monotonicMs() - it.asOfMs },
+                "source" to source,
+            )
+        }
+        if (statement.requestsPerS == null) limits.remove(statement.backendServerId) else limits[statement.backendServerId] = statement
+        dispatcher.onRequestLimit(statement)
+    }
+
+    /** Returns null for text that is no number; what the server said before then stays in force. */
+    private fun parseLimit(
+        serverId: BackendServerId,
+        text: String,
+    ): Double? {
+        val limit = text.trim().toDoubleOrNull()?.takeUnless { it.isNaN() }
+        val bounded = limit?.coerceIn(MIN_REQUESTS_PER_S, MAX_REQUESTS_PER_S)
+        if (bounded != limit || limit == null) {
+            if (unreadableServers.add(serverId)) {
+                eventLog.warn(
+                    "server_limit_out_of_range",
+                    "server" to serverId.value,
+                    "text" to text.take(MAX_LOGGED_CHARS),
+                    "used" to bounded,
+                )
+            }
+        } else {
+            unreadableServers -= serverId
+        }
+        return bounded
+    }
+
+    private companion object {
+        private const val SOURCE_RESPONSE = "response"
+
+        // A server that takes nothing must still be asked now and then, since only its responses tell when it takes requests again.
+        private const val MIN_REQUESTS_PER_S = 0.1
+        private const val MAX_REQUESTS_PER_S = 10_000.0
+        private const val MAX_LOGGED_CHARS = 40
+    }
+}
--- /dev/null
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerStatementsTest.kt
@@ -0,0 +1,72 @@
+package org.lycheemount.caller.routed
+
+import org.junit.jupiter.api.Nested
+import org.lycheemount.caller.WorkDispatcher
+import org.lycheemount.common.BackendServer
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
+import org.lycheemount.scheduling.createRequestScheduler
+import org.lycheemount.testing.FakeClock
+import org.lycheemount.testing.FakeEventLog
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class ServerStatementsTest {
+    private val clock = FakeClock(nowMs = 1_000)
+    private val eventLog = FakeEventLog()
+    private val statements = ServerStatements(WorkDispatcher(createRequestScheduler(ZoneId("z"), seed = 1), clock), clock, eventLog)
+
+    private fun respond(
+        limitText: String?,
+        sentAtMs: Long = clock.nowMs,
+        run: String = "vm1",
+    ) = statements.onResponse(
+        BackendServer(BackendServerId("s1"), VmId(run), ZoneId("z"), "127.0.0.1", 1, emptySet()),
+        limitText,
+        sentAtMs,
+    )
+
+    private val limits get() = eventLog.events.filter { it.first == "server_limit" }.map { it.second["requests_per_s"] }
+
+    @Nested
+    inner class `a request limit` {
+        @Test
+        fun `is logged when it is named, changed and ended`() {
+            respond("2.5")
+            respond("2.5")
+            respond("4")
+            clock.advance(10)
+            respond(null)
+
+            assertEquals(listOf<Any?>(2.5, 4.0, null), limits)
+        }
+
+        @Test
+        fun `is not ended by the response to a request that was sent before it was named`() {
+            respond("2")
+            clock.advance(50)
+            respond(null, sentAtMs = 990)
+
+            assertEquals(listOf<Any?>(2.0), limits)
+        }
+
+        @Test
+        fun `of an earlier run of the server says nothing of a later one`() {
+            respond("2")
+            clock.advance(10)
+            respond("2", run = "vm2")
+
+            assertEquals(listOf<Any?>(2.0, 2.0), limits)
+        }
+
+        @Test
+        fun `that is zero, negative or huge is bounded, and one that is no number is ignored`() {
+            listOf("0", "-3", "1e99", "Infinity").forEach(::respond)
+            listOf("", "fast", "NaN", "2;3").forEach(::respond)
+
+            assertEquals(listOf<Any?>(0.1, 10_000.0), limits)
+            assertEquals(1, eventLog.events.count { it.first == "server_limit_out_of_range" })
+        }
+    }
+}
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -113,6 +113,14 @@
         }
     }
 
+    override fun onRequestLimit(
+        statement: RequestLimitStatement,
+        nowMs: Long,
+    ) {
+        val state = servers[statement.backendServerId] ?: return
+        if (state.server.vmId == statement.vmId) state.requestLimit = statement
+    }
+
     override fun onCacheEvents(
         events: CacheEvents,
         nowMs: Long,
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestScheduler.kt
@@ -46,6 +46,18 @@
         nowMs: Long,
     )
 
+    /** Applies what a backend server has said about the rate of requests that it takes from all routers. */
+    fun onRequestLimit(
+        statement: RequestLimitStatement,
+        nowMs: Long,
+    ) {}
+
+    /** Replaces the routers that share the request limits of backend servers. */
+    fun onRouterFleet(
+        fleet: RouterFleet,
+        nowMs: Long,
+    ) {}
+
     /** Applies prefix cache events of a model engine. Events may be late or missing. */
     fun onCacheEvents(
         events: CacheEvents,
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
@@ -20,6 +20,9 @@
     private val inFlight = LinkedHashMap<RequestId, StartedRequest>()
     private var lastProgressAtMs = Long.MIN_VALUE
 
+    /** What the server has said last about its request limit; null if it has said nothing. */
+    var requestLimit: RequestLimitStatement? = null
+
     /** Uncached prompt tokens of requests on the server that have no first token yet. */
     var pendingPrefillTokens = 0
         private set
