Show the shared request limit over real sockets

Cause: the test of the change runs schedulers in virtual time; the header, the list of routers and the peers were not part of it.

--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
@@ -20,6 +20,7 @@
 import org.lycheemount.platform.adapter.testing.FakeRoute
 import org.lycheemount.platform.adapter.testing.FakeStore
 import org.lycheemount.platform.adapter.testing.REQUEST_ID_HEADER
+import org.lycheemount.platform.adapter.testing.REQUEST_LIMIT_HEADER
 import org.lycheemount.platform.adapter.testing.SIGNATURE_HEADER
 import org.lycheemount.platform.adapter.testing.publishRoutes
 import org.lycheemount.platform.adapter.testing.registerServer
@@ -27,14 +28,27 @@
 import org.lycheemount.settings.RetryBudgetSettings
 import java.net.InetSocketAddress
 import java.net.ServerSocket
+import java.util.concurrent.CopyOnWriteArrayList
 
 /** Dependencies of one gateway on loopback: the platform's store, an operator's configuration and one backend server. */
 internal class GatewayFixture : AutoCloseable {
     private val store = FakeStore().apply { waitsForChanges = true }
+
+    /** Request limit that the backend server names in its responses; null for none. */
+    @Volatile
+    var requestLimitText: String? = null
+
+    /** Times at which requests for `/plain/` reached the backend server. */
+    val plainArrivalTimesMs: MutableList<Long> = CopyOnWriteArrayList()
+
     private val backendServer =
         embeddedServer(CIO, configure = { listenOn("127.0.0.1:0") }) {
             routing {
-                get("/plain/") { respondAsServer(call) { call.respondText("done") } }
+                get("/plain/") {
+                    plainArrivalTimesMs += System.nanoTime() / NANOS_PER_MS
+                    requestLimitText?.let { call.response.header(REQUEST_LIMIT_HEADER, it) }
+                    respondAsServer(call) { call.respondText("done") }
+                }
                 get("/hanging/") { awaitCancellation() }
                 get("/endless/") { respondAsServer(call) { respondWithoutEnd(call) } }
             }
@@ -52,21 +66,23 @@
         store.registerServer("i-1", "127.0.0.1:$port")
     }
 
-    /** Settings of a gateway that has [drainGraceS] seconds to stop. */
-    fun settings(drainGraceS: Double) =
-        GatewaySettings(
-            routerId = RouterId("r1"),
-            vmId = VmId("vm1"),
-            regionId = RegionId("region"),
-            zoneId = ZoneId("z"),
-            callersAddress = freeAddress(),
-            readinessAddress = freeAddress(),
-            metricsAddress = freeAddress(),
-            peersAddress = freeAddress(),
-            storeAddress = store.address,
-            drainGraceS = drainGraceS,
-            retryBudget = RetryBudgetSettings(ratio = 0.2, slack = 10.0, windowS = 10.0),
-        )
+    /** Settings of the gateway number [index], which has [drainGraceS] seconds to stop. */
+    fun settings(
+        drainGraceS: Double,
+        index: Int = 1,
+    ) = GatewaySettings(
+        routerId = RouterId("r$index"),
+        vmId = VmId("vm$index"),
+        regionId = RegionId("region"),
+        zoneId = ZoneId("z"),
+        callersAddress = freeAddress(),
+        readinessAddress = freeAddress(),
+        metricsAddress = freeAddress(),
+        peersAddress = freeAddress(),
+        storeAddress = store.address,
+        drainGraceS = drainGraceS,
+        retryBudget = RetryBudgetSettings(ratio = 0.2, slack = 10.0, windowS = 10.0),
+    )
 
     /** From now on, the store does not respond. */
     fun silenceStore() {
@@ -102,6 +118,7 @@
 
     private companion object {
         private const val EVENT_INTERVAL_MS = 50L
+        private const val NANOS_PER_MS = 1_000_000L
         private val ROUTES =
             listOf(
                 FakeRoute("plain", "idempotent", timeoutMs = 1_000),
