Forget request limits of servers that have left

Cause: a limit that was never ended stayed in memory after its server had left. Change: forgotten an hour after the last word. Result: ServerStatementsTest passes; read through only, no run shows the growth.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
@@ -69,6 +69,7 @@
             )
             announce(statement)
         }
+        limits.values.removeIf { clock.monotonicMs() - it.asOfMs > RETENTION_MS }
         if (statement.requestsPerS == null) limits.remove(statement.backendServerId) else limits[statement.backendServerId] = statement
         dispatcher.onRequestLimit(statement)
     }
@@ -102,5 +103,8 @@
         private const val MIN_REQUESTS_PER_S = 0.1
         private const val MAX_REQUESTS_PER_S = 10_000.0
         private const val MAX_LOGGED_CHARS = 40
+
+        // Servers that have left are not reported here.
+        private const val RETENTION_MS = 3_600_000L
     }
 }
