Count requests that wait for a configuration in the drain

Cause: a request for an unknown route may now wait 2 s for a configuration, and the drain did not count it; a shutdown in that time would have closed its connection without a response. Change: the wait counts as a request in progress and ends, with 503, before the process exits. Matching moves from RoutedRequestHandler to RouteMatcher.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -1,10 +1,6 @@
 package org.lycheemount.caller.routed
 
-import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
-import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
-import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.Application
 import io.ktor.server.application.ApplicationCall
@@ -23,19 +19,14 @@
 import org.lycheemount.caller.BodyReader
 import org.lycheemount.caller.CallerMetrics
 import org.lycheemount.caller.RequestIdFactory
-import org.lycheemount.caller.TeamAuthenticator
 import org.lycheemount.caller.TokenReserver
 import org.lycheemount.caller.WireOutcome
 import org.lycheemount.caller.cancelOnDisconnect
-import org.lycheemount.caller.drainingRefusal
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.RefusalReason
 import org.lycheemount.common.TeamId
-import org.lycheemount.config.ConfigurationSnapshot
 import org.lycheemount.config.Route
-import org.lycheemount.config.RouteTable
-import org.lycheemount.config.RoutedService
 import org.lycheemount.config.Team
 import org.lycheemount.listener.callerConnection
 import java.io.IOException
@@ -44,7 +35,7 @@
 class RoutedRequestHandler(
     private val services: RoutedServices,
 ) {
-    private val authenticator = TeamAuthenticator(services.configuration)
+    private val routeMatcher = RouteMatcher(services)
     private val bodyReader = BodyReader(services.limits)
     private val requestIds = RequestIdFactory(services.identity)
     private val admissionController = AdmissionController(services.drain, services.clock)
@@ -55,9 +46,6 @@
 
     private val overloadMonitor = OverloadMonitor(services.eventLog)
 
-    @Volatile
-    private var index = RouteIndex(services.configuration.current())
-
     /** Serves all requests of [application], which a caller server must run. */
     fun installInto(application: Application) {
         application.routing {
@@ -133,7 +121,7 @@
         val queueDelayMs = measureQueueDelayMs()
         val arrivedAtMs = enteredAtMs - OverloadPolicy.waitBeforeHandlerMs(queueDelayMs)
         if (services.drain.isDraining) writer.closeConnection()
-        val matched = matchRoute(call, metadata).getOrElse { return refuse(writer, metadata, null, it) }
+        val matched = routeMatcher.match(call, metadata).getOrElse { return refuse(writer, metadata, null, it) }
         val expiresAtMs = expiresAtMs(matched.route, metadata, arrivedAtMs)
         OverloadPolicy
             .refusalFor(queueDelayMs, matched.route.targetLatencyMs, expiresAtMs - services.clock.monotonicMs())
@@ -256,54 +244,6 @@
             is RoutedOutcome.Truncated -> "broken_off:${outcome.reason}"
         }
 
-    /** Finds route and team. Refreshes the configuration before refusing a route or key that another router may already know. */
-    private suspend fun matchRoute(
-        call: ApplicationCall,
-        metadata: RequestMetadata,
-    ): Result<RouteMatch, Refusal> {
-        val reasons = services.cannotServeReasons()
-        if (reasons.isNotEmpty()) return Err(Refusal(RefusalReason.NOT_READY, reasons.joinToString(), NOT_READY_RETRY_MS))
-        val first = findRoute(call)
-        if (first.isOk) return first
-        // The process may exit before the configuration is refreshed.
-        if (services.drain.isDraining) return Err(drainingRefusal(NOT_READY_RETRY_MS))
-        val isCurrent = services.refreshConfiguration(configurationPatienceMs(metadata))
-        val second = findRoute(call)
-        if (isCurrent || second.isOk) return second
-        // The route or key may have been added meanwhile, so the caller must not be told that it is unknown.
-        return Err(Refusal(RefusalReason.NOT_READY, "the configuration could not be refreshed", NOT_READY_RETRY_MS))
-    }
-
-    /** The request has to be served in the rest of its time. */
-    private fun configurationPatienceMs(metadata: RequestMetadata): Long =
-        minOf(MAX_CONFIGURATION_WAIT_MS, (metadata.deadlineMs ?: Long.MAX_VALUE) / 2)
-
-    private fun findRoute(call: ApplicationCall): Result<RouteMatch, Refusal> {
-        val current = currentIndex()
-        val host = call.request.headers[HttpHeaders.Host].orEmpty()
-        val route = current.routes.find(host, call.request.uri.substringBefore('?')) ?: return Err(UNKNOWN_ROUTE)
-        val team =
-            if (route.isPublic) {
-                null
-            } else {
-                authenticator.authenticate(call.request.headers[HttpHeaders.Authorization]).getOrElse {
-                    return Err(it)
-                }
-            }
-        val serviceId = route.pickDestination(Math.random())
-        val service = current.snapshot.routedServices[serviceId] ?: RoutedService(serviceId, maxConnections = 1)
-        return Ok(RouteMatch(route, service, team, current.snapshot.sequence))
-    }
-
-    private fun currentIndex(): RouteIndex {
-        val snapshot = services.configuration.current()
-        if (index.snapshot !== snapshot) {
-            index = RouteIndex(snapshot)
-            services.dispatcher.onWorkClasses(snapshot.workClasses)
-        }
-        return index
-    }
-
     private suspend fun refuse(
         writer: ResponseWriter,
         metadata: RequestMetadata,
@@ -325,19 +265,6 @@
         writer.writeComplete(services.dialect.refusalHead(refusal, metadata.requestId, mayHaveRun), refusal.detail.encodeToByteArray())
     }
 
-    private class RouteIndex(
-        val snapshot: ConfigurationSnapshot,
-    ) {
-        val routes = RouteTable(snapshot.routes)
-    }
-
-    private class RouteMatch(
-        val route: Route,
-        val service: RoutedService,
-        val team: Team?,
-        val sequence: Long,
-    )
-
     private companion object {
         private const val KIND = "routed"
         private const val CALLER_GONE = "caller_gone"
@@ -347,10 +274,6 @@
         private const val MEASURED_TURNS = 3
         private const val HEXADECIMAL = 16
 
-        // A starting router receives its configuration within a second.
-        private const val NOT_READY_RETRY_MS = 500L
-        private const val MAX_CONFIGURATION_WAIT_MS = 2_000L
-        private val UNKNOWN_ROUTE = Refusal(RefusalReason.UNKNOWN_SERVICE, "no route matches the host and path")
         private val PUBLIC_TEAM = Team(TeamId("public"), BudgetId("public"))
     }
 }
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.AfterEach
 import org.lycheemount.backend.BackendHttp
 import org.lycheemount.backend.DefaultPassThroughClient
+import org.lycheemount.caller.DrainState
 import org.lycheemount.caller.FakeLedger
 import org.lycheemount.caller.FakeScheduler
 import org.lycheemount.caller.WorkDispatcher
@@ -60,6 +61,11 @@
 
     /** Times that the configuration was read. Each request reads it after its handler has started. */
     protected val configurationReads = AtomicInteger()
+    protected val drain = DrainState()
+
+    /** What a request for an unknown route or key waits for. */
+    @Volatile
+    protected var refreshConfiguration: suspend () -> Boolean = { true }
     private val handler =
         RoutedRequestHandler(
             RoutedServices(
@@ -79,7 +85,9 @@
                 retryBudgetPolicy = { RetryBudgetPolicy(ratio = 1.0, slack = 100.0, windowMs = 1_000) },
                 routerCount = { 1 },
                 notReadyReasons = { emptyList() },
+                refreshConfiguration = { refreshConfiguration() },
                 quarantine = quarantine,
+                drain = drain,
             ),
         )
     private val server = createCallerServer("127.0.0.1", port = 0) { handler.installInto(this) }.apply { start() }
