Move the slow store of the tests to the platform's folder

Cause: a test of the router used the platform's names for calls and rows. Change: SlowStoreLink is in platform/testing; a check of the configuration and its signal are one step; ConfigurationLag reads simpler. Result: LargeConfigurationTest, RowWatcherTest, ConfigurationLagTest and ConfigurationRefresherTest pass.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ConfigurationLag.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ConfigurationLag.kt
@@ -22,14 +22,10 @@
     /** Time since this router first heard of a version newer than the active one, in milliseconds; 0 if it has the newest. */
     @get:Synchronized
     val behindMs: Long
-        get() =
-            if (configuration.current().sequence >=
-                newestKnownVersion
-            ) {
-                0
-            } else {
-                clock.monotonicMs() - (behindSinceMs ?: clock.monotonicMs())
-            }
+        get() {
+            val sinceMs = behindSinceMs ?: return 0
+            return if (configuration.current().sequence >= newestKnownVersion) 0 else clock.monotonicMs() - sinceMs
+        }
 
     /** The peer [from] has [version]. */
     @Synchronized
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ConfigurationRefresher.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ConfigurationRefresher.kt
@@ -37,7 +37,7 @@
     private suspend fun check(untilMs: Long): Boolean =
         coroutineScope {
             val check = async { awaitCurrent() }
-            var result: Boolean? = null
+            var result: Boolean?
             do {
                 val remainingMs = untilMs - clock.monotonicMs()
                 result = withTimeoutOrNull(minOf(remainingMs, RESPONSE_TIMEOUT_MS)) { check.await() }
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
@@ -11,6 +11,7 @@
 import org.lycheemount.common.Clock
 import org.lycheemount.config.PublishedConfiguration
 import org.lycheemount.platform.adapter.createOperatorRowWatcher
+import org.lycheemount.platform.adapter.testing.SlowStoreLink
 import org.lycheemount.testing.FakeEventLog
 import kotlin.test.Test
 import kotlin.test.assertEquals
