Reproduce reads of every version of a large configuration

The feed of changes holds each version of a row, so what is read after a cut grows with the number of changes.

--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Tag
 import org.lycheemount.common.Clock
 import org.lycheemount.config.PublishedConfiguration
 import org.lycheemount.platform.adapter.createOperatorRowWatcher
@@ -20,9 +21,10 @@
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class LargeConfigurationTest {
-    /** A router whose link leaves 350 bytes per millisecond to the store, so that a read of [ROUTES] routes takes 1.7 s. */
+    /** A router whose link leaves [bytesPerMs] to the store. At 350, a read of [ROUTES] routes takes 1.7 s. */
     private inner class Router(
         private val scope: TestScope,
+        bytesPerMs: Int,
     ) {
         private val clock =
             object : Clock {
@@ -30,7 +32,7 @@
 
                 override fun wallClockMs() = scope.currentTime
             }
-        val link = SlowStoreLink(scope.backgroundScope, bytesPerMs = 350)
+        val link = SlowStoreLink(scope.backgroundScope, bytesPerMs)
         private val configuration = PublishedConfiguration(FakeEventLog())
         private val listener = ConfigurationRowListener(configuration, clock, FakeEventLog()) {}
         private val watcher = createOperatorRowWatcher(createStoreClient(link, "127.0.0.1:1", clock, FakeEventLog()))
@@ -50,7 +52,10 @@
         }
     }
 
-    private fun runRouter(steps: suspend Router.() -> Unit) = runTest { Router(this).steps() }
+    private fun runRouter(
+        bytesPerMs: Int = 350,
+        steps: suspend Router.() -> Unit,
+    ) = runTest { Router(this, bytesPerMs).steps() }
 
     @Nested
     inner class `a large configuration on a slow link` {
@@ -86,6 +91,41 @@
         }
     }
 
+    @Nested
+    @Tag("known-red")
+    inner class `a series of large configurations` {
+        @Test
+        fun `that is published while the router is cut off is skipped but for the newest, guarding against reads of every version`() =
+            runRouter {
+                link.publish(1, routeCount = 10)
+                start()
+                delay(1_000)
+                link.isSilent = true
+                for (version in 2L..7L) {
+                    link.publish(version, ROUTES)
+                    delay(1_000)
+                }
+                link.isSilent = false
+
+                assertInForceInTime(8)
+            }
+
+        @Test
+        fun `is in force in time, guarding against reads that grow with each version`() =
+            runRouter(bytesPerMs = 700) {
+                link.publish(1, routeCount = 10)
+                start()
+                delay(1_000)
+                val firstAtMs = nowMs
+                for (newest in 2L..30L) {
+                    link.publish(newest, ROUTES)
+                    delay(SERIES_INTERVAL_MS)
+                    val dueVersion = 1 + (nowMs - firstAtMs - CONFIGURATION_APPLY_MS) / SERIES_INTERVAL_MS
+                    assertTrue(version >= dueVersion, "version $version is in force, $dueVersion is due")
+                }
+            }
+    }
+
     @Nested
     inner class `callers that ask for unknown routes` {
         @Test
@@ -178,6 +218,7 @@
     private companion object {
         private const val ROUTES = 1_450
         private const val CONFIGURATION_APPLY_MS = 3_000L
+        private const val SERIES_INTERVAL_MS = 300L
         private const val REQUEST_INTERVAL_MS = 50L
     }
 }
