--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/KeepAlivePlatformTransport.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/KeepAlivePlatformTransport.kt
@@ -46,6 +46,7 @@
         body: ByteArray?,
         bodyType: ContentType,
         timeoutMs: Long?,
+        maxBytes: Int,
         onResponse: () -> Unit,
     ): PlatformExchange {
         val target = Url(url)
@@ -59,7 +60,7 @@
         val effectiveTimeoutMs = timeoutMs ?: callTimeoutMs
         return try {
             withTimeoutUntilStarted(effectiveTimeoutMs) { onStarted ->
-                send(storeServerAt(target), call) {
+                send(storeServerAt(target), call, maxBytes) {
                     onStarted()
                     onResponse()
                 }
@@ -74,13 +75,14 @@
     private suspend fun send(
         server: BackendServer,
         call: PassThroughCall,
+        maxBytes: Int,
         onResponse: () -> Unit,
     ): PlatformExchange {
         val startedAtMs = clock.monotonicMs()
         val outcome =
             client.exchange(server, call) { response ->
                 onResponse()
-                readBody(call, response, waitMs = clock.monotonicMs() - startedAtMs)
+                readBody(call, response, maxBytes, waitMs = clock.monotonicMs() - startedAtMs)
             }
         return when (outcome) {
             is PassThroughOutcome.Completed -> outcome.result
@@ -91,19 +93,20 @@
     private suspend fun readBody(
         call: PassThroughCall,
         response: PassThroughResponse,
+        maxBytes: Int,
         waitMs: Long,
     ): PlatformExchange {
         val startedAtMs = clock.monotonicMs()
         var receivedBytes = 0
         try {
             val body =
-                readWhileProgressing(callTimeoutMs, MAX_BODY_BYTES) { bytes ->
+                readWhileProgressing(callTimeoutMs, maxBytes, response.body.lengthBytes) { bytes ->
                     response.body.read(bytes).also { receivedBytes += maxOf(0, it) }
                 }
             return when (body) {
                 is BodyRead.Complete -> PlatformExchange.Response(response.head.httpStatus, body.bytes)
                 is BodyRead.Stalled -> PlatformExchange.Lost("response stalled for $callTimeoutMs ms after ${body.receivedBytes} bytes")
-                BodyRead.TooLong -> PlatformExchange.Lost("response of more than $MAX_BODY_BYTES bytes")
+                BodyRead.TooLong -> PlatformExchange.TooLong
             }
         } finally {
             logTransfer(call, receivedBytes, response.body.isComplete, waitMs, startedAtMs)
@@ -140,8 +143,6 @@
         BackendServer(BackendServerId("store"), VmId("store"), ZoneId("store"), target.host, target.port, targets = emptySet())
 
     private companion object {
-        // The largest value in a page is a configuration of a few megabytes.
-        private const val MAX_BODY_BYTES = 32 * 1_048_576
         private const val MIN_LOGGED_BYTES = 65_536
     }
 }
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/ResponseBody.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/ResponseBody.kt
@@ -18,6 +18,9 @@
     var isComplete: Boolean = false
         protected set
 
+    /** Length of the whole body; null if only its end tells. */
+    open val lengthBytes: Long? get() = null
+
     /** Reads at least one byte into [bytes] and returns the count, or -1 at the end. Throws [IOException] if the body is truncated. */
     suspend fun read(bytes: ByteArray): Int {
         if (isComplete) return -1
@@ -53,8 +56,10 @@
 /** A body with a `Content-Length`. */
 internal class FixedLengthBody(
     private val input: ByteReadChannel,
-    private var remainingBytes: Long,
+    override val lengthBytes: Long,
 ) : ResponseBody() {
+    private var remainingBytes = lengthBytes
+
     override suspend fun readMore(bytes: ByteArray): Int {
         if (remainingBytes == 0L) return -1
         val count = readSome(input, bytes, remainingBytes)
--- a/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformExchange.kt
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformExchange.kt
@@ -8,6 +8,9 @@
         val body: ByteArray,
     ) : PlatformExchange
 
+    /** The response is longer than its reader accepts, and was not read to its end. The request has been handled. */
+    data object TooLong : PlatformExchange
+
     /** No connection could be opened, so the platform did not receive the request. */
     class NotSent(
         val detail: String,
--- a/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
@@ -10,6 +10,7 @@
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpMethod
+import io.ktor.http.contentLength
 import io.ktor.http.contentType
 import io.ktor.utils.io.readAvailable
 import kotlinx.coroutines.currentCoroutineContext
@@ -52,12 +53,13 @@
         body: ByteArray?,
         bodyType: ContentType,
         timeoutMs: Long?,
+        maxBytes: Int,
         onResponse: () -> Unit,
     ): PlatformExchange {
         val effectiveTimeoutMs = timeoutMs ?: callTimeoutMs
         return try {
             withTimeoutUntilStarted(effectiveTimeoutMs) { onStarted ->
-                send(httpMethod, url, body, bodyType) {
+                send(httpMethod, url, body, bodyType, maxBytes) {
                     onStarted()
                     onResponse()
                 }
@@ -78,6 +80,7 @@
         when (exchange) {
             is PlatformExchange.NotSent -> TableResult.Unavailable(exchange.detail)
             is PlatformExchange.Lost -> uncertainResult(exchange.detail, isReadOnly)
+            is PlatformExchange.TooLong -> uncertainResult("response too long", isReadOnly)
             is PlatformExchange.Response -> decodeResponse(exchange, isReadOnly, decode)
         }
 
@@ -93,6 +96,7 @@
         url: String,
         body: ByteArray?,
         bodyType: ContentType,
+        maxBytes: Int,
         onResponse: () -> Unit,
     ): PlatformExchange =
         client
@@ -105,10 +109,10 @@
             }.execute { response ->
                 onResponse()
                 val channel = response.bodyAsChannel()
-                when (val read = readWhileProgressing(callTimeoutMs, MAX_BODY_BYTES) { channel.readAvailable(it) }) {
+                when (val read = readWhileProgressing(callTimeoutMs, maxBytes, response.contentLength()) { channel.readAvailable(it) }) {
                     is BodyRead.Complete -> PlatformExchange.Response(response.status.value, read.bytes)
                     is BodyRead.Stalled -> PlatformExchange.Lost("response stalled after ${read.receivedBytes} bytes")
-                    BodyRead.TooLong -> PlatformExchange.Lost("response of more than $MAX_BODY_BYTES bytes")
+                    BodyRead.TooLong -> PlatformExchange.TooLong
                 }
             }
 
@@ -139,9 +143,6 @@
     internal companion object {
         const val NOT_FOUND_STATUS = 404
         private const val MAX_CAUSE_DEPTH = 8
-
-        // Objects are at most 8 MB, pages of rows 1 MB.
-        private const val MAX_BODY_BYTES = 32 * 1_048_576
         private val SUCCESS_STATUSES = 200..299
 
         /** Statuses that the platform returns before it processes a request. */
--- a/connection/platform/src/main/kotlin/org/lycheemount/platform/http/ProgressTimeouts.kt
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/ProgressTimeouts.kt
@@ -54,13 +54,16 @@
  * milliseconds. A large body may thus take long on a slow link, and a peer that sends a byte now and then is given up.
  *
  * @param maxBytes limit on the length of the body.
+ * @param lengthBytes length of the body if it is known. A body over the limit is then not read at all.
  * @param read reads at least one byte into the array and returns the count, or a negative number at the end.
  */
 suspend fun readWhileProgressing(
     timeoutMs: Long,
     maxBytes: Int,
+    lengthBytes: Long? = null,
     read: suspend (ByteArray) -> Int,
 ): BodyRead {
+    if (lengthBytes != null && lengthBytes > maxBytes) return BodyRead.TooLong
     val content = ByteArrayOutputStream()
     val buffer = ByteArray(READ_BUFFER_BYTES)
     while (true) {
--- a/connection/platform/src/test/kotlin/org/lycheemount/platform/http/ProgressTimeoutsTest.kt
+++ b/connection/platform/src/test/kotlin/org/lycheemount/platform/http/ProgressTimeoutsTest.kt
@@ -61,6 +61,12 @@
             runTest {
                 assertIs<BodyRead.TooLong>(readBody(partCount = null, partBytes = 8_192, intervalMs = 0))
             }
+
+        @Test
+        fun `whose length exceeds the limit is not read`() =
+            runTest {
+                assertIs<BodyRead.TooLong>(readWhileProgressing(TIMEOUT_MS, MAX_BYTES, MAX_BYTES + 1L) { awaitCancellation() })
+            }
     }
 
     @Nested
