Keep a request limit that has ended from coming back by an older message

Cause: a limit that ended was forgotten, so a message of a peer that had been sent before, and arrived after the end, was taken as news and passed on; the limit then held in the fleet until servers responded without it again. Found by reading the change once more. A later run is compared by time as well, so that the end of an earlier run does not hide what peers tell of it.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
@@ -19,6 +19,7 @@
     private val eventLog: EventLog,
     private val announce: (RequestLimitStatement) -> Unit = {},
 ) {
+    /** Includes limits that have ended, so that an older message of a peer does not bring them back. */
     private val limits = HashMap<BackendServerId, RequestLimitStatement>()
     private val unreadableServers = HashSet<BackendServerId>()
 
@@ -35,7 +36,7 @@
         sentAtMs: Long,
     ) {
         val known = limits[server.backendServerId]?.takeIf { it.vmId == server.vmId }
-        if (limitText == null && (known == null || sentAtMs <= known.asOfMs)) return
+        if (limitText == null && (known?.requestsPerS == null || sentAtMs <= known.asOfMs)) return
         val requestsPerS = limitText?.let { parseLimit(server.backendServerId, it) ?: return }
         val asOfMs = if (limitText == null) sentAtMs else clock.monotonicMs()
         apply(known, RequestLimitStatement(server.backendServerId, server.vmId, requestsPerS, asOfMs), SOURCE_RESPONSE)
@@ -47,9 +48,10 @@
         from: RouterId,
         statement: RequestLimitStatement,
     ) {
-        val known = limits[statement.backendServerId]
-        if (known == null && statement.requestsPerS == null) return
-        if (known != null && (known.vmId != statement.vmId || statement.asOfMs <= known.asOfMs)) return
+        val latest = limits[statement.backendServerId]
+        if (latest != null && statement.asOfMs <= latest.asOfMs) return
+        val known = latest?.takeIf { it.vmId == statement.vmId }
+        if (known?.requestsPerS == null && statement.requestsPerS == null) return
         apply(known, statement, from.value)
     }
 
@@ -70,7 +72,7 @@
             announce(statement)
         }
         limits.values.removeIf { clock.monotonicMs() - it.asOfMs > RETENTION_MS }
-        if (statement.requestsPerS == null) limits.remove(statement.backendServerId) else limits[statement.backendServerId] = statement
+        limits[statement.backendServerId] = statement
         dispatcher.onRequestLimit(statement)
     }
 
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerStatementsTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerStatementsTest.kt
@@ -4,8 +4,10 @@
 import org.lycheemount.caller.WorkDispatcher
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.RouterId
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
+import org.lycheemount.scheduling.RequestLimitStatement
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.testing.FakeClock
 import org.lycheemount.testing.FakeEventLog
@@ -51,6 +53,30 @@
             assertEquals(listOf<Any?>(2.0), limits)
         }
 
+        @Test
+        fun `that has ended is not taken up again, guarding against older messages of peers that arrive late`() {
+            respond("2")
+            clock.advance(60)
+            respond(null)
+
+            val late = RequestLimitStatement(BackendServerId("s1"), VmId("vm1"), requestsPerS = 2.0, asOfMs = 1_030)
+            statements.onPeerStatement(RouterId("r2"), late)
+
+            assertEquals(listOf<Any?>(2.0, null), limits)
+        }
+
+        @Test
+        fun `of a later run of the server is taken from a peer`() {
+            respond("2")
+            clock.advance(60)
+            respond(null)
+
+            val ofLaterRun = RequestLimitStatement(BackendServerId("s1"), VmId("vm2"), requestsPerS = 3.0, asOfMs = 1_070)
+            statements.onPeerStatement(RouterId("r2"), ofLaterRun)
+
+            assertEquals(listOf<Any?>(2.0, null, 3.0), limits)
+        }
+
         @Test
         fun `of an earlier run of the server says nothing of a later one`() {
             respond("2")
