Simplify how request limits enter the scheduler

Cause: read once more: an alias of a parameter, a map of the tests that nothing filled, two lists of servers without a limit, and a figure that was worked out before it was known to be needed. Change: each stands once. The values are the same. Result: all tests of request/ and what it needs pass.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -136,8 +136,9 @@
         val outcome =
             try {
                 services.client.exchange(server, call) { response ->
-                    services.serverStatements.onResponse(server, metadata?.requestLimitText, sentAtMs)
-                    handleResponse(response, checkNotNull(metadata), onResponse)
+                    val received = checkNotNull(metadata)
+                    services.serverStatements.onResponse(server, received.requestLimitText, sentAtMs)
+                    handleResponse(response, received, onResponse)
                 }
             } catch (failure: TruncatedResponseException) {
                 throw failure
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -190,7 +190,7 @@
             val openServers = available.filterNot { it.requestLimit.isLimited }.ifEmpty { available }
             val preferredServers = PreferredServers(openServers, targetQueue.delayTolerantShare)
             val eligibleServers = { request: QueuedRequest ->
-                startPolicy.eligibleServers(available, preferredServers, targetQueue, request, nowMs)
+                startPolicy.eligibleServers(available, openServers, preferredServers, targetQueue, request, nowMs)
             }
             val request = targetQueue.fairQueue.select { eligibleServers(it).isNotEmpty() } ?: return
             val preferredServer = preferredServers.preferredServerOf(request.item, request.isDelayTolerant)
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestLimitShare.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestLimitShare.kt
@@ -19,12 +19,11 @@
  * Permits that began before [sinceMs] are not used, so a router that has just heard of a limit starts without a burst.
  */
 internal class RequestLimitShare(
-    serverHash: Int,
+    private val serverHash: Int,
     requestsPerS: Double,
     private val fleet: RouterFleet,
     sinceMs: Long,
 ) {
-    private val rotation = serverHash
     private val slotMs = MS_PER_SECOND / requestsPerS
     private val lifetimeMs = MIN_PERMIT_LIFETIME_MS + PERMIT_LIFETIME_SLOTS * slotMs
     private val routerCount = maxOf(1, fleet.routers.size)
@@ -76,7 +75,7 @@
 
     /** Spreads the permits of a router over the rounds, and those of the servers over each round. */
     private fun mix(round: Long): Int {
-        val mixed = (round xor rotation.toLong()) * -0x61c8864680b583ebL
+        val mixed = (round xor serverHash.toLong()) * -0x61c8864680b583ebL
         return (mixed ushr 33).toInt()
     }
 }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
@@ -67,10 +67,9 @@
         nowMs: Long,
     ): Double {
         if (!isAvailable(nowMs)) return 0.0
-        val byConcurrency = maxOf(0.0, ownInFlight + freeSlots(fleetShare, nowMs))
         // By Little's law, a limit on the rate of requests is one on the requests in progress.
-        val byRate = requestLimit.requestsPerS?.let { it * meanServiceMs / MS_PER_SECOND } ?: return byConcurrency
-        return byRate
+        requestLimit.requestsPerS?.let { return it * meanServiceMs / MS_PER_SECOND }
+        return maxOf(0.0, ownInFlight + freeSlots(fleetShare, nowMs))
     }
 
     /** Estimated share of the server's capacity that no router uses. */
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/StartPolicy.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/StartPolicy.kt
@@ -12,9 +12,14 @@
 internal class StartPolicy(
     private val selector: ServerSelector,
 ) {
-    /** Returns the servers among [available] on which [request] may start now. */
+    /**
+     * Returns the servers among [available] on which [request] may start now.
+     *
+     * @param openServers those of [available] that have no request limit, or all of them if each has one.
+     */
     fun eligibleServers(
         available: List<ServerState>,
+        openServers: List<ServerState>,
         preferredServers: PreferredServers,
         targetQueue: TargetQueue,
         request: QueuedRequest,
@@ -28,7 +33,7 @@
         val affinityServers =
             request.affinityServers(nowMs) {
                 selector.affinityServers(
-                    available.filterNot { it.requestLimit.isLimited },
+                    openServers,
                     preferredServers.preferredServerOf(request.item, request.isDelayTolerant),
                     request.item,
                     nowMs,
--- a/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/LimitedServerFleet.kt
+++ b/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/LimitedServerFleet.kt
@@ -40,7 +40,6 @@
         private val clockOffsetMs = random.nextLong(1_000_000)
         private var scheduler = newScheduler()
         private val toldAtMs = HashMap<Int, Long>()
-        private val startedRequests = HashMap<String, SchedulerAction.Start>()
         private var nextListAtMs = nowMs + random.nextLong(LIST_INTERVAL_MS)
         private var restarts = 0
 
@@ -58,7 +57,6 @@
             restarts++
             scheduler = newScheduler()
             toldAtMs.clear()
-            startedRequests.clear()
             nextListAtMs = nowMs + LIST_INTERVAL_MS
         }
 
