Give the gateway's tests one clock in virtual time

Change: virtualClock() of the test's scope. Result: the tests pass with their assertions as they were.

--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/PeerLimitExchangeTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/PeerLimitExchangeTest.kt
@@ -1,16 +1,13 @@
 package org.lycheemount.app.router.gateway
 
-import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
-import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
 import org.lycheemount.caller.WorkDispatcher
 import org.lycheemount.caller.routed.ServerStatements
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
-import org.lycheemount.common.Clock
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.RouterIdentity
@@ -23,7 +20,6 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
-@OptIn(ExperimentalCoroutinesApi::class)
 class PeerLimitExchangeTest {
     /** A router whose monotonic clock began [clockOffsetMs] before that of the table. */
     private class Router(
@@ -32,12 +28,7 @@
         network: FakePeerNetwork,
         private val clockOffsetMs: Long,
     ) {
-        private val clock =
-            object : Clock {
-                override fun monotonicMs() = scope.currentTime + clockOffsetMs
-
-                override fun wallClockMs() = scope.currentTime
-            }
+        private val clock = scope.virtualClock(clockOffsetMs)
         private val id = RouterId("r$index")
         val messenger = network.join(RouterIdentity(id, VmId("vm-r$index"), RegionId("region"), ZoneId("z"), incarnation = 1))
         private val eventLog = FakeEventLog()
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ServerRowListenerTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ServerRowListenerTest.kt
@@ -11,7 +11,6 @@
 import org.lycheemount.caller.WorkDispatcher
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
-import org.lycheemount.common.Clock
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
 import org.lycheemount.platform.RowFeed
@@ -39,12 +38,7 @@
     private inner class Router(
         private val scope: TestScope,
     ) {
-        private val clock =
-            object : Clock {
-                override fun monotonicMs() = scope.currentTime
-
-                override fun wallClockMs() = scope.currentTime
-            }
+        private val clock = scope.virtualClock()
         private val dispatcher = WorkDispatcher(createRequestScheduler(ZoneId("z"), seed = 1), clock)
         val listener = ServerRowListener(dispatcher, clock, FakeEventLog(), ::decodeEntry)
 
