Turn a body into the outcome of an exchange in one place

Change: BodyRead.toExchange, startWithSmallConfiguration. The detail of a stalled response no longer names the timeout. Result: LargeConfigurationTest, ProgressTimeoutsTest and KeepAlivePlatformTransportTest pass with their assertions as they were.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/KeepAlivePlatformTransport.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/KeepAlivePlatformTransport.kt
@@ -18,10 +18,10 @@
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
 import org.lycheemount.platform.adapter.StoreClient
-import org.lycheemount.platform.http.BodyRead
 import org.lycheemount.platform.http.PlatformExchange
 import org.lycheemount.platform.http.PlatformTransport
 import org.lycheemount.platform.http.readWhileProgressing
+import org.lycheemount.platform.http.toExchange
 import org.lycheemount.platform.http.withTimeoutUntilStarted
 import java.io.IOException
 
@@ -99,15 +99,9 @@
         val startedAtMs = clock.monotonicMs()
         var receivedBytes = 0
         try {
-            val body =
-                readWhileProgressing(callTimeoutMs, maxBytes, response.body.lengthBytes) { bytes ->
-                    response.body.read(bytes).also { receivedBytes += maxOf(0, it) }
-                }
-            return when (body) {
-                is BodyRead.Complete -> PlatformExchange.Response(response.head.httpStatus, body.bytes)
-                is BodyRead.Stalled -> PlatformExchange.Lost("response stalled for $callTimeoutMs ms after ${body.receivedBytes} bytes")
-                BodyRead.TooLong -> PlatformExchange.TooLong
-            }
+            return readWhileProgressing(callTimeoutMs, maxBytes, response.body.lengthBytes) { bytes ->
+                response.body.read(bytes).also { receivedBytes += maxOf(0, it) }
+            }.toExchange(response.head.httpStatus)
         } finally {
             logTransfer(call, receivedBytes, response.body.isComplete, waitMs, startedAtMs)
         }
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
@@ -8,7 +8,6 @@
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
-import org.lycheemount.common.Clock
 import org.lycheemount.config.PublishedConfiguration
 import org.lycheemount.platform.adapter.createOperatorRowWatcher
 import org.lycheemount.platform.adapter.testing.SlowStoreLink
@@ -25,12 +24,7 @@
         private val scope: TestScope,
         bytesPerMs: Int,
     ) {
-        private val clock =
-            object : Clock {
-                override fun monotonicMs() = scope.currentTime
-
-                override fun wallClockMs() = scope.currentTime
-            }
+        private val clock = scope.virtualClock()
         val link = SlowStoreLink(scope.backgroundScope, bytesPerMs)
         private val configuration = PublishedConfiguration(FakeEventLog())
         private val listener = ConfigurationRowListener(configuration, clock, FakeEventLog()) {}
@@ -43,6 +37,13 @@
             scope.backgroundScope.launch { watcher.watch(listener) }
         }
 
+        /** Starts the router, which has version 1 with a few routes afterwards. */
+        suspend fun startWithSmallConfiguration() {
+            link.publish(1, routeCount = 10)
+            start()
+            delay(1_000)
+        }
+
         /** Publishes [version] and checks that it is in force in time. */
         suspend fun assertInForceInTime(version: Long) {
             link.publish(version, ROUTES)
@@ -68,9 +69,7 @@
         @Test
         fun `is in force in time after the store has lost its history, guarding against a row that is never read to its end`() =
             runRouter {
-                link.publish(1, routeCount = 10)
-                start()
-                delay(1_000)
+                startWithSmallConfiguration()
 
                 link.compactHistory()
                 assertInForceInTime(2)
@@ -95,9 +94,7 @@
         @Test
         fun `that is published while the router is cut off is skipped but for the newest, guarding against reads of every version`() =
             runRouter {
-                link.publish(1, routeCount = 10)
-                start()
-                delay(1_000)
+                startWithSmallConfiguration()
                 link.isSilent = true
                 for (version in 2L..7L) {
                     link.publish(version, ROUTES)
@@ -112,9 +109,7 @@
         @Test
         fun `is in force in time, guarding against reads that grow with each version`() =
             runRouter(bytesPerMs = 700) {
-                link.publish(1, routeCount = 10)
-                start()
-                delay(1_000)
+                startWithSmallConfiguration()
                 val firstAtMs = nowMs
                 for (newest in 2L..30L) {
                     link.publish(newest, ROUTES)
@@ -130,9 +125,7 @@
         @Test
         fun `do not delay a large configuration, guarding against reads for them that fill the link`() =
             runRouter {
-                link.publish(1, routeCount = 10)
-                start()
-                delay(1_000)
+                startWithSmallConfiguration()
                 besideCallersOfUnknownRoutes {
                     assertInForceInTime(2)
                     assertInForceInTime(3)
@@ -145,9 +138,7 @@
         @Test
         fun `waits for the configuration that is arriving, which is read once, guarding against 503 for routes that are there`() =
             runRouter {
-                link.publish(1, routeCount = 10)
-                start()
-                delay(1_000)
+                startWithSmallConfiguration()
                 link.publish(2, ROUTES)
                 delay(100)
 
@@ -159,9 +150,7 @@
         @Test
         fun `does not wait longer than its deadline bears`() =
             runRouter {
-                link.publish(1, routeCount = 10)
-                start()
-                delay(1_000)
+                startWithSmallConfiguration()
                 link.publish(2, ROUTES)
                 delay(100)
 
@@ -176,9 +165,7 @@
         @Test
         fun `is answered at once while nothing changes, guarding against waits for the end of a long poll`() =
             runRouter {
-                link.publish(1, routeCount = 10)
-                start()
-                delay(1_000)
+                startWithSmallConfiguration()
 
                 val startedAtMs = nowMs
                 assertTrue(refresher.refresh(patienceMs = 2_000))
@@ -189,9 +176,7 @@
         @Test
         fun `is not kept waiting by a store that does not respond`() =
             runRouter {
-                link.publish(1, routeCount = 10)
-                start()
-                delay(1_000)
+                startWithSmallConfiguration()
                 link.isSilent = true
 
                 val startedAtMs = nowMs
--- a/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
@@ -109,11 +109,8 @@
             }.execute { response ->
                 onResponse()
                 val channel = response.bodyAsChannel()
-                when (val read = readWhileProgressing(callTimeoutMs, maxBytes, response.contentLength()) { channel.readAvailable(it) }) {
-                    is BodyRead.Complete -> PlatformExchange.Response(response.status.value, read.bytes)
-                    is BodyRead.Stalled -> PlatformExchange.Lost("response stalled after ${read.receivedBytes} bytes")
-                    BodyRead.TooLong -> PlatformExchange.TooLong
-                }
+                readWhileProgressing(callTimeoutMs, maxBytes, response.contentLength()) { channel.readAvailable(it) }
+                    .toExchange(response.status.value)
             }
 
     private fun <T> decodeResponse(
--- a/connection/platform/src/main/kotlin/org/lycheemount/platform/http/ProgressTimeouts.kt
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/ProgressTimeouts.kt
@@ -23,6 +23,14 @@
     data object TooLong : BodyRead
 }
 
+/** Outcome of the exchange whose response had [httpStatus] and this body. */
+fun BodyRead.toExchange(httpStatus: Int): PlatformExchange =
+    when (this) {
+        is BodyRead.Complete -> PlatformExchange.Response(httpStatus, bytes)
+        is BodyRead.Stalled -> PlatformExchange.Lost("response stalled after $receivedBytes bytes")
+        BodyRead.TooLong -> PlatformExchange.TooLong
+    }
+
 /**
  * Runs [block] and returns its result, or null if it neither ends nor calls the function passed to it within [timeoutMs] milliseconds.
  * Once it has called that function, it may take any time.
