Keep the ports of the gateways' listeners in tests away from outgoing connections

Change: the listeners of the fixture are on 127.0.0.2; outgoing connections have ports of 127.0.0.1.

--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
@@ -26,6 +26,7 @@
 import org.lycheemount.platform.adapter.testing.registerServer
 import org.lycheemount.settings.GatewaySettings
 import org.lycheemount.settings.RetryBudgetSettings
+import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.util.concurrent.CopyOnWriteArrayList
@@ -114,11 +115,13 @@
             }
         }
 
-    private fun freeAddress() = ServerSocket(0).use { "127.0.0.1:${it.localPort}" }
+    /** Outgoing connections get ports of 127.0.0.1, and must not take this one before its listener does. */
+    private fun freeAddress() = ServerSocket(0, 1, InetAddress.getByName(LISTENER_HOST)).use { "$LISTENER_HOST:${it.localPort}" }
 
     private companion object {
         private const val EVENT_INTERVAL_MS = 50L
         private const val NANOS_PER_MS = 1_000_000L
+        private const val LISTENER_HOST = "127.0.0.2"
         private val ROUTES =
             listOf(
                 FakeRoute("plain", "idempotent", timeoutMs = 1_000),
