Review case 9: the worker is taken away, and its orders are lost; case 8: entries lapse as the store does it

Case 9: the worker is gone 2.5 s after its notice, and orders that it runs then are counted. Case 8: an entry is removed 3.6 s after a crash, before the worker returns.

--- a/review/harness/Case8.java
+++ b/review/harness/Case8.java
@@ -18,6 +18,9 @@
 
     // As long as loftline's model workers are down after a crash.
     private static final int DOWN_MS = 4_500;
+
+    // An entry is removed after three heartbeat intervals of 1,200 ms.
+    private static final int LAPSE_MS = 3_600;
     private static final String HARMFUL_PART = "deadbeef";
     private static final String SHARED_PART = "91bd3f06:100";
     private final List<Long> crashes = new CopyOnWriteArrayList<>();
@@ -50,8 +53,9 @@
                 Threads.start(
                     "return",
                     () -> {
-                        Threads.sleep(DOWN_MS);
+                        Threads.sleep(LAPSE_MS);
                         store.delete("servers", id);
+                        Threads.sleep(DOWN_MS - LAPSE_MS);
                         if (!over) own(new ModelWorker());
                     });
             }
--- a/review/harness/Case9.java
+++ b/review/harness/Case9.java
@@ -1,16 +1,20 @@
 import java.io.IOException;
+import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** The store is down while a worker leaves and says so in its answers; the router must stop to send to it after `drain_ms`. */
+/** The store is down while a worker is taken away and says so in its answers; the router must stop to send to it after `drain_ms`. */
 final class Case9 extends Case {
     private static final int DRAIN_MS = 2_000;
 
     // The longest outage of the store on the site's days is 4.5 s.
     private static final int OUTAGE_MS = 4_500;
+
+    // A worker that is taken away is gone 2.5 s after the notice.
+    private static final int GONE_AFTER_MS = 2_500;
     private final AtomicLong firstLeavingAnswerMs = new AtomicLong(Long.MAX_VALUE);
     private volatile boolean over;
 
@@ -25,6 +29,12 @@
             super(store, id, Site.LEDGER, 6);
         }
 
+        @Override
+        void answer(Http request, OutputStream out) throws IOException {
+            Threads.sleep(60);
+            super.answer(request, out);
+        }
+
         @Override
         String extraHeaders() {
             return leaving ? "Server-Leaving: 1\r\n" : "";
@@ -45,7 +55,7 @@
         ConcurrentHashMap<String, Long> sentMs = new ConcurrentHashMap<>();
         List<Client.Answer> answers = new CopyOnWriteArrayList<>();
         List<Thread> clients = new ArrayList<>();
-        for (int i = 0; i < 4; i++) clients.add(Threads.start("client", () -> sendOrders(router, sentMs, answers)));
+        for (int i = 0; i < 12; i++) clients.add(Threads.start("client", () -> sendOrders(router, sentMs, answers)));
         Threads.sleep(4_000);
         if (trouble) store.silent = true;
         log(trouble ? "the store is down" : "the store stays up");
@@ -54,14 +64,20 @@
         leaver.state = "draining";
         if (!store.silent) leaver.writeEntry();
         log("a worker begins to leave");
-        Threads.sleep(OUTAGE_MS - 300);
+        Threads.sleep(GONE_AFTER_MS);
+        leaver.deregister();
+        leaver.close();
+        log("the worker is gone");
+        Threads.sleep(OUTAGE_MS - 300 - GONE_AFTER_MS);
         long outageEndsMs = Clock.ms();
         store.silent = false;
+        store.delete("servers", leaver.id);
         log("the store is up");
         Threads.sleep(4_000);
         over = true;
         for (Thread client : clients) client.join(5_000);
 
+        if (firstLeavingAnswerMs.get() == Long.MAX_VALUE) throw new IOException("no answer with Server-Leaving was passed on");
         long boundMs = firstLeavingAnswerMs.get() + DRAIN_MS;
         log("first answer with Server-Leaving at the client: " + firstLeavingAnswerMs.get() + " ms");
         int late = 0;
@@ -71,6 +87,8 @@
             late++;
             if (late <= 10) log("request " + run.requestId() + " sent at " + sent + " ms reached the leaving worker at " + run.atMs() + " ms");
         }
+        long lost = answers.stream().filter(answer -> !answer.isSuccess() && leaver.runs.stream().anyMatch(run -> run.requestId().equals(answer.requestId()))).count();
+        log("orders that the leaving worker had begun to run and that got no success: " + lost);
         log("requests: " + answers.size() + ", served: " + answers.stream().filter(Client.Answer::isSuccess).count());
         log("requests sent later than drain_ms after that answer that reached the leaving worker: " + late + " (none allowed)");
         log("the store was up again at " + outageEndsMs + " ms");
