--- a/review/harness/Case.java
+++ b/review/harness/Case.java
@@ -21,7 +21,7 @@
     abstract boolean run() throws Exception;
 
     /** Closes [resource] when the case ends. */
-    final <T extends AutoCloseable> T own(T resource) {
+    final synchronized <T extends AutoCloseable> T own(T resource) {
         owned.push(resource);
         return resource;
     }
@@ -40,6 +40,7 @@
             folder = Files.createTempDirectory("review-" + number + "-");
             store = own(new Store());
             log("disruption: " + trouble);
+            Runtime.getRuntime().addShutdownHook(new Thread(this::closeAll));
             // A run takes 120 s at most.
             Thread guard = new Thread(() -> {
                 Threads.sleep(115_000);
@@ -56,8 +57,7 @@
         end(number, code);
     }
 
-    private synchronized void end(String number, int code) {
-        log(code == 0 ? "held" : code == 1 ? "broken" : "not run");
+    private synchronized void closeAll() {
         while (!owned.isEmpty()) {
             try {
                 owned.pop().close();
@@ -65,6 +65,11 @@
                 System.err.println("not closed: " + failure);
             }
         }
+    }
+
+    private synchronized void end(String number, int code) {
+        log(code == 0 ? "held" : code == 1 ? "broken" : "not run");
+        closeAll();
         try (Stream<Path> files = Files.walk(folder)) {
             Files.write(Path.of("review", number, "record.txt"), record);
             files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
