--- a/review/harness/Case.java
+++ b/review/harness/Case.java
@@ -11,7 +11,7 @@
 /** One case: starts routers and stand-ins, writes `record.txt`, and exits with 0 if the rule held, 1 if not, 2 if it couldn't run. */
 abstract class Case {
     /** False with TROUBLE=0: the same without the disruption. */
-    final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    final boolean trouble = !"0".equals(System.getProperty("trouble"));
     Store store;
     Path folder;
     private final Deque<AutoCloseable> owned = new ArrayDeque<>();
