--- a/process/common/src/main/kotlin/org/lycheemount/common/BackendServer.kt
+++ b/process/common/src/main/kotlin/org/lycheemount/common/BackendServer.kt
@@ -7,6 +7,7 @@
  *
  * @property host IP address.
  * @property targets models or services that it can serve.
+ * @property softwareVersion version of its software; a stream goes on only at a server of the version that began it.
  * @property leaving true once the platform has announced its shutdown; it gets no new requests.
  */
 @Serializable
@@ -18,4 +19,5 @@
     val port: Int,
     val targets: Set<BackendTarget>,
     val leaving: Boolean = false,
+    val softwareVersion: SoftwareVersion = SoftwareVersion.UNSTATED,
 )
--- a/process/common/src/main/kotlin/org/lycheemount/common/Identifiers.kt
+++ b/process/common/src/main/kotlin/org/lycheemount/common/Identifiers.kt
@@ -44,6 +44,29 @@
     val value: String,
 )
 
+/**
+ * Version of the software that a backend server runs. Versions have no order, and what two versions of a service write does not fit
+ * together.
+ */
+@JvmInline
+@Serializable
+value class SoftwareVersion(
+    val value: String,
+) {
+    /** Versions that stand for the absence of one. */
+    companion object {
+        /** The version of all servers where servers state none. */
+        val UNSTATED: SoftwareVersion = SoftwareVersion("")
+    }
+}
+
+/** Identifier that a caller gave to one attempt of a request. */
+@JvmInline
+@Serializable
+value class CallerAttemptId(
+    val value: String,
+)
+
 /** Identifier of an availability zone. */
 @JvmInline
 @Serializable
