Log how a stream ended, and count streams by it

request_ended said answered_200 for each stream that was taken for complete. Nothing told how the end of the server's response was found (length, chunks, end of the connection), how many events were relayed, which was the last, where the stream was resumed, and whether the caller was given an end.

Change: request_ended has these fields for streams, on the same line; lycheemount_routed_streams_total counts them.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/ResponseBody.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/ResponseBody.kt
@@ -7,6 +7,21 @@
 import java.io.EOFException
 import java.io.IOException
 
+/** What tells where the body of a response ends. */
+enum class BodyFraming {
+    /** The response has no body. */
+    NONE,
+
+    /** A length in the head. */
+    LENGTH,
+
+    /** The last chunk. */
+    CHUNKS,
+
+    /** The end of the connection. */
+    CONNECTION,
+}
+
 /**
  * Body of a response, read by one coroutine.
  *
@@ -18,6 +33,16 @@
     var isComplete: Boolean = false
         protected set
 
+    /** What tells where the body ends. */
+    val framing: BodyFraming
+        get() =
+            when (this) {
+                is EmptyBody -> BodyFraming.NONE
+                is FixedLengthBody -> BodyFraming.LENGTH
+                is ChunkedBody -> BodyFraming.CHUNKS
+                is UntilCloseBody -> BodyFraming.CONNECTION
+            }
+
     /** Length of the whole body; null if only its end tells. */
     open val lengthBytes: Long? get() = null
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ResponseWriter.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ResponseWriter.kt
@@ -25,6 +25,11 @@
     var isCommitted = false
         private set
 
+    /** Whether the body has been written to its end. */
+    @Volatile
+    var isComplete = false
+        private set
+
     /** Sends [head] with the complete [body]. */
     suspend fun writeComplete(
         head: ResponseHead,
@@ -59,13 +64,12 @@
         try {
             call.respond(
                 PassThroughContent(head, length) { channel ->
-                    var isWritten = false
                     try {
                         write(channel)
-                        isWritten = true
+                        isComplete = true
                     } finally {
                         // Ktor ends the response as if it were complete when the call is cancelled.
-                        if (!isWritten) call.callerConnection?.breakOffResponse()
+                        if (!isComplete) call.callerConnection?.breakOffResponse()
                     }
                 },
             )
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
@@ -54,6 +54,9 @@
     var firstResponseMs: Long? = null
         private set
 
+    /** What has been relayed of a stream; null if the response is no stream, or has no event yet. */
+    val streamReport: StreamReport? get() = relay.report
+
     /** Runs and settles the request; it is also settled when the coroutine is cancelled because the caller disconnected. */
     suspend fun run(): RoutedOutcome {
         (attempts.quarantineRefusal() ?: reserve())?.let { return RoutedOutcome.NotRun(it) }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.lycheemount.backend.BodyFraming
 import org.lycheemount.caller.WorkDispatcher
 import org.lycheemount.common.BackendServer
 import org.lycheemount.config.ConfigurationView
@@ -39,6 +40,14 @@
             .labelNames("kind", "result")
             .register(registry)
 
+    private val streams: Counter =
+        Counter
+            .builder()
+            .name("lycheemount_routed_streams_total")
+            .help("Relayed streams, by what told the end of the last server's response and how the response to the caller ended.")
+            .labelNames("framing", "end")
+            .register(registry)
+
     init {
         gauge(registry, "lycheemount_configuration_sequence", "Version of the active configuration.") {
             configuration.current().sequence.toDouble()
@@ -89,6 +98,12 @@
         result: String,
     ) = attempts.labelValues(labelOf(kind), result).inc()
 
+    /** Records the end of a relayed stream; [end] is "complete" or "cut". */
+    fun onStreamEnd(
+        framing: BodyFraming,
+        end: String,
+    ) = streams.labelValues(framing.name.lowercase(), end).inc()
+
     private fun labelOf(kind: RouteKind) = kind.name.lowercase()
 
     private fun histogram(
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -202,7 +202,7 @@
                 is RoutedOutcome.Truncated -> throw TruncatedResponseException(outcome.reason)
             }
         } finally {
-            logOutcome(request, execution, outcome)
+            logOutcome(request, execution, outcome, writer)
         }
     }
 
@@ -210,6 +210,7 @@
         request: RoutedRequest,
         execution: RoutedExecution,
         outcome: RoutedOutcome?,
+        writer: ResponseWriter,
     ) {
         val elapsedMs = services.clock.monotonicMs() - request.arrivedAtMs
         val outcomeText = describe(outcome)
@@ -228,6 +229,7 @@
                 "queue_ms" to execution.queueMs,
                 "first_ms" to execution.firstResponseMs,
                 "total_ms" to elapsedMs,
+                *streamFields(execution.streamReport, writer),
                 "outcome" to outcomeText,
             )
         // Lines below warning level are dropped first when the log output falls behind.
@@ -235,6 +237,22 @@
         if (outcome is RoutedOutcome.Responded) log.info("request_ended", *fields) else log.warn("request_ended", *fields)
     }
 
+    private fun streamFields(
+        report: StreamReport?,
+        writer: ResponseWriter,
+    ): Array<Pair<String, Any?>> {
+        if (report == null) return emptyArray()
+        val end = if (writer.isComplete) "complete" else "cut"
+        routedMetrics.onStreamEnd(report.framing, end)
+        return arrayOf(
+            "framing" to report.framing.name.lowercase(),
+            "events" to report.eventCount,
+            "last_event" to report.lastEventId,
+            "resumed_at" to report.resumedAt.joinToString(",") { it.value },
+            "end" to end,
+        )
+    }
+
     private fun describe(outcome: RoutedOutcome?): String =
         when (outcome) {
             null -> CALLER_GONE
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
@@ -5,8 +5,10 @@
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import org.lycheemount.backend.AttemptFailure
+import org.lycheemount.backend.BodyFraming
 import org.lycheemount.backend.PassThroughResponse
 import org.lycheemount.common.BackendServer
+import org.lycheemount.common.BackendServerId
 import org.lycheemount.scheduling.ServiceEvent
 import org.lycheemount.stream.AttemptPermit
 import java.io.IOException
@@ -25,6 +27,8 @@
     private val onResponseHead: () -> Unit,
 ) {
     private val events = ServerSentEventBuffer()
+    private val resumedAt = ArrayList<BackendServerId>()
+    private var framing: BodyFraming? = null
 
     /** Upper bound of the tokens in the received events; an event holds at most a known number of tokens. */
     val outputTokens: Int
@@ -34,6 +38,9 @@
             return minOf(request.metadata.maxOutputTokens, (events.eventCount + pending) * tokensPerEvent)
         }
 
+    /** What has been relayed so far; null before the first event. */
+    val report: StreamReport? get() = framing?.let { StreamReport(it, events.eventCount, events.lastEventId, resumedAt) }
+
     /** Relays [response]. Its head is sent with the first complete event, so that a stream that fails earlier can still be retried. */
     suspend fun relay(
         server: BackendServer,
@@ -41,6 +48,7 @@
     ): AttemptOutcome {
         events.startAttempt(isResumed = false)
         val first = readEvents(response) ?: return AttemptOutcome.Failed(AttemptFailure.BROKEN_CONNECTION)
+        framing = response.body.framing
         onResponseHead()
         var result: RoutedOutcome = RoutedOutcome.Truncated("the caller's connection was lost")
         writer.writeStream(response.head) { channel ->
@@ -85,6 +93,8 @@
         if (!isEventStream(response)) return AttemptOutcome.Failed(AttemptFailure.SERVER_ERROR)
         val first = readEvents(response) ?: return AttemptOutcome.Failed(resumeFailure())
         services.dispatcher.onServiceEvent(request.requestId, ServiceEvent.FirstToken)
+        framing = response.body.framing
+        attempts.lastServerId?.let(resumedAt::add)
         channel.write(first)
         if (!relayEvents(response, channel)) return AttemptOutcome.Failed(resumeFailure())
         return AttemptOutcome.Completed(completed(response))
