End a response only when all of it has been sent

Callers saw: a stream with a proper end in chunks before its last event, or without any.

Cause: ResponseWriter told the connection in a finally within the function that writes the body. Ktor runs this function by withContext on another dispatcher, which a cancelled call never enters, and which drops the result of a function that has returned if the call is cancelled before it is resumed. In the first case the finally did not run; in the second isWritten was true, and the events that the connection had not yet read from the body's channel were dropped with it. The Netty adapter then writes the last chunk.

Change: a response is announced before its head, and its writer states its length once it is written. The handler of the connection counts the bytes that it sends and closes the connection in place of the end unless the response is complete and all of its bytes are sent. The default is now that a response is not complete: errors, cancellation and loss within the engine need no line of their own. The state belongs to a response, no longer to the connection, so that a pipelined request cannot cut the response before its own.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnection.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnection.kt
@@ -2,6 +2,7 @@
 
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.netty.NettyApplicationCall
+import io.ktor.server.response.header
 import io.ktor.server.routing.RoutingCall
 import io.netty.channel.Channel
 import kotlinx.coroutines.suspendCancellableCoroutine
@@ -11,6 +12,7 @@
 /** Connection on which a caller sent its request. */
 class CallerConnection internal constructor(
     private val channel: Channel,
+    private val call: ApplicationCall,
 ) {
     /** Whether neither the caller nor this process has closed the connection, as far as it has been read. */
     val isOpen: Boolean get() = channel.isActive
@@ -19,10 +21,16 @@
     val hasBrokenBody: Boolean get() = channel.attr(CallerConnectionHandler.BROKEN_BODY).get() == true
 
     /**
-     * Breaks off the response that is being written: what has been written of it is sent, and the connection is closed in place of its
-     * end, so that the caller cannot take it for complete.
+     * Announces the response to the call, before it is sent. The connection is closed in place of the end of the response unless the
+     * result has been completed and all of its bytes are sent, so that the caller cannot take a part for the whole.
      */
-    fun breakOffResponse() = channel.attr(CallerConnectionHandler.BROKEN_RESPONSE).set(true)
+    fun beginResponse(): CallerResponse {
+        val response = CallerResponse()
+        val announced = channel.attr(CallerConnectionHandler.RESPONSES).get() ?: return response
+        // The HTTP engine passes nothing but messages on to the handler of the connection, which removes this header.
+        call.response.header(CallerConnectionHandler.RESPONSE_HEADER, announced.add(response))
+        return response
+    }
 
     /** Waits until the thread of this connection has run all tasks that are ready, and has read its sockets. */
     suspend fun awaitRead() =
@@ -36,5 +44,5 @@
 val ApplicationCall.callerConnection: CallerConnection?
     get() {
         val engineCall = (this as? RoutingCall)?.pipelineCall?.engineCall ?: this
-        return (engineCall as? NettyApplicationCall)?.let { CallerConnection(it.context.channel()) }
+        return (engineCall as? NettyApplicationCall)?.let { CallerConnection(it.context.channel(), this) }
     }
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -24,6 +24,10 @@
     private val onClosed: (CallerConnectionHandler) -> Unit,
 ) : ChannelDuplexHandler() {
     private lateinit var context: ChannelHandlerContext
+    private val announcedResponses = AnnouncedResponses()
+
+    /** Response that is being sent, if it has been announced. */
+    private var currentResponse: CallerResponse? = null
     private var requestsInProgress = 0
     private var isReadingBody = false
     private var closesOnceIdle = false
@@ -32,6 +36,7 @@
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
+        context.channel().attr(RESPONSES).set(announcedResponses)
         onOpened(this)
         context.channel().closeFuture().addListener { onClosed(this) }
         checkIdleIn(idleTimeoutNs)
@@ -83,13 +88,22 @@
         message: Any,
         promise: ChannelPromise,
     ) {
+        if (message is HttpResponse && !isInterim(message)) currentResponse = takeResponse(message)
+        if (message is HttpContent) currentResponse?.onSent(message.content().readableBytes())
         if (message is LastHttpContent && !isInterim(message)) {
-            if (context.channel().attr(BROKEN_RESPONSE).get() == true) return closeInPlaceOf(message, promise)
+            // The engine creates a message that is a whole response by itself, for example for an error before the head is sent.
+            if (message !is HttpResponse && currentResponse?.isSent == false) return closeInPlaceOf(message, promise)
             promise.unvoid().addListener { onResponseWritten() }
         }
         context.write(message, promise)
     }
 
+    private fun takeResponse(head: HttpResponse): CallerResponse? {
+        val id = head.headers().get(RESPONSE_HEADER) ?: return null
+        head.headers().remove(RESPONSE_HEADER)
+        return announcedResponses.take(id)
+    }
+
     /** Closes the connection, if it has a request in progress once that has got its response. */
     fun closeOnceIdle() =
         context.executor().execute {
@@ -97,7 +111,7 @@
             if (requestsInProgress == 0) context.close()
         }
 
-    private fun isInterim(message: LastHttpContent) = message is HttpResponse && message.status().code() < FIRST_FINAL_STATUS
+    private fun isInterim(message: Any) = message is HttpResponse && message.status().code() < FIRST_FINAL_STATUS
 
     private fun closeInPlaceOf(
         message: LastHttpContent,
@@ -131,7 +145,10 @@
         /** Set on a connection on which a body is malformed, or that ended within a body. */
         val BROKEN_BODY: AttributeKey<Boolean> = AttributeKey.valueOf("brokenBody")
 
-        /** Set on a connection whose current response must not be ended. */
-        val BROKEN_RESPONSE: AttributeKey<Boolean> = AttributeKey.valueOf("brokenResponse")
+        /** Announced responses whose heads have not been sent. */
+        val RESPONSES: AttributeKey<AnnouncedResponses> = AttributeKey.valueOf("responses")
+
+        /** Id of the announced response to which a head belongs; never sent. */
+        const val RESPONSE_HEADER = "lycheemount-response"
     }
 }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ResponseWriter.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ResponseWriter.kt
@@ -10,6 +10,7 @@
 import io.ktor.server.response.header
 import io.ktor.server.response.respond
 import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.counted
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.delay
 import org.lycheemount.backend.ResponseHead
@@ -61,16 +62,14 @@
         write: suspend (ByteWriteChannel) -> Unit,
     ) {
         isCommitted = true
+        val response = call.callerConnection?.beginResponse()
         try {
             call.respond(
                 PassThroughContent(head, length) { channel ->
-                    try {
-                        write(channel)
-                        isComplete = true
-                    } finally {
-                        // Ktor ends the response as if it were complete when the call is cancelled.
-                        if (!isComplete) call.callerConnection?.breakOffResponse()
-                    }
+                    val counted = channel.counted()
+                    write(counted)
+                    response?.complete(counted.totalBytesWritten)
+                    isComplete = true
                 },
             )
         } catch (failure: TruncatedResponseException) {
