Take a line in a chunked body for whole only with its line end

Cause: readUTF8Line gives back what came before the end of the connection as if it were a line, and takes a CR alone for the end of one. A body whose server died between the last CR and LF of the last chunk, which ends as complete, was not told from a whole one.

Change: ChunkedBody reads its lines itself, up to LF.

Result: 'is not complete if the connection ends at any byte before its last' failed before, on a body cut by its last byte; at all other bytes it was already broken. No event can have been lost this way, as the size of the last chunk had come.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/ResponseBody.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/ResponseBody.kt
@@ -2,7 +2,7 @@
 
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
-import io.ktor.utils.io.readUTF8Line
+import io.ktor.utils.io.readByte
 import java.io.ByteArrayOutputStream
 import java.io.EOFException
 import java.io.IOException
@@ -124,10 +124,20 @@
         throw IOException("more than $MAX_TRAILERS trailers")
     }
 
-    private suspend fun readLine(): String = input.readUTF8Line(MAX_LINE_CHARS) ?: throw EOFException("the connection closed in a body")
+    /** Returns the next line without its CR LF or LF. The start of a line whose end never comes is not one. */
+    private suspend fun readLine(): String {
+        val line = StringBuilder()
+        while (true) {
+            val character = Char(input.readByte().toInt() and BYTE_MASK)
+            if (character == '\n') return line.removeSuffix("\r").toString()
+            if (line.length == MAX_LINE_CHARS) throw IOException("a line in a body exceeds $MAX_LINE_CHARS characters")
+            line.append(character)
+        }
+    }
 
     private companion object {
         private const val HEXADECIMAL = 16
+        private const val BYTE_MASK = 0xff
         private const val MAX_LINE_CHARS = 1_024
         private const val MAX_TRAILERS = 64
     }
