Refuse chunk sizes with a sign

Cause: toLongOrNull accepts a sign, so that -0 and +0 were taken for the last chunk, and a stream for complete.

Change: a chunk size consists of hexadecimal digits.

Result: 'is not complete if a chunk size only looks like the last one' failed before on -0; verify of connection/backend passes.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/ResponseBody.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/ResponseBody.kt
@@ -114,9 +114,9 @@
     }
 
     private suspend fun readChunkSize(): Long {
-        val size = readLine().substringBefore(';').trim().toLongOrNull(HEXADECIMAL)
-        if (size == null || size < 0) throw IOException("missing or invalid chunk size")
-        return size
+        val size = readLine().substringBefore(';').trim(' ', '\t')
+        val bytes = if (size.all { it in HEXADECIMAL_DIGITS }) size.toLongOrNull(HEXADECIMAL) else null
+        return bytes ?: throw IOException("missing or invalid chunk size")
     }
 
     private suspend fun skipTrailers() {
@@ -137,6 +137,7 @@
 
     private companion object {
         private const val HEXADECIMAL = 16
+        private const val HEXADECIMAL_DIGITS = "0123456789abcdefABCDEF"
         private const val BYTE_MASK = 0xff
         private const val MAX_LINE_CHARS = 1_024
         private const val MAX_TRAILERS = 64
--- a/connection/backend/src/test/kotlin/org/lycheemount/backend/ChunkedBodyTest.kt
+++ b/connection/backend/src/test/kotlin/org/lycheemount/backend/ChunkedBodyTest.kt
@@ -44,6 +44,13 @@
             }
         }
 
+        @Test
+        fun `is not complete if a chunk size only looks like the last one, guarding against wrong bytes that end a stream`() {
+            for (size in listOf("-0", "+0", "0x0", "0 0", "", " ", "\r", "0\r0")) {
+                assertBroken("5\r\nhello\r\n$size\r\n\r\n")
+            }
+        }
+
         @Test
         fun `is not complete if a chunk is longer than its size`() = assertBroken("4\r\nhello\r\n0\r\n\r\n")
     }
