--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/ResponseBody.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/ResponseBody.kt
@@ -2,11 +2,26 @@
 
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
-import io.ktor.utils.io.readUTF8Line
+import io.ktor.utils.io.readByte
 import java.io.ByteArrayOutputStream
 import java.io.EOFException
 import java.io.IOException
 
+/** What tells where the body of a response ends. */
+enum class BodyFraming {
+    /** The response has no body. */
+    NONE,
+
+    /** A length in the head. */
+    LENGTH,
+
+    /** The last chunk. */
+    CHUNKS,
+
+    /** The end of the connection. */
+    CONNECTION,
+}
+
 /**
  * Body of a response, read by one coroutine.
  *
@@ -18,6 +33,16 @@
     var isComplete: Boolean = false
         protected set
 
+    /** What tells where the body ends. */
+    val framing: BodyFraming
+        get() =
+            when (this) {
+                is EmptyBody -> BodyFraming.NONE
+                is FixedLengthBody -> BodyFraming.LENGTH
+                is ChunkedBody -> BodyFraming.CHUNKS
+                is UntilCloseBody -> BodyFraming.CONNECTION
+            }
+
     /** Length of the whole body; null if only its end tells. */
     open val lengthBytes: Long? get() = null
 
@@ -89,9 +114,9 @@
     }
 
     private suspend fun readChunkSize(): Long {
-        val size = readLine().substringBefore(';').trim().toLongOrNull(HEXADECIMAL)
-        if (size == null || size < 0) throw IOException("missing or invalid chunk size")
-        return size
+        val size = readLine().substringBefore(';').trim(' ', '\t')
+        val bytes = if (size.all { it in HEXADECIMAL_DIGITS }) size.toLongOrNull(HEXADECIMAL) else null
+        return bytes ?: throw IOException("missing or invalid chunk size")
     }
 
     private suspend fun skipTrailers() {
@@ -99,10 +124,21 @@
         throw IOException("more than $MAX_TRAILERS trailers")
     }
 
-    private suspend fun readLine(): String = input.readUTF8Line(MAX_LINE_CHARS) ?: throw EOFException("the connection closed in a body")
+    /** Returns the next line without its CR LF or LF. The start of a line whose end never comes is not one. */
+    private suspend fun readLine(): String {
+        val line = StringBuilder()
+        while (true) {
+            val character = Char(input.readByte().toInt() and BYTE_MASK)
+            if (character == '\n') return line.removeSuffix("\r").toString()
+            if (line.length == MAX_LINE_CHARS) throw IOException("a line in a body exceeds $MAX_LINE_CHARS characters")
+            line.append(character)
+        }
+    }
 
     private companion object {
         private const val HEXADECIMAL = 16
+        private const val HEXADECIMAL_DIGITS = "0123456789abcdefABCDEF"
+        private const val BYTE_MASK = 0xff
         private const val MAX_LINE_CHARS = 1_024
         private const val MAX_TRAILERS = 64
     }
