Read the software versions of servers and the resumptions of callers

Cause: the adapter dropped the version in a server's entry, and read of a resumption only a position that nothing used. `RequestMetadata` tells whether the caller resumes a stream, however odd its headers, and which attempt began it. `servers_changed` names the number of servers of each version.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
@@ -16,6 +16,7 @@
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
+import org.lycheemount.common.SoftwareVersion
 import org.lycheemount.config.ConfigurationSnapshot
 import org.lycheemount.config.ConfigurationView
 import org.lycheemount.config.PublishedConfiguration
@@ -24,6 +25,7 @@
 import org.lycheemount.platform.adapter.CONFIGURATION_KEY
 import org.lycheemount.platform.adapter.decodeConfiguration
 import org.lycheemount.platform.adapter.decodeServerEntry
+import org.lycheemount.platform.adapter.statesSoftwareVersion
 
 /** Activates the operator's configuration when its row changes. */
 internal class ConfigurationRowListener(
@@ -115,26 +117,41 @@
         },
     )
 
-    private var publishedServers = emptyMap<BackendServerId, Boolean>()
+    private var publishedServers = emptyMap<BackendServerId, PublishedState>()
 
     private fun publish() {
         val servers = directory.servers
-        val states = servers.associate { it.backendServerId to it.leaving }
+        val states = servers.associate { it.backendServerId to PublishedState(it.leaving, it.softwareVersion) }
         if (states != publishedServers) {
             val added = states.keys - publishedServers.keys
             val removed = publishedServers.keys - states.keys
-            val leaving = states.filter { (id, leaving) -> leaving && publishedServers[id] == false }.keys
+            val leaving = states.filter { (id, state) -> state.isLeaving && publishedServers[id]?.isLeaving == false }.keys
             eventLog.info(
                 "servers_changed",
                 "known" to states.size,
                 "added" to added.joinToString(",") { it.value },
                 "removed" to removed.joinToString(",") { it.value },
                 "leaving" to leaving.joinToString(",") { it.value },
+                "versions" to describeVersions(servers),
             )
             publishedServers = states
         }
         dispatcher.onBackendServers(servers)
     }
+
+    /** Returns the number of servers of each software version. */
+    private fun describeVersions(servers: List<BackendServer>): String =
+        servers
+            .groupingBy { if (it.statesSoftwareVersion) it.softwareVersion.value else "unstated" }
+            .eachCount()
+            .toSortedMap()
+            .entries
+            .joinToString(",") { (version, count) -> "$version:$count" }
+
+    private data class PublishedState(
+        val isLeaving: Boolean,
+        val version: SoftwareVersion,
+    )
 }
 
 /** Logs each time the store becomes unreachable or reachable again. */
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
@@ -119,7 +119,7 @@
     )
 
     private object LoopbackDialect : RequestDialect {
-        override fun readMetadata(headers: Headers) = RequestMetadata(null, DEADLINE_MS, null, 0, emptyList(), null)
+        override fun readMetadata(headers: Headers) = RequestMetadata(null, DEADLINE_MS, null, 0, emptyList())
 
         override fun attemptHeaders(
             callerHeaders: Headers,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
@@ -5,6 +5,7 @@
 import org.lycheemount.backend.ResponseHead
 import org.lycheemount.backend.ResponseOwner
 import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.CallerAttemptId
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.TeamId
 import org.lycheemount.scheduling.LoadReport
@@ -41,7 +42,9 @@
  * @property requestId id that the caller assigned to this attempt.
  * @property deadlineMs time from arrival after which the response is no longer needed.
  * @property promptTokens null for requests that are not addressed to a model.
- * @property lastEventId id of the event after which the stream resumes.
+ * @property resumesStream whether the caller has received a part of the stream already, even if it does not tell which.
+ * @property attemptId [requestId] in the form in which other attempts refer to it; null if it is missing or too long for that.
+ * @property resumedAttemptId the attempt that brought the first event of the stream that the caller resumes; null if it does not tell.
  */
 class RequestMetadata(
     val requestId: String?,
@@ -49,7 +52,9 @@
     val promptTokens: Int?,
     val maxOutputTokens: Int,
     val promptSegments: List<PromptSegment>,
-    val lastEventId: Long?,
+    val resumesStream: Boolean = false,
+    val attemptId: CallerAttemptId? = null,
+    val resumedAttemptId: CallerAttemptId? = null,
 )
 
 /** A segment of a prompt; prompts may have a common prefix of segments. */
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
@@ -5,17 +5,27 @@
 import org.lycheemount.backend.ResponseHead
 import org.lycheemount.backend.ResponseOwner
 import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.CallerAttemptId
 import org.lycheemount.common.Refusal
 
 /**
  * Dialect for tests: `X-Id` is the request id, `X-Tokens` its prompt and output tokens, `X-Segments` the ids of its prompt segments;
- * `X-Not-Run` marks a refusal by the server.
+ * `Last-Event-Id` marks a resumption of the stream that attempt `Resumes` began; `X-Not-Run` marks a refusal by the server.
  */
 internal object TestDialect : RequestDialect {
     override fun readMetadata(headers: Headers): RequestMetadata {
         val tokens = headers["X-Tokens"]?.split(',')?.map { it.toInt() }
         val segments = headers["X-Segments"]?.split(',').orEmpty().map { PromptSegment(it.toLong(), tokens = 1) }
-        return RequestMetadata(headers["X-Id"], null, tokens?.get(0), tokens?.get(1) ?: 0, segments, null)
+        return RequestMetadata(
+            requestId = headers["X-Id"],
+            deadlineMs = null,
+            promptTokens = tokens?.get(0),
+            maxOutputTokens = tokens?.get(1) ?: 0,
+            promptSegments = segments,
+            resumesStream = headers.contains("Last-Event-Id"),
+            attemptId = headers["X-Id"]?.ifEmpty { null }?.let(::CallerAttemptId),
+            resumedAttemptId = headers["Resumes"]?.let(::CallerAttemptId),
+        )
     }
 
     override fun attemptHeaders(
