Restrict requests to servers of some software versions

Cause: the scheduler sent any request to any server of its service. Change: `WorkItem.allowedVersions`, respected by candidates, preferred servers, the estimate of the waiting time and the queue. A request whose versions have no server is refused at once, also from the queue. Requests that wait for the few servers of one version do not hold up others, and are not refused for the queue of another version.

--- a/request/caller/src/test/kotlin/org/lycheemount/caller/FakeScheduler.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/FakeScheduler.kt
@@ -72,9 +72,5 @@
 
     override fun nextWakeUpMs(nowMs: Long): Long? = null
 
-    private fun find(item: WorkItem) =
-        servers.firstOrNull {
-            !it.leaving && item.target in it.targets &&
-                it.backendServerId !in item.excludedServers
-        }
+    private fun find(item: WorkItem) = servers.firstOrNull { !it.leaving && item.allows(it) }
 }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/AdmissionControl.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/AdmissionControl.kt
@@ -45,7 +45,12 @@
         )
     }
 
-    fun noServerRefusal(): Refusal = Refusal(RefusalReason.NO_BACKEND_SERVER, "no backend server is live", jittered(NO_SERVER_RETRY_MS))
+    /** Returns the refusal of [item] if no live server may run it. */
+    fun noServerRefusal(item: WorkItem): Refusal {
+        val versions = item.allowedVersions?.joinToString { it.value }
+        val detail = if (versions == null) "no backend server is live" else "no backend server of software version $versions is live"
+        return Refusal(RefusalReason.NO_BACKEND_SERVER, detail, jittered(NO_SERVER_RETRY_MS))
+    }
 
     fun expiredRefusal(): Refusal =
         Refusal(RefusalReason.TARGET_UNREACHABLE, "the request was queued for too long to meet its latency target", jittered(MIN_RETRY_MS))
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -38,6 +38,9 @@
     private var lastSequence = 0L
     private var fleet: RouterFleet? = null
 
+    /** Whether a server has become unusable since the last search for queued requests that no server may run any more. */
+    private var isServerLost = false
+
     override fun onWorkClasses(workClasses: Collection<WorkClass>) {
         this.workClasses.clear()
         workClasses.associateByTo(this.workClasses) { it.workClassId }
@@ -47,6 +50,7 @@
         servers: List<BackendServer>,
         nowMs: Long,
     ) {
+        isServerLost = true
         val listed = servers.associateBy { it.backendServerId }
         // Keeps the state of an unlisted server until the requests of this router on it have ended.
         for (state in this.servers.values) {
@@ -67,13 +71,15 @@
         nowMs: Long,
     ): SubmitOutcome {
         val targetQueue = targetQueues.getOrPut(item.target) { TargetQueue(item.target, initialSpeeds) }
-        val candidates = servers.values.filter { canServe(it, item) && !it.server.leaving && !it.health.isLeaving(nowMs) }
-        if (candidates.isEmpty()) return SubmitOutcome.Refused(admissionControl.noServerRefusal())
+        val candidates = candidatesFor(item, nowMs)
+        if (candidates.isEmpty()) return SubmitOutcome.Refused(admissionControl.noServerRefusal(item))
         val workClass = workClasses[item.workClassId] ?: defaultWorkClass(item.workClassId)
-        val estimate = targetQueue.estimator.estimate(item, maxCachedTokens(candidates, item, nowMs))
+        val cachedBlocks = candidates.maxOf { it.prefixIndex.matchedBlocks(item.prefixHashes, nowMs) }
+        val estimate = targetQueue.estimator.estimate(item, cachedTokens(item, cachedBlocks))
         val serviceMs = targetQueue.estimator.expectedServiceMs(item, estimate)
         val deadlines = StartDeadlines(item, workClass, estimate, targetQueue.estimator.firstTokenSlowdown)
-        val waitMs = targetQueue.waitMs(item, deadlines.dueAtMs, candidates.filter { it.isAvailable(nowMs) }, nowMs)
+        val available = servers.values.filter { item.target in it.server.targets && it.isAvailable(nowMs) }
+        val waitMs = targetQueue.waitMs(item, deadlines.dueAtMs, available, nowMs)
         val refusal = admissionControl.refusalFor(item, workClass, targetQueue, waitMs, deadlines.dueAtMs, nowMs)
         if (refusal != null) return SubmitOutcome.Refused(refusal)
         enqueue(targetQueue, QueuedRequest(item, workClass, ++lastSequence, nowMs, serviceMs, deadlines, waitMs))
@@ -153,6 +159,7 @@
             state.requestLimit.update(fleet, nowMs)
         }
         for (targetQueue in targetQueues.values) startReady(targetQueue, nowMs, actions)
+        dropRequestsWithoutServer(nowMs, actions)
         dropExpiredRequests(nowMs, actions)
         return actions
     }
@@ -187,13 +194,13 @@
         while (targetQueue.fairQueue.size > 0) {
             val available = servers.values.filter { targetQueue.target in it.server.targets && it.isAvailable(nowMs) }
             if (available.isEmpty()) return
-            val openServers = available.filterNot { it.requestLimit.isLimited }.ifEmpty { available }
-            val preferredServers = PreferredServers(openServers, targetQueue.delayTolerantShare)
+            val pools = ServerPools(available, targetQueue.delayTolerantShare)
             val eligibleServers = { request: QueuedRequest ->
-                startPolicy.eligibleServers(available, openServers, preferredServers, targetQueue, request, nowMs)
+                startPolicy.eligibleServers(pools.poolOf(request.item.allowedVersions), targetQueue, request, nowMs)
             }
             val request = targetQueue.fairQueue.select { eligibleServers(it).isNotEmpty() } ?: return
-            val preferredServer = preferredServers.preferredServerOf(request.item, request.isDelayTolerant)
+            val pool = pools.poolOf(request.item.allowedVersions)
+            val preferredServer = pool.preferredServers.preferredServerOf(request.item, request.isDelayTolerant)
             val choice = selector.choose(eligibleServers(request), preferredServer, request.item, targetQueue.estimator, nowMs) ?: return
             actions += start(targetQueue, request, choice, nowMs)
         }
@@ -218,6 +225,19 @@
         return SchedulerAction.Start(item.requestId, choice.state.id, priority)
     }
 
+    /** Refuses queued requests that allow only versions of which no server is left, rather than to let them wait until their drop time. */
+    private fun dropRequestsWithoutServer(
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        if (!isServerLost) return
+        isServerLost = false
+        for (request in queued.values.filter { it.item.allowedVersions != null && candidatesFor(it.item, nowMs).isEmpty() }) {
+            dequeue(request)
+            actions += SchedulerAction.Drop(request.item.requestId, admissionControl.noServerRefusal(request.item))
+        }
+    }
+
     private fun dropExpiredRequests(
         nowMs: Long,
         actions: MutableList<SchedulerAction>,
@@ -281,6 +301,7 @@
         if (state == null) return
         state.end(request, isAnswered = kind == FailureKind.REFUSED_BUSY, nowMs)
         state.health.onFailure(kind, nowMs)
+        if (kind == FailureKind.REFUSED_LEAVING) isServerLost = true
         if (kind == FailureKind.REFUSED_BUSY) state.concurrencyLimit.onRefusedBusy(state.ownInFlight + 1, nowMs)
     }
 
@@ -307,16 +328,11 @@
         return if (peerSlowdowns.isEmpty()) Double.MAX_VALUE else peerSlowdowns[peerSlowdowns.size / 2]
     }
 
-    private fun maxCachedTokens(
-        candidates: List<ServerState>,
+    /** Returns the servers that may run [item], now or later. */
+    private fun candidatesFor(
         item: WorkItem,
         nowMs: Long,
-    ) = cachedTokens(item, candidates.maxOf { it.prefixIndex.matchedBlocks(item.prefixHashes, nowMs) })
-
-    private fun canServe(
-        state: ServerState,
-        item: WorkItem,
-    ) = item.target in state.server.targets && state.id !in item.excludedServers
+    ) = servers.values.filter { item.allows(it.server) && !it.server.leaving && !it.health.isLeaving(nowMs) }
 
     private fun enqueue(
         targetQueue: TargetQueue,
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/FairQueue.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/FairQueue.kt
@@ -1,5 +1,6 @@
 package org.lycheemount.scheduling
 
+import org.lycheemount.common.SoftwareVersion
 import org.lycheemount.common.TeamId
 
 private const val LOOKAHEAD_REQUESTS = 4
@@ -51,20 +52,25 @@
         return candidateTeams.firstNotNullOfOrNull { it.firstStartable(LOOKAHEAD_REQUESTS, canStart) }
     }
 
-    /** Expected service time of the work that starts before a request of [teamId] that is due at [dueAtMs]. */
+    /**
+     * Expected service time of the work that starts before a request of [teamId] that is due at [dueAtMs].
+     *
+     * @param shareOf share of the work with these allowed versions that delays the request.
+     */
     fun workAheadMs(
         teamId: TeamId,
         dueAtMs: Long,
+        shareOf: (Set<SoftwareVersion>?) -> Double = { 1.0 },
     ): Double {
         val own = teams[teamId]
-        val ownAheadMs = own?.workBeforeMs(dueAtMs) ?: 0.0
+        val ownAheadMs = own?.workBeforeMs(dueAtMs, shareOf) ?: 0.0
         val ownServedMs = maxOf(own?.servedMs ?: virtualTimeMs, virtualTimeMs)
         val currentMaxLeadMs = maxLeadMs()
         var aheadMs = ownAheadMs
         for (team in teams.values) {
             if (team === own || team.isEmpty()) continue
             val fairShareMs = maxOf(0.0, ownServedMs + ownAheadMs + currentMaxLeadMs - team.servedMs)
-            aheadMs += minOf(team.workBeforeMs(dueAtMs), fairShareMs)
+            aheadMs += minOf(team.workBeforeMs(dueAtMs, shareOf), fairShareMs)
         }
         return aheadMs
     }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/StartPolicy.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/StartPolicy.kt
@@ -12,20 +12,14 @@
 internal class StartPolicy(
     private val selector: ServerSelector,
 ) {
-    /**
-     * Returns the servers among [available] on which [request] may start now.
-     *
-     * @param openServers those of [available] that have no request limit, or all of them if each has one.
-     */
+    /** Returns the servers in [pool] on which [request] may start now. */
     fun eligibleServers(
-        available: List<ServerState>,
-        openServers: List<ServerState>,
-        preferredServers: PreferredServers,
+        pool: ServerPool,
         targetQueue: TargetQueue,
         request: QueuedRequest,
         nowMs: Long,
     ): List<ServerState> {
-        val allWithFreeSlot = available.filter { hasFreeSlot(it, targetQueue, request, nowMs) }
+        val allWithFreeSlot = pool.servers.filter { hasFreeSlot(it, targetQueue, request, nowMs) }
         val withFreeSlot = allWithFreeSlot.filterNot { it.requestLimit.isLimited }
         // Servers with a request limit get what no other server can take.
         if (withFreeSlot.isEmpty()) return allWithFreeSlot
@@ -33,8 +27,8 @@
         val affinityServers =
             request.affinityServers(nowMs) {
                 selector.affinityServers(
-                    openServers,
-                    preferredServers.preferredServerOf(request.item, request.isDelayTolerant),
+                    pool.openServers,
+                    pool.preferredServers.preferredServerOf(request.item, request.isDelayTolerant),
                     request.item,
                     nowMs,
                 )
@@ -48,7 +42,7 @@
         request: QueuedRequest,
         nowMs: Long,
     ): Boolean {
-        if (state.id in request.item.excludedServers || request.isPastDeadline(nowMs)) return false
+        if (!request.item.allows(state.server) || request.isPastDeadline(nowMs)) return false
         if (state.health.allowedRequests(nowMs) <= state.ownInFlight) return false
         val freeSlots = state.freeSlots(targetQueue.fleetShare, nowMs)
         return freeSlots >
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/TargetQueue.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/TargetQueue.kt
@@ -1,6 +1,7 @@
 package org.lycheemount.scheduling
 
 import org.lycheemount.common.BackendTarget
+import org.lycheemount.common.SoftwareVersion
 
 // A lead of a few requests lets urgency decide between teams but keeps one team from delaying another for long.
 private const val MAX_TEAM_LEAD_REQUESTS = 4.0
@@ -44,14 +45,15 @@
         meanTotalRequests += SHARE_GAIN * (maxOf(ownRequests, totalRequests) - meanTotalRequests)
     }
 
-    /** Expected queueing time of a new request, given the slots that this router can use on the available [servers]. */
+    /** Expected queueing time of the new request [item], given the slots that this router can use on the [available] servers. */
     fun waitMs(
         item: WorkItem,
         dueAtMs: Long,
-        servers: List<ServerState>,
+        available: List<ServerState>,
         nowMs: Long,
     ): Double {
-        val aheadMs = fairQueue.workAheadMs(item.teamId, dueAtMs)
+        val servers = available.filter { item.allows(it.server) }
+        val aheadMs = fairQueue.workAheadMs(item.teamId, dueAtMs) { versions -> competingShare(item, versions, available, nowMs) }
         val freeSlots = servers.sumOf { maxOf(0.0, it.freeSlots(fleetShare, nowMs)) }
         if (aheadMs <= 0.0 && freeSlots > 0.0) return 0.0
         val usableSlots = servers.sumOf { it.usableSlots(fleetShare, nowMs) }
@@ -61,6 +63,21 @@
         return waitCalibration * delayingMs / usableSlots
     }
 
+    /** Share of the work with the allowed [versions] that is expected to run on servers that [item] may use. */
+    private fun competingShare(
+        item: WorkItem,
+        versions: Set<SoftwareVersion>?,
+        available: List<ServerState>,
+        nowMs: Long,
+    ): Double {
+        if (item.allowedVersions == null || item.allowedVersions == versions) return 1.0
+        val servers = available.filter { it.server.hasAllowedVersion(versions) }
+        val shared = servers.filter { it.server.hasAllowedVersion(item.allowedVersions) }
+        if (shared.size == servers.size) return 1.0
+        val sharedSlots = shared.sumOf { it.usableSlots(fleetShare, nowMs) }
+        return if (sharedSlots <= 0.0) 0.0 else sharedSlots / servers.sumOf { it.usableSlots(fleetShare, nowMs) }
+    }
+
     fun onStarted(
         request: QueuedRequest,
         nowMs: Long,
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/WorkItem.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/WorkItem.kt
@@ -1,8 +1,10 @@
 package org.lycheemount.scheduling
 
+import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.BackendTarget
 import org.lycheemount.common.RequestId
+import org.lycheemount.common.SoftwareVersion
 import org.lycheemount.common.TeamId
 import org.lycheemount.common.WorkClassId
 
@@ -17,6 +19,7 @@
  * @property sharedTokens prompt tokens covered by [affinityHash]; the preferred server is assumed to have them cached, because every
  *   router sends such prompts there.
  * @property excludedServers servers on which an earlier attempt failed.
+ * @property allowedVersions software versions of the servers that may run the request; null if any may.
  */
 data class WorkItem(
     val requestId: RequestId,
@@ -32,4 +35,12 @@
     val excludedServers: Set<BackendServerId> = emptySet(),
     val affinityHash: Long? = null,
     val sharedTokens: Int = 0,
-)
+    val allowedVersions: Set<SoftwareVersion>? = null,
+) {
+    /** Whether [server] may run this request, whatever its state. */
+    fun allows(server: BackendServer): Boolean =
+        target in server.targets && server.backendServerId !in excludedServers && server.hasAllowedVersion(allowedVersions)
+}
+
+/** Whether the server has one of the [versions]; true if they are null. */
+internal fun BackendServer.hasAllowedVersion(versions: Set<SoftwareVersion>?): Boolean = versions == null || softwareVersion in versions
--- a/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/FakeFleet.kt
+++ b/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/FakeFleet.kt
@@ -2,6 +2,7 @@
 
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.RequestId
+import org.lycheemount.common.SoftwareVersion
 
 private const val TICK_MS = 10L
 private const val REPORT_INTERVAL_MS = 200L
@@ -14,6 +15,7 @@
     private val slots: Int = 4,
     private val serviceMs: Long = 400,
     private val attemptTimeoutMs: Long = 5_000,
+    versionOf: (Int) -> SoftwareVersion = { SoftwareVersion.UNSTATED },
 ) {
     private class Running(
         val requestId: RequestId,
@@ -23,7 +25,7 @@
         var hasFirstToken: Boolean = false,
     )
 
-    val servers = (0 until serverCount).map { server(it) }
+    val servers = (0 until serverCount).map { server(it, version = versionOf(it)) }
     val scheduler = scheduler(servers)
     private val running = ArrayList<Running>()
     val startedOn = HashMap<BackendServerId, Int>()
--- a/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/SchedulingFixtures.kt
+++ b/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/SchedulingFixtures.kt
@@ -5,6 +5,7 @@
 import org.lycheemount.common.BackendTarget
 import org.lycheemount.common.ModelId
 import org.lycheemount.common.RequestId
+import org.lycheemount.common.SoftwareVersion
 import org.lycheemount.common.TeamId
 import org.lycheemount.common.VmId
 import org.lycheemount.common.WorkClassId
@@ -19,7 +20,8 @@
 internal fun server(
     index: Int,
     leaving: Boolean = false,
-) = BackendServer(BackendServerId("s$index"), VmId("vm$index"), ZoneId("z${index % 2}"), "127.0.0.1", 1, setOf(model), leaving)
+    version: SoftwareVersion = SoftwareVersion.UNSTATED,
+) = BackendServer(BackendServerId("s$index"), VmId("vm$index"), ZoneId("z${index % 2}"), "127.0.0.1", 1, setOf(model), leaving, version)
 
 internal fun item(
     id: String,
@@ -29,6 +31,7 @@
     deadlineAtMs: Long? = null,
     prefixHashes: List<Long> = emptyList(),
     excluded: Set<BackendServerId> = emptySet(),
+    versions: Set<SoftwareVersion>? = null,
 ) = WorkItem(
     RequestId(id),
     TeamId(team),
@@ -40,6 +43,7 @@
     arrivedAtMs = arrivedAtMs,
     deadlineAtMs = deadlineAtMs,
     excludedServers = excluded,
+    allowedVersions = versions,
 )
 
 internal fun scheduler(
