Keep each stream to the software version that began it

What callers saw: streams whose first events were of one software version and the rest of another, as one response or over their retries. Cause: `StreamRelay` resumed at any server of the service, and a request with Last-Event-Id went to any server. Change: a stream is resumed only at servers of the version that began the response, and broken off at once without one. Before tokens are reserved, a caller's resumption asks `StreamOrigins` for the version that began its stream; it goes on only there, and is refused as not run if that is unknown or has no server. The first numbered event of a new stream is reported to `StreamOrigins`. An attempt at a server that was replaced under its id meanwhile counts as failed. On a route with several services, resumable streams choose theirs by a hash of the attempt that began them. `request_ended` names `version` and `origin`; `lycheemount_routed_resumptions_total` counts refusals.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/WorkDispatcher.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/WorkDispatcher.kt
@@ -142,6 +142,13 @@
     @Synchronized
     fun backendServers(): Collection<BackendServer> = servers.values
 
+    /** Whether [server] has been replaced by another run under its id, which may have another software version. */
+    @Synchronized
+    fun isReplaced(server: BackendServer): Boolean {
+        val listed = servers[server.backendServerId] ?: return false
+        return listed.vmId != server.vmId || listed.softwareVersion != server.softwareVersion
+    }
+
     /** Whether [backendServerId] is no longer in the VM list. */
     @Synchronized
     fun isGone(backendServerId: BackendServerId): Boolean = backendServerId !in servers
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -12,6 +12,7 @@
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.Refusal
+import org.lycheemount.common.SoftwareVersion
 import org.lycheemount.common.WorkClassId
 import org.lycheemount.quarantine.CRASH_WINDOW_MS
 import org.lycheemount.scheduling.WorkItem
@@ -44,6 +45,7 @@
     private val request: RoutedRequest,
 ) {
     private val excludedServers = HashSet<BackendServerId>()
+    private var requiredVersion: SoftwareVersion? = null
 
     /** Whether a server may have run the request. */
     var mayHaveRun = false
@@ -65,12 +67,21 @@
     var lastServerId: BackendServerId? = null
         private set
 
+    /** Software version of the server of the last attempt; null before the first. */
+    var lastVersion: SoftwareVersion? = null
+        private set
+
     /** Time at which the server of the current attempt began to respond; null before. */
     private var respondingSinceMs: Long? = null
 
     /** Whether the server of the current attempt has responded for long enough to show that it does not crash on the prompt. */
     private var isPromptServed = false
 
+    /** Restricts all further attempts to servers of [version]. */
+    fun requireVersion(version: SoftwareVersion) {
+        requiredVersion = version
+    }
+
     /** Waits for a server on which no attempt of this request has failed. */
     suspend fun awaitServer(): AttemptPermit {
         quarantineRefusal()?.let { return AttemptPermit.Refused(it) }
@@ -102,7 +113,11 @@
     private suspend fun acquireServer(): AttemptPermit {
         val startedAtMs = services.clock.monotonicMs()
         try {
-            return services.dispatcher.acquire(workItem())
+            while (true) {
+                val permit = services.dispatcher.acquire(workItem())
+                if (permit !is AttemptPermit.Granted || !services.dispatcher.isReplaced(permit.server)) return permit
+                services.dispatcher.cancel(request.requestId)
+            }
         } finally {
             val waitedMs = services.clock.monotonicMs() - startedAtMs
             queueMs += waitedMs
@@ -121,6 +136,7 @@
         onResponse: suspend (PassThroughResponse) -> AttemptOutcome,
     ): AttemptOutcome {
         lastServerId = server.backendServerId
+        lastVersion = server.softwareVersion
         count++
         respondingSinceMs = null
         isPromptServed = false
@@ -258,8 +274,15 @@
             excludedServers = excludedServers.toSet(),
             affinityHash = request.affinityHash,
             sharedTokens = request.sharedTokens,
+            allowedVersions = allowedVersions(),
         )
 
+    private fun allowedVersions(): Set<SoftwareVersion>? {
+        requiredVersion?.let { return setOf(it) }
+        if (!request.route.hasResumableStreams || request.isResumption) return null
+        return services.streamOrigins.usableVersions(request.service.serviceId)
+    }
+
     private companion object {
         private const val MAX_REFUSAL_BODY_BYTES = 65_536
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RouteMatcher.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RouteMatcher.kt
@@ -49,12 +49,12 @@
     ): Result<RouteMatch, Refusal> {
         val reasons = services.cannotServeReasons()
         if (reasons.isNotEmpty()) return Err(Refusal(RefusalReason.NOT_READY, reasons.joinToString(), RETRY_MS))
-        val first = find(call)
+        val first = find(call, metadata)
         if (first.isOk) return first
         // The process may exit before the configuration is refreshed.
         if (services.drain.isDraining) return Err(drainingRefusal(RETRY_MS))
         val isCurrent = refreshConfiguration(metadata)
-        val second = find(call)
+        val second = find(call, metadata)
         if (isCurrent || second.isOk) return second
         // The route or key may have been added meanwhile, so the caller must not be told that it is unknown.
         return Err(Refusal(RefusalReason.NOT_READY, "the configuration could not be refreshed", RETRY_MS))
@@ -75,7 +75,10 @@
         }
     }
 
-    private fun find(call: ApplicationCall): Result<RouteMatch, Refusal> {
+    private fun find(
+        call: ApplicationCall,
+        metadata: RequestMetadata,
+    ): Result<RouteMatch, Refusal> {
         val current = currentIndex()
         val host = call.request.headers[HttpHeaders.Host].orEmpty()
         val route = current.routes.find(host, call.request.uri.substringBefore('?')) ?: return Err(UNKNOWN_ROUTE)
@@ -87,11 +90,20 @@
                     return Err(it)
                 }
             }
-        val serviceId = route.pickDestination(Math.random())
+        val serviceId = route.pickDestination(destinationFraction(route, metadata))
         val service = current.snapshot.routedServices[serviceId] ?: RoutedService(serviceId, maxConnections = 1)
         return Ok(RouteMatch(route, service, team, current.snapshot.sequence))
     }
 
+    /** A stream and its resumptions get the same value, so that they reach the same service while the weights of the route are the same. */
+    private fun destinationFraction(
+        route: Route,
+        metadata: RequestMetadata,
+    ): Double {
+        val firstAttemptId = metadata.resumedAttemptId ?: metadata.attemptId
+        return if (route.hasResumableStreams && firstAttemptId != null) uniformHash(firstAttemptId) else Math.random()
+    }
+
     private fun currentIndex(): RouteIndex {
         val snapshot = services.configuration.current()
         if (index.snapshot !== snapshot) {
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
@@ -18,7 +18,9 @@
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.RefusalReason
+import org.lycheemount.common.SoftwareVersion
 import org.lycheemount.config.RouteKind
+import org.lycheemount.origins.StreamOrigin
 import org.lycheemount.scheduling.ServiceEvent
 import org.lycheemount.stream.AttemptPermit
 import java.io.IOException
@@ -33,6 +35,7 @@
     private val writer: ResponseWriter,
 ) {
     private val attempts = AttemptRunner(services, retryLimiter, metrics, request)
+    private val resumption = StreamResumption(services, metrics, request)
     private val relay = StreamRelay(services, request, attempts, writer, ::onResponseHead)
     private var failedResponse: BufferedResponse? = null
     private var isReserved = false
@@ -43,6 +46,12 @@
     /** Server of the last attempt; null before the first. */
     val lastServerId: BackendServerId? get() = attempts.lastServerId
 
+    /** Software version of the server of the last attempt; null before the first. */
+    val lastVersion: SoftwareVersion? get() = attempts.lastVersion
+
+    /** Where the stream began that the caller resumes; null for other requests. */
+    val origin: StreamOrigin? get() = resumption.origin
+
     /** Time spent waiting for servers, over all attempts. */
     val queueMs: Long get() = attempts.queueMs
 
@@ -56,7 +65,8 @@
 
     /** Runs and settles the request; it is also settled when the coroutine is cancelled because the caller disconnected. */
     suspend fun run(): RoutedOutcome {
-        (attempts.quarantineRefusal() ?: reserve())?.let { return RoutedOutcome.NotRun(it) }
+        (attempts.quarantineRefusal() ?: resumption.check() ?: reserve())?.let { return RoutedOutcome.NotRun(it) }
+        resumption.requiredVersion?.let(attempts::requireVersion)
         try {
             return withTimeout(remainingMs()) { services.drain.cancelAtEnd { runAttempts() } }
         } catch (exception: TruncatedResponseException) {
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
@@ -38,6 +38,13 @@
             .help("Attempts at servers, by kind of request and result.")
             .labelNames("kind", "result")
             .register(registry)
+    private val resumptions: Counter =
+        Counter
+            .builder()
+            .name("lycheemount_routed_resumptions_total")
+            .help("Requests that resume a stream, by what is known of its origin and whether they were refused for it.")
+            .labelNames("origin", "result")
+            .register(registry)
 
     init {
         gauge(registry, "lycheemount_configuration_sequence", "Version of the active configuration.") {
@@ -89,6 +96,12 @@
         result: String,
     ) = attempts.labelValues(labelOf(kind), result).inc()
 
+    /** Records a request that resumes a stream; [origin] is one of a fixed set of values. */
+    fun onResumption(
+        origin: String,
+        isRefused: Boolean,
+    ) = resumptions.labelValues(origin, if (isRefused) "refused" else "accepted").inc()
+
     private fun labelOf(kind: RouteKind) = kind.name.lowercase()
 
     private fun histogram(
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequest.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequest.kt
@@ -43,6 +43,9 @@
     /** Maximum number of tokens that the request can use; null when it is not addressed to a model. */
     val maxTokens: Long? = metadata.promptTokens?.let { it.toLong() + metadata.maxOutputTokens }
 
+    /** Whether the caller goes on with a stream that an earlier request has begun. */
+    val isResumption: Boolean = route.hasResumableStreams && metadata.resumesStream
+
     /** Time until the request expires, at least 1 ms. */
     fun remainingMs(nowMs: Long): Long = (expiresAtMs - nowMs).coerceAtLeast(1)
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -224,6 +224,8 @@
                 "shared_prompt" to request.affinityHash?.toULong()?.toString(HEXADECIMAL),
                 "attempts" to execution.attemptCount,
                 "server" to execution.lastServerId?.value,
+                "version" to execution.lastVersion?.value,
+                "origin" to execution.origin?.let(StreamResumption::describe),
                 "token_wait_ms" to execution.tokenWaitMs,
                 "queue_ms" to execution.queueMs,
                 "first_ms" to execution.firstResponseMs,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedServices.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedServices.kt
@@ -11,6 +11,8 @@
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.config.ConfigurationView
+import org.lycheemount.origins.StreamOrigins
+import org.lycheemount.origins.UnversionedStreamOrigins
 import org.lycheemount.quarantine.DisabledPromptQuarantine
 import org.lycheemount.quarantine.PromptQuarantine
 
@@ -25,6 +27,7 @@
  * @property refreshConfiguration makes sure that the active configuration is current, before a request is refused for an unknown route or
  *   key. Its argument is the longest useful wait in milliseconds. Returns false if that could not be confirmed.
  * @property serverStatements what backend servers say about themselves in their responses.
+ * @property streamOrigins tells on which software version a stream began that a caller resumes.
  * @property quarantine keeps prompts on which servers crash away from further servers.
  */
 class RoutedServices(
@@ -44,6 +47,7 @@
     val cannotServeReasons: () -> List<String> = notReadyReasons,
     val refreshConfiguration: suspend (patienceMs: Long) -> Boolean = { true },
     val serverStatements: ServerStatements = ServerStatements(dispatcher, clock, eventLog),
+    val streamOrigins: StreamOrigins = UnversionedStreamOrigins,
     val quarantine: PromptQuarantine = DisabledPromptQuarantine,
     val drain: DrainState = DrainState(),
     val limits: CallerLimits = CallerLimits(),
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerSentEventBuffer.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerSentEventBuffer.kt
@@ -30,12 +30,14 @@
     /**
      * Discards an incomplete event before the events of the next attempt.
      *
-     * @param isResumed whether the attempt continues after [lastEventId]. Each of its events must then have the next id.
+     * @param isResumed whether the attempt continues after [lastEventId]. Each of its events must then have the next id. Otherwise the
+     *   events of earlier attempts count as discarded.
      */
     fun startAttempt(isResumed: Boolean) {
         size = 0
         scannedBytes = 0
         isOutOfOrder = false
+        if (!isResumed) lastEventId = null
         this.isResumed = isResumed
     }
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
@@ -7,6 +7,7 @@
 import org.lycheemount.backend.AttemptFailure
 import org.lycheemount.backend.PassThroughResponse
 import org.lycheemount.common.BackendServer
+import org.lycheemount.common.SoftwareVersion
 import org.lycheemount.scheduling.ServiceEvent
 import org.lycheemount.stream.AttemptPermit
 import java.io.IOException
@@ -26,6 +27,9 @@
 ) {
     private val events = ServerSentEventBuffer()
 
+    /** Version that began this stream, until the record of it. */
+    private var unrecordedVersion: SoftwareVersion? = null
+
     /** Upper bound of the tokens in the received events; an event holds at most a known number of tokens. */
     val outputTokens: Int
         get() {
@@ -41,7 +45,10 @@
     ): AttemptOutcome {
         events.startAttempt(isResumed = false)
         val first = readEvents(response) ?: return AttemptOutcome.Failed(AttemptFailure.BROKEN_CONNECTION)
+        if (isOfUncertainVersion(server)) return AttemptOutcome.Failed(AttemptFailure.SERVER_ERROR)
         onResponseHead()
+        attempts.requireVersion(server.softwareVersion)
+        if (request.route.hasResumableStreams && !request.isResumption) unrecordedVersion = server.softwareVersion
         var result: RoutedOutcome = RoutedOutcome.Truncated("the caller's connection was lost")
         writer.writeStream(response.head) { channel ->
             channel.write(first)
@@ -69,7 +76,7 @@
                     is AttemptPermit.Refused -> return RoutedOutcome.Truncated("no server for resuming: ${permit.refusal.reason.wireName}")
                 }
             events.startAttempt(isResumed = true)
-            when (val outcome = attempts.send(server, events.lastEventId) { resume(it, channel) }) {
+            when (val outcome = attempts.send(server, events.lastEventId) { resume(server, it, channel) }) {
                 is AttemptOutcome.Completed -> return outcome.result
                 is AttemptOutcome.Failed -> failure = outcome.failure
                 is AttemptOutcome.FailedAndRetried -> failure = outcome.failure
@@ -79,11 +86,13 @@
     }
 
     private suspend fun resume(
+        server: BackendServer,
         response: PassThroughResponse,
         channel: ByteWriteChannel,
     ): AttemptOutcome {
         if (!isEventStream(response)) return AttemptOutcome.Failed(AttemptFailure.SERVER_ERROR)
         val first = readEvents(response) ?: return AttemptOutcome.Failed(resumeFailure())
+        if (isOfUncertainVersion(server)) return AttemptOutcome.Completed(RoutedOutcome.Truncated("the next server has been replaced"))
         services.dispatcher.onServiceEvent(request.requestId, ServiceEvent.FirstToken)
         channel.write(first)
         if (!relayEvents(response, channel)) return AttemptOutcome.Failed(resumeFailure())
@@ -92,6 +101,10 @@
 
     private fun resumeFailure() = if (events.isOutOfOrder) AttemptFailure.SERVER_ERROR else AttemptFailure.BROKEN_CONNECTION
 
+    /** Whether the server was replaced by another run under its id, which may have received the request. */
+    private fun isOfUncertainVersion(server: BackendServer): Boolean =
+        request.route.hasResumableStreams && services.dispatcher.isReplaced(server)
+
     private fun completed(response: PassThroughResponse): RoutedOutcome {
         attempts.onPromptServed()
         services.dispatcher.onServiceEvent(request.requestId, ServiceEvent.Completed(outputTokens))
@@ -127,7 +140,15 @@
         return null
     }
 
+    private fun recordOrigin() {
+        val version = unrecordedVersion ?: return
+        if (events.lastEventId == null) return
+        unrecordedVersion = null
+        request.metadata.attemptId?.let { services.streamOrigins.onStreamBegun(it, request.service.serviceId, version) }
+    }
+
     private suspend fun ByteWriteChannel.write(events: ByteArray) {
+        recordOrigin()
         writeFully(events)
         flush()
     }
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RawServer.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RawServer.kt
@@ -5,6 +5,7 @@
 import org.lycheemount.common.BackendTarget
 import org.lycheemount.common.ModelId
 import org.lycheemount.common.ServiceId
+import org.lycheemount.common.SoftwareVersion
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
 import java.io.BufferedReader
@@ -46,15 +47,20 @@
         }
     }
 
-    fun describe() =
-        BackendServer(
-            BackendServerId(id),
-            VmId(id),
-            ZoneId("z1"),
-            "127.0.0.1",
-            listener.localPort,
-            setOf(BackendTarget.Service(ServiceId("s1")), BackendTarget.Model(ModelId("s1"))),
-        )
+    /** Describes the server as run [run] of [version]. */
+    fun describe(
+        version: SoftwareVersion = SoftwareVersion.UNSTATED,
+        run: Int = 1,
+        service: String = "s1",
+    ) = BackendServer(
+        BackendServerId(id),
+        VmId("$id@$run"),
+        ZoneId("z1"),
+        "127.0.0.1",
+        listener.localPort,
+        setOf(BackendTarget.Service(ServiceId(service)), BackendTarget.Model(ModelId(service))),
+        softwareVersion = version,
+    )
 
     /** Sends [response] to the next request. The connection is then closed unless [response] sets [Connection.keepAlive]. */
     fun enqueue(response: Connection.() -> Unit) = script.add(response)
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
@@ -42,6 +42,7 @@
     private val backendHttp = BackendHttp()
     protected val scheduler = FakeScheduler()
     protected val quarantine = RecordingQuarantine()
+    protected val origins = FakeStreamOrigins()
     protected val dispatcher = WorkDispatcher(scheduler, DefaultClock())
     private val snapshot =
         ConfigurationSnapshot(
@@ -53,6 +54,12 @@
                     route("/read/", RouteKind.IDEMPOTENT),
                     route("/chat/", RouteKind.STREAMING),
                     route("/draft/", RouteKind.STREAMING).copy(isResumable = true),
+                    route("/long/", RouteKind.STREAMING).copy(isResumable = true, maxAttempts = 4),
+                    route("/urgent/", RouteKind.STREAMING).copy(isResumable = true, timeoutMs = 400),
+                    route("/split/", RouteKind.STREAMING).copy(
+                        isResumable = true,
+                        destinations = listOf(RouteDestination(ServiceId("s1")), RouteDestination(ServiceId("s2"))),
+                    ),
                     route("/slow/", RouteKind.NON_IDEMPOTENT).copy(timeoutMs = 150),
                     route("/brief/", RouteKind.STREAMING).copy(timeoutMs = 1_000),
                 ),
@@ -86,6 +93,7 @@
                 routerCount = { 1 },
                 notReadyReasons = { emptyList() },
                 refreshConfiguration = { refreshConfiguration() },
+                streamOrigins = origins,
                 quarantine = quarantine,
                 drain = drain,
             ),
--- a/version/config/src/main/kotlin/org/lycheemount/config/Route.kt
+++ b/version/config/src/main/kotlin/org/lycheemount/config/Route.kt
@@ -57,8 +57,11 @@
     val isPublic: Boolean = false,
     val isResumable: Boolean = false,
 ) {
+    /** Whether the responses are streams that can be resumed. */
+    val hasResumableStreams: Boolean get() = kind == RouteKind.STREAMING && isResumable
+
     /** Whether a request may be retried after an attempt that may already have run. */
-    val isRepeatable: Boolean get() = kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAMING && isResumable)
+    val isRepeatable: Boolean get() = kind == RouteKind.IDEMPOTENT || hasResumableStreams
 
     /** Picks the destination of a request by [fraction], a uniformly distributed value from 0 (inclusive) to 1 (exclusive). */
     fun pickDestination(fraction: Double): ServiceId {
