--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
@@ -9,6 +9,7 @@
 import org.lycheemount.backend.PassThroughResponse
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.SoftwareVersion
 import org.lycheemount.scheduling.ServiceEvent
 import org.lycheemount.stream.AttemptPermit
 import java.io.IOException
@@ -30,6 +31,9 @@
     private val resumedAt = ArrayList<BackendServerId>()
     private var framing: BodyFraming? = null
 
+    /** Version that began this stream, until the record of it. */
+    private var unrecordedVersion: SoftwareVersion? = null
+
     /** Upper bound of the tokens in the received events; an event holds at most a known number of tokens. */
     val outputTokens: Int
         get() {
@@ -48,8 +52,11 @@
     ): AttemptOutcome {
         events.startAttempt(isResumed = false)
         val first = readEvents(response) ?: return AttemptOutcome.Failed(AttemptFailure.BROKEN_CONNECTION)
+        if (isOfUncertainVersion(server)) return AttemptOutcome.Failed(AttemptFailure.SERVER_ERROR)
         framing = response.body.framing
         onResponseHead()
+        attempts.requireVersion(server.softwareVersion)
+        if (request.route.hasResumableStreams && !request.isResumption) unrecordedVersion = server.softwareVersion
         var result: RoutedOutcome = RoutedOutcome.Truncated("the caller's connection was lost")
         writer.writeStream(response.head) { channel ->
             channel.write(first)
@@ -77,7 +84,7 @@
                     is AttemptPermit.Refused -> return RoutedOutcome.Truncated("no server for resuming: ${permit.refusal.reason.wireName}")
                 }
             events.startAttempt(isResumed = true)
-            when (val outcome = attempts.send(server, events.lastEventId) { resume(it, channel) }) {
+            when (val outcome = attempts.send(server, events.lastEventId) { resume(server, it, channel) }) {
                 is AttemptOutcome.Completed -> return outcome.result
                 is AttemptOutcome.Failed -> failure = outcome.failure
                 is AttemptOutcome.FailedAndRetried -> failure = outcome.failure
@@ -87,14 +94,16 @@
     }
 
     private suspend fun resume(
+        server: BackendServer,
         response: PassThroughResponse,
         channel: ByteWriteChannel,
     ): AttemptOutcome {
         if (!isEventStream(response)) return AttemptOutcome.Failed(AttemptFailure.SERVER_ERROR)
         val first = readEvents(response) ?: return AttemptOutcome.Failed(resumeFailure())
+        if (isOfUncertainVersion(server)) return AttemptOutcome.Completed(RoutedOutcome.Truncated("the next server has been replaced"))
         services.dispatcher.onServiceEvent(request.requestId, ServiceEvent.FirstToken)
         framing = response.body.framing
-        attempts.lastServerId?.let(resumedAt::add)
+        resumedAt += server.backendServerId
         channel.write(first)
         if (!relayEvents(response, channel)) return AttemptOutcome.Failed(resumeFailure())
         return AttemptOutcome.Completed(completed(response))
@@ -102,6 +111,10 @@
 
     private fun resumeFailure() = if (events.isOutOfOrder) AttemptFailure.SERVER_ERROR else AttemptFailure.BROKEN_CONNECTION
 
+    /** Whether the server was replaced by another run under its id, which may have received the request. */
+    private fun isOfUncertainVersion(server: BackendServer): Boolean =
+        request.route.hasResumableStreams && services.dispatcher.isReplaced(server)
+
     private fun completed(response: PassThroughResponse): RoutedOutcome {
         attempts.onPromptServed()
         services.dispatcher.onServiceEvent(request.requestId, ServiceEvent.Completed(outputTokens))
@@ -137,7 +150,15 @@
         return null
     }
 
+    private fun recordOrigin() {
+        val version = unrecordedVersion ?: return
+        if (events.lastEventId == null) return
+        unrecordedVersion = null
+        request.metadata.attemptId?.let { services.streamOrigins.onStreamBegun(it, request.service.serviceId, version) }
+    }
+
     private suspend fun ByteWriteChannel.write(events: ByteArray) {
+        recordOrigin()
         writeFully(events)
         flush()
     }
