Check the order of events in the first attempt and after a caller's Last-Event-Id

Cause: only the events of an attempt that the router itself resumed were checked. A first server that skipped or repeated an event, or that did not go on after the Last-Event-Id of its caller, was relayed as it was, and its stream ended as complete.

Change: on routes whose streams may be resumed each event must have the next id, also in the first attempt and after the caller's Last-Event-Id; otherwise the stream goes on at another server. On other routes ids must increase, in steps of any size.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerSentEventBuffer.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerSentEventBuffer.kt
@@ -4,14 +4,20 @@
  * Splits a byte stream of server-sent events into complete events and extracts their ids. Not thread-safe.
  *
  * Only complete events are relayed, because a server may fail in the middle of an event and a partial event cannot be resumed.
+ *
+ * @param resumedAfterEventId id of the event after which the caller resumes the stream, or null.
+ * @param isResumable whether the id of each event is the one after that of the event before. Otherwise ids only increase.
  */
-internal class ServerSentEventBuffer {
+internal class ServerSentEventBuffer(
+    resumedAfterEventId: Long? = null,
+    private val isResumable: Boolean = false,
+) {
     private var buffer = ByteArray(INITIAL_BYTES)
     private var size = 0
     private var scannedBytes = 0
 
-    /** Id of the last complete event, or null. */
-    var lastEventId: Long? = null
+    /** Id of the last event that the caller has received or been sent, or null. */
+    var lastEventId: Long? = resumedAfterEventId
         private set
 
     /** Whether an event of the current attempt did not follow the one before it. That event and all later ones are discarded. */
@@ -95,7 +101,7 @@
         id: Long?,
         hasFields: Boolean,
     ): Boolean {
-        if (isResumed && hasFields && id != lastEventId?.plus(1)) {
+        if (hasFields && !isInOrder(id)) {
             isOutOfOrder = true
             return false
         }
@@ -106,6 +112,16 @@
         return true
     }
 
+    private fun isInOrder(id: Long?): Boolean {
+        val previousId = lastEventId
+        return when {
+            isResumed -> id == previousId?.plus(1)
+            id == null || previousId == null -> true
+            isResumable -> id == previousId + 1
+            else -> id > previousId
+        }
+    }
+
     private fun readId(
         start: Int,
         end: Int,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
@@ -26,7 +26,8 @@
     private val writer: ResponseWriter,
     private val onResponseHead: () -> Unit,
 ) {
-    private val events = ServerSentEventBuffer()
+    private val resumedAfterEventId = request.metadata.lastEventId.takeIf { request.route.isResumable }
+    private val events = ServerSentEventBuffer(resumedAfterEventId, request.route.isResumable)
     private val resumedAt = ArrayList<BackendServerId>()
     private var framing: BodyFraming? = null
 
@@ -46,8 +47,8 @@
         server: BackendServer,
         response: PassThroughResponse,
     ): AttemptOutcome {
-        events.startAttempt(isResumed = false)
-        val first = readEvents(response) ?: return AttemptOutcome.Failed(AttemptFailure.BROKEN_CONNECTION)
+        events.startAttempt(isResumed = resumedAfterEventId != null)
+        val first = readEvents(response) ?: return AttemptOutcome.Failed(streamFailure())
         framing = response.body.framing
         onResponseHead()
         var result: RoutedOutcome = RoutedOutcome.Truncated("the caller's connection was lost")
@@ -91,16 +92,16 @@
         channel: ByteWriteChannel,
     ): AttemptOutcome {
         if (!isEventStream(response)) return AttemptOutcome.Failed(AttemptFailure.SERVER_ERROR)
-        val first = readEvents(response) ?: return AttemptOutcome.Failed(resumeFailure())
+        val first = readEvents(response) ?: return AttemptOutcome.Failed(streamFailure())
         services.dispatcher.onServiceEvent(request.requestId, ServiceEvent.FirstToken)
         framing = response.body.framing
         attempts.lastServerId?.let(resumedAt::add)
         channel.write(first)
-        if (!relayEvents(response, channel)) return AttemptOutcome.Failed(resumeFailure())
+        if (!relayEvents(response, channel)) return AttemptOutcome.Failed(streamFailure())
         return AttemptOutcome.Completed(completed(response))
     }
 
-    private fun resumeFailure() = if (events.isOutOfOrder) AttemptFailure.SERVER_ERROR else AttemptFailure.BROKEN_CONNECTION
+    private fun streamFailure() = if (events.isOutOfOrder) AttemptFailure.SERVER_ERROR else AttemptFailure.BROKEN_CONNECTION
 
     private fun completed(response: PassThroughResponse): RoutedOutcome {
         attempts.onPromptServed()
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
@@ -15,7 +15,7 @@
     override fun readMetadata(headers: Headers): RequestMetadata {
         val tokens = headers["X-Tokens"]?.split(',')?.map { it.toInt() }
         val segments = headers["X-Segments"]?.split(',').orEmpty().map { PromptSegment(it.toLong(), tokens = 1) }
-        return RequestMetadata(headers["X-Id"], null, tokens?.get(0), tokens?.get(1) ?: 0, segments, null)
+        return RequestMetadata(headers["X-Id"], null, tokens?.get(0), tokens?.get(1) ?: 0, segments, headers["Last-Event-Id"]?.toLong())
     }
 
     override fun attemptHeaders(
