--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
@@ -42,6 +42,7 @@
  * @property requestId id that the caller assigned to this attempt.
  * @property deadlineMs time from arrival after which the response is no longer needed.
  * @property promptTokens null for requests that are not addressed to a model.
+ * @property lastEventId id of the event after which the caller resumes a stream; null if it does not tell, or not in a readable form.
  * @property resumesStream whether the caller has received a part of the stream already, even if it does not tell which.
  * @property attemptId [requestId] in the form in which other attempts refer to it; null if it is missing or too long for that.
  * @property resumedAttemptId the attempt that brought the first event of the stream that the caller resumes; null if it does not tell.
@@ -52,6 +53,7 @@
     val promptTokens: Int?,
     val maxOutputTokens: Int,
     val promptSegments: List<PromptSegment>,
+    val lastEventId: Long? = null,
     val resumesStream: Boolean = false,
     val attemptId: CallerAttemptId? = null,
     val resumedAttemptId: CallerAttemptId? = null,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerSentEventBuffer.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerSentEventBuffer.kt
@@ -4,21 +4,28 @@
  * Splits a byte stream of server-sent events into complete events and extracts their ids. Not thread-safe.
  *
  * Only complete events are relayed, because a server may fail in the middle of an event and a partial event cannot be resumed.
+ *
+ * @param resumedAfterEventId id of the event after which the caller resumes the stream, or null.
+ * @param isResumable whether the id of each event is the one after that of the event before. Otherwise ids only increase.
  */
-internal class ServerSentEventBuffer {
+internal class ServerSentEventBuffer(
+    private val resumedAfterEventId: Long? = null,
+    private val isResumable: Boolean = false,
+) {
     private var buffer = ByteArray(INITIAL_BYTES)
     private var size = 0
     private var scannedBytes = 0
 
-    /** Id of the last complete event, or null. */
-    var lastEventId: Long? = null
+    /** Id of the last event that the caller has received or been sent, or null. */
+    var lastEventId: Long? = resumedAfterEventId
         private set
 
     /** Whether an event of the current attempt did not follow the one before it. That event and all later ones are discarded. */
     var isOutOfOrder = false
         private set
 
-    private var isResumed = false
+    /** Whether the first event of the attempt must follow [lastEventId]. */
+    private var hasPredecessor = false
 
     /** Number of complete events with an id. */
     var eventCount = 0
@@ -30,15 +37,14 @@
     /**
      * Discards an incomplete event before the events of the next attempt.
      *
-     * @param isResumed whether the attempt continues after [lastEventId]. Each of its events must then have the next id. Otherwise the
-     *   events of earlier attempts count as discarded.
+     * @param isResumed whether the attempt continues after [lastEventId]; otherwise the events of earlier attempts count as discarded.
      */
     fun startAttempt(isResumed: Boolean) {
         size = 0
         scannedBytes = 0
         isOutOfOrder = false
-        if (!isResumed) lastEventId = null
-        this.isResumed = isResumed
+        if (!isResumed) lastEventId = resumedAfterEventId
+        hasPredecessor = isResumed || resumedAfterEventId != null
     }
 
     /** Appends [length] bytes and returns all events that are now complete; empty if there are none. */
@@ -97,7 +103,7 @@
         id: Long?,
         hasFields: Boolean,
     ): Boolean {
-        if (isResumed && hasFields && id != lastEventId?.plus(1)) {
+        if (hasFields && !isInOrder(id)) {
             isOutOfOrder = true
             return false
         }
@@ -108,6 +114,16 @@
         return true
     }
 
+    private fun isInOrder(id: Long?): Boolean {
+        val previousId = lastEventId
+        return when {
+            hasPredecessor -> id == previousId?.plus(1)
+            id == null || previousId == null -> true
+            isResumable -> id == previousId + 1
+            else -> id > previousId
+        }
+    }
+
     private fun readId(
         start: Int,
         end: Int,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
@@ -27,7 +27,8 @@
     private val writer: ResponseWriter,
     private val onResponseHead: () -> Unit,
 ) {
-    private val events = ServerSentEventBuffer()
+    private val events =
+        ServerSentEventBuffer(request.metadata.lastEventId.takeIf { request.isResumption }, request.route.hasResumableStreams)
     private val resumedAt = ArrayList<BackendServerId>()
     private var framing: BodyFraming? = null
 
@@ -51,7 +52,7 @@
         response: PassThroughResponse,
     ): AttemptOutcome {
         events.startAttempt(isResumed = false)
-        val first = readEvents(response) ?: return AttemptOutcome.Failed(AttemptFailure.BROKEN_CONNECTION)
+        val first = readEvents(response) ?: return AttemptOutcome.Failed(streamFailure())
         if (isOfUncertainVersion(server)) return AttemptOutcome.Failed(AttemptFailure.SERVER_ERROR)
         framing = response.body.framing
         onResponseHead()
@@ -99,17 +100,17 @@
         channel: ByteWriteChannel,
     ): AttemptOutcome {
         if (!isEventStream(response)) return AttemptOutcome.Failed(AttemptFailure.SERVER_ERROR)
-        val first = readEvents(response) ?: return AttemptOutcome.Failed(resumeFailure())
+        val first = readEvents(response) ?: return AttemptOutcome.Failed(streamFailure())
         if (isOfUncertainVersion(server)) return AttemptOutcome.Completed(RoutedOutcome.Truncated("the next server has been replaced"))
         services.dispatcher.onServiceEvent(request.requestId, ServiceEvent.FirstToken)
         framing = response.body.framing
         resumedAt += server.backendServerId
         channel.write(first)
-        if (!relayEvents(response, channel)) return AttemptOutcome.Failed(resumeFailure())
+        if (!relayEvents(response, channel)) return AttemptOutcome.Failed(streamFailure())
         return AttemptOutcome.Completed(completed(response))
     }
 
-    private fun resumeFailure() = if (events.isOutOfOrder) AttemptFailure.SERVER_ERROR else AttemptFailure.BROKEN_CONNECTION
+    private fun streamFailure() = if (events.isOutOfOrder) AttemptFailure.SERVER_ERROR else AttemptFailure.BROKEN_CONNECTION
 
     /** Whether the server was replaced by another run under its id, which may have received the request. */
     private fun isOfUncertainVersion(server: BackendServer): Boolean =
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
@@ -22,6 +22,7 @@
             promptTokens = tokens?.get(0),
             maxOutputTokens = tokens?.get(1) ?: 0,
             promptSegments = segments,
+            lastEventId = headers["Last-Event-Id"]?.toLongOrNull(),
             resumesStream = headers.contains("Last-Event-Id"),
             attemptId = headers["X-Id"]?.ifEmpty { null }?.let(::CallerAttemptId),
             resumedAttemptId = headers["Resumes"]?.let(::CallerAttemptId),
