--- /dev/null
+++ b/process/origins/src/test/kotlin/org/lycheemount/origins/SharedStreamOriginsTest.kt
@@ -0,0 +1,197 @@
+package org.lycheemount.origins
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import org.lycheemount.common.SoftwareVersion
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class SharedStreamOriginsTest {
+    private fun fleetTest(
+        seed: Int,
+        routerCount: Int,
+        isEnabled: Boolean = true,
+        body: suspend TestScope.(VersionedTrafficFleet) -> Unit,
+    ) = runTest {
+        val scope = CoroutineScope(coroutineContext + Job())
+        try {
+            val fleet = VersionedTrafficFleet(scope, testScheduler, seed, routerCount, isEnabled)
+            body(fleet)
+        } finally {
+            scope.cancel()
+        }
+    }
+
+    private fun assertKept(
+        fleet: VersionedTrafficFleet,
+        resumed: VersionedTrafficFleet.Share,
+        context: String,
+    ) {
+        val shares = "$context: new ${fleet.newStreams}, resumed in touch ${fleet.resumedInTouch}, anywhere ${fleet.resumedAnywhere}"
+        assertEquals(0, fleet.joined, shares)
+        if (resumed.total >= MIN_RESUMED) assertTrue(resumed.value >= fleet.newStreams.value * MIN_RELATIVE_SHARE, shares)
+        assertTrue(fleet.usage.maxEntries <= MAX_ENTRIES, "${fleet.usage.maxEntries} entries")
+        assertTrue(fleet.usage.maxRowBytes <= MAX_ROW_BYTES, "${fleet.usage.maxRowBytes} bytes")
+    }
+
+    /** Two releases one after the other while streams come, and [faults] beside them. */
+    private suspend fun TestScope.runReleases(
+        fleet: VersionedTrafficFleet,
+        faults: suspend (VersionedTrafficFleet) -> Unit,
+    ) {
+        fleet.addServers(V1, SERVERS)
+        fleet.startRouters()
+        delay(3_000)
+        val traffic = launch { fleet.sendStreams(STREAMS_PER_S, TRAFFIC_MS) }
+        val disturbances = launch { faults(fleet) }
+        delay(5_000)
+        release(fleet, V1, V2)
+        delay(5_000)
+        release(fleet, V2, V3)
+        traffic.join()
+        disturbances.join()
+        delay(10_000)
+    }
+
+    private suspend fun release(
+        fleet: VersionedTrafficFleet,
+        old: SoftwareVersion,
+        new: SoftwareVersion,
+    ) = repeat(SERVERS) {
+        fleet.replaceOne(old, new)
+        delay(fleet.random.nextLong(200, 2_500))
+    }
+
+    private suspend fun killAllRouters(fleet: VersionedTrafficFleet) =
+        repeat(3) {
+            delay(fleet.random.nextLong(6_000, 12_000))
+            fleet.restart(fleet.routers, forMs = fleet.random.nextLong(500, 2_500))
+        }
+
+    private suspend fun killSomeRouters(fleet: VersionedTrafficFleet) =
+        repeat(8) {
+            delay(fleet.random.nextLong(1_000, 5_000))
+            val killed = fleet.routers.filter { it.isUp && fleet.random.nextDouble() < 0.35 }
+            fleet.restart(killed, forMs = fleet.random.nextLong(500, 2_500))
+        }
+
+    private suspend fun failTable(fleet: VersionedTrafficFleet) =
+        repeat(4) {
+            delay(fleet.random.nextLong(1_000, 7_000))
+            fleet.failTable(fleet.random.nextLong(500, 6_000))
+            fleet.breakStreams(0.5)
+        }
+
+    private suspend fun disturbLinks(fleet: VersionedTrafficFleet) =
+        repeat(6) {
+            val disturbed = fleet.routers.filter { fleet.random.nextDouble() < 0.6 }
+            for (router in disturbed) {
+                val kind = fleet.random.nextInt(4)
+                router.faults = { link ->
+                    link.isPartitioned = kind == 0
+                    link.lostResponseShare = if (kind == 1) 0.5 else 0.0
+                    link.lateCommitShare = if (kind == 2) 0.5 else 0.0
+                    link.delayMs = if (kind == 3) 700 else 0
+                }
+            }
+            fleet.onTableDisturbed()
+            repeat(4) {
+                delay(fleet.random.nextLong(200, 1_500))
+                fleet.breakStreams(0.3)
+            }
+            disturbed.forEach { router ->
+                router.faults = { link ->
+                    link.isPartitioned = false
+                    link.lostResponseShare = 0.0
+                    link.lateCommitShare = 0.0
+                    link.delayMs = 0
+                }
+            }
+            fleet.onTableDisturbed()
+        }
+
+    private suspend fun resetConnections(fleet: VersionedTrafficFleet) =
+        repeat(15) {
+            delay(fleet.random.nextLong(500, 3_500))
+            fleet.breakStreams(0.4)
+        }
+
+    private fun checkFleets(
+        name: String,
+        faults: suspend (VersionedTrafficFleet) -> Unit,
+        resumed: (VersionedTrafficFleet) -> VersionedTrafficFleet.Share = { it.resumedInTouch },
+    ) {
+        for ((routerCount, seeds) in SEEDS_BY_ROUTERS) {
+            for (seed in 1..seeds) {
+                fleetTest(seed, routerCount) { fleet ->
+                    runReleases(fleet, faults)
+
+                    assertKept(fleet, resumed(fleet), "$name, $routerCount routers, seed $seed")
+                }
+            }
+        }
+    }
+
+    @Nested
+    inner class `streams over two releases, resumed at any router, are never joined from two versions, and most of them go on` {
+        @Test
+        fun `when connections are reset`() = checkFleets("resets", ::resetConnections)
+
+        @Test
+        fun `when all routers lose power at once`() = checkFleets("all routers killed", ::killAllRouters)
+
+        @Test
+        fun `when some routers are killed`() = checkFleets("some routers killed", ::killSomeRouters)
+
+        @Test
+        fun `when the table is down for seconds`() = checkFleets("table down", ::failTable)
+
+        @Test
+        fun `when routers are cut off from the table, or it is slow or loses responses`() = checkFleets("links disturbed", ::disturbLinks)
+
+        @Test
+        fun `when all of this happens at once, for streams that were in progress at routers that could record them`() =
+            checkFleets(
+                "all faults",
+                faults = { fleet ->
+                    coroutineScope {
+                        val all = listOf(::resetConnections, ::killAllRouters, ::killSomeRouters, ::failTable, ::disturbLinks)
+                        all.forEach { fault -> launch { fault(fleet) } }
+                    }
+                },
+                resumed = { it.resumedRecordable },
+            )
+    }
+
+    @Test
+    fun `streams are joined from two versions by routers that do not tell versions apart, as a replay of the same traffic shows`() {
+        for ((routerCount, _) in SEEDS_BY_ROUTERS) {
+            fleetTest(seed = 1, routerCount, isEnabled = false) { fleet ->
+                runReleases(fleet, ::killAllRouters)
+
+                assertTrue(fleet.joined > MAX_JOINED, "${fleet.joined} streams joined")
+            }
+        }
+    }
+
+    private companion object {
+        private val V3 = SoftwareVersion("v3")
+        private val SEEDS_BY_ROUTERS = mapOf(1 to 3, 7 to 8, 95 to 1)
+        private const val SERVERS = 6
+        private const val STREAMS_PER_S = 30
+        private const val TRAFFIC_MS = 45_000L
+        private const val MIN_RESUMED = 12
+        private const val MIN_RELATIVE_SHARE = 0.5
+        private const val MAX_JOINED = 2
+        private const val MAX_ENTRIES = 100
+        private const val MAX_ROW_BYTES = 64_000
+    }
+}
