Start stream origins in the gateway, in a partition of their own

Cause: the gateway keeps no origins of streams yet, and the transactions of budgets occupy the empty partition of the store. Change: `GatewayProcess` creates and starts `SharedStreamOrigins`, `ServerRowListener` gives it the servers, and its counters are metrics. `createRowTableService` takes a partition. Requests do not use the origins yet.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
@@ -58,12 +58,14 @@
  * Updates the dispatcher's backend servers from their rows in the store.
  *
  * @param decodeEntry decodes the row of a server, given its id and value, or returns what is wrong with it.
+ * @param onBackendServers gets the servers whenever the dispatcher gets them.
  */
 internal class ServerRowListener(
     private val dispatcher: WorkDispatcher,
     private val clock: Clock,
     private val eventLog: EventLog,
     private val decodeEntry: (String, ByteArray) -> Result<BackendServer, String> = ::decodeServerEntry,
+    private val onBackendServers: (Collection<BackendServer>) -> Unit = {},
 ) : RowListener {
     private val directory = ServerDirectory()
     private val reachabilityLog = StoreReachabilityLog("servers", eventLog)
@@ -133,6 +135,7 @@
             )
             publishedServers = states
         }
+        onBackendServers(servers)
         dispatcher.onBackendServers(servers)
     }
 }
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -35,6 +35,7 @@
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.config.PublishedConfiguration
 import org.lycheemount.listener.createCallerServer
+import org.lycheemount.origins.SharedStreamOrigins
 import org.lycheemount.platform.RouterVm
 import org.lycheemount.platform.adapter.PlatformRequestDialect
 import org.lycheemount.platform.adapter.createOperatorRowWatcher
@@ -98,15 +99,20 @@
             eventLog,
             backendHttp::refusesConnections,
         )
+    private val streamOrigins =
+        SharedStreamOrigins(createRowTableService(store, ORIGINS_TABLE_NAME, ORIGINS_PARTITION), identity, clock, eventLog) {
+            peers.routerCount
+        }
     private val operatorRowWatcher = createOperatorRowWatcher(store)
     private val configurationRefresher = ConfigurationRefresher(clock, operatorRowWatcher::isReceiving, operatorRowWatcher::awaitCurrent)
-    private val serverListener = ServerRowListener(dispatcher, clock, eventLog)
+    private val serverListener = ServerRowListener(dispatcher, clock, eventLog, onBackendServers = streamOrigins::onBackendServers)
     private val drain = DrainState()
     private val metricsRegistry =
         PrometheusRegistry().also {
             registerLogMetrics(it)
             registerBudgetMetrics(it, budgets)
             registerConfigurationMetrics(it, configurationLag)
+            registerOriginMetrics(it, streamOrigins)
         }
     private val metricsHandler = MetricsHandler(metricsRegistry)
     private val routedInterface = RoutedRequestHandler(routedServices())
@@ -138,6 +144,7 @@
         limitExchange.start(serverStatements::onPeerStatement)
         peers.start(scope)
         quarantine.start(scope)
+        streamOrigins.start(scope)
         budgets.maintenance.start(scope)
         callersServer.start()
         operationsServer.start(wait = false)
@@ -273,6 +280,10 @@
 
     private companion object {
         private const val QUARANTINE_TABLE_NAME = "lycheemount-quarantine"
+        private const val ORIGINS_TABLE_NAME = "lycheemount-origins"
+
+        // The store handles the transactions of a partition one after another, and those of budgets are many.
+        private const val ORIGINS_PARTITION = "origins"
 
         // Like that of the operator's row: bounds the time after which a call on an unresponsive connection times out.
         private const val QUARANTINE_LONG_POLL_MS = 1_500L
