Take a response head for complete only with its last line feed

Cause: readUTF8Line returns what is left of a line at the end of the connection. A head that is cut off between its last CR and its last LF seemed to end with an empty line; without a length, the response then counted as complete and empty.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -10,7 +10,8 @@
 import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.availableForRead
-import io.ktor.utils.io.readUTF8Line
+import io.ktor.utils.io.charsets.TooLongLineException
+import io.ktor.utils.io.readLineStrict
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writer
 import kotlinx.coroutines.CoroutineScope
@@ -20,6 +21,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.createSelectorThread
+import java.io.EOFException
 import java.io.IOException
 import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
@@ -184,11 +186,11 @@
         output.flush()
     }
 
-    /** Returns the next response head, or null if the server closed the connection. Throws [IOException] if the head is too large. */
+    /** Returns the next response head, or null if the server closed the connection. Throws [IOException] if it is too large or cut off. */
     suspend fun readHead(): Response? {
         val head = StringBuilder()
         while (true) {
-            val line = input.readUTF8Line(MAX_HEAD_CHARS) ?: return null
+            val line = readHeadLine() ?: return if (head.isEmpty()) null else throw EOFException("the connection closed in a head")
             head.append(line).append("\r\n")
             if (line.isEmpty()) return parseResponse(ByteReadChannel(head.toString()))
             // Ktor's parser keeps reading header lines until memory runs out.
@@ -196,6 +198,13 @@
         }
     }
 
+    private suspend fun readHeadLine(): String? =
+        try {
+            input.readLineStrict(MAX_HEAD_CHARS.toLong())
+        } catch (failure: TooLongLineException) {
+            throw IOException("a line of the response head exceeds $MAX_HEAD_CHARS characters", failure)
+        }
+
     /** Decodes the body that follows [response], in [scope]. */
     fun body(
         scope: CoroutineScope,
