Read a response while its request is sent, and trust its end only if all was sent

Cause: the whole request was written before the response was read. The operating system reports a reset once; if a write received it, the reading half saw a plain end, and a response without a length counted as complete. What had been read was dropped with the reset, so whole responses with a length were lost, and a cancelled request was sent to its end. Change: connections write to the socket themselves. What it does not take at once is sent while the response is read. A response that ends with its connection is complete only if the whole request was sent and neither half failed; received bytes stay readable after a failure; a connection whose request was not sent in full is not reused. A short request stays one write without a coroutine of its own.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -4,10 +4,8 @@
 import io.ktor.http.cio.parseHttpBody
 import io.ktor.http.cio.parseResponse
 import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.availableForRead
 import io.ktor.utils.io.charsets.TooLongLineException
@@ -16,14 +14,20 @@
 import io.ktor.utils.io.writer
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.createSelectorThread
 import java.io.EOFException
 import java.io.IOException
 import java.net.ConnectException
+import java.nio.ByteBuffer
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
 import java.util.concurrent.atomic.AtomicLong
@@ -43,6 +47,7 @@
 ) : AutoCloseable {
     private val selectorThread = createSelectorThread("backend-selector")
     private val selector = SelectorManager(selectorThread)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
     private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<BackendConnection>>()
     private val nextSweepAtNs = AtomicLong(System.nanoTime() + sweepIntervalMs * NS_PER_MS)
 
@@ -70,7 +75,8 @@
     /** Opens a connection to [server]. Throws [ConnectException] on failure, which has no effect at the server. */
     suspend fun open(server: BackendServer): BackendConnection =
         withTimeoutOrNull(connectTimeoutMs) {
-            BackendConnection(aSocket(selector).tcp().connect(server.host, server.port) { noDelay = true })
+            val socket = aSocket(selector).tcp().connect(server.host, server.port) { noDelay = true }
+            BackendConnection(SelectedSocket(socket, selector), scope)
         } ?: throw ConnectException("no connection within $connectTimeoutMs ms")
 
     /** Whether [server] refuses a new connection. False if it does not respond within the connect timeout. */
@@ -85,12 +91,13 @@
             }
         } ?: false
 
-    /** Returns [connection] to the pool for [keepAliveMs] after a complete response. */
+    /** Returns [connection] to the pool for [keepAliveMs] after a complete response. It is closed if its request was not sent in full. */
     fun releaseIdle(
         server: BackendServer,
         connection: BackendConnection,
         keepAliveMs: Long = DEFAULT_KEEP_ALIVE_MS,
     ) {
+        if (!connection.isRequestSent) return connection.close()
         val nowNs = System.nanoTime()
         connection.usableUntilNs = nowNs + keepAliveMs * NS_PER_MS
         idle.compute(addressOf(server)) { _, existing ->
@@ -116,6 +123,7 @@
 
     override fun close() {
         idle.values.forEach { connections -> connections.forEach { it.close() } }
+        scope.cancel()
         selector.close()
         selectorThread.close()
     }
@@ -131,16 +139,34 @@
     }
 }
 
-/** Connection to a backend server; used by one coroutine at a time. */
+/**
+ * Connection to a backend server; used by one coroutine at a time. A request is sent while its response is read, since a server may respond
+ * before it has read a long body.
+ *
+ * @param scope runs the reading half and the rest of long requests until the connection is closed.
+ */
 internal class BackendConnection(
-    private val socket: Socket,
+    private val socket: BackendSocket,
+    private val scope: CoroutineScope,
 ) : AutoCloseable {
-    private val input = socket.openReadChannel()
-    private val output = socket.openWriteChannel(autoFlush = false)
+    private val input = ByteChannel()
+    private var sending: Job? = null
+
+    @Volatile
+    private var receiveFailure: IOException? = null
+
+    @Volatile
+    private var sendFailure: IOException? = null
+
+    /** Whether all bytes of the last request, if there was one, have been sent without an error. */
+    @Volatile
+    var isRequestSent = true
+        private set
 
     @Volatile
     var usableUntilNs: Long = 0
 
+    private val receiving = scope.launch { receive() }
     private val recentRequestIds = ArrayDeque<String>()
 
     /** Number of requests sent on this connection. */
@@ -162,8 +188,7 @@
     val hasUnexpectedBytes: Boolean get() = input.availableForRead > 0
 
     /** False if bytes arrived while idle: they belong to no request, so the responses that follow cannot be trusted. */
-    fun isUsable(nowNs: Long): Boolean =
-        usableUntilNs - nowNs > 0 && !hasUnexpectedBytes && !input.isClosedForRead && !output.isClosedForWrite
+    fun isUsable(nowNs: Long): Boolean = usableUntilNs - nowNs > 0 && !input.isClosedForRead && !hasUnexpectedBytes
 
     /** Sends a POST of [body] and returns the response head, or null if the server closed the connection. */
     suspend fun post(
@@ -176,21 +201,77 @@
         return readHead()
     }
 
-    /** Sends a request that consists of [head], which ends with an empty line, and [body]. */
-    suspend fun send(
+    /**
+     * Sends a request that consists of [head], which ends with an empty line, and [body]. Does not wait: what the socket does not take at
+     * once is sent in the background. After a failure, a response that has arrived can still be read.
+     */
+    fun send(
         head: ByteArray,
         body: ByteArray,
     ) {
-        output.writeFully(head)
-        if (body.isNotEmpty()) output.writeFully(body)
-        output.flush()
+        isRequestSent = false
+        sending = null
+        val request = RequestBytes(head, body)
+        if (!sendAvailable(request)) sending = scope.launch { sendRemainder(request) }
+    }
+
+    /** Sends what the socket takes without waiting; returns whether nothing is left to send. */
+    private fun sendAvailable(request: RequestBytes): Boolean {
+        try {
+            while (true) {
+                val bytes = request.remaining() ?: break
+                socket.write(bytes)
+                if (bytes.hasRemaining()) return false
+            }
+            isRequestSent = true
+        } catch (failure: IOException) {
+            sendFailure = failure
+        }
+        return true
+    }
+
+    private suspend fun sendRemainder(request: RequestBytes) {
+        try {
+            do socket.awaitWritable() while (!sendAvailable(request))
+        } catch (failure: IOException) {
+            sendFailure = failure
+        }
+    }
+
+    private suspend fun receive() {
+        val bytes = ByteBuffer.allocate(RECEIVE_BYTES)
+        var failure: IOException? = IOException("the connection was closed")
+        try {
+            while (socket.read(bytes.clear()) >= 0) {
+                input.writeFully(bytes.array(), 0, bytes.position())
+                input.flush()
+            }
+            failure = null
+        } catch (exception: IOException) {
+            failure = exception
+        } finally {
+            receiveFailure = failure
+            // What arrived before a failure can still be read, since it may hold a whole response.
+            if (currentCoroutineContext().isActive) input.flushAndClose() else input.cancel(failure)
+        }
+    }
+
+    /**
+     * Returns null if the server ended the connection and had taken the whole request; otherwise what broke the connection. To be called at
+     * the end of the received bytes. Waits while the request is still being sent: the operating system reports a reset only once, and if
+     * a write received it, the connection only seems to end.
+     */
+    suspend fun failureAtEnd(): IOException? {
+        sending?.join()
+        return receiveFailure ?: sendFailure ?: if (isRequestSent) null else IOException("the request was not sent in full")
     }
 
     /** Returns the next response head, or null if the server closed the connection. Throws [IOException] if it is too large or cut off. */
     suspend fun readHead(): Response? {
         val head = StringBuilder()
         while (true) {
-            val line = readHeadLine() ?: return if (head.isEmpty()) null else throw EOFException("the connection closed in a head")
+            val line =
+                readHeadLine() ?: return if (head.isEmpty()) endWithoutHead() else throw EOFException("the connection closed in a head")
             head.append(line).append("\r\n")
             if (line.isEmpty()) return parseResponse(ByteReadChannel(head.toString()))
             // Ktor's parser keeps reading header lines until memory runs out.
@@ -198,6 +279,8 @@
         }
     }
 
+    private fun endWithoutHead(): Response? = receiveFailure?.let { throw it }
+
     private suspend fun readHeadLine(): String? =
         try {
             input.readLineStrict(MAX_HEAD_CHARS.toLong())
@@ -219,13 +302,18 @@
         when {
             isChunked -> ChunkedBody(input)
             lengthBytes != null -> FixedLengthBody(input, lengthBytes)
-            else -> UntilCloseBody(input)
+            else -> UntilCloseBody(input, ::failureAtEnd)
         }
 
-    override fun close() = socket.close()
+    override fun close() {
+        socket.close()
+        receiving.cancel()
+        sending?.cancel()
+    }
 
     private companion object {
         private const val MAX_HEAD_CHARS = 65_536
+        private const val RECEIVE_BYTES = 8_192
         private const val MAX_RECENT_IDS = 32
     }
 }
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/PassThroughClient.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/PassThroughClient.kt
@@ -68,8 +68,9 @@
 /** Passes requests through to backend servers without retries. */
 interface PassThroughClient {
     /**
-     * Sends [call] to [server] once and calls [handle] with the response. The connection is reused only if [handle] reads the
-     * body to its end. Otherwise, and on cancellation, it is closed, which makes the server drop the request.
+     * Sends [call] to [server] once and calls [handle] with the response, which may begin before the whole request is sent. The
+     * connection is reused only if the request has been sent and [handle] reads the body to its end. Otherwise, and on cancellation, it
+     * is closed, which makes the server drop the request.
      * Exceptions of [handle] are rethrown.
      */
     suspend fun <T> exchange(
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/ResponseBody.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/ResponseBody.kt
@@ -114,13 +114,18 @@
     lengthBytes: Long,
 ): ResponseBody = FixedLengthBody(input, lengthBytes)
 
-/** A body that ends when the connection closes. It is not complete if the connection is reset. */
+/**
+ * A body that ends when the connection closes.
+ *
+ * @param failureAtEnd returns what broke the connection, or null if the server ended it in order. The body is then complete.
+ */
 internal class UntilCloseBody(
     private val input: ByteReadChannel,
+    private val failureAtEnd: suspend () -> IOException?,
 ) : ResponseBody() {
     override suspend fun readMore(bytes: ByteArray): Int {
         val count = input.readAvailable(bytes)
-        if (count < 0) input.closedCause?.let { throw IOException("the connection broke in a body", it) }
+        if (count < 0) failureAtEnd()?.let { throw IOException("the connection broke in a body", it) }
         return count
     }
 }
