Accept only responses with a status from 100 to 599, and skip interim ones

Cause: the status of a response was never checked, and Ktor's parser takes each number from 100 on and leading zeros. 600, 777 and 999 reached the caller, and 0200 as 200. An interim response (100, 103) was taken for the response, and the response itself for its body. Change: a status line has a status of three digits from 100 to 599. Up to 8 interim responses are skipped; 101 is a failure. Result: ResponseHeadTest failed before (4 of its 8 tests; 000 was refused already) and passes, as do all tests of connection/backend, OddStatusTest, RoutedRequestHandlerTest and BrokenStreamTest.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -266,12 +266,27 @@
         return receiveFailure ?: sendFailure ?: if (isRequestSent) null else IOException("the request was not sent in full")
     }
 
-    /** Returns the next response head, or null if the server closed the connection. Throws [IOException] if it is too large or cut off. */
+    /**
+     * Returns the head of the next response after any interim ones, or null if the server closed the connection. Throws [IOException] if
+     * the head is too large, cut off or has no valid status.
+     */
     suspend fun readHead(): Response? {
+        repeat(MAX_INTERIM_RESPONSES + 1) {
+            val response = readAnyHead() ?: return null
+            if (response.status !in INTERIM_STATUSES) return response
+            val isProtocolSwitch = response.status == SWITCHING_PROTOCOLS_STATUS
+            response.release()
+            if (isProtocolSwitch) throw IOException("the server switched to another protocol")
+        }
+        throw IOException("the server sent more than $MAX_INTERIM_RESPONSES interim responses")
+    }
+
+    private suspend fun readAnyHead(): Response? {
         val head = StringBuilder()
         while (true) {
             val line =
                 readHeadLine() ?: return if (head.isEmpty()) endWithoutHead() else throw EOFException("the connection closed in a head")
+            if (head.isEmpty() && !STATUS_LINE.containsMatchIn(line)) throw IOException("the server sent no valid status line")
             head.append(line).append("\r\n")
             if (line.isEmpty()) return parseResponse(ByteReadChannel(head.toString()))
             // Ktor's parser keeps reading header lines until memory runs out.
@@ -313,6 +328,12 @@
 
     private companion object {
         private const val MAX_HEAD_CHARS = 65_536
+        private const val MAX_INTERIM_RESPONSES = 8
+        private const val SWITCHING_PROTOCOLS_STATUS = 101
+        private val INTERIM_STATUSES = 100..199
+
+        // Ktor's parser accepts each status from 100 on and leading zeros.
+        private val STATUS_LINE = Regex("^HTTP/1\\.[01][ \\t]+[1-5][0-9][0-9](?:[ \\t]|$)")
         private const val RECEIVE_BYTES = 8_192
         private const val MAX_RECENT_IDS = 32
     }
--- a/connection/backend/src/test/kotlin/org/lycheemount/backend/ResponseHeadTest.kt
+++ b/connection/backend/src/test/kotlin/org/lycheemount/backend/ResponseHeadTest.kt
@@ -64,6 +64,52 @@
         }
     }
 
+    @Nested
+    inner class `a status` {
+        private fun response(status: String) = "HTTP/1.1 $status Odd\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody"
+
+        @Test
+        fun `outside 200 to 599 is a failure`() {
+            val statuses =
+                listOf("000", "0", "00", "042", "099", "101", "600", "777", "999", "1000", "2000", "0200", "-200", "+200", "20", "two")
+
+            val outcomes = statuses.associateWith { exchange(response(it)) }
+
+            assertEquals(emptyMap(), outcomes.filterValues { it !is PassThroughOutcome.Failed })
+        }
+
+        @Test
+        fun `of 200 to 599 is passed on, also if it is not assigned`() {
+            val statuses = listOf(200, 299, 399, 418, 499, 500, 599)
+
+            val outcomes = statuses.map { exchange(response("$it")) }
+
+            assertEquals(statuses.map { PassThroughOutcome.Completed(it to "body") }, outcomes)
+        }
+    }
+
+    @Nested
+    inner class `interim responses` {
+        private val final = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody"
+
+        @Test
+        fun `are skipped`() {
+            val interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\nContent-Length: 9\r\n\r\n"
+
+            assertEquals(PassThroughOutcome.Completed(200 to "body"), exchange(interim + final))
+        }
+
+        @Test
+        fun `without a response are a failure`() {
+            assertIs<PassThroughOutcome.Failed>(exchange("HTTP/1.1 100 Continue\r\n\r\n"))
+        }
+
+        @Test
+        fun `without end are a failure`() {
+            assertIs<PassThroughOutcome.Failed>(exchange("HTTP/1.1 103 Early Hints\r\n\r\n".repeat(100) + final))
+        }
+    }
+
     private companion object {
         private const val MAX_BYTES = 1_048_576
     }
