--- /dev/null
+++ b/connection/backend/src/test/kotlin/org/lycheemount/backend/ResponseHeadTest.kt
@@ -0,0 +1,116 @@
+package org.lycheemount.backend
+
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import java.util.concurrent.LinkedBlockingQueue
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+class ResponseHeadTest {
+    private val responses = LinkedBlockingQueue<String>()
+    private val server =
+        SocketServer {
+            readHead()
+            write(responses.take())
+        }
+    private val http = BackendHttp()
+    private val client = DefaultPassThroughClient(http)
+
+    @AfterEach
+    fun close() {
+        http.close()
+        server.close()
+    }
+
+    /** Returns the status and the body that a client gets if a server sends [response] and closes the connection, or a failure. */
+    private fun exchange(response: String): PassThroughOutcome<Pair<Int, String>> {
+        responses += response
+        val call = PassThroughCall("GET", "/", emptyList(), ByteArray(0))
+        return runBlocking {
+            client.exchange(server.describe(), call) { it.head.httpStatus to it.body.readUpTo(MAX_BYTES).decodeToString() }
+        }
+    }
+
+    @Nested
+    inner class `a head that is cut off` {
+        @Test
+        fun `at any byte is a failure, guarding against an empty response that looks complete`() {
+            val head = "HTTP/1.1 200 OK\r\nX-Id: r\r\n\r\n"
+
+            val outcomes = (0 until head.length).associateWith { exchange(head.take(it)) }
+
+            assertEquals(emptyMap(), outcomes.filterValues { it !is PassThroughOutcome.Failed })
+            assertEquals(PassThroughOutcome.Completed(200 to "body"), exchange(head + "body"))
+        }
+
+        @Test
+        fun `at any byte is a failure if its lines end with a line feed alone`() {
+            val head = "HTTP/1.1 200 OK\nX-Id: r\n\n"
+
+            val outcomes = (0 until head.length).associateWith { exchange(head.take(it)) }
+
+            assertEquals(emptyMap(), outcomes.filterValues { it !is PassThroughOutcome.Failed })
+        }
+    }
+
+    @Nested
+    inner class `a head without an end` {
+        @Test
+        fun `is a failure, guarding against a router that runs out of memory`() {
+            assertIs<PassThroughOutcome.Failed>(exchange("HTTP/1.1 200 OK\r\nX-Id: " + "r".repeat(MAX_BYTES)))
+            assertIs<PassThroughOutcome.Failed>(exchange("HTTP/1.1 200 OK\r\n" + "X-Id: r\r\n".repeat(MAX_BYTES / 9)))
+        }
+    }
+
+    @Nested
+    inner class `a status` {
+        private fun response(status: String) = "HTTP/1.1 $status Odd\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody"
+
+        @Test
+        fun `outside 200 to 599 is a failure`() {
+            val statuses =
+                listOf("000", "0", "00", "042", "099", "101", "600", "777", "999", "1000", "2000", "0200", "-200", "+200", "20", "two")
+
+            val outcomes = statuses.associateWith { exchange(response(it)) }
+
+            assertEquals(emptyMap(), outcomes.filterValues { it !is PassThroughOutcome.Failed })
+        }
+
+        @Test
+        fun `of 200 to 599 is passed on, also if it is not assigned`() {
+            val statuses = listOf(200, 299, 399, 418, 499, 500, 599)
+
+            val outcomes = statuses.map { exchange(response("$it")) }
+
+            assertEquals(statuses.map { PassThroughOutcome.Completed(it to "body") }, outcomes)
+        }
+    }
+
+    @Nested
+    inner class `interim responses` {
+        private val final = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody"
+
+        @Test
+        fun `are skipped`() {
+            val interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\nContent-Length: 9\r\n\r\n"
+
+            assertEquals(PassThroughOutcome.Completed(200 to "body"), exchange(interim + final))
+        }
+
+        @Test
+        fun `without a response are a failure`() {
+            assertIs<PassThroughOutcome.Failed>(exchange("HTTP/1.1 100 Continue\r\n\r\n"))
+        }
+
+        @Test
+        fun `without end are a failure`() {
+            assertIs<PassThroughOutcome.Failed>(exchange("HTTP/1.1 103 Early Hints\r\n\r\n".repeat(100) + final))
+        }
+    }
+
+    private companion object {
+        private const val MAX_BYTES = 1_048_576
+    }
+}
