Send nothing after a response that is cut

Cause: a response that is cut leaves its connection open until what was written before is sent. If its caller reads slowly, the response to a pipelined request is written in the meantime and sent in the same write, where the caller expects the rest of the first body.

Change: the handler of the connection drops later responses. Their writes fail once the connection is closed, not at once, since the engine would then close it before the part of the first response is sent.

Seen with a simulated socket; no real caller was seen to be concerned.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -12,6 +12,7 @@
 import io.netty.util.AttributeKey
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.Future
+import java.nio.channels.ClosedChannelException
 import java.util.concurrent.TimeUnit
 
 /**
@@ -28,6 +29,9 @@
 
     /** Response that is being sent, if it has been announced. */
     private var currentResponse: CallerResponse? = null
+
+    /** Whether a response was cut, so that the connection is closed once what was written before is sent. */
+    private var isCut = false
     private var requestsInProgress = 0
     private var isReadingBody = false
     private var closesOnceIdle = false
@@ -88,6 +92,7 @@
         message: Any,
         promise: ChannelPromise,
     ) {
+        if (isCut) return discard(context, message, promise)
         if (message is HttpResponse && !isInterim(message)) currentResponse = takeResponse(message)
         if (message is HttpContent) currentResponse?.onSent(message.content().readableBytes())
         if (message is LastHttpContent && !isInterim(message)) {
@@ -117,10 +122,22 @@
         message: LastHttpContent,
         promise: ChannelPromise,
     ) {
+        isCut = true
         ReferenceCountUtil.release(message)
         context.writeAndFlush(Unpooled.EMPTY_BUFFER, promise).addListener(ChannelFutureListener.CLOSE)
     }
 
+    /** Drops a part of a later response. Its write fails only when the connection is closed, since the engine then closes it at once. */
+    private fun discard(
+        context: ChannelHandlerContext,
+        message: Any,
+        promise: ChannelPromise,
+    ) {
+        ReferenceCountUtil.release(message)
+        val written = promise.unvoid()
+        context.channel().closeFuture().addListener { written.tryFailure(ClosedChannelException()) }
+    }
+
     private fun onResponseWritten() {
         requestsInProgress--
         idleSinceNs = System.nanoTime()
--- a/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerServerTest.kt
+++ b/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerServerTest.kt
@@ -13,7 +13,15 @@
 import io.ktor.server.routing.routing
 import io.ktor.utils.io.readRemaining
 import io.ktor.utils.io.writeFully
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOutboundHandlerAdapter
+import io.netty.channel.ChannelPromise
 import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.awaitCancellation
@@ -34,6 +42,7 @@
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
 import kotlin.test.assertFailsWith
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
 /** What callers may rely on whatever HTTP engine serves them, over real sockets. */
@@ -199,6 +208,26 @@
             assertEquals((1..20).map { "p$it" }, Regex("\r\n\r\n(p\\d+)").findAll(response).map { it.groupValues[1] }.toList())
         }
 
+        @Test
+        fun `carries nothing after a response that is cut, guarding against the response to a pipelined request in place of its rest`() {
+            val socket = SlowSocket()
+            val channel = EmbeddedChannel(socket, CallerConnectionHandler(IDLE_TIMEOUT_S, {}, {}))
+            val id = channel.attr(CallerConnectionHandler.RESPONSES).get().add(CallerResponse())
+            val head = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK)
+            head.headers().set(CallerConnectionHandler.RESPONSE_HEADER, id)
+            val pipelined = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK)
+
+            channel.write(head)
+            channel.write(LastHttpContent.EMPTY_LAST_CONTENT)
+            channel.write(pipelined)
+            socket.accepts = true
+            channel.flush()
+
+            assertContains(socket.sent, head)
+            assertTrue(socket.sent.none { it is LastHttpContent }, "${socket.sent}")
+            assertFalse(channel.isOpen)
+        }
+
         @Test
         fun `whose caller closes its sending side counts as closed, as a request that nobody waits for costs others their turn`() {
             open("GET /hanging HTTP/1.1\r\nHost: h\r\n$CLOSE\r\n").use { socket ->
@@ -272,6 +301,29 @@
         }
     }
 
+    /** Keeps what is written until it [accepts] it, and then sends all of it in one write, as the socket of a caller that reads slowly. */
+    private class SlowSocket : ChannelOutboundHandlerAdapter() {
+        private val pending = ArrayList<Pair<Any, ChannelPromise>>()
+        val sent = ArrayList<Any>()
+        var accepts = false
+
+        override fun write(
+            context: ChannelHandlerContext,
+            message: Any,
+            promise: ChannelPromise,
+        ) {
+            pending += message to promise
+        }
+
+        override fun flush(context: ChannelHandlerContext) {
+            if (!accepts) return
+            val written = pending.toList()
+            pending.clear()
+            written.mapTo(sent) { it.first }
+            written.forEach { it.second.trySuccess() }
+        }
+    }
+
     private fun chunkedUpload(body: String) = "POST /upload HTTP/1.1\r\nHost: h\r\n${CLOSE}Transfer-Encoding: chunked\r\n\r\n$body"
 
     private fun open(request: String) =
