Ask the shared origins where a resumed stream began

Cause: requests and the origins of streams were built side by side, and the gateway had not joined them. Change: `RoutedServices` of the gateway gets the origins that it keeps.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -261,6 +261,7 @@
             cannotServeReasons = ::cannotServeReasons,
             refreshConfiguration = configurationRefresher::refresh,
             serverStatements = serverStatements,
+            streamOrigins = streamOrigins,
             quarantine = quarantine,
             drain = drain,
         )
