--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerSentEventBufferTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerSentEventBufferTest.kt
@@ -71,6 +71,15 @@
             }
         }
 
+        @Test
+        fun `that does not resume has no position, guarding against a resumption after events that were discarded`() {
+            append("id: 1\ndata: a\n\n")
+
+            buffer.startAttempt(isResumed = false)
+
+            assertEquals(null, buffer.lastEventId)
+        }
+
         @Test
         fun `that does not resume accepts events with any ids and without ids`() {
             buffer.startAttempt(isResumed = false)
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
@@ -31,7 +31,8 @@
     override fun attemptHeaders(
         callerHeaders: Headers,
         attempt: AttemptMetadata,
-    ) = listOf("X-Id" to callerHeaders["X-Id"].orEmpty()) + listOfNotNull(attempt.resumeAfterEventId?.let { "Resume-After" to "$it" })
+    ) = listOf("X-Id" to callerHeaders["X-Id"].orEmpty()) +
+        listOfNotNull((attempt.resumeAfterEventId?.toString() ?: callerHeaders["Last-Event-Id"])?.let { "Resume-After" to it })
 
     override fun readResponse(
         head: ResponseHead,
