Log and count the servers that say they leave

Cause: the users' record and the logs cannot tell whether a router has been told by a server that it leaves. Change: the header is read from each response that belongs to the request, passed on or not. ServerStatements keeps it for each run of a server, with its age, and ends it with a signed successful response without it to a later request. Log line server_leaving, metric lycheemount_backend_servers_leaving_stated. The list of servers goes to the dispatcher through ServerStatements. Nothing acts on it yet.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
@@ -10,7 +10,6 @@
 import org.lycheemount.budget.BudgetChange
 import org.lycheemount.budget.BudgetLimitWriter
 import org.lycheemount.budget.BudgetMaintenance
-import org.lycheemount.caller.WorkDispatcher
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.BudgetId
@@ -55,12 +54,13 @@
 }
 
 /**
- * Updates the dispatcher's backend servers from their rows in the store.
+ * Follows the rows of the backend servers in the store.
  *
+ * @param onServers receives the servers after each change.
  * @param decodeEntry decodes the row of a server, given its id and value, or returns what is wrong with it.
  */
 internal class ServerRowListener(
-    private val dispatcher: WorkDispatcher,
+    private val onServers: (List<BackendServer>) -> Unit,
     private val clock: Clock,
     private val eventLog: EventLog,
     private val decodeEntry: (String, ByteArray) -> Result<BackendServer, String> = ::decodeServerEntry,
@@ -133,7 +133,7 @@
             )
             publishedServers = states
         }
-        dispatcher.onBackendServers(servers)
+        onServers(servers)
     }
 }
 
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -100,7 +100,7 @@
         )
     private val operatorRowWatcher = createOperatorRowWatcher(store)
     private val configurationRefresher = ConfigurationRefresher(clock, operatorRowWatcher::isReceiving, operatorRowWatcher::awaitCurrent)
-    private val serverListener = ServerRowListener(dispatcher, clock, eventLog)
+    private val serverListener = ServerRowListener(serverStatements::onBackendServers, clock, eventLog)
     private val drain = DrainState()
     private val metricsRegistry =
         PrometheusRegistry().also {
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/OddServerEntryTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/OddServerEntryTest.kt
@@ -14,7 +14,7 @@
     private val clock = FakeClock()
     private val log = FakeEventLog()
     private val dispatcher = WorkDispatcher(createRequestScheduler(ZoneId("z"), seed = 1), clock)
-    private val listener = ServerRowListener(dispatcher, clock, log)
+    private val listener = ServerRowListener(dispatcher::onBackendServers, clock, log)
 
     private val usedServerIds get() = dispatcher.backendServers().map { it.backendServerId.value }.sorted()
 
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ServerRowListenerTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ServerRowListenerTest.kt
@@ -40,7 +40,7 @@
     ) {
         private val clock = scope.virtualClock()
         private val dispatcher = WorkDispatcher(createRequestScheduler(ZoneId("z"), seed = 1), clock)
-        val listener = ServerRowListener(dispatcher, clock, FakeEventLog(), ::decodeEntry)
+        val listener = ServerRowListener(dispatcher::onBackendServers, clock, FakeEventLog(), ::decodeEntry)
 
         val usedServerIds get() = dispatcher.backendServers().map { it.backendServerId.value }.toSet()
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -131,6 +131,8 @@
             callFor(server, resumeAfterEventId) { head ->
                 val parsed = services.dialect.readResponse(head, request.metadata.requestId, server.backendServerId)
                 metadata = parsed
+                // Also counts if the response is not passed on. One to another request may be older than this run of the server.
+                if (parsed.isLeaving && parsed.owner != ResponseOwner.OTHER_REQUEST) services.serverStatements.onLeavingResponse(server)
                 parsed.owner
             }
         val outcome =
@@ -138,6 +140,9 @@
                 services.client.exchange(server, call) { response ->
                     val received = checkNotNull(metadata)
                     services.serverStatements.onResponse(server, received.requestLimitText, sentAtMs)
+                    if (!received.isLeaving && response.head.httpStatus in SUCCESS_STATUSES) {
+                        services.serverStatements.onOtherResponse(server, sentAtMs)
+                    }
                     handleResponse(response, received, onResponse)
                 }
             } catch (failure: TruncatedResponseException) {
@@ -261,6 +266,7 @@
         )
 
     private companion object {
+        private val SUCCESS_STATUSES = 200..299
         private const val MAX_REFUSAL_BODY_BYTES = 65_536
 
         // A refusal is sent as a whole.
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
@@ -79,6 +79,7 @@
  * @property hasNotRunStatus whether callers take the status as a promise that the request did not run, also without [notRun].
  * @property load null when the server does not report its load.
  * @property requestLimitText the rate of requests that the server takes from all routers together, as it wrote it; null if it names none.
+ * @property isLeaving whether the server says that it is about to shut down.
  */
 class ResponseMetadata(
     val owner: ResponseOwner,
@@ -86,4 +87,5 @@
     val hasNotRunStatus: Boolean,
     val load: LoadReport?,
     val requestLimitText: String? = null,
+    val isLeaving: Boolean = false,
 )
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
@@ -16,6 +16,7 @@
     configuration: ConfigurationView,
     dispatcher: WorkDispatcher,
     quarantine: PromptQuarantine,
+    serverStatements: ServerStatements,
 ) {
     private val requestSeconds =
         histogram(
@@ -43,17 +44,14 @@
         gauge(registry, "lycheemount_configuration_sequence", "Version of the active configuration.") {
             configuration.current().sequence.toDouble()
         }
-        gauge(registry, "lycheemount_backend_servers", "Backend servers available for requests.") {
-            dispatcher
-                .backendServers()
-                .count { !it.leaving }
-                .toDouble()
-        }
-        gauge(registry, "lycheemount_backend_servers_leaving", "Backend servers that are leaving.") {
-            dispatcher
-                .backendServers()
-                .count(BackendServer::leaving)
-                .toDouble()
+
+        fun countServers(condition: (BackendServer) -> Boolean) = dispatcher.backendServers().count(condition).toDouble()
+
+        fun isLeaving(server: BackendServer) = server.leaving || serverStatements.hasSaidToLeave(server)
+        gauge(registry, "lycheemount_backend_servers", "Backend servers available for requests.") { countServers { !isLeaving(it) } }
+        gauge(registry, "lycheemount_backend_servers_leaving", "Backend servers that are leaving.") { countServers(::isLeaving) }
+        gauge(registry, "lycheemount_backend_servers_leaving_stated", "Backend servers that have said in a response that they leave.") {
+            countServers(serverStatements::hasSaidToLeave)
         }
         gauge(registry, "lycheemount_quarantined_prompt_segments", "Prompt segments, or sets of them, whose requests are refused.") {
             quarantine.quarantinedCount.toDouble()
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -42,7 +42,8 @@
     private val reserver = TokenReserver(services.ledger, services.replenisher, services.clock)
     private val retryLimiter = RetryLimiter(services.retryBudgetPolicy, services.routerCount, services.clock)
     private val metrics = CallerMetrics(services.metricsRegistry, services.drain)
-    private val routedMetrics = RoutedMetrics(services.metricsRegistry, services.configuration, services.dispatcher, services.quarantine)
+    private val routedMetrics =
+        services.run { RoutedMetrics(metricsRegistry, configuration, dispatcher, quarantine, serverStatements) }
 
     private val overloadMonitor = OverloadMonitor(services.eventLog)
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
@@ -6,6 +6,7 @@
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.RouterId
+import org.lycheemount.scheduling.LeavingStatement
 import org.lycheemount.scheduling.RequestLimitStatement
 
 /**
@@ -22,6 +23,47 @@
     /** Includes limits that have ended, so that an older message of a peer does not bring them back. */
     private val limits = HashMap<BackendServerId, RequestLimitStatement>()
     private val unreadableServers = HashSet<BackendServerId>()
+    private val leavingServers = LeavingServers()
+
+    /** Whether this run of [server] has said in a response that it leaves, to this router or to a peer. */
+    @Synchronized
+    fun hasSaidToLeave(server: BackendServer): Boolean = leavingServers.isLeaving(server)
+
+    /** Replaces the list of servers, and passes it on with what they have said. */
+    @Synchronized
+    fun onBackendServers(current: List<BackendServer>) {
+        leavingServers.forgetGone(current, clock.monotonicMs())
+        dispatcher.onBackendServers(current)
+    }
+
+    /** The head of a response of [server] says that it leaves. */
+    @Synchronized
+    fun onLeavingResponse(server: BackendServer) {
+        leavingServers.onLeavingResponse(server, clock.monotonicMs())?.let { apply(it, SOURCE_RESPONSE) }
+    }
+
+    /** [server] has responded to a request sent at [sentAtMs] and does not say that it leaves. */
+    @Synchronized
+    fun onOtherResponse(
+        server: BackendServer,
+        sentAtMs: Long,
+    ) {
+        leavingServers.onOtherResponse(server, sentAtMs)?.let { apply(it, SOURCE_RESPONSE) }
+    }
+
+    private fun apply(
+        statement: LeavingStatement,
+        source: String,
+    ) {
+        eventLog.info(
+            "server_leaving",
+            "server" to statement.backendServerId.value,
+            "run" to statement.vmId.value,
+            "leaving" to statement.isLeaving,
+            "age_ms" to clock.monotonicMs() - statement.asOfMs,
+            "source" to source,
+        )
+    }
 
     /**
      * Applies the request limit in a response of [server], as text, or its absence.
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerStatementsTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerStatementsTest.kt
@@ -13,6 +13,8 @@
 import org.lycheemount.testing.FakeEventLog
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 
 class ServerStatementsTest {
     private val clock = FakeClock(nowMs = 1_000)
@@ -24,11 +26,19 @@
         sentAtMs: Long = clock.nowMs,
         run: String = "vm1",
     ) = statements.onResponse(
-        BackendServer(BackendServerId("s1"), VmId(run), ZoneId("z"), "127.0.0.1", 1, emptySet()),
+        server(run),
         limitText,
         sentAtMs,
     )
 
+    private fun server(run: String) = BackendServer(BackendServerId("s1"), VmId(run), ZoneId("z"), "127.0.0.1", 1, emptySet())
+
+    /** Of each statement on whether the server leaves: the statement, its age and its source. */
+    private val leavingStatements get() =
+        eventLog.events.filter { it.first == "server_leaving" }.map { (_, fields) ->
+            listOf("leaving", "age_ms", "source").map(fields::get)
+        }
+
     private val limits get() = eventLog.events.filter { it.first == "server_limit" }.map { it.second["requests_per_s"] }
 
     @Nested
@@ -95,4 +105,63 @@
             assertEquals(1, eventLog.events.count { it.first == "server_limit_out_of_range" })
         }
     }
+
+    @Nested
+    inner class `a server that says that it leaves` {
+        @Test
+        fun `is logged once with source and age`() {
+            statements.onLeavingResponse(server("vm1"))
+            clock.advance(10)
+            statements.onLeavingResponse(server("vm1"))
+
+            assertEquals(listOf(listOf<Any?>(true, 0L, "response")), leavingStatements)
+            assertTrue(statements.hasSaidToLeave(server("vm1")))
+        }
+
+        @Test
+        fun `still leaves after the response to a request that was sent before, guarding against responses that overtake each other`() {
+            statements.onLeavingResponse(server("vm1"))
+            clock.advance(10)
+            statements.onLeavingResponse(server("vm1"))
+            statements.onOtherResponse(server("vm1"), sentAtMs = 1_010)
+
+            assertTrue(statements.hasSaidToLeave(server("vm1")))
+        }
+
+        @Test
+        fun `stays after the response without it to a later request`() {
+            statements.onLeavingResponse(server("vm1"))
+            clock.advance(20)
+            statements.onOtherResponse(server("vm1"), sentAtMs = 1_001)
+
+            assertFalse(statements.hasSaidToLeave(server("vm1")))
+            assertEquals(listOf(listOf<Any?>(true, 0L, "response"), listOf<Any?>(false, 19L, "response")), leavingStatements)
+        }
+
+        @Test
+        fun `has said nothing of a later run of it`() {
+            statements.onLeavingResponse(server("vm1"))
+
+            assertFalse(statements.hasSaidToLeave(server("vm2")))
+        }
+
+        @Test
+        fun `still leaves when it is listed again, guarding against entries that lapse and outdated copies of them`() {
+            statements.onLeavingResponse(server("vm1"))
+            statements.onBackendServers(emptyList())
+            clock.advance(60_000)
+            statements.onBackendServers(listOf(server("vm1")))
+
+            assertTrue(statements.hasSaidToLeave(server("vm1")))
+        }
+
+        @Test
+        fun `is forgotten an hour after it has gone`() {
+            statements.onLeavingResponse(server("vm1"))
+            clock.advance(3_600_001)
+            statements.onBackendServers(listOf(server("vm2")))
+
+            assertFalse(statements.hasSaidToLeave(server("vm1")))
+        }
+    }
 }
