Send no requests to servers that say they leave

Cause: no code read Server-Leaving, so a router went on sending until the row of the server changed, or a 421 came. While the store was late or silent, all routers sent on to a server that was about to exit. Change: a response head of a server that says so counts as much as its row, also of refusals, errors and streams, and whether or not it is passed on. The statement holds for that run of the server in ServerStatements, also if the row lapses and is read again as ready, and goes to the scheduler with each list. ServerState.isOpen is the one place that decides from row, statement and 421 (moved from ServerHealth) whether new requests may go there; queued requests, retries and resumed streams go through it, and a request no longer waits for the cached prefix of such a server. If all servers leave, they are used for a second more, then new and queued requests are refused at once with Retry-After. Peers tell each other, also when a link opens: PeerLimitExchange is now PeerStatementExchange, its limit messages are unchanged; its event for unreadable messages is peer_statement_unreadable.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -73,8 +73,9 @@
     private val dispatcher =
         WorkDispatcher(createRequestScheduler(settings.zoneId, seed = identity.incarnation, INITIAL_SPEEDS, FULL_ENGINE_SLOWDOWN), clock)
     private val peers = GatewayPeers(table, store, routerVm(), identity, clock, eventLog, configuration, configurationLag, dispatcher)
-    private val limitExchange = PeerLimitExchange(peers.messenger, clock, eventLog, peers::tableTimeOffsetMs)
-    private val serverStatements = ServerStatements(dispatcher, clock, eventLog, limitExchange::announce)
+    private val statementExchange = PeerStatementExchange(peers.messenger, clock, eventLog, peers::tableTimeOffsetMs)
+    private val serverStatements =
+        ServerStatements(dispatcher, clock, eventLog, statementExchange::announce, statementExchange::announceLeaving)
     private val budgets =
         createBudgetLedgerModule(
             table,
@@ -135,7 +136,7 @@
         budgetLimits.start(scope)
         scope.launch { operatorRowWatcher.watch(configurationListener) }
         scope.launch { createServerRowWatcher(store).watch(serverListener) }
-        limitExchange.start(serverStatements::onPeerStatement)
+        statementExchange.start(scope, serverStatements)
         peers.start(scope)
         quarantine.start(scope)
         budgets.maintenance.start(scope)
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
@@ -3,6 +3,7 @@
 import io.ktor.http.ContentType
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.cio.CIO
+import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.response.header
 import io.ktor.server.response.respondBytesWriter
@@ -19,6 +20,7 @@
 import org.lycheemount.common.ZoneId
 import org.lycheemount.platform.adapter.testing.FakeRoute
 import org.lycheemount.platform.adapter.testing.FakeStore
+import org.lycheemount.platform.adapter.testing.LEAVING_HEADER
 import org.lycheemount.platform.adapter.testing.REQUEST_ID_HEADER
 import org.lycheemount.platform.adapter.testing.REQUEST_LIMIT_HEADER
 import org.lycheemount.platform.adapter.testing.SIGNATURE_HEADER
@@ -30,6 +32,7 @@
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Dependencies of one gateway on loopback: the platform's store, an operator's configuration and one backend server. */
 internal class GatewayFixture : AutoCloseable {
@@ -42,6 +45,37 @@
     /** Times at which requests for `/plain/` reached the backend server. */
     val plainArrivalTimesMs: MutableList<Long> = CopyOnWriteArrayList()
 
+    /** One more backend server, registered as [id], which responds to requests for `/plain/`. */
+    inner class AdditionalServer(
+        id: String,
+    ) {
+        /** Whether its responses say that it leaves. */
+        @Volatile
+        var isLeaving = false
+
+        /** Number of requests that have reached it. */
+        val requestCount = AtomicInteger()
+
+        private val server =
+            embeddedServer(CIO, configure = { listenOn("127.0.0.1:0") }) {
+                routing {
+                    get("/plain/") {
+                        requestCount.incrementAndGet()
+                        if (isLeaving) call.response.header(LEAVING_HEADER, "1")
+                        respondAsServer(call) { call.respondText("done") }
+                    }
+                }
+            }.start(wait = false)
+
+        init {
+            store.registerServer(id, "127.0.0.1:${portOf(server)}")
+            additionalServers += this
+        }
+
+        fun stop() = server.stop(0, 0)
+    }
+
+    private val additionalServers = ArrayList<AdditionalServer>()
     private val backendServer =
         embeddedServer(CIO, configure = { listenOn("127.0.0.1:0") }) {
             routing {
@@ -56,15 +90,8 @@
         }.start(wait = false)
 
     init {
-        val port =
-            runBlocking {
-                backendServer.engine
-                    .resolvedConnectors()
-                    .first()
-                    .port
-            }
         store.publishRoutes(ROUTES)
-        store.registerServer("i-1", "127.0.0.1:$port")
+        store.registerServer("i-1", "127.0.0.1:${portOf(backendServer)}")
     }
 
     /** Settings of the gateway number [index], which has [drainGraceS] seconds to stop. */
@@ -93,9 +120,18 @@
     override fun close() {
         store.isSilent = false
         backendServer.stop(0, 0)
+        additionalServers.forEach { it.stop() }
         store.close()
     }
 
+    private fun portOf(server: EmbeddedServer<*, *>) =
+        runBlocking {
+            server.engine
+                .resolvedConnectors()
+                .first()
+                .port
+        }
+
     private suspend fun respondAsServer(
         call: ApplicationCall,
         respond: suspend () -> Unit,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/WorkDispatcher.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/WorkDispatcher.kt
@@ -21,6 +21,7 @@
 import org.lycheemount.config.WorkClass
 import org.lycheemount.scheduling.CacheEvents
 import org.lycheemount.scheduling.FailureKind
+import org.lycheemount.scheduling.LeavingStatement
 import org.lycheemount.scheduling.LoadReport
 import org.lycheemount.scheduling.RequestLimitStatement
 import org.lycheemount.scheduling.RequestScheduler
@@ -110,12 +111,15 @@
         failure: AttemptFailure,
     ) = onServiceEvent(requestId, ServiceEvent.Failed(failureKind(failure)))
 
-    /** Replaces the list of backend servers. */
-    fun onBackendServers(current: List<BackendServer>) =
-        withScheduler { nowMs ->
-            servers = current.associateBy { it.backendServerId }
-            scheduler.onBackendServers(current, nowMs)
-        }
+    /** Replaces the list of backend servers, and applies what they have said about their shutdown before any request is assigned. */
+    fun onBackendServers(
+        current: List<BackendServer>,
+        statements: List<LeavingStatement> = emptyList(),
+    ) = withScheduler { nowMs ->
+        servers = current.associateBy { it.backendServerId }
+        scheduler.onBackendServers(current, nowMs)
+        statements.forEach { scheduler.onLeaving(it, nowMs) }
+    }
 
     /** Passes a load report to the scheduler. */
     fun onLoadReport(report: LoadReport) = withScheduler { nowMs -> scheduler.onLoadReport(report, nowMs) }
@@ -123,6 +127,9 @@
     /** Passes a server's statement about its request limit to the scheduler. */
     fun onRequestLimit(statement: RequestLimitStatement) = withScheduler { nowMs -> scheduler.onRequestLimit(statement, nowMs) }
 
+    /** Passes a server's statement about its shutdown to the scheduler. */
+    fun onLeaving(statement: LeavingStatement) = withScheduler { nowMs -> scheduler.onLeaving(statement, nowMs) }
+
     /** Replaces the routers that share the request limits of servers. */
     fun onRouterFleet(fleet: RouterFleet) = withScheduler { nowMs -> scheduler.onRouterFleet(fleet, nowMs) }
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
@@ -12,13 +12,15 @@
 /**
  * Keeps what backend servers say about themselves in their responses, and passes it on to the dispatcher. Thread-safe.
  *
- * @param announce tells the other routers what has changed.
+ * @param announce tells the other routers about a change of a request limit.
+ * @param announceLeaving tells the other routers that a server leaves, or that it stays after all.
  */
 class ServerStatements(
     private val dispatcher: WorkDispatcher,
     private val clock: Clock,
     private val eventLog: EventLog,
     private val announce: (RequestLimitStatement) -> Unit = {},
+    private val announceLeaving: (LeavingStatement) -> Unit = {},
 ) {
     /** Includes limits that have ended, so that an older message of a peer does not bring them back. */
     private val limits = HashMap<BackendServerId, RequestLimitStatement>()
@@ -33,7 +35,7 @@
     @Synchronized
     fun onBackendServers(current: List<BackendServer>) {
         leavingServers.forgetGone(current, clock.monotonicMs())
-        dispatcher.onBackendServers(current)
+        dispatcher.onBackendServers(current, leavingServers.statements)
     }
 
     /** The head of a response of [server] says that it leaves. */
@@ -51,10 +53,25 @@
         leavingServers.onOtherResponse(server, sentAtMs)?.let { apply(it, SOURCE_RESPONSE) }
     }
 
+    /** Applies what the router [from] has told, unless this router knows better, and passes on what is new. */
+    @Synchronized
+    fun onPeerLeaving(
+        from: RouterId,
+        statement: LeavingStatement,
+    ) {
+        leavingServers.onPeerStatement(statement)?.let { apply(it, from.value) }
+    }
+
+    /** What servers have said about their shutdown, for routers that may not know it. */
+    @Synchronized
+    fun leavingStatements(): List<LeavingStatement> = leavingServers.statements
+
     private fun apply(
         statement: LeavingStatement,
         source: String,
     ) {
+        dispatcher.onLeaving(statement)
+        announceLeaving(statement)
         eventLog.info(
             "server_leaving",
             "server" to statement.backendServerId.value,
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/FakeScheduler.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/FakeScheduler.kt
@@ -4,8 +4,10 @@
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.RefusalReason
 import org.lycheemount.common.RequestId
+import org.lycheemount.common.VmId
 import org.lycheemount.config.WorkClass
 import org.lycheemount.scheduling.CacheEvents
+import org.lycheemount.scheduling.LeavingStatement
 import org.lycheemount.scheduling.LoadReport
 import org.lycheemount.scheduling.RequestScheduler
 import org.lycheemount.scheduling.SchedulerAction
@@ -17,6 +19,7 @@
 internal class FakeScheduler : RequestScheduler {
     private var servers = emptyList<BackendServer>()
     private val queued = mutableListOf<WorkItem>()
+    private var leavingRuns = emptySet<VmId>()
 
     /** While true, requests remain queued. */
     @Volatile
@@ -58,6 +61,13 @@
         nowMs: Long,
     ) = Unit
 
+    override fun onLeaving(
+        statement: LeavingStatement,
+        nowMs: Long,
+    ) {
+        leavingRuns = if (statement.isLeaving) leavingRuns + statement.vmId else leavingRuns - statement.vmId
+    }
+
     override fun onCacheEvents(
         events: CacheEvents,
         nowMs: Long,
@@ -74,7 +84,7 @@
 
     private fun find(item: WorkItem) =
         servers.firstOrNull {
-            !it.leaving && item.target in it.targets &&
+            !it.leaving && it.vmId !in leavingRuns && item.target in it.targets &&
                 it.backendServerId !in item.excludedServers
         }
 }
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
@@ -43,6 +43,7 @@
     protected val scheduler = FakeScheduler()
     protected val quarantine = RecordingQuarantine()
     protected val dispatcher = WorkDispatcher(scheduler, DefaultClock())
+    protected val statements = ServerStatements(dispatcher, DefaultClock(), log)
     private val snapshot =
         ConfigurationSnapshot(
             sequence = 1,
@@ -86,6 +87,7 @@
                 routerCount = { 1 },
                 notReadyReasons = { emptyList() },
                 refreshConfiguration = { refreshConfiguration() },
+                serverStatements = statements,
                 quarantine = quarantine,
                 drain = drain,
             ),
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
@@ -9,7 +9,7 @@
 
 /**
  * Dialect for tests: `X-Id` is the request id, `X-Tokens` its prompt and output tokens, `X-Segments` the ids of its prompt segments;
- * `X-Not-Run` marks a refusal by the server.
+ * `X-Not-Run` marks a refusal by the server, or one that says that it has left if the value is `gone`, and `X-Leaving` a server that leaves.
  */
 internal object TestDialect : RequestDialect {
     override fun readMetadata(headers: Headers): RequestMetadata {
@@ -28,14 +28,21 @@
         callerRequestId: String?,
         serverId: BackendServerId,
     ): ResponseMetadata {
-        val notRun = head.header("X-Not-Run")?.let { AttemptFailure.REFUSED_BUSY }
+        val notRun = head.header("X-Not-Run")?.let { if (it == "gone") AttemptFailure.REFUSED_LEAVING else AttemptFailure.REFUSED_BUSY }
         val owner =
             when (head.header("X-Id")) {
                 callerRequestId -> ResponseOwner.THIS_REQUEST
                 null -> if (notRun == null) ResponseOwner.OTHER_REQUEST else ResponseOwner.UNIDENTIFIED
                 else -> ResponseOwner.OTHER_REQUEST
             }
-        return ResponseMetadata(owner, notRun, hasNotRunStatus = head.httpStatus == 503, load = null)
+        return ResponseMetadata(
+            owner,
+            notRun,
+            hasNotRunStatus = head.httpStatus == 503,
+            load = null,
+            isLeaving =
+                head.header("X-Leaving") != null,
+        )
     }
 
     override fun refusalHead(
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -38,6 +38,9 @@
     private var lastSequence = 0L
     private var fleet: RouterFleet? = null
 
+    /** Whether a server has stopped taking requests since the queued requests were last checked for one that has not. */
+    private var hasFewerServers = false
+
     override fun onWorkClasses(workClasses: Collection<WorkClass>) {
         this.workClasses.clear()
         workClasses.associateByTo(this.workClasses) { it.workClassId }
@@ -52,7 +55,7 @@
         for (state in this.servers.values) {
             if (state.id !in listed) state.server = state.server.copy(leaving = true)
         }
-        this.servers.values.removeIf { it.id !in listed && it.ownInFlight == 0 }
+        if (this.servers.values.removeIf { it.id !in listed && it.ownInFlight == 0 }) hasFewerServers = true
         for (server in servers) {
             val existing = this.servers[server.backendServerId]
             when {
@@ -67,10 +70,10 @@
         nowMs: Long,
     ): SubmitOutcome {
         val targetQueue = targetQueues.getOrPut(item.target) { TargetQueue(item.target, initialSpeeds) }
-        val candidates = servers.values.filter { canServe(it, item) && !it.server.leaving && !it.health.isLeaving(nowMs) }
+        val candidates = servers.values.openServers(nowMs) { canServe(it, item) }
         if (candidates.isEmpty()) return SubmitOutcome.Refused(admissionControl.noServerRefusal())
         val workClass = workClasses[item.workClassId] ?: defaultWorkClass(item.workClassId)
-        val estimate = targetQueue.estimator.estimate(item, maxCachedTokens(candidates, item, nowMs))
+        val estimate = targetQueue.estimator.estimate(item, candidates.maxCachedTokens(item, nowMs))
         val serviceMs = targetQueue.estimator.expectedServiceMs(item, estimate)
         val deadlines = StartDeadlines(item, workClass, estimate, targetQueue.estimator.firstTokenSlowdown)
         val waitMs = targetQueue.waitMs(item, deadlines.dueAtMs, candidates.filter { it.isAvailable(nowMs) }, nowMs)
@@ -124,6 +127,14 @@
         if (state.server.vmId == statement.vmId) state.requestLimit.onStatement(statement, fleet, nowMs)
     }
 
+    override fun onLeaving(
+        statement: LeavingStatement,
+        nowMs: Long,
+    ) {
+        val state = servers[statement.backendServerId] ?: return
+        if (state.server.vmId == statement.vmId) state.departure.onStatement(statement)
+    }
+
     override fun onRouterFleet(
         fleet: RouterFleet,
         nowMs: Long,
@@ -151,9 +162,12 @@
         for (state in servers.values) {
             if (state.hangDeadlineMs()?.let { it <= nowMs } == true) state.health.onHang(nowMs)
             state.requestLimit.update(fleet, nowMs)
+            if (state.hasClosed(nowMs)) hasFewerServers = true
         }
         for (targetQueue in targetQueues.values) startReady(targetQueue, nowMs, actions)
         dropExpiredRequests(nowMs, actions)
+        if (hasFewerServers) dropUnservableRequests(nowMs, actions)
+        hasFewerServers = false
         return actions
     }
 
@@ -170,6 +184,7 @@
                     .nextRequestAtMs(nowMs)
                     ?.takeIf { it > nowMs }
                     ?.let(times::add)
+                state.lastRequestsEndMs(nowMs)?.let(times::add)
                 state.health
                     .probeAtMs()
                     ?.takeIf { it > nowMs }
@@ -187,10 +202,12 @@
         while (targetQueue.fairQueue.size > 0) {
             val available = servers.values.filter { targetQueue.target in it.server.targets && it.isAvailable(nowMs) }
             if (available.isEmpty()) return
-            val openServers = available.filterNot { it.requestLimit.isLimited }.ifEmpty { available }
+            val staying = available.filterNot { it.isLeaving(nowMs) }.ifEmpty { available }
+            val openServers = staying.filterNot { it.requestLimit.isLimited }.ifEmpty { staying }
             val preferredServers = PreferredServers(openServers, targetQueue.delayTolerantShare)
             val eligibleServers = { request: QueuedRequest ->
-                startPolicy.eligibleServers(available, openServers, preferredServers, targetQueue, request, nowMs)
+                val usable = if (staying.size == available.size) available else available.openServers(nowMs) { canServe(it, request.item) }
+                startPolicy.eligibleServers(usable, openServers, preferredServers, targetQueue, request, nowMs)
             }
             val request = targetQueue.fairQueue.select { eligibleServers(it).isNotEmpty() } ?: return
             val preferredServer = preferredServers.preferredServerOf(request.item, request.isDelayTolerant)
@@ -237,6 +254,17 @@
         }
     }
 
+    /** Refuses the queued requests that no server can take any more. */
+    private fun dropUnservableRequests(
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        for (request in queued.values.filter { request -> servers.values.openServers(nowMs) { canServe(it, request.item) }.isEmpty() }) {
+            dequeue(request)
+            actions += SchedulerAction.Drop(request.item.requestId, admissionControl.noServerRefusal())
+        }
+    }
+
     private fun onFirstToken(
         request: StartedRequest,
         state: ServerState?,
@@ -267,7 +295,7 @@
         targetQueue.estimator.onServed(request.item, request.estimate, nowMs - request.startedAtMs)
         val ratio = (nowMs - request.startedAtMs) / maxOf(1.0, request.estimate.firstTokenMs + decodeMs)
         state.end(request, isAnswered = true, nowMs)
-        state.health.onSuccess(ratio, medianPeerSlowdown(state, request.item), nowMs)
+        state.health.onSuccess(ratio, servers.values.medianPeerSlowdown(state, request.item), nowMs)
         recordCacheHit(request, state, event.cachedPromptTokens)
     }
 
@@ -281,6 +309,7 @@
         if (state == null) return
         state.end(request, isAnswered = kind == FailureKind.REFUSED_BUSY, nowMs)
         state.health.onFailure(kind, nowMs)
+        if (kind == FailureKind.REFUSED_LEAVING) state.departure.onRefused(nowMs)
         if (kind == FailureKind.REFUSED_BUSY) state.concurrencyLimit.onRefusedBusy(state.ownInFlight + 1, nowMs)
     }
 
@@ -295,24 +324,6 @@
         state.prefixIndex.onObserved(request.predictedBlocks, blocks)
     }
 
-    private fun medianPeerSlowdown(
-        state: ServerState,
-        item: WorkItem,
-    ): Double {
-        val peerSlowdowns =
-            servers.values
-                .filter { it !== state && item.target in it.server.targets }
-                .map { it.health.slowdown }
-                .sorted()
-        return if (peerSlowdowns.isEmpty()) Double.MAX_VALUE else peerSlowdowns[peerSlowdowns.size / 2]
-    }
-
-    private fun maxCachedTokens(
-        candidates: List<ServerState>,
-        item: WorkItem,
-        nowMs: Long,
-    ) = cachedTokens(item, candidates.maxOf { it.prefixIndex.matchedBlocks(item.prefixHashes, nowMs) })
-
     private fun canServe(
         state: ServerState,
         item: WorkItem,
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/QueuedRequest.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/QueuedRequest.kt
@@ -32,12 +32,14 @@
     private var affinityServers: Set<BackendServerId> = emptySet()
     private var affinityRefreshedAtMs = Long.MIN_VALUE / 2
 
-    /** Servers that hold most of the cached prefix of the prompt. Cached, and refreshed by [lookUp] when outdated. */
+    /** Servers among [open] that hold most of the cached prefix of the prompt. Cached, and refreshed by [lookUp] when outdated. */
     fun affinityServers(
+        open: List<ServerState>,
         nowMs: Long,
         lookUp: () -> Set<BackendServerId>,
     ): Set<BackendServerId> {
-        if (nowMs - affinityRefreshedAtMs >= AFFINITY_REFRESH_INTERVAL_MS) {
+        val hasClosed = affinityServers.any { id -> open.none { it.id == id } }
+        if (hasClosed || nowMs - affinityRefreshedAtMs >= AFFINITY_REFRESH_INTERVAL_MS) {
             affinityServers = lookUp()
             affinityRefreshedAtMs = nowMs
         }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestScheduler.kt
@@ -52,6 +52,12 @@
         nowMs: Long,
     ) {}
 
+    /** Applies what a backend server has said about its shutdown. A leaving server gets only requests that no other server can take. */
+    fun onLeaving(
+        statement: LeavingStatement,
+        nowMs: Long,
+    ) {}
+
     /** Replaces the routers that share the request limits of backend servers. */
     fun onRouterFleet(
         fleet: RouterFleet,
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/SchedulerStateDump.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/SchedulerStateDump.kt
@@ -39,7 +39,11 @@
 ) {
     put("backendServerId", state.id.value)
     put("zoneId", state.server.zoneId.value)
-    put("leaving", state.server.leaving || state.health.isLeaving(nowMs))
+    put("leaving", state.isLeaving(nowMs))
+    state.departure.statement?.let {
+        put("saidToLeave", it.isLeaving)
+        put("saidMsAgo", nowMs - it.asOfMs)
+    }
     put("healthy", state.health.isHealthy())
     state.health.probeAtMs()?.let { put("probeInMs", it - nowMs) }
     put("slownessPermille", (state.health.slowdown * PERMILLE).toInt())
--- /dev/null
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerCandidates.kt
@@ -0,0 +1,28 @@
+package org.lycheemount.scheduling
+
+/** Servers among those that [canServe] a request to which it may go: those that stay, or, if all leave, those that still take requests. */
+internal fun Collection<ServerState>.openServers(
+    nowMs: Long,
+    canServe: (ServerState) -> Boolean,
+): List<ServerState> {
+    val open = filter { canServe(it) && it.isOpen(nowMs) }
+    return open.filterNot { it.isLeaving(nowMs) }.ifEmpty { open }
+}
+
+/** Median slowdown of the other servers that serve [item]; the greatest value if there are none. */
+internal fun Collection<ServerState>.medianPeerSlowdown(
+    state: ServerState,
+    item: WorkItem,
+): Double {
+    val peerSlowdowns =
+        filter { it !== state && item.target in it.server.targets }
+            .map { it.health.slowdown }
+            .sorted()
+    return if (peerSlowdowns.isEmpty()) Double.MAX_VALUE else peerSlowdowns[peerSlowdowns.size / 2]
+}
+
+/** Most prompt tokens of [item] that one of these servers has cached. */
+internal fun Collection<ServerState>.maxCachedTokens(
+    item: WorkItem,
+    nowMs: Long,
+): Int = cachedTokens(item, maxOf { it.prefixIndex.matchedBlocks(item.prefixHashes, nowMs) })
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerHealth.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerHealth.kt
@@ -10,7 +10,6 @@
 private const val FULL_ADMISSION_LIMIT = 16
 private const val SLOW_SERVER_RATIO = 2.5
 private const val SLOWDOWN_GAIN = 0.2
-private const val LEAVING_RETENTION_MS = 60_000L
 
 /**
  * Passive health tracking of one backend server.
@@ -26,7 +25,6 @@
     private var backoffMs = FIRST_BACKOFF_MS
     private var ejectedUntilMs: Long? = null
     private var healthySinceMs = 0L
-    private var leavingUntilMs = Long.MIN_VALUE
 
     /** Concurrent requests allowed while the server is ejected or on probation; null when it is healthy. */
     private var probationLimit: Int? = null
@@ -35,8 +33,6 @@
     var slowdown: Double = 1.0
         private set
 
-    fun isLeaving(nowMs: Long): Boolean = nowMs < leavingUntilMs
-
     /** Concurrent requests that the health of the server allows; 0 while it is ejected. */
     fun allowedRequests(nowMs: Long): Int {
         val ejectedUntil = ejectedUntilMs
@@ -70,11 +66,7 @@
         kind: FailureKind,
         nowMs: Long,
     ) {
-        if (kind == FailureKind.REFUSED_BUSY) return
-        if (kind == FailureKind.REFUSED_LEAVING) {
-            leavingUntilMs = nowMs + LEAVING_RETENTION_MS
-            return
-        }
+        if (kind == FailureKind.REFUSED_BUSY || kind == FailureKind.REFUSED_LEAVING) return
         consecutiveFailures++
         samples++
         failureShare += FAILURE_GAIN * (1 - failureShare)
@@ -87,11 +79,6 @@
         if (allowedRequests(nowMs) > 0) eject(nowMs)
     }
 
-    /** Clears the leaving state when a newer VM list shows the server as live. */
-    fun onListedAsLive() {
-        leavingUntilMs = Long.MIN_VALUE
-    }
-
     private fun eject(nowMs: Long) {
         val ejectedUntil = ejectedUntilMs
         if (ejectedUntil != null && nowMs < ejectedUntil) return
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
@@ -19,6 +19,7 @@
     val reportedLoad = ReportedLoad()
     val prefixIndex = PrefixIndex()
     val requestLimit = RequestLimit()
+    val departure = ServerDeparture()
     private val inFlight = LinkedHashMap<RequestId, StartedRequest>()
     private var lastProgressAtMs = Long.MIN_VALUE
 
@@ -31,14 +32,31 @@
         private set
 
     private var ownRequestsAtLastReport = 0
+    private var wasOpen = true
 
     val id: BackendServerId get() = server.backendServerId
     val ownInFlight: Int get() = inFlight.size
 
     fun estimatedLoad(nowMs: Long): Double = ownInFlight + reportedLoad.otherRouterRequests(meanServiceMs, nowMs)
 
-    /** Whether the server may get new requests. */
-    fun isAvailable(nowMs: Long): Boolean = !server.leaving && !health.isLeaving(nowMs) && health.allowedRequests(nowMs) > 0
+    /** Whether the server is about to shut down, by its entry or by what it has said itself. */
+    fun isLeaving(nowMs: Long): Boolean = server.leaving || departure.isLeaving(nowMs)
+
+    /** Time until which the server, which is leaving, may get requests that no other server can take; null if it may not. */
+    fun lastRequestsEndMs(nowMs: Long): Long? = if (server.leaving) null else departure.lastRequestsEndMs(nowMs)
+
+    /** Whether the server may get new requests. If it [isLeaving], only those that no other server can take. */
+    fun isOpen(nowMs: Long): Boolean = !isLeaving(nowMs) || lastRequestsEndMs(nowMs) != null
+
+    /** Whether the server is no longer open but was so at the last call. */
+    fun hasClosed(nowMs: Long): Boolean {
+        val wasOpenBefore = wasOpen
+        wasOpen = isOpen(nowMs)
+        return wasOpenBefore && !wasOpen
+    }
+
+    /** Whether the server [isOpen], and its health allows a request. */
+    fun isAvailable(nowMs: Long): Boolean = isOpen(nowMs) && health.allowedRequests(nowMs) > 0
 
     /**
      * Free slots that this router may fill now. Fractional; any value above 0 allows one more request.
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/StartPolicy.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/StartPolicy.kt
@@ -15,7 +15,7 @@
     /**
      * Returns the servers among [available] on which [request] may start now.
      *
-     * @param openServers those of [available] that have no request limit, or all of them if each has one.
+     * @param openServers those of [available] that do not leave and have no request limit, or all of them if there are none.
      */
     fun eligibleServers(
         available: List<ServerState>,
@@ -31,7 +31,7 @@
         if (withFreeSlot.isEmpty()) return allWithFreeSlot
         if (request.item.prefixHashes.isEmpty() || !request.hasSlackToWait(nowMs)) return withFreeSlot
         val affinityServers =
-            request.affinityServers(nowMs) {
+            request.affinityServers(openServers, nowMs) {
                 selector.affinityServers(
                     openServers,
                     preferredServers.preferredServerOf(request.item, request.isDelayTolerant),
