--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
@@ -10,7 +10,6 @@
 import org.lycheemount.budget.BudgetChange
 import org.lycheemount.budget.BudgetLimitWriter
 import org.lycheemount.budget.BudgetMaintenance
-import org.lycheemount.caller.WorkDispatcher
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.BudgetId
@@ -57,17 +56,16 @@
 }
 
 /**
- * Updates the dispatcher's backend servers from their rows in the store.
+ * Follows the rows of the backend servers in the store.
  *
+ * @param onServers receives the servers after each change.
  * @param decodeEntry decodes the row of a server, given its id and value, or returns what is wrong with it.
- * @param onBackendServers gets the servers whenever the dispatcher gets them.
  */
 internal class ServerRowListener(
-    private val dispatcher: WorkDispatcher,
+    private val onServers: (List<BackendServer>) -> Unit,
     private val clock: Clock,
     private val eventLog: EventLog,
     private val decodeEntry: (String, ByteArray) -> Result<BackendServer, String> = ::decodeServerEntry,
-    private val onBackendServers: (Collection<BackendServer>) -> Unit = {},
 ) : RowListener {
     private val directory = ServerDirectory()
     private val reachabilityLog = StoreReachabilityLog("servers", eventLog)
@@ -138,8 +136,7 @@
             )
             publishedServers = states
         }
-        onBackendServers(servers)
-        dispatcher.onBackendServers(servers)
+        onServers(servers)
     }
 
     /** Returns the number of servers of each software version. */
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -29,6 +29,7 @@
 import org.lycheemount.caller.routed.RoutedRequestHandler
 import org.lycheemount.caller.routed.RoutedServices
 import org.lycheemount.caller.routed.ServerStatements
+import org.lycheemount.common.BackendServer
 import org.lycheemount.common.Clock
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.common.DefaultEventLog
@@ -74,8 +75,9 @@
     private val dispatcher =
         WorkDispatcher(createRequestScheduler(settings.zoneId, seed = identity.incarnation, INITIAL_SPEEDS, FULL_ENGINE_SLOWDOWN), clock)
     private val peers = GatewayPeers(table, store, routerVm(), identity, clock, eventLog, configuration, configurationLag, dispatcher)
-    private val limitExchange = PeerLimitExchange(peers.messenger, clock, eventLog, peers::tableTimeOffsetMs)
-    private val serverStatements = ServerStatements(dispatcher, clock, eventLog, limitExchange::announce)
+    private val statementExchange = PeerStatementExchange(peers.messenger, clock, eventLog, peers::tableTimeOffsetMs)
+    private val serverStatements =
+        ServerStatements(dispatcher, clock, eventLog, statementExchange::announce, statementExchange::announceLeaving)
     private val budgets =
         createBudgetLedgerModule(
             table,
@@ -105,7 +107,7 @@
         }
     private val operatorRowWatcher = createOperatorRowWatcher(store)
     private val configurationRefresher = ConfigurationRefresher(clock, operatorRowWatcher::isReceiving, operatorRowWatcher::awaitCurrent)
-    private val serverListener = ServerRowListener(dispatcher, clock, eventLog, onBackendServers = streamOrigins::onBackendServers)
+    private val serverListener = ServerRowListener(::onBackendServers, clock, eventLog)
     private val drain = DrainState()
     private val metricsRegistry =
         PrometheusRegistry().also {
@@ -141,7 +143,7 @@
         budgetLimits.start(scope)
         scope.launch { operatorRowWatcher.watch(configurationListener) }
         scope.launch { createServerRowWatcher(store).watch(serverListener) }
-        limitExchange.start(serverStatements::onPeerStatement)
+        statementExchange.start(scope, serverStatements)
         peers.start(scope)
         quarantine.start(scope)
         streamOrigins.start(scope)
@@ -238,6 +240,11 @@
         callersServer.stop(graceMs, lingerMs)
     }
 
+    private fun onBackendServers(servers: List<BackendServer>) {
+        streamOrigins.onBackendServers(servers)
+        serverStatements.onBackendServers(servers)
+    }
+
     private fun routerVm() =
         settings.run {
             RouterVm(vmId, routerId, regionId, zoneId, hostOf(peersAddress), portOf(peersAddress))
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
@@ -44,6 +44,7 @@
     protected val quarantine = RecordingQuarantine()
     protected val origins = FakeStreamOrigins()
     protected val dispatcher = WorkDispatcher(scheduler, DefaultClock())
+    protected val statements = ServerStatements(dispatcher, DefaultClock(), log)
     private val snapshot =
         ConfigurationSnapshot(
             sequence = 1,
@@ -93,6 +94,7 @@
                 routerCount = { 1 },
                 notReadyReasons = { emptyList() },
                 refreshConfiguration = { refreshConfiguration() },
+                serverStatements = statements,
                 streamOrigins = origins,
                 quarantine = quarantine,
                 drain = drain,
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -38,8 +38,8 @@
     private var lastSequence = 0L
     private var fleet: RouterFleet? = null
 
-    /** Whether a server has become unusable since the last search for queued requests that no server may run any more. */
-    private var isServerLost = false
+    /** Whether a server has stopped taking requests since the queued requests were last checked for one that has not. */
+    private var hasFewerServers = false
 
     override fun onWorkClasses(workClasses: Collection<WorkClass>) {
         this.workClasses.clear()
@@ -50,18 +50,20 @@
         servers: List<BackendServer>,
         nowMs: Long,
     ) {
-        isServerLost = true
         val listed = servers.associateBy { it.backendServerId }
         // Keeps the state of an unlisted server until the requests of this router on it have ended.
         for (state in this.servers.values) {
             if (state.id !in listed) state.server = state.server.copy(leaving = true)
         }
-        this.servers.values.removeIf { it.id !in listed && it.ownInFlight == 0 }
+        if (this.servers.values.removeIf { it.id !in listed && it.ownInFlight == 0 }) hasFewerServers = true
         for (server in servers) {
             val existing = this.servers[server.backendServerId]
-            when {
-                existing == null || existing.server.vmId != server.vmId -> this.servers[server.backendServerId] = ServerState(server)
-                else -> existing.server = server
+            if (existing != null && existing.server.vmId == server.vmId) {
+                existing.server = server
+            } else {
+                this.servers[server.backendServerId] = ServerState(server)
+                // The next run may have another software version.
+                if (existing != null) hasFewerServers = true
             }
         }
     }
@@ -71,14 +73,16 @@
         nowMs: Long,
     ): SubmitOutcome {
         val targetQueue = targetQueues.getOrPut(item.target) { TargetQueue(item.target, initialSpeeds) }
-        val candidates = candidatesFor(item, nowMs)
+        val candidates = servers.values.openServers(nowMs) { item.allows(it.server) }
         if (candidates.isEmpty()) return SubmitOutcome.Refused(admissionControl.noServerRefusal(item))
         val workClass = workClasses[item.workClassId] ?: defaultWorkClass(item.workClassId)
-        val cachedBlocks = candidates.maxOf { it.prefixIndex.matchedBlocks(item.prefixHashes, nowMs) }
-        val estimate = targetQueue.estimator.estimate(item, cachedTokens(item, cachedBlocks))
+        val estimate = targetQueue.estimator.estimate(item, candidates.maxCachedTokens(item, nowMs))
         val serviceMs = targetQueue.estimator.expectedServiceMs(item, estimate)
         val deadlines = StartDeadlines(item, workClass, estimate, targetQueue.estimator.firstTokenSlowdown)
-        val available = servers.values.filter { item.target in it.server.targets && it.isAvailable(nowMs) }
+        val available =
+            servers.values.filter {
+                item.target in it.server.targets && it.isAvailable(nowMs) && (!it.isLeaving(nowMs) || it in candidates)
+            }
         val waitMs = targetQueue.waitMs(item, deadlines.dueAtMs, available, nowMs)
         val refusal = admissionControl.refusalFor(item, workClass, targetQueue, waitMs, deadlines.dueAtMs, nowMs)
         if (refusal != null) return SubmitOutcome.Refused(refusal)
@@ -130,6 +134,14 @@
         if (state.server.vmId == statement.vmId) state.requestLimit.onStatement(statement, fleet, nowMs)
     }
 
+    override fun onLeaving(
+        statement: LeavingStatement,
+        nowMs: Long,
+    ) {
+        val state = servers[statement.backendServerId] ?: return
+        if (state.server.vmId == statement.vmId) state.departure.onStatement(statement)
+    }
+
     override fun onRouterFleet(
         fleet: RouterFleet,
         nowMs: Long,
@@ -157,10 +169,12 @@
         for (state in servers.values) {
             if (state.hangDeadlineMs()?.let { it <= nowMs } == true) state.health.onHang(nowMs)
             state.requestLimit.update(fleet, nowMs)
+            if (state.hasClosed(nowMs)) hasFewerServers = true
         }
         for (targetQueue in targetQueues.values) startReady(targetQueue, nowMs, actions)
-        dropRequestsWithoutServer(nowMs, actions)
         dropExpiredRequests(nowMs, actions)
+        if (hasFewerServers) dropUnservableRequests(nowMs, actions)
+        hasFewerServers = false
         return actions
     }
 
@@ -177,6 +191,7 @@
                     .nextRequestAtMs(nowMs)
                     ?.takeIf { it > nowMs }
                     ?.let(times::add)
+                state.lastRequestsEndMs(nowMs)?.let(times::add)
                 state.health
                     .probeAtMs()
                     ?.takeIf { it > nowMs }
@@ -194,7 +209,7 @@
         while (targetQueue.fairQueue.size > 0) {
             val available = servers.values.filter { targetQueue.target in it.server.targets && it.isAvailable(nowMs) }
             if (available.isEmpty()) return
-            val pools = ServerPools(available, targetQueue.delayTolerantShare)
+            val pools = ServerPools(available, targetQueue.delayTolerantShare, nowMs)
             val eligibleServers = { request: QueuedRequest ->
                 startPolicy.eligibleServers(pools.poolOf(request.item.allowedVersions), targetQueue, request, nowMs)
             }
@@ -225,19 +240,6 @@
         return SchedulerAction.Start(item.requestId, choice.state.id, priority)
     }
 
-    /** Refuses queued requests that allow only versions of which no server is left, rather than to let them wait until their drop time. */
-    private fun dropRequestsWithoutServer(
-        nowMs: Long,
-        actions: MutableList<SchedulerAction>,
-    ) {
-        if (!isServerLost) return
-        isServerLost = false
-        for (request in queued.values.filter { it.item.allowedVersions != null && candidatesFor(it.item, nowMs).isEmpty() }) {
-            dequeue(request)
-            actions += SchedulerAction.Drop(request.item.requestId, admissionControl.noServerRefusal(request.item))
-        }
-    }
-
     private fun dropExpiredRequests(
         nowMs: Long,
         actions: MutableList<SchedulerAction>,
@@ -257,6 +259,19 @@
         }
     }
 
+    /** Refuses the queued requests that no server can take any more. */
+    private fun dropUnservableRequests(
+        nowMs: Long,
+        actions: MutableList<SchedulerAction>,
+    ) {
+        for (request in queued.values.filter { request ->
+            servers.values.openServers(nowMs) { request.item.allows(it.server) }.isEmpty()
+        }) {
+            dequeue(request)
+            actions += SchedulerAction.Drop(request.item.requestId, admissionControl.noServerRefusal(request.item))
+        }
+    }
+
     private fun onFirstToken(
         request: StartedRequest,
         state: ServerState?,
@@ -287,7 +302,7 @@
         targetQueue.estimator.onServed(request.item, request.estimate, nowMs - request.startedAtMs)
         val ratio = (nowMs - request.startedAtMs) / maxOf(1.0, request.estimate.firstTokenMs + decodeMs)
         state.end(request, isAnswered = true, nowMs)
-        state.health.onSuccess(ratio, medianPeerSlowdown(state, request.item), nowMs)
+        state.health.onSuccess(ratio, servers.values.medianPeerSlowdown(state, request.item), nowMs)
         recordCacheHit(request, state, event.cachedPromptTokens)
     }
 
@@ -301,7 +316,7 @@
         if (state == null) return
         state.end(request, isAnswered = kind == FailureKind.REFUSED_BUSY, nowMs)
         state.health.onFailure(kind, nowMs)
-        if (kind == FailureKind.REFUSED_LEAVING) isServerLost = true
+        if (kind == FailureKind.REFUSED_LEAVING) state.departure.onRefused(nowMs)
         if (kind == FailureKind.REFUSED_BUSY) state.concurrencyLimit.onRefusedBusy(state.ownInFlight + 1, nowMs)
     }
 
@@ -316,24 +331,6 @@
         state.prefixIndex.onObserved(request.predictedBlocks, blocks)
     }
 
-    private fun medianPeerSlowdown(
-        state: ServerState,
-        item: WorkItem,
-    ): Double {
-        val peerSlowdowns =
-            servers.values
-                .filter { it !== state && item.target in it.server.targets }
-                .map { it.health.slowdown }
-                .sorted()
-        return if (peerSlowdowns.isEmpty()) Double.MAX_VALUE else peerSlowdowns[peerSlowdowns.size / 2]
-    }
-
-    /** Returns the servers that may run [item], now or later. */
-    private fun candidatesFor(
-        item: WorkItem,
-        nowMs: Long,
-    ) = servers.values.filter { item.allows(it.server) && !it.server.leaving && !it.health.isLeaving(nowMs) }
-
     private fun enqueue(
         targetQueue: TargetQueue,
         request: QueuedRequest,
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerPool.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerPool.kt
@@ -4,27 +4,34 @@
 
 /**
  * The available servers of one target that requests with the same allowed versions choose from.
- *
- * @property servers all servers of the pool.
- * @property openServers those of [servers] that have no request limit, or all of them if each has one.
- * @property preferredServers preferred servers among [openServers].
  */
 internal class ServerPool(
-    val servers: List<ServerState>,
+    private val servers: List<ServerState>,
     delayTolerantShare: Double,
+    private val nowMs: Long,
 ) {
-    val openServers: List<ServerState> = servers.filterNot { it.requestLimit.isLimited }.ifEmpty { servers }
+    private val staying = servers.filterNot { it.isLeaving(nowMs) }.ifEmpty { servers }
+
+    /** Servers of the pool that do not leave and have no request limit, or the best there are. */
+    val openServers: List<ServerState> = staying.filterNot { it.requestLimit.isLimited }.ifEmpty { staying }
+
+    /** Preferred servers among [openServers]. */
     val preferredServers = PreferredServers(openServers, delayTolerantShare)
+
+    /** Returns the servers to which [item] may go. */
+    fun serversFor(item: WorkItem): List<ServerState> =
+        if (staying.size == servers.size) servers else servers.openServers(nowMs) { item.allows(it.server) }
 }
 
 /** The [available] servers of one target, divided by the versions that requests allow. */
 internal class ServerPools(
     private val available: List<ServerState>,
     private val delayTolerantShare: Double,
+    private val nowMs: Long,
 ) {
     private val pools = HashMap<Set<SoftwareVersion>?, ServerPool>()
 
     /** Returns the servers that have one of the [versions]; all of them if null. */
     fun poolOf(versions: Set<SoftwareVersion>?): ServerPool =
-        pools.getOrPut(versions) { ServerPool(available.filter { it.server.hasAllowedVersion(versions) }, delayTolerantShare) }
+        pools.getOrPut(versions) { ServerPool(available.filter { it.server.hasAllowedVersion(versions) }, delayTolerantShare, nowMs) }
 }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/StartPolicy.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/StartPolicy.kt
@@ -19,13 +19,13 @@
         request: QueuedRequest,
         nowMs: Long,
     ): List<ServerState> {
-        val allWithFreeSlot = pool.servers.filter { hasFreeSlot(it, targetQueue, request, nowMs) }
+        val allWithFreeSlot = pool.serversFor(request.item).filter { hasFreeSlot(it, targetQueue, request, nowMs) }
         val withFreeSlot = allWithFreeSlot.filterNot { it.requestLimit.isLimited }
         // Servers with a request limit get what no other server can take.
         if (withFreeSlot.isEmpty()) return allWithFreeSlot
         if (request.item.prefixHashes.isEmpty() || !request.hasSlackToWait(nowMs)) return withFreeSlot
         val affinityServers =
-            request.affinityServers(nowMs) {
+            request.affinityServers(pool.openServers, nowMs) {
                 selector.affinityServers(
                     pool.openServers,
                     pool.preferredServers.preferredServerOf(request.item, request.isDelayTolerant),
