Refuse responses whose content length is not valid

Callers could see: a part of a body as a whole response, with a new length. A head with `Content-Length: 8x0`, -5 or two different lengths counted as one without a length, whose body ends with its connection; of two different lengths the first was believed. Found by a reading of the change, not in a run of the system. Cause: a length that cannot be read became no length. Change: such a response is a failure of the server, like a status that is none. Result: ResponseHeadTest, eight lengths: all were passed on before, all are failures now; the same length stated twice is still accepted.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultPassThroughClient.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultPassThroughClient.kt
@@ -62,6 +62,8 @@
         repeat(MAX_UNRELATED_RESPONSES) {
             val response = connection.readHead() ?: return HeadOutcome.Failed("the server closed the connection")
             val received = toReceivedHead(response)
+            // A body of unknown length would end with the connection, wherever that breaks.
+            if (!received.hasValidLength) return HeadOutcome.Failed("the content length is not valid")
             when (call.ownerOf(received.response)) {
                 ResponseOwner.THIS_REQUEST -> return received
                 ResponseOwner.UNIDENTIFIED ->
@@ -121,12 +123,15 @@
             val response: ResponseHead,
             private val allHeaders: ResponseHead,
         ) : HeadOutcome {
-            val lengthBytes: Long? =
-                allHeaders
-                    .header("content-length")
-                    ?.trim()
-                    ?.toLongOrNull()
-                    ?.takeIf { it >= 0 }
+            private val lengths: Set<String> =
+                allHeaders.headers
+                    .filter { it.first.equals("content-length", ignoreCase = true) }
+                    .flatMap { it.second.split(',') }
+                    .mapTo(HashSet()) { it.trim() }
+            val lengthBytes: Long? = lengths.singleOrNull()?.takeIf(CONTENT_LENGTH::matches)?.toLong()
+
+            /** Whether the head states one length, or none. */
+            val hasValidLength: Boolean get() = lengths.isEmpty() || lengthBytes != null
             val isChunked: Boolean = allHeaders.header("transfer-encoding")?.contains("chunked", ignoreCase = true) == true
             private val isFramed get() = isChunked || lengthBytes != null
             val isKeepAlive: Boolean =
@@ -162,6 +167,7 @@
         // A server that states no keep-alive timeout may close an idle connection soon.
         private const val KEEP_ALIVE_WITHOUT_TIMEOUT_MS = 1_000L
         private const val MS_PER_SECOND = 1_000L
+        private val CONTENT_LENGTH = Regex("[0-9]{1,18}")
         private val KEEP_ALIVE_TIMEOUT = Regex("timeout=(\\d+)")
         private val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
         private val STATUSES_WITHOUT_BODY = setOf(204, 304)
--- a/connection/backend/src/test/kotlin/org/lycheemount/backend/ResponseHeadTest.kt
+++ b/connection/backend/src/test/kotlin/org/lycheemount/backend/ResponseHeadTest.kt
@@ -64,6 +64,26 @@
         }
     }
 
+    @Nested
+    inner class `a content length` {
+        private fun response(length: String) = "HTTP/1.1 200 OK\r\nContent-Length: $length\r\nConnection: close\r\n\r\nbody"
+
+        @Test
+        fun `that is no number is a failure, guarding against a part of a body that looks complete`() {
+            val lengths = listOf("8x0", "-5", "+4", "4.0", "4, 8", "4\r\nContent-Length: 8", "", "99999999999999999999")
+
+            val outcomes = lengths.associateWith { exchange(response(it)) }
+
+            assertEquals(emptyMap(), outcomes.filterValues { it !is PassThroughOutcome.Failed })
+        }
+
+        @Test
+        fun `that is stated twice counts if it is the same`() {
+            assertEquals(PassThroughOutcome.Completed(200 to "body"), exchange(response("4, 4")))
+            assertEquals(PassThroughOutcome.Completed(200 to "body"), exchange(response("4\r\nContent-Length: 4")))
+        }
+    }
+
     @Nested
     inner class `a status` {
         private fun response(status: String) = "HTTP/1.1 $status Odd\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody"
