Not ready before the versions in use have been read

Cause: a router that has just started refuses streams that may be resumed until it has read the table of origins, and its readiness check did not say so. Change: `no_stream_origins` among the reasons for which the readiness check fails. Result: tests of the gateway pass.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -284,6 +284,7 @@
             listOfNotNull(
                 "warming_up".takeIf { !warmUpFinished.isCompleted },
                 "no_budgets".takeIf { !budgetLimits.isApplied },
+                "no_stream_origins".takeIf { !streamOrigins.isRead },
             )
 
     private companion object {
--- a/process/origins/src/main/kotlin/org/lycheemount/origins/SharedStreamOrigins.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/SharedStreamOrigins.kt
@@ -67,6 +67,9 @@
     /** Table time of the last complete read; null before the first. */
     private var readAtTableTimeMs: Long? = null
 
+    /** Whether the versions in use have been read; no streams begin before. */
+    val isRead: Boolean get() = firstRead.isCompleted
+
     /** Counters and current sizes, for metrics. */
     val statistics: OriginStatistics
         get() =
