Keep the connection of a response without a body

Callers would have seen: after a response with an empty body, their connection closed without notice, and the next request on it reset. Cause: the engine writes the end of a response of length 0 behind its head, before it calls the function that writes the body and then states the length, so the response counted as cut. Change: a response whose length is known states it before its head. It still counts as whole only once all of its bytes are sent. Two tests of the class also check that the response has begun.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ResponseWriter.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ResponseWriter.kt
@@ -63,6 +63,8 @@
     ) {
         isCommitted = true
         val response = call.callerConnection?.beginResponse()
+        // The engine ends a response without bytes before it calls the function that writes the body.
+        if (length != null) response?.complete(length)
         try {
             call.respond(
                 PassThroughContent(head, length) { channel ->
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ResponseWriterTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ResponseWriterTest.kt
@@ -134,6 +134,7 @@
 
             val response = exchange()
 
+            assertTrue(response.startsWith("HTTP/1.1 200"), response)
             assertFalse(response.endsWith(LAST_CHUNK) && "id: 2" !in response, response)
         }
     }
@@ -149,7 +150,10 @@
                 }
             }
 
-            assertFalse(exchange().endsWith(LAST_CHUNK))
+            val response = exchange()
+
+            assertTrue(response.startsWith("HTTP/1.1 200"), response)
+            assertFalse(response.endsWith(LAST_CHUNK), response)
         }
 
         @Test
@@ -170,7 +174,30 @@
         }
     }
 
+    @Nested
+    inner class `a response without a body` {
+        @Test
+        fun `keeps its connection, guarding against callers whose next request is reset`() {
+            respond = { _, writer -> writer.writeComplete(ResponseHead(200, listOf("X-Id" to "r")), ByteArray(0)) }
+
+            Socket("127.0.0.1", runBlocking { server.port() }).use { socket ->
+                socket.soTimeout = READ_TIMEOUT_MS
+                repeat(EMPTY_RESPONSES) {
+                    socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".encodeToByteArray())
+                    val received = StringBuilder()
+                    while (!received.endsWith("\r\n\r\n")) {
+                        val byte = socket.getInputStream().read()
+                        assertTrue(byte >= 0, "the connection was closed after $it responses: $received")
+                        received.append(byte.toChar())
+                    }
+                    assertTrue(received.startsWith("HTTP/1.1 200"), received.toString())
+                }
+            }
+        }
+    }
+
     private companion object {
+        private const val EMPTY_RESPONSES = 50
         private const val READ_TIMEOUT_MS = 10_000
         private const val LAST_CHUNK = "0\r\n\r\n"
     }
