Check all streams that are resumed in touch

Cause: with all faults at once, SharedStreamOriginsTest counted only streams that a router could record, and no trace shows that the target allows that. Its check of a run with 12 or more streams hardly ever applied when all routers were killed or the table was down. Change: over the seeds of each kind of fault and fleet size, 12 or more streams have to be resumed in touch, and their share is checked, with all faults at once too. The seeds are 6 of 1 router, 8 of 7 and 3 of 95 (3, 8 and 1 before).

--- a/process/origins/src/test/kotlin/org/lycheemount/origins/SharedStreamOriginsTest.kt
+++ b/process/origins/src/test/kotlin/org/lycheemount/origins/SharedStreamOriginsTest.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Tag
 import org.lycheemount.common.SoftwareVersion
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -35,7 +36,9 @@
         resumed: VersionedTrafficFleet.Share,
         context: String,
     ) {
-        val shares = "$context: new ${fleet.newStreams}, resumed in touch ${fleet.resumedInTouch}, anywhere ${fleet.resumedAnywhere}"
+        val shares =
+            "$context: new ${fleet.newStreams}, resumed in touch ${fleet.resumedInTouch}, recordable ${fleet.resumedRecordable}, " +
+                "anywhere ${fleet.resumedAnywhere}"
         assertEquals(0, fleet.joined, shares)
         if (resumed.total >= MIN_RESUMED) assertTrue(resumed.value >= fleet.newStreams.value * MIN_RELATIVE_SHARE, shares)
         assertTrue(fleet.usage.maxEntries <= MAX_ENTRIES, "${fleet.usage.maxEntries} entries")
@@ -124,22 +127,43 @@
             fleet.breakStreams(0.4)
         }
 
+    /**
+     * Checks the share of [resumed] in each run that resumes enough of them. Over all seeds of a fleet size there have to be enough, and
+     * both this share and the one of all streams that were resumed in touch are checked.
+     */
     private fun checkFleets(
         name: String,
         faults: suspend (VersionedTrafficFleet) -> Unit,
         resumed: (VersionedTrafficFleet) -> VersionedTrafficFleet.Share = { it.resumedInTouch },
     ) {
         for ((routerCount, seeds) in SEEDS_BY_ROUTERS) {
+            val allNew = VersionedTrafficFleet.Share()
+            val allResumed = VersionedTrafficFleet.Share()
+            val allInTouch = VersionedTrafficFleet.Share()
             for (seed in 1..seeds) {
                 fleetTest(seed, routerCount) { fleet ->
                     runReleases(fleet, faults)
 
                     assertKept(fleet, resumed(fleet), "$name, $routerCount routers, seed $seed")
+                    allNew += fleet.newStreams
+                    allResumed += resumed(fleet)
+                    allInTouch += fleet.resumedInTouch
                 }
             }
+            for (all in listOf(allResumed, allInTouch)) {
+                val shares = "$name, $routerCount routers, $seeds seeds: new $allNew, resumed $all"
+                assertTrue(all.total >= MIN_RESUMED, shares)
+                assertTrue(all.value >= allNew.value * MIN_RELATIVE_SHARE, shares)
+            }
         }
     }
 
+    private suspend fun causeAllFaults(fleet: VersionedTrafficFleet) =
+        coroutineScope {
+            val all = listOf(::resetConnections, ::killAllRouters, ::killSomeRouters, ::failTable, ::disturbLinks)
+            all.forEach { fault -> launch { fault(fleet) } }
+        }
+
     @Nested
     inner class `streams over two releases, resumed at any router, are never joined from two versions, and most of them go on` {
         @Test
@@ -158,19 +182,20 @@
         fun `when routers are cut off from the table, or it is slow or loses responses`() = checkFleets("links disturbed", ::disturbLinks)
 
         @Test
-        fun `when all of this happens at once, for streams that were in progress at routers that could record them`() =
-            checkFleets(
-                "all faults",
-                faults = { fleet ->
-                    coroutineScope {
-                        val all = listOf(::resetConnections, ::killAllRouters, ::killSomeRouters, ::failTable, ::disturbLinks)
-                        all.forEach { fault -> launch { fault(fleet) } }
-                    }
-                },
-                resumed = { it.resumedRecordable },
-            )
+        fun `when all of this happens at once, in each run those that routers could record`() =
+            checkFleets("all faults", ::causeAllFaults, resumed = { it.resumedRecordable })
     }
 
+    @Test
+    @Tag("known-red")
+    fun `most streams go on in a run with all faults at once, guarding against streams without a record`() =
+        fleetTest(seed = 60, routerCount = 7) { fleet ->
+            runReleases(fleet, ::causeAllFaults)
+
+            assertTrue(fleet.resumedInTouch.total >= MIN_RESUMED)
+            assertKept(fleet, fleet.resumedInTouch, "all faults")
+        }
+
     @Test
     fun `streams are joined from two versions by routers that do not tell versions apart, as a replay of the same traffic shows`() {
         for ((routerCount, _) in SEEDS_BY_ROUTERS) {
@@ -184,7 +209,7 @@
 
     private companion object {
         private val V3 = SoftwareVersion("v3")
-        private val SEEDS_BY_ROUTERS = mapOf(1 to 3, 7 to 8, 95 to 1)
+        private val SEEDS_BY_ROUTERS = mapOf(1 to 6, 7 to 8, 95 to 3)
         private const val SERVERS = 6
         private const val STREAMS_PER_S = 30
         private const val TRAFFIC_MS = 45_000L
--- a/process/origins/src/test/kotlin/org/lycheemount/origins/VersionedTrafficFleet.kt
+++ b/process/origins/src/test/kotlin/org/lycheemount/origins/VersionedTrafficFleet.kt
@@ -343,6 +343,11 @@
             if (isSuccess) succeeded++
         }
 
+        operator fun plusAssign(other: Share) {
+            total += other.total
+            succeeded += other.succeeded
+        }
+
         override fun toString() = "$succeeded of $total"
     }
 
