Test that streams of two versions go on at their own through whole gateways

Cause: no test ran the whole gateway, with its store and sockets, beside servers of two software versions.

--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
@@ -75,7 +75,15 @@
         fun stop() = server.stop(0, 0)
     }
 
+    /** Starts one more backend server, which runs the software version [version] and responds to requests for `/versioned/`. */
+    fun startVersionedServer(version: String): VersionedStreamServer =
+        VersionedStreamServer(version).also {
+            store.registerServer("i-$version", it.address, VERSIONED_SERVICE, version)
+            versionedServers += it
+        }
+
     private val additionalServers = ArrayList<AdditionalServer>()
+    private val versionedServers = ArrayList<VersionedStreamServer>()
     private val backendServer =
         embeddedServer(CIO, configure = { listenOn("127.0.0.1:0") }) {
             routing {
@@ -121,6 +129,7 @@
         store.isSilent = false
         backendServer.stop(0, 0)
         additionalServers.forEach { it.stop() }
+        versionedServers.forEach { it.close() }
         store.close()
     }
 
@@ -155,6 +164,7 @@
     private fun freeAddress() = ServerSocket(0, 1, InetAddress.getByName(LISTENER_HOST)).use { "$LISTENER_HOST:${it.localPort}" }
 
     private companion object {
+        private const val VERSIONED_SERVICE = "versioned"
         private const val EVENT_INTERVAL_MS = 50L
         private const val NANOS_PER_MS = 1_000_000L
         private const val LISTENER_HOST = "127.0.0.2"
@@ -163,6 +173,7 @@
                 FakeRoute("plain", "idempotent", timeoutMs = 1_000),
                 FakeRoute("hanging", "non_idempotent", timeoutMs = 60_000),
                 FakeRoute("endless", "streaming", timeoutMs = 60_000),
+                FakeRoute("versioned", "streaming", timeoutMs = 60_000, VERSIONED_SERVICE, hasResumableStreams = true),
             )
     }
 }
