Measure the speed of a server by peers that stay

Callers saw, in a test beside load: once one of two servers had said that it leaves, the requests to the other were refused with 503 "the expected queueing time of unknown length exceeds the latency target" and a Retry-After of 34 to 45 s, 117 of 200. Cause: a server that is much slower than its peers is ejected, and a peer that leaves still counted as one. On a busy machine the remaining server was slow against one that got no requests any more, and nothing else could take them. Change: peers are the servers to which the request could go instead. A replay in virtual time (LeavingServerTest) failed before and passes.

--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -302,7 +302,7 @@
         targetQueue.estimator.onServed(request.item, request.estimate, nowMs - request.startedAtMs)
         val ratio = (nowMs - request.startedAtMs) / maxOf(1.0, request.estimate.firstTokenMs + decodeMs)
         state.end(request, isAnswered = true, nowMs)
-        state.health.onSuccess(ratio, servers.values.medianPeerSlowdown(state, request.item), nowMs)
+        state.health.onSuccess(ratio, servers.values.medianPeerSlowdown(state, request.item, nowMs), nowMs)
         recordCacheHit(request, state, event.cachedPromptTokens)
     }
 
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerCandidates.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerCandidates.kt
@@ -9,13 +9,14 @@
     return open.filterNot { it.isLeaving(nowMs) }.ifEmpty { open }
 }
 
-/** Median slowdown of the other servers that serve [item]; the greatest value if there are none. */
+/** Median slowdown of the other servers to which [item] could go instead; the greatest value if there are none. */
 internal fun Collection<ServerState>.medianPeerSlowdown(
     state: ServerState,
     item: WorkItem,
+    nowMs: Long,
 ): Double {
     val peerSlowdowns =
-        filter { it !== state && item.target in it.server.targets }
+        filter { it !== state && item.target in it.server.targets && !it.isLeaving(nowMs) }
             .map { it.health.slowdown }
             .sorted()
     return if (peerSlowdowns.isEmpty()) Double.MAX_VALUE else peerSlowdowns[peerSlowdowns.size / 2]
--- a/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/LeavingServerTest.kt
+++ b/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/LeavingServerTest.kt
@@ -80,6 +80,21 @@
             assertEquals(setOf(staying.backendServerId), afterwards)
         }
 
+        @Test
+        fun `is no measure for the speed of the one that stays, guarding against a service that refuses all requests`() {
+            sayLeaving(leaving, 0)
+            val refused = ArrayList<SubmitOutcome>()
+
+            // Each request takes several times as long as expected.
+            for (index in 0 until 40) {
+                val atMs = 2_000L + index * 1_000
+                submit("r$index", atMs).let { if (it is SubmitOutcome.Refused) refused += it }
+                end(scheduler.startsAt(atMs), atMs + 900)
+            }
+
+            assertEquals(emptyList<SubmitOutcome>(), refused)
+        }
+
         @Test
         fun `gets requests again once it has taken it back`() {
             sayLeaving(leaving, 0)
