--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -12,7 +12,6 @@
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.Refusal
-import org.lycheemount.common.RefusalReason
 import org.lycheemount.common.SoftwareVersion
 import org.lycheemount.common.WorkClassId
 import org.lycheemount.quarantine.CRASH_WINDOW_MS
