Take no part of a response of the platform for whole

Seen in a test: an object of which the object store sent 5 of 11 bytes before its connection ended was read as an object of 5 bytes; the same for responses in chunks, statuses 600, 999 and 0200, and a 100 before the response. The OkHttp engine, whose decoder fails; the reader asks the channel for its failure at the end; a status outside 200 to 599 is no response.

--- a/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
@@ -1,8 +1,7 @@
 package org.lycheemount.platform.http
 
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.engine.okhttp.OkHttp
 import io.ktor.client.plugins.defaultRequest
 import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.setBody
@@ -12,15 +11,19 @@
 import io.ktor.http.HttpMethod
 import io.ktor.http.contentLength
 import io.ktor.http.contentType
+import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import okhttp3.Dispatcher
+import okhttp3.Protocol
 import org.lycheemount.platform.TableResult
 import java.net.ConnectException
-import java.nio.channels.UnresolvedAddressException
+import java.net.UnknownHostException
+import java.util.concurrent.TimeUnit
 
 /**
  * Sends requests to the platform without retries and distinguishes definite failures from unknown outcomes.
@@ -33,17 +36,28 @@
     AutoCloseable {
     internal val json = Json { ignoreUnknownKeys = true }
 
-    // Each request uses its own connection. A keep-alive connection that the platform has closed in the meantime would turn a
-    // definite failure into an unknown outcome.
+    // Ktor's own client engine takes a response that is cut off for a complete one.
     private val client =
-        HttpClient(CIO) {
+        HttpClient(OkHttp) {
             expectSuccess = false
-            // Without this header, a server that fails in the middle of a response may leave the connection open, which would look
-            // as if more bytes were to follow.
+            followRedirects = false
+            // Each request uses its own connection. A keep-alive connection that the platform has closed in the meantime would turn a
+            // definite failure into an unknown outcome.
             defaultRequest { headers.append(HttpHeaders.Connection, "close") }
             engine {
-                requestTimeout = 0
-                endpoint { connectTimeout = callTimeoutMs }
+                config {
+                    retryOnConnectionFailure(false)
+                    protocols(listOf(Protocol.HTTP_1_1))
+                    connectTimeout(callTimeoutMs, TimeUnit.MILLISECONDS)
+                    // Callers bound how long they wait.
+                    readTimeout(0, TimeUnit.MILLISECONDS)
+                    dispatcher(
+                        Dispatcher().apply {
+                            maxRequests = MAX_CONCURRENT_REQUESTS
+                            maxRequestsPerHost = MAX_CONCURRENT_REQUESTS
+                        },
+                    )
+                }
             }
         }
 
@@ -109,10 +123,22 @@
             }.execute { response ->
                 onResponse()
                 val channel = response.bodyAsChannel()
-                readWhileProgressing(callTimeoutMs, maxBytes, response.contentLength()) { channel.readAvailable(it) }
-                    .toExchange(response.status.value)
+                val body = readWhileProgressing(callTimeoutMs, maxBytes, response.contentLength()) { readOrFail(channel, it) }
+                if (response.status.value in
+                    FINAL_STATUSES
+                ) {
+                    body.toExchange(response.status.value)
+                } else {
+                    PlatformExchange.Lost("no valid status")
+                }
             }
 
+    /** Reads from [channel]. Throws what has ended it early, which it may otherwise report as its end. */
+    private suspend fun readOrFail(
+        channel: ByteReadChannel,
+        bytes: ByteArray,
+    ): Int = channel.readAvailable(bytes).also { count -> if (count < 0) channel.closedCause?.let { throw it } }
+
     private fun <T> decodeResponse(
         response: PlatformExchange.Response,
         isReadOnly: Boolean,
@@ -135,11 +161,13 @@
     ): TableResult<Nothing> = if (isReadOnly) TableResult.Unavailable(detail) else TableResult.Unknown(detail)
 
     private fun isConnectFailure(failure: Throwable): Boolean =
-        generateSequence(failure) { it.cause }.take(MAX_CAUSE_DEPTH).any { it is ConnectException || it is UnresolvedAddressException }
+        generateSequence(failure) { it.cause }.take(MAX_CAUSE_DEPTH).any { it is ConnectException || it is UnknownHostException }
 
     internal companion object {
         const val NOT_FOUND_STATUS = 404
         private const val MAX_CAUSE_DEPTH = 8
+        private const val MAX_CONCURRENT_REQUESTS = 1_024
+        private val FINAL_STATUSES = 200..599
         private val SUCCESS_STATUSES = 200..299
 
         /** Statuses that the platform returns before it processes a request. */
