Test that no part of a caller's request runs as the whole one

Change: CallerServerTest cuts a head, a body in chunks with a trailer and a body of a stated length at each byte.

--- a/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerServerTest.kt
+++ b/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerServerTest.kt
@@ -131,6 +131,33 @@
         }
     }
 
+    /** Guards against a part of a request that runs as the whole one. */
+    @Nested
+    inner class `a request that is cut off` {
+        private fun assertNotHandled(request: String) {
+            for (length in 0 until request.length) {
+                open(request.take(length)).use { socket ->
+                    socket.shutdownOutput()
+                    socket.readToEnd()
+                }
+            }
+
+            assertEquals(0, handledRequests.get())
+            assertContains(exchange(request), "HTTP/1.1 200")
+            assertEquals(1, handledRequests.get())
+        }
+
+        @Test
+        fun `in its head is not handled, at each byte`() = assertNotHandled("GET /ping/1 HTTP/1.1\r\nHost: h\r\n$CLOSE\r\n")
+
+        @Test
+        fun `with a body in chunks is not handled, at each byte`() = assertNotHandled(chunkedUpload("5\r\nhello\r\n0\r\nSum: 1\r\n\r\n"))
+
+        @Test
+        fun `with a body of a stated length is not handled, at each byte`() =
+            assertNotHandled("POST /upload HTTP/1.1\r\nHost: h\r\n${CLOSE}Content-Length: 5\r\n\r\nhello")
+    }
+
     @Nested
     inner class `a request head` {
         @Test
