Send nothing to a server that has asked for a pause

Seen in tests: a server turns a request away with 503 and says for how long it wants no others of that router (Retry-After). Nothing read the header. Change: ServerStatements keeps the end of the pause for the run of the server; the scheduler sends nothing there until then, and then one request, and twice as many with each that the server accepts. If all servers pause, a request waits for the first if its latency target allows, and is refused at once otherwise.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/WorkDispatcher.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/WorkDispatcher.kt
@@ -23,6 +23,7 @@
 import org.lycheemount.scheduling.FailureKind
 import org.lycheemount.scheduling.LeavingStatement
 import org.lycheemount.scheduling.LoadReport
+import org.lycheemount.scheduling.PauseStatement
 import org.lycheemount.scheduling.RequestLimitStatement
 import org.lycheemount.scheduling.RequestScheduler
 import org.lycheemount.scheduling.RouterFleet
@@ -111,14 +112,16 @@
         failure: AttemptFailure,
     ) = onServiceEvent(requestId, ServiceEvent.Failed(failureKind(failure)))
 
-    /** Replaces the list of backend servers, and applies what they have said about their shutdown before any request is assigned. */
+    /** Replaces the list of backend servers, and applies what they have said about shutdowns and pauses before any request is assigned. */
     fun onBackendServers(
         current: List<BackendServer>,
         statements: List<LeavingStatement> = emptyList(),
+        pauses: Collection<PauseStatement> = emptyList(),
     ) = withScheduler { nowMs ->
         servers = current.associateBy { it.backendServerId }
         scheduler.onBackendServers(current, nowMs)
         statements.forEach { scheduler.onLeaving(it, nowMs) }
+        pauses.forEach { scheduler.onPause(it, nowMs) }
     }
 
     /** Passes a load report to the scheduler. */
@@ -130,6 +133,9 @@
     /** Passes a server's statement about its shutdown to the scheduler. */
     fun onLeaving(statement: LeavingStatement) = withScheduler { nowMs -> scheduler.onLeaving(statement, nowMs) }
 
+    /** Passes a server's statement about a pause to the scheduler. */
+    fun onPause(statement: PauseStatement) = withScheduler { nowMs -> scheduler.onPause(statement, nowMs) }
+
     /** Replaces the routers that share the request limits of servers. */
     fun onRouterFleet(fleet: RouterFleet) = withScheduler { nowMs -> scheduler.onRouterFleet(fleet, nowMs) }
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -148,7 +148,10 @@
                 val parsed = services.dialect.readResponse(head, request.metadata.requestId, server.backendServerId)
                 metadata = parsed
                 // Also counts if the response is not passed on. One to another request may be older than this run of the server.
-                if (parsed.isLeaving && parsed.owner != ResponseOwner.OTHER_REQUEST) services.serverStatements.onLeavingResponse(server)
+                if (parsed.owner != ResponseOwner.OTHER_REQUEST) {
+                    if (parsed.isLeaving) services.serverStatements.onLeavingResponse(server)
+                    parsed.pauseText?.let { services.serverStatements.onPauseResponse(server, it) }
+                }
                 parsed.owner
             }
         val outcome =
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
@@ -87,6 +87,8 @@
  * @property load null when the server does not report its load.
  * @property requestLimitText the rate of requests that the server takes from all routers together, as it wrote it; null if it names none.
  * @property isLeaving whether the server says that it is about to shut down.
+ * @property pauseText seconds for which the server, which turns the request away, wants no other one from this router, as it wrote them;
+ *   null if it asks for no pause.
  */
 class ResponseMetadata(
     val owner: ResponseOwner,
@@ -95,4 +97,5 @@
     val load: LoadReport?,
     val requestLimitText: String? = null,
     val isLeaving: Boolean = false,
+    val pauseText: String? = null,
 )
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
@@ -69,6 +69,9 @@
         gauge(registry, "lycheemount_backend_servers_leaving_stated", "Backend servers that have said in a response that they leave.") {
             countServers(serverStatements::hasSaidToLeave)
         }
+        gauge(registry, "lycheemount_backend_servers_paused", "Backend servers that have asked this router for a pause.") {
+            countServers(serverStatements::hasAskedForPause)
+        }
         gauge(registry, "lycheemount_quarantined_prompt_segments", "Prompt segments, or sets of them, whose requests are refused.") {
             quarantine.quarantinedCount.toDouble()
         }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
@@ -7,7 +7,9 @@
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.RouterId
 import org.lycheemount.scheduling.LeavingStatement
+import org.lycheemount.scheduling.PauseStatement
 import org.lycheemount.scheduling.RequestLimitStatement
+import kotlin.random.Random
 
 /**
  * Keeps what backend servers say about themselves in their responses, and passes it on to the dispatcher. Thread-safe.
@@ -21,21 +23,62 @@
     private val eventLog: EventLog,
     private val announce: (RequestLimitStatement) -> Unit = {},
     private val announceLeaving: (LeavingStatement) -> Unit = {},
+    private val random: Random = Random.Default,
 ) {
     /** Includes limits that have ended, so that an older message of a peer does not bring them back. */
     private val limits = HashMap<BackendServerId, RequestLimitStatement>()
-    private val unreadableServers = HashSet<BackendServerId>()
+    private val unreadable = HashSet<UnreadableStatement>()
     private val leavingServers = LeavingServers()
+    private val pauses = HashMap<BackendServerId, PauseStatement>()
 
     /** Whether this run of [server] has said in a response that it leaves, to this router or to a peer. */
     @Synchronized
     fun hasSaidToLeave(server: BackendServer): Boolean = leavingServers.isLeaving(server)
 
+    /** Whether this run of [server] has asked this router for a pause that has not ended. */
+    @Synchronized
+    fun hasAskedForPause(server: BackendServer): Boolean =
+        pauses[server.backendServerId]?.let { it.vmId == server.vmId && clock.monotonicMs() < it.endsAtMs } ?: false
+
     /** Replaces the list of servers, and passes it on with what they have said. */
     @Synchronized
     fun onBackendServers(current: List<BackendServer>) {
-        leavingServers.forgetGone(current, clock.monotonicMs())
-        dispatcher.onBackendServers(current, leavingServers.statements)
+        val nowMs = clock.monotonicMs()
+        leavingServers.forgetGone(current, nowMs)
+        pauses.values.removeIf { it.endsAtMs <= nowMs }
+        dispatcher.onBackendServers(current, leavingServers.statements, pauses.values)
+    }
+
+    /**
+     * [server] has turned a request away and wants no other from this router for the time in [pauseText], in seconds. Says nothing to the
+     * other routers, as the pause concerns this one only.
+     */
+    @Synchronized
+    fun onPauseResponse(
+        server: BackendServer,
+        pauseText: String,
+    ) {
+        val pauseMs = parsePauseMs(server.backendServerId, pauseText) ?: return
+        // Spreads the return of the routers that it has turned away together.
+        val endsAtMs = clock.monotonicMs() + pauseMs + (pauseMs * MAX_LATE_RETURN_SHARE * random.nextDouble()).toLong()
+        val known = pauses[server.backendServerId]?.takeIf { it.vmId == server.vmId }
+        if (known != null && known.endsAtMs >= endsAtMs) return
+        val statement = PauseStatement(server.backendServerId, server.vmId, endsAtMs)
+        pauses[server.backendServerId] = statement
+        eventLog.info("server_pause", "server" to server.backendServerId.value, "run" to server.vmId.value, "pause_ms" to pauseMs)
+        dispatcher.onPause(statement)
+    }
+
+    /** Returns null for text that is no number of seconds above 0; such a server asks for nothing. */
+    private fun parsePauseMs(
+        serverId: BackendServerId,
+        text: String,
+    ): Long? {
+        val pauseS = text.trim().toDoubleOrNull()?.takeIf { it > 0 }
+        if (pauseS == null || pauseS > MAX_PAUSE_S) {
+            warnOnce(UnreadableStatement(serverId, PAUSE_OUT_OF_RANGE), text, pauseS?.let { MAX_PAUSE_S })
+        }
+        return pauseS?.let { (minOf(it, MAX_PAUSE_S) * MS_PER_SECOND).toLong() }
     }
 
     /** The head of a response of [server] says that it leaves. */
@@ -143,27 +186,40 @@
         val limit = text.trim().toDoubleOrNull()?.takeUnless { it.isNaN() }
         val bounded = limit?.coerceIn(MIN_REQUESTS_PER_S, MAX_REQUESTS_PER_S)
         if (bounded != limit || limit == null) {
-            if (unreadableServers.add(serverId)) {
-                eventLog.warn(
-                    "server_limit_out_of_range",
-                    "server" to serverId.value,
-                    "text" to text.take(MAX_LOGGED_CHARS),
-                    "used" to bounded,
-                )
-            }
+            warnOnce(UnreadableStatement(serverId, LIMIT_OUT_OF_RANGE), text, bounded)
         } else {
-            unreadableServers -= serverId
+            unreadable -= UnreadableStatement(serverId, LIMIT_OUT_OF_RANGE)
         }
         return bounded
     }
 
+    private fun warnOnce(
+        statement: UnreadableStatement,
+        text: String,
+        used: Double?,
+    ) {
+        if (!unreadable.add(statement)) return
+        eventLog.warn(statement.event, "server" to statement.serverId.value, "text" to text.take(MAX_LOGGED_CHARS), "used" to used)
+    }
+
+    /** @property event name of the event that is logged for it. */
+    private data class UnreadableStatement(
+        val serverId: BackendServerId,
+        val event: String,
+    )
+
     private companion object {
         private const val SOURCE_RESPONSE = "response"
+        private const val LIMIT_OUT_OF_RANGE = "server_limit_out_of_range"
+        private const val PAUSE_OUT_OF_RANGE = "server_pause_out_of_range"
 
         // A server that takes nothing must still be asked now and then, since only its responses tell when it takes requests again.
         private const val MIN_REQUESTS_PER_S = 0.1
         private const val MAX_REQUESTS_PER_S = 10_000.0
         private const val MAX_LOGGED_CHARS = 40
+        private const val MAX_PAUSE_S = 3_600.0
+        private const val MAX_LATE_RETURN_SHARE = 0.1
+        private const val MS_PER_SECOND = 1_000.0
 
         // Servers that have left are not reported here.
         private const val RETENTION_MS = 3_600_000L
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/FakeScheduler.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/FakeScheduler.kt
@@ -9,6 +9,7 @@
 import org.lycheemount.scheduling.CacheEvents
 import org.lycheemount.scheduling.LeavingStatement
 import org.lycheemount.scheduling.LoadReport
+import org.lycheemount.scheduling.PauseStatement
 import org.lycheemount.scheduling.RequestScheduler
 import org.lycheemount.scheduling.SchedulerAction
 import org.lycheemount.scheduling.ServiceEvent
@@ -20,6 +21,7 @@
     private var servers = emptyList<BackendServer>()
     private val queued = mutableListOf<WorkItem>()
     private var leavingRuns = emptySet<VmId>()
+    private val pauseEndsMs = HashMap<VmId, Long>()
 
     /** While true, requests remain queued. */
     @Volatile
@@ -38,7 +40,7 @@
         item: WorkItem,
         nowMs: Long,
     ): SubmitOutcome {
-        if (find(item) == null) return SubmitOutcome.Refused(Refusal(RefusalReason.NO_BACKEND_SERVER, "no server"))
+        if (find(item, nowMs) == null) return SubmitOutcome.Refused(Refusal(RefusalReason.NO_BACKEND_SERVER, "no server"))
         queued += item
         return SubmitOutcome.Queued
     }
@@ -68,6 +70,13 @@
         leavingRuns = if (statement.isLeaving) leavingRuns + statement.vmId else leavingRuns - statement.vmId
     }
 
+    override fun onPause(
+        statement: PauseStatement,
+        nowMs: Long,
+    ) {
+        pauseEndsMs[statement.vmId] = statement.endsAtMs
+    }
+
     override fun onCacheEvents(
         events: CacheEvents,
         nowMs: Long,
@@ -75,12 +84,17 @@
 
     override fun poll(nowMs: Long): List<SchedulerAction> {
         if (isPaused) return emptyList()
-        val started = queued.map { SchedulerAction.Start(it.requestId, checkNotNull(find(it)).backendServerId, priority = 0) }
+        val started = queued.map { SchedulerAction.Start(it.requestId, checkNotNull(find(it, nowMs)).backendServerId, priority = 0) }
         queued.clear()
         return started
     }
 
     override fun nextWakeUpMs(nowMs: Long): Long? = null
 
-    private fun find(item: WorkItem) = servers.firstOrNull { !it.leaving && it.vmId !in leavingRuns && item.allows(it) }
+    private fun find(
+        item: WorkItem,
+        nowMs: Long,
+    ) = servers.firstOrNull {
+        !it.leaving && it.vmId !in leavingRuns && nowMs >= pauseEndsMs.getOrDefault(it.vmId, nowMs) && item.allows(it)
+    }
 }
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerStatementsTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerStatementsTest.kt
@@ -106,6 +106,46 @@
         }
     }
 
+    @Nested
+    inner class `a pause` {
+        private val pauses get() = eventLog.events.filter { it.first == "server_pause" }.map { it.second["pause_ms"] }
+
+        @Test
+        fun `may be a fraction of a second, and is logged once`() {
+            statements.onPauseResponse(server("vm1"), "0.5")
+            statements.onPauseResponse(server("vm1"), "0.1")
+
+            assertEquals(listOf<Any?>(500L), pauses)
+        }
+
+        @Test
+        fun `that is huge is bounded, and one that is no time is ignored`() {
+            listOf("", "soon", "-1", "0", "NaN", "Mon, 07 Dec 2026 00:00:00 GMT").forEach { statements.onPauseResponse(server("vm1"), it) }
+            statements.onPauseResponse(server("vm1"), "1e99")
+
+            assertEquals(listOf<Any?>(3_600_000L), pauses)
+            assertEquals(1, eventLog.events.count { it.first == "server_pause_out_of_range" })
+        }
+
+        @Test
+        fun `ends by itself, no more than a tenth later`() {
+            statements.onPauseResponse(server("vm1"), "10")
+            clock.advance(9_999)
+            val before = statements.hasAskedForPause(server("vm1"))
+            clock.advance(1_001)
+
+            assertEquals(listOf(true, false), listOf(before, statements.hasAskedForPause(server("vm1"))))
+        }
+
+        @Test
+        fun `of an earlier run of the server says nothing of a later one`() {
+            statements.onPauseResponse(server("vm1"), "60")
+            statements.onPauseResponse(server("vm2"), "5")
+
+            assertEquals(listOf<Any?>(60_000L, 5_000L), pauses)
+        }
+    }
+
     @Nested
     inner class `a server that says that it leaves` {
         @Test
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
@@ -11,7 +11,7 @@
 /**
  * Dialect for tests: `X-Id` is the request id, `X-Tokens` its prompt and output tokens, `X-Segments` the ids of its prompt segments;
  * `Last-Event-Id` marks a resumption of the stream that attempt `Resumes` began; `X-Not-Run` marks a refusal by the server, or one that says
- * that it has left if the value is `gone`, and `X-Leaving` a server that leaves.
+ * that it has left if the value is `gone`, `X-Leaving` a server that leaves, and `X-Pause` one that wants no requests for so many seconds.
  */
 internal object TestDialect : RequestDialect {
     override fun readMetadata(headers: Headers): RequestMetadata {
@@ -55,6 +55,7 @@
             load = null,
             isLeaving =
                 head.header("X-Leaving") != null,
+            pauseText = head.header("X-Pause"),
         )
     }
 
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -79,11 +79,12 @@
         val estimate = targetQueue.estimator.estimate(item, candidates.maxCachedTokens(item, nowMs))
         val serviceMs = targetQueue.estimator.expectedServiceMs(item, estimate)
         val deadlines = StartDeadlines(item, workClass, estimate, targetQueue.estimator.firstTokenSlowdown)
+        val startsAtMs = candidates.firstAvailableAtMs(nowMs)
         val available =
             servers.values.filter {
-                item.target in it.server.targets && it.isAvailable(nowMs) && (!it.isLeaving(nowMs) || it in candidates)
+                item.target in it.server.targets && it.isAvailable(startsAtMs) && (!it.isLeaving(startsAtMs) || it in candidates)
             }
-        val waitMs = targetQueue.waitMs(item, deadlines.dueAtMs, available, nowMs)
+        val waitMs = startsAtMs - nowMs + targetQueue.waitMs(item, deadlines.dueAtMs, available, startsAtMs)
         val refusal = admissionControl.refusalFor(item, workClass, targetQueue, waitMs, deadlines.dueAtMs, nowMs)
         if (refusal != null) return SubmitOutcome.Refused(refusal)
         enqueue(targetQueue, QueuedRequest(item, workClass, ++lastSequence, nowMs, serviceMs, deadlines, waitMs))
@@ -142,6 +143,14 @@
         if (state.server.vmId == statement.vmId) state.departure.onStatement(statement)
     }
 
+    override fun onPause(
+        statement: PauseStatement,
+        nowMs: Long,
+    ) {
+        val state = servers[statement.backendServerId] ?: return
+        if (state.server.vmId == statement.vmId && nowMs < statement.endsAtMs) state.pause.onAsked(statement.endsAtMs)
+    }
+
     override fun onRouterFleet(
         fleet: RouterFleet,
         nowMs: Long,
@@ -192,6 +201,7 @@
                     ?.takeIf { it > nowMs }
                     ?.let(times::add)
                 state.lastRequestsEndMs(nowMs)?.let(times::add)
+                state.pause.endMs(nowMs)?.let(times::add)
                 state.health
                     .probeAtMs()
                     ?.takeIf { it > nowMs }
@@ -280,6 +290,7 @@
     ) {
         if (state == null || request.firstTokenAtMs != null) return
         state.onFirstToken(request, nowMs)
+        state.pause.onAccepted(request.startedAtMs)
         val elapsedMs = nowMs - request.startedAtMs
         val workClass = workClasses[request.item.workClassId] ?: defaultWorkClass(request.item.workClassId)
         state.concurrencyLimit.onFirstToken(elapsedMs, workClass.firstTokenTargetMs, request.loadAtStart, nowMs)
@@ -303,7 +314,7 @@
         val ratio = (nowMs - request.startedAtMs) / maxOf(1.0, request.estimate.firstTokenMs + decodeMs)
         state.end(request, isAnswered = true, nowMs)
         state.health.onSuccess(ratio, servers.values.medianPeerSlowdown(state, request.item, nowMs), nowMs)
-        recordCacheHit(request, state, event.cachedPromptTokens)
+        state.recordCacheHit(request, event.cachedPromptTokens)
     }
 
     private fun onFailed(
@@ -320,17 +331,6 @@
         if (kind == FailureKind.REFUSED_BUSY) state.concurrencyLimit.onRefusedBusy(state.ownInFlight + 1, nowMs)
     }
 
-    private fun recordCacheHit(
-        request: StartedRequest,
-        state: ServerState,
-        cachedPromptTokens: Int,
-    ) {
-        val item = request.item
-        if (item.promptTokens == 0) return
-        val blocks = (cachedPromptTokens.toLong() * item.prefixHashes.size / item.promptTokens).toInt()
-        state.prefixIndex.onObserved(request.predictedBlocks, blocks)
-    }
-
     private fun enqueue(
         targetQueue: TargetQueue,
         request: QueuedRequest,
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestScheduler.kt
@@ -58,6 +58,12 @@
         nowMs: Long,
     ) {}
 
+    /** Applies a pause that a backend server has asked for. Until it ends, the server gets no requests. */
+    fun onPause(
+        statement: PauseStatement,
+        nowMs: Long,
+    ) {}
+
     /** Replaces the routers that share the request limits of backend servers. */
     fun onRouterFleet(
         fleet: RouterFleet,
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerCandidates.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerCandidates.kt
@@ -9,6 +9,10 @@
     return open.filterNot { it.isLeaving(nowMs) }.ifEmpty { open }
 }
 
+/** Time from which one of these servers may get requests: the end of the first pause if all that could get them pause, else now. */
+internal fun Collection<ServerState>.firstAvailableAtMs(nowMs: Long): Long =
+    if (any { it.isAvailable(nowMs) }) nowMs else mapNotNull { it.pause.endMs(nowMs) }.minOrNull() ?: nowMs
+
 /** Median slowdown of the other servers to which [item] could go instead; the greatest value if there are none. */
 internal fun Collection<ServerState>.medianPeerSlowdown(
     state: ServerState,
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
@@ -20,6 +20,7 @@
     val prefixIndex = PrefixIndex()
     val requestLimit = RequestLimit()
     val departure = ServerDeparture()
+    val pause = ServerPause()
     private val inFlight = LinkedHashMap<RequestId, StartedRequest>()
     private var lastProgressAtMs = Long.MIN_VALUE
 
@@ -55,8 +56,11 @@
         return wasOpenBefore && !wasOpen
     }
 
-    /** Whether the server [isOpen], and its health allows a request. */
-    fun isAvailable(nowMs: Long): Boolean = isOpen(nowMs) && health.allowedRequests(nowMs) > 0
+    /** Whether the server [isOpen], does not pause, and its health allows a request. */
+    fun isAvailable(nowMs: Long): Boolean = isOpen(nowMs) && allowedRequests(nowMs) > 0
+
+    /** Concurrent requests that the server may get, whatever its load. */
+    private fun allowedRequests(nowMs: Long): Int = minOf(health.allowedRequests(nowMs), pause.allowedRequests(nowMs))
 
     /**
      * Free slots that this router may fill now. Fractional; any value above 0 allows one more request.
@@ -74,7 +78,7 @@
         val byReportedLoad = freeAtReport * fleetShare - (ownInFlight - ownRequestsAtLastReport)
         return minOf(
             maxOf(concurrencyLimit.windowRequests - ownInFlight, byReportedLoad),
-            (health.allowedRequests(nowMs) - ownInFlight).toDouble(),
+            (allowedRequests(nowMs) - ownInFlight).toDouble(),
             requestLimit.availableRequests(nowMs).toDouble(),
         )
     }
@@ -141,6 +145,16 @@
         reportedLoad.recordOwnLoad(ownInFlight, nowMs)
     }
 
+    fun recordCacheHit(
+        request: StartedRequest,
+        cachedPromptTokens: Int,
+    ) {
+        val item = request.item
+        if (item.promptTokens == 0) return
+        val blocks = (cachedPromptTokens.toLong() * item.prefixHashes.size / item.promptTokens).toInt()
+        prefixIndex.onObserved(request.predictedBlocks, blocks)
+    }
+
     /** Time at which the server counts as hung unless it makes progress before; null when no first token is outstanding. */
     fun hangDeadlineMs(): Long? {
         val awaitingFirstToken = inFlight.values.firstOrNull { it.firstTokenAtMs == null } ?: return null
