Test a router that is out of step while servers of a new version join

Reported by other operators: streams that had begun on a new version through other routers were resumed at a router that was cut off or stood still, and went on at another version. Cause: none found; it could not be reproduced. The router is frozen, cut off from the table, without its responses, or gets them late; the old version stays or leaves; two peers are sound, frozen or killed; lookups may be answered before a freeze and used after it. PausableDispatcher moves to process/testing.

--- a/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
@@ -25,6 +25,7 @@
 import org.lycheemount.testing.FakeTableLink
 import org.lycheemount.testing.FakeTableService
 import org.lycheemount.testing.FakeVmDirectory
+import org.lycheemount.testing.PausableDispatcher
 import kotlin.coroutines.ContinuationInterceptor
 import kotlin.random.Random
 import kotlin.test.assertTrue
--- a/process/origins/src/test/kotlin/org/lycheemount/origins/FaultyTable.kt
+++ b/process/origins/src/test/kotlin/org/lycheemount/origins/FaultyTable.kt
@@ -30,6 +30,12 @@
     /** Additional time that each call takes. */
     var delayMs: Long = 0
 
+    /** Time by which each response is late. */
+    var responseDelayMs: Long = 0
+
+    /** While true, calls take effect, and their responses are lost. */
+    var losesResponses: Boolean = false
+
     override suspend fun scan(
         prefix: String,
         afterKey: String?,
@@ -38,6 +44,8 @@
         usage.scans++
         delay(delayMs)
         val result = link.scan(prefix, afterKey, limit)
+        delay(responseDelayMs)
+        if (losesResponses) return TableResult.Unavailable("the response is lost")
         if (result is TableResult.Response) usage.bytesRead += result.value.rows.sumOf { it.key.length + it.value.length }
         return result
     }
@@ -48,7 +56,9 @@
         usage.maxEntries = maxOf(usage.maxEntries, transaction.writes.size + transaction.checks.size)
         usage.maxRowBytes = maxOf(usage.maxRowBytes, transaction.writes.maxOfOrNull { it.value?.length ?: 0 } ?: 0)
         delay(delayMs)
-        return link.commit(transaction)
+        val result = link.commit(transaction)
+        delay(responseDelayMs)
+        return if (losesResponses) TableResult.Unknown("the response is lost") else result
     }
 }
 
--- a/process/origins/src/test/kotlin/org/lycheemount/origins/VersionedTrafficFleet.kt
+++ b/process/origins/src/test/kotlin/org/lycheemount/origins/VersionedTrafficFleet.kt
@@ -1,5 +1,6 @@
 package org.lycheemount.origins
 
+import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
@@ -7,6 +8,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestCoroutineScheduler
+import kotlinx.coroutines.withContext
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.BackendTarget
@@ -21,6 +23,9 @@
 import org.lycheemount.common.ZoneId
 import org.lycheemount.testing.FakeEventLog
 import org.lycheemount.testing.FakeTableService
+import org.lycheemount.testing.PausableDispatcher
+import kotlin.coroutines.ContinuationInterceptor
+import kotlin.coroutines.EmptyCoroutineContext
 import kotlin.random.Random
 
 internal val SERVICE = ServiceId("model")
@@ -45,6 +50,7 @@
  * Routers, servers of several versions and callers that resume broken streams at any router, in virtual time.
  *
  * @param isEnabled whether routers tell versions apart.
+ * @param isFreezable whether routers can be frozen.
  */
 @OptIn(ExperimentalCoroutinesApi::class)
 internal class VersionedTrafficFleet(
@@ -53,6 +59,7 @@
     seed: Int,
     routerCount: Int,
     private val isEnabled: Boolean = true,
+    private val isFreezable: Boolean = false,
 ) {
     val clock =
         object : Clock {
@@ -84,6 +91,12 @@
     /** Attempts to resume a stream at any router while a server of its version serves. */
     val resumedAnywhere = Share()
 
+    /** Where most streams are resumed; null for any router alike. */
+    var busiestRouter: Router? = null
+
+    /** Attempts to resume a stream at [busiestRouter]. */
+    val resumedAtBusiest = Share()
+
     /** Adds [count] servers of [version]. */
     fun addServers(
         version: SoftwareVersion,
@@ -146,7 +159,8 @@
 
     private suspend fun beginStream() {
         val router = routers.filter { it.isUp }.randomOrNull(random) ?: return
-        val usable = router.origins.usableVersions(SERVICE)
+        val usable = router.handle { it.usableVersions(SERVICE) }
+        if (!router.isUp) return
         val server = router.listed.filter { it.isUp && (usable == null || it.version in usable) }.randomOrNull(random)
         if (router.isInTouch()) newStreams.count(server != null)
         if (server == null) return
@@ -154,7 +168,8 @@
         delay(random.nextLong(30, 300))
         if (!server.isUp || !router.isUp || router.run != run) return
         val stream = Stream(CallerAttemptId("a${streamCount++}"), durationMs = random.nextLong(100, MAX_STREAM_MS))
-        router.origins.onStreamBegun(stream.attemptId, SERVICE, server.version)
+        router.handle { it.onStreamBegun(stream.attemptId, SERVICE, server.version) }
+        if (!router.isUp || router.run != run) return
         run(stream, router, server)
     }
 
@@ -207,11 +222,12 @@
 
     /** Returns null if no router took the attempt. */
     private suspend fun resume(stream: Stream): Resumption? {
-        val router = routers.filter { it.isUp }.randomOrNull(random) ?: return null
+        val busiest = busiestRouter?.takeIf { it.isUp && random.nextDouble() < BUSIEST_SHARE }
+        val router = busiest ?: routers.filter { it.isUp }.randomOrNull(random) ?: return null
         val wasInTouch = router.isInTouch()
         val serving = servers.count { it.isUp && it.isListed && it.version in stream.versions }
         val run = router.run
-        val origin = router.origins.originOf(stream.attemptId, SERVICE, PATIENCE_MS)
+        val origin = router.handle { it.originOf(stream.attemptId, SERVICE, PATIENCE_MS) }
         if (!router.isUp || router.run != run) return null
         val usable =
             when (origin) {
@@ -221,6 +237,7 @@
             }
         val server = usable.randomOrNull(random)
         if (serving >= 1) resumedAnywhere.count(server != null)
+        if (router === busiestRouter) resumedAtBusiest.count(server != null)
         if (server != null) run(stream, router, server)
         return Resumption(server != null, isCounted = wasInTouch && router.isInTouch() && serving >= 2)
     }
@@ -239,6 +256,8 @@
         private var startedAtMs = 0L
         private var partitionedAtMs = Long.MIN_VALUE / 2
         private var link: FaultyTable? = null
+        private val dispatcher = if (isFreezable) PausableDispatcher(dispatcherOf(scope)) else null
+        private var thawedAtMs = Long.MIN_VALUE / 2
         var origins: StreamOrigins = UnversionedStreamOrigins
             private set
         var listed = emptyList<Server>()
@@ -259,7 +278,7 @@
         fun start() {
             if (isUp) return
             val runJob = Job(scope.coroutineContext[Job])
-            val runScope = CoroutineScope(scope.coroutineContext + runJob)
+            val runScope = CoroutineScope(scope.coroutineContext + runJob + (dispatcher ?: EmptyCoroutineContext))
             job = runJob
             run++
             isUp = true
@@ -268,7 +287,8 @@
             val runLink = FaultyTable(table, scope, Random(random.nextInt()), usage).also(faults)
             link = runLink
             val identity = RouterIdentity(RouterId("r$index"), VmId("r$index"), RegionId("g"), ZoneId("z"), clock.wallClockMs())
-            val shared = SharedStreamOrigins(runLink, identity, clock, log) { routers.size }
+            val remote = if (isFreezable) RemoteTable(runLink, scope) else runLink
+            val shared = SharedStreamOrigins(remote, identity, clock, log) { routers.size }
             if (isEnabled) {
                 origins = shared
                 shared.start(runScope)
@@ -292,13 +312,26 @@
             isUp = false
         }
 
+        /** Stops all work of this router, also in its later runs, until [thaw]. Its requests wait. */
+        fun freeze() = checkNotNull(dispatcher).pause()
+
+        fun thaw() {
+            checkNotNull(dispatcher).resume()
+            thawedAtMs = clock.monotonicMs()
+        }
+
+        /** Runs [work] of a request as this router does, thus after it has thawed. */
+        suspend fun <T> handle(work: suspend (StreamOrigins) -> T): T =
+            if (dispatcher == null) work(origins) else withContext(dispatcher) { work(origins) }
+
         fun isInTouch(): Boolean = isReachingTable() && startedAtMs < clock.monotonicMs() - CONTACT_MS
 
         /** Whether this run's connection to the table has been sound for a while. */
         fun isReachingTable(): Boolean {
             val sinceMs = clock.monotonicMs() - CONTACT_MS
             val isLinkSound = link?.isPartitioned == false && partitionedAtMs < sinceMs
-            return isUp && isLinkSound && table.isAvailable && tableUnstableAtMs < sinceMs
+            val isRunning = dispatcher?.isPaused != true && thawedAtMs < sinceMs
+            return isUp && isRunning && isLinkSound && table.isAvailable && tableUnstableAtMs < sinceMs
         }
     }
 
@@ -352,11 +385,14 @@
     }
 
     companion object {
+        private fun dispatcherOf(scope: CoroutineScope) = scope.coroutineContext[ContinuationInterceptor] as CoroutineDispatcher
+
         private const val TABLE_EPOCH_MS = 1_700_000_000_000
         private const val POLL_INTERVAL_MS = 1_000L
         private const val LEAVING_MS = 3_000L
         private const val MAX_STREAM_MS = 5_000L
         private const val CALLER_RETRIES = 3
+        private const val BUSIEST_SHARE = 0.7
         private const val MAX_RETRY_DELAY_MS = 3_000L
         private const val PATIENCE_MS = 2_000L
 
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/PausableDispatcher.kt
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/PausableDispatcher.kt
@@ -1,4 +1,4 @@
-package org.lycheemount.budget
+package org.lycheemount.testing
 
 import kotlinx.coroutines.CancellableContinuation
 import kotlinx.coroutines.CoroutineDispatcher
@@ -6,25 +6,31 @@
 import kotlinx.coroutines.DisposableHandle
 import kotlinx.coroutines.InternalCoroutinesApi
 import kotlinx.coroutines.Runnable
-import kotlinx.coroutines.test.TestDispatcher
 import kotlin.coroutines.CoroutineContext
 import kotlin.coroutines.resume
 
-/** Runs the coroutines of one router in virtual time, and queues them while its VM is paused. */
+/**
+ * Runs the coroutines of one router in virtual time, and queues them while its VM is paused.
+ *
+ * @param delegate a dispatcher of `kotlinx-coroutines-test`.
+ */
 @OptIn(InternalCoroutinesApi::class)
-internal class PausableDispatcher(
-    private val delegate: TestDispatcher,
+class PausableDispatcher(
+    private val delegate: CoroutineDispatcher,
 ) : CoroutineDispatcher(),
     Delay {
     private val queuedBlocks = ArrayDeque<Pair<CoroutineContext, Runnable>>()
 
-    var isPaused = false
+    /** Whether coroutines wait. */
+    var isPaused: Boolean = false
         private set
 
+    /** Lets coroutines wait from now on, also those whose delay ends. */
     fun pause() {
         isPaused = true
     }
 
+    /** Runs the coroutines that have waited, in order. */
     fun resume() {
         isPaused = false
         while (queuedBlocks.isNotEmpty()) queuedBlocks.removeFirst().let { (context, block) -> delegate.dispatch(context, block) }
