Send requests with a doubtful first segment one at a time

Cause: a first segment was responsible only after four moments, as a mass failure must not blame a route, and servers that crash within 100 ms are one. A segment on which all servers crash together looks like a mass failure, and on the return all routers send theirs at once. Change: a first segment that has never worked and is among the suspects of four crashes, at too few moments, is doubtful. A first segment that has never worked needs three moments, one that has worked four as before.

--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashEvidence.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashEvidence.kt
@@ -26,7 +26,8 @@
  * those that explain most crashes are held responsible first, and crashes that are explained count against no other segment. Among
  * segments that explain the same number of crashes, the one that fewest requests share is responsible. Crashes that have nothing in
  * common blame no segment. Servers that crash together have a cause in common that is no prompt, so they count once against segments
- * that many requests share.
+ * that many requests share. If all crashes come together and a first segment that has never worked is among the suspects of each, it is
+ * doubtful: requests with it are sent one at a time, which either clears it or adds a moment to those at which servers have crashed.
  *
  * Segments of one prompt that explain the same crashes are quarantined together: a request with only some of them is sent, and its
  * outcome tells them apart.
@@ -70,6 +71,20 @@
         return expired.toList()
     }
 
+    /**
+     * First segments that have never worked and are suspected of many crashes, all at so few moments that these may have another reason.
+     *
+     * @param hasWorked whether servers have responded to a segment before.
+     */
+    fun doubtfulSegments(hasWorked: (SegmentId) -> Boolean): Set<SegmentId> {
+        val crashTimes = crashTimes()
+        return openSuspicions()
+            .filter { (segment, suspicion) -> suspicion.position == Position.FIRST && !hasWorked(segment) }
+            .filterValues { it.crashes.size >= MIN_CRASHES_OF_DOUBTFUL_SEGMENT }
+            .filterValues { momentCount(it.crashes.map(crashTimes::getValue)) < MIN_MOMENTS_OF_FIRST_SEGMENT }
+            .keys
+    }
+
     /** Segments that are suspected of at least one crash. */
     fun suspectedSegments(): Set<SegmentId> = openSuspicions().keys
 
@@ -88,9 +103,12 @@
                 suspicions
                     .mapValues { (_, suspicion) -> suspicion.crashes.intersect(unexplained) }
                     .filter { (segment, crashes) ->
-                        val isCommon = suspicions.getValue(segment).position == Position.FIRST || hasWorked(segment)
-                        val crashTimesMs = crashes.map(crashTimes::getValue)
-                        if (isCommon) momentCount(crashTimesMs) >= MIN_MOMENTS_OF_COMMON_SEGMENT else crashes.size >= MIN_CRASHES
+                        val moments = momentCount(crashes.map(crashTimes::getValue))
+                        when {
+                            hasWorked(segment) -> moments >= MIN_MOMENTS_OF_WORKING_SEGMENT
+                            suspicions.getValue(segment).position == Position.FIRST -> moments >= MIN_MOMENTS_OF_FIRST_SEGMENT
+                            else -> crashes.size >= MIN_CRASHES
+                        }
                     }
             val mostCrashes = candidates.values.maxOfOrNull { it.size } ?: return responsible
             val mostSuspected = candidates.filterValues { it.size == mostCrashes }
@@ -193,8 +211,12 @@
         /** A single crash has many possible causes. */
         private const val MIN_CRASHES = 2
 
-        /** Common segments are among the suspects of most crashes, also of those that have another reason. */
-        private const val MIN_MOMENTS_OF_COMMON_SEGMENT = 4
+        /** Segments that are common to many requests are among the suspects of most crashes, also of those that have another reason. */
+        private const val MIN_MOMENTS_OF_WORKING_SEGMENT = 4
+        private const val MIN_MOMENTS_OF_FIRST_SEGMENT = 3
+
+        /** As many servers rarely crash together, each with a request whose first segment has never worked. */
+        private const val MIN_CRASHES_OF_DOUBTFUL_SEGMENT = 4
 
         /** Routers notice the crashes of servers that end together within this time. */
         private const val MOMENT_MS = 100L
--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/PromptQuarantine.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/PromptQuarantine.kt
@@ -11,6 +11,9 @@
     /** Returns why a request with [prompt] must not be sent to a server, or null if it may be sent. */
     fun refusalFor(prompt: PromptSegments): Refusal?
 
+    /** Returns why a request with [prompt] must not be sent to a server, or null if it is sent now, as one of few that may be sent. */
+    fun refusalToSend(prompt: PromptSegments): Refusal? = refusalFor(prompt)
+
     /** A server has responded to a request with [prompt], completely or for [CRASH_WINDOW_MS]. None of its segments crashes servers. */
     fun onPromptServed(prompt: PromptSegments)
 
--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
@@ -57,6 +57,10 @@
     @Volatile
     private var suspected = emptySet<SegmentId>()
 
+    @Volatile
+    private var doubtful = emptySet<SegmentId>()
+    private val probes = ProbePermits(table, self, clock, log) { synchronized(lock) { tableTimeMs() } }
+
     override val quarantinedCount: Int
         get() {
             val nowMs = synchronized(lock) { tableTimeMs() }
@@ -86,9 +90,29 @@
         scope.launch { while (true) if (!feed.poll(rowListener)) delay(RETRY_DELAY_MS) }
         scope.launch { for (write in writes) commit(write) }
         scope.launch { for (run in brokenRuns) scope.launch { reportIfEnded(run) } }
+        probes.start(scope)
+    }
+
+    override fun refusalFor(prompt: PromptSegments): Refusal? = quarantineRefusal(prompt) ?: doubtRefusal(prompt, probes::isHeld)
+
+    override fun refusalToSend(prompt: PromptSegments): Refusal? = quarantineRefusal(prompt) ?: doubtRefusal(prompt, probes::use)
+
+    /** Refuses [prompt] if its first segment is doubtful, unless this router [mayProbe] with it. */
+    private fun doubtRefusal(
+        prompt: PromptSegments,
+        mayProbe: (SegmentId) -> Boolean,
+    ): Refusal? {
+        val first = prompt.shared.firstOrNull()?.takeIf { it in doubtful } ?: return null
+        if (mayProbe(first)) return null
+        probes.request(first)
+        return Refusal(
+            RefusalReason.PROMPT_QUARANTINED,
+            "several servers have crashed together on prompt segment $first; such requests are sent one at a time",
+            retryAfterMs = ProbePermits.INTERVAL_MS,
+        )
     }
 
-    override fun refusalFor(prompt: PromptSegments): Refusal? {
+    private fun quarantineRefusal(prompt: PromptSegments): Refusal? {
         val current = responsible
         if (current.isEmpty()) return null
         val segments = prompt.all
@@ -153,7 +177,7 @@
         evidence.clear(segment, clearance.atTableTimeMs)
         writes.trySend(RowWrite("$CLEARED_PREFIX$segment", Json.encodeToString(SegmentClearance.serializer(), clearance)))
         // A segment that explains no crashes changes nothing for the others, and many are cleared after a crash.
-        if (responsible.any { segment in it.segments }) evaluate() else suspected -= segment
+        if (segment in doubtful || responsible.any { segment in it.segments }) evaluate() else suspected -= segment
     }
 
     private fun apply(row: StoreRow) {
@@ -178,6 +202,9 @@
         val before = responsible.toSet()
         responsible = evidence.responsibleSegments(workingSegments::contains)
         suspected = evidence.suspectedSegments()
+        val doubtfulBefore = doubtful
+        doubtful = evidence.doubtfulSegments(workingSegments::contains)
+        if (doubtful != doubtfulBefore) log.warn("segments_doubtful", "segments" to doubtful.joinToString(","))
         for (added in responsible - before) {
             val durationMs = added.untilTableTimeMs - tableTimeMs()
             log.warn(
--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/HarmfulTrafficFleet.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/HarmfulTrafficFleet.kt
@@ -1,10 +1,13 @@
 package org.lycheemount.quarantine
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestCoroutineScheduler
+import kotlinx.coroutines.withTimeoutOrNull
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.Clock
@@ -27,7 +30,9 @@
  * Routers that share a table, and servers that end when they begin to respond to a harmful request, in virtual time. A router sends a
  * request to a second server if the first one fails, and a caller sends it once more.
  *
+ * @param isHarmfulFirst whether the harmful segment is the first of its prompts, in place of one that sound requests have.
  * @param crashAfterMs time from the first bytes of a response after which a server ends that responds to a harmful request.
+ * @param waitMs time until a server begins to respond.
  */
 @OptIn(ExperimentalCoroutinesApi::class)
 internal class HarmfulTrafficFleet(
@@ -36,6 +41,8 @@
     seed: Int,
     private val isEnabled: Boolean,
     private val crashAfterMs: Long,
+    private val isHarmfulFirst: Boolean = false,
+    private val waitMs: LongRange = 20L until 200L,
 ) {
     private val clock =
         object : Clock {
@@ -74,6 +81,18 @@
         }
     }
 
+    /** Beside sound requests, sends [perWave] harmful ones at the same moment, again and again. */
+    suspend fun runWaves(perWave: Int) =
+        coroutineScope {
+            launch { run(harmfulShare = 0.0) }
+            val endsAtMs = clock.monotonicMs() + TRAFFIC_MS
+            delay(TRAFFIC_MS / 6)
+            while (clock.monotonicMs() < endsAtMs) {
+                repeat(perWave) { scope.launch { sendAsCaller(nextRequest(harmfulShare = 1.0)) } }
+                delay(WAVE_INTERVAL_MS)
+            }
+        }
+
     /** Harmful requests that were sent when the routers had had time to learn of the fifth crash. */
     fun lateHarmfulSends(): Int = harmfulSendTimesMs.count { it > (crashTimesMs.getOrNull(4) ?: return 0) + CONTACT_MS }
 
@@ -91,7 +110,13 @@
         val isHarmful = random.nextDouble() < harmfulShare
         val common = listOf(SegmentId(1L + random.nextInt(FIRST_SEGMENTS)), SegmentId(100L + random.nextInt(SECOND_SEGMENTS)))
         val own = SegmentId(random.nextLong(1_000_000, Long.MAX_VALUE))
-        return Request(PromptSegments(if (isHarmful) common + HARMFUL else common, own), isHarmful)
+        val shared =
+            when {
+                !isHarmful -> common
+                isHarmfulFirst -> listOf(HARMFUL, common.last())
+                else -> common + HARMFUL
+            }
+        return Request(PromptSegments(shared, own), isHarmful)
     }
 
     private suspend fun sendAsCaller(request: Request) {
@@ -109,7 +134,7 @@
     ): Boolean {
         repeat(ROUTER_ATTEMPTS) { attempt ->
             val server = servers.filter { it.isUp }.randomOrNull(random) ?: return false
-            if (router.refusalFor(request.prompt) != null) return false
+            if (router.refusalToSend(request.prompt) != null) return false
             if (!request.isHarmful && isFirstTry && attempt == 0) soundSentFirst++
             if (request.isHarmful) harmfulSendTimesMs += clock.monotonicMs()
             if (exchange(router, server, request)) return true
@@ -123,17 +148,17 @@
         request: Request,
     ): Boolean {
         val description = server.describe()
-        request.hasFailed = false
-        server.waiting += request
-        delay(random.nextLong(20, 200))
+        val broken = CompletableDeferred<Unit>()
+        server.waiting[request] = broken
+        delay(random.nextLong(waitMs.first, waitMs.last + 1))
         if (request.isHarmful) {
             delay(crashAfterMs)
-            if (!request.hasFailed) crash(server)
+            if (!broken.isCompleted) crash(server)
         }
         val durationMs = random.nextLong(50, MAX_STREAM_MS)
-        delay(minOf(durationMs, CRASH_WINDOW_MS))
+        val isBroken = withTimeoutOrNull(minOf(durationMs, CRASH_WINDOW_MS)) { broken.await() } != null
         server.waiting -= request
-        if (request.hasFailed) {
+        if (isBroken) {
             router.onAttemptBroken(description, request.prompt)
             return false
         }
@@ -143,7 +168,7 @@
 
     private fun crash(server: Server) {
         crashTimesMs += clock.monotonicMs()
-        server.waiting.forEach { it.hasFailed = true }
+        server.waiting.values.forEach { it.complete(Unit) }
         server.waiting.clear()
         server.isUp = false
         scope.launch {
@@ -158,7 +183,7 @@
     ) {
         var run = 0
         var isUp = true
-        val waiting = HashSet<Request>()
+        val waiting = HashMap<Request, CompletableDeferred<Unit>>()
 
         fun describe() =
             BackendServer(BackendServerId("s$index"), VmId("s$index@$run"), ZoneId("z"), "127.0.0.1", port = 1, targets = emptySet())
@@ -167,9 +192,7 @@
     private class Request(
         val prompt: PromptSegments,
         val isHarmful: Boolean,
-    ) {
-        var hasFailed = false
-    }
+    )
 
     companion object {
         private const val TABLE_EPOCH_MS = 1_700_000_000_000
@@ -183,6 +206,7 @@
         private const val FIRST_SEGMENTS = 3
         private const val SECOND_SEGMENTS = 81
         private const val MEAN_INTERVAL_MS = 70L
+        private const val WAVE_INTERVAL_MS = 300L
         const val TRAFFIC_MS = 30_000L
     }
 }
--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
@@ -19,11 +19,13 @@
         seed: Int = 1,
         isEnabled: Boolean = true,
         crashAfterMs: Long = 0,
+        isHarmfulFirst: Boolean = false,
+        waitMs: LongRange = 20L until 200L,
         body: suspend TestScope.(HarmfulTrafficFleet) -> Unit,
     ) = runTest {
         val scope = CoroutineScope(coroutineContext + Job())
         try {
-            body(HarmfulTrafficFleet(scope, testScheduler, seed, isEnabled, crashAfterMs))
+            body(HarmfulTrafficFleet(scope, testScheduler, seed, isEnabled, crashAfterMs, isHarmfulFirst, waitMs))
         } finally {
             scope.cancel()
         }
@@ -61,6 +63,20 @@
             }
         }
 
+        @Test
+        fun `stop reaching servers also if all crash together on a first segment, guarding against another crash of all on return`() {
+            for (seed in 1..SEEDS) {
+                fleetTest(seed, isHarmfulFirst = true, waitMs = 10L..30L) { fleet ->
+                    fleet.runWaves(perWave = 20)
+
+                    val context = "seed $seed, crashes ${fleet.crashTimesMs}"
+                    assertTrue(fleet.crashTimesMs.size >= 5, context)
+                    assertTrue(fleet.lateHarmfulSends() <= MAX_LATE_SENDS, "${fleet.lateHarmfulSends()} late sends, $context")
+                    assertTrue(fleet.soundSentFirst >= fleet.soundCount / 2, "${fleet.soundSentFirst} of ${fleet.soundCount}, $context")
+                }
+            }
+        }
+
         @Test
         fun `reach servers for as long as they come without a quarantine, as a replay of the same traffic shows`() {
             fleetTest(isEnabled = false) { fleet ->
