--- a/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
@@ -122,18 +122,13 @@
                 }
             }.execute { response ->
                 onResponse()
+                val httpStatus = response.status.value
+                if (httpStatus !in FINAL_STATUSES) return@execute PlatformExchange.Lost("status $httpStatus is not valid")
                 val channel = response.bodyAsChannel()
-                val body = readWhileProgressing(callTimeoutMs, maxBytes, response.contentLength()) { readOrFail(channel, it) }
-                if (response.status.value in
-                    FINAL_STATUSES
-                ) {
-                    body.toExchange(response.status.value)
-                } else {
-                    PlatformExchange.Lost("no valid status")
-                }
+                readWhileProgressing(callTimeoutMs, maxBytes, response.contentLength()) { readOrFail(channel, it) }.toExchange(httpStatus)
             }
 
-    /** Reads from [channel]. Throws what has ended it early, which it may otherwise report as its end. */
+    /** Reads from [channel]. If a failure has ended it early, throws that, as the channel itself may only report its end. */
     private suspend fun readOrFail(
         channel: ByteReadChannel,
         bytes: ByteArray,
--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/ProbePermits.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/ProbePermits.kt
@@ -32,7 +32,11 @@
     private val tableTimeMs: () -> Long,
 ) {
     private val lock = Any()
-    private val held = HashMap<SegmentId, Long>()
+
+    /** Monotonic time at which the unused permit for a segment ends. */
+    private val heldUntilMs = HashMap<SegmentId, Long>()
+
+    /** The row of the last permit for a segment, as far as this router knows. */
     private val knownRows = HashMap<SegmentId, TableRow>()
     private val wanted = Channel<SegmentId>(MAX_WANTED, BufferOverflow.DROP_OLDEST)
     private var transactionCount = 0L
@@ -43,10 +47,10 @@
     }
 
     /** Whether this router has a permit for a request with [segment]. */
-    fun isHeld(segment: SegmentId): Boolean = synchronized(lock) { held[segment]?.let { clock.monotonicMs() < it } ?: false }
+    fun isHeld(segment: SegmentId): Boolean = synchronized(lock) { heldUntilMs[segment]?.let { clock.monotonicMs() < it } ?: false }
 
     /** Uses the permit for a request with [segment]. Returns false if there is none. */
-    fun use(segment: SegmentId): Boolean = synchronized(lock) { held.remove(segment)?.let { clock.monotonicMs() < it } ?: false }
+    fun use(segment: SegmentId): Boolean = synchronized(lock) { heldUntilMs.remove(segment)?.let { clock.monotonicMs() < it } ?: false }
 
     /** Tries to take a permit for a request with [segment], for requests that come later. */
     fun request(segment: SegmentId) {
@@ -72,7 +76,7 @@
                 is CommitOutcome.Committed -> {
                     knownRows[segment] = TableRow(key, value, outcome.versions[key] ?: 0)
                     // Ends before another router may take the next one.
-                    held[segment] = calledAtMs + INTERVAL_MS / 2
+                    heldUntilMs[segment] = calledAtMs + INTERVAL_MS / 2
                 }
                 is CommitOutcome.Conflict -> {
                     val current = outcome.current.firstOrNull { it.key == key }
@@ -91,13 +95,11 @@
             null
         }
 
-    /** Keys and times. */
+    /** Times. */
     companion object {
-        /** Key prefix of the rows of permits. */
-        const val KEY_PREFIX: String = "probe/"
-
         /** Time between two permits for the same segment, in milliseconds. A crash on the first one is known to all routers by then. */
         const val INTERVAL_MS: Long = 3_000
+        private const val KEY_PREFIX = "probe/"
         private const val MAX_WANTED = 16
     }
 }
