Give the platform stand-in's test a timeout that a cold client keeps to

The fixture gives calls 400 ms, and the first call of a process also loads the client's classes. Change: calls of this fixture may take 5 s, as in the tests of the adapter. No check changes: two tests wait for a response that never comes, and do so for longer.

--- a/standin/servers/src/test/kotlin/org/lycheemount/standin/PlatformStandInTest.kt
+++ b/standin/servers/src/test/kotlin/org/lycheemount/standin/PlatformStandInTest.kt
@@ -32,7 +32,7 @@
             PlatformStandInSettings(zonePorts = mapOf(zoneId to 0), vms = VmList(listOf(router), emptyList(), 0)),
             clock,
         )
-    private val clients = platform.clients(callTimeoutMs = 400)
+    private val clients = platform.clients(callTimeoutMs = 5_000)
 
     @AfterEach
     fun close() {
