Close the scripted server of the tests before its close returns

The socket of a listener that is closed while a thread accepts on it stays open until that thread has noticed, so a connection could still be made and was then reset. Change: SocketServer.close waits for that thread. The check stays as it is.

--- a/process/testing/src/main/kotlin/org/lycheemount/testing/SocketServer.kt
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/SocketServer.kt
@@ -23,7 +23,7 @@
     /** Port on which the server listens. */
     val port: Int get() = listener.localPort
 
-    init {
+    private val acceptor =
         thread(isDaemon = true) {
             while (!listener.isClosed) {
                 val socket = runCatching { listener.accept() }.getOrNull() ?: break
@@ -31,12 +31,15 @@
                 thread(isDaemon = true) { socket.use { runCatching { Connection(it).serve() } } }
             }
         }
-    }
 
     /** Describes this server as a backend server without targets. */
     fun describe() = BackendServer(BackendServerId("s"), VmId("s"), ZoneId("z"), "127.0.0.1", port, targets = emptySet())
 
-    override fun close() = listener.close()
+    /** Refuses connections from its return on. The port stays open until the thread that accepts connections has noticed. */
+    override fun close() {
+        listener.close()
+        acceptor.join()
+    }
 
     /** An accepted connection. */
     class Connection internal constructor(
