Test waves of crashes that are noticed late, restarts and a silent table in them

The traffic of the fleet of this test is described by a pattern. FakeRowFeed reads the rows only after a change, as the tests spent half of their time on copies of them.

--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
@@ -18,14 +18,12 @@
     private fun fleetTest(
         seed: Int = 1,
         isEnabled: Boolean = true,
-        crashAfterMs: Long = 0,
-        isHarmfulFirst: Boolean = false,
-        waitMs: LongRange = 20L until 200L,
+        pattern: TrafficPattern = TrafficPattern(),
         body: suspend TestScope.(HarmfulTrafficFleet) -> Unit,
     ) = runTest {
         val scope = CoroutineScope(coroutineContext + Job())
         try {
-            body(HarmfulTrafficFleet(scope, testScheduler, seed, isEnabled, crashAfterMs, isHarmfulFirst, waitMs))
+            body(HarmfulTrafficFleet(scope, testScheduler, seed, isEnabled, pattern))
         } finally {
             scope.cancel()
         }
@@ -52,7 +50,7 @@
         fun `stop reaching servers also if these crash only after their first events, guarding against a response that proves too much`() {
             for (crashAfterMs in listOf(30L, 300L)) {
                 for (seed in 1..SEEDS) {
-                    fleetTest(seed, crashAfterMs = crashAfterMs) { fleet ->
+                    fleetTest(seed, pattern = TrafficPattern(crashAfterMs = crashAfterMs)) { fleet ->
                         fleet.run(harmfulShare = 0.1)
 
                         val context = "crash after $crashAfterMs ms, seed $seed, crashes ${fleet.crashTimesMs}"
@@ -66,7 +64,7 @@
         @Test
         fun `stop reaching servers also if all crash together on a first segment, guarding against another crash of all on return`() {
             for (seed in 1..SEEDS) {
-                fleetTest(seed, isHarmfulFirst = true, waitMs = 10L..30L) { fleet ->
+                fleetTest(seed, pattern = TrafficPattern(isHarmfulFirst = true, waitMs = 10L..30L)) { fleet ->
                     fleet.runWaves(perWave = 20)
 
                     val context = "seed $seed, crashes ${fleet.crashTimesMs}"
@@ -77,6 +75,58 @@
             }
         }
 
+        @Test
+        fun `stop reaching servers also if their crashes are noticed late, guarding against a wave that is counted wrongly`() {
+            val patterns =
+                listOf(
+                    TrafficPattern(isHarmfulFirst = true, waitMs = 10L..30L, noticeMs = 0L..500L),
+                    TrafficPattern(isHarmfulFirst = true, waitMs = 10L..500L),
+                    TrafficPattern(isHarmfulFirst = true, waitMs = 10L..30L, serverCount = 5),
+                    TrafficPattern(isHarmfulFirst = true, waitMs = 10L..30L, serverCount = 2),
+                )
+            for (pattern in patterns) {
+                for (seed in 1..SEEDS) {
+                    fleetTest(seed, pattern = pattern) { fleet ->
+                        fleet.runWaves(perWave = 20)
+
+                        val context = "$pattern, seed $seed, crashes ${fleet.crashTimesMs}"
+                        assertTrue(fleet.lateHarmfulSends() <= MAX_LATE_SENDS, "${fleet.lateHarmfulSends()} late sends, $context")
+                    }
+                }
+            }
+        }
+
+        @Test
+        fun `stop reaching servers also if all routers restart before the servers return, guarding against routers that begin anew`() {
+            for (seed in 1..SEEDS) {
+                fleetTest(seed, pattern = TrafficPattern(isHarmfulFirst = true, waitMs = 10L..30L)) { fleet ->
+                    fleet.runWaves(perWave = 20) {
+                        delay(CONTACT_MS / 3)
+                        fleet.restartRouters()
+                    }
+
+                    val late = fleet.lateHarmfulSends(sinceMs = fleet.crashTimesMs.first() + CONTACT_MS / 3)
+                    assertTrue(late <= MAX_LATE_SENDS, "$late late sends, seed $seed, crashes ${fleet.crashTimesMs}")
+                }
+            }
+        }
+
+        @Test
+        fun `stop reaching servers also if the table is silent while they crash, guarding against reports that are lost`() {
+            for (seed in 1..SEEDS) {
+                fleetTest(seed, pattern = TrafficPattern(isHarmfulFirst = true, waitMs = 10L..30L)) { fleet ->
+                    fleet.runWaves(perWave = 20) {
+                        fleet.table.isAvailable = false
+                        delay(2 * CONTACT_MS / 3)
+                        fleet.table.isAvailable = true
+                    }
+
+                    val late = fleet.lateHarmfulSends(sinceMs = fleet.crashTimesMs.first() + 2 * CONTACT_MS / 3)
+                    assertTrue(late <= MAX_LATE_SENDS, "$late late sends, seed $seed, crashes ${fleet.crashTimesMs}")
+                }
+            }
+        }
+
         @Test
         fun `reach servers for as long as they come without a quarantine, as a replay of the same traffic shows`() {
             fleetTest(isEnabled = false) { fleet ->
--- a/process/testing/src/main/kotlin/org/lycheemount/testing/FakeRowFeed.kt
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakeRowFeed.kt
@@ -17,6 +17,7 @@
     private val latencyMs: Long = 4,
 ) : RowFeed {
     private var known: Map<String, TableRow>? = null
+    private var knownChangeCount = 0
 
     override var lastResponseTableTimeMs: Long? = null
         private set
@@ -35,6 +36,9 @@
 
     private fun deliverChanges(listener: RowListener): Boolean {
         val before = known
+        lastResponseTableTimeMs = tableTimeMs()
+        if (before != null && table.changeCount == knownChangeCount) return false
+        knownChangeCount = table.changeCount
         val current = table.copyRows().associateBy { it.key }
         val changed =
             current.values
@@ -48,7 +52,6 @@
                 .minus(current.keys)
                 .map { StoreRow(it, null, 0) }
         known = current
-        lastResponseTableTimeMs = tableTimeMs()
         when {
             before == null -> listener.onAllRows(changed)
             changed.isNotEmpty() || removed.isNotEmpty() -> listener.onChangedRows(changed + removed)
--- a/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableService.kt
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableService.kt
@@ -23,6 +23,10 @@
     /** Number of next commits that take effect but whose response is dropped. */
     var dropNextResponses: Int = 0
 
+    /** Number of changes of the rows so far. */
+    var changeCount: Int = 0
+        private set
+
     /** Commits that took effect. */
     var commitCount: Int = 0
         private set
@@ -65,6 +69,7 @@
     fun restore(older: List<TableRow>) {
         rows.clear()
         older.forEach { rows[it.key] = it }
+        changeCount++
     }
 
     private fun decide(transaction: TableTransaction): CommitOutcome {
@@ -72,6 +77,7 @@
         if (failed.isNotEmpty()) return CommitOutcome.Conflict(failed.mapNotNull { rows[it.key] }, now())
         lastVersion++
         commitCount++
+        changeCount++
         for (write in transaction.writes) {
             val value = write.value
             if (value == null) rows.remove(write.key) else rows[write.key] = TableRow(write.key, value, lastVersion)
