Let a request take the permit of a doubtful first segment itself

What callers saw: a caller who sends seldom, with a first segment on which all servers had crashed together, was refused each time, for good. Cause: a request that was refused asked for a permit for a later one, and the permit ended after 1.5 s. If the next request of the segment came later, or at another router, no request was ever sent, so nothing cleared the segment. Change: the request that is about to be sent takes the permit from the table and is sent with it. The permits that routers held, and the channel by which they were asked for, are gone. A router asks for one permit of a segment at a time; other requests with it are refused at once.

--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/ProbePermits.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/ProbePermits.kt
@@ -1,13 +1,8 @@
 package org.lycheemount.quarantine
 
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.channels.BufferOverflow
-import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.launch
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.platform.CommitOutcome
@@ -19,74 +14,75 @@
 import org.lycheemount.platform.TableTransaction
 
 /**
- * Lets the fleet send requests with a doubtful segment one at a time, [INTERVAL_MS] apart. A router takes a permit from the table and
- * uses it for its next request with that segment. Without the table there are no permits. Thread-safe.
+ * Lets the fleet send requests with a doubtful segment one at a time, [INTERVAL_MS] apart. The request that is to be sent takes the permit
+ * from the table itself, so that a caller who comes alone is served. Without the table there are no permits. Thread-safe.
  *
  * @param tableTimeMs estimated time of the table.
  */
 internal class ProbePermits(
     private val table: TableService,
     private val self: RouterIdentity,
-    private val clock: Clock,
     private val log: EventLog,
     private val tableTimeMs: () -> Long,
 ) {
     private val lock = Any()
 
-    /** Monotonic time at which the unused permit for a segment ends. */
-    private val heldUntilMs = HashMap<SegmentId, Long>()
+    /** Segments for which this router is taking a permit. */
+    private val pending = HashSet<SegmentId>()
 
     /** The row of the last permit for a segment, as far as this router knows. */
     private val knownRows = HashMap<SegmentId, TableRow>()
-    private val wanted = Channel<SegmentId>(MAX_WANTED, BufferOverflow.DROP_OLDEST)
     private var transactionCount = 0L
 
-    /** Starts to take permits in [scope]. */
-    fun start(scope: CoroutineScope) {
-        scope.launch { for (segment in wanted) if (isDue(segment)) take(segment) }
-    }
-
-    /** Whether this router has a permit for a request with [segment]. */
-    fun isHeld(segment: SegmentId): Boolean = synchronized(lock) { heldUntilMs[segment]?.let { clock.monotonicMs() < it } ?: false }
-
-    /** Uses the permit for a request with [segment]. Returns false if there is none. */
-    fun use(segment: SegmentId): Boolean = synchronized(lock) { heldUntilMs.remove(segment)?.let { clock.monotonicMs() < it } ?: false }
+    /** Whether [take] may return a permit for a request with [segment], as far as this router knows. */
+    fun mayTake(segment: SegmentId): Boolean = synchronized(lock) { segment !in pending && isDue(segment) }
 
-    /** Tries to take a permit for a request with [segment], for requests that come later. */
-    fun request(segment: SegmentId) {
-        if (isDue(segment)) wanted.trySend(segment)
-    }
-
-    /** Whether the fleet may send another request with [segment], as far as this router knows. */
-    private fun isDue(segment: SegmentId): Boolean {
-        val lastTakenAtMs = synchronized(lock) { knownRows[segment] }?.let(::takenAtTableTimeMs) ?: return true
-        return tableTimeMs() - lastTakenAtMs >= INTERVAL_MS
-    }
-
-    private suspend fun take(segment: SegmentId) {
-        val key = "$KEY_PREFIX$segment"
-        val known = synchronized(lock) { knownRows[segment] }
-        val value = Json.encodeToString(ProbeRow.serializer(), ProbeRow(tableTimeMs()))
-        val transactionId = "probe-${self.routerId.value}-${self.incarnation}-${transactionCount++}"
-        val transaction = TableTransaction(transactionId, listOf(RowCheck(key, known?.version ?: 0)), listOf(RowWrite(key, value)))
-        val calledAtMs = clock.monotonicMs()
-        val outcome = (table.commit(transaction) as? TableResult.Response)?.value ?: return
+    /** Takes the permit for a request with [segment] that is sent at once. Returns false if there is none. */
+    suspend fun take(segment: SegmentId): Boolean {
+        val transaction =
+            synchronized(lock) {
+                if (!isDue(segment) || !pending.add(segment)) return false
+                transactionFor(segment)
+            }
+        val response =
+            try {
+                table.commit(transaction)
+            } finally {
+                synchronized(lock) { pending -= segment }
+            }
+        val outcome = (response as? TableResult.Response)?.value
         synchronized(lock) {
             when (outcome) {
                 is CommitOutcome.Committed -> {
-                    knownRows[segment] = TableRow(key, value, outcome.versions[key] ?: 0)
-                    // Ends before another router may take the next one.
-                    heldUntilMs[segment] = calledAtMs + INTERVAL_MS / 2
+                    val write = transaction.writes.single()
+                    knownRows[segment] = TableRow(write.key, write.value.orEmpty(), outcome.versions[write.key] ?: 0)
                 }
                 is CommitOutcome.Conflict -> {
-                    val current = outcome.current.firstOrNull { it.key == key }
+                    val current = outcome.current.firstOrNull { it.key == keyOf(segment) }
                     if (current == null) knownRows.remove(segment) else knownRows[segment] = current
                 }
+                null -> Unit
             }
         }
-        log.info("segment_probe_permit", "segment" to segment, "granted" to (outcome is CommitOutcome.Committed))
+        val isGranted = outcome is CommitOutcome.Committed
+        log.info("segment_probe_permit", "segment" to segment, "granted" to isGranted, "table_responded" to (outcome != null))
+        return isGranted
+    }
+
+    private fun isDue(segment: SegmentId): Boolean {
+        val lastTakenAtMs = knownRows[segment]?.let(::takenAtTableTimeMs) ?: return true
+        return tableTimeMs() - lastTakenAtMs >= INTERVAL_MS
     }
 
+    private fun transactionFor(segment: SegmentId): TableTransaction {
+        val key = keyOf(segment)
+        val value = Json.encodeToString(ProbeRow.serializer(), ProbeRow(tableTimeMs()))
+        val transactionId = "probe-${self.routerId.value}-${self.incarnation}-${transactionCount++}"
+        return TableTransaction(transactionId, listOf(RowCheck(key, knownRows[segment]?.version ?: 0)), listOf(RowWrite(key, value)))
+    }
+
+    private fun keyOf(segment: SegmentId) = "$KEY_PREFIX$segment"
+
     private fun takenAtTableTimeMs(row: TableRow): Long? =
         try {
             Json.decodeFromString(ProbeRow.serializer(), row.value).takenAtTableTimeMs
@@ -100,7 +96,6 @@
         /** Time between two permits for the same segment, in milliseconds. A crash on the first one is known to all routers by then. */
         const val INTERVAL_MS: Long = 3_000
         private const val KEY_PREFIX = "probe/"
-        private const val MAX_WANTED = 16
     }
 }
 
--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/PromptQuarantine.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/PromptQuarantine.kt
@@ -3,7 +3,7 @@
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.Refusal
 
-/** Keeps prompts that crash backend servers away from further servers. Thread-safe; no method suspends or does I/O. */
+/** Keeps prompts that crash backend servers away from further servers. Thread-safe; only [refusalToSend] suspends or does I/O. */
 interface PromptQuarantine {
     /** Number of segments, or sets of segments that only occur together, whose requests are refused now. */
     val quarantinedCount: Int
@@ -12,7 +12,7 @@
     fun refusalFor(prompt: PromptSegments): Refusal?
 
     /** Returns why a request with [prompt] must not be sent to a server, or null if it is sent now, as one of few that may be sent. */
-    fun refusalToSend(prompt: PromptSegments): Refusal? = refusalFor(prompt)
+    suspend fun refusalToSend(prompt: PromptSegments): Refusal? = refusalFor(prompt)
 
     /** A server has responded to a request with [prompt], completely or for [CRASH_WINDOW_MS]. None of its segments crashes servers. */
     fun onPromptServed(prompt: PromptSegments)
--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
@@ -59,7 +59,7 @@
 
     @Volatile
     private var doubtful = emptySet<SegmentId>()
-    private val probes = ProbePermits(table, self, clock, log) { synchronized(lock) { tableTimeMs() } }
+    private val probes = ProbePermits(table, self, log) { synchronized(lock) { tableTimeMs() } }
 
     override val quarantinedCount: Int
         get() {
@@ -90,21 +90,19 @@
         scope.launch { while (true) if (!feed.poll(rowListener)) delay(RETRY_DELAY_MS) }
         scope.launch { for (write in writes) commit(write) }
         scope.launch { for (run in brokenRuns) scope.launch { reportIfEnded(run) } }
-        probes.start(scope)
     }
 
-    override fun refusalFor(prompt: PromptSegments): Refusal? = quarantineRefusal(prompt) ?: doubtRefusal(prompt, probes::isHeld)
+    override fun refusalFor(prompt: PromptSegments): Refusal? = quarantineRefusal(prompt) ?: doubtRefusal(prompt, probes::mayTake)
 
-    override fun refusalToSend(prompt: PromptSegments): Refusal? = quarantineRefusal(prompt) ?: doubtRefusal(prompt, probes::use)
+    override suspend fun refusalToSend(prompt: PromptSegments): Refusal? = quarantineRefusal(prompt) ?: doubtRefusal(prompt) { probes.take(it) }
 
     /** Refuses [prompt] if its first segment is doubtful, unless this router [mayProbe] with it. */
-    private fun doubtRefusal(
+    private inline fun doubtRefusal(
         prompt: PromptSegments,
         mayProbe: (SegmentId) -> Boolean,
     ): Refusal? {
         val first = prompt.shared.firstOrNull()?.takeIf { it in doubtful } ?: return null
         if (mayProbe(first)) return null
-        probes.request(first)
         return Refusal(
             RefusalReason.PROMPT_QUARANTINED,
             "several servers have crashed together on prompt segment $first; such requests are sent one at a time",
--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
@@ -182,6 +182,26 @@
         }
     }
 
+    @Nested
+    inner class `requests with a first segment on which all servers have crashed together` {
+        @Test
+        fun `are sent although they come seldom, guarding against a caller who is refused forever`() {
+            fleetTest { fleet ->
+                val router = fleet.startRouter(0)
+                delay(CONTACT_MS)
+                val first = SegmentId(50)
+                for (number in 1..4) {
+                    router.onAttemptBroken(fleet.endedServer(number), PromptSegments(listOf(first), SegmentId(100L + number)))
+                }
+
+                delay(10 * CONTACT_MS)
+
+                assertNull(router.refusalToSend(PromptSegments(listOf(first), SegmentId(200))))
+                assertNotNull(router.refusalToSend(PromptSegments(listOf(first), SegmentId(201))))
+            }
+        }
+    }
+
     @Nested
     inner class `servers that crash for another reason` {
         @Test
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -87,7 +87,7 @@
         quarantineRefusal()?.let { return AttemptPermit.Refused(it) }
         val permit = acquireServer()
         // Other routers may have learned meanwhile that servers crash on this prompt.
-        val refusal = request.prompt?.let(services.quarantine::refusalToSend) ?: return permit
+        val refusal = request.prompt?.let { services.quarantine.refusalToSend(it) } ?: return permit
         services.dispatcher.cancel(request.requestId)
         return AttemptPermit.Refused(refusal)
     }
