Count servers that crash within a second as one moment

What callers saw: when all servers of a route lost power within half a second, the first segment of its prompts was held responsible, and the whole route was refused, for 24 h after five crashes. Cause: crashes more than 100 ms apart counted as moments of their own. A failure of all servers is spread by that much, and a router notices a broken connection only when the response is due, so that one failure made four moments or more. Change: a moment lasts a second.

--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashEvidence.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashEvidence.kt
@@ -218,8 +218,8 @@
         /** As many servers rarely crash together, each with a request whose first segment has never worked. */
         private const val MIN_CRASHES_OF_DOUBTFUL_SEGMENT = 4
 
-        /** Routers notice the crashes of servers that end together within this time. */
-        private const val MOMENT_MS = 100L
+        /** Servers that lose their power end within this time, and routers notice it. */
+        private const val MOMENT_MS = 1_000L
 
         private const val SECOND_MS = 1_000L
         private val DURATIONS_MS = listOf(4 * SECOND_MS, 60 * SECOND_MS, 600 * SECOND_MS)
