End a quarantine with one request at a time, and keep it short after crashes that come together

What callers saw: when all servers failed together on prompts with a new second segment, for example a new system prompt, all requests with it were refused for 24 h after the servers were back. Cause: a segment other than the first is held responsible after two crashes that it is among the suspects of, and the time for which it is refused grew with the number of crashes, not with how often servers crashed on it. After its end all requests with it were sent at once again, so the time had to be long. Change: the time grows with the number of moments, and with that of crashes as before where that is less. A segment whose time has ended is doubtful like a first segment on which all servers have crashed together: the fleet sends one request with it at a time, and either a response clears it or a crash quarantines it for longer. A prompt with several doubtful segments needs a permit for each. CrashEvidenceTest, 'is quarantined longer the more crashes it explains', had all crashes in one moment; they are a second apart now, and the durations are named.

--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashEvidence.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashEvidence.kt
@@ -7,7 +7,7 @@
  * nothing tells which of them it was.
  *
  * @property crashCount number of crashes that they explain.
- * @property untilTableTimeMs table time at which requests with all of them may be sent again, in milliseconds.
+ * @property untilTableTimeMs table time until which no request with all of them is sent, in milliseconds. They are doubtful then.
  */
 internal data class QuarantinedSegments(
     val segments: Set<SegmentId>,
@@ -89,7 +89,7 @@
     fun suspectedSegments(): Set<SegmentId> = openSuspicions().keys
 
     /**
-     * Returns the segments that are held responsible for crashes, including those whose quarantine has ended.
+     * Returns the segments that are held responsible for crashes, including those whose quarantine has ended and which are doubtful.
      *
      * @param hasWorked whether servers have responded to a segment before. It then takes more crashes to hold it responsible.
      */
@@ -115,8 +115,9 @@
             val position = mostSuspected.keys.maxOf { suspicions.getValue(it).position }
             val blamed = mostSuspected.filterKeys { suspicions.getValue(it).position == position }
             for (segments in indistinguishable(blamed, unexplained)) {
-                val lastCrashMs = blamed.getValue(segments.first()).maxOf(crashTimes::getValue)
-                responsible += QuarantinedSegments(segments, mostCrashes, lastCrashMs + durationMs(mostCrashes))
+                val crashTimesMs = blamed.getValue(segments.first()).map(crashTimes::getValue)
+                val untilMs = crashTimesMs.max() + durationMs(crashTimesMs.size, momentCount(crashTimesMs))
+                responsible += QuarantinedSegments(segments, mostCrashes, untilMs)
             }
             blamed.values.forEach(unexplained::removeAll)
         }
@@ -225,7 +226,13 @@
         private val DURATIONS_MS = listOf(4 * SECOND_MS, 60 * SECOND_MS, 600 * SECOND_MS)
         private const val LONGEST_DURATION_MS = 86_400 * SECOND_MS
 
-        /** The first duration is short, since two crashes may have a segment in common by chance. */
-        private fun durationMs(crashCount: Int): Long = DURATIONS_MS.getOrElse(crashCount - MIN_CRASHES) { LONGEST_DURATION_MS }
+        /**
+         * The first duration is short, since two crashes may have a segment in common by chance, and so may any number of servers that
+         * crash together for another reason.
+         */
+        private fun durationMs(
+            crashCount: Int,
+            momentCount: Int,
+        ): Long = DURATIONS_MS.getOrElse(minOf(crashCount - MIN_CRASHES, momentCount - 1)) { LONGEST_DURATION_MS }
     }
 }
--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
@@ -94,22 +94,35 @@
 
     override fun refusalFor(prompt: PromptSegments): Refusal? = quarantineRefusal(prompt) ?: doubtRefusal(prompt, probes::mayTake)
 
-    override suspend fun refusalToSend(prompt: PromptSegments): Refusal? = quarantineRefusal(prompt) ?: doubtRefusal(prompt) { probes.take(it) }
+    override suspend fun refusalToSend(prompt: PromptSegments): Refusal? =
+        quarantineRefusal(prompt) ?: doubtRefusal(prompt) { probes.take(it) }
 
-    /** Refuses [prompt] if its first segment is doubtful, unless this router [mayProbe] with it. */
+    /** Refuses [prompt] if it has doubtful segments, unless this router [mayProbe] with each of them. */
     private inline fun doubtRefusal(
         prompt: PromptSegments,
         mayProbe: (SegmentId) -> Boolean,
     ): Refusal? {
-        val first = prompt.shared.firstOrNull()?.takeIf { it in doubtful } ?: return null
-        if (mayProbe(first)) return null
+        val segment = doubtfulSegments(prompt).firstOrNull { !mayProbe(it) } ?: return null
         return Refusal(
             RefusalReason.PROMPT_QUARANTINED,
-            "several servers have crashed together on prompt segment $first; such requests are sent one at a time",
+            "servers have crashed on prompt segment $segment; requests with it are sent one at a time until a server responds",
             retryAfterMs = ProbePermits.INTERVAL_MS,
         )
     }
 
+    /**
+     * Segments that make [prompt] doubtful: the first one, and one of each set whose quarantine has ended, the same on all routers. The
+     * latter come first, since prompts with different first segments have them.
+     */
+    private fun doubtfulSegments(prompt: PromptSegments): Set<SegmentId> {
+        val sets = responsible
+        val suspectedFirst = doubtful
+        if (sets.isEmpty() && suspectedFirst.isEmpty()) return emptySet()
+        val segments = prompt.all
+        val released = sets.filter { segments.containsAll(it.segments) }.mapTo(LinkedHashSet()) { set -> set.segments.minBy { it.value } }
+        return released + listOfNotNull(prompt.shared.firstOrNull()?.takeIf { it in suspectedFirst })
+    }
+
     private fun quarantineRefusal(prompt: PromptSegments): Refusal? {
         val current = responsible
         if (current.isEmpty()) return null
--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/CrashEvidenceTest.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/CrashEvidenceTest.kt
@@ -79,14 +79,20 @@
 
         @Test
         fun `is quarantined longer the more crashes it explains, guarding against harmful requests that are tried again and again`() {
-            val untilTimesMs =
-                (1..5).mapNotNull { count ->
-                    crash(1_000, prompt(FIRST, HARMFUL, own = 100L + count))
-                    evidence.responsibleSegments { false }.firstOrNull()?.untilTableTimeMs
+            val durationsMs =
+                (1L..5L).mapNotNull { count ->
+                    crash(count * 1_000, prompt(FIRST, HARMFUL, own = 100 + count))
+                    evidence.responsibleSegments { false }.firstOrNull()?.let { it.untilTableTimeMs - count * 1_000 }
                 }
 
-            assertEquals(4, untilTimesMs.size)
-            assertEquals(untilTimesMs.sorted().distinct(), untilTimesMs)
+            assertEquals(listOf<Long>(4_000, 60_000, 600_000, 86_400_000), durationsMs)
+        }
+
+        @Test
+        fun `is quarantined for a short time if all crashes come together, guarding against a sound segment that is refused for hours`() {
+            repeat(9) { crash(1_000, prompt(FIRST, 11, own = 101L + it)) }
+
+            assertEquals(5_000, evidence.responsibleSegments { it.value == FIRST }.single().untilTableTimeMs)
         }
     }
 
--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
@@ -222,6 +222,25 @@
                 }
             }
         }
+
+        @Test
+        fun `cause no refusals for long if all crash on prompts that are new, guarding against sound requests refused for a day`() {
+            for (spreadMs in listOf(0L, 500L)) {
+                for (seed in 1..SEEDS) {
+                    fleetTest(seed, pattern = TrafficPattern(secondSegmentCount = 1)) { fleet ->
+                        launch {
+                            delay(CONTACT_MS / 3)
+                            fleet.crashAtOnce(TrafficPattern().serverCount, spreadMs)
+                        }
+
+                        fleet.run(harmfulShare = 0.0)
+
+                        val share = fleet.soundShareSentFirst(afterMs = fleet.crashTimesMs.last() + 2 * CONTACT_MS)
+                        assertTrue(share >= MIN_SOUND_SHARE, "$share of the sound requests are sent, spread $spreadMs ms, seed $seed")
+                    }
+                }
+            }
+        }
     }
 
     private companion object {
@@ -229,5 +248,8 @@
 
         /** Harmful requests that may still be sent when all routers have had time to learn of the fifth crash, as the platform states it. */
         private const val MAX_LATE_SENDS = 3
+
+        /** Share of the sound requests that is sent from twice [CONTACT_MS] after a crash on, as the platform states it. */
+        private const val MIN_SOUND_SHARE = 0.5
     }
 }
