Do not blame a segment that has worked for crashes that new segments explain

What callers saw: when several harmful first segments came at once and crashed all servers again and again, sound requests were refused too, and still after the harmful ones had ended. Cause: segments that explain most crashes were held responsible first. The second segment that all of these prompts share, or the first segment of a busy route, is among the suspects of every wave, while each harmful segment is among those of its own wave only. If no server responded between four waves, the segment that had worked before took the blame for all of them. Change: segments that have never worked are held responsible first, and neither crashes that they explain nor those on which a first segment is doubtful count against a segment that has worked.

--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashEvidence.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/CrashEvidence.kt
@@ -23,8 +23,9 @@
  * servers is among the suspects of every one of these crashes, and no server ever gets far with a response to it.
  *
  * A segment is therefore cleared of all earlier crashes when a server has responded to it, completely or for a while. Of the others,
- * those that explain most crashes are held responsible first, and crashes that are explained count against no other segment. Among
- * segments that explain the same number of crashes, the one that fewest requests share is responsible. Crashes that have nothing in
+ * those that explain most crashes are held responsible first, and crashes that are explained count against no other segment. Segments
+ * that have worked come last: they are among the suspects of all crashes, whatever other segments cause these. Among segments that
+ * explain the same number of crashes, the one that fewest requests share is responsible. Crashes that have nothing in
  * common blame no segment. Servers that crash together have a cause in common that is no prompt, so they count once against segments
  * that many requests share. If all crashes come together and a first segment that has never worked is among the suspects of each, it is
  * doubtful: requests with it are sent one at a time, which either clears it or adds a moment to those at which servers have crashed.
@@ -76,13 +77,14 @@
      *
      * @param hasWorked whether servers have responded to a segment before.
      */
-    fun doubtfulSegments(hasWorked: (SegmentId) -> Boolean): Set<SegmentId> {
+    fun doubtfulSegments(hasWorked: (SegmentId) -> Boolean): Set<SegmentId> =
+        doubtfulAmong(openSuspicions().filterKeys { !hasWorked(it) }).keys
+
+    private fun doubtfulAmong(newSegments: Map<SegmentId, Suspicion>): Map<SegmentId, Suspicion> {
         val crashTimes = crashTimes()
-        return openSuspicions()
-            .filter { (segment, suspicion) -> suspicion.position == Position.FIRST && !hasWorked(segment) }
-            .filterValues { it.crashes.size >= MIN_CRASHES_OF_DOUBTFUL_SEGMENT }
+        return newSegments
+            .filterValues { it.position == Position.FIRST && it.crashes.size >= MIN_CRASHES_OF_DOUBTFUL_SEGMENT }
             .filterValues { momentCount(it.crashes.map(crashTimes::getValue)) < MIN_MOMENTS_OF_FIRST_SEGMENT }
-            .keys
     }
 
     /** Segments that are suspected of at least one crash. */
@@ -94,22 +96,42 @@
      * @param hasWorked whether servers have responded to a segment before. It then takes more crashes to hold it responsible.
      */
     fun responsibleSegments(hasWorked: (SegmentId) -> Boolean): List<QuarantinedSegments> {
-        val suspicions = openSuspicions()
         val crashTimes = crashTimes()
+        val suspicions = openSuspicions()
+        val newSegments = suspicions.filterKeys { !hasWorked(it) }
         val unexplained = HashSet(crashTimes.keys)
+        val responsible =
+            explain(newSegments, crashTimes, unexplained) { segment, crashTimesMs ->
+                if (newSegments.getValue(segment).position == Position.FIRST) {
+                    momentCount(crashTimesMs) >= MIN_MOMENTS_OF_FIRST_SEGMENT
+                } else {
+                    crashTimesMs.size >= MIN_CRASHES
+                }
+            }
+        doubtfulAmong(newSegments).values.forEach { unexplained -= it.crashes }
+        return responsible +
+            explain(suspicions - newSegments.keys, crashTimes, unexplained) { _, crashTimesMs ->
+                momentCount(crashTimesMs) >= MIN_MOMENTS_OF_WORKING_SEGMENT
+            }
+    }
+
+    /**
+     * Returns those of the suspected segments that explain crashes which are [unexplained], and removes these.
+     *
+     * @param isExplanation whether crashes at these times, in milliseconds, are enough to hold a segment responsible.
+     */
+    private fun explain(
+        suspicions: Map<SegmentId, Suspicion>,
+        crashTimes: Map<VmId, Long>,
+        unexplained: MutableSet<VmId>,
+        isExplanation: (SegmentId, crashTimesMs: List<Long>) -> Boolean,
+    ): List<QuarantinedSegments> {
         val responsible = ArrayList<QuarantinedSegments>()
         while (true) {
             val candidates =
                 suspicions
                     .mapValues { (_, suspicion) -> suspicion.crashes.intersect(unexplained) }
-                    .filter { (segment, crashes) ->
-                        val moments = momentCount(crashes.map(crashTimes::getValue))
-                        when {
-                            hasWorked(segment) -> moments >= MIN_MOMENTS_OF_WORKING_SEGMENT
-                            suspicions.getValue(segment).position == Position.FIRST -> moments >= MIN_MOMENTS_OF_FIRST_SEGMENT
-                            else -> crashes.size >= MIN_CRASHES
-                        }
-                    }
+                    .filter { (segment, crashes) -> isExplanation(segment, crashes.map(crashTimes::getValue)) }
             val mostCrashes = candidates.values.maxOfOrNull { it.size } ?: return responsible
             val mostSuspected = candidates.filterValues { it.size == mostCrashes }
             val position = mostSuspected.keys.maxOf { suspicions.getValue(it).position }
--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/CrashEvidenceTest.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/CrashEvidenceTest.kt
@@ -110,6 +110,18 @@
             assertTrue(SegmentId(11) !in evidence.suspectedSegments())
         }
 
+        @Test
+        fun `is not held responsible for crashes that new segments explain, guarding against a route that several harmful prompts block`() {
+            for (wave in 1L..5L) {
+                repeat(4) {
+                    val own = 100 * wave + it
+                    crash(5_000 * wave, prompt(FIRST, 11, own = own), prompt(50 + wave, 12, own = own + 50))
+                }
+            }
+
+            assertEquals(emptyMap(), responsible { it.value in setOf(FIRST, 11L, 12L) })
+        }
+
         @Test
         fun `needs more crashes than others, guarding against common segments blamed for servers that crash together`() {
             repeat(3) { crash(1_000, prompt(FIRST, 11, own = 101L + it)) }
--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
@@ -127,6 +127,19 @@
             }
         }
 
+        @Test
+        fun `with several first segments do not have sound ones refused, guarding against a common segment blamed for all of them`() {
+            for (seed in 1..SEEDS) {
+                fleetTest(seed, pattern = TrafficPattern(isHarmfulFirst = true, harmfulSegmentCount = 8, waitMs = 10L..30L)) { fleet ->
+                    fleet.runWaves(perWave = 20)
+                    fleet.run(harmfulShare = 0.0)
+
+                    val share = fleet.soundShareSentFirst(afterMs = 5 * HarmfulTrafficFleet.TRAFFIC_MS / 4)
+                    assertTrue(share >= MIN_SOUND_SHARE, "$share of the sound requests are sent, seed $seed")
+                }
+            }
+        }
+
         @Test
         fun `reach servers for as long as they come without a quarantine, as a replay of the same traffic shows`() {
             fleetTest(isEnabled = false) { fleet ->
