Test that a server is measured again after it was slower than the others, known red

Cause, shown in virtual time: the slowdown that is measured of a server multiplies its cost in the choice. A tenth above the lowest cost leaves it out while the others are not loaded, and without requests the slowdown is not measured again.

--- a/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/ServerFaultTest.kt
+++ b/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/ServerFaultTest.kt
@@ -1,6 +1,7 @@
 package org.lycheemount.scheduling
 
 import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Tag
 import org.lycheemount.common.BackendServerId
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -29,6 +30,25 @@
         }
     }
 
+    @Nested
+    inner class `a server that was slower than the others for a while` {
+        @Test
+        @Tag("known-red")
+        fun `gets its share of a light load again, guarding against an idle server that is never measured again`() {
+            for (speedFactor in listOf(0.8, 0.6, 0.45)) {
+                val other = FakeFleet(serverCount = 3)
+                other.speedFactors[faulty] = speedFactor
+                serve(10_000, other, intervalMs = LIGHT_INTERVAL_MS)
+                other.speedFactors[faulty] = 1.0
+                serve(15_000, other, intervalMs = LIGHT_INTERVAL_MS)
+
+                val afterwards = share(other) { serve(25_000, other, intervalMs = LIGHT_INTERVAL_MS) }
+
+                assertTrue(afterwards > 1.0 / 6, "share $afterwards of three servers after a speed of $speedFactor")
+            }
+        }
+    }
+
     @Nested
     inner class `a server that hangs` {
         @Test
@@ -85,16 +105,25 @@
 
     private fun serve(
         untilMs: Long,
+        fleet: FakeFleet = this.fleet,
+        intervalMs: Long = 60,
         onTick: (Long) -> Unit = {},
     ) = fleet.run(untilMs) { now ->
         onTick(now)
-        if (now % 60 == 0L) fleet.submit(item("r${next++}", arrivedAtMs = now))
+        if (now % intervalMs == 0L) fleet.submit(item("r${next++}", arrivedAtMs = now))
     }
 
-    private fun share(during: () -> Unit): Double {
+    private fun share(
+        fleet: FakeFleet = this.fleet,
+        during: () -> Unit,
+    ): Double {
         val before = HashMap(fleet.startedOn)
         during()
         val started = fleet.startedOn.mapValues { (id, count) -> count - (before[id] ?: 0) }
         return (started[faulty] ?: 0) / started.values.sum().toDouble()
     }
+
+    private companion object {
+        private const val LIGHT_INTERVAL_MS = 200L
+    }
 }
