Test permits of routers that do not know the last one, known red, and waves on a later segment

Result: SharedPromptQuarantineTest, 'are sent by any router when they are due': the second of two routers is refused 6 s after the first one's permit.

--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Tag
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
@@ -75,6 +76,19 @@
             }
         }
 
+        @Test
+        fun `stop reaching servers also if all crash together on a later segment, guarding against a wave when the quarantine ends`() {
+            for (seed in 1..SEEDS) {
+                fleetTest(seed, pattern = TrafficPattern(waitMs = 10L..30L)) { fleet ->
+                    fleet.runWaves(perWave = 20)
+
+                    val context = "seed $seed, crashes ${fleet.crashTimesMs}"
+                    assertTrue(fleet.lateHarmfulSends() <= MAX_LATE_SENDS, "${fleet.lateHarmfulSends()} late sends, $context")
+                    assertTrue(fleet.soundSentFirst >= fleet.soundCount / 2, "${fleet.soundSentFirst} of ${fleet.soundCount}, $context")
+                }
+            }
+        }
+
         @Test
         fun `stop reaching servers also if their crashes are noticed late, guarding against a wave that is counted wrongly`() {
             val patterns =
@@ -197,22 +211,44 @@
 
     @Nested
     inner class `requests with a first segment on which all servers have crashed together` {
+        private val first = SegmentId(50)
+
+        private fun reportCrashes(
+            fleet: HarmfulTrafficFleet,
+            router: PromptQuarantine,
+        ) {
+            for (number in 1..4) {
+                router.onAttemptBroken(fleet.endedServer(number), PromptSegments(listOf(first), SegmentId(100L + number)))
+            }
+        }
+
         @Test
         fun `are sent although they come seldom, guarding against a caller who is refused forever`() {
             fleetTest { fleet ->
                 val router = fleet.startRouter(0)
                 delay(CONTACT_MS)
-                val first = SegmentId(50)
-                for (number in 1..4) {
-                    router.onAttemptBroken(fleet.endedServer(number), PromptSegments(listOf(first), SegmentId(100L + number)))
-                }
-
+                reportCrashes(fleet, router)
                 delay(10 * CONTACT_MS)
 
                 assertNull(router.refusalToSend(PromptSegments(listOf(first), SegmentId(200))))
                 assertNotNull(router.refusalToSend(PromptSegments(listOf(first), SegmentId(201))))
             }
         }
+
+        @Test
+        @Tag("known-red")
+        fun `are sent by any router when they are due, guarding against a refusal by routers that do not know the last permit`() {
+            fleetTest { fleet ->
+                val routers = List(2) { fleet.startRouter(it) }
+                delay(CONTACT_MS)
+                reportCrashes(fleet, routers.first())
+                delay(CONTACT_MS)
+
+                assertNull(routers.first().refusalToSend(PromptSegments(listOf(first), SegmentId(200))))
+                delay(2 * CONTACT_MS)
+                assertNull(routers.last().refusalToSend(PromptSegments(listOf(first), SegmentId(201))))
+            }
+        }
     }
 
     @Nested
