--- a/process/common/src/main/kotlin/org/lycheemount/common/RefusalReason.kt
+++ b/process/common/src/main/kotlin/org/lycheemount/common/RefusalReason.kt
@@ -30,6 +30,7 @@
     TARGET_UNREACHABLE("target_unreachable", 503),
     DEADLINE_PAST("deadline_past", 503),
     NO_BACKEND_SERVER("no_backend_server", 503),
+    ZONES_EVACUATED("zones_evacuated", 503),
     STREAM_ORIGIN_UNKNOWN("stream_origin_unknown", 503),
     BACKEND_FAILED("backend_failed", 502),
     BACKEND_TIMEOUT("backend_timeout", 504),
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/AdmissionControl.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/AdmissionControl.kt
@@ -45,15 +45,29 @@
         )
     }
 
-    /** Returns the refusal of [item] if no live server may run it. */
-    fun noServerRefusal(item: WorkItem): Refusal {
+    /** Returns the refusal of [item] if none of the [servers] may run it. */
+    fun noServerRefusal(
+        item: WorkItem,
+        servers: Collection<ServerState>,
+        nowMs: Long,
+    ): Refusal {
+        if (servers.any { item.allows(it.server) && it.isClosedByEvacuation(nowMs) }) {
+            val evacuated = "all backend servers that could run the request are in evacuated zones"
+            return Refusal(RefusalReason.ZONES_EVACUATED, evacuated, jittered(NO_SERVER_RETRY_MS))
+        }
         val versions = item.allowedVersions?.joinToString { it.value }
         val detail = if (versions == null) "no backend server is live" else "no backend server of software version $versions is live"
         return Refusal(RefusalReason.NO_BACKEND_SERVER, detail, jittered(NO_SERVER_RETRY_MS))
     }
 
-    fun expiredRefusal(): Refusal =
-        Refusal(RefusalReason.TARGET_UNREACHABLE, "the request was queued for too long to meet its latency target", jittered(MIN_RETRY_MS))
+    /** Returns the refusal of a request whose time in the queue is over. */
+    fun expiredRefusal(isPastDeadline: Boolean): Refusal =
+        if (isPastDeadline) {
+            Refusal(RefusalReason.DEADLINE_PAST, "the deadline passed while the request was queued")
+        } else {
+            val detail = "the request was queued for too long to meet its latency target"
+            Refusal(RefusalReason.TARGET_UNREACHABLE, detail, jittered(MIN_RETRY_MS))
+        }
 
     private fun retryAfterMs(excessMs: Double) = jittered(excessMs.coerceIn(MIN_RETRY_MS.toDouble(), MAX_RETRY_MS.toDouble()).toLong())
 
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -4,8 +4,6 @@
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.BackendTarget
-import org.lycheemount.common.Refusal
-import org.lycheemount.common.RefusalReason
 import org.lycheemount.common.RequestId
 import org.lycheemount.common.WorkClassId
 import org.lycheemount.common.ZoneId
@@ -37,6 +35,7 @@
     private val started = HashMap<RequestId, StartedRequest>()
     private var lastSequence = 0L
     private var fleet: RouterFleet? = null
+    private var evacuatedZones = emptySet<ZoneId>()
 
     /** Whether a server has stopped taking requests since the queued requests were last checked for one that has not. */
     private var hasFewerServers = false
@@ -66,6 +65,15 @@
                 if (existing != null) hasFewerServers = true
             }
         }
+        onEvacuatedZones(evacuatedZones, nowMs)
+    }
+
+    override fun onEvacuatedZones(
+        zones: Set<ZoneId>,
+        nowMs: Long,
+    ) {
+        evacuatedZones = zones
+        servers.values.forEach { it.isEvacuated = it.server.zoneId in zones }
     }
 
     override fun submit(
@@ -74,7 +82,7 @@
     ): SubmitOutcome {
         val targetQueue = targetQueues.getOrPut(item.target) { TargetQueue(item.target, initialSpeeds) }
         val candidates = servers.values.openServers(nowMs) { item.allows(it.server) }
-        if (candidates.isEmpty()) return SubmitOutcome.Refused(admissionControl.noServerRefusal(item))
+        if (candidates.isEmpty()) return SubmitOutcome.Refused(admissionControl.noServerRefusal(item, servers.values, nowMs))
         val workClass = workClasses[item.workClassId] ?: defaultWorkClass(item.workClassId)
         val estimate = targetQueue.estimator.estimate(item, candidates.maxCachedTokens(item, nowMs))
         val serviceMs = targetQueue.estimator.expectedServiceMs(item, estimate)
@@ -259,13 +267,7 @@
             val dropAtMs = request.dropAtMs ?: error("request without a drop time in byDropTime")
             if (dropAtMs > nowMs) return
             dequeue(request)
-            val refusal =
-                if (request.isPastDeadline(nowMs)) {
-                    Refusal(RefusalReason.DEADLINE_PAST, "the deadline passed while the request was queued")
-                } else {
-                    admissionControl.expiredRefusal()
-                }
-            actions += SchedulerAction.Drop(request.item.requestId, refusal)
+            actions += SchedulerAction.Drop(request.item.requestId, admissionControl.expiredRefusal(request.isPastDeadline(nowMs)))
         }
     }
 
@@ -278,7 +280,7 @@
             servers.values.openServers(nowMs) { request.item.allows(it.server) }.isEmpty()
         }) {
             dequeue(request)
-            actions += SchedulerAction.Drop(request.item.requestId, admissionControl.noServerRefusal(request.item))
+            actions += SchedulerAction.Drop(request.item.requestId, admissionControl.noServerRefusal(request.item, servers.values, nowMs))
         }
     }
 
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/SchedulerStateDump.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/SchedulerStateDump.kt
@@ -40,6 +40,7 @@
     put("backendServerId", state.id.value)
     put("zoneId", state.server.zoneId.value)
     put("leaving", state.isLeaving(nowMs))
+    put("evacuated", state.isEvacuated)
     state.departure.statement?.let {
         put("saidToLeave", it.isLeaving)
         put("saidMsAgo", nowMs - it.asOfMs)
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerCandidates.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerCandidates.kt
@@ -20,7 +20,7 @@
     nowMs: Long,
 ): Double {
     val peerSlowdowns =
-        filter { it !== state && item.target in it.server.targets && !it.isLeaving(nowMs) }
+        filter { it !== state && item.target in it.server.targets && !it.isLeaving(nowMs) && !it.isEvacuated }
             .map { it.health.slowdown }
             .sorted()
     return if (peerSlowdowns.isEmpty()) Double.MAX_VALUE else peerSlowdowns[peerSlowdowns.size / 2]
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
@@ -35,6 +35,9 @@
     private var ownRequestsAtLastReport = 0
     private var wasOpen = true
 
+    /** Whether the operator has the zone of the server evacuated. */
+    var isEvacuated = false
+
     val id: BackendServerId get() = server.backendServerId
     val ownInFlight: Int get() = inFlight.size
 
@@ -47,7 +50,12 @@
     fun lastRequestsEndMs(nowMs: Long): Long? = if (server.leaving) null else departure.lastRequestsEndMs(nowMs)
 
     /** Whether the server may get new requests. If it [isLeaving], only those that no other server can take. */
-    fun isOpen(nowMs: Long): Boolean = !isLeaving(nowMs) || lastRequestsEndMs(nowMs) != null
+    fun isOpen(nowMs: Long): Boolean = !isEvacuated && staysOrTakesLastRequests(nowMs)
+
+    /** Whether the server would be open if its zone were not evacuated. */
+    fun isClosedByEvacuation(nowMs: Long): Boolean = isEvacuated && staysOrTakesLastRequests(nowMs)
+
+    private fun staysOrTakesLastRequests(nowMs: Long) = !isLeaving(nowMs) || lastRequestsEndMs(nowMs) != null
 
     /** Whether the server is no longer open but was so at the last call. */
     fun hasClosed(nowMs: Long): Boolean {
