--- a/process/platform/src/main/kotlin/org/lycheemount/platform/RowListener.kt
+++ b/process/platform/src/main/kotlin/org/lycheemount/platform/RowListener.kt
@@ -8,6 +8,9 @@
     /** Called with changed rows in order of change. */
     fun onChangedRows(rows: List<StoreRow>)
 
+    /** Called after [onAllRows] and [onChangedRows], with the version of the store up to which all changes have been passed on. */
+    fun onCurrent(version: Long) {}
+
     /** Called after each successful call to the store, after the rows that it returned were passed on. */
     fun onResponded()
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/WorkDispatcher.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/WorkDispatcher.kt
@@ -8,8 +8,10 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.add
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
 import org.lycheemount.backend.AttemptFailure
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
@@ -18,6 +20,7 @@
 import org.lycheemount.common.RefusalReason
 import org.lycheemount.common.RequestId
 import org.lycheemount.common.StateDumpSource
+import org.lycheemount.common.ZoneId
 import org.lycheemount.config.WorkClass
 import org.lycheemount.scheduling.CacheEvents
 import org.lycheemount.scheduling.FailureKind
@@ -43,6 +46,7 @@
     private val queuedPermits = HashMap<RequestId, CompletableDeferred<AttemptPermit>>()
     private val wakeUp = Channel<Unit>(Channel.CONFLATED)
     private var servers = emptyMap<BackendServerId, BackendServer>()
+    private var evacuatedZones = emptySet<ZoneId>()
     private var workClasses: Map<out Any, WorkClass> = emptyMap<Any, WorkClass>()
     private var nextWakeUpAtMs = Long.MAX_VALUE
 
@@ -136,6 +140,13 @@
     /** Passes a server's statement about a pause to the scheduler. */
     fun onPause(statement: PauseStatement) = withScheduler { nowMs -> scheduler.onPause(statement, nowMs) }
 
+    /** Replaces the evacuated zones. */
+    fun onEvacuatedZones(zones: Set<ZoneId>) =
+        withScheduler { nowMs ->
+            evacuatedZones = zones
+            scheduler.onEvacuatedZones(zones, nowMs)
+        }
+
     /** Replaces the routers that share the request limits of servers. */
     fun onRouterFleet(fleet: RouterFleet) = withScheduler { nowMs -> scheduler.onRouterFleet(fleet, nowMs) }
 
@@ -162,6 +173,10 @@
         return listed.vmId != server.vmId || listed.softwareVersion != server.softwareVersion
     }
 
+    /** Whether no request may be sent to [server] because its zone is evacuated. */
+    @Synchronized
+    fun isEvacuated(server: BackendServer): Boolean = server.zoneId in evacuatedZones
+
     /** Whether [backendServerId] is no longer in the VM list. */
     @Synchronized
     fun isGone(backendServerId: BackendServerId): Boolean = backendServerId !in servers
@@ -172,6 +187,7 @@
             put("waitingRequests", queuedPermits.size)
             put("backendServers", servers.size)
             put("leavingBackendServers", servers.values.count { it.leaving })
+            putJsonArray("evacuatedZones") { evacuatedZones.forEach { add(it.value) } }
         }
 
     private fun withScheduler(operation: (Long) -> Unit) {
@@ -204,14 +220,14 @@
     @Synchronized
     private fun untilNextWakeUpMs(): Long? =
         nextWakeUpAtMs.takeIf { it != Long.MAX_VALUE }?.let { (it - clock.monotonicMs()).coerceAtLeast(0) }
-
-    private fun failureKind(failure: AttemptFailure): FailureKind =
-        when (failure) {
-            AttemptFailure.CONNECT_FAILED -> FailureKind.CONNECT_FAILED
-            AttemptFailure.REFUSED_BUSY -> FailureKind.REFUSED_BUSY
-            AttemptFailure.REFUSED_LEAVING -> FailureKind.REFUSED_LEAVING
-            AttemptFailure.TIMED_OUT -> FailureKind.TIMED_OUT
-            AttemptFailure.BROKEN_CONNECTION -> FailureKind.BROKEN_STREAM
-            AttemptFailure.SERVER_ERROR -> FailureKind.SERVER_ERROR
-        }
 }
+
+private fun failureKind(failure: AttemptFailure): FailureKind =
+    when (failure) {
+        AttemptFailure.CONNECT_FAILED -> FailureKind.CONNECT_FAILED
+        AttemptFailure.REFUSED_BUSY -> FailureKind.REFUSED_BUSY
+        AttemptFailure.REFUSED_LEAVING -> FailureKind.REFUSED_LEAVING
+        AttemptFailure.TIMED_OUT -> FailureKind.TIMED_OUT
+        AttemptFailure.BROKEN_CONNECTION -> FailureKind.BROKEN_STREAM
+        AttemptFailure.SERVER_ERROR -> FailureKind.SERVER_ERROR
+    }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -87,9 +87,11 @@
         quarantineRefusal()?.let { return AttemptPermit.Refused(it) }
         val permit = acquireServer()
         // Other routers may have learned meanwhile that servers crash on this prompt.
-        val refusal = request.prompt?.let { services.quarantine.refusalToSend(it) } ?: return permit
+        val refusal = request.prompt?.let { services.quarantine.refusalToSend(it) }
+        // Asking them may take the time of a call to the table, in which the zone of the server may have been evacuated.
+        if (refusal == null && isUsable(permit)) return permit
         services.dispatcher.cancel(request.requestId)
-        return AttemptPermit.Refused(refusal)
+        return if (refusal == null) acquireServer() else AttemptPermit.Refused(refusal)
     }
 
     /** Returns why this request must not be sent to any server, or null. */
@@ -115,7 +117,8 @@
         try {
             while (true) {
                 val permit = services.dispatcher.acquire(workItem())
-                if (permit !is AttemptPermit.Granted || !services.dispatcher.isReplaced(permit.server)) return permit
+                val isReplaced = permit is AttemptPermit.Granted && services.dispatcher.isReplaced(permit.server)
+                if (!isReplaced && isUsable(permit)) return permit
                 services.dispatcher.cancel(request.requestId)
             }
         } finally {
@@ -125,6 +128,8 @@
         }
     }
 
+    private fun isUsable(permit: AttemptPermit) = permit !is AttemptPermit.Granted || !services.dispatcher.isEvacuated(permit.server)
+
     /**
      * Sends the request to [server] once and passes the response to [onResponse].
      *
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/FakeScheduler.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/FakeScheduler.kt
@@ -5,6 +5,7 @@
 import org.lycheemount.common.RefusalReason
 import org.lycheemount.common.RequestId
 import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
 import org.lycheemount.config.WorkClass
 import org.lycheemount.scheduling.CacheEvents
 import org.lycheemount.scheduling.LeavingStatement
@@ -21,6 +22,7 @@
     private var servers = emptyList<BackendServer>()
     private val queued = mutableListOf<WorkItem>()
     private var leavingRuns = emptySet<VmId>()
+    private var evacuatedZones = emptySet<ZoneId>()
     private val pauseEndsMs = HashMap<VmId, Long>()
 
     /** While true, requests remain queued. */
@@ -77,6 +79,13 @@
         pauseEndsMs[statement.vmId] = statement.endsAtMs
     }
 
+    override fun onEvacuatedZones(
+        zones: Set<ZoneId>,
+        nowMs: Long,
+    ) {
+        evacuatedZones = zones
+    }
+
     override fun onCacheEvents(
         events: CacheEvents,
         nowMs: Long,
@@ -95,6 +104,7 @@
         item: WorkItem,
         nowMs: Long,
     ) = servers.firstOrNull {
-        !it.leaving && it.vmId !in leavingRuns && nowMs >= pauseEndsMs.getOrDefault(it.vmId, nowMs) && item.allows(it)
+        !it.leaving && it.vmId !in leavingRuns && it.zoneId !in evacuatedZones &&
+            nowMs >= pauseEndsMs.getOrDefault(it.vmId, nowMs) && item.allows(it)
     }
 }
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RecordingQuarantine.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RecordingQuarantine.kt
@@ -20,8 +20,14 @@
     @Volatile
     var refusesAfterBrokenAttempts = 0
 
+    /** Called while a request waits for permission to be sent. */
+    @Volatile
+    var whileAskedToSend: () -> Unit = {}
+
     override val quarantinedCount = 0
 
+    override suspend fun refusalToSend(prompt: PromptSegments): Refusal? = refusalFor(prompt).also { whileAskedToSend() }
+
     override fun refusalFor(prompt: PromptSegments): Refusal? =
         Refusal(RefusalReason.PROMPT_QUARANTINED, "test").takeIf {
             refusedSegment in prompt.all && brokenPrompts.size >= refusesAfterBrokenAttempts
