Follow the rows of evacuations in the gateway, and tell peers of them

The gateway reads the rows evacuate/ZONE from the feed that brings the configuration, before the configuration itself, so that it knows them when it becomes ready.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -78,6 +78,8 @@
     private val statementExchange = PeerStatementExchange(peers.messenger, clock, eventLog, peers::tableTimeOffsetMs)
     private val serverStatements =
         ServerStatements(dispatcher, clock, eventLog, statementExchange::announce, statementExchange::announceLeaving)
+    private val evacuationExchange = PeerEvacuationExchange(peers.messenger, clock, eventLog)
+    private val evacuations = ZoneEvacuationState(dispatcher, clock, eventLog, evacuationExchange::announce)
     private val budgets =
         createBudgetLedgerModule(
             table,
@@ -92,6 +94,9 @@
     private val budgetLimits =
         BudgetLimitUpdater(createBudgetLimitWriter(table) { "limits-${UUID.randomUUID()}" }, budgets.maintenance, configuration, eventLog)
     private val configurationListener = ConfigurationRowListener(configuration, clock, eventLog, budgetLimits::onConfigurationChanged)
+
+    // Evacuations come first: a router is ready once it has the configuration.
+    private val operatorRowListener = CombinedRowListener(ZoneEvacuationRowListener(evacuations, eventLog), configurationListener)
     private val quarantine =
         SharedPromptQuarantine(
             createRowTableService(store, QUARANTINE_TABLE_NAME),
@@ -115,6 +120,7 @@
             registerBudgetMetrics(it, budgets)
             registerConfigurationMetrics(it, configurationLag)
             registerOriginMetrics(it, streamOrigins)
+            registerEvacuationMetrics(it, evacuations)
         }
     private val metricsHandler = MetricsHandler(metricsRegistry)
     private val routedInterface = RoutedRequestHandler(routedServices())
@@ -141,9 +147,10 @@
     fun start() {
         dispatcher.start(scope)
         budgetLimits.start(scope)
-        scope.launch { operatorRowWatcher.watch(configurationListener) }
+        scope.launch { operatorRowWatcher.watch(operatorRowListener) }
         scope.launch { createServerRowWatcher(store).watch(serverListener) }
         statementExchange.start(scope, serverStatements)
+        evacuationExchange.start(scope, evacuations)
         peers.start(scope)
         quarantine.start(scope)
         streamOrigins.start(scope)
@@ -243,6 +250,7 @@
     private fun onBackendServers(servers: List<BackendServer>) {
         streamOrigins.onBackendServers(servers)
         serverStatements.onBackendServers(servers)
+        evacuations.onBackendServers(servers)
     }
 
     private fun routerVm() =
--- /dev/null
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ZoneEvacuationRowListener.kt
@@ -0,0 +1,93 @@
+package org.lycheemount.app.router.gateway
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.onFailure
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.ZoneId
+import org.lycheemount.platform.RowListener
+import org.lycheemount.platform.StoreRow
+import org.lycheemount.platform.adapter.checkEvacuationValue
+import org.lycheemount.platform.adapter.decodeEvacuationKey
+import org.lycheemount.platform.adapter.isEvacuationKey
+
+/** Follows the operator's rows by which zones are evacuated. */
+internal class ZoneEvacuationRowListener(
+    private val evacuations: ZoneEvacuationState,
+    private val eventLog: EventLog,
+) : RowListener {
+    /** Zones of all rows, between the read of the whole table and the version that it has; null otherwise. */
+    private var listed: Set<ZoneId>? = null
+
+    /** Keys of rows that have been logged as invalid. */
+    private val invalidKeys = HashSet<String>()
+
+    override fun onAllRows(rows: List<StoreRow>) {
+        invalidKeys.retainAll(rows.mapTo(HashSet()) { it.key })
+        listed = rows.filter { it.value != null }.mapNotNullTo(HashSet()) { zoneOf(it) }
+        onChangedRows(rows)
+    }
+
+    override fun onChangedRows(rows: List<StoreRow>) {
+        for (row in rows) {
+            val zoneId = zoneOf(row) ?: continue
+            row.value?.let { checkValue(row.key, it) } ?: invalidKeys.remove(row.key)
+            evacuations.onRow(zoneId, isEvacuated = row.value != null, row.version)
+        }
+    }
+
+    override fun onCurrent(version: Long) {
+        evacuations.onCurrent(version, listed)
+        listed = null
+    }
+
+    /** The listener of the configuration, which follows the same rows, logs the state of the store. */
+    override fun onResponded() = Unit
+
+    override fun onFailed(detail: String) = Unit
+
+    private fun zoneOf(row: StoreRow): ZoneId? {
+        if (!isEvacuationKey(row.key)) return null
+        return decodeEvacuationKey(row.key).fold(
+            { it },
+            {
+                if (row.value == null) {
+                    invalidKeys.remove(row.key)
+                } else if (invalidKeys.add(row.key)) {
+                    eventLog.warn("evacuation_key_invalid", "key" to row.key.take(MAX_LOGGED_CHARS), "error" to it)
+                }
+                null
+            },
+        )
+    }
+
+    /** The zone in the key counts, whatever the value. */
+    private fun checkValue(
+        key: String,
+        value: ByteArray,
+    ) {
+        checkEvacuationValue(value).onFailure {
+            if (invalidKeys.add(key)) eventLog.warn("evacuation_unreadable", "key" to key, "error" to it.take(MAX_LOGGED_CHARS))
+        }
+    }
+
+    private companion object {
+        private const val MAX_LOGGED_CHARS = 160
+    }
+}
+
+/** Passes the operator's rows to several [listeners] in their order. */
+internal class CombinedRowListener(
+    private vararg val listeners: RowListener,
+) : RowListener {
+    override fun onAllRows(rows: List<StoreRow>) = listeners.forEach { it.onAllRows(rows) }
+
+    override fun onChangedRows(rows: List<StoreRow>) = listeners.forEach { it.onChangedRows(rows) }
+
+    override fun onCurrent(version: Long) = listeners.forEach { it.onCurrent(version) }
+
+    override fun onResponded() = listeners.forEach { it.onResponded() }
+
+    override fun onFailed(detail: String) = listeners.forEach { it.onFailed(detail) }
+
+    override val nextCallWithinMs: Long? get() = listeners.mapNotNull { it.nextCallWithinMs }.minOrNull()
+}
