Test evacuations over sockets, their rows and the messages of peers

The first run of these tests showed that a peer whose messages cannot be read causes one log line for each message; now it causes one for each run of the peer. Servers of evacuated zones no longer count as available in lycheemount_backend_servers.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/PeerEvacuationExchange.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/PeerEvacuationExchange.kt
@@ -15,6 +15,7 @@
 import org.lycheemount.peer.PeerMessenger
 import org.lycheemount.platform.adapter.MAX_ZONE_NAME_CHARS
 import org.lycheemount.scheduling.ZoneStatement
+import java.util.concurrent.ConcurrentHashMap
 
 /**
  * Tells the other routers which zones are evacuated, for those that cannot read it in the store: each change, all that is known to a router
@@ -25,6 +26,9 @@
     private val clock: Clock,
     private val eventLog: EventLog,
 ) {
+    /** Peers of which an unreadable message has been logged. */
+    private val rejectedPeers: MutableSet<RouterIdentity> = ConcurrentHashMap.newKeySet()
+
     /** Passes what peers tell to [evacuations], and tells routers to which a link has opened what it knows. */
     fun start(
         scope: CoroutineScope,
@@ -86,7 +90,9 @@
         from: RouterIdentity,
         error: String?,
     ): List<ZoneStatement>? {
-        eventLog.warn("peer_statement_unreadable", "channel" to channel.value, "peer" to from.routerId.value, "error" to error)
+        if (rejectedPeers.add(from)) {
+            eventLog.warn("peer_statement_unreadable", "channel" to channel.value, "peer" to from.routerId.value, "error" to error)
+        }
         return null
     }
 
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
@@ -48,6 +48,7 @@
     /** One more backend server, registered as [id], which responds to requests for `/plain/`. */
     inner class AdditionalServer(
         id: String,
+        zone: String = DEFAULT_ZONE,
     ) {
         /** Whether its responses say that it leaves. */
         @Volatile
@@ -68,7 +69,7 @@
             }.start(wait = false)
 
         init {
-            store.registerServer(id, "127.0.0.1:${portOf(server)}")
+            store.registerServer(id, "127.0.0.1:${portOf(server)}", zone = zone)
             additionalServers += this
         }
 
@@ -110,7 +111,7 @@
         routerId = RouterId("r$index"),
         vmId = VmId("vm$index"),
         regionId = RegionId("region"),
-        zoneId = ZoneId("z"),
+        zoneId = ZoneId(DEFAULT_ZONE),
         callersAddress = freeAddress(),
         readinessAddress = freeAddress(),
         metricsAddress = freeAddress(),
@@ -120,6 +121,12 @@
         retryBudget = RetryBudgetSettings(ratio = 0.2, slack = 10.0, windowS = 10.0),
     )
 
+    /** Writes the operator's row by which the zone [zone] is evacuated. */
+    fun evacuate(zone: String) = store.put("op", "evacuate/$zone", "{}")
+
+    /** Removes the operator's row by which the zone [zone] is evacuated. */
+    fun endEvacuation(zone: String) = store.put("op", "evacuate/$zone", value = null)
+
     /** From now on, the store does not respond. */
     fun silenceStore() {
         store.isSilent = true
@@ -164,6 +171,7 @@
     private fun freeAddress() = ServerSocket(0, 1, InetAddress.getByName(LISTENER_HOST)).use { "$LISTENER_HOST:${it.localPort}" }
 
     private companion object {
+        private const val DEFAULT_ZONE = "z"
         private const val VERSIONED_SERVICE = "versioned"
         private const val EVENT_INTERVAL_MS = 50L
         private const val NANOS_PER_MS = 1_000_000L
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
@@ -64,7 +64,9 @@
         fun countServers(condition: (BackendServer) -> Boolean) = dispatcher.backendServers().count(condition).toDouble()
 
         fun isLeaving(server: BackendServer) = server.leaving || serverStatements.hasSaidToLeave(server)
-        gauge(registry, "lycheemount_backend_servers", "Backend servers available for requests.") { countServers { !isLeaving(it) } }
+        gauge(registry, "lycheemount_backend_servers", "Backend servers available for requests.") {
+            countServers { !isLeaving(it) && !dispatcher.isEvacuated(it) }
+        }
         gauge(registry, "lycheemount_backend_servers_leaving", "Backend servers that are leaving.") { countServers(::isLeaving) }
         gauge(registry, "lycheemount_backend_servers_leaving_stated", "Backend servers that have said in a response that they leave.") {
             countServers(serverStatements::hasSaidToLeave)
