Read load reports with more than three figures

Seen in the code: PlatformRequestDialect takes X-Server-Load with exactly three figures and drops the report otherwise. Servers of some services add a fourth, the time that work takes at this moment. Routers then know neither load nor capacity of these servers. Change: three figures or more are a report. The fourth becomes WorkTimeFactor, a value from 0.1 to 100; nothing uses it yet. If it cannot be used, only it is dropped, with one log line for each server (server_work_time_out_of_range). Further figures are ignored.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -162,7 +162,7 @@
                     if (!received.isLeaving && response.head.httpStatus in SUCCESS_STATUSES) {
                         services.serverStatements.onOtherResponse(server, sentAtMs)
                     }
-                    handleResponse(response, received, onResponse)
+                    handleResponse(server, response, received, onResponse)
                 }
             } catch (failure: TruncatedResponseException) {
                 throw failure
@@ -194,11 +194,13 @@
     }
 
     private suspend fun handleResponse(
+        server: BackendServer,
         response: PassThroughResponse,
         metadata: ResponseMetadata,
         onResponse: suspend (PassThroughResponse) -> AttemptOutcome,
     ): AttemptOutcome {
         metadata.load?.let { services.dispatcher.onLoadReport(it) }
+        metadata.unusableWorkTimeText?.let { services.serverStatements.onUnusableWorkTime(server, it) }
         metadata.notRun?.let {
             discardBody(response)
             return AttemptOutcome.Failed(it)
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
@@ -85,6 +85,7 @@
  * @property notRun the failure when the server reports that it did not run the request, else null.
  * @property hasNotRunStatus whether callers take the status as a promise that the request did not run, also without [notRun].
  * @property load null when the server does not report its load.
+ * @property unusableWorkTimeText the figure in [load] for the time that work takes, as the server wrote it, if it cannot be used.
  * @property requestLimitText the rate of requests that the server takes from all routers together, as it wrote it; null if it names none.
  * @property isLeaving whether the server says that it is about to shut down.
  * @property pauseText seconds for which the server, which turns the request away, wants no other one from this router, as it wrote them;
@@ -95,6 +96,7 @@
     val notRun: AttemptFailure?,
     val hasNotRunStatus: Boolean,
     val load: LoadReport?,
+    val unusableWorkTimeText: String? = null,
     val requestLimitText: String? = null,
     val isLeaving: Boolean = false,
     val pauseText: String? = null,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
@@ -81,6 +81,13 @@
         return pauseS?.let { (minOf(it, MAX_PAUSE_S) * MS_PER_SECOND).toLong() }
     }
 
+    /** A load report of [server] has [text] for the time that work takes. Logged once for each server; the other figures are used. */
+    @Synchronized
+    fun onUnusableWorkTime(
+        server: BackendServer,
+        text: String,
+    ) = warnOnce(UnreadableStatement(server.backendServerId, WORK_TIME_OUT_OF_RANGE), text, used = null)
+
     /** The head of a response of [server] says that it leaves. */
     @Synchronized
     fun onLeavingResponse(server: BackendServer) {
@@ -212,6 +219,7 @@
         private const val SOURCE_RESPONSE = "response"
         private const val LIMIT_OUT_OF_RANGE = "server_limit_out_of_range"
         private const val PAUSE_OUT_OF_RANGE = "server_pause_out_of_range"
+        private const val WORK_TIME_OUT_OF_RANGE = "server_work_time_out_of_range"
 
         // A server that takes nothing must still be asked now and then, since only its responses tell when it takes requests again.
         private const val MIN_REQUESTS_PER_S = 0.1
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerStatementsTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerStatementsTest.kt
@@ -106,6 +106,17 @@
         }
     }
 
+    @Nested
+    inner class `an unusable time that work takes` {
+        @Test
+        fun `is logged once for a server, guarding against a line for each response`() {
+            repeat(1_000) { statements.onUnusableWorkTime(server("vm1"), "fast") }
+
+            val lines = eventLog.events.filter { it.first == "server_work_time_out_of_range" }.map { it.second }
+            assertEquals(listOf("s1" to "fast"), lines.map { it["server"] to it["text"] })
+        }
+    }
+
     @Nested
     inner class `a pause` {
         private val pauses get() = eventLog.events.filter { it.first == "server_pause" }.map { it.second["pause_ms"] }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/LoadReport.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/LoadReport.kt
@@ -7,6 +7,7 @@
  *
  * @property ageMs age of the figures when they arrived.
  * @property capacity concurrent requests that the server can run.
+ * @property workTime how long work takes on the server's machine when the report was made; null if the server does not say.
  */
 data class LoadReport(
     val backendServerId: BackendServerId,
@@ -14,4 +15,5 @@
     val runningRequests: Int,
     val queuedRequests: Int,
     val capacity: Int,
+    val workTime: WorkTimeFactor? = null,
 )
