Choose servers by the speed that they report for the moment

Case: servers that share their machine with others take 2.5 times as long for 600 ms at a time, 15 in 100 of the time, and say so in the fourth figure of X-Server-Load. Change: MomentarySpeed keeps the last figure, which decays to the usual time by 300 ms, the mean rest of such a spell. ServerSelector multiplies the time of a request on the server by it. The state dump shows it as workTimePermille. Servers that report three figures are chosen as before. The tests of request/scheduling pass.

--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/SchedulerStateDump.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/SchedulerStateDump.kt
@@ -47,6 +47,7 @@
     put("healthy", state.health.isHealthy())
     state.health.probeAtMs()?.let { put("probeInMs", it - nowMs) }
     put("slownessPermille", (state.health.slowdown * PERMILLE).toInt())
+    put("workTimePermille", (state.momentarySpeed.workTimeFactor(nowMs) * PERMILLE).toInt())
     put("ownRequests", state.ownInFlight)
     put("windowRequests", state.concurrencyLimit.windowRequests)
     put("capacityRequests", state.concurrencyLimit.capacityRequests)
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerSelector.kt
@@ -119,7 +119,7 @@
         val zoneMs = if (state.server.zoneId == zoneId) 0.0 else OTHER_ZONE_MS
         // Ignores the past slowdown of a server on probation, which would keep all probes away from it.
         val slowdown = if (state.health.isHealthy()) state.health.measuredSlowdown.costFactor else 1.0
-        val timeMs = estimate.firstTokenMs + queueMs + interferenceMs + loadMs
+        val timeMs = state.momentarySpeed.workTimeFactor(nowMs) * (estimate.firstTokenMs + queueMs + interferenceMs + loadMs)
         val otherCostMs = zoneMs - preferenceMs
         return ScoredServer(state, matchedBlocks, slowdown * timeMs + otherCostMs, timeMs + otherCostMs)
     }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
@@ -21,6 +21,7 @@
     val requestLimit = RequestLimit()
     val departure = ServerDeparture()
     val pause = ServerPause()
+    val momentarySpeed = MomentarySpeed()
     private val inFlight = LinkedHashMap<RequestId, StartedRequest>()
     private var lastProgressAtMs = Long.MIN_VALUE
 
@@ -104,6 +105,7 @@
     ): Boolean {
         if (!reportedLoad.onReport(report, nowMs)) return false
         ownRequestsAtLastReport = ownInFlight
+        report.workTime?.let { momentarySpeed.onReport(it, nowMs - report.ageMs) }
         reportedLoad.capacity?.let {
             concurrencyLimit.onReport(reportedLoad.totalRequestsAtReport, reportedLoad.ownRequestsAtReport, it, fleetShare)
         }
