--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -200,6 +200,10 @@
         onResponse: suspend (PassThroughResponse) -> AttemptOutcome,
     ): AttemptOutcome {
         metadata.load?.let { services.dispatcher.onLoadReport(it) }
+        metadata.load?.workTime?.let {
+            metrics.onWorkTime(it)
+            services.serverStatements.onWorkTime(server, it)
+        }
         metadata.unusableWorkTimeText?.let { services.serverStatements.onUnusableWorkTime(server, it) }
         metadata.notRun?.let {
             discardBody(response)
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
@@ -10,6 +10,7 @@
 import org.lycheemount.config.ConfigurationView
 import org.lycheemount.config.RouteKind
 import org.lycheemount.quarantine.PromptQuarantine
+import org.lycheemount.scheduling.WorkTimeFactor
 
 /** Metrics of routed requests. Label values are bounded: none of them is chosen freely by callers. */
 internal class RoutedMetrics(
@@ -56,6 +57,14 @@
             .labelNames("framing", "end")
             .register(registry)
 
+    private val workTimes: Counter =
+        Counter
+            .builder()
+            .name("lycheemount_routed_work_time_reports_total")
+            .help("Load reports of servers that say how long work takes at the moment, by whether it takes longer than usual.")
+            .labelNames("work_time")
+            .register(registry)
+
     init {
         gauge(registry, "lycheemount_configuration_sequence", "Version of the active configuration.") {
             configuration.current().sequence.toDouble()
@@ -106,6 +115,9 @@
         result: String,
     ) = attempts.labelValues(labelOf(kind), result).inc()
 
+    /** Records a load report that says how long work takes. */
+    fun onWorkTime(workTime: WorkTimeFactor) = workTimes.labelValues(if (workTime.ratio >= SLOW_RATIO) "slow" else "usual").inc()
+
     /** Records the end of a relayed stream; [end] is "complete" or "cut". */
     fun onStreamEnd(
         framing: BodyFraming,
@@ -148,5 +160,8 @@
 
     private companion object {
         private const val MS_PER_SECOND = 1_000.0
+
+        /** Work time, as a multiple of the usual, from which a report counts as slow. */
+        private const val SLOW_RATIO = 1.5
     }
 }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
@@ -9,6 +9,7 @@
 import org.lycheemount.scheduling.LeavingStatement
 import org.lycheemount.scheduling.PauseStatement
 import org.lycheemount.scheduling.RequestLimitStatement
+import org.lycheemount.scheduling.WorkTimeFactor
 import kotlin.random.Random
 
 /**
@@ -28,6 +29,7 @@
     /** Includes limits that have ended, so that an older message of a peer does not bring them back. */
     private val limits = HashMap<BackendServerId, RequestLimitStatement>()
     private val unreadable = HashSet<UnreadableStatement>()
+    private val workTimeReporters = HashSet<BackendServerId>()
     private val leavingServers = LeavingServers()
     private val pauses = HashMap<BackendServerId, PauseStatement>()
 
@@ -46,6 +48,7 @@
         val nowMs = clock.monotonicMs()
         leavingServers.forgetGone(current, nowMs)
         pauses.values.removeIf { it.endsAtMs <= nowMs }
+        workTimeReporters.retainAll(current.mapTo(HashSet()) { it.backendServerId })
         dispatcher.onBackendServers(current, leavingServers.statements, pauses.values)
     }
 
@@ -81,6 +84,16 @@
         return pauseS?.let { (minOf(it, MAX_PAUSE_S) * MS_PER_SECOND).toLong() }
     }
 
+    /** A load report of [server] says how long work takes. Logged once while the server is listed, as it changes many times a second. */
+    @Synchronized
+    fun onWorkTime(
+        server: BackendServer,
+        workTime: WorkTimeFactor,
+    ) {
+        if (!workTimeReporters.add(server.backendServerId)) return
+        eventLog.info("server_work_time", "server" to server.backendServerId.value, "ratio" to workTime.ratio)
+    }
+
     /** A load report of [server] has [text] for the time that work takes. Logged once for each server; the other figures are used. */
     @Synchronized
     fun onUnusableWorkTime(
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerStatementsTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerStatementsTest.kt
@@ -8,6 +8,7 @@
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
 import org.lycheemount.scheduling.RequestLimitStatement
+import org.lycheemount.scheduling.WorkTimeFactor
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.testing.FakeClock
 import org.lycheemount.testing.FakeEventLog
@@ -106,6 +107,16 @@
         }
     }
 
+    @Nested
+    inner class `a time that work takes` {
+        @Test
+        fun `is logged once while the server is listed, guarding against a line for each change`() {
+            for (hundredths in 100..600) statements.onWorkTime(server("vm1"), WorkTimeFactor.ofHundredths(hundredths.toDouble())!!)
+
+            assertEquals(listOf<Any?>(1.0), eventLog.events.filter { it.first == "server_work_time" }.map { it.second["ratio"] })
+        }
+    }
+
     @Nested
     inner class `an unusable time that work takes` {
         @Test
