--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -167,7 +167,7 @@
                     if (!received.isLeaving && response.head.httpStatus in SUCCESS_STATUSES) {
                         services.serverStatements.onOtherResponse(server, sentAtMs)
                     }
-                    handleResponse(response, received, onResponse)
+                    handleResponse(server, response, received, onResponse)
                 }
             } catch (failure: TruncatedResponseException) {
                 throw failure
@@ -199,11 +199,17 @@
     }
 
     private suspend fun handleResponse(
+        server: BackendServer,
         response: PassThroughResponse,
         metadata: ResponseMetadata,
         onResponse: suspend (PassThroughResponse) -> AttemptOutcome,
     ): AttemptOutcome {
         metadata.load?.let { services.dispatcher.onLoadReport(it) }
+        metadata.load?.workTime?.let {
+            metrics.onWorkTime(it)
+            services.serverStatements.onWorkTime(server, it)
+        }
+        metadata.unusableWorkTimeText?.let { services.serverStatements.onUnusableWorkTime(server, it) }
         metadata.notRun?.let {
             discardBody(response)
             return AttemptOutcome.Failed(it)
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerStatementsTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerStatementsTest.kt
@@ -8,6 +8,7 @@
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
 import org.lycheemount.scheduling.RequestLimitStatement
+import org.lycheemount.scheduling.WorkTimeFactor
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.testing.FakeClock
 import org.lycheemount.testing.FakeEventLog
@@ -106,6 +107,27 @@
         }
     }
 
+    @Nested
+    inner class `a time that work takes` {
+        @Test
+        fun `is logged once while the server is listed, guarding against a line for each change`() {
+            for (hundredths in 100..600) statements.onWorkTime(server("vm1"), WorkTimeFactor.ofHundredths(hundredths.toDouble())!!)
+
+            assertEquals(listOf<Any?>(1.0), eventLog.events.filter { it.first == "server_work_time" }.map { it.second["ratio"] })
+        }
+    }
+
+    @Nested
+    inner class `an unusable time that work takes` {
+        @Test
+        fun `is logged once for a server, guarding against a line for each response`() {
+            repeat(1_000) { statements.onUnusableWorkTime(server("vm1"), "fast") }
+
+            val lines = eventLog.events.filter { it.first == "server_work_time_out_of_range" }.map { it.second }
+            assertEquals(listOf("s1" to "fast"), lines.map { it["server"] to it["text"] })
+        }
+    }
+
     @Nested
     inner class `a pause` {
         private val pauses get() = eventLog.events.filter { it.first == "server_pause" }.map { it.second["pause_ms"] }
