Bound what a caller's connection makes the HTTP decoder hold and decode

Cause: a caller could send requests ahead without end, heads, request lines, empty lines or trailers without end, and bodies in one-byte chunks; Netty decodes all that it reads and closes nothing.

Change: a handler in front of the codec holds bytes undecoded (4 KB, and one buffer of 4 KB) until the response to the request before is written, and is read up to that amount so that the close of a caller is noticed. The codec decodes one message per call; Netty's HttpServerCodec is final and decodes whole buffers, so it is replaced by one of the same decoder and encoder. Bytes that complete no message are counted and refused with 431 above the limit, a malformed head with 400, a head that is not complete in time with 408; a body that is being read counts as malformed instead. Small parts of a body are joined. Time in which the process stood still does not count.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -33,7 +33,19 @@
     /** Whether a response was cut, so that the connection is closed once what was written before is sent. */
     private var isCut = false
     private var requestsInProgress = 0
-    private var isReadingBody = false
+
+    /** Whether the body of a request has not been read to its end. */
+    var isReadingBody = false
+        private set
+
+    /** Called when a response has been written. */
+    var onResponseWritten: () -> Unit = {}
+
+    /** Whether a request has not got its whole response. */
+    val isInProgress: Boolean get() = requestsInProgress > 0
+
+    /** Whether a request has been read to its end and has not got its whole response. */
+    val isAwaitingResponse: Boolean get() = isInProgress && !isReadingBody
     private var closesOnceIdle = false
     private var idleSinceNs = System.nanoTime()
     private var idleCheck: Future<*>? = null
@@ -98,7 +110,7 @@
         if (message is LastHttpContent && !isInterim(message)) {
             // The engine creates a message that is a whole response by itself, for example for an error before the head is sent.
             if (message !is HttpResponse && currentResponse?.isSent == false) return closeInPlaceOf(message, promise)
-            promise.unvoid().addListener { onResponseWritten() }
+            promise.unvoid().addListener { completeRequest() }
         }
         context.write(message, promise)
     }
@@ -138,10 +150,10 @@
         context.channel().closeFuture().addListener { written.tryFailure(ClosedChannelException()) }
     }
 
-    private fun onResponseWritten() {
+    private fun completeRequest() {
         requestsInProgress--
         idleSinceNs = System.nanoTime()
-        if (closesOnceIdle && requestsInProgress == 0) context.close()
+        if (closesOnceIdle && requestsInProgress == 0) context.close() else onResponseWritten()
     }
 
     private fun checkIdleIn(delayNs: Long) {
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnections.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnections.kt
@@ -29,7 +29,7 @@
         }
 
     /** Returns a handler for a new connection, which is closed after [idleTimeoutS] seconds without a request. */
-    fun connectionHandler(idleTimeoutS: Long): ChannelHandler = CallerConnectionHandler(idleTimeoutS, ::onOpened, ::onClosed)
+    fun connectionHandler(idleTimeoutS: Long) = CallerConnectionHandler(idleTimeoutS, ::onOpened, ::onClosed)
 
     /** Stops accepting connections. */
     suspend fun closeListeners() {
--- /dev/null
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
@@ -0,0 +1,257 @@
+package org.lycheemount.listener
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelDuplexHandler
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.FixedRecvByteBufAllocator
+import io.netty.channel.socket.DuplexChannel
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+import java.util.concurrent.TimeUnit
+
+/**
+ * Passes the bytes of one connection on to the HTTP decoder, and bounds what a caller can make this process hold and decode:
+ *
+ * - A request is decoded once the response to the one before it has been written. Until then, its bytes are held undecoded, and the
+ *   connection is read only while few bytes are held. It is read up to that bound because the close of a connection is noticed by reading.
+ * - A caller is refused if it sends too many bytes that complete no message: a head, empty lines, trailers or chunk extensions.
+ * - A caller is refused if its head is malformed, or is not complete in time.
+ *
+ * Used by the thread of the connection.
+ */
+internal class CallerInputHandler(
+    private val connection: CallerConnectionHandler,
+    private val limits: () -> ConnectionLimits,
+    private val onRefused: (ConnectionRefusal) -> Unit,
+) : ChannelDuplexHandler() {
+    private lateinit var context: ChannelHandlerContext
+
+    /** Handler that is placed behind the decoder. */
+    val decoded = DecodedMessageHandler(onMessage = ::onMessage, onFailure = ::onDecoderFailure)
+
+    /** Bytes that have not been passed to the decoder. */
+    private var held: ByteBuf? = null
+    private val heldBytes: Int get() = held?.readableBytes() ?: 0
+    private var isReading = false
+    private var isDelivering = false
+
+    /** Whether the next part of a body has been asked for. */
+    private var isPartWanted = false
+
+    /** Whether the decoder has returned a message since it was last called, so that it may return another one without more bytes. */
+    private var mayHaveMessage = false
+    private var undecodedBytes = 0
+
+    /** Whether nothing more is decoded on this connection. */
+    private var isStopped = false
+
+    /** Number of bytes that are read and dropped before the connection is closed, or null. */
+    private var remainingDiscardBytes: Int? = null
+    private val headTimer = HeadTimer()
+
+    /** Whether a check of [headTimer] is scheduled. */
+    private var isTiming = false
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        this.context = context
+        // One call reads one buffer, as Ktor disables automatic reading.
+        context.channel().config().setRecvByteBufAllocator(FixedRecvByteBufAllocator(READ_BYTES))
+        connection.onResponseWritten = { context.executor().execute { onResponseWritten() } }
+    }
+
+    override fun read(context: ChannelHandlerContext) {
+        isPartWanted = true
+        if (held != null && !isDelivering) context.executor().execute { deliver() }
+        readIfFewHeld()
+    }
+
+    override fun channelRead(
+        context: ChannelHandlerContext,
+        message: Any,
+    ) {
+        if (message !is ByteBuf) {
+            context.fireChannelRead(message)
+            return
+        }
+        if (remainingDiscardBytes == null) hold(message) else discard(message)
+    }
+
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        isReading = false
+        deliver()
+        readIfFewHeld()
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        isStopped = true
+        headTimer.stop()
+        releaseHeld()
+        context.fireChannelInactive()
+    }
+
+    override fun handlerRemoved(context: ChannelHandlerContext) = releaseHeld()
+
+    private fun releaseHeld() {
+        held?.release()
+        held = null
+    }
+
+    private fun hold(bytes: ByteBuf) {
+        val before = held
+        if (before == null) {
+            // A buffer with few bytes would cost its whole capacity while it is held.
+            held = if (bytes.readableBytes() >= READ_BYTES / 2) bytes else context.alloc().buffer(bytes.readableBytes()).take(bytes)
+        } else {
+            before.take(bytes)
+        }
+    }
+
+    private fun ByteBuf.take(bytes: ByteBuf): ByteBuf {
+        writeBytes(bytes)
+        bytes.release()
+        return this
+    }
+
+    private fun readIfFewHeld() {
+        if (isReading || heldBytes >= MAX_HELD_BYTES || !context.channel().isOpen) return
+        isReading = true
+        context.read()
+    }
+
+    private fun onResponseWritten() {
+        deliver()
+        if (!isStopped) readIfFewHeld()
+    }
+
+    /** Passes bytes to the decoder as far as the request in progress allows it. */
+    private fun deliver() {
+        if (isDelivering) return
+        isDelivering = true
+        try {
+            while (deliverPart()) Unit
+        } finally {
+            isDelivering = false
+        }
+        timeHead()
+    }
+
+    /** Passes one buffer to the decoder. Returns false if there is none, or if it must wait. */
+    private fun deliverPart(): Boolean {
+        if (isStopped || connection.isAwaitingResponse) return false
+        if (mayHaveMessage) {
+            decodeRest()
+            return true
+        }
+        val bytes = held ?: return false
+        if (connection.isReadingBody && !isPartWanted) return false
+        held = null
+        decode(bytes)
+        return true
+    }
+
+    private fun decode(bytes: ByteBuf) {
+        isPartWanted = false
+        undecodedBytes += bytes.readableBytes()
+        if (!connection.isReadingBody && !headTimer.isRunning && bytes.forEachByte { it <= SPACE } >= 0) headTimer.start(nowMs())
+        context.fireChannelRead(bytes)
+        if (undecodedBytes > limits().maxUndecodedBytes) {
+            refuse(ConnectionRefusal.HEAD_TOO_LARGE, TooLongHttpHeaderException("more than ${limits().maxUndecodedBytes} bytes"))
+        }
+        decodeRest()
+    }
+
+    /** Lets the decoder return the messages of the bytes that it has, up to the end of the current request. */
+    private fun decodeRest() {
+        while (mayHaveMessage && !isStopped && !connection.isAwaitingResponse) {
+            mayHaveMessage = false
+            context.fireChannelRead(Unpooled.EMPTY_BUFFER)
+        }
+        decoded.flushBody()
+        context.fireChannelReadComplete()
+    }
+
+    private fun onMessage() {
+        mayHaveMessage = true
+        undecodedBytes = 0
+        headTimer.stop()
+    }
+
+    private fun onDecoderFailure(
+        cause: Throwable,
+        isHead: Boolean,
+    ) {
+        val isTooLong = cause is TooLongHttpHeaderException || cause is TooLongHttpLineException
+        val refusal = if (isTooLong) ConnectionRefusal.HEAD_TOO_LARGE else ConnectionRefusal.MALFORMED_HEAD
+        if (isHead) return refuse(refusal)
+        onRefused(refusal)
+        isStopped = true
+        connection.closeOnceIdle()
+    }
+
+    /** Refuses the rest of what the caller sends. If a request is in progress, its body counts as malformed. */
+    private fun refuse(
+        refusal: ConnectionRefusal,
+        cause: Exception? = null,
+    ) {
+        if (isStopped) return
+        isStopped = true
+        onRefused(refusal)
+        if (connection.isReadingBody && cause != null) decoded.failBody(cause)
+        if (connection.isInProgress) return connection.closeOnceIdle()
+        releaseHeld()
+        remainingDiscardBytes = MAX_DISCARDED_BYTES
+        val response = Unpooled.copiedBuffer(refusal.response, Charsets.US_ASCII)
+        context.writeAndFlush(response).addListener { closeAfterResponse() }
+    }
+
+    /** Closes the connection so that the caller can read the response first: bytes that are not read would reset the connection. */
+    private fun closeAfterResponse() {
+        (context.channel() as? DuplexChannel)?.shutdownOutput()
+        context.executor().schedule({ context.close() }, LINGER_MS, TimeUnit.MILLISECONDS)
+        readIfFewHeld()
+    }
+
+    private fun discard(bytes: ByteBuf) {
+        val remaining = (remainingDiscardBytes ?: 0) - bytes.readableBytes()
+        bytes.release()
+        remainingDiscardBytes = remaining
+        if (remaining < 0) context.close()
+    }
+
+    private fun timeHead() {
+        if (!headTimer.isRunning || isTiming) return
+        isTiming = true
+        context.executor().schedule({ checkHead() }, HeadTimer.CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun checkHead() {
+        isTiming = false
+        if (isStopped || !headTimer.isRunning) return
+        if (headTimer.isExpired(nowMs(), limits().headerTimeoutMs)) refuseUnlessRead(READS_BEFORE_TIMEOUT) else timeHead()
+    }
+
+    /** Reads what has arrived, [turns] times, before a caller is refused because of its time. */
+    private fun refuseUnlessRead(turns: Int) {
+        if (isStopped || !headTimer.isRunning) return
+        if (turns == 0) return refuse(ConnectionRefusal.HEAD_TIMEOUT)
+        // A scheduled task runs in the turn after the one in which it is added, which begins by reading the sockets.
+        context.executor().schedule({ refuseUnlessRead(turns - 1) }, 0, TimeUnit.NANOSECONDS)
+    }
+
+    private fun nowMs() = System.nanoTime() / NS_PER_MS
+
+    private companion object {
+        private const val READ_BYTES = 4_096
+
+        // With the buffer that is being read, a connection holds at most twice as much.
+        private const val MAX_HELD_BYTES = 4_096
+        private const val SPACE = ' '.code.toByte()
+        private const val NS_PER_MS = 1_000_000L
+        private const val LINGER_MS = 500L
+        private const val MAX_DISCARDED_BYTES = 262_144
+
+        // The largest head that is accepted is read in fewer turns.
+        private const val READS_BEFORE_TIMEOUT = 10
+    }
+}
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerServer.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerServer.kt
@@ -51,12 +51,16 @@
  *
  * @param port 0 for a free port.
  * @param idleTimeoutS time in seconds after which a connection without a request in progress is closed.
+ * @param limits limits on connections, asked for whenever they are applied.
+ * @param onRefused called when a connection is refused for what the caller sent before a request was handled.
  * @param configurePipeline changes the handlers of a new connection, for example adds TLS.
  */
 fun createCallerServer(
     host: String,
     port: Int,
     idleTimeoutS: Long = IDLE_TIMEOUT_S,
+    limits: () -> ConnectionLimits = { ConnectionLimits() },
+    onRefused: (ConnectionRefusal) -> Unit = {},
     configurePipeline: ChannelPipeline.() -> Unit = {},
     module: Application.() -> Unit,
 ): CallerServer {
@@ -70,12 +74,15 @@
                     this.port = port
                 }
                 shareWorkGroup = true
-                maxInitialLineLength = MAX_REQUEST_LINE_BYTES
-                maxHeaderSize = MAX_HEADER_BYTES
                 responseWriteTimeoutSeconds = WRITE_TIMEOUT_S
                 configureBootstrap = { handler(connections.listenerHandler()) }
                 channelPipelineConfig = {
-                    addBefore(KTOR_HANDLER_NAME, null, connections.connectionHandler(idleTimeoutS))
+                    val connection = connections.connectionHandler(idleTimeoutS)
+                    val input = CallerInputHandler(connection, limits, onRefused)
+                    addBefore(KTOR_HANDLER_NAME, null, connection)
+                    replace(KTOR_CODEC_NAME, KTOR_CODEC_NAME, SingleMessageCodec(MAX_REQUEST_LINE_BYTES, MAX_HEADER_BYTES))
+                    addAfter(KTOR_CODEC_NAME, null, input.decoded)
+                    addFirst(input)
                     configurePipeline()
                 }
             },
@@ -86,6 +93,9 @@
 
 /** Name of Ktor's handler of HTTP messages, which starts the handler of a request. */
 private const val KTOR_HANDLER_NAME = "http1"
+
+/** Name of the HTTP codec in Ktor's pipeline. */
+private const val KTOR_CODEC_NAME = "codec"
 private const val MAX_REQUEST_LINE_BYTES = 16_384
 private const val MAX_HEADER_BYTES = 65_536
 
