Let the handler of a request permit how much of its body is read

Cause: the HTTP engine buffers a body that its handler does not read, and the kernel's own choice of a receive buffer grows to megabytes.

Change: CallerConnection.permitBody; without it a connection reads no more than ConnectionLimits.initialBodyBytes of a body, and one buffer.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnection.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnection.kt
@@ -20,6 +20,11 @@
     /** Whether a body on this connection is malformed, or the connection ended within it. No other request follows it then. */
     val hasBrokenBody: Boolean get() = channel.attr(CallerConnectionHandler.BROKEN_BODY).get() == true
 
+    /** Permits the connection to read another [bytes] bytes of the body of the call, beyond [ConnectionLimits.initialBodyBytes]. */
+    fun permitBody(bytes: Long) {
+        channel.attr(CallerConnectionHandler.CONNECTION).get()?.permitBody(bytes)
+    }
+
     /**
      * Announces the response to the call, before it is sent. The connection is closed in place of the end of the response unless the
      * result has been completed and all of its bytes are sent, so that the caller cannot take a part for the whole.
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -21,6 +21,7 @@
  */
 internal class CallerConnectionHandler(
     private val idleTimeoutS: Long,
+    private val limits: () -> ConnectionLimits,
     private val onOpened: (CallerConnectionHandler) -> Unit,
     private val onClosed: (CallerConnectionHandler) -> Unit,
 ) : ChannelDuplexHandler() {
@@ -38,8 +39,14 @@
     var isReadingBody = false
         private set
 
-    /** Called when a response has been written. */
-    var onResponseWritten: () -> Unit = {}
+    /** Called when more may be read: a response has been written, or more of a body is permitted. */
+    var onReadPermitted: () -> Unit = {}
+
+    /** Number of bytes of the current body that may still be passed on. May be exceeded by one buffer. */
+    private var permittedBodyBytes = 0L
+
+    /** Whether the handler of the request in progress must permit the rest of its body. */
+    val isBodyHeld: Boolean get() = isReadingBody && isInProgress && permittedBodyBytes <= 0
 
     /** Whether a request has not got its whole response. */
     val isInProgress: Boolean get() = requestsInProgress > 0
@@ -53,6 +60,7 @@
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
         context.channel().attr(RESPONSES).set(announcedResponses)
+        context.channel().attr(CONNECTION).set(this)
         onOpened(this)
         context.channel().closeFuture().addListener { onClosed(this) }
         checkIdleIn(idleTimeoutNs)
@@ -65,7 +73,9 @@
         if (message is HttpRequest) {
             requestsInProgress++
             isReadingBody = true
+            permittedBodyBytes = limits().initialBodyBytes
         }
+        if (message is HttpContent) permittedBodyBytes -= message.content().readableBytes()
         if (message is HttpContent && message.decoderResult().isFailure) {
             markBrokenBody()
             ReferenceCountUtil.release(message)
@@ -128,6 +138,14 @@
             if (requestsInProgress == 0) context.close()
         }
 
+    /** Permits another [bytes] bytes of the body of the request in progress. */
+    fun permitBody(bytes: Long) =
+        context.executor().execute {
+            // Limited, as the sum would overflow.
+            permittedBodyBytes += minOf(bytes, Long.MAX_VALUE - permittedBodyBytes.coerceAtLeast(0))
+            onReadPermitted()
+        }
+
     private fun isInterim(message: Any) = message is HttpResponse && message.status().code() < FIRST_FINAL_STATUS
 
     private fun closeInPlaceOf(
@@ -153,7 +171,7 @@
     private fun completeRequest() {
         requestsInProgress--
         idleSinceNs = System.nanoTime()
-        if (closesOnceIdle && requestsInProgress == 0) context.close() else onResponseWritten()
+        if (closesOnceIdle && requestsInProgress == 0) context.close() else onReadPermitted()
     }
 
     private fun checkIdleIn(delayNs: Long) {
@@ -174,6 +192,9 @@
         /** Set on a connection on which a body is malformed, or that ended within a body. */
         val BROKEN_BODY: AttributeKey<Boolean> = AttributeKey.valueOf("brokenBody")
 
+        /** Handler of a connection. */
+        val CONNECTION: AttributeKey<CallerConnectionHandler> = AttributeKey.valueOf("callerConnection")
+
         /** Announced responses whose heads have not been sent. */
         val RESPONSES: AttributeKey<AnnouncedResponses> = AttributeKey.valueOf("responses")
 
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnections.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnections.kt
@@ -29,7 +29,10 @@
         }
 
     /** Returns a handler for a new connection, which is closed after [idleTimeoutS] seconds without a request. */
-    fun connectionHandler(idleTimeoutS: Long) = CallerConnectionHandler(idleTimeoutS, ::onOpened, ::onClosed)
+    fun connectionHandler(
+        idleTimeoutS: Long,
+        limits: () -> ConnectionLimits,
+    ) = CallerConnectionHandler(idleTimeoutS, limits, ::onOpened, ::onClosed)
 
     /** Stops accepting connections. */
     suspend fun closeListeners() {
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
@@ -57,7 +57,7 @@
         this.context = context
         // One call reads one buffer, as Ktor disables automatic reading.
         context.channel().config().setRecvByteBufAllocator(FixedRecvByteBufAllocator(READ_BYTES))
-        connection.onResponseWritten = { context.executor().execute { onResponseWritten() } }
+        connection.onReadPermitted = { context.executor().execute { onReadPermitted() } }
     }
 
     override fun read(context: ChannelHandlerContext) {
@@ -119,7 +119,7 @@
         context.read()
     }
 
-    private fun onResponseWritten() {
+    private fun onReadPermitted() {
         deliver()
         if (!isStopped) readIfFewHeld()
     }
@@ -144,7 +144,7 @@
             return true
         }
         val bytes = held ?: return false
-        if (connection.isReadingBody && !isPartWanted) return false
+        if (connection.isReadingBody && (!isPartWanted || connection.isBodyHeld)) return false
         held = null
         decode(bytes)
         return true
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerServer.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerServer.kt
@@ -6,6 +6,7 @@
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.netty.Netty
 import io.ktor.server.netty.NettyApplicationEngine
+import io.netty.channel.ChannelOption
 import io.netty.channel.ChannelPipeline
 import kotlinx.coroutines.withTimeoutOrNull
 
@@ -75,9 +76,13 @@
                 }
                 shareWorkGroup = true
                 responseWriteTimeoutSeconds = WRITE_TIMEOUT_S
-                configureBootstrap = { handler(connections.listenerHandler()) }
+                configureBootstrap = {
+                    handler(connections.listenerHandler())
+                    // Accepted sockets have the buffer size of the listener.
+                    option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+                }
                 channelPipelineConfig = {
-                    val connection = connections.connectionHandler(idleTimeoutS)
+                    val connection = connections.connectionHandler(idleTimeoutS, limits)
                     val input = CallerInputHandler(connection, limits, onRefused)
                     addBefore(KTOR_HANDLER_NAME, null, connection)
                     replace(KTOR_CODEC_NAME, KTOR_CODEC_NAME, SingleMessageCodec(MAX_REQUEST_LINE_BYTES, MAX_HEADER_BYTES))
@@ -96,6 +101,9 @@
 
 /** Name of the HTTP codec in Ktor's pipeline. */
 private const val KTOR_CODEC_NAME = "codec"
+
+// Linux counts twice as much. What it has received counts as memory of the process, and its own choice grows to megabytes.
+private const val RECEIVE_BUFFER_BYTES = 16_384
 private const val MAX_REQUEST_LINE_BYTES = 16_384
 private const val MAX_HEADER_BYTES = 65_536
 
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/ConnectionLimits.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/ConnectionLimits.kt
@@ -5,10 +5,13 @@
  *
  * @property maxHeaderBytes maximum size of the header fields of a request. The request line may take another [REQUEST_LINE_BYTES].
  * @property headerTimeoutMs time in milliseconds within which a head that has begun must be complete.
+ * @property initialBodyBytes size of the part of a body that is read before the handler of its request permits more, by
+ *   [CallerConnection.permitBody].
  */
 data class ConnectionLimits(
     val maxHeaderBytes: Int = 16_384,
     val headerTimeoutMs: Long = 3_000,
+    val initialBodyBytes: Long = Long.MAX_VALUE,
 ) {
     /** Maximum number of consecutive bytes that complete no message or part of a body. */
     internal val maxUndecodedBytes: Int get() = maxHeaderBytes + REQUEST_LINE_BYTES
--- a/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerInputTest.kt
+++ b/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerInputTest.kt
@@ -8,6 +8,7 @@
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import io.ktor.server.routing.routing
+import io.ktor.utils.io.readAvailable
 import io.ktor.utils.io.readRemaining
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
@@ -22,6 +23,8 @@
 import java.net.SocketTimeoutException
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertContains
@@ -32,13 +35,15 @@
 class CallerInputTest {
     private val refusals = ConcurrentLinkedQueue<ConnectionRefusal>()
     private val startedRequests = AtomicInteger()
+    private val readBytes = AtomicLong()
+    private val connection = AtomicReference<CallerConnection>()
     private val heldResponse = CompletableDeferred<Unit>()
     private val cancelledRequest = CompletableDeferred<Unit>()
     private val server =
         createCallerServer(
             "127.0.0.1",
             port = 0,
-            limits = { ConnectionLimits(MAX_HEADER_BYTES, HEADER_TIMEOUT_MS) },
+            limits = { ConnectionLimits(MAX_HEADER_BYTES, HEADER_TIMEOUT_MS, initialBodyBytes = 0) },
             onRefused = refusals::add,
         ) {
             module()
@@ -60,9 +65,16 @@
                 call.respondText("held")
             }
             post("/upload") {
+                call.callerConnection?.permitBody(Long.MAX_VALUE)
                 val body = call.receiveChannel().readRemaining().readByteArray()
                 call.respondText(if (call.callerConnection?.hasBrokenBody == true) "broken" else "${body.size} bytes")
             }
+            post("/counted") {
+                connection.set(call.callerConnection)
+                val bytes = ByteArray(8_192)
+                val channel = call.receiveChannel()
+                while (true) readBytes.addAndGet(channel.readAvailable(bytes).toLong().also { if (it < 0) return@post })
+            }
             post("/unread") {
                 startedRequests.incrementAndGet()
                 try {
@@ -248,6 +260,23 @@
             }
         }
 
+        @Test
+        fun `is read no further than its handler permits, guarding against bodies that the engine buffers`() {
+            open("POST /counted HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000\r\n\r\n").use { socket ->
+                val sender = thread { runCatching { while (true) socket.send("x".repeat(1_000)) } }
+                await { connection.get() != null }
+                Thread.sleep(300)
+                assertTrue(readBytes.get() <= 8_192, "${readBytes.get()} bytes before the permission")
+                connection.get().permitBody(1_000_000)
+                await { readBytes.get() >= 1_000_000 }
+                Thread.sleep(300)
+
+                assertTrue(readBytes.get() <= 1_008_192, "${readBytes.get()} bytes for 1,000,000")
+                socket.close()
+                sender.join()
+            }
+        }
+
         @Test
         fun `that nobody reads is not read further than a bound, guarding against bodies that fill the memory`() {
             open("POST /unread HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000\r\n\r\n").use { socket ->
