Draw request bodies from a memory budget of the process

Change: MemoryBudget bounds the bytes that requests hold together, by default 0.3 of the maximum heap. If the budget is used up, incomplete bodies without progress for a second are dropped, then the youngest of those that all wait, then the waiting request itself after 2 s, with 503 as not run, Retry-After and the end of the connection. The last eighth is for requests of at most 128 KB. max_body_bytes, max_header_bytes and header_timeout_ms of the operator's configuration apply to the gateway's listener.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/HttpListener.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/HttpListener.kt
@@ -4,6 +4,8 @@
 import io.netty.handler.ssl.SslHandler
 import org.lycheemount.common.EventLog
 import org.lycheemount.listener.CallerServer
+import org.lycheemount.listener.ConnectionLimits
+import org.lycheemount.listener.ConnectionRefusal
 import org.lycheemount.listener.createCallerServer
 import org.lycheemount.peer.socket.ReloadingTlsContext
 import org.lycheemount.peer.socket.TlsFiles
@@ -25,12 +27,16 @@
 internal fun createHttpServer(
     listener: ListenerSettings,
     eventLog: EventLog,
+    limits: () -> ConnectionLimits = { ConnectionLimits() },
+    onRefused: (ConnectionRefusal) -> Unit = {},
     module: Application.() -> Unit,
 ): CallerServer {
     val tls = listener.tls?.let { createReloadingTlsContext(it, eventLog) }
     return createCallerServer(
         listener.host,
         listener.port,
+        limits = limits,
+        onRefused = onRefused,
         // Ktor's TLS connector builds its context only once. A handler per connection picks up replaced certificates.
         configurePipeline = { tls?.let { addFirst("tls", SslHandler(it.serverEngine(needClientCertificate = false))) } },
         module = module,
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -24,6 +24,7 @@
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.common.DefaultEventLog
 import org.lycheemount.common.RouterIdentity
+import org.lycheemount.listener.ConnectionLimits
 import org.lycheemount.peer.socket.DefaultPeerMessenger
 import org.lycheemount.peer.socket.PeerSecret
 import org.lycheemount.placement.PlacementDependencies
@@ -77,7 +78,7 @@
     private val claims = createClaims(platform.table, peers, clock, eventLog, controlPlane::hasEnded)
     private val placement = PlacementSupervisor(configuration, engineFleet, placementDependencies())
     private val callers = CallerApi(callerServices())
-    private val callerServer = createHttpServer(settings.callers, eventLog) { callers.installInto(this) }
+    private val callerServer = createHttpServer(settings.callers, eventLog, { CONNECTION_LIMITS }) { callers.installInto(this) }
     private val admin = adminListener()
 
     /** Requests admitted and not yet settled. */
@@ -190,6 +191,7 @@
         // All requests have finished by then. The grace period only lets the last response bytes be sent.
         private const val STOP_GRACE_MS = 100L
         private const val STOP_LINGER_MS = 900L
+        private val CONNECTION_LIMITS = ConnectionLimits(initialBodyBytes = 0)
         private const val PREFETCH_INTERVAL_MS = 1_000L
     }
 }
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -35,6 +35,7 @@
 import org.lycheemount.common.DefaultEventLog
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.config.PublishedConfiguration
+import org.lycheemount.listener.ConnectionLimits
 import org.lycheemount.listener.createCallerServer
 import org.lycheemount.origins.SharedStreamOrigins
 import org.lycheemount.platform.RouterVm
@@ -119,7 +120,9 @@
     private val metricsHandler = MetricsHandler(metricsRegistry)
     private val routedInterface = RoutedRequestHandler(routedServices())
     private val callersServer =
-        settings.callersAddress.let { createCallerServer(hostOf(it), portOf(it)) { routedInterface.installInto(this) } }
+        settings.callersAddress.let { address ->
+            createCallerServer(hostOf(address), portOf(address), limits = ::connectionLimits) { routedInterface.installInto(this) }
+        }
     private val warmUp = GatewayWarmUp(identity, clock, budgets.ledger, budgets.maintenance)
     private val warmUpFinished = CompletableDeferred<Unit>()
     private val started = CompletableDeferred<Unit>()
@@ -271,8 +274,13 @@
             streamOrigins = streamOrigins,
             quarantine = quarantine,
             drain = drain,
+            maxBodyBytes = { configuration.current().listenerLimits.maxBodyBytes },
         )
 
+    /** Limits of the operator's configuration, which may change at any time. */
+    private fun connectionLimits() =
+        configuration.current().listenerLimits.run { ConnectionLimits(maxHeaderBytes, headerTimeoutMs, initialBodyBytes = 0) }
+
     private fun cannotServeReasons(): List<String> =
         listOfNotNull(
             "no_configuration".takeIf { !configuration.isLoaded },
--- /dev/null
+++ b/process/common/src/main/kotlin/org/lycheemount/common/MemoryBudget.kt
@@ -0,0 +1,216 @@
+package org.lycheemount.common
+
+/** Answer to a reservation of memory. */
+enum class MemoryGrant {
+    /** The bytes are reserved. */
+    GRANTED,
+
+    /** The bytes are not available now. The account waits until it asks again or is released. */
+    WAITING,
+
+    /** The account has been dropped in favour of others; its holder must end. */
+    DROPPED,
+}
+
+/**
+ * Bounds the memory that the requests of a process hold together, for many callers that send large bodies at once, or stop sending short
+ * of their end. Thread-safe; does no I/O. Times are monotonic milliseconds.
+ *
+ * Accounts that hold little are served before the others, which cannot use the last [SMALL_SHARE] of the budget. If an account has to wait,
+ * accounts are dropped until it can go on: first those that have not progressed for the longest time, then the youngest if all of them wait
+ * for each other, and at last an account that has waited for [MAX_WAIT_MS] itself. An account that is alone is granted what it asks for.
+ *
+ * @property capacityBytes bytes that all accounts may hold together.
+ */
+class MemoryBudget(
+    val capacityBytes: Long,
+) {
+    private val accounts = LinkedHashSet<MemoryAccount>()
+    private var usedBytes = 0L
+    private var droppedCount = 0L
+
+    /** Current use of the budget. */
+    val usage: MemoryUsage
+        @Synchronized
+        get() = MemoryUsage(usedBytes, accounts.count { it.waitingSinceMs != null }, droppedCount)
+
+    /** Opens an account of one request, which must be released at its end. */
+    @Synchronized
+    fun open(nowMs: Long): MemoryAccount = MemoryAccount(this, nowMs).also { accounts += it }
+
+    /** Reserves [bytes] more for [account], or lets it wait. */
+    @Synchronized
+    internal fun request(
+        account: MemoryAccount,
+        bytes: Long,
+        nowMs: Long,
+    ): MemoryGrant {
+        if (account.isDropped || account !in accounts) return MemoryGrant.DROPPED
+        account.waitingBytes = bytes
+        if (!isNext(account)) {
+            if (account.waitingSinceMs == null) account.waitingSinceMs = nowMs
+            shed(account, nowMs)
+            if (account.isDropped) return MemoryGrant.DROPPED
+            if (!isNext(account)) return MemoryGrant.WAITING
+        }
+        take(account, bytes)
+        account.waitingSinceMs = null
+        account.lastProgressMs = nowMs
+        return MemoryGrant.GRANTED
+    }
+
+    /** Reserves [bytes] more for [account] if they are available, without waiting. */
+    @Synchronized
+    internal fun tryTake(
+        account: MemoryAccount,
+        bytes: Long,
+    ): Boolean {
+        if (account.isDropped || account !in accounts) return false
+        if (usedBytes + bytes > capacityBytes && usedBytes > account.heldBytes) return false
+        take(account, bytes)
+        return true
+    }
+
+    @Synchronized
+    internal fun giveBack(
+        account: MemoryAccount,
+        bytes: Long,
+    ) {
+        val returned = minOf(bytes, account.heldBytes)
+        usedBytes -= returned
+        account.heldBytes -= returned
+    }
+
+    @Synchronized
+    internal fun release(account: MemoryAccount) {
+        if (!accounts.remove(account)) return
+        giveBack(account, account.heldBytes)
+    }
+
+    private fun take(
+        account: MemoryAccount,
+        bytes: Long,
+    ) {
+        usedBytes += bytes
+        account.heldBytes += bytes
+    }
+
+    /** Whether what [account] asks for is available after those that wait and come before it have got theirs. */
+    private fun isNext(account: MemoryAccount): Boolean {
+        val before = accounts.sumOf { if (it !== account && it.waitingSinceMs != null && precedes(it, account)) it.waitingBytes else 0L }
+        if (usedBytes == account.heldBytes && before == 0L) return true
+        val limitBytes = if (account.isSmall) capacityBytes else capacityBytes - (capacityBytes * SMALL_SHARE).toLong()
+        return usedBytes + before + account.waitingBytes <= limitBytes
+    }
+
+    private fun precedes(
+        first: MemoryAccount,
+        second: MemoryAccount,
+    ): Boolean = if (first.isSmall != second.isSmall) first.isSmall else first.openedAtMs < second.openedAtMs
+
+    private fun shed(
+        waiting: MemoryAccount,
+        nowMs: Long,
+    ) {
+        val open = accounts.filter { !it.isDropped }
+        val stalled =
+            open
+                .filter {
+                    it.isReceiving && nowMs - it.lastProgressMs >= MIN_STALL_MS && it.heldBytes > 0
+                }.minByOrNull { it.lastProgressMs }
+        // Memory of a dropped account is on its way back, so that one account is dropped at a time.
+        val isReturning = accounts.any { it.isDropped && it.heldBytes > 0 }
+        val holding = open.filter { it.heldBytes > 0 }
+        val victim =
+            when {
+                nowMs - (waiting.waitingSinceMs ?: nowMs) >= MAX_WAIT_MS -> waiting
+                isReturning -> null
+                stalled != null -> stalled
+                holding.isNotEmpty() && holding.all { it.waitingSinceMs != null } -> holding.maxByOrNull { it.openedAtMs }
+                else -> null
+            } ?: return
+        victim.isDropped = true
+        victim.waitingSinceMs = null
+        droppedCount++
+    }
+
+    /** Bounds of the policy. */
+    companion object {
+        /** Share of the budget that only accounts that hold little can use. */
+        const val SMALL_SHARE = 0.125
+
+        /** Time without progress in milliseconds after which an incomplete body may be dropped. */
+        const val MIN_STALL_MS = 1_000L
+
+        /** Time in milliseconds after which an account that waits is dropped itself. */
+        const val MAX_WAIT_MS = 2_000L
+
+        /** Size up to which an account counts as small. */
+        const val SMALL_BYTES = 131_072L
+    }
+}
+
+/** Creates a budget of [heapShare] of the maximum heap of this process. */
+fun createMemoryBudget(heapShare: Double = DEFAULT_HEAP_SHARE): MemoryBudget =
+    MemoryBudget((Runtime.getRuntime().maxMemory() * heapShare).toLong())
+
+/** A request also costs objects and buffers that are not counted, and the process about 40 MB of heap. */
+const val DEFAULT_HEAP_SHARE = 0.3
+
+/**
+ * Use of a [MemoryBudget].
+ *
+ * @property usedBytes bytes that are reserved.
+ * @property waitingAccounts number of accounts that wait for a reservation.
+ * @property droppedAccounts number of accounts that have been dropped since the start of the process.
+ */
+data class MemoryUsage(
+    val usedBytes: Long,
+    val waitingAccounts: Int,
+    val droppedAccounts: Long,
+)
+
+/** Memory that one request holds. Thread-safe. */
+class MemoryAccount internal constructor(
+    private val budget: MemoryBudget,
+    internal val openedAtMs: Long,
+) {
+    internal var heldBytes = 0L
+    internal var waitingBytes = 0L
+    internal var waitingSinceMs: Long? = null
+    internal var isComplete = false
+
+    @Volatile
+    internal var lastProgressMs = openedAtMs
+
+    /** Whether the holder must end, as the memory is needed for others. */
+    @Volatile
+    var isDropped = false
+        internal set
+
+    internal val isReceiving: Boolean get() = !isComplete && waitingSinceMs == null
+    internal val isSmall: Boolean get() = heldBytes + waitingBytes <= MemoryBudget.SMALL_BYTES
+
+    /** Reserves [bytes] more. An account that waits asks again until it is granted or dropped. */
+    fun request(
+        bytes: Long,
+        nowMs: Long,
+    ): MemoryGrant = budget.request(this, bytes, nowMs)
+
+    /** Reserves [bytes] more if they are available, without waiting. */
+    fun tryTake(bytes: Long): Boolean = budget.tryTake(this, bytes)
+
+    /** Returns [bytes] before the account is released. */
+    fun giveBack(bytes: Long) = budget.giveBack(this, bytes)
+
+    /** A part of what the account is for has arrived. */
+    fun onProgress(nowMs: Long) {
+        lastProgressMs = nowMs
+    }
+
+    /** All of the body has arrived. From now on the account is not dropped. */
+    fun complete() = synchronized(budget) { isComplete = true }
+
+    /** Returns all bytes; idempotent. */
+    fun release() = budget.release(this)
+}
--- a/process/common/src/main/kotlin/org/lycheemount/common/RefusalReason.kt
+++ b/process/common/src/main/kotlin/org/lycheemount/common/RefusalReason.kt
@@ -35,6 +35,7 @@
     BACKEND_TIMEOUT("backend_timeout", 504),
     DRAINING("draining", 503),
     OVERLOADED("overloaded", 503),
+    MEMORY_EXHAUSTED("memory_exhausted", 503),
     NOT_READY("not_ready", 503),
     CLAIM_UNAVAILABLE("claim_unavailable", 503),
     PROMPT_QUARANTINED("prompt_quarantined", 503),
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ChatHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ChatHandler.kt
@@ -11,6 +11,7 @@
 import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.coroutineScope
 import org.lycheemount.claims.RecordedOutcome
+import org.lycheemount.common.MemoryAccount
 import org.lycheemount.common.ModelId
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.RefusalReason
@@ -25,9 +26,21 @@
     private val canceller = EngineCanceller(services.engine, services.dispatcher::isGone, services.scope, services.eventLog)
 
     suspend fun handle(call: ApplicationCall) {
+        val memory = services.memory.open(services.clock.monotonicMs())
+        try {
+            handle(call, memory)
+        } finally {
+            memory.release()
+        }
+    }
+
+    private suspend fun handle(
+        call: ApplicationCall,
+        memory: MemoryAccount,
+    ) {
         val arrivedAtMs = services.clock.monotonicMs()
         val team = context.authenticator.authenticate(call.request.headers["Authorization"]).getOrElse { return refuse(call, it) }
-        val body = context.bodyReader.read(call).getOrElse { return refuse(call, it) }
+        val body = context.bodyReader.read(call, memory).getOrElse { return refuse(call, it) }
         val request = parseChatRequest(body).getOrElse { return refuse(call, it) }
         val snapshot = services.configuration.current()
         val model =
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/HandlerContext.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/HandlerContext.kt
@@ -13,7 +13,7 @@
     private val services: CallerServices,
 ) {
     val authenticator = TeamAuthenticator(services.configuration)
-    val bodyReader = BodyReader(services.limits)
+    val bodyReader = services.run { BodyReader(limits.bodyTimeoutMs, clock) { limits.maxBodyBytes } }
     val requestIds = RequestIdFactory(services.peers.self)
     val admission = AdmissionController(services.drain, services.clock)
     val reserver = TokenReserver(services.ledger, services.replenisher, services.clock)
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/Responses.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/Responses.kt
@@ -35,5 +35,5 @@
 
 private fun retryAfterSeconds(ms: Long): String = ((ms + MS_PER_SECOND - 1) / MS_PER_SECOND).coerceAtLeast(1).toString()
 
-private val CLOSING_REASONS = setOf(RefusalReason.REQUEST_TOO_LARGE, RefusalReason.REQUEST_TIMEOUT)
+private val CLOSING_REASONS = setOf(RefusalReason.REQUEST_TOO_LARGE, RefusalReason.REQUEST_TIMEOUT, RefusalReason.MEMORY_EXHAUSTED)
 private const val MS_PER_SECOND = 1_000L
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceHandler.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.async
 import org.lycheemount.backend.ServiceCallOutcome
 import org.lycheemount.claims.RecordedOutcome
+import org.lycheemount.common.MemoryAccount
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.RefusalReason
 import org.lycheemount.common.RunOutcome
@@ -23,6 +24,18 @@
     private val context: HandlerContext,
 ) {
     suspend fun handle(call: ApplicationCall) {
+        val memory = services.memory.open(services.clock.monotonicMs())
+        try {
+            handle(call, memory)
+        } finally {
+            memory.release()
+        }
+    }
+
+    private suspend fun handle(
+        call: ApplicationCall,
+        memory: MemoryAccount,
+    ) {
         val arrivedAtMs = services.clock.monotonicMs()
         val team = context.authenticator.authenticate(call.request.headers["Authorization"]).getOrElse { return refuse(call, it) }
         val serviceId = ServiceId(call.parameters["service"].orEmpty())
@@ -37,7 +50,7 @@
                 snapshot,
                 arrivedAtMs,
             ).getOrElse { return refuse(call, it) }
-        val body = context.bodyReader.read(call).getOrElse { return refuse(call, it) }
+        val body = context.bodyReader.read(call, memory).getOrElse { return refuse(call, it) }
         services.dispatcher.onWorkClasses(snapshot.workClasses)
         val method = call.request.httpMethod.value
         val pathAndQuery =
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequest.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequest.kt
@@ -3,6 +3,7 @@
 import io.ktor.http.Headers
 import org.lycheemount.caller.AdmissionController
 import org.lycheemount.common.BackendTarget
+import org.lycheemount.common.MemoryAccount
 import org.lycheemount.common.ModelId
 import org.lycheemount.common.RequestId
 import org.lycheemount.common.TeamId
@@ -15,6 +16,7 @@
  * A validated routed request that has passed admission.
  *
  * @property teamId null on a public route.
+ * @property memory holds the memory of the request until its end.
  * @property expiresAtMs monotonic time of the route's timeout or the caller's deadline, whichever is earlier.
  * @property configurationSequence version of the configuration under which the request was admitted.
  */
@@ -29,6 +31,7 @@
     val target: String,
     val callerHeaders: Headers,
     val body: ByteArray,
+    val memory: MemoryAccount,
     val arrivedAtMs: Long,
     val expiresAtMs: Long,
     val configurationSequence: Long,
@@ -65,6 +68,12 @@
     val sharedTokens: Int = metadata.promptSegments.dropLast(1).sumOf { it.tokens }
 }
 
+/** The body of a request and the memory that it holds. */
+internal class ReceivedBody(
+    val bytes: ByteArray,
+    val memory: MemoryAccount,
+)
+
 /** Hash of all segments but the last, which belongs to the request or its session alone; or of the only segment. */
 internal fun affinityHash(segments: List<PromptSegment>): Long? {
     if (segments.isEmpty()) return null
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -36,7 +36,7 @@
     private val services: RoutedServices,
 ) {
     private val routeMatcher = RouteMatcher(services)
-    private val bodyReader = BodyReader(services.limits)
+    private val bodyReader = services.run { BodyReader(limits.bodyTimeoutMs, clock, maxBodyBytes) }
     private val requestIds = RequestIdFactory(services.identity)
     private val admissionController = AdmissionController(services.drain, services.clock)
     private val reserver = TokenReserver(services.ledger, services.replenisher, services.clock)
@@ -131,16 +131,28 @@
             admissionController
                 .admit(matched.team ?: PUBLIC_TEAM, matched.route.routeId.value, expiresAtMs)
                 .getOrElse { return refuse(writer, metadata, null, it) }
+        val memory = services.memory.open(services.clock.monotonicMs())
         try {
-            val body = bodyReader.read(call).getOrElse { return refuse(writer, metadata, null, it) }
-            val request = requestOf(call, metadata, matched, admission, body, arrivedAtMs)
+            val body = bodyReader.read(call, memory).getOrElse { return refuseUnread(writer, metadata, it) }
+            val request = requestOf(call, metadata, matched, admission, ReceivedBody(body, memory), arrivedAtMs)
             retryLimiter.onRequest(request.service.serviceId)
             onRequest(request)
         } finally {
+            memory.release()
             admission.release()
         }
     }
 
+    /** Refuses a request whose body has not been read, so that its connection cannot be reused. */
+    private suspend fun refuseUnread(
+        writer: ResponseWriter,
+        metadata: RequestMetadata,
+        refusal: Refusal,
+    ) {
+        writer.closeConnection()
+        refuse(writer, metadata, null, refusal)
+    }
+
     /**
      * Lets the connection read on, so that the request of a caller that has just closed it is cancelled before it is sent to a server.
      * Throws [CancellationException] if the connection is closed.
@@ -164,7 +176,7 @@
         metadata: RequestMetadata,
         matched: RouteMatch,
         admission: AdmissionController.Admission,
-        body: ByteArray,
+        body: ReceivedBody,
         arrivedAtMs: Long,
     ) = RoutedRequest(
         requestId = requestIds.next(),
@@ -176,7 +188,8 @@
         method = call.request.httpMethod.value,
         target = call.request.uri,
         callerHeaders = call.request.headers,
-        body = body,
+        body = body.bytes,
+        memory = body.memory,
         arrivedAtMs = arrivedAtMs,
         expiresAtMs = expiresAtMs(matched.route, metadata, arrivedAtMs),
         configurationSequence = matched.sequence,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedServices.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedServices.kt
@@ -9,7 +9,9 @@
 import org.lycheemount.caller.WorkDispatcher
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
+import org.lycheemount.common.MemoryBudget
 import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.createMemoryBudget
 import org.lycheemount.config.ConfigurationView
 import org.lycheemount.origins.StreamOrigins
 import org.lycheemount.origins.UnversionedStreamOrigins
@@ -29,6 +31,8 @@
  * @property serverStatements what backend servers say about themselves in their responses.
  * @property streamOrigins tells on which software version a stream began that a caller resumes.
  * @property quarantine keeps prompts on which servers crash away from further servers.
+ * @property maxBodyBytes current maximum size of a request body.
+ * @property memory bounds the memory that requests hold together.
  */
 class RoutedServices(
     val identity: RouterIdentity,
@@ -51,4 +55,6 @@
     val quarantine: PromptQuarantine = DisabledPromptQuarantine,
     val drain: DrainState = DrainState(),
     val limits: CallerLimits = CallerLimits(),
+    val maxBodyBytes: () -> Int = { limits.maxBodyBytes },
+    val memory: MemoryBudget = createMemoryBudget(),
 )
