--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
@@ -24,13 +24,12 @@
 import org.lycheemount.platform.adapter.testing.REQUEST_ID_HEADER
 import org.lycheemount.platform.adapter.testing.REQUEST_LIMIT_HEADER
 import org.lycheemount.platform.adapter.testing.SIGNATURE_HEADER
+import org.lycheemount.platform.adapter.testing.freeListenerAddress
 import org.lycheemount.platform.adapter.testing.publishRoutes
 import org.lycheemount.platform.adapter.testing.registerServer
 import org.lycheemount.settings.GatewaySettings
 import org.lycheemount.settings.RetryBudgetSettings
-import java.net.InetAddress
 import java.net.InetSocketAddress
-import java.net.ServerSocket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -111,10 +110,10 @@
         vmId = VmId("vm$index"),
         regionId = RegionId("region"),
         zoneId = ZoneId("z"),
-        callersAddress = freeAddress(),
-        readinessAddress = freeAddress(),
-        metricsAddress = freeAddress(),
-        peersAddress = freeAddress(),
+        callersAddress = freeListenerAddress(),
+        readinessAddress = freeListenerAddress(),
+        metricsAddress = freeListenerAddress(),
+        peersAddress = freeListenerAddress(),
         storeAddress = store.address,
         drainGraceS = drainGraceS,
         retryBudget = RetryBudgetSettings(ratio = 0.2, slack = 10.0, windowS = 10.0),
@@ -160,14 +159,10 @@
             }
         }
 
-    /** Outgoing connections get ports of 127.0.0.1, and must not take this one before its listener does. */
-    private fun freeAddress() = ServerSocket(0, 1, InetAddress.getByName(LISTENER_HOST)).use { "$LISTENER_HOST:${it.localPort}" }
-
     private companion object {
         private const val VERSIONED_SERVICE = "versioned"
         private const val EVENT_INTERVAL_MS = 50L
         private const val NANOS_PER_MS = 1_000_000L
-        private const val LISTENER_HOST = "127.0.0.2"
         private val ROUTES =
             listOf(
                 FakeRoute("plain", "idempotent", timeoutMs = 1_000),
