Bound the events and responses that a router buffers

Change: an event of more than 64 KB counts as one without end: the stream is broken off like a truncated one and resumed elsewhere, and its buffer is freed before that. Buffered events and buffered responses draw from the memory budget; a response for which there is no memory is relayed without being buffered.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/BodyReader.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/BodyReader.kt
@@ -36,9 +36,8 @@
         val maxBytes = maxBodyBytes()
         val lengthBytes = call.request.contentLength()
         if ((lengthBytes ?: 0) > maxBytes) return tooLarge(maxBytes)
-        if (lengthBytes == 0L ||
-            (lengthBytes == null && call.request.headers[HttpHeaders.TransferEncoding] == null)
-        ) {
+        if (lengthBytes == 0L || (lengthBytes == null && call.request.headers[HttpHeaders.TransferEncoding] == null)) {
+            memory.complete()
             return Ok(ByteArray(0))
         }
         val parts = BodyParts(call, memory, maxBytes, lengthBytes)
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.withTimeout
 import org.lycheemount.backend.AttemptFailure
 import org.lycheemount.backend.PassThroughResponse
+import org.lycheemount.backend.ResponseBody
 import org.lycheemount.backend.ResponseHead
 import org.lycheemount.budget.Charge
 import org.lycheemount.caller.ShutdownException
@@ -23,6 +24,7 @@
 import org.lycheemount.origins.StreamOrigin
 import org.lycheemount.scheduling.ServiceEvent
 import org.lycheemount.stream.AttemptPermit
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 
 /** Executes one routed request from reservation to settlement. */
@@ -152,7 +154,7 @@
 
     /** Buffers the response before relaying it, so that a truncated one can still be retried or reported. */
     private suspend fun relayBuffered(response: PassThroughResponse): AttemptOutcome {
-        val body = response.body.readUpTo(MAX_BUFFERED_BODY_BYTES)
+        val body = readBuffered(response.body)
         val isComplete = response.body.isComplete
         onResponseHead()
         // An error may come from a server that never began to run the request, so it does not show that the prompt is harmless.
@@ -173,6 +175,20 @@
         return AttemptOutcome.Completed(RoutedOutcome.Responded(response.head.httpStatus))
     }
 
+    /** Reads [body] up to the size that is buffered, or as far as there is memory for it. */
+    private suspend fun readBuffered(body: ResponseBody): ByteArray {
+        val content = ByteArrayOutputStream()
+        val bytes = ByteArray(READ_BYTES)
+        // The buffer and its copy exist at the same time.
+        while (content.size() < MAX_BUFFERED_BODY_BYTES && request.memory.tryTake(2L * READ_BYTES)) {
+            val count = body.read(bytes)
+            request.memory.giveBack(2L * (READ_BYTES - maxOf(count, 0)))
+            if (count < 0) break
+            content.write(bytes, 0, count)
+        }
+        return content.toByteArray()
+    }
+
     private suspend fun relayRemainder(
         response: PassThroughResponse,
         channel: ByteWriteChannel,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedServices.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedServices.kt
@@ -33,6 +33,8 @@
  * @property quarantine keeps prompts on which servers crash away from further servers.
  * @property maxBodyBytes current maximum size of a request body.
  * @property memory bounds the memory that requests hold together.
+ * @property maxEventBytes size in bytes beyond which an event of a stream counts as one without end.
+ * @property onEventDiscarded called when a stream is broken off at an event that is too large.
  */
 class RoutedServices(
     val identity: RouterIdentity,
@@ -57,4 +59,9 @@
     val limits: CallerLimits = CallerLimits(),
     val maxBodyBytes: () -> Int = { limits.maxBodyBytes },
     val memory: MemoryBudget = createMemoryBudget(),
+    val maxEventBytes: Int = MAX_EVENT_BYTES,
+    val onEventDiscarded: () -> Unit = {},
 )
+
+// Events have up to some kilobytes.
+private const val MAX_EVENT_BYTES = 65_536
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerSentEventBuffer.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerSentEventBuffer.kt
@@ -34,14 +34,29 @@
     /** Number of buffered bytes of an incomplete event. */
     val pendingBytes: Int get() = size
 
+    /** Number of bytes that the buffer occupies beyond its initial size. */
+    val extraBytes: Int get() = buffer.size - INITIAL_BYTES
+
+    /** Whether the beginning of an event has arrived without its end in this attempt. */
+    val hasIncompleteEvent: Boolean get() = size > 0 || isIncompleteEventDiscarded
+    private var isIncompleteEventDiscarded = false
+
+    /** Discards an incomplete event and frees its memory. */
+    fun discardIncompleteEvent() {
+        isIncompleteEventDiscarded = hasIncompleteEvent
+        size = 0
+        scannedBytes = 0
+        buffer = ByteArray(INITIAL_BYTES)
+    }
+
     /**
      * Discards an incomplete event before the events of the next attempt.
      *
      * @param isResumed whether the attempt continues after [lastEventId]; otherwise the events of earlier attempts count as discarded.
      */
     fun startAttempt(isResumed: Boolean) {
-        size = 0
-        scannedBytes = 0
+        discardIncompleteEvent()
+        isIncompleteEventDiscarded = false
         isOutOfOrder = false
         if (!isResumed) lastEventId = resumedAfterEventId
         hasPredecessor = isResumed || resumedAfterEventId != null
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
@@ -32,6 +32,9 @@
     private val resumedAt = ArrayList<BackendServerId>()
     private var framing: BodyFraming? = null
 
+    /** Memory that is reserved for the buffered event. */
+    private var reservedBytes = 0L
+
     /** Version that began this stream, until the record of it. */
     private var unrecordedVersion: SoftwareVersion? = null
 
@@ -39,7 +42,7 @@
     val outputTokens: Int
         get() {
             val tokensPerEvent = request.service.engine?.tokensPerEvent ?: 1
-            val pending = if (events.pendingBytes > 0) 1 else 0
+            val pending = if (events.hasIncompleteEvent) 1 else 0
             return minOf(request.metadata.maxOutputTokens, (events.eventCount + pending) * tokensPerEvent)
         }
 
@@ -75,6 +78,7 @@
     ): RoutedOutcome {
         // Closing the connection makes the server cancel the request before it is sent to another server.
         truncated.abort()
+        discardIncompleteEvent()
         attempts.recordFailure(lastServer, AttemptFailure.BROKEN_CONNECTION)
         if (events.lastEventId == null) return RoutedOutcome.Truncated("the events of the stream have no ids to resume at")
         var failure = AttemptFailure.BROKEN_CONNECTION
@@ -128,7 +132,7 @@
         channel: ByteWriteChannel,
     ): Boolean {
         while (true) channel.write(readEvents(response) ?: break)
-        return response.body.isComplete && events.pendingBytes == 0 && !events.isOutOfOrder
+        return response.body.isComplete && !events.hasIncompleteEvent && !events.isOutOfOrder
     }
 
     /** Waits for complete events; returns null at the end of the response, or if an event is out of order or has no end. */
@@ -146,11 +150,30 @@
             attempts.onResponsePart()
             val completeEvents = events.append(bytes, count)
             if (completeEvents.isNotEmpty()) return completeEvents
-            if (events.pendingBytes > MAX_EVENT_BYTES) return null
+            if (events.pendingBytes > services.maxEventBytes || !reserveBuffer()) {
+                discardIncompleteEvent()
+                services.onEventDiscarded()
+                return null
+            }
         }
         return null
     }
 
+    /** Reserves the memory of the buffered event. Returns false if the process has none left for it. */
+    private fun reserveBuffer(): Boolean {
+        val neededBytes = events.extraBytes - reservedBytes
+        if (neededBytes <= 0) return true
+        if (!request.memory.tryTake(neededBytes)) return false
+        reservedBytes += neededBytes
+        return true
+    }
+
+    private fun discardIncompleteEvent() {
+        events.discardIncompleteEvent()
+        request.memory.giveBack(reservedBytes)
+        reservedBytes = 0
+    }
+
     private fun recordOrigin() {
         val version = unrecordedVersion ?: return
         if (events.lastEventId == null) return
@@ -166,7 +189,6 @@
 
     companion object {
         private const val READ_BYTES = 8_192
-        private const val MAX_EVENT_BYTES = 1_048_576
         private const val OK_STATUS = 200
 
         /** Whether [response] is a successful event stream. */
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/BrokenStreamTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/BrokenStreamTest.kt
@@ -41,6 +41,29 @@
         assertFalse("failure" in response, "$name: $response")
     }
 
+    @Nested
+    inner class `a stream with an event without end` {
+        @Test
+        fun `is resumed at the next server like a truncated one, guarding against streams that fill the heap`() {
+            first.enqueue {
+                startStream()
+                event(1)
+                event(2)
+                repeat(20) { chunk("x".repeat(8_192)) }
+            }
+            second.enqueue {
+                startStream()
+                event(3)
+                endStream()
+            }
+
+            val response = exchange("/draft/1")
+
+            assertEquals(listOf(1, 2, 3), eventIds(response), response.take(1_000))
+            assertTrue(looksComplete(response))
+        }
+    }
+
     @Nested
     inner class `a stream that breaks and whose next server responds with an error` {
         @Test
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerSentEventBufferTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerSentEventBufferTest.kt
@@ -90,4 +90,29 @@
             assertEquals(9L, buffer.lastEventId)
         }
     }
+
+    @Nested
+    inner class `an incomplete event that is discarded` {
+        @Test
+        fun `frees its memory, guarding against events without end that fill the heap`() {
+            append("id: 1\ndata: ${"a".repeat(100_000)}")
+            assertTrue(buffer.extraBytes > 90_000)
+
+            buffer.discardIncompleteEvent()
+
+            assertEquals(0, buffer.extraBytes)
+            assertEquals(0, buffer.pendingBytes)
+        }
+
+        @Test
+        fun `still counts as begun, guarding against a stream that looks complete without it`() {
+            append("id: 1\ndata: a")
+            buffer.discardIncompleteEvent()
+            assertTrue(buffer.hasIncompleteEvent)
+
+            buffer.startAttempt(isResumed = false)
+
+            assertFalse(buffer.hasIncompleteEvent)
+        }
+    }
 }
