Bound the connections of callers, and close those that are refused in a body

A response with Connection: close closes the connection; if its request has not been read to its end, up to 256 KB or 0.5 s are read and dropped first, so that the caller can read the response.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPromise
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.LastHttpContent
@@ -33,6 +35,8 @@
 
     /** Whether a response was cut, so that the connection is closed once what was written before is sent. */
     private var isCut = false
+
+    @Volatile
     private var requestsInProgress = 0
 
     /** Whether the body of a request has not been read to its end. */
@@ -42,6 +46,9 @@
     /** Called when more may be read: a response has been written, or more of a body is permitted. */
     var onReadPermitted: () -> Unit = {}
 
+    /** Closes the connection after a response whose request has not been read to its end. */
+    var onClosedInBody: () -> Unit = {}
+
     /** Number of bytes of the current body that may still be passed on. May be exceeded by one buffer. */
     private var permittedBodyBytes = 0L
 
@@ -54,7 +61,11 @@
     /** Whether a request has been read to its end and has not got its whole response. */
     val isAwaitingResponse: Boolean get() = isInProgress && !isReadingBody
     private var closesOnceIdle = false
-    private var idleSinceNs = System.nanoTime()
+
+    /** Time at which the last response was written, or the connection opened. */
+    @Volatile
+    var idleSinceNs = System.nanoTime()
+        private set
     private var idleCheck: Future<*>? = null
 
     override fun handlerAdded(context: ChannelHandlerContext) {
@@ -115,7 +126,7 @@
         promise: ChannelPromise,
     ) {
         if (isCut) return discard(context, message, promise)
-        if (message is HttpResponse && !isInterim(message)) currentResponse = takeResponse(message)
+        if (message is HttpResponse && !isInterim(message)) onResponseHead(message)
         if (message is HttpContent) currentResponse?.onSent(message.content().readableBytes())
         if (message is LastHttpContent && !isInterim(message)) {
             // The engine creates a message that is a whole response by itself, for example for an error before the head is sent.
@@ -125,6 +136,12 @@
         context.write(message, promise)
     }
 
+    private fun onResponseHead(head: HttpResponse) {
+        currentResponse = takeResponse(head)
+        // The engine closes the connection only if the request asks for it.
+        if (head.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)) closesOnceIdle = true
+    }
+
     private fun takeResponse(head: HttpResponse): CallerResponse? {
         val id = head.headers().get(RESPONSE_HEADER) ?: return null
         head.headers().remove(RESPONSE_HEADER)
@@ -138,6 +155,14 @@
             if (requestsInProgress == 0) context.close()
         }
 
+    /** Closes the connection unless a request is in progress, and tells [onResult] whether it was closed. */
+    fun closeIfIdle(onResult: (Boolean) -> Unit) =
+        context.executor().execute {
+            val isIdle = requestsInProgress == 0
+            if (isIdle) context.close()
+            onResult(isIdle)
+        }
+
     /** Permits another [bytes] bytes of the body of the request in progress. */
     fun permitBody(bytes: Long) =
         context.executor().execute {
@@ -171,14 +196,18 @@
     private fun completeRequest() {
         requestsInProgress--
         idleSinceNs = System.nanoTime()
-        if (closesOnceIdle && requestsInProgress == 0) context.close() else onReadPermitted()
+        when {
+            !closesOnceIdle || isInProgress -> onReadPermitted()
+            isReadingBody -> onClosedInBody()
+            else -> context.close()
+        }
     }
 
     private fun checkIdleIn(delayNs: Long) {
-        idleCheck = context.executor().schedule({ closeIfIdle() }, delayNs, TimeUnit.NANOSECONDS)
+        idleCheck = context.executor().schedule({ closeIfIdleForLong() }, delayNs, TimeUnit.NANOSECONDS)
     }
 
-    private fun closeIfIdle() {
+    private fun closeIfIdleForLong() {
         if (!context.channel().isOpen) return
         val remainingNs = if (requestsInProgress > 0) idleTimeoutNs else idleTimeoutNs - (System.nanoTime() - idleSinceNs)
         if (remainingNs > 0) checkIdleIn(remainingNs) else context.close()
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnections.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnections.kt
@@ -10,8 +10,15 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.coroutines.resume
 
-/** Listeners and open connections of one [CallerServer]. Thread-safe. */
-internal class CallerConnections {
+/**
+ * Listeners and open connections of one [CallerServer]. Thread-safe.
+ *
+ * @param onReplaced called when a connection is closed in favour of a new one.
+ */
+internal class CallerConnections(
+    private val maxConnections: Int,
+    private val onReplaced: () -> Unit,
+) {
     private val listeners = ConcurrentHashMap.newKeySet<Channel>()
     private val open = ConcurrentHashMap.newKeySet<CallerConnectionHandler>()
     private val allClosed = CompletableDeferred<Unit>()
@@ -47,8 +54,22 @@
     /** Closes each connection, if it has a request in progress once that has got its response. */
     fun closeOnceIdle() = open.forEach { it.closeOnceIdle() }
 
+    /** Number of open connections. */
+    val size: Int get() = open.size
+
     private fun onOpened(connection: CallerConnectionHandler) {
         open += connection
+        if (open.size > maxConnections) replaceOne(connection)
+    }
+
+    /** Closes the connection that has been without a request for the longest time, or [newest] if all others have one in progress. */
+    @Synchronized
+    private fun replaceOne(newest: CallerConnectionHandler) {
+        if (open.size <= maxConnections) return
+        val replaced = open.filter { it !== newest && !it.isInProgress }.minByOrNull { it.idleSinceNs } ?: newest
+        // Not counted from now on, so that each new connection closes one.
+        open -= replaced
+        replaced.closeIfIdle { isClosed -> if (isClosed) onReplaced() else open += replaced }
     }
 
     private fun onClosed(connection: CallerConnectionHandler) {
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
@@ -57,6 +57,7 @@
         this.context = context
         // One call reads one buffer, as Ktor disables automatic reading.
         context.channel().config().setRecvByteBufAllocator(FixedRecvByteBufAllocator(READ_BYTES))
+        connection.onClosedInBody = ::discardAndClose
         connection.onReadPermitted = { context.executor().execute { onReadPermitted() } }
     }
 
@@ -199,14 +200,15 @@
         onRefused(refusal)
         if (connection.isReadingBody && cause != null) decoded.failBody(cause)
         if (connection.isInProgress) return connection.closeOnceIdle()
-        releaseHeld()
-        remainingDiscardBytes = MAX_DISCARDED_BYTES
         val response = Unpooled.copiedBuffer(refusal.response, Charsets.US_ASCII)
-        context.writeAndFlush(response).addListener { closeAfterResponse() }
+        context.writeAndFlush(response).addListener { discardAndClose() }
     }
 
     /** Closes the connection so that the caller can read the response first: bytes that are not read would reset the connection. */
-    private fun closeAfterResponse() {
+    private fun discardAndClose() {
+        isStopped = true
+        releaseHeld()
+        remainingDiscardBytes = MAX_DISCARDED_BYTES
         (context.channel() as? DuplexChannel)?.shutdownOutput()
         context.executor().schedule({ context.close() }, LINGER_MS, TimeUnit.MILLISECONDS)
         readIfFewHeld()
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerServer.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerServer.kt
@@ -15,6 +15,9 @@
     private val server: EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration>,
     private val connections: CallerConnections,
 ) {
+    /** Number of open connections. */
+    val openConnections: Int get() = connections.size
+
     /** Opens the listener. */
     fun start() {
         server.start(wait = false)
@@ -52,6 +55,7 @@
  *
  * @param port 0 for a free port.
  * @param idleTimeoutS time in seconds after which a connection without a request in progress is closed.
+ * @param bounds bounds of all connections together.
  * @param limits limits on connections, asked for whenever they are applied.
  * @param onRefused called when a connection is refused for what the caller sent before a request was handled.
  * @param configurePipeline changes the handlers of a new connection, for example adds TLS.
@@ -60,12 +64,13 @@
     host: String,
     port: Int,
     idleTimeoutS: Long = IDLE_TIMEOUT_S,
+    bounds: ListenerBounds = ListenerBounds(),
     limits: () -> ConnectionLimits = { ConnectionLimits() },
     onRefused: (ConnectionRefusal) -> Unit = {},
     configurePipeline: ChannelPipeline.() -> Unit = {},
     module: Application.() -> Unit,
 ): CallerServer {
-    val connections = CallerConnections()
+    val connections = CallerConnections(bounds.maxConnections) { onRefused(ConnectionRefusal.TOO_MANY_CONNECTIONS) }
     val server =
         embeddedServer(
             Netty,
@@ -79,7 +84,7 @@
                 configureBootstrap = {
                     handler(connections.listenerHandler())
                     // Accepted sockets have the buffer size of the listener.
-                    option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+                    option(ChannelOption.SO_RCVBUF, bounds.receiveBufferBytes)
                 }
                 channelPipelineConfig = {
                     val connection = connections.connectionHandler(idleTimeoutS, limits)
@@ -101,9 +106,6 @@
 
 /** Name of the HTTP codec in Ktor's pipeline. */
 private const val KTOR_CODEC_NAME = "codec"
-
-// Linux counts twice as much. What it has received counts as memory of the process, and its own choice grows to megabytes.
-private const val RECEIVE_BUFFER_BYTES = 16_384
 private const val MAX_REQUEST_LINE_BYTES = 16_384
 private const val MAX_HEADER_BYTES = 65_536
 
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/ConnectionLimits.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/ConnectionLimits.kt
@@ -23,7 +23,7 @@
 
 /** Why a connection is closed for what its caller sent. */
 enum class ConnectionRefusal(
-    status: String,
+    status: String?,
 ) {
     /** A head, the trailers or a chunk extension exceed the limit. */
     HEAD_TOO_LARGE("431 Request Header Fields Too Large"),
@@ -33,8 +33,11 @@
 
     /** A head was not complete within its timeout. */
     HEAD_TIMEOUT("408 Request Timeout"),
+
+    /** The listener has too many connections; this one had no request in progress. It is closed without a response. */
+    TOO_MANY_CONNECTIONS(null),
     ;
 
     /** Response that is sent before the connection is closed. */
-    internal val response = "HTTP/1.1 $status\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+    internal val response = if (status == null) "" else "HTTP/1.1 $status\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 }
--- a/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerInputTest.kt
+++ b/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerInputTest.kt
@@ -1,9 +1,11 @@
 package org.lycheemount.listener
 
+import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.Application
 import io.ktor.server.application.install
 import io.ktor.server.http.HttpRequestLifecycle
 import io.ktor.server.request.receiveChannel
+import io.ktor.server.response.header
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
@@ -69,6 +71,10 @@
                 val body = call.receiveChannel().readRemaining().readByteArray()
                 call.respondText(if (call.callerConnection?.hasBrokenBody == true) "broken" else "${body.size} bytes")
             }
+            post("/refused") {
+                call.response.header("Connection", "close")
+                call.respondText("refused", status = HttpStatusCode.PayloadTooLarge)
+            }
             post("/counted") {
                 connection.set(call.callerConnection)
                 val bytes = ByteArray(8_192)
@@ -277,6 +283,15 @@
             }
         }
 
+        @Test
+        fun `that is refused before its end closes the connection, guarding against callers that are read for ever`() {
+            open("POST /refused HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n").use { socket ->
+                val response = socket.sendUntilClosed("1\r\nx\r\n".repeat(100))
+
+                assertTrue(response.isEmpty() || response.startsWith("HTTP/1.1 413"), response.take(80))
+            }
+        }
+
         @Test
         fun `that nobody reads is not read further than a bound, guarding against bodies that fill the memory`() {
             open("POST /unread HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000\r\n\r\n").use { socket ->
