Add settings, metrics and log lines of the bounds on callers

Change: the object limits in the settings of both routers (memoryShare, maxConnections, receiveBufferBytes, maxEventBytes) with checked ranges; metrics of refused connections, the memory budget and discarded events; at most one log line a second for each reason, with a count.

Result: GatewaySettingsTest and the settings and process tests of app/router that were selected are green.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/HttpListener.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/HttpListener.kt
@@ -6,10 +6,12 @@
 import org.lycheemount.listener.CallerServer
 import org.lycheemount.listener.ConnectionLimits
 import org.lycheemount.listener.ConnectionRefusal
+import org.lycheemount.listener.ListenerBounds
 import org.lycheemount.listener.createCallerServer
 import org.lycheemount.peer.socket.ReloadingTlsContext
 import org.lycheemount.peer.socket.TlsFiles
 import org.lycheemount.settings.ListenerSettings
+import org.lycheemount.settings.ProcessLimitSettings
 import org.lycheemount.settings.TlsSettings
 import java.nio.file.Path
 
@@ -27,6 +29,7 @@
 internal fun createHttpServer(
     listener: ListenerSettings,
     eventLog: EventLog,
+    bounds: ListenerBounds = ListenerBounds(),
     limits: () -> ConnectionLimits = { ConnectionLimits() },
     onRefused: (ConnectionRefusal) -> Unit = {},
     module: Application.() -> Unit,
@@ -35,6 +38,7 @@
     return createCallerServer(
         listener.host,
         listener.port,
+        bounds = bounds,
         limits = limits,
         onRefused = onRefused,
         // Ktor's TLS connector builds its context only once. A handler per connection picks up replaced certificates.
@@ -42,3 +46,10 @@
         module = module,
     )
 }
+
+/** Bounds of the listener for callers. */
+internal fun ProcessLimitSettings.listenerBounds(): ListenerBounds =
+    ListenerBounds(receiveBufferBytes = receiveBufferBytes).let { bounds ->
+        maxConnections?.let { bounds.copy(maxConnections = it) }
+            ?: bounds
+    }
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -24,6 +24,8 @@
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.common.DefaultEventLog
 import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.createMemoryBudget
+import org.lycheemount.listener.CallerServer
 import org.lycheemount.listener.ConnectionLimits
 import org.lycheemount.peer.socket.DefaultPeerMessenger
 import org.lycheemount.peer.socket.PeerSecret
@@ -77,8 +79,15 @@
     private val configuration = controlPlane.configuration
     private val claims = createClaims(platform.table, peers, clock, eventLog, controlPlane::hasEnded)
     private val placement = PlacementSupervisor(configuration, engineFleet, placementDependencies())
+    private val memory = createMemoryBudget(settings.limits.memoryShare)
+    private val metricsRegistry = PrometheusRegistry().also(::registerLogMetrics)
+    private val boundsReport: CallerBoundsReport =
+        CallerBoundsReport(metricsRegistry, memory, clock, eventLog) { callerServer.openConnections }
     private val callers = CallerApi(callerServices())
-    private val callerServer = createHttpServer(settings.callers, eventLog, { CONNECTION_LIMITS }) { callers.installInto(this) }
+    private val callerServer: CallerServer =
+        createHttpServer(settings.callers, eventLog, settings.limits.listenerBounds(), {
+            CONNECTION_LIMITS
+        }, boundsReport::onConnectionRefused) { callers.installInto(this) }
     private val admin = adminListener()
 
     /** Requests admitted and not yet settled. */
@@ -130,7 +139,8 @@
             plainServices = plainServices,
             peers = peers,
             eventLog = eventLog,
-            metricsRegistry = PrometheusRegistry().also(::registerLogMetrics),
+            metricsRegistry = metricsRegistry,
+            memory = memory,
             scope = scope,
             drain = drain,
             limits = callerLimits(),
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -16,6 +16,8 @@
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.lycheemount.app.router.CallerBoundsReport
+import org.lycheemount.app.router.listenerBounds
 import org.lycheemount.app.router.logging.registerLogMetrics
 import org.lycheemount.backend.BackendHttp
 import org.lycheemount.backend.DefaultPassThroughClient
@@ -34,7 +36,9 @@
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.common.DefaultEventLog
 import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.createMemoryBudget
 import org.lycheemount.config.PublishedConfiguration
+import org.lycheemount.listener.CallerServer
 import org.lycheemount.listener.ConnectionLimits
 import org.lycheemount.listener.createCallerServer
 import org.lycheemount.origins.SharedStreamOrigins
@@ -118,10 +122,19 @@
             registerOriginMetrics(it, streamOrigins)
         }
     private val metricsHandler = MetricsHandler(metricsRegistry)
+    private val memory = createMemoryBudget(settings.limits.memoryShare)
+    private val boundsReport: CallerBoundsReport =
+        CallerBoundsReport(metricsRegistry, memory, clock, eventLog) { callersServer.openConnections }
     private val routedInterface = RoutedRequestHandler(routedServices())
-    private val callersServer =
+    private val callersServer: CallerServer =
         settings.callersAddress.let { address ->
-            createCallerServer(hostOf(address), portOf(address), limits = ::connectionLimits) { routedInterface.installInto(this) }
+            createCallerServer(
+                hostOf(address),
+                portOf(address),
+                bounds = settings.limits.listenerBounds(),
+                limits = ::connectionLimits,
+                onRefused = boundsReport::onConnectionRefused,
+            ) { routedInterface.installInto(this) }
         }
     private val warmUp = GatewayWarmUp(identity, clock, budgets.ledger, budgets.maintenance)
     private val warmUpFinished = CompletableDeferred<Unit>()
@@ -275,6 +288,9 @@
             quarantine = quarantine,
             drain = drain,
             maxBodyBytes = { configuration.current().listenerLimits.maxBodyBytes },
+            memory = memory,
+            maxEventBytes = settings.limits.maxEventBytes,
+            onEventDiscarded = boundsReport::onEventDiscarded,
         )
 
     /** Limits of the operator's configuration, which may change at any time. */
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/GatewaySettings.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/GatewaySettings.kt
@@ -23,6 +23,7 @@
  * @property storeAddress IP address and port of the platform's store.
  * @property isFirstStart whether the whole fleet starts for the first time. A restarted router skips its warm-up to be available sooner.
  * @property drainGraceS time between SIGTERM and the exit of the process.
+ * @property limits limits on what callers and servers can make the process hold.
  */
 @Serializable
 data class GatewaySettings(
@@ -38,6 +39,7 @@
     val drainGraceS: Double,
     val isFirstStart: Boolean = false,
     val retryBudget: RetryBudgetSettings,
+    val limits: ProcessLimitSettings = ProcessLimitSettings(),
 )
 
 /**
@@ -79,6 +81,7 @@
         "storeAddress" to addressRule,
         "isFirstStart" to FieldRule.Flag(),
         "drainGraceS" to FieldRule.Decimal(0.0..3_600.0, isRequired = true),
+        "limits" to processLimitRule,
         "retryBudget" to
             FieldRule.Object(
                 mapOf(
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/RouterSettings.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/RouterSettings.kt
@@ -13,6 +13,7 @@
  * @property admin listener for the administration API.
  * @property peers listener for the links between routers.
  * @property requests limits that apply to each request.
+ * @property limits limits on what callers can make the process hold.
  * @property adminKeys keys of the administration API; if empty, every operation is rejected.
  * @property configurationFile file with a configuration snapshot that replaces the configuration of the table; null in production.
  */
@@ -30,5 +31,6 @@
     val configurationFile: String? = null,
     val budget: BudgetSettings = BudgetSettings(),
     val requests: RequestSettings = RequestSettings(),
+    val limits: ProcessLimitSettings = ProcessLimitSettings(),
     val adminKeys: List<AdminKeySettings> = emptyList(),
 )
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/SettingsLoader.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/SettingsLoader.kt
@@ -150,6 +150,7 @@
                 ),
                 isRequired = false,
             ),
+        "limits" to processLimitRule,
         "adminKeys" to
             FieldRule.ObjectList(
                 mapOf(
--- a/version/settings/src/test/kotlin/org/lycheemount/settings/GatewaySettingsTest.kt
+++ b/version/settings/src/test/kotlin/org/lycheemount/settings/GatewaySettingsTest.kt
@@ -31,6 +31,18 @@
 
     @Nested
     inner class `invalid settings` {
+        @Test
+        fun `are rejected if a limit is out of its range`() {
+            val limits = """{"memoryShare": 0.9, "maxConnections": 1, "receiveBufferBytes": 0, "maxEventBytes": 1}"""
+            val withLimits = json().replace("\"retryBudget\":", "\"limits\": $limits, \"retryBudget\":")
+            val errors = parseGatewaySettings(withLimits).getError().orEmpty()
+
+            assertEquals(
+                setOf("limits.memoryShare", "limits.maxConnections", "limits.receiveBufferBytes", "limits.maxEventBytes"),
+                errors.mapTo(HashSet()) { it.field },
+            )
+        }
+
         @Test
         fun `are rejected with an error for each invalid field and its accepted range`() {
             val errors = parseGatewaySettings(json(callers = "fraser", ratio = "7")).getError().orEmpty().associateBy { it.field }
