--- a/app/isolated-tests/src/test/kotlin/org/lycheemount/app/isolated/UntrustedCallersTest.kt
+++ b/app/isolated-tests/src/test/kotlin/org/lycheemount/app/isolated/UntrustedCallersTest.kt
@@ -1,7 +1,6 @@
 package org.lycheemount.app.isolated
 
 import org.junit.jupiter.api.Nested
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 
 /**
@@ -12,7 +11,6 @@
     @Nested
     inner class `a gateway whose callers send requests ahead` : IsolatedGatewayTest() {
         // 40 MB of requests are 350,000 decoded requests, several times the heap.
-        @Tag("known-red")
         @Test
         fun `holds a bounded part of them, guarding against requests that fill the heap while no response is read (A1)`() =
             assertWithstands("A1") {
@@ -27,7 +25,6 @@
     @Nested
     inner class `a gateway whose callers send bodies in one-byte chunks` : IsolatedGatewayTest() {
         // Each caller sends one and a half times the limit of bodies, so that none may stay open.
-        @Tag("known-red")
         @Test
         fun `refuses and closes those over the limit, guarding against an object for each chunk (A2)`() =
             assertWithstands("A2", IsolatedFixture(maxBodyBytes = SMALL_BODY_BYTES), mustCloseCrowd = true) {
@@ -42,7 +39,6 @@
     // Each caller sends 30 times what the limits allow for a head and the request line, so that none may stay open.
     @Nested
     inner class `a gateway whose callers send bytes that do not end a message` : IsolatedGatewayTest() {
-        @Tag("known-red")
         @Test
         fun `closes connections with a head without end, guarding against callers that are read for ever (A3)`() =
             assertWithstands("A3", mustCloseCrowd = true) {
@@ -53,7 +49,6 @@
                 }
             }
 
-        @Tag("known-red")
         @Test
         fun `closes connections with empty lines before a request, guarding against callers that are read for ever (A5)`() =
             assertWithstands("A5", mustCloseCrowd = true) {
@@ -67,7 +62,6 @@
     // A heap of 64 MB holds 15 bodies of 4 MB and nothing else.
     @Nested
     inner class `a gateway whose callers send large bodies` : IsolatedGatewayTest() {
-        @Tag("known-red")
         @Test
         fun `holds a bounded part of bodies that stop short of their end, guarding against a heap full of them (A7)`() =
             assertWithstands("A7") {
@@ -78,7 +72,6 @@
                 }
             }
 
-        @Tag("known-red")
         @Test
         fun `holds a bounded part of complete bodies below the limit, guarding against a heap full of them`() =
             assertWithstands("complete-large-bodies") {
