--- a/app/router/src/main/kotlin/org/lycheemount/app/router/HttpListener.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/HttpListener.kt
@@ -4,10 +4,14 @@
 import io.netty.handler.ssl.SslHandler
 import org.lycheemount.common.EventLog
 import org.lycheemount.listener.CallerServer
+import org.lycheemount.listener.ConnectionLimits
+import org.lycheemount.listener.ConnectionRefusal
+import org.lycheemount.listener.ListenerBounds
 import org.lycheemount.listener.createCallerServer
 import org.lycheemount.peer.socket.ReloadingTlsContext
 import org.lycheemount.peer.socket.TlsFiles
 import org.lycheemount.settings.ListenerSettings
+import org.lycheemount.settings.ProcessLimitSettings
 import org.lycheemount.settings.TlsSettings
 import java.nio.file.Path
 
@@ -25,14 +29,27 @@
 internal fun createHttpServer(
     listener: ListenerSettings,
     eventLog: EventLog,
+    bounds: ListenerBounds = ListenerBounds(),
+    limits: () -> ConnectionLimits = { ConnectionLimits() },
+    onRefused: (ConnectionRefusal) -> Unit = {},
     module: Application.() -> Unit,
 ): CallerServer {
     val tls = listener.tls?.let { createReloadingTlsContext(it, eventLog) }
     return createCallerServer(
         listener.host,
         listener.port,
+        bounds = bounds,
+        limits = limits,
+        onRefused = onRefused,
         // Ktor's TLS connector builds its context only once. A handler per connection picks up replaced certificates.
         configurePipeline = { tls?.let { addFirst("tls", SslHandler(it.serverEngine(needClientCertificate = false))) } },
         module = module,
     )
 }
+
+/** Bounds of the listener for callers. */
+internal fun ProcessLimitSettings.listenerBounds(): ListenerBounds =
+    ListenerBounds(receiveBufferBytes = receiveBufferBytes).let { bounds ->
+        maxConnections?.let { bounds.copy(maxConnections = it) }
+            ?: bounds
+    }
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -16,6 +16,8 @@
 import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.lycheemount.app.router.CallerBoundsReport
+import org.lycheemount.app.router.listenerBounds
 import org.lycheemount.app.router.logging.registerLogMetrics
 import org.lycheemount.backend.BackendHttp
 import org.lycheemount.backend.DefaultPassThroughClient
@@ -34,7 +36,10 @@
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.common.DefaultEventLog
 import org.lycheemount.common.RouterIdentity
+import org.lycheemount.common.createMemoryBudget
 import org.lycheemount.config.PublishedConfiguration
+import org.lycheemount.listener.CallerServer
+import org.lycheemount.listener.ConnectionLimits
 import org.lycheemount.listener.createCallerServer
 import org.lycheemount.origins.SharedStreamOrigins
 import org.lycheemount.platform.RouterVm
@@ -123,9 +128,20 @@
             registerEvacuationMetrics(it, evacuations)
         }
     private val metricsHandler = MetricsHandler(metricsRegistry)
+    private val memory = createMemoryBudget(settings.limits.memoryShare)
+    private val boundsReport: CallerBoundsReport =
+        CallerBoundsReport(metricsRegistry, memory, clock, eventLog) { callersServer.openConnections }
     private val routedInterface = RoutedRequestHandler(routedServices())
-    private val callersServer =
-        settings.callersAddress.let { createCallerServer(hostOf(it), portOf(it)) { routedInterface.installInto(this) } }
+    private val callersServer: CallerServer =
+        settings.callersAddress.let { address ->
+            createCallerServer(
+                hostOf(address),
+                portOf(address),
+                bounds = settings.limits.listenerBounds(),
+                limits = ::connectionLimits,
+                onRefused = boundsReport::onConnectionRefused,
+            ) { routedInterface.installInto(this) }
+        }
     private val warmUp = GatewayWarmUp(identity, clock, budgets.ledger, budgets.maintenance)
     private val warmUpFinished = CompletableDeferred<Unit>()
     private val started = CompletableDeferred<Unit>()
@@ -279,8 +295,16 @@
             streamOrigins = streamOrigins,
             quarantine = quarantine,
             drain = drain,
+            maxBodyBytes = { configuration.current().listenerLimits.maxBodyBytes },
+            memory = memory,
+            maxEventBytes = settings.limits.maxEventBytes,
+            onEventDiscarded = boundsReport::onEventDiscarded,
         )
 
+    /** Limits of the operator's configuration, which may change at any time. */
+    private fun connectionLimits() =
+        configuration.current().listenerLimits.run { ConnectionLimits(maxHeaderBytes, headerTimeoutMs, initialBodyBytes = 0) }
+
     private fun cannotServeReasons(): List<String> =
         listOfNotNull(
             "no_configuration".takeIf { !configuration.isLoaded },
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPromise
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.LastHttpContent
@@ -21,6 +23,7 @@
  */
 internal class CallerConnectionHandler(
     private val idleTimeoutS: Long,
+    private val limits: () -> ConnectionLimits,
     private val onOpened: (CallerConnectionHandler) -> Unit,
     private val onClosed: (CallerConnectionHandler) -> Unit,
 ) : ChannelDuplexHandler() {
@@ -32,15 +35,43 @@
 
     /** Whether a response was cut, so that the connection is closed once what was written before is sent. */
     private var isCut = false
+
+    @Volatile
     private var requestsInProgress = 0
-    private var isReadingBody = false
+
+    /** Whether the body of a request has not been read to its end. */
+    var isReadingBody = false
+        private set
+
+    /** Called when more may be read: a response has been written, or more of a body is permitted. */
+    var onReadPermitted: () -> Unit = {}
+
+    /** Closes the connection after a response whose request has not been read to its end. */
+    var onClosedInBody: () -> Unit = {}
+
+    /** Number of bytes of the current body that may still be passed on. May be exceeded by one buffer. */
+    private var permittedBodyBytes = 0L
+
+    /** Whether the handler of the request in progress must permit the rest of its body. */
+    val isBodyHeld: Boolean get() = isReadingBody && isInProgress && permittedBodyBytes <= 0
+
+    /** Whether a request has not got its whole response. */
+    val isInProgress: Boolean get() = requestsInProgress > 0
+
+    /** Whether a request has been read to its end and has not got its whole response. */
+    val isAwaitingResponse: Boolean get() = isInProgress && !isReadingBody
     private var closesOnceIdle = false
-    private var idleSinceNs = System.nanoTime()
+
+    /** Time at which the last response was written, or the connection opened. */
+    @Volatile
+    var idleSinceNs = System.nanoTime()
+        private set
     private var idleCheck: Future<*>? = null
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
         context.channel().attr(RESPONSES).set(announcedResponses)
+        context.channel().attr(CONNECTION).set(this)
         onOpened(this)
         context.channel().closeFuture().addListener { onClosed(this) }
         checkIdleIn(idleTimeoutNs)
@@ -53,7 +84,9 @@
         if (message is HttpRequest) {
             requestsInProgress++
             isReadingBody = true
+            permittedBodyBytes = limits().initialBodyBytes
         }
+        if (message is HttpContent) permittedBodyBytes -= message.content().readableBytes()
         if (message is HttpContent && message.decoderResult().isFailure) {
             markBrokenBody()
             ReferenceCountUtil.release(message)
@@ -93,16 +126,22 @@
         promise: ChannelPromise,
     ) {
         if (isCut) return discard(context, message, promise)
-        if (message is HttpResponse && !isInterim(message)) currentResponse = takeResponse(message)
+        if (message is HttpResponse && !isInterim(message)) onResponseHead(message)
         if (message is HttpContent) currentResponse?.onSent(message.content().readableBytes())
         if (message is LastHttpContent && !isInterim(message)) {
             // The engine creates a message that is a whole response by itself, for example for an error before the head is sent.
             if (message !is HttpResponse && currentResponse?.isSent == false) return closeInPlaceOf(message, promise)
-            promise.unvoid().addListener { onResponseWritten() }
+            promise.unvoid().addListener { completeRequest() }
         }
         context.write(message, promise)
     }
 
+    private fun onResponseHead(head: HttpResponse) {
+        currentResponse = takeResponse(head)
+        // The engine closes the connection only if the request asks for it.
+        if (head.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)) closesOnceIdle = true
+    }
+
     private fun takeResponse(head: HttpResponse): CallerResponse? {
         val id = head.headers().get(RESPONSE_HEADER) ?: return null
         head.headers().remove(RESPONSE_HEADER)
@@ -116,6 +155,22 @@
             if (requestsInProgress == 0) context.close()
         }
 
+    /** Closes the connection unless a request is in progress, and tells [onResult] whether it was closed. */
+    fun closeIfIdle(onResult: (Boolean) -> Unit) =
+        context.executor().execute {
+            val isIdle = requestsInProgress == 0
+            if (isIdle) context.close()
+            onResult(isIdle)
+        }
+
+    /** Permits another [bytes] bytes of the body of the request in progress. */
+    fun permitBody(bytes: Long) =
+        context.executor().execute {
+            // Limited, as the sum would overflow.
+            permittedBodyBytes += minOf(bytes, Long.MAX_VALUE - permittedBodyBytes.coerceAtLeast(0))
+            onReadPermitted()
+        }
+
     private fun isInterim(message: Any) = message is HttpResponse && message.status().code() < FIRST_FINAL_STATUS
 
     private fun closeInPlaceOf(
@@ -138,17 +193,21 @@
         context.channel().closeFuture().addListener { written.tryFailure(ClosedChannelException()) }
     }
 
-    private fun onResponseWritten() {
+    private fun completeRequest() {
         requestsInProgress--
         idleSinceNs = System.nanoTime()
-        if (closesOnceIdle && requestsInProgress == 0) context.close()
+        when {
+            !closesOnceIdle || isInProgress -> onReadPermitted()
+            isReadingBody -> onClosedInBody()
+            else -> context.close()
+        }
     }
 
     private fun checkIdleIn(delayNs: Long) {
-        idleCheck = context.executor().schedule({ closeIfIdle() }, delayNs, TimeUnit.NANOSECONDS)
+        idleCheck = context.executor().schedule({ closeIfIdleForLong() }, delayNs, TimeUnit.NANOSECONDS)
     }
 
-    private fun closeIfIdle() {
+    private fun closeIfIdleForLong() {
         if (!context.channel().isOpen) return
         val remainingNs = if (requestsInProgress > 0) idleTimeoutNs else idleTimeoutNs - (System.nanoTime() - idleSinceNs)
         if (remainingNs > 0) checkIdleIn(remainingNs) else context.close()
@@ -162,6 +221,9 @@
         /** Set on a connection on which a body is malformed, or that ended within a body. */
         val BROKEN_BODY: AttributeKey<Boolean> = AttributeKey.valueOf("brokenBody")
 
+        /** Handler of a connection. */
+        val CONNECTION: AttributeKey<CallerConnectionHandler> = AttributeKey.valueOf("callerConnection")
+
         /** Announced responses whose heads have not been sent. */
         val RESPONSES: AttributeKey<AnnouncedResponses> = AttributeKey.valueOf("responses")
 
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerServer.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerServer.kt
@@ -6,6 +6,7 @@
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.netty.Netty
 import io.ktor.server.netty.NettyApplicationEngine
+import io.netty.channel.ChannelOption
 import io.netty.channel.ChannelPipeline
 import kotlinx.coroutines.withTimeoutOrNull
 
@@ -14,6 +15,9 @@
     private val server: EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration>,
     private val connections: CallerConnections,
 ) {
+    /** Number of open connections. */
+    val openConnections: Int get() = connections.size
+
     /** Opens the listener. */
     fun start() {
         server.start(wait = false)
@@ -51,16 +55,22 @@
  *
  * @param port 0 for a free port.
  * @param idleTimeoutS time in seconds after which a connection without a request in progress is closed.
+ * @param bounds bounds of all connections together.
+ * @param limits limits on connections, asked for whenever they are applied.
+ * @param onRefused called when a connection is refused for what the caller sent before a request was handled.
  * @param configurePipeline changes the handlers of a new connection, for example adds TLS.
  */
 fun createCallerServer(
     host: String,
     port: Int,
     idleTimeoutS: Long = IDLE_TIMEOUT_S,
+    bounds: ListenerBounds = ListenerBounds(),
+    limits: () -> ConnectionLimits = { ConnectionLimits() },
+    onRefused: (ConnectionRefusal) -> Unit = {},
     configurePipeline: ChannelPipeline.() -> Unit = {},
     module: Application.() -> Unit,
 ): CallerServer {
-    val connections = CallerConnections()
+    val connections = CallerConnections(bounds.maxConnections) { onRefused(ConnectionRefusal.TOO_MANY_CONNECTIONS) }
     val server =
         embeddedServer(
             Netty,
@@ -70,12 +80,19 @@
                     this.port = port
                 }
                 shareWorkGroup = true
-                maxInitialLineLength = MAX_REQUEST_LINE_BYTES
-                maxHeaderSize = MAX_HEADER_BYTES
                 responseWriteTimeoutSeconds = WRITE_TIMEOUT_S
-                configureBootstrap = { handler(connections.listenerHandler()) }
+                configureBootstrap = {
+                    handler(connections.listenerHandler())
+                    // Accepted sockets have the buffer size of the listener.
+                    option(ChannelOption.SO_RCVBUF, bounds.receiveBufferBytes)
+                }
                 channelPipelineConfig = {
-                    addBefore(KTOR_HANDLER_NAME, null, connections.connectionHandler(idleTimeoutS))
+                    val connection = connections.connectionHandler(idleTimeoutS, limits)
+                    val input = CallerInputHandler(connection, limits, onRefused)
+                    addBefore(KTOR_HANDLER_NAME, null, connection)
+                    replace(KTOR_CODEC_NAME, KTOR_CODEC_NAME, SingleMessageCodec(MAX_REQUEST_LINE_BYTES, MAX_HEADER_BYTES))
+                    addAfter(KTOR_CODEC_NAME, null, input.decoded)
+                    addFirst(input)
                     configurePipeline()
                 }
             },
@@ -86,6 +103,9 @@
 
 /** Name of Ktor's handler of HTTP messages, which starts the handler of a request. */
 private const val KTOR_HANDLER_NAME = "http1"
+
+/** Name of the HTTP codec in Ktor's pipeline. */
+private const val KTOR_CODEC_NAME = "codec"
 private const val MAX_REQUEST_LINE_BYTES = 16_384
 private const val MAX_HEADER_BYTES = 65_536
 
