--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestLimit.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestLimit.kt
@@ -12,13 +12,23 @@
  * Requests that this router may send to one backend server under the limit that the server has named.
  *
  * The limit holds until the server responds without one, or has not responded for so long that this router would have asked it several
- * times. It then doubles each second before it ends, so that the waiting requests of all routers do not arrive at once.
+ * times, or until the time at which it ends by itself. It then doubles each second before it ends, so that the waiting requests of all
+ * routers do not arrive at once.
+ *
+ * @param createShare this router's share of a limit of [requestsPerS][RequestShare.requestsPerS] while the limit holds.
  */
-internal class RequestLimit {
+internal class RequestLimit(
+    private val createShare: (
+        serverHash: Int,
+        requestsPerS: Double,
+        fleet: RouterFleet,
+        sinceMs: Long,
+    ) -> RequestShare = ::RequestLimitShare,
+) {
     private var statement: RequestLimitStatement? = null
     private var returningSinceMs: Long? = null
     private var step = 0L
-    private var share: RequestLimitShare? = null
+    private var share: RequestShare? = null
 
     /** Whether the server has named a limit that has not ended. */
     val isLimited: Boolean get() = statement != null
@@ -61,6 +71,10 @@
     ) {
         val limit = statement ?: return
         val sinceMs = returningSinceMs
+        if (sinceMs == null && limit.endsAtMs != null) {
+            if (nowMs >= limit.endsAtMs) startReturn(fleet, nowMs)
+            return
+        }
         if (sinceMs == null) {
             val roundMs = (fleet?.routers?.size ?: return) * MS_PER_SECOND / checkNotNull(limit.requestsPerS)
             if (nowMs - limit.asOfMs > maxOf(MIN_SILENCE_MS, SILENCE_ROUNDS * roundMs)) startReturn(fleet, nowMs)
@@ -105,8 +119,13 @@
         nowMs: Long,
     ) {
         val limit = statement ?: return
-        val factor = if (returningSinceMs == null) 1L else 2L shl step.toInt()
+        val serverHash = limit.backendServerId.value.hashCode()
+        val limitPerS = checkNotNull(limit.requestsPerS)
         share =
-            fleet?.let { RequestLimitShare(limit.backendServerId.value.hashCode(), checkNotNull(limit.requestsPerS) * factor, it, nowMs) }
+            when {
+                fleet == null -> null
+                returningSinceMs == null -> createShare(serverHash, limitPerS, fleet, nowMs)
+                else -> RequestLimitShare(serverHash, limitPerS * (2L shl step.toInt()), fleet, nowMs)
+            }
     }
 }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestLimitShare.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestLimitShare.kt
@@ -23,7 +23,7 @@
     requestsPerS: Double,
     private val fleet: RouterFleet,
     sinceMs: Long,
-) {
+) : RequestShare {
     private val slotMs = MS_PER_SECOND / requestsPerS
     private val lifetimeMs = MIN_PERMIT_LIFETIME_MS + PERMIT_LIFETIME_SLOTS * slotMs
     private val routerCount = maxOf(1, fleet.routers.size)
@@ -32,15 +32,13 @@
     /** Round of the oldest permit that is neither used nor expired. */
     private var nextRound = roundAt(sinceMs) - 1
 
-    /** Requests that this router may send, a second. */
-    val requestsPerS: Double = if (routerIndex < 0) 0.0 else requestsPerS / routerCount
+    override val requestsPerS: Double = if (routerIndex < 0) 0.0 else requestsPerS / routerCount
 
     init {
         while (permitAtMs(nextRound) <= sinceMs) nextRound++
     }
 
-    /** Number of requests that this router may send now. */
-    fun availableRequests(nowMs: Long): Int {
+    override fun availableRequests(nowMs: Long): Int {
         if (routerIndex < 0) return 0
         skipExpired(nowMs)
         var round = nextRound
@@ -48,14 +46,12 @@
         return (round - nextRound).toInt()
     }
 
-    /** Uses one permit. */
-    fun onRequest(nowMs: Long) {
+    override fun onRequest(nowMs: Long) {
         skipExpired(nowMs)
         nextRound++
     }
 
-    /** Time of the next permit, or null if this router gets none. */
-    fun nextPermitAtMs(nowMs: Long): Long? {
+    override fun nextPermitAtMs(nowMs: Long): Long? {
         if (routerIndex < 0) return null
         skipExpired(nowMs)
         return maxOf(nowMs, ceil(permitAtMs(nextRound)).toLong())
