Limit the requests that the scheduler assigns to cold servers

Cause: a zone that comes back cold is idle, so all routers send to it at once, above the rate that its servers tolerate.

Change: RequestScheduler.onColdServers names the cold servers, also before the list of servers names them. Each server has a cold limit beside the limit of its own, and the lower one holds. After the cold time the limit doubles each second for 8 s, as other limits do. A router without the list of routers sends nothing to a cold server.

--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/DefaultRequestScheduler.kt
@@ -15,8 +15,6 @@
 
 private const val PRIORITY_STEP_MS = 50L
 private const val MAX_PRIORITY = 10_000L
-private const val MAX_CLOCK_DRIFT_MS = 20L
-private const val MAX_LATE_READING_MS = 2_000L
 
 /** Request scheduler of one router, built from queues, admission control, server selection and health tracking. */
 internal class DefaultRequestScheduler(
@@ -37,6 +35,7 @@
     private val started = HashMap<RequestId, StartedRequest>()
     private var lastSequence = 0L
     private var fleet: RouterFleet? = null
+    private var coldServers = emptyMap<BackendServerId, ColdServer>()
 
     /** Whether a server has stopped taking requests since the queued requests were last checked for one that has not. */
     private var hasFewerServers = false
@@ -61,7 +60,7 @@
             if (existing != null && existing.server.vmId == server.vmId) {
                 existing.server = server
             } else {
-                this.servers[server.backendServerId] = ServerState(server)
+                this.servers[server.backendServerId] = ServerState(server).also { it.onCold(coldServers[it.id], fleet, nowMs) }
                 // The next run may have another software version.
                 if (existing != null) hasFewerServers = true
             }
@@ -87,7 +86,10 @@
         val waitMs = startsAtMs - nowMs + targetQueue.waitMs(item, deadlines.dueAtMs, available, startsAtMs)
         val refusal = admissionControl.refusalFor(item, workClass, targetQueue, waitMs, deadlines.dueAtMs, nowMs)
         if (refusal != null) return SubmitOutcome.Refused(refusal)
-        enqueue(targetQueue, QueuedRequest(item, workClass, ++lastSequence, nowMs, serviceMs, deadlines, waitMs))
+        val request = QueuedRequest(item, workClass, ++lastSequence, nowMs, serviceMs, deadlines, waitMs)
+        targetQueue.fairQueue.add(request)
+        queued[item.requestId] = request
+        if (request.dropAtMs != null) byDropTime += request
         return SubmitOutcome.Queued
     }
 
@@ -135,6 +137,14 @@
         if (state.server.vmId == statement.vmId) state.requestLimit.onStatement(statement, fleet, nowMs)
     }
 
+    override fun onColdServers(
+        servers: Collection<ColdServer>,
+        nowMs: Long,
+    ) {
+        coldServers = servers.associateBy { it.backendServerId }
+        this.servers.values.forEach { it.onCold(coldServers[it.id], fleet, nowMs) }
+    }
+
     override fun onLeaving(
         statement: LeavingStatement,
         nowMs: Long,
@@ -155,12 +165,9 @@
         fleet: RouterFleet,
         nowMs: Long,
     ) {
-        val known = this.fleet
-        // The clocks of routers and table drift apart slowly, and each reading of the table's clock is late by the time of a response.
-        val isSame = known != null && known.routers == fleet.routers
-        if (isSame && fleet.tableTimeOffsetMs - known.tableTimeOffsetMs in -MAX_LATE_READING_MS..MAX_CLOCK_DRIFT_MS) return
+        if (this.fleet?.isSameAs(fleet) == true) return
         this.fleet = fleet
-        servers.values.forEach { it.requestLimit.onFleet(fleet, nowMs) }
+        servers.values.forEach { it.onFleet(fleet, nowMs) }
     }
 
     override fun onCacheEvents(
@@ -177,7 +184,7 @@
         val actions = ArrayList<SchedulerAction>()
         for (state in servers.values) {
             if (state.hangDeadlineMs()?.let { it <= nowMs } == true) state.health.onHang(nowMs)
-            state.requestLimit.update(fleet, nowMs)
+            state.updateLimits(fleet, nowMs)
             if (state.hasClosed(nowMs)) hasFewerServers = true
         }
         for (targetQueue in targetQueues.values) startReady(targetQueue, nowMs, actions)
@@ -195,18 +202,7 @@
         for (state in servers.values) {
             val hangDeadlineMs = state.hangDeadlineMs()
             if (hangDeadlineMs != null && state.health.allowedRequests(nowMs) > 0) times += hangDeadlineMs
-            if (queued.isNotEmpty()) {
-                state.requestLimit
-                    .nextRequestAtMs(nowMs)
-                    ?.takeIf { it > nowMs }
-                    ?.let(times::add)
-                state.lastRequestsEndMs(nowMs)?.let(times::add)
-                state.pause.endMs(nowMs)?.let(times::add)
-                state.health
-                    .probeAtMs()
-                    ?.takeIf { it > nowMs }
-                    ?.let(times::add)
-            }
+            if (queued.isNotEmpty()) times += state.requestTimesMs(nowMs)
         }
         return times.minOrNull()?.let { maxOf(it, nowMs) }
     }
@@ -331,15 +327,6 @@
         if (kind == FailureKind.REFUSED_BUSY) state.concurrencyLimit.onRefusedBusy(state.ownInFlight + 1, nowMs)
     }
 
-    private fun enqueue(
-        targetQueue: TargetQueue,
-        request: QueuedRequest,
-    ) {
-        targetQueue.fairQueue.add(request)
-        queued[request.item.requestId] = request
-        if (request.dropAtMs != null) byDropTime += request
-    }
-
     private fun dequeue(request: QueuedRequest) {
         targetQueues.getValue(request.item.target).fairQueue.remove(request)
         queued.remove(request.item.requestId)
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestScheduler.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestScheduler.kt
@@ -11,7 +11,7 @@
  * A state machine without clock, threads or I/O. Callers pass the monotonic time and serialise their calls. After any other
  * call, the owner calls [poll] and carries out the returned actions.
  */
-interface RequestScheduler {
+interface RequestScheduler : ColdServerListener {
     /** Replaces the work classes. */
     fun onWorkClasses(workClasses: Collection<WorkClass>)
 
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/SchedulerStateDump.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/SchedulerStateDump.kt
@@ -57,6 +57,11 @@
         put("requestLimitAgeMs", nowMs - it.asOfMs)
         put("ownRequestLimitPerS", state.requestLimit.requestsPerS)
     }
+    state.coldLimit.current?.let {
+        put("coldRequestsPerS", it.requestsPerS)
+        put("coldForMs", it.endsAtMs?.minus(nowMs))
+        put("ownColdRequestsPerS", state.coldLimit.requestsPerS)
+    }
     put("cachedBlocks", state.prefixIndex.size)
     put("cachedBlocksLimit", state.prefixIndex.capacityBlocks)
 }
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerPool.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerPool.kt
@@ -12,8 +12,8 @@
 ) {
     private val staying = servers.filterNot { it.isLeaving(nowMs) }.ifEmpty { servers }
 
-    /** Servers of the pool that do not leave and have no request limit, or the best there are. */
-    val openServers: List<ServerState> = staying.filterNot { it.requestLimit.isLimited }.ifEmpty { staying }
+    /** Servers of the pool that do not leave and have no limit, or the best there are. */
+    val openServers: List<ServerState> = staying.filterNot { it.requestLimit.isLimited || it.coldLimit.isLimited }.ifEmpty { staying }
 
     /** Preferred servers among [openServers]. */
     val preferredServers = PreferredServers(openServers, delayTolerantShare)
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/ServerState.kt
@@ -19,6 +19,7 @@
     val reportedLoad = ReportedLoad()
     val prefixIndex = PrefixIndex()
     val requestLimit = RequestLimit()
+    val coldLimit = RequestLimit(::ColdRequestShare)
     val departure = ServerDeparture()
     val pause = ServerPause()
     private val inFlight = LinkedHashMap<RequestId, StartedRequest>()
@@ -80,6 +81,7 @@
             maxOf(concurrencyLimit.windowRequests - ownInFlight, byReportedLoad),
             (allowedRequests(nowMs) - ownInFlight).toDouble(),
             requestLimit.availableRequests(nowMs).toDouble(),
+            coldLimit.availableRequests(nowMs).toDouble(),
         )
     }
 
@@ -90,13 +92,59 @@
     ): Double {
         if (!isAvailable(nowMs)) return 0.0
         // By Little's law, a limit on the rate of requests is one on the requests in progress.
-        requestLimit.requestsPerS?.let { return it * meanServiceMs / MS_PER_SECOND }
+        val limitPerS = listOfNotNull(requestLimit.requestsPerS, coldLimit.requestsPerS).minOrNull()
+        if (limitPerS != null) return limitPerS * meanServiceMs / MS_PER_SECOND
         return maxOf(0.0, ownInFlight + freeSlots(fleetShare, nowMs))
     }
 
     /** Estimated share of the server's capacity that no router uses. */
     fun idleShare(nowMs: Long): Double = 1 - estimatedLoad(nowMs) / concurrencyLimit.capacityRequests
 
+    /** Applies that a run of the server is cold, or that none is if [cold] is null. */
+    fun onCold(
+        cold: ColdServer?,
+        fleet: RouterFleet?,
+        nowMs: Long,
+    ) {
+        val statement =
+            when {
+                cold != null && cold.vmId == server.vmId && nowMs < cold.endsAtMs ->
+                    RequestLimitStatement(id, server.vmId, cold.requestsPerS, nowMs, endsAtMs = cold.endsAtMs)
+                coldLimit.isLimited -> RequestLimitStatement(id, server.vmId, requestsPerS = null, asOfMs = nowMs)
+                else -> return
+            }
+        coldLimit.onStatement(statement, fleet, nowMs)
+    }
+
+    /** Applies a change of the routers that share the limits. */
+    fun onFleet(
+        fleet: RouterFleet,
+        nowMs: Long,
+    ) {
+        requestLimit.onFleet(fleet, nowMs)
+        coldLimit.onFleet(fleet, nowMs)
+    }
+
+    /** Ends the limits that are over; called before the other functions. */
+    fun updateLimits(
+        fleet: RouterFleet?,
+        nowMs: Long,
+    ) {
+        requestLimit.update(fleet, nowMs)
+        coldLimit.update(fleet, nowMs)
+    }
+
+    /** Times at which the server may get a request that it may not get now, as far as they are known. */
+    fun requestTimesMs(nowMs: Long): List<Long> {
+        val permitAtMs = listOfNotNull(requestLimit.nextRequestAtMs(nowMs), coldLimit.nextRequestAtMs(nowMs)).maxOrNull()
+        return listOfNotNull(
+            permitAtMs?.takeIf { it > nowMs },
+            lastRequestsEndMs(nowMs),
+            pause.endMs(nowMs),
+            health.probeAtMs()?.takeIf { it > nowMs },
+        )
+    }
+
     fun onReport(
         report: LoadReport,
         fleetShare: Double,
@@ -118,6 +166,7 @@
         pendingPrefillTokens += uncachedPromptTokens(request)
         prefixIndex.store(request.item.prefixHashes, nowMs)
         requestLimit.onRequest(nowMs)
+        coldLimit.onRequest(nowMs)
         reportedLoad.recordOwnLoad(ownInFlight, nowMs)
     }
 
