Read what services and servers say about cold servers

Cause: cold_s and cold_per_s of the configuration were not decoded, cold_remaining_ms of a server's row was decoded and dropped, and the bounds of the platform were not in the settings.

--- a/version/config/src/main/kotlin/org/lycheemount/config/Route.kt
+++ b/version/config/src/main/kotlin/org/lycheemount/config/Route.kt
@@ -80,12 +80,16 @@
  *
  * @property maxConnections maximum connections that one server accepts from all routers together.
  * @property engine null for a plain service.
+ * @property coldDurationMs time for which a server stays cold after a start; 0 if it does not.
+ * @property coldRequestsPerS requests a second that a cold server tolerates from all routers together; 0 for no limit.
  */
 @Serializable
 data class RoutedService(
     val serviceId: ServiceId,
     val maxConnections: Int,
     val engine: EngineProperties? = null,
+    val coldDurationMs: Long = 0,
+    val coldRequestsPerS: Double = 0.0,
 )
 
 /**
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/GatewaySettings.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/GatewaySettings.kt
@@ -38,6 +38,7 @@
     val drainGraceS: Double,
     val isFirstStart: Boolean = false,
     val retryBudget: RetryBudgetSettings,
+    val coldLimit: ColdLimitSettings = ColdLimitSettings(),
 )
 
 /**
@@ -53,6 +54,18 @@
     val windowS: Double,
 )
 
+/**
+ * Bound on the requests that a cold server gets from all routers in any one second, relative to the rate of its service.
+ *
+ * @property overage factor of that rate.
+ * @property slack requests in addition.
+ */
+@Serializable
+data class ColdLimitSettings(
+    val overage: Double = 1.0,
+    val slack: Double = 0.0,
+)
+
 /** Reads and validates the settings in [file]. Returns every error found. */
 fun loadGatewaySettings(file: Path): Result<GatewaySettings, List<SettingsError>> =
     parseGatewaySettings(readSettings(file).getOrElse { return Err(listOf(it)) })
@@ -87,4 +100,9 @@
                     "windowS" to FieldRule.Decimal(0.1..3_600.0, isRequired = true),
                 ),
             ),
+        "coldLimit" to
+            FieldRule.Object(
+                mapOf("overage" to FieldRule.Decimal(0.0..1_000.0), "slack" to FieldRule.Decimal(0.0..1_000_000.0)),
+                isRequired = false,
+            ),
     )
