Follow cold servers in the gateway and tell peers about them

Cause: rows of servers reach only the list of servers, and a router without the store reads no rows.

Change: ServerRowListener passes rows on; ColdServerMonitor limits the requests before the list with the server reaches the scheduler, logs server_cold, server_warm and server_cold_time_unreadable, and provides the gauge lycheemount_cold_servers. FakeStore and GatewayFixture get parameters for services and rows of cold servers.

Measured: ColdServerMonitorTest and ColdServerOverSocketsTest (three gateways, a server that joins cold, with and without a time in its row) pass, as do PeerStatementExchangeTest, ServerRowListenerTest and OddServerEntryTest. ColdServerMonitorTest failed first on a statement that its own routers returned to it and that counted as a prolongation by 2 ms.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
@@ -60,12 +60,14 @@
  *
  * @param onServers receives the servers after each change.
  * @param decodeEntry decodes the row of a server, given its id and value, or returns what is wrong with it.
+ * @param onRow receives each decoded server with the value of its row, before [onServers] gets it.
  */
 internal class ServerRowListener(
     private val onServers: (List<BackendServer>) -> Unit,
     private val clock: Clock,
     private val eventLog: EventLog,
     private val decodeEntry: (String, ByteArray) -> Result<BackendServer, String> = ::decodeServerEntry,
+    private val onRow: (BackendServer, ByteArray) -> Unit = { _, _ -> },
 ) : RowListener {
     private val directory = ServerDirectory()
     private val reachabilityLog = StoreReachabilityLog("servers", eventLog)
@@ -110,7 +112,11 @@
         id: String,
         value: ByteArray,
     ) = decodeEntry(id, value).fold(
-        { server -> server.also { unreadableServerIds -= id } },
+        { server ->
+            unreadableServerIds -= id
+            onRow(server, value)
+            server
+        },
         {
             if (unreadableServerIds.add(id)) eventLog.warn("server_entry_unreadable", "server" to id, "error" to it)
             null
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -44,6 +44,7 @@
 import org.lycheemount.platform.adapter.createRowTableService
 import org.lycheemount.platform.adapter.createServerRowWatcher
 import org.lycheemount.quarantine.SharedPromptQuarantine
+import org.lycheemount.scheduling.ColdLimitPolicy
 import org.lycheemount.scheduling.InitialSpeeds
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.settings.GatewaySettings
@@ -78,6 +79,9 @@
     private val statementExchange = PeerStatementExchange(peers.messenger, clock, eventLog, peers::tableTimeOffsetMs)
     private val serverStatements =
         ServerStatements(dispatcher, clock, eventLog, statementExchange::announce, statementExchange::announceLeaving)
+    private val coldServerExchange = PeerColdServerExchange(peers.messenger, clock, eventLog)
+    private val coldServers =
+        ColdServerMonitor(configuration, ::coldLimitPolicy, clock, eventLog, dispatcher::onColdServers, coldServerExchange::announce)
     private val budgets =
         createBudgetLedgerModule(
             table,
@@ -91,7 +95,7 @@
         )
     private val budgetLimits =
         BudgetLimitUpdater(createBudgetLimitWriter(table) { "limits-${UUID.randomUUID()}" }, budgets.maintenance, configuration, eventLog)
-    private val configurationListener = ConfigurationRowListener(configuration, clock, eventLog, budgetLimits::onConfigurationChanged)
+    private val configurationListener = ConfigurationRowListener(configuration, clock, eventLog, ::onConfigurationChanged)
     private val quarantine =
         SharedPromptQuarantine(
             createRowTableService(store, QUARANTINE_TABLE_NAME),
@@ -107,7 +111,7 @@
         }
     private val operatorRowWatcher = createOperatorRowWatcher(store)
     private val configurationRefresher = ConfigurationRefresher(clock, operatorRowWatcher::isReceiving, operatorRowWatcher::awaitCurrent)
-    private val serverListener = ServerRowListener(::onBackendServers, clock, eventLog)
+    private val serverListener = ServerRowListener(::onBackendServers, clock, eventLog, onRow = coldServers::onRow)
     private val drain = DrainState()
     private val metricsRegistry =
         PrometheusRegistry().also {
@@ -115,6 +119,7 @@
             registerBudgetMetrics(it, budgets)
             registerConfigurationMetrics(it, configurationLag)
             registerOriginMetrics(it, streamOrigins)
+            registerColdServerMetrics(it, coldServers)
         }
     private val metricsHandler = MetricsHandler(metricsRegistry)
     private val routedInterface = RoutedRequestHandler(routedServices())
@@ -144,6 +149,8 @@
         scope.launch { operatorRowWatcher.watch(configurationListener) }
         scope.launch { createServerRowWatcher(store).watch(serverListener) }
         statementExchange.start(scope, serverStatements)
+        coldServerExchange.start(scope, coldServers)
+        coldServers.start(scope)
         peers.start(scope)
         quarantine.start(scope)
         streamOrigins.start(scope)
@@ -240,7 +247,15 @@
         callersServer.stop(graceMs, lingerMs)
     }
 
+    private fun onConfigurationChanged() {
+        coldServers.onConfigurationChanged()
+        budgetLimits.onConfigurationChanged()
+    }
+
+    private fun coldLimitPolicy() = settings.coldLimit.run { ColdLimitPolicy(overage, slack) }
+
     private fun onBackendServers(servers: List<BackendServer>) {
+        coldServers.onBackendServers(servers)
         streamOrigins.onBackendServers(servers)
         serverStatements.onBackendServers(servers)
     }
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
@@ -34,8 +34,14 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 
-/** Dependencies of one gateway on loopback: the platform's store, an operator's configuration and one backend server. */
-internal class GatewayFixture : AutoCloseable {
+/**
+ * Dependencies of one gateway on loopback: the platform's store, an operator's configuration and one backend server.
+ *
+ * @param serviceFields fields of the services in the configuration, in JSON.
+ */
+internal class GatewayFixture(
+    serviceFields: String = "",
+) : AutoCloseable {
     private val store = FakeStore().apply { waitsForChanges = true }
 
     /** Request limit that the backend server names in its responses; null for none. */
@@ -45,9 +51,10 @@
     /** Times at which requests for `/plain/` reached the backend server. */
     val plainArrivalTimesMs: MutableList<Long> = CopyOnWriteArrayList()
 
-    /** One more backend server, registered as [id], which responds to requests for `/plain/`. */
+    /** One more backend server, registered as [id] and cold for [coldRemainingMs], which responds to requests for `/plain/`. */
     inner class AdditionalServer(
         id: String,
+        coldRemainingMs: Long? = null,
     ) {
         /** Whether its responses say that it leaves. */
         @Volatile
@@ -68,7 +75,7 @@
             }.start(wait = false)
 
         init {
-            store.registerServer(id, "127.0.0.1:${portOf(server)}")
+            store.registerServer(id, "127.0.0.1:${portOf(server)}", coldRemainingMs = coldRemainingMs)
             additionalServers += this
         }
 
@@ -98,7 +105,7 @@
         }.start(wait = false)
 
     init {
-        store.publishRoutes(ROUTES)
+        store.publishRoutes(ROUTES, serviceFields)
         store.registerServer("i-1", "127.0.0.1:${portOf(backendServer)}")
     }
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/WorkDispatcher.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/WorkDispatcher.kt
@@ -20,6 +20,7 @@
 import org.lycheemount.common.StateDumpSource
 import org.lycheemount.config.WorkClass
 import org.lycheemount.scheduling.CacheEvents
+import org.lycheemount.scheduling.ColdServer
 import org.lycheemount.scheduling.FailureKind
 import org.lycheemount.scheduling.LeavingStatement
 import org.lycheemount.scheduling.LoadReport
@@ -130,6 +131,9 @@
     /** Passes a server's statement about its request limit to the scheduler. */
     fun onRequestLimit(statement: RequestLimitStatement) = withScheduler { nowMs -> scheduler.onRequestLimit(statement, nowMs) }
 
+    /** Replaces the cold servers. */
+    fun onColdServers(servers: List<ColdServer>) = withScheduler { nowMs -> scheduler.onColdServers(servers, nowMs) }
+
     /** Passes a server's statement about its shutdown to the scheduler. */
     fun onLeaving(statement: LeavingStatement) = withScheduler { nowMs -> scheduler.onLeaving(statement, nowMs) }
 
