--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -49,6 +49,7 @@
 import org.lycheemount.platform.adapter.createRowTableService
 import org.lycheemount.platform.adapter.createServerRowWatcher
 import org.lycheemount.quarantine.SharedPromptQuarantine
+import org.lycheemount.scheduling.ColdLimitPolicy
 import org.lycheemount.scheduling.InitialSpeeds
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.settings.GatewaySettings
@@ -85,6 +86,9 @@
         ServerStatements(dispatcher, clock, eventLog, statementExchange::announce, statementExchange::announceLeaving)
     private val evacuationExchange = PeerEvacuationExchange(peers.messenger, clock, eventLog)
     private val evacuations = ZoneEvacuationState(dispatcher, clock, eventLog, evacuationExchange::announce)
+    private val coldServerExchange = PeerColdServerExchange(peers.messenger, clock, eventLog)
+    private val coldServers =
+        ColdServerMonitor(configuration, ::coldLimitPolicy, clock, eventLog, dispatcher::onColdServers, coldServerExchange::announce)
     private val budgets =
         createBudgetLedgerModule(
             table,
@@ -98,7 +102,7 @@
         )
     private val budgetLimits =
         BudgetLimitUpdater(createBudgetLimitWriter(table) { "limits-${UUID.randomUUID()}" }, budgets.maintenance, configuration, eventLog)
-    private val configurationListener = ConfigurationRowListener(configuration, clock, eventLog, budgetLimits::onConfigurationChanged)
+    private val configurationListener = ConfigurationRowListener(configuration, clock, eventLog, ::onConfigurationChanged)
 
     // Evacuations come first: a router is ready once it has the configuration.
     private val operatorRowListener = CombinedRowListener(ZoneEvacuationRowListener(evacuations, eventLog), configurationListener)
@@ -117,7 +121,7 @@
         }
     private val operatorRowWatcher = createOperatorRowWatcher(store)
     private val configurationRefresher = ConfigurationRefresher(clock, operatorRowWatcher::isReceiving, operatorRowWatcher::awaitCurrent)
-    private val serverListener = ServerRowListener(::onBackendServers, clock, eventLog)
+    private val serverListener = ServerRowListener(::onBackendServers, clock, eventLog, onRow = coldServers::onRow)
     private val drain = DrainState()
     private val metricsRegistry =
         PrometheusRegistry().also {
@@ -126,6 +130,7 @@
             registerConfigurationMetrics(it, configurationLag)
             registerOriginMetrics(it, streamOrigins)
             registerEvacuationMetrics(it, evacuations)
+            registerColdServerMetrics(it, coldServers)
         }
     private val metricsHandler = MetricsHandler(metricsRegistry)
     private val memory = createMemoryBudget(settings.limits.memoryShare)
@@ -167,6 +172,8 @@
         scope.launch { createServerRowWatcher(store).watch(serverListener) }
         statementExchange.start(scope, serverStatements)
         evacuationExchange.start(scope, evacuations)
+        coldServerExchange.start(scope, coldServers)
+        coldServers.start(scope)
         peers.start(scope)
         quarantine.start(scope)
         streamOrigins.start(scope)
@@ -263,7 +270,15 @@
         callersServer.stop(graceMs, lingerMs)
     }
 
+    private fun onConfigurationChanged() {
+        coldServers.onConfigurationChanged()
+        budgetLimits.onConfigurationChanged()
+    }
+
+    private fun coldLimitPolicy() = settings.coldLimit.run { ColdLimitPolicy(overage, slack) }
+
     private fun onBackendServers(servers: List<BackendServer>) {
+        coldServers.onBackendServers(servers)
         streamOrigins.onBackendServers(servers)
         serverStatements.onBackendServers(servers)
         evacuations.onBackendServers(servers)
