Test cold servers with more faults and a control below the bound

Cause: the control without a limit used a load above the bound, so it would have exceeded it without a return. Restarts, a second return, routers that never learn of the others, and a server with two limits were not tested.

Change: the control has 9 requests a second and server. The four cases are added.

--- a/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/ColdServerFleet.kt
+++ b/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/ColdServerFleet.kt
@@ -52,14 +52,27 @@
         val id: RouterId,
     ) {
         private val clockOffsetMs = random.nextLong(1_000_000)
-        private val scheduler = DefaultRequestScheduler(ZoneId("z0"), random.nextLong()).apply { onWorkClasses(listOf(urgentClass)) }
+        private var scheduler = newScheduler()
+        private var restarts = 0
         private var nextListAtMs = nowMs + random.nextLong(LIST_INTERVAL_MS)
         private var nextRowsAtMs = nowMs
         private val clockMs get() = nowMs + clockOffsetMs
 
+        /** Whether this router reads the list of routers. */
+        var readsRouters = true
+
+        private fun newScheduler() = DefaultRequestScheduler(ZoneId("z0"), random.nextLong()).apply { onWorkClasses(listOf(urgentClass)) }
+
+        fun restart() {
+            restarts++
+            scheduler = newScheduler()
+            nextListAtMs = nowMs
+            nextRowsAtMs = nowMs
+        }
+
         fun step(demandPerS: Double) {
             if (!isStoreGone && nowMs >= nextRowsAtMs) readRows()
-            if (!isStoreGone && nowMs >= nextListAtMs) readRouters()
+            if (!isStoreGone && readsRouters && nowMs >= nextListAtMs) readRouters()
             if (random.nextDouble() < demandPerS * STEP_MS / 1_000) submit()
             scheduler.startsAt(clockMs).forEach(::start)
         }
@@ -93,7 +106,9 @@
                     .toInt()
             val isUp = server in rows
             if (isUp) requests += Request(server, nowMs, nowMs + 1 + random.nextLong(MAX_TRAVEL_MS))
+            val run = restarts
             after(SERVICE_MS) {
+                if (run != restarts) return@after
                 val event = if (isUp) ServiceEvent.Completed(outputTokens = 16) else ServiceEvent.Failed(FailureKind.CONNECT_FAILED)
                 scheduler.onServiceEvent(start.requestId, event, clockMs)
             }
@@ -105,6 +120,8 @@
         (0 until ZONES * serversPerZone).forEach { startServer(it, coldMs = 0) }
     }
 
+    fun router(index: Int) = routers[index]
+
     fun addRouter() = Router(RouterId("router-${routers.size}")).also { routers += it }
 
     private fun startServer(
--- a/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/ColdServerTest.kt
+++ b/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/ColdServerTest.kt
@@ -1,6 +1,7 @@
 package org.lycheemount.scheduling
 
 import org.junit.jupiter.api.Nested
+import org.lycheemount.common.RouterId
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -45,7 +46,7 @@
         @Test
         fun `would get more without the limit, guarding against a test that cannot fail`() {
             for (routers in fleetSizes) {
-                val fleet = fleetBeforeReturn(routers, policy = null, load = BUSY_LOAD)
+                val fleet = fleetBeforeReturn(routers, policy = null, load = MODERATE_LOAD)
                 fleet.runUntilWarm()
                 val most = fleet.mostRequestsInASecond(fleet.serversOf(1), RETURN_AT_MS, RETURN_AT_MS + COLD_MS)
 
@@ -92,10 +93,11 @@
     @Nested
     inner class `a fault while servers are cold` {
         @Test
-        fun `that restarts a router, or adds one, keeps the bound`() {
+        fun `that restarts a router and adds one keeps the bound`() {
             for (routers in fleetSizes) {
                 val fleet = fleetBeforeReturn(routers, load = BUSY_LOAD)
                 fleet.runUntil(RETURN_AT_MS + COLD_MS / 2)
+                fleet.router(0).restart()
                 fleet.addRouter()
                 fleet.runUntilWarm()
 
@@ -103,6 +105,36 @@
             }
         }
 
+        @Test
+        fun `that brings the servers down again and back keeps the bound`() {
+            for (routers in fleetSizes) {
+                val fleet = fleetBeforeReturn(routers, load = BUSY_LOAD)
+                fleet.runUntil(RETURN_AT_MS + COLD_MS / 2)
+                fleet.loseZones(1)
+                fleet.runUntil(RETURN_AT_MS + COLD_MS / 2 + 300)
+                fleet.returnZones(1, COLD_MS)
+                fleet.runUntilWarm()
+
+                fleet.assertBoundKept()
+            }
+        }
+
+        @Test
+        fun `in which routers never learn of the others sends nothing to the servers and serves by the other zones`() {
+            for (routers in fleetSizes) {
+                val fleet = ColdServerFleet(routers, policy)
+                repeat(routers) { fleet.router(it).readsRouters = false }
+                fleet.loseZones(1)
+                fleet.runUntil(RETURN_AT_MS)
+                fleet.returnZones(1, COLD_MS)
+                fleet.runUntilWarm()
+
+                // The run that is lost at the start was never cold, so only the return counts.
+                assertEquals(0, fleet.mostRequestsInASecond(fleet.serversOf(1), RETURN_AT_MS, RETURN_AT_MS + COLD_MS))
+                assertEquals(0, fleet.refusedRequests)
+            }
+        }
+
         @Test
         fun `that takes the store away keeps the bound`() {
             for (routers in fleetSizes) {
@@ -165,6 +197,28 @@
             assertEquals(setOf("s1"), servers.toSet())
         }
 
+        @Test
+        fun `keeps to the lower one of the cold limit and the limit that the server names`() {
+            for ((coldPerS, namedPerS) in listOf(9.0 to 1.0, 1.0 to 9.0)) {
+                val scheduler = DefaultRequestScheduler(zoneId = cold.zoneId, seed = 1).apply { onWorkClasses(listOf(urgentClass)) }
+                scheduler.onRouterFleet(RouterFleet(RouterId("r0"), listOf(RouterId("r0")), tableTimeOffsetMs = 0), 0)
+                scheduler.onColdServers(listOf(coldServer.copy(requestsPerS = coldPerS, endsAtMs = 20_000)), 0)
+                scheduler.onBackendServers(listOf(cold), 0)
+                scheduler.onRequestLimit(RequestLimitStatement(cold.backendServerId, cold.vmId, namedPerS, asOfMs = 0), 0)
+
+                var requests = 0
+                var running = emptyList<SchedulerAction.Start>()
+                for (nowMs in 0 until 10_000L step 50) {
+                    running.forEach { scheduler.onServiceEvent(it.requestId, ServiceEvent.Completed(outputTokens = 16), nowMs) }
+                    scheduler.submit(item("$nowMs", arrivedAtMs = nowMs, deadlineAtMs = nowMs + 2_000), nowMs)
+                    running = scheduler.startsAt(nowMs)
+                    requests += running.size
+                }
+
+                assertTrue(requests in 5..11, "$requests requests in 10 s")
+            }
+        }
+
         @Test
         fun `does not limit the next run of a server that was cold`() {
             val scheduler = DefaultRequestScheduler(zoneId = cold.zoneId, seed = 1).apply { onWorkClasses(listOf(urgentClass)) }
@@ -180,6 +234,9 @@
         private const val COLD_MS = 3_000L
         private const val BOUND_REQUESTS = 18.5
 
+        /** Requests a second and server below the bound, so that only the return of idle servers exceeds it. */
+        private const val MODERATE_LOAD = 9.0
+
         /** Requests a second and server at which the other zones leave much to a zone that returns. */
         private const val BUSY_LOAD = 20.0
     }
