Keep the incarnation of a gateway greater than that of its predecessor

The incarnation was the time of day at the start. A router that restarts after the time of day was stepped back had a lower one than its predecessor: peers rejected its links and ignored its messages, and it did not reclaim the grants of its predecessor.

A gateway now reads and writes a row of the table at its start and takes one more than its predecessor, or the time of day if that is greater. It waits for the table, without which it serves nothing anyway.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayMain.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayMain.kt
@@ -1,25 +1,37 @@
 package org.lycheemount.app.router.gateway
 
 import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.runBlocking
 import org.lycheemount.app.router.addShutdownHook
 import org.lycheemount.app.router.exitWithError
 import org.lycheemount.app.router.formatSettingsErrors
 import org.lycheemount.app.router.logging.flushLogOutput
+import org.lycheemount.backend.BackendHttp
+import org.lycheemount.backend.DefaultPassThroughClient
+import org.lycheemount.common.Clock
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.common.DefaultEventLog
+import org.lycheemount.common.EventLog
+import org.lycheemount.membership.awaitIncarnation
+import org.lycheemount.platform.adapter.createRowTableService
+import org.lycheemount.settings.GatewaySettings
 import org.lycheemount.settings.loadGatewaySettings
 import java.nio.file.Path
+import java.util.concurrent.atomic.AtomicReference
 
 /** Runs a gateway with the settings in [file] until a signal terminates the process. */
 internal fun runGateway(file: Path) {
     val clock = DefaultClock()
     val startedAtMs = clock.monotonicMs()
     val settings = loadGatewaySettings(file).getOrElse { exitWithError(formatSettingsErrors(it)) }
-    val process = GatewayProcess(settings, clock, startedAtMs)
-    val settingsFile = WatchedSettingsFile(file, settings, DefaultEventLog("gateway"), process::onSettingsChanged)
+    val eventLog = DefaultEventLog("gateway")
+    val started = AtomicReference<GatewayProcess>()
+    // Registered first, since a signal may arrive at any time.
+    addShutdownHook { started.get()?.stop() }
+    val incarnation = runBlocking { awaitGatewayIncarnation(settings, clock, eventLog) }
+    val process = GatewayProcess(settings, clock, startedAtMs, incarnation).also(started::set)
+    val settingsFile = WatchedSettingsFile(file, settings, eventLog, process::onSettingsChanged)
     settingsFile.reloadOnHangup()
-    // Registered first, since a signal may arrive as soon as the listeners are open.
-    addShutdownHook { process.stop() }
     startOrExit(process)
     // The file may change without a hangup signal.
     while (true) {
@@ -28,6 +40,17 @@
     }
 }
 
+/** Waits for the store, without which a gateway has no configuration and serves nothing. */
+internal suspend fun awaitGatewayIncarnation(
+    settings: GatewaySettings,
+    clock: Clock,
+    eventLog: EventLog,
+): Long =
+    BackendHttp().use { http ->
+        val store = createStoreClient(DefaultPassThroughClient(http), settings.storeAddress, clock, eventLog)
+        awaitIncarnation(createRowTableService(store), settings.vmId, clock.wallClockMs(), eventLog)
+    }
+
 private fun startOrExit(process: GatewayProcess) =
     try {
         process.start()
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -53,11 +53,13 @@
  * One router process on the users' platform. Creates its components from [settings], wires them, and starts and stops them in order.
  *
  * @param startedAtMs monotonic time of [clock], in milliseconds, at which this process was already running.
+ * @param incarnation incarnation of this process, greater than those of earlier processes on its VM.
  */
 class GatewayProcess(
     private val settings: GatewaySettings,
     private val clock: Clock = DefaultClock(),
     startedAtMs: Long = clock.monotonicMs(),
+    incarnation: Long = clock.wallClockMs(),
 ) {
     private val eventLog = DefaultEventLog("gateway")
 
@@ -65,7 +67,7 @@
     @Volatile
     private var activeSettings = settings
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val identity = settings.run { RouterIdentity(routerId, vmId, regionId, zoneId, incarnation = clock.wallClockMs()) }
+    private val identity = settings.run { RouterIdentity(routerId, vmId, regionId, zoneId, incarnation) }
     private val backendHttp = BackendHttp(connectTimeoutMs = CONNECT_TIMEOUT_MS)
     private val client = DefaultPassThroughClient(backendHttp)
     private val store = createStoreClient(client, settings.storeAddress, clock, eventLog)
--- a/process/common/src/main/kotlin/org/lycheemount/common/RouterIdentity.kt
+++ b/process/common/src/main/kotlin/org/lycheemount/common/RouterIdentity.kt
@@ -5,7 +5,7 @@
 /**
  * Identifies one running router process.
  *
- * @property incarnation wall-clock start time in milliseconds; a later start on the same VM has a greater value.
+ * @property incarnation number of this process; that of a later process on the same VM is greater.
  */
 @Serializable
 data class RouterIdentity(
--- /dev/null
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/Incarnation.kt
@@ -0,0 +1,60 @@
+package org.lycheemount.membership
+
+import kotlinx.coroutines.delay
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.VmId
+import org.lycheemount.platform.CommitOutcome
+import org.lycheemount.platform.RowCheck
+import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.TableRow
+import org.lycheemount.platform.TableService
+import org.lycheemount.platform.TableTransaction
+import java.util.UUID
+
+/**
+ * Returns the incarnation of a process that starts on the VM [vmId]. It is greater than those of all earlier processes on the VM, also
+ * after the time of day was stepped back: peers ignore a process whose incarnation is lower than that of its predecessor, and the process
+ * does not reclaim the grants of that. Each process writes its incarnation to [table]. Waits until the table has it.
+ *
+ * @param wallClockMs lower bound, for predecessors that are missing in the table: those of a release without the row, and those whose
+ *   rows were lost when the table was restored from an older copy.
+ */
+suspend fun awaitIncarnation(
+    table: TableService,
+    vmId: VmId,
+    wallClockMs: Long,
+    eventLog: EventLog,
+): Long {
+    val key = "$PREFIX${vmId.value}"
+    var hasLogged = false
+    while (true) {
+        val current = table.read(listOf(key))
+        if (current is TableResult.Response) {
+            val row = current.value.find(key)
+            val incarnation = maxOf(wallClockMs, 1 + predecessorOf(row, eventLog))
+            val check = RowCheck(key, row?.version ?: 0)
+            val write = RowWrite(key, incarnation.toString())
+            val outcome = table.commit(TableTransaction("incarnation-${UUID.randomUUID()}", listOf(check), listOf(write)))
+            // A write without a response may have taken effect; the next read shows it, and the next incarnation is greater.
+            if (outcome is TableResult.Response && outcome.value is CommitOutcome.Committed) return incarnation
+        } else if (!hasLogged) {
+            eventLog.warn("incarnation_awaited", "key" to key, "error" to current)
+            hasLogged = true
+        }
+        delay(RETRY_MS)
+    }
+}
+
+private fun predecessorOf(
+    row: TableRow?,
+    eventLog: EventLog,
+): Long {
+    if (row == null) return 0
+    val incarnation = row.value.toLongOrNull()
+    if (incarnation == null) eventLog.warn("incarnation_unreadable", "key" to row.key, "value" to row.value)
+    return incarnation ?: 0
+}
+
+private const val PREFIX = "incarnation/"
+private const val RETRY_MS = 300L
