Wake up seldom while no server is cold

Cause: ColdServerMonitor woke up four times a second in every deployment. Change: it checks every 2 s while no server is limited; a row or a peer that names a cold server is applied at once as before.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ColdServerMonitor.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ColdServerMonitor.kt
@@ -35,17 +35,19 @@
 ) {
     private val coldServers = ColdServers()
     private val unreadableServerIds = HashSet<BackendServerId>()
+
+    @Volatile
     private var limited = emptyList<ColdServer>()
 
     /** Number of servers whose requests are limited because they are cold. */
     val coldServerCount: Int get() = synchronized(this) { coldServers.limitedServers(policy(), clock.monotonicMs()).size }
 
-    /** Logs the end of cold times until [scope] is cancelled. */
+    /** Logs the end of cold times until [scope] is cancelled, also while no rows are read. */
     fun start(scope: CoroutineScope) {
         scope.launch {
             while (true) {
-                delay(CHECK_INTERVAL_MS)
-                synchronized(this@ColdServerMonitor) { publish(SOURCE_ROW) }
+                delay(if (limited.isEmpty()) IDLE_CHECK_INTERVAL_MS else CHECK_INTERVAL_MS)
+                if (limited.isNotEmpty()) synchronized(this@ColdServerMonitor) { publish(SOURCE_ROW) }
             }
         }
     }
@@ -127,6 +129,9 @@
 
     private companion object {
         private const val CHECK_INTERVAL_MS = 250L
+
+        // Wake-ups cost processor time, and most deployments have no cold servers.
+        private const val IDLE_CHECK_INTERVAL_MS = 2_000L
         private const val MAX_LOGGED_SERVERS = 40
         private const val SOURCE_ROW = "row"
         private const val SOURCE_CONFIGURATION = "configuration"
