--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ColdServerOverSocketsTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ColdServerOverSocketsTest.kt
@@ -40,7 +40,9 @@
             runBlocking {
                 var server: GatewayFixture.AdditionalServer? = null
                 repeat(DURATION_MS / REQUEST_INTERVAL_MS) { count ->
-                    if (count == JOINS_AT_MS / REQUEST_INTERVAL_MS) server = fixture.AdditionalServer("i-cold", coldRemainingMs)
+                    if (count == JOINS_AT_MS / REQUEST_INTERVAL_MS) {
+                        server = fixture.AdditionalServer("i-cold", coldRemainingMs = coldRemainingMs)
+                    }
                     launch(Dispatchers.IO) { send(settings[count % ROUTERS].callersAddress) }
                     delay(REQUEST_INTERVAL_MS.toLong())
                 }
