Mend three findings of the linter in the isolated tests

The formatter and the linter of the module had not been run before: two companion objects had no documentation and one line was too long.

--- a/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/CallerCrowd.kt
+++ b/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/CallerCrowd.kt
@@ -48,8 +48,8 @@
         }
 
     /**
-     * Waits until no connection has been opened or has sent anything for [QUIET_MS]: all have sent what they send, or the router reads no more. This does not
-     * depend on the speed of the machine, unlike a fixed time of traffic. Calls [onCheck] all the while.
+     * Waits until no connection has been opened or has sent anything for [QUIET_MS]: all have sent what they send, or the router reads no
+     * more. This does not depend on the speed of the machine, unlike a fixed time of traffic. Calls [onCheck] all the while.
      *
      * @param otherPartCount number of parts that others have sent because of the connections.
      */
--- a/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/IsolatedFixture.kt
+++ b/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/IsolatedFixture.kt
@@ -117,6 +117,7 @@
             retryBudget = RetryBudgetSettings(ratio = 0.2, slack = 10.0, windowS = 10.0),
         )
 
+    /** Values of the published configuration, and a request that it serves. */
     companion object {
         /** API key of the only tenant. */
         const val API_KEY: String = "n2ctnfzs989anu6wsjnb"
--- a/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/PackagedGateway.kt
+++ b/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/PackagedGateway.kt
@@ -47,6 +47,7 @@
         outputFile.deleteIfExists()
     }
 
+    /** Starts processes. */
     companion object {
         private const val KB_PER_MB = 1_024
         private const val END_TIMEOUT_S = 60L
