Pass the bound of cold servers in the environment

Cause: the bound is absent on deployments without cold servers, so the template of the settings needed sections, which stand-ins of the review do not render; their Rig.java had been changed for that. The deploy file passes LYCHEEMOUNT_COLD_OVERAGE and LYCHEEMOUNT_COLD_SLACK, which replace coldLimit of the settings file unless they are blank. The test of the template is replaced by one of the variables with the same cases, and with values that are rejected.

--- a/review/stand/Rig.java
+++ b/review/stand/Rig.java
@@ -478,8 +478,6 @@
             String[][] values = {{"node_name", name}, {"ip", "127.0.0.1"}, {"region", "r1"}, {"zone", "z1"}, {"listen.front", "127.0.0.1:" + front},
                 {"listen.readiness", "127.0.0.1:" + readiness}, {"internal_ports.0", "" + peers}, {"provider.address", "127.0.0.1:" + storePort},
                 {"bootstrap", "true"}, {"bounds.grace_s", "8"}, {"bounds.retry_budget_ratio", "0.2"}, {"bounds.budget_slack", "54"}, {"bounds.budget_window_s", "10"}};
-            // The bounds of cold servers are absent here, so sections for them are left out and inverted sections are kept.
-            template = template.replaceAll("\\{\\{#([a-z_.]+)}}.*?\\{\\{/\\1}}", "").replaceAll("\\{\\{\\^([a-z_.]+)}}(.*?)\\{\\{/\\1}}", "$2");
             for (String[] v : values) template = template.replace("{{" + v[0] + "}}", v[1]);
             if (template.contains("{{")) throw new IllegalStateException("the template has an unknown field: " + template);
             return template.replace("127.0.0.1:9464", "127.0.0.1:" + metrics);
--- a/version/settings/src/main/kotlin/org/lycheemount/settings/GatewaySettings.kt
+++ b/version/settings/src/main/kotlin/org/lycheemount/settings/GatewaySettings.kt
@@ -6,6 +6,8 @@
 import com.github.michaelbull.result.getOrElse
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.decodeFromJsonElement
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RouterId
@@ -68,17 +70,45 @@
     val slack: Double = 0.0,
 )
 
-/** Reads and validates the settings in [file]. Returns every error found. */
-fun loadGatewaySettings(file: Path): Result<GatewaySettings, List<SettingsError>> =
-    parseGatewaySettings(readSettings(file).getOrElse { return Err(listOf(it)) })
+/**
+ * Reads and validates the settings in [file] and [environment]. Returns every error found.
+ *
+ * @param environment variables of the process; see [parseGatewaySettings].
+ */
+fun loadGatewaySettings(
+    file: Path,
+    environment: Map<String, String> = System.getenv(),
+): Result<GatewaySettings, List<SettingsError>> = parseGatewaySettings(readSettings(file).getOrElse { return Err(listOf(it)) }, environment)
 
-/** Parses and validates the settings of a gateway. */
-fun parseGatewaySettings(json: String): Result<GatewaySettings, List<SettingsError>> {
-    val document = parseDocument(json).getOrElse { return Err(listOf(it)) }
+/**
+ * Parses and validates the settings of a gateway.
+ *
+ * @param environment `LYCHEEMOUNT_COLD_OVERAGE` and `LYCHEEMOUNT_COLD_SLACK` replace the properties of [GatewaySettings.coldLimit] unless
+ *   they are blank. Deployments without cold servers leave them blank, which a template of a JSON file cannot express.
+ */
+fun parseGatewaySettings(
+    json: String,
+    environment: Map<String, String> = emptyMap(),
+): Result<GatewaySettings, List<SettingsError>> {
+    val document = parseDocument(json).getOrElse { return Err(listOf(it)) }.withEnvironment(environment)
     val errors = findErrors(document, gatewaySettingsRules)
     return if (errors.isEmpty()) Ok(Json.decodeFromJsonElement<GatewaySettings>(document)) else Err(errors)
 }
 
+private fun JsonObject.withEnvironment(environment: Map<String, String>): JsonObject {
+    val fields =
+        COLD_LIMIT_VARIABLES.mapNotNull { (field, variable) ->
+            val text = environment[variable]?.takeIf { it.isNotBlank() } ?: return@mapNotNull null
+            // Text that is no number is kept as it is, so that validation names the field.
+            field to (text.trim().toDoubleOrNull()?.let(::JsonPrimitive) ?: JsonPrimitive(text))
+        }
+    if (fields.isEmpty()) return this
+    return JsonObject(this + (COLD_LIMIT to JsonObject((this[COLD_LIMIT] as? JsonObject).orEmpty() + fields)))
+}
+
+private const val COLD_LIMIT = "coldLimit"
+private val COLD_LIMIT_VARIABLES = mapOf("overage" to "LYCHEEMOUNT_COLD_OVERAGE", "slack" to "LYCHEEMOUNT_COLD_SLACK")
+
 private val addressRule = FieldRule.Text(Regex("[0-9.]{7,15}:[0-9]{1,5}"), "an IPv4 address and a port, such as 10.0.0.1:8080")
 
 private val gatewaySettingsRules: Map<String, FieldRule> =
@@ -103,7 +133,7 @@
                     "windowS" to FieldRule.Decimal(0.1..3_600.0, isRequired = true),
                 ),
             ),
-        "coldLimit" to
+        COLD_LIMIT to
             FieldRule.Object(
                 mapOf("overage" to FieldRule.Decimal(0.0..1_000.0), "slack" to FieldRule.Decimal(0.0..1_000_000.0)),
                 isRequired = false,
--- a/version/settings/src/test/kotlin/org/lycheemount/settings/GatewaySettingsTest.kt
+++ b/version/settings/src/test/kotlin/org/lycheemount/settings/GatewaySettingsTest.kt
@@ -6,6 +6,7 @@
 import java.nio.file.Path
 import kotlin.io.path.readText
 import kotlin.test.Test
+import kotlin.test.assertContains
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
 
@@ -33,31 +34,51 @@
     }
 
     @Nested
-    inner class `the template of the settings` {
-        private val template = Path.of("../../deploy/settings.json.template").readText()
-
-        /** Renders the sections and values of the template as the platform does; values that are not in [bounds] have one value. */
-        private fun render(bounds: Map<String, String>): String {
-            val withSections =
-                template.replace(Regex("""\{\{([#^])([a-z_.0-9]+)}}(.*?)\{\{/\2}}""")) { match ->
-                    val (kind, name, content) = match.destructured
-                    if ((kind == "#") == (name in bounds)) content else ""
-                }
-            return withSections.replace(Regex("""\{\{([a-z_.0-9]+)}}""")) { (bounds + OTHER_VALUES)[it.groupValues[1]].orEmpty() }
-        }
-
+    inner class `the bound of cold servers in the environment` {
         @Test
-        fun `is valid with and without bounds for cold servers, guarding against routers that do not start on the other deployments`() {
-            val overage = mapOf("bounds.cold_overage" to "1.5")
-            val slack = mapOf("bounds.cold_slack" to "5")
+        fun `may be missing or blank, guarding against routers that do not start on deployments without cold servers`() {
+            val overage = mapOf(OVERAGE to "1.5")
+            val slack = mapOf(SLACK to "5")
+            val blank = mapOf(OVERAGE to "", SLACK to "")
 
-            val rendered = listOf(emptyMap(), overage, slack, overage + slack).map { parseGatewaySettings(render(it)) }
+            val parsed = listOf(emptyMap(), blank, overage, slack, overage + slack).map { parseGatewaySettings(json(), it) }
 
             assertEquals(
-                listOf(ColdLimitSettings(), ColdLimitSettings(1.5, 0.0), ColdLimitSettings(1.0, 5.0), ColdLimitSettings(1.5, 5.0)),
-                rendered.map { assertNotNull(it.get(), "${it.getError()}").coldLimit },
+                listOf(
+                    ColdLimitSettings(),
+                    ColdLimitSettings(),
+                    ColdLimitSettings(1.5, 0.0),
+                    ColdLimitSettings(1.0, 5.0),
+                    ColdLimitSettings(1.5, 5.0),
+                ),
+                parsed.map { assertNotNull(it.get(), "${it.getError()}").coldLimit },
             )
         }
+
+        @Test
+        fun `goes before the file, and is rejected if it is no number or out of range`() {
+            val inFile = json(otherFields = """, "coldLimit": {"overage": 2, "slack": 3}""")
+
+            assertEquals(ColdLimitSettings(1.5, 3.0), parseGatewaySettings(inFile, mapOf(OVERAGE to "1.5")).get()?.coldLimit)
+            for (text in listOf("-1", "many", "{{bounds.cold_overage}}", "NaN")) {
+                val errors = parseGatewaySettings(inFile, mapOf(OVERAGE to text)).getError().orEmpty()
+
+                assertEquals(listOf("coldLimit.overage"), errors.map { it.field }, text)
+            }
+        }
+
+        @Test
+        fun `is passed by the deploy file, guarding against a bound that never reaches a router`() {
+            val environmentLine =
+                Path
+                    .of("../../deploy/system.toml")
+                    .readText()
+                    .lines()
+                    .single { it.startsWith("env = ") }
+
+            assertContains(environmentLine, "$OVERAGE = \"{{bounds.cold_overage}}\"")
+            assertContains(environmentLine, "$SLACK = \"{{bounds.cold_slack}}\"")
+        }
     }
 
     @Nested
@@ -96,21 +117,7 @@
     }
 
     private companion object {
-        private val OTHER_VALUES =
-            mapOf(
-                "node_name" to "r1",
-                "ip" to "10.1.0.40",
-                "region" to "region",
-                "zone" to "z",
-                "listen.front" to "10.1.0.40:8227",
-                "listen.readiness" to "10.1.0.40:8220",
-                "internal_ports.0" to "7340",
-                "provider.address" to "10.200.1.7:8223",
-                "bootstrap" to "true",
-                "bounds.grace_s" to "8",
-                "bounds.retry_budget_ratio" to "0.2",
-                "bounds.budget_slack" to "54",
-                "bounds.budget_window_s" to "10",
-            )
+        private const val OVERAGE = "LYCHEEMOUNT_COLD_OVERAGE"
+        private const val SLACK = "LYCHEEMOUNT_COLD_SLACK"
     }
 }
