--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -59,7 +59,7 @@
     private val engine = DefaultModelEngineClient(backendHttp)
     private val plainServices = DefaultPlainServiceClient(backendHttp)
     private val dispatcher = WorkDispatcher(createRequestScheduler(settings.zoneId, seed = identity.incarnation), clock)
-    private val engineFleet = BackendEngineFleet(engine) { dispatcher.backendServers() }
+    private val engineFleet = BackendEngineFleet(engine) { dispatcher.backendServers }
     private val observer = BackendObserver(platform.vmDirectory, engine, plainServices, dispatcher, eventLog)
     private val drain = DrainState()
     private val peerSecret = PeerSecret(Path.of(settings.peerSecretFile).readBytes())
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/OddServerEntryTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/OddServerEntryTest.kt
@@ -16,7 +16,7 @@
     private val dispatcher = WorkDispatcher(createRequestScheduler(ZoneId("z"), seed = 1), clock)
     private val listener = ServerRowListener(dispatcher::onBackendServers, clock, log)
 
-    private val usedServerIds get() = dispatcher.backendServers().map { it.backendServerId.value }.sorted()
+    private val usedServerIds get() = dispatcher.backendServers.map { it.backendServerId.value }.sorted()
 
     private val unreadableCount get() = log.events.count { (name, _) -> name == "server_entry_unreadable" }
 
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ServerRowListenerTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ServerRowListenerTest.kt
@@ -42,7 +42,7 @@
         private val dispatcher = WorkDispatcher(createRequestScheduler(ZoneId("z"), seed = 1), clock)
         val listener = ServerRowListener(dispatcher::onBackendServers, clock, FakeEventLog(), ::decodeEntry)
 
-        val usedServerIds get() = dispatcher.backendServers().map { it.backendServerId.value }.toSet()
+        val usedServerIds get() = dispatcher.backendServers.map { it.backendServerId.value }.toSet()
 
         val nowMs get() = scope.currentTime
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/BackendObserver.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/BackendObserver.kt
@@ -68,7 +68,7 @@
 
     private suspend fun pollServers() =
         coroutineScope {
-            for (server in dispatcher.backendServers()) {
+            for (server in dispatcher.backendServers) {
                 launch { pollPermits.withPermit { if (servesModel(server)) pollEngine(server) else pollService(server) } }
             }
         }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/WorkDispatcher.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/WorkDispatcher.kt
@@ -166,9 +166,10 @@
         }
     }
 
-    /** Returns the backend servers of the last [onBackendServers] call. */
-    @Synchronized
-    fun backendServers(): Collection<BackendServer> = servers.values
+    /** Backend servers of the last [onBackendServers] call. */
+    val backendServers: Collection<BackendServer>
+        @Synchronized
+        get() = servers.values
 
     /** Whether [server] has been replaced by another run under its id, which may have another software version. */
     @Synchronized
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedMetrics.kt
@@ -70,7 +70,7 @@
             configuration.current().sequence.toDouble()
         }
 
-        fun countServers(condition: (BackendServer) -> Boolean) = dispatcher.backendServers().count(condition).toDouble()
+        fun countServers(condition: (BackendServer) -> Boolean) = dispatcher.backendServers.count(condition).toDouble()
 
         fun isLeaving(server: BackendServer) = server.leaving || serverStatements.hasSaidToLeave(server)
         gauge(registry, "lycheemount_backend_servers", "Backend servers available for requests.") {
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamResumption.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamResumption.kt
@@ -58,7 +58,7 @@
         }
 
     private fun isServed(version: SoftwareVersion): Boolean =
-        services.dispatcher.backendServers().any { !it.leaving && request.backendTarget in it.targets && it.softwareVersion == version }
+        services.dispatcher.backendServers.any { !it.leaving && request.backendTarget in it.targets && it.softwareVersion == version }
 
     private fun noServerRefusal(version: SoftwareVersion) =
         Refusal(RefusalReason.NO_BACKEND_SERVER, "no backend server of software version ${version.value} is live", 2 * jittered())
