--- a/review/stand-3/Router.java
+++ b/review/stand-3/Router.java
@@ -124,14 +124,10 @@
         return false;
     }
 
-    /** Sends a signal to the process. */
-    void signal(String signal) throws IOException {
-        record.line("signal " + signal + " to router " + name);
-        try {
-            new ProcessBuilder("kill", "-" + signal, "" + process.pid()).start().waitFor();
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        }
+    /** Kills the process. */
+    void kill() {
+        record.line("SIGKILL to router " + name);
+        process.destroyForcibly();
     }
 
     @Override
--- a/review/stand-3/Versions.java
+++ b/review/stand-3/Versions.java
@@ -88,7 +88,7 @@
                 isBack = true;
             }
             if (!isKilled && ageMs >= COPY_AGE_MS + AWAY_MS + KILL_AFTER_MS) {
-                routers.get(0).signal("KILL");
+                routers.get(0).kill();
                 isKilled = true;
             }
             if (!isKilled && Time.nowMs() >= nextStreamMs) {
