--- a/review/stand-3/Case.java
+++ b/review/stand-3/Case.java
@@ -65,7 +65,7 @@
     }
 
     Router addRouter(String name, String ip, String zone) throws IOException {
-        Router router = new Router(repository, workDirectory, record, name, ip, zone, store.address());
+        Router router = new Router(repository, workDirectory, record, name, ip, zone, store.addressFor(name));
         routers.add(router);
         router.start();
         return router;
--- a/review/stand-3/Store.java
+++ b/review/stand-3/Store.java
@@ -58,20 +58,72 @@
     private long forgottenUpTo = 0;
     private int era = 1;
     private volatile boolean isAway;
-    private final ServerSocket listener;
-    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    /** One path to the store, which can be cut. */
+    private final class Path implements Runnable {
+        final ServerSocket listener;
+        final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+        volatile boolean isCut;
+
+        Path() throws IOException {
+            listener = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+            Thread thread = new Thread(this, "store");
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        @Override
+        public void run() {
+            while (!listener.isClosed()) {
+                try {
+                    Socket socket = listener.accept();
+                    if (isAway || isCut) {
+                        Store.close(socket);
+                        continue;
+                    }
+                    connections.add(socket);
+                    Thread thread = new Thread(() -> serve(socket, this), "store-connection");
+                    thread.setDaemon(true);
+                    thread.start();
+                } catch (IOException ended) {
+                    // The listener is closed, or this connection is of no use.
+                }
+            }
+        }
+    }
+
+    private final Map<String, Path> paths = new ConcurrentHashMap<>();
     /** Answers that have been given, by call and status. */
     final Map<String, Integer> calls = new ConcurrentHashMap<>();
 
-    Store() throws IOException {
-        listener = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
-        Thread thread = new Thread(this::accept, "store");
-        thread.setDaemon(true);
-        thread.start();
+    /** The address of the store for all machines. */
+    String address() throws IOException {
+        return addressFor("");
+    }
+
+    /** An address of the store that only the machine of this name uses. */
+    synchronized String addressFor(String machine) throws IOException {
+        Path path = paths.get(machine);
+        if (path == null) {
+            path = new Path();
+            paths.put(machine, path);
+        }
+        return "127.0.0.1:" + path.listener.getLocalPort();
+    }
+
+    /** Cuts the path of a machine to the store: its connections are reset, and new ones are. */
+    void cut(String machine) {
+        Path path = paths.get(machine);
+        path.isCut = true;
+        for (Socket socket : path.connections) close(socket);
+    }
+
+    /** Heals the path of a machine. */
+    void heal(String machine) {
+        paths.get(machine).isCut = false;
     }
 
-    String address() {
-        return "127.0.0.1:" + listener.getLocalPort();
+    synchronized long version() {
+        return version;
     }
 
     synchronized int era() {
@@ -112,7 +164,13 @@
         synchronized (this) {
             notifyAll();
         }
-        for (Socket socket : connections) close(socket);
+        closeAll();
+    }
+
+    private void closeAll() {
+        for (Path path : paths.values()) {
+            for (Socket socket : path.connections) close(socket);
+        }
     }
 
     /** The store is back as it was. */
@@ -141,25 +199,7 @@
         while (!history.isEmpty() && nowMs() - history.get(0).atMs > HISTORY_MS) forgottenUpTo = history.remove(0).version;
     }
 
-    private void accept() {
-        while (!listener.isClosed()) {
-            try {
-                Socket socket = listener.accept();
-                if (isAway) {
-                    close(socket);
-                    continue;
-                }
-                connections.add(socket);
-                Thread thread = new Thread(() -> serve(socket), "store-connection");
-                thread.setDaemon(true);
-                thread.start();
-            } catch (IOException ended) {
-                // The listener is closed, or this connection is of no use.
-            }
-        }
-    }
-
-    private void serve(Socket socket) {
+    private void serve(Socket socket, Path path) {
         try (socket) {
             socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
@@ -177,7 +217,7 @@
         } catch (IOException | InterruptedException ended) {
             // The caller has gone.
         } finally {
-            connections.remove(socket);
+            path.connections.remove(socket);
         }
     }
 
@@ -300,7 +340,7 @@
 
     @Override
     public void close() throws IOException {
-        listener.close();
-        for (Socket socket : connections) close(socket);
+        for (Path path : paths.values()) path.listener.close();
+        closeAll();
     }
 }
