Log the era and version of the store from which a configuration was read

What was missing: the logs told that a configuration was read, but not from which state of the store, so that neither a store that has come back from an older copy, nor an old read, nor a feed that stays silent could be told from one another.

Metrics: lycheemount_store_era and lycheemount_configuration_confirmed_age_seconds. No decision is changed.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
@@ -20,6 +20,7 @@
 import org.lycheemount.config.ConfigurationView
 import org.lycheemount.config.PublishedConfiguration
 import org.lycheemount.platform.RowListener
+import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.StoreRow
 import org.lycheemount.platform.adapter.CONFIGURATION_KEY
 import org.lycheemount.platform.adapter.decodeConfiguration
@@ -31,26 +32,45 @@
     private val configuration: PublishedConfiguration,
     private val clock: Clock,
     private val eventLog: EventLog,
+    private val eras: StoreEras,
     private val onAccepted: () -> Unit,
 ) : RowListener {
     private val reachabilityLog = StoreReachabilityLog("operator", eventLog)
+    private val startedAtMs = clock.monotonicMs()
+
+    @Volatile
+    private var confirmedAtMs: Long? = null
+
+    /** Time since the store last confirmed that the configuration has been read up to its newest change, or since the start. */
+    val confirmedAgeMs: Long get() = clock.monotonicMs() - (confirmedAtMs ?: startedAtMs)
 
     override fun onAllRows(rows: List<StoreRow>) = onChangedRows(rows)
 
     override fun onChangedRows(rows: List<StoreRow>) {
-        val value = rows.lastOrNull { it.key == CONFIGURATION_KEY }?.value ?: return
-        val startedAtMs = clock.monotonicMs()
+        val row = rows.lastOrNull { it.key == CONFIGURATION_KEY } ?: return
+        val value = row.value ?: return
+        val decodeStartedAtMs = clock.monotonicMs()
         decodeConfiguration(value).fold(
             {
-                val decodeMs = clock.monotonicMs() - startedAtMs
-                eventLog.info("configuration_read", "version" to it.sequence, "bytes" to value.size, "decode_ms" to decodeMs)
+                eventLog.info(
+                    "configuration_read",
+                    "version" to it.sequence,
+                    "in_force" to configuration.current().sequence,
+                    "bytes" to value.size,
+                    "decode_ms" to clock.monotonicMs() - decodeStartedAtMs,
+                    "store_version" to row.version,
+                    "store_era" to eras.current.value?.value,
+                )
                 if (configuration.accept(it)) onAccepted()
             },
             { eventLog.warn("configuration_unreadable", "error" to it, "in_force" to configuration.current().sequence) },
         )
     }
 
-    override fun onResponded() = reachabilityLog.onResponded()
+    override fun onResponded() {
+        confirmedAtMs = clock.monotonicMs()
+        reachabilityLog.onResponded()
+    }
 
     override fun onFailed(detail: String) = reachabilityLog.onFailed(detail)
 }
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -104,7 +104,7 @@
         )
     private val budgetLimits =
         BudgetLimitUpdater(createBudgetLimitWriter(table) { "limits-${UUID.randomUUID()}" }, budgets.maintenance, configuration, eventLog)
-    private val configurationListener = ConfigurationRowListener(configuration, clock, eventLog, ::onConfigurationChanged)
+    private val configurationListener = ConfigurationRowListener(configuration, clock, eventLog, store.eras, ::onConfigurationChanged)
 
     // Evacuations come first: a router is ready once it has the configuration.
     private val operatorRowListener = CombinedRowListener(ZoneEvacuationRowListener(evacuations, eventLog), configurationListener)
@@ -129,7 +129,7 @@
         PrometheusRegistry().also {
             registerLogMetrics(it)
             registerBudgetMetrics(it, budgets)
-            registerConfigurationMetrics(it, configurationLag)
+            registerConfigurationMetrics(it, configurationLag, configurationListener::confirmedAgeMs, store.eras)
             registerOriginMetrics(it, streamOrigins)
             registerEvacuationMetrics(it, evacuations)
             registerColdServerMetrics(it, coldServers)
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/KeepAlivePlatformTransport.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/KeepAlivePlatformTransport.kt
@@ -101,7 +101,7 @@
         try {
             return readWhileProgressing(callTimeoutMs, maxBytes, response.body.lengthBytes) { bytes ->
                 response.body.read(bytes).also { receivedBytes += maxOf(0, it) }
-            }.toExchange(response.head.httpStatus)
+            }.toExchange(response.head.httpStatus, response.head.headers)
         } finally {
             logTransfer(call, receivedBytes, response.body.isComplete, waitMs, startedAtMs)
         }
@@ -147,7 +147,7 @@
     address: String,
     clock: Clock,
     eventLog: EventLog,
-) = StoreClient(KeepAlivePlatformTransport(client, STORE_TIMEOUT_MS, clock, eventLog), address)
+) = StoreClient(KeepAlivePlatformTransport(client, STORE_TIMEOUT_MS, clock, eventLog), address, eventLog)
 
 // The store responds within 4 ms, or 60 times that when it is slow. A call that takes longer is better retried.
 private const val STORE_TIMEOUT_MS = 1_000L
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
@@ -27,8 +27,9 @@
         private val clock = scope.virtualClock()
         val link = SlowStoreLink(scope.backgroundScope, bytesPerMs)
         private val configuration = PublishedConfiguration(FakeEventLog())
-        private val listener = ConfigurationRowListener(configuration, clock, FakeEventLog()) {}
-        private val watcher = createOperatorRowWatcher(createStoreClient(link, "127.0.0.1:1", clock, FakeEventLog()))
+        private val store = createStoreClient(link, "127.0.0.1:1", clock, FakeEventLog())
+        private val listener = ConfigurationRowListener(configuration, clock, FakeEventLog(), store.eras) {}
+        private val watcher = createOperatorRowWatcher(store)
         val refresher = ConfigurationRefresher(clock, watcher::isReceiving, watcher::awaitCurrent)
         val nowMs get() = scope.currentTime
         val version get() = configuration.current().sequence
--- a/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
@@ -125,7 +125,9 @@
                 val httpStatus = response.status.value
                 if (httpStatus !in FINAL_STATUSES) return@execute PlatformExchange.Lost("status $httpStatus is not valid")
                 val channel = response.bodyAsChannel()
-                readWhileProgressing(callTimeoutMs, maxBytes, response.contentLength()) { readOrFail(channel, it) }.toExchange(httpStatus)
+                val headers = response.headers.entries().flatMap { (name, values) -> values.map { name to it } }
+                readWhileProgressing(callTimeoutMs, maxBytes, response.contentLength()) { readOrFail(channel, it) }
+                    .toExchange(httpStatus, headers)
             }
 
     /** Reads from [channel]. If a failure has ended it early, throws that, as the channel itself may only report its end. */
--- a/connection/platform/src/main/kotlin/org/lycheemount/platform/http/ProgressTimeouts.kt
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/ProgressTimeouts.kt
@@ -23,10 +23,13 @@
     data object TooLong : BodyRead
 }
 
-/** Outcome of the exchange whose response had [httpStatus] and this body. */
-fun BodyRead.toExchange(httpStatus: Int): PlatformExchange =
+/** Outcome of the exchange whose response had [httpStatus], [headers] and this body. */
+fun BodyRead.toExchange(
+    httpStatus: Int,
+    headers: List<Pair<String, String>> = emptyList(),
+): PlatformExchange =
     when (this) {
-        is BodyRead.Complete -> PlatformExchange.Response(httpStatus, bytes)
+        is BodyRead.Complete -> PlatformExchange.Response(httpStatus, bytes, headers)
         is BodyRead.Stalled -> PlatformExchange.Lost("response stalled after $receivedBytes bytes")
         BodyRead.TooLong -> PlatformExchange.TooLong
     }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -295,6 +295,7 @@
             "detail" to refusal.detail,
             "retry_after_ms" to refusal.retryAfterMs,
             "outcome" to outcome.wireName,
+            "config" to services.configuration.current().sequence,
         )
         writer.writeComplete(services.dialect.refusalHead(refusal, metadata.requestId, mayHaveRun), refusal.detail.encodeToByteArray())
     }
