--- /dev/null
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
@@ -0,0 +1,197 @@
+package org.lycheemount.app.router.gateway
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import org.lycheemount.config.PublishedConfiguration
+import org.lycheemount.platform.adapter.createOperatorRowWatcher
+import org.lycheemount.testing.FakeEventLog
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+/**
+ * Routers that follow the operator's rows of a store that comes back from older copies, in virtual time. `-Drestored.store.seeds=1-1000`
+ * plays more histories than CI does.
+ */
+@OptIn(ExperimentalCoroutinesApi::class)
+class RestoredStoreTest {
+    private class Router(
+        scope: TestScope,
+        store: RestorableStore,
+    ) {
+        private val clock = scope.virtualClock()
+        private val configuration = PublishedConfiguration(FakeEventLog())
+        val link = store.Link()
+        private val client = createStoreClient(link, "127.0.0.1:1", clock, FakeEventLog())
+        private val watcher = createOperatorRowWatcher(client)
+        private val refresher = ConfigurationRefresher(clock, watcher::isReceiving, watcher::awaitCurrent)
+        val version get() = configuration.current().sequence
+
+        init {
+            val listener = ConfigurationRowListener(configuration, clock, FakeEventLog(), client.eras) {}
+            scope.backgroundScope.launch { watcher.watch(listener) }
+        }
+
+        suspend fun refresh() = refresher.refresh(patienceMs = 500)
+    }
+
+    /** The operator and the servers, which write again what a restored store has lost. */
+    private class Writers(
+        private val scope: TestScope,
+        private val store: RestorableStore,
+    ) {
+        private var writtenVersion = 0L
+
+        /** Newest version that the store has acknowledged, each with the time of its latest write. */
+        val acknowledgedAtMs = sortedMapOf<Long, Long>()
+
+        suspend fun publish(version: Long) {
+            while (!store.put("op", "config", """{"version":$version,"services":[],"routes":[]}""")) delay(RETRY_MS)
+            writtenVersion = version
+            acknowledgedAtMs[version] = scope.currentTime
+        }
+
+        suspend fun publishAgain() {
+            if (writtenVersion > 0) publish(writtenVersion)
+        }
+
+        fun registerServers(count: Int) = repeat(count) { store.put("servers", "i-$it", "{}") }
+
+        /** Newest version that is due on a router that has been in touch with the store since [sinceMs]. */
+        fun dueVersion(sinceMs: Long): Long {
+            val dueAtMs = scope.currentTime - CONFIGURATION_APPLY_MS
+            return acknowledgedAtMs.entries.lastOrNull { maxOf(it.value, sinceMs) <= dueAtMs }?.key ?: 0
+        }
+    }
+
+    private val seeds: IntRange
+        get() {
+            val (first, last) = System.getProperty("restored.store.seeds", "1-100").split('-').map { it.toInt() }
+            return first..last
+        }
+
+    @Nested
+    inner class `a change that is made after the store has come back from an older copy` {
+        @Test
+        fun `is in force on each router, guarding against feeds that go on from a version of before`() =
+            runTest {
+                val store = RestorableStore()
+                val writers = Writers(this, store)
+                writers.publish(3)
+                val routers = List(3) { Router(this, store) }
+                val copy = store.copy()
+                writers.registerServers(10)
+                delay(1_000)
+                store.leave()
+                delay(1_000)
+                store.comeBackFrom(copy)
+                writers.publish(8)
+                writers.registerServers(20)
+                delay(CONFIGURATION_APPLY_MS)
+
+                assertEquals(listOf(8L, 8L, 8L), routers.map { it.version })
+            }
+    }
+
+    @Nested
+    inner class `routers whose store comes back from older copies at random` {
+        @Test
+        fun `have the newest configuration in force in time, with 1, 3 and 7 routers`() {
+            val failures = listOf(1, 3, 7).flatMap { routerCount -> seeds.mapNotNull { seed -> firstFailure(seed, routerCount) } }
+            assertEquals(emptyList(), failures)
+        }
+    }
+
+    /** Returns what is wrong first in the history of [seed]; null if nothing is. */
+    private fun firstFailure(
+        seed: Int,
+        routerCount: Int,
+    ): String? {
+        var failure: String? = null
+        runTest { failure = findFailure(seed, routerCount) }
+        return failure
+    }
+
+    private suspend fun TestScope.findFailure(
+        seed: Int,
+        routerCount: Int,
+    ): String? {
+        val random = Random(seed)
+        val store = RestorableStore()
+        val writers = Writers(this, store)
+        writers.publish(1)
+        val routers = List(routerCount) { Router(this, store) }
+        val touchedSinceMs = LongArray(routerCount)
+        var isStoreTroubled = false
+        backgroundScope.launch {
+            while (true) {
+                delay(random.nextLong(20, 250))
+                writers.registerServers(random.nextInt(1, 4))
+            }
+        }
+        backgroundScope.launch {
+            var version = 1L
+            while (true) {
+                delay(random.nextLong(300, 4_000))
+                version += random.nextLong(1, 9)
+                writers.publish(version)
+            }
+        }
+        backgroundScope.launch {
+            while (true) {
+                val copy = store.copy()
+                delay(random.nextLong(500, 10_000))
+                isStoreTroubled = true
+                store.leave()
+                delay(random.nextLong(50, 1_500))
+                store.comeBackFrom(copy)
+                delay(random.nextLong(1, 1_000))
+                writers.publishAgain()
+                writers.registerServers(random.nextInt(0, 80))
+                isStoreTroubled = false
+                touchedSinceMs.indices.forEach { touchedSinceMs[it] = maxOf(touchedSinceMs[it], currentTime + CONTACT_MS) }
+            }
+        }
+        for ((index, router) in routers.withIndex()) {
+            val cuts = Random(seed * 100 + index)
+            backgroundScope.launch {
+                while (true) {
+                    delay(cuts.nextLong(1_000, 15_000))
+                    router.link.isSilent = cuts.nextBoolean()
+                    router.link.isCut = true
+                    delay(cuts.nextLong(300, 5_000))
+                    router.link.isCut = false
+                    touchedSinceMs[index] = maxOf(touchedSinceMs[index], currentTime + CONTACT_MS)
+                }
+            }
+        }
+        while (currentTime < HISTORY_MS) {
+            delay(CHECK_INTERVAL_MS)
+            for ((index, router) in routers.withIndex()) {
+                if (isStoreTroubled || router.link.isCut || currentTime < touchedSinceMs[index]) continue
+                val due = writers.dueVersion(touchedSinceMs[index] - CONTACT_MS)
+                val state = "seed $seed, $routerCount routers, router $index at $currentTime ms"
+                if (router.version < due) return "version ${router.version} is in force, $due is due: $state"
+                val newest = writers.acknowledgedAtMs.lastKey()
+                val isConfirmed = router.refresh()
+                if (isConfirmed && router.version < newest) return "version ${router.version} is confirmed, not $newest: $state"
+            }
+        }
+        return null
+    }
+
+    private companion object {
+        private const val HISTORY_MS = 60_000L
+        private const val CHECK_INTERVAL_MS = 250L
+        private const val CONFIGURATION_APPLY_MS = 2_000L
+
+        // Bounds hold on routers that have reached the store for so long.
+        private const val CONTACT_MS = 3_000L
+        private const val RETRY_MS = 100L
+    }
+}
