Keep servers that a restored store does not list yet until they can have registered again

What callers saw: after the store has come back from an older copy, servers that had registered since the copy was made are not used, and requests are refused although these servers serve.

Cause: a removed entry counts as proof that its server is gone, unless the store was out of reach for longer than entries last. A store that is away for a moment and comes back older lists entries that are missing only because they were written too late.

Change: the first list of a new era starts the grace that an outage starts, 2.2 s.

Evidence: RestoredStoreTest, "stays in use until it has registered again": i-2 is missing without the change ([i-1] instead of [i-1, i-2]), and present with it; without an entry it is removed within 5 s.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
@@ -20,6 +20,7 @@
 import org.lycheemount.config.ConfigurationView
 import org.lycheemount.config.PublishedConfiguration
 import org.lycheemount.platform.RowListener
+import org.lycheemount.platform.StoreEra
 import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.StoreRow
 import org.lycheemount.platform.adapter.CONFIGURATION_KEY
@@ -81,6 +82,7 @@
  * @param onServers receives the servers after each change.
  * @param decodeEntry decodes the row of a server, given its id and value, or returns what is wrong with it.
  * @param onRow receives each decoded server with the value of its row, before [onServers] gets it.
+ * @param currentEra era of the store; null if it has not stated one.
  */
 internal class ServerRowListener(
     private val onServers: (List<BackendServer>) -> Unit,
@@ -88,10 +90,12 @@
     private val eventLog: EventLog,
     private val decodeEntry: (String, ByteArray) -> Result<BackendServer, String> = ::decodeServerEntry,
     private val onRow: (BackendServer, ByteArray) -> Unit = { _, _ -> },
+    private val currentEra: () -> StoreEra? = { null },
 ) : RowListener {
     private val directory = ServerDirectory()
     private val reachabilityLog = StoreReachabilityLog("servers", eventLog)
     private val unreadableServerIds = HashSet<String>()
+    private var listEra: StoreEra? = null
 
     /** Whether the rows have been read at least once. */
     @Volatile
@@ -102,6 +106,9 @@
 
     override fun onAllRows(rows: List<StoreRow>) {
         directory.onStoreResponded(clock.monotonicMs())
+        val era = currentEra()
+        if (listEra != null && era != listEra) directory.onStoreRestored(clock.monotonicMs())
+        listEra = era
         directory.onList(rows.mapNotNull { row -> row.value?.let { decode(row.key, it) } }, clock.monotonicMs())
         hasServerList = true
         publish()
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -123,7 +123,8 @@
         }
     private val operatorRowWatcher = createOperatorRowWatcher(store)
     private val configurationRefresher = ConfigurationRefresher(clock, operatorRowWatcher::isReceiving, operatorRowWatcher::awaitCurrent)
-    private val serverListener = ServerRowListener(::onBackendServers, clock, eventLog, onRow = coldServers::onRow)
+    private val serverListener =
+        ServerRowListener(::onBackendServers, clock, eventLog, onRow = coldServers::onRow, currentEra = { store.eras.current.value })
     private val drain = DrainState()
     private val metricsRegistry =
         PrometheusRegistry().also {
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
@@ -1,5 +1,7 @@
 package org.lycheemount.app.router.gateway
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -7,8 +9,13 @@
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
+import org.lycheemount.common.BackendServer
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
 import org.lycheemount.config.PublishedConfiguration
 import org.lycheemount.platform.adapter.createOperatorRowWatcher
+import org.lycheemount.platform.adapter.createServerRowWatcher
 import org.lycheemount.testing.FakeEventLog
 import kotlin.random.Random
 import kotlin.test.Test
@@ -98,6 +105,63 @@
             }
     }
 
+    @Nested
+    inner class `a server that registered after the copy was made` {
+        private val store = RestorableStore()
+
+        private fun runRestoredStore(steps: suspend TestScope.(servers: () -> Set<String>) -> Unit) =
+            runTest {
+                var servers = emptySet<String>()
+                val clock = virtualClock()
+                val client = createStoreClient(store.Link(), "127.0.0.1:1", clock, FakeEventLog())
+                val listener =
+                    ServerRowListener(
+                        { list -> servers = list.mapTo(HashSet()) { it.backendServerId.value } },
+                        clock,
+                        FakeEventLog(),
+                        ::decodeServer,
+                        currentEra = { client.eras.current.value },
+                    )
+                backgroundScope.launch { createServerRowWatcher(client).watch(listener) }
+                store.put("servers", "i-1", "{}")
+                val copy = store.copy()
+                store.put("servers", "i-2", "{}")
+                delay(2_000)
+                store.leave()
+                delay(100)
+                store.comeBackFrom(copy)
+                steps { servers }
+            }
+
+        @Test
+        fun `stays in use until it has registered again, guarding against requests refused for want of servers`() =
+            runRestoredStore { servers ->
+                delay(1_800)
+                assertEquals(setOf("i-1", "i-2"), servers())
+                store.put("servers", "i-2", "{}")
+                delay(5_000)
+                assertEquals(setOf("i-1", "i-2"), servers())
+            }
+
+        @Test
+        fun `is removed if it does not register again`() =
+            runRestoredStore { servers ->
+                delay(5_000)
+                assertEquals(setOf("i-1"), servers())
+            }
+
+        private fun decodeServer(
+            id: String,
+            value: ByteArray,
+        ) = if (value.isEmpty()) {
+            Err(
+                "no entry",
+            )
+        } else {
+            Ok(BackendServer(BackendServerId(id), VmId(id), ZoneId("z"), "10.0.0.1", 80, emptySet()))
+        }
+    }
+
     @Nested
     inner class `routers whose store comes back from older copies at random` {
         @Test
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/ServerDirectory.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/ServerDirectory.kt
@@ -51,6 +51,11 @@
         storeRespondedAtMs = nowMs
     }
 
+    /** The store has come back from an older copy, as was noticed at [nowMs]: entries that were written since that copy was made are missing. */
+    fun onStoreRestored(nowMs: Long) {
+        storeRecoveredAtMs = nowMs
+    }
+
     /** Replaces all entries with [current], the list read at [nowMs]. */
     fun onList(
         current: List<BackendServer>,
