Do not refuse routes as unknown while a peer has a newer configuration

What callers saw: 404 and 401 for routes and keys that are there, from a router that started shortly after the store had come back from an older copy.

Cause: before a route or key is refused as unknown, the router asks the store whether its configuration is current. A restored store confirms an older one until the operator has written the newest again, although heartbeats of peers have told of it.

Change: a configuration is not confirmed while a peer has a newer one; such requests get 503, not run.

Evidence: RestoredStoreTest, "does not confirm the older one": the refresh returned true without the change; false with it, and true once the operator has written its configuration again.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ConfigurationLag.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ConfigurationLag.kt
@@ -19,6 +19,10 @@
     var newestKnownVersion: Long = 0
         private set
 
+    /** Whether this router has heard of a version newer than the active one. */
+    @get:Synchronized
+    val isBehind: Boolean get() = configuration.current().sequence < newestKnownVersion
+
     /** Time since this router first heard of a version newer than the active one, in milliseconds; 0 if it has the newest. */
     @get:Synchronized
     val behindMs: Long
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ConfigurationRefresher.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ConfigurationRefresher.kt
@@ -10,12 +10,15 @@
  * requests of the next [MIN_CHECK_INTERVAL_MS], so that callers with wrong keys cannot exhaust the store's rate limit.
  *
  * @param isReceiving whether a response of the store is arriving, which may hold a newer version.
+ * @param isBehind whether a peer has a newer version. A store that has come back from an older copy confirms a version that is not
+ *   current until the operator has written the newest one again.
  * @param awaitCurrent returns true once all versions that were published before the call are active, or false if the store does not
  *   respond.
  */
 internal class ConfigurationRefresher(
     private val clock: Clock,
     private val isReceiving: () -> Boolean = { false },
+    private val isBehind: () -> Boolean = { false },
     private val awaitCurrent: suspend () -> Boolean,
 ) {
     @Volatile
@@ -29,7 +32,7 @@
     suspend fun refresh(patienceMs: Long): Boolean {
         val startedAtMs = clock.monotonicMs()
         if (startedAtMs - currentAsOfMs < MIN_CHECK_INTERVAL_MS) return true
-        val isCurrent = check(startedAtMs + patienceMs)
+        val isCurrent = check(startedAtMs + patienceMs) && !isBehind()
         if (isCurrent) currentAsOfMs = maxOf(currentAsOfMs, startedAtMs)
         return isCurrent
     }
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -122,7 +122,8 @@
             peers.routerCount
         }
     private val operatorRowWatcher = createOperatorRowWatcher(store)
-    private val configurationRefresher = ConfigurationRefresher(clock, operatorRowWatcher::isReceiving, operatorRowWatcher::awaitCurrent)
+    private val configurationRefresher =
+        ConfigurationRefresher(clock, operatorRowWatcher::isReceiving, configurationLag::isBehind, operatorRowWatcher::awaitCurrent)
     private val serverListener =
         ServerRowListener(::onBackendServers, clock, eventLog, onRow = coldServers::onRow, currentEra = { store.eras.current.value })
     private val drain = DrainState()
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
@@ -30,7 +30,7 @@
         private val store = createStoreClient(link, "127.0.0.1:1", clock, FakeEventLog())
         private val listener = ConfigurationRowListener(configuration, clock, FakeEventLog(), store.eras) {}
         private val watcher = createOperatorRowWatcher(store)
-        val refresher = ConfigurationRefresher(clock, watcher::isReceiving, watcher::awaitCurrent)
+        val refresher = ConfigurationRefresher(clock, watcher::isReceiving, awaitCurrent = watcher::awaitCurrent)
         val nowMs get() = scope.currentTime
         val version get() = configuration.current().sequence
 
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Nested
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.RouterId
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
 import org.lycheemount.config.PublishedConfiguration
@@ -20,6 +21,8 @@
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 
 /**
  * Routers that follow the operator's rows of a store that comes back from older copies, in virtual time. `-Drestored.store.seeds=1-1000`
@@ -36,7 +39,8 @@
         val link = store.Link()
         private val client = createStoreClient(link, "127.0.0.1:1", clock, FakeEventLog())
         private val watcher = createOperatorRowWatcher(client)
-        private val refresher = ConfigurationRefresher(clock, watcher::isReceiving, watcher::awaitCurrent)
+        private val lag = ConfigurationLag(configuration, clock, FakeEventLog())
+        private val refresher = ConfigurationRefresher(clock, watcher::isReceiving, lag::isBehind, watcher::awaitCurrent)
         val version get() = configuration.current().sequence
 
         init {
@@ -44,6 +48,9 @@
             scope.backgroundScope.launch { watcher.watch(listener) }
         }
 
+        /** A heartbeat of [peer] arrives. */
+        fun onHeartbeat(peer: Router) = lag.onPeerVersion(RouterId("peer"), peer.version)
+
         suspend fun refresh() = refresher.refresh(patienceMs = 500)
     }
 
@@ -105,6 +112,34 @@
             }
     }
 
+    @Nested
+    inner class `a router that starts before the operator has written its newest configuration again` {
+        @Test
+        fun `does not confirm the older one, guarding against 404 for routes that peers serve`() =
+            runTest {
+                val store = RestorableStore()
+                val writers = Writers(this, store)
+                writers.publish(3)
+                val copy = store.copy()
+                writers.publish(8)
+                val peer = Router(this, store)
+                delay(1_000)
+                store.leave()
+                store.comeBackFrom(copy)
+
+                val router = Router(this, store)
+                delay(1_000)
+                router.onHeartbeat(peer)
+                assertEquals(3, router.version)
+                assertFalse(router.refresh())
+
+                writers.publishAgain()
+                delay(1_000)
+                assertEquals(8, router.version)
+                assertTrue(router.refresh())
+            }
+    }
+
     @Nested
     inner class `a server that registered after the copy was made` {
         private val store = RestorableStore()
