Match requests by the newest configuration while another thread indexes an older one

What callers saw: possibly requests run by the service that an older configuration names, right after a change, and work classes of the older one until the next change. That this is a part of the users' cases is suspected, not shown.

Cause: the index of routes, and that of keys, was replaced without a lock. A thread that had read the older configuration could put its index back between the store and the second read of another thread, which then matched its request by it; in between that thread waits for the lock of the scheduler to hand over the work classes. They were handed over in any order, so the older ones could stay.

Change: ConfigurationIndex, which both use: the configuration is read again under the lock, and the value that was derived from it is returned.

Evidence: ConfigurationIndexTest holds a thread between reading and indexing. With the code before, moved into a class of its own, the later request was matched by version 1 instead of 2; it is matched by 2 now. RoutedRequestHandlerTest and UnknownRouteTest pass.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/TeamAuthenticator.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/TeamAuthenticator.kt
@@ -12,28 +12,21 @@
 
 /** Looks up the team of a bearer key by the SHA-256 of the key. Thread-safe. */
 internal class TeamAuthenticator(
-    private val configuration: ConfigurationView,
+    configuration: ConfigurationView,
 ) {
-    @Volatile
-    private var index = KeyIndex(configuration.current())
+    private val index = ConfigurationIndex(configuration, ::KeyIndex)
 
     fun authenticate(authorization: String?): Result<Team, Refusal> {
         val key = authorization?.takeIf { it.startsWith(SCHEME, ignoreCase = true) }?.substring(SCHEME.length)?.trim()
         if (key.isNullOrEmpty()) return unauthenticated("a bearer key is required")
         val hash = hashKey(key)
-        return currentIndex().teamsByKeyHash[hash]?.let(::Ok) ?: unauthenticated("the bearer key is unknown")
-    }
-
-    private fun currentIndex(): KeyIndex {
-        val snapshot = configuration.current()
-        if (index.snapshot !== snapshot) index = KeyIndex(snapshot)
-        return index
+        return index.current().teamsByKeyHash[hash]?.let(::Ok) ?: unauthenticated("the bearer key is unknown")
     }
 
     private fun unauthenticated(detail: String) = Err(Refusal(RefusalReason.UNAUTHENTICATED, detail))
 
     private class KeyIndex(
-        val snapshot: ConfigurationSnapshot,
+        snapshot: ConfigurationSnapshot,
     ) {
         val teamsByKeyHash =
             snapshot.teams.values
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RouteMatcher.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RouteMatcher.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
+import org.lycheemount.caller.ConfigurationIndex
 import org.lycheemount.caller.ShutdownException
 import org.lycheemount.caller.TeamAuthenticator
 import org.lycheemount.caller.drainingRefusal
@@ -39,8 +40,11 @@
 ) {
     private val authenticator = TeamAuthenticator(services.configuration)
 
-    @Volatile
-    private var index = RouteIndex(services.configuration.current())
+    private val index =
+        ConfigurationIndex(services.configuration) { snapshot ->
+            services.dispatcher.onWorkClasses(snapshot.workClasses)
+            RouteIndex(snapshot)
+        }
 
     /** Finds the route of [call]. Makes sure that the configuration is current before a route or key is refused as unknown. */
     suspend fun match(
@@ -79,7 +83,7 @@
         call: ApplicationCall,
         metadata: RequestMetadata,
     ): Result<RouteMatch, Refusal> {
-        val current = currentIndex()
+        val current = index.current()
         val host = call.request.headers[HttpHeaders.Host].orEmpty()
         val route = current.routes.find(host, call.request.uri.substringBefore('?')) ?: return Err(UNKNOWN_ROUTE)
         val team =
@@ -104,15 +108,6 @@
         return if (route.hasResumableStreams && firstAttemptId != null) uniformHash(firstAttemptId) else Math.random()
     }
 
-    private fun currentIndex(): RouteIndex {
-        val snapshot = services.configuration.current()
-        if (index.snapshot !== snapshot) {
-            index = RouteIndex(snapshot)
-            services.dispatcher.onWorkClasses(snapshot.workClasses)
-        }
-        return index
-    }
-
     private class RouteIndex(
         val snapshot: ConfigurationSnapshot,
     ) {
