--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
@@ -1,5 +1,7 @@
 package org.lycheemount.app.router.gateway
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -7,12 +9,20 @@
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
+import org.lycheemount.common.BackendServer
+import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
 import org.lycheemount.config.PublishedConfiguration
 import org.lycheemount.platform.adapter.createOperatorRowWatcher
+import org.lycheemount.platform.adapter.createServerRowWatcher
 import org.lycheemount.testing.FakeEventLog
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 
 /**
  * Routers that follow the operator's rows of a store that comes back from older copies, in virtual time. `-Drestored.store.seeds=1-1000`
@@ -29,7 +39,8 @@
         val link = store.Link()
         private val client = createStoreClient(link, "127.0.0.1:1", clock, FakeEventLog())
         private val watcher = createOperatorRowWatcher(client)
-        private val refresher = ConfigurationRefresher(clock, watcher::isReceiving, watcher::awaitCurrent)
+        private val lag = ConfigurationLag(configuration, clock, FakeEventLog())
+        private val refresher = ConfigurationRefresher(clock, watcher::isReceiving, lag::isBehind, watcher::awaitCurrent)
         val version get() = configuration.current().sequence
 
         init {
@@ -37,6 +48,9 @@
             scope.backgroundScope.launch { watcher.watch(listener) }
         }
 
+        /** A heartbeat of [peer] arrives. */
+        fun onHeartbeat(peer: Router) = lag.onPeerVersion(RouterId("peer"), peer.version)
+
         suspend fun refresh() = refresher.refresh(patienceMs = 500)
     }
 
@@ -98,6 +112,91 @@
             }
     }
 
+    @Nested
+    inner class `a router that starts before the operator has written its newest configuration again` {
+        @Test
+        fun `does not confirm the older one, guarding against 404 for routes that peers serve`() =
+            runTest {
+                val store = RestorableStore()
+                val writers = Writers(this, store)
+                writers.publish(3)
+                val copy = store.copy()
+                writers.publish(8)
+                val peer = Router(this, store)
+                delay(1_000)
+                store.leave()
+                store.comeBackFrom(copy)
+
+                val router = Router(this, store)
+                delay(1_000)
+                router.onHeartbeat(peer)
+                assertEquals(3, router.version)
+                assertFalse(router.refresh())
+
+                writers.publishAgain()
+                delay(1_000)
+                assertEquals(8, router.version)
+                assertTrue(router.refresh())
+            }
+    }
+
+    @Nested
+    inner class `a server that registered after the copy was made` {
+        private val store = RestorableStore()
+
+        private fun runRestoredStore(steps: suspend TestScope.(servers: () -> Set<String>) -> Unit) =
+            runTest {
+                var servers = emptySet<String>()
+                val clock = virtualClock()
+                val client = createStoreClient(store.Link(), "127.0.0.1:1", clock, FakeEventLog())
+                val listener =
+                    ServerRowListener(
+                        { list -> servers = list.mapTo(HashSet()) { it.backendServerId.value } },
+                        clock,
+                        FakeEventLog(),
+                        ::decodeServer,
+                        currentEra = { client.eras.current.value },
+                    )
+                backgroundScope.launch { createServerRowWatcher(client).watch(listener) }
+                store.put("servers", "i-1", "{}")
+                val copy = store.copy()
+                store.put("servers", "i-2", "{}")
+                delay(2_000)
+                store.leave()
+                delay(100)
+                store.comeBackFrom(copy)
+                steps { servers }
+            }
+
+        @Test
+        fun `stays in use until it has registered again, guarding against requests refused for want of servers`() =
+            runRestoredStore { servers ->
+                delay(1_800)
+                assertEquals(setOf("i-1", "i-2"), servers())
+                store.put("servers", "i-2", "{}")
+                delay(5_000)
+                assertEquals(setOf("i-1", "i-2"), servers())
+            }
+
+        @Test
+        fun `is removed if it does not register again`() =
+            runRestoredStore { servers ->
+                delay(5_000)
+                assertEquals(setOf("i-1"), servers())
+            }
+
+        private fun decodeServer(
+            id: String,
+            value: ByteArray,
+        ) = if (value.isEmpty()) {
+            Err(
+                "no entry",
+            )
+        } else {
+            Ok(BackendServer(BackendServerId(id), VmId(id), ZoneId("z"), "10.0.0.1", 80, emptySet()))
+        }
+    }
+
     @Nested
     inner class `routers whose store comes back from older copies at random` {
         @Test
