Serve public routes without the default limits of a team

What callers saw: 429 (`rate_limited`) on public routes although no configuration limits them.

Cause: RoutedRequestHandler admits requests without a key under a team `public`, which had the defaults of the product's own interface: 100 requests a second with a burst of 100, 256 in progress, in each router.

Now the team of public routes has no limit of rate or number. It still is one team in the fair queue, and keeps its half of the queue of a service, so that callers without a key cannot fill it for teams. Held requests are bounded by the connections, the memory budget (bodies) and the timeout of their route. A caller that holds all connections keeps new ones out until then, as one with a key could before.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -28,6 +28,7 @@
 import org.lycheemount.common.TeamId
 import org.lycheemount.config.Route
 import org.lycheemount.config.Team
+import org.lycheemount.config.TeamLimits
 import org.lycheemount.listener.callerConnection
 import java.io.IOException
 
@@ -308,6 +309,9 @@
         private const val MEASURED_TURNS = 3
         private const val HEXADECIMAL = 16
 
-        private val PUBLIC_TEAM = Team(TeamId("public"), BudgetId("public"))
+        // Callers without a key cannot fill the queue of a service that they share with teams.
+        private const val PUBLIC_QUEUE_SHARE = 0.5
+        private val PUBLIC_TEAM =
+            Team(TeamId("public"), BudgetId("public"), limits = TeamLimits.UNLIMITED.copy(queueShare = PUBLIC_QUEUE_SHARE))
     }
 }
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
@@ -10,6 +10,7 @@
 import org.lycheemount.caller.FakeScheduler
 import org.lycheemount.caller.WorkDispatcher
 import org.lycheemount.common.BudgetId
+import org.lycheemount.common.Clock
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RouterId
@@ -33,8 +34,14 @@
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.test.fail
 
-/** [RoutedRequestHandler] between callers and two scripted backend servers, over real sockets. */
-internal abstract class RoutedFixture {
+/**
+ * [RoutedRequestHandler] between callers and two scripted backend servers, over real sockets.
+ *
+ * @param handlerClock clock of the handler; timeouts run in real time.
+ */
+internal abstract class RoutedFixture(
+    protected val handlerClock: Clock = DefaultClock(),
+) {
     protected val first = RawServer("i-1")
     protected val second = RawServer("i-2")
     protected val ledger = FakeLedger()
@@ -63,6 +70,7 @@
                     ),
                     route("/slow/", RouteKind.NON_IDEMPOTENT).copy(timeoutMs = 150),
                     route("/brief/", RouteKind.STREAMING).copy(timeoutMs = 1_000),
+                    route("/public/", RouteKind.NON_IDEMPOTENT).copy(timeoutMs = 60_000, targetLatencyMs = 60_000, isPublic = true),
                 ),
             routedServices = mapOf(ServiceId("s1") to RoutedService(ServiceId("s1"), 100, EngineProperties(tokensPerEvent = 5))),
         )
@@ -78,7 +86,7 @@
         RoutedRequestHandler(
             RoutedServices(
                 identity = RouterIdentity(RouterId("r"), VmId("v"), RegionId("g"), ZoneId("z1"), 1),
-                clock = DefaultClock(),
+                clock = handlerClock,
                 configuration = {
                     configurationReads.incrementAndGet()
                     snapshot
--- a/version/config/src/main/kotlin/org/lycheemount/config/TeamLimits.kt
+++ b/version/config/src/main/kotlin/org/lycheemount/config/TeamLimits.kt
@@ -13,4 +13,10 @@
     val requestsPerSecond: Double = 100.0,
     val concurrentRequests: Int = 256,
     val queueShare: Double = 0.5,
-)
+) {
+    /** Limits that are not configured. */
+    companion object {
+        /** For teams that no configuration limits. */
+        val UNLIMITED = TeamLimits(requestsPerSecond = Double.MAX_VALUE, concurrentRequests = Int.MAX_VALUE, queueShare = 1.0)
+    }
+}
