Replace connections of callers in the order of their acceptance

What callers saw: at the bound of connections, one that had just been opened could be closed in place of one that had been idle for longer. In ConnectionBoundTest ("connections without a request are closed for new ones") the connection that was opened first stayed open.

Cause: the time since which a connection is idle was taken when its thread registered it. The threads register connections in any order, and a connection could never be chosen by its own registration. One that was accepted first and registered late was neither the longest idle one nor replaced by a later one.

Now the listener states the time of acceptance, in its own thread, and the choice is the longest idle of all connections without a request, including the one that is being registered. The result is the same in any order of registration: those that were accepted last stay.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -62,7 +62,7 @@
     val isAwaitingResponse: Boolean get() = isInProgress && !isReadingBody
     private var closesOnceIdle = false
 
-    /** Time at which the last response was written, or the connection opened. */
+    /** Time at which the last response was written, or the connection was accepted. */
     @Volatile
     var idleSinceNs = System.nanoTime()
         private set
@@ -72,6 +72,11 @@
         this.context = context
         context.channel().attr(RESPONSES).set(announcedResponses)
         context.channel().attr(CONNECTION).set(this)
+        context
+            .channel()
+            .attr(ACCEPTED_AT_NS)
+            .get()
+            ?.let { idleSinceNs = it }
         onOpened(this)
         context.channel().closeFuture().addListener { onClosed(this) }
         checkIdleIn(idleTimeoutNs)
@@ -224,6 +229,9 @@
         /** Handler of a connection. */
         val CONNECTION: AttributeKey<CallerConnectionHandler> = AttributeKey.valueOf("callerConnection")
 
+        /** Time at which the listener accepted a connection. */
+        val ACCEPTED_AT_NS: AttributeKey<Long> = AttributeKey.valueOf("acceptedAtNs")
+
         /** Announced responses whose heads have not been sent. */
         val RESPONSES: AttributeKey<AnnouncedResponses> = AttributeKey.valueOf("responses")
 
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnections.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnections.kt
@@ -33,6 +33,15 @@
                 listeners += context.channel()
                 context.fireChannelActive()
             }
+
+            override fun channelRead(
+                context: ChannelHandlerContext,
+                message: Any,
+            ) {
+                // Connections are registered by several threads, in any order.
+                if (message is Channel) message.attr(CallerConnectionHandler.ACCEPTED_AT_NS).set(System.nanoTime())
+                context.fireChannelRead(message)
+            }
         }
 
     /** Returns a handler for a new connection, which is closed after [idleTimeoutS] seconds without a request. */
@@ -59,14 +68,14 @@
 
     private fun onOpened(connection: CallerConnectionHandler) {
         open += connection
-        if (open.size > maxConnections) replaceOne(connection)
+        if (open.size > maxConnections) replaceOne()
     }
 
-    /** Closes the connection that has been without a request for the longest time, or [newest] if all others have one in progress. */
+    /** Closes the connection that has been without a request for the longest time. It is a new one if all others have one in progress. */
     @Synchronized
-    private fun replaceOne(newest: CallerConnectionHandler) {
+    private fun replaceOne() {
         if (open.size <= maxConnections) return
-        val replaced = open.filter { it !== newest && !it.isInProgress }.minByOrNull { it.idleSinceNs } ?: newest
+        val replaced = open.filter { !it.isInProgress }.minByOrNull { it.idleSinceNs } ?: return
         // Not counted from now on, so that each new connection closes one.
         open -= replaced
         replaced.closeIfIdle { isClosed -> if (isClosed) onReplaced() else open += replaced }
