Keep the count of connections when a chosen one is not closed

What callers and operators saw: nothing was reported; read off the code while ConnectionBoundTest was traced, and shown by tests.

Cause: a connection that was chosen to be closed left the set of open ones at once and was added again by its own thread if a request had arrived meanwhile. So it was added again after it had been closed, and counted for good; the bound was exceeded by one after each such choice, and never came down, since a new connection replaces one; and a shutdown did not wait for a connection with a request in progress while it was out of the set.

Evidence, CallerConnectionsTest on the code before: at a bound of two, 3 connections are counted after the chosen one was closed by its caller (2 are open); with a request at the chosen one all three stay open, and after a new connection three of four; awaitAllClosed() returns while a request is in progress. 4 of 4 new tests fail.

Now a chosen connection stays in the set until it is closed, and is marked as not counted. If it gets a request first, the mark is removed and another one is chosen. Choices go on until the bound holds. All changes are made under one lock.

After: the tests pass, as do the others of the module (50).

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnections.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnections.kt
@@ -20,7 +20,10 @@
     private val onReplaced: () -> Unit,
 ) {
     private val listeners = ConcurrentHashMap.newKeySet<Channel>()
-    private val open = ConcurrentHashMap.newKeySet<CallerConnectionHandler>()
+    private val open = HashSet<CallerConnectionHandler>()
+
+    /** Those of [open] that have been chosen to be closed, and do not count from then on. */
+    private val replaced = HashSet<CallerConnectionHandler>()
     private val allClosed = CompletableDeferred<Unit>()
 
     @Volatile
@@ -61,31 +64,45 @@
     suspend fun awaitAllClosed() = allClosed.await()
 
     /** Closes each connection, if it has a request in progress once that has got its response. */
-    fun closeOnceIdle() = open.forEach { it.closeOnceIdle() }
+    fun closeOnceIdle() = synchronized(this) { open.toList() }.forEach { it.closeOnceIdle() }
 
-    /** Number of open connections. */
-    val size: Int get() = open.size
+    /** Number of open connections, without those that are about to be closed in favour of new ones. */
+    val size: Int
+        @Synchronized
+        get() = open.size - replaced.size
 
+    @Synchronized
     private fun onOpened(connection: CallerConnectionHandler) {
         open += connection
-        if (open.size > maxConnections) replaceOne()
+        replaceExcess()
+    }
+
+    /**
+     * Closes the connections that have been without a request for the longest time, until no more count than the bound allows. A new one is
+     * closed itself if all others have a request in progress.
+     */
+    private fun replaceExcess() {
+        while (size > maxConnections) {
+            val longestIdle = open.filter { it !in replaced && !it.isInProgress }.minByOrNull { it.idleSinceNs } ?: return
+            replaced += longestIdle
+            longestIdle.closeIfIdle { isClosed -> if (isClosed) onReplaced() else onNotReplaced(longestIdle) }
+        }
     }
 
-    /** Closes the connection that has been without a request for the longest time. It is a new one if all others have one in progress. */
     @Synchronized
-    private fun replaceOne() {
-        if (open.size <= maxConnections) return
-        val replaced = open.filter { !it.isInProgress }.minByOrNull { it.idleSinceNs } ?: return
-        // Not counted from now on, so that each new connection closes one.
-        open -= replaced
-        replaced.closeIfIdle { isClosed -> if (isClosed) onReplaced() else open += replaced }
+    private fun onNotReplaced(connection: CallerConnectionHandler) {
+        replaced -= connection
+        replaceExcess()
     }
 
+    @Synchronized
     private fun onClosed(connection: CallerConnectionHandler) {
         open -= connection
+        replaced -= connection
         completeIfAllClosed()
     }
 
+    @Synchronized
     private fun completeIfAllClosed() {
         if (isClosing && open.isEmpty()) allClosed.complete(Unit)
     }
--- a/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerConnectionsTest.kt
+++ b/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerConnectionsTest.kt
@@ -1,9 +1,14 @@
 package org.lycheemount.listener
 
 import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.async
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.yield
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import kotlin.test.Test
@@ -13,7 +18,8 @@
 
 /** Each connection has a thread of its own, which runs its tasks when the test says so. */
 class CallerConnectionsTest {
-    private val connections = CallerConnections(MAX_CONNECTIONS) {}
+    private var replacedCount = 0
+    private val connections = CallerConnections(MAX_CONNECTIONS) { replacedCount++ }
     private val listener = EmbeddedChannel(connections.listenerHandler())
     private val accepted = ArrayList<EmbeddedChannel>()
 
@@ -38,6 +44,15 @@
         pipeline().fireChannelRead(DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"))
     }
 
+    private fun EmbeddedChannel.sendResponse() {
+        writeOutbound(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK))
+    }
+
+    /** The caller closes the connection, before other tasks of the connection run. */
+    private fun EmbeddedChannel.closeByCaller() {
+        unsafe().close(voidPromise())
+    }
+
     private fun runTasks() = accepted.forEach { it.runPendingTasks() }
 
     @Nested
@@ -55,6 +70,18 @@
             }
         }
 
+        @Test
+        fun `another connection is closed if the chosen one gets a request meanwhile, guarding against a bound that is exceeded`() {
+            val (first, second, third) = List(MAX_CONNECTIONS + 1) { open() }
+
+            first.receiveRequest()
+            runTasks()
+
+            assertEquals(listOf(true, false, true), listOf(first, second, third).map { it.isOpen })
+            assertEquals(MAX_CONNECTIONS, connections.size)
+            assertEquals(1, replacedCount)
+        }
+
         @Test
         fun `a new connection is closed if all others have a request in progress`() {
             val held = List(MAX_CONNECTIONS) { open().apply { receiveRequest() } }
@@ -65,6 +92,53 @@
             assertFalse(newest.isOpen)
             assertTrue(held.all { it.isOpen })
         }
+
+        @Test
+        fun `a new connection makes the bound hold again, guarding against an excess that lasts`() {
+            val busy = List(MAX_CONNECTIONS + 1) { open() }
+            busy.forEach { it.receiveRequest() }
+            runTasks()
+            assertTrue(busy.all { it.isOpen })
+            busy.forEach { it.sendResponse() }
+
+            val newest = open()
+            runTasks()
+
+            assertEquals(listOf(false, false, true, true), (busy + newest).map { it.isOpen })
+            assertEquals(MAX_CONNECTIONS, connections.size)
+        }
+    }
+
+    @Nested
+    inner class `a connection that was chosen to be closed` {
+        @Test
+        fun `does not count after its end, guarding against a count that rises for good`() {
+            val (first, second, third) = List(MAX_CONNECTIONS + 1) { open() }
+            first.receiveRequest()
+
+            first.closeByCaller()
+            runTasks()
+            assertEquals(MAX_CONNECTIONS, connections.size)
+            listOf(second, third).forEach { it.close() }
+
+            assertEquals(0, connections.size)
+        }
+
+        @Test
+        fun `is waited for in a shutdown, guarding against a response that is cut`() =
+            runBlocking {
+                val (first, second, third) = List(MAX_CONNECTIONS + 1) { open() }
+                first.receiveRequest()
+                connections.closeListeners()
+                val allClosed = async { connections.awaitAllClosed() }
+                listOf(second, third).forEach { it.closeByCaller() }
+                yield()
+
+                assertFalse(allClosed.isCompleted)
+                runTasks()
+                first.close()
+                allClosed.await()
+            }
     }
 
     private companion object {
