Let the test of a held request wait until the bound was applied

ConnectionBoundTest completed the held response as soon as the other sockets were connected. In traced runs on the code before, the test ended with 4 to 16 of 16 connections registered, and mostly before any was chosen to be closed. It now waits until the eleven that are too many have been closed, and is stricter than before.

--- a/connection/caller/src/test/kotlin/org/lycheemount/listener/ConnectionBoundTest.kt
+++ b/connection/caller/src/test/kotlin/org/lycheemount/listener/ConnectionBoundTest.kt
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.AfterEach
 import java.net.Socket
 import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
@@ -67,13 +68,23 @@
         runBlocking { started.await() }
 
         repeat(3 * MAX_CONNECTIONS) { open() }
+        await { refusals.size == 2 * MAX_CONNECTIONS + 1 }
         heldResponse.complete(Unit)
 
         assertContains(caller.readUntil("held"), "HTTP/1.1 200")
     }
 
+    private fun await(condition: () -> Boolean) {
+        val endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READ_TIMEOUT_MS.toLong())
+        while (!condition()) {
+            assertTrue(System.nanoTime() < endNs, "the condition did not hold in time")
+            Thread.sleep(POLL_INTERVAL_MS)
+        }
+    }
+
     private companion object {
         private const val MAX_CONNECTIONS = 5
         private const val READ_TIMEOUT_MS = 10_000
+        private const val POLL_INTERVAL_MS = 5L
     }
 }
