Let requests without expected service time leave the queue

What callers saw: after a server had responded within the same millisecond, a burst of one team ended service for the other teams of that service in this router until a restart.

Cause: TeamQueue kept the queued requests and the sum of their service times by due time in two collections, and took a sum below 1e-6 ms for one without requests. With an expected service time of 0 ms the first removal dropped the sum of the others, whose removal threw NoSuchElementException. It threw after the request had been removed and before the empty queue was, so that earliestDueAtMs() threw at each later choice between two teams.

Now there is one collection: a period of due times holds its requests and their sum, and is dropped when it has no requests. Nothing is looked up that may be missing, so a removal cannot stop half way. The other ordered collection of the scheduler, `byDropTime`, is ordered by values that do not change and by the number of the request, and holds nothing else.

--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/TeamQueue.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/TeamQueue.kt
@@ -19,7 +19,7 @@
 ) {
     private val queuesByVersions = LinkedHashMap<Set<SoftwareVersion>?, DueTimeQueue>()
 
-    val size: Int get() = queuesByVersions.values.sumOf { it.requests.size }
+    val size: Int get() = queuesByVersions.values.sumOf { it.size }
 
     fun isEmpty(): Boolean = queuesByVersions.isEmpty()
 
@@ -28,7 +28,7 @@
     fun remove(request: QueuedRequest): Boolean {
         val queue = queuesByVersions[request.item.allowedVersions] ?: return false
         if (!queue.remove(request)) return false
-        if (queue.requests.isEmpty()) queuesByVersions.remove(request.item.allowedVersions)
+        if (queue.isEmpty()) queuesByVersions.remove(request.item.allowedVersions)
         return true
     }
 
@@ -45,7 +45,6 @@
         queuesByVersions.values
             .mapNotNull {
                 it.requests
-                    .asSequence()
                     .take(lookaheadRequests)
                     .firstOrNull(canStart)
             }.minOrNull()
@@ -60,28 +59,47 @@
         shareOf: (Set<SoftwareVersion>?) -> Double,
     ): Double = queuesByVersions.entries.sumOf { (versions, queue) -> shareOf(versions) * queue.workBeforeMs(dueAtMs) }
 
+    /** Keeps the requests that are due in the same period together, so that the work before a time is summed by periods. */
     private class DueTimeQueue {
-        val requests = TreeSet<QueuedRequest>()
-        private val serviceMsByBucket = TreeMap<Long, Double>()
+        private val buckets = TreeMap<Long, Bucket>()
 
-        fun add(request: QueuedRequest) {
-            if (requests.add(request)) serviceMsByBucket.merge(bucketOf(request.dueAtMs), request.serviceMs, Double::plus)
-        }
+        /** All requests in the order of their due times. */
+        val requests: Sequence<QueuedRequest> get() = buckets.values.asSequence().flatMap { it.requests }
+
+        val size: Int get() = buckets.values.sumOf { it.requests.size }
+
+        fun isEmpty(): Boolean = buckets.isEmpty()
+
+        fun add(request: QueuedRequest) = buckets.getOrPut(bucketOf(request.dueAtMs)) { Bucket() }.add(request)
 
         fun remove(request: QueuedRequest): Boolean {
-            if (!requests.remove(request)) return false
-            val bucket = bucketOf(request.dueAtMs)
-            val remainingMs = serviceMsByBucket.getValue(bucket) - request.serviceMs
-            if (remainingMs < EMPTY_BUCKET_MS) serviceMsByBucket.remove(bucket) else serviceMsByBucket[bucket] = remainingMs
+            val bucketIndex = bucketOf(request.dueAtMs)
+            val bucket = buckets[bucketIndex] ?: return false
+            if (!bucket.remove(request)) return false
+            if (bucket.requests.isEmpty()) buckets.remove(bucketIndex)
             return true
         }
 
-        fun workBeforeMs(dueAtMs: Long): Double = serviceMsByBucket.headMap(bucketOf(dueAtMs), true).values.sum()
+        fun workBeforeMs(dueAtMs: Long): Double = buckets.headMap(bucketOf(dueAtMs), true).values.sumOf { it.serviceMs }
 
         private fun bucketOf(timeMs: Long) = Math.floorDiv(timeMs, BUCKET_MS)
     }
 
-    private companion object {
-        private const val EMPTY_BUCKET_MS = 1e-6
+    /** Requests that are due in one period; [serviceMs] is the sum of their service times, which may be 0. */
+    private class Bucket {
+        val requests = TreeSet<QueuedRequest>()
+        var serviceMs = 0.0
+            private set
+
+        fun add(request: QueuedRequest) {
+            if (requests.add(request)) serviceMs += request.serviceMs
+        }
+
+        fun remove(request: QueuedRequest): Boolean {
+            if (!requests.remove(request)) return false
+            // Differences of rounded sums may fall below 0.
+            serviceMs = maxOf(0.0, serviceMs - request.serviceMs)
+            return true
+        }
     }
 }
--- a/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/FairQueueTest.kt
+++ b/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/FairQueueTest.kt
@@ -50,12 +50,49 @@
         private fun queued(
             random: Random,
             sequence: Long,
-        ): QueuedRequest {
-            val item = item("r$sequence", team = "team-${random.nextInt(4)}", arrivedAtMs = random.nextLong(100_000))
-            val serviceMs = 50.0 + random.nextInt(400)
-            val deadlines = StartDeadlines(item, urgentClass, ServiceEstimate(0.0, 0.0), 1.0)
-            return QueuedRequest(item, urgentClass, sequence, 0, serviceMs, deadlines, 0.0)
+        ) = queued(sequence, "team-${random.nextInt(4)}", arrivedAtMs = random.nextLong(100_000), serviceMs = 50.0 + random.nextInt(400))
+    }
+
+    @Nested
+    inner class `requests whose expected service time is 0 ms` {
+        private val queue = FairQueue { MAX_LEAD_MS }
+
+        @Test
+        fun `all start and leave the queue to other teams, guarding against a burst that ends service for them`() {
+            val burst = List(30) { queued(sequence = it.toLong(), "team-a", serviceMs = 0.0) }
+            burst.forEach(queue::add)
+
+            val started = burst.map { checkNotNull(queue.select { true }).also(queue::start) }
+            val others = List(2) { queued(sequence = 100L + it, "team-${'b' + it}", arrivedAtMs = 10L * it, serviceMs = 20.0) }
+            others.forEach(queue::add)
+
+            assertEquals(burst, started)
+            assertEquals(others, others.map { checkNotNull(queue.select { true }).also(queue::start) })
+            assertEquals(0, queue.size)
         }
+
+        @Test
+        fun `do not change the work of the others as they leave`() {
+            val withoutWork = List(3) { queued(sequence = it.toLong(), "team-a", serviceMs = 0.0) }
+            val others = List(3) { queued(sequence = 10L + it, "team-a", serviceMs = 20.0 + it) }
+            (withoutWork + others).forEach(queue::add)
+
+            val workMs = (others + withoutWork).map { queue.remove(it).run { queue.workAheadMs(TeamId("team-a"), dueAtMs = 10_000) } }
+
+            assertEquals(listOf(43.0, 22.0, 0.0, 0.0, 0.0, 0.0), workMs)
+            assertEquals(0, queue.size)
+        }
+    }
+
+    private fun queued(
+        sequence: Long,
+        team: String,
+        arrivedAtMs: Long = 0,
+        serviceMs: Double,
+    ): QueuedRequest {
+        val item = item("r$sequence", team, arrivedAtMs = arrivedAtMs)
+        val deadlines = StartDeadlines(item, urgentClass, ServiceEstimate(0.0, 0.0), 1.0)
+        return QueuedRequest(item, urgentClass, sequence, 0, serviceMs, deadlines, 0.0)
     }
 }
 
