Keep the limit of a server while there are no requests for it

Cause: RequestLimit took 30 s without a response for a sign that the limit no longer holds, also when this router had sent no request. It then doubled the limit each second and forgot it after 8 s.

Now a limit holds until a response to a later request names none, a peer tells so, or the run of the server ends (decision 0046). Since a response without a limit ends only one that ServerStatements knows, it keeps limits that hold while their server is listed; before, it dropped them after an hour whenever another server named one. ServerStatementsTest failed on the code before: after an hour the response without a limit did not end it.

A test of RequestLimitTest asked for what is now wrong ("ends a limit of which it has not heard for long"). In its place, a limit is kept through the lull, the router may send one or two requests meanwhile, and the first response without a limit ends it.

After: all 127 tests of request/scheduling and ServerStatementsTest pass.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ServerStatements.kt
@@ -193,11 +193,16 @@
             )
             announce(statement)
         }
-        limits.values.removeIf { clock.monotonicMs() - it.asOfMs > RETENTION_MS }
+        limits.values.removeIf { isForgotten(it) }
         limits[statement.backendServerId] = statement
         dispatcher.onRequestLimit(statement)
     }
 
+    /** A limit that holds is kept while its server is listed, since only a response tells its end. */
+    private fun isForgotten(statement: RequestLimitStatement) =
+        clock.monotonicMs() - statement.asOfMs > RETENTION_MS &&
+            (statement.requestsPerS == null || dispatcher.isGone(statement.backendServerId))
+
     /** Returns null for text that is no number; what the server said before then stays in force. */
     private fun parseLimit(
         serverId: BackendServerId,
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestLimit.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/RequestLimit.kt
@@ -4,16 +4,13 @@
 
 // Doubled as often, the smallest limit exceeds what a router sends to one server.
 private const val RETURN_STEPS = 8
-private const val MIN_SILENCE_MS = 30_000.0
-private const val SILENCE_ROUNDS = 4
-private const val MS_PER_SECOND = 1_000.0
 
 /**
  * Requests that this router may send to one backend server under the limit that the server has named.
  *
- * The limit holds until the server responds without one, or has not responded for so long that this router would have asked it several
- * times, or until the time at which it ends by itself. It then doubles each second before it ends, so that the waiting requests of all
- * routers do not arrive at once.
+ * The limit holds until the server responds without one, or until the time at which it ends by itself. A server that gets no requests has
+ * no occasion to name it, so it does not lapse. At its end it doubles each second first, so that the waiting requests of all routers do
+ * not arrive at once.
  *
  * @param createShare this router's share of a limit of [requestsPerS][RequestShare.requestsPerS] while the limit holds.
  */
@@ -71,13 +68,8 @@
     ) {
         val limit = statement ?: return
         val sinceMs = returningSinceMs
-        if (sinceMs == null && limit.endsAtMs != null) {
-            if (nowMs >= limit.endsAtMs) startReturn(fleet, nowMs)
-            return
-        }
         if (sinceMs == null) {
-            val roundMs = (fleet?.routers?.size ?: return) * MS_PER_SECOND / checkNotNull(limit.requestsPerS)
-            if (nowMs - limit.asOfMs > maxOf(MIN_SILENCE_MS, SILENCE_ROUNDS * roundMs)) startReturn(fleet, nowMs)
+            if (limit.endsAtMs != null && nowMs >= limit.endsAtMs) startReturn(fleet, nowMs)
             return
         }
         val currentStep = (nowMs - sinceMs) / STEP_MS
