Bound the tokens that a caller states where they are read

Cause: the prefix hashes of a request were a list with one boxed hash for each 64 stated tokens, made before anything checked the number. Its class is work and memory that grow with a number that a client states instead of with the bytes that it sent. The sums of tokens were kept in 32 bits and overflowed beside it.

A request to a model engine with another figure gets 400 as not run, with the field and the range: no engine can run it, and callers do not retry a 400.

--- a/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/IsolatedFixture.kt
+++ b/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/IsolatedFixture.kt
@@ -23,10 +23,12 @@
  *
  * @param maxBodyBytes limit of the published configuration.
  * @param maxDescriptors descriptors that the gateway may have open; null for the limit of this process.
+ * @param hasModelEngines whether the services of the published configuration are model engines.
  */
 class IsolatedFixture(
     maxBodyBytes: Int = DEFAULT_MAX_BODY_BYTES,
     private val maxDescriptors: Int? = null,
+    hasModelEngines: Boolean = false,
 ) : AutoCloseable {
     private val store = FakeStore().apply { waitsForChanges = true }
     private val ordinaryServer = StubServer()
@@ -45,6 +47,7 @@
             FakeLimits(MAX_HEADER_BYTES, maxBodyBytes, HEADER_TIMEOUT_MS, IDLE_TIMEOUT_MS),
             listOf(FakeTenant("tenant", API_KEY)),
             MAX_CONNECTIONS,
+            serviceFields = if (hasModelEngines) MODEL_ENGINE_FIELDS else "",
         )
         store.registerServer("i-1", ordinaryServer.address, ORDINARY_SERVICE, slots = SLOTS)
         store.registerServer("i-2", crowdServer.address, slots = SLOTS)
@@ -138,6 +141,7 @@
         private const val IDLE_TIMEOUT_MS = 15_000L
         private const val MAX_CONNECTIONS = 360
         private const val SLOTS = 64
+        private const val MODEL_ENGINE_FIELDS = ""","engine":{"stride":5,"slots":64}"""
 
         // Above the time in which a router closes a connection of any form, below that after which it closes every idle connection.
         private const val CLOSE_TIMEOUT_MS = 30_000L
--- a/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/UntrustedTraffic.kt
+++ b/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/UntrustedTraffic.kt
@@ -1,5 +1,10 @@
 package org.lycheemount.app.isolated
 
+import org.lycheemount.platform.adapter.testing.DEADLINE_HEADER
+import org.lycheemount.platform.adapter.testing.LAST_EVENT_ID_HEADER
+import org.lycheemount.platform.adapter.testing.PROMPT_PARTS_HEADER
+import org.lycheemount.platform.adapter.testing.TOKENS_HEADER
+
 /*
  * What callers that no operator controls send over one connection. Each function sends a fixed number of bytes, however much the router
  * reads, so that the traffic of a test does not depend on the speed of the machine.
@@ -65,6 +70,27 @@
     return readResponse()
 }
 
+/**
+ * Sends one request for each of [STATED_TOKENS], each after the response to the one before, and begins with that at [offset].
+ * Each states a part of its prompt of that many tokens, and extreme numbers in the other headers.
+ */
+fun CrowdConnection.sendStatedNumbers(offset: Int) =
+    repeat(STATED_TOKENS.size) {
+        val tokens = STATED_TOKENS[(offset + it) % STATED_TOKENS.size]
+        send(
+            requestHead(
+                "POST",
+                "/working/",
+                "Content-Length: 0",
+                "$TOKENS_HEADER: $tokens,$tokens",
+                "$PROMPT_PARTS_HEADER: 5c1e07a2:$tokens,91bd3f06:$tokens",
+                "$DEADLINE_HEADER: 1e300",
+                "$LAST_EVENT_ID_HEADER: ${Long.MAX_VALUE}",
+            ),
+        )
+        if (readResponse() == null) return
+    }
+
 /** Sends [count] ordinary requests, each after the response to the one before. */
 fun CrowdConnection.sendOrdinaryRequests(count: Int) =
     repeat(count) {
@@ -74,6 +100,9 @@
 
 private fun headerLine(number: Int) = "X-Line-$number: ${"v".repeat(LINE_BYTES)}"
 
+/** Tokens of parts of prompts that callers state: above and within what a number of 32 bits holds, within the memory of no server. */
+val STATED_TOKENS: List<String> = listOf("2000000000", "100000000", "16000000", "99999999999999999999", "-2000000000")
+
 private const val PART_BYTES = 65_536
 private const val PARTS_PER_MB = 16
 private const val LINE_BYTES = 4_096
--- a/app/isolated-tests/src/test/kotlin/org/lycheemount/app/isolated/UntrustedCallersTest.kt
+++ b/app/isolated-tests/src/test/kotlin/org/lycheemount/app/isolated/UntrustedCallersTest.kt
@@ -141,6 +141,22 @@
             }
     }
 
+    // 16,000,000 tokens are 250,000 blocks of a prompt; a router that hashes each block needs 5 MB for the smallest such request.
+    @Nested
+    inner class `a gateway whose callers state large numbers` : IsolatedGatewayTest() {
+        @Test
+        fun `does work in proportion to what they send, guarding against a request that ends the process by its stated tokens`() =
+            assertWithstands("stated-numbers") {
+                open(CONNECTIONS) { sendStatedNumbers(it) }
+            }
+
+        @Test
+        fun `does so too if the service is a model engine, guarding against a request that ends the process by its stated tokens`() =
+            assertWithstands("stated-numbers-to-models", IsolatedFixture(hasModelEngines = true)) {
+                open(CONNECTIONS) { sendStatedNumbers(it) }
+            }
+    }
+
     @Nested
     inner class `a gateway with ordinary callers among others` : IsolatedGatewayTest() {
         // Requests sent ahead and bodies exceed the heap together, neither alone.
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
@@ -12,7 +12,7 @@
 
 /** Translates between the headers used by callers and backend servers of routes and the types of this router. Thread-safe. */
 interface RequestDialect {
-    /** Parses the request headers. Malformed values are treated as absent. */
+    /** Parses the request headers. Malformed values are treated as absent, numbers that are out of range also as a violation. */
     fun readMetadata(headers: Headers): RequestMetadata
 
     /** Returns the headers of one attempt: the caller's headers that may be forwarded, and those set by the router. */
@@ -46,6 +46,7 @@
  * @property resumesStream whether the caller has received a part of the stream already, even if it does not tell which.
  * @property attemptId [requestId] in the form in which other attempts refer to it; null if it is missing or too long for that.
  * @property resumedAttemptId the attempt that brought the first event of the stream that the caller resumes; null if it does not tell.
+ * @property violation names a number of tokens that is out of range, and the accepted range; null if there is none.
  */
 class RequestMetadata(
     val requestId: String?,
@@ -57,9 +58,14 @@
     val resumesStream: Boolean = false,
     val attemptId: CallerAttemptId? = null,
     val resumedAttemptId: CallerAttemptId? = null,
+    val violation: String? = null,
 )
 
-/** A segment of a prompt; prompts may have a common prefix of segments. */
+/**
+ * A segment of a prompt; prompts may have a common prefix of segments.
+ *
+ * @property tokens within [StatedTokens.ACCEPTED], also the total of all segments of a prompt.
+ */
 class PromptSegment(
     val id: Long,
     val tokens: Int,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequest.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequest.kt
@@ -59,7 +59,7 @@
     val prompt: PromptSegments? =
         metadata.promptSegments.map { SegmentId(it.id) }.let { ids -> ids.lastOrNull()?.let { PromptSegments(ids.dropLast(1), it) } }
 
-    val prefixHashes: List<Long> = prefixHashes(metadata.promptSegments)
+    val prefixHashes: List<Long> = PrefixHashes(metadata.promptSegments)
 
     /** Routes requests with the same shared prompt segments to the same backend server. */
     val affinityHash: Long? = affinityHash(metadata.promptSegments)
@@ -73,34 +73,3 @@
     val bytes: ByteArray,
     val memory: MemoryAccount,
 )
-
-/** Hash of all segments but the last, which belongs to the request or its session alone; or of the only segment. */
-internal fun affinityHash(segments: List<PromptSegment>): Long? {
-    if (segments.isEmpty()) return null
-    return segments.dropLast(1).ifEmpty { segments }.fold(HASH_SEED) { chain, segment -> mix(chain xor segment.id) }
-}
-
-/** Chained hashes of the prompt's blocks of [PREFIX_BLOCK_TOKENS] tokens; a block that spans segments belongs to the last of them. */
-internal fun prefixHashes(segments: List<PromptSegment>): List<Long> {
-    val hashes = ArrayList<Long>()
-    var chain = HASH_SEED
-    var tokens = 0
-    for (segment in segments) {
-        chain = mix(chain xor segment.id)
-        tokens += segment.tokens
-        var index = 0L
-        while ((hashes.size + 1) * PREFIX_BLOCK_TOKENS <= tokens) hashes += mix(chain + ++index)
-    }
-    return hashes
-}
-
-private fun mix(value: Long): Long {
-    val multiplied = value * HASH_MULTIPLIER
-    return multiplied xor (multiplied ushr HASH_SHIFT)
-}
-
-/** Tokens per block; small enough to distinguish the segments of prompts, large enough for cheap comparisons. */
-private const val PREFIX_BLOCK_TOKENS = 64
-private const val HASH_SEED = 0x2545F4914F6CDD1DL
-private const val HASH_MULTIPLIER = -0x61c8864680b583ebL
-private const val HASH_SHIFT = 29
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -123,6 +123,7 @@
         val arrivedAtMs = enteredAtMs - OverloadPolicy.waitBeforeHandlerMs(queueDelayMs)
         if (services.drain.isDraining) writer.closeConnection()
         val matched = routeMatcher.match(call, metadata).getOrElse { return refuse(writer, metadata, null, it) }
+        refusalOfNumbers(matched, metadata)?.let { return refuse(writer, metadata, null, it) }
         val expiresAtMs = expiresAtMs(matched.route, metadata, arrivedAtMs)
         OverloadPolicy
             .refusalFor(queueDelayMs, matched.route.targetLatencyMs, expiresAtMs - services.clock.monotonicMs())
@@ -143,6 +144,12 @@
         }
     }
 
+    /** Returns why no model engine can serve a request with the numbers in [metadata], or null. */
+    private fun refusalOfNumbers(
+        matched: RouteMatch,
+        metadata: RequestMetadata,
+    ): Refusal? = metadata.violation?.takeIf { matched.service.engine != null }?.let { Refusal(RefusalReason.INVALID_REQUEST, it) }
+
     /** Refuses a request whose body has not been read, so that its connection cannot be reused. */
     private suspend fun refuseUnread(
         writer: ResponseWriter,
--- /dev/null
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/StatedNumbersTest.kt
@@ -0,0 +1,51 @@
+package org.lycheemount.caller.routed
+
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+internal class StatedNumbersTest : RoutedFixture() {
+    @Nested
+    inner class `a number of tokens` {
+        @Test
+        fun `is read up to the limit, guarding against ordinary requests that are refused`() {
+            val stated = StatedTokens()
+
+            assertEquals(listOf(0, 1, 501_431, 16_777_216), listOf("0", " 1 ", "501431", "16777216").map { stated.read("tokens", it) })
+            assertNull(stated.violation)
+        }
+
+        @Test
+        fun `beyond the limit is a violation, guarding against work for tokens that no server holds`() {
+            for (text in listOf("16777217", "2000000000", "99999999999", "9".repeat(10_000), "-1", "-2000000000", "-" + "9".repeat(100))) {
+                val stated = StatedTokens()
+
+                assertNull(stated.read("tokens", text), text)
+                assertEquals("tokens: numbers of tokens must be from 0 to 16777216, also in total", stated.violation, text)
+            }
+        }
+
+        @Test
+        fun `that is unreadable counts as not stated`() {
+            val stated = StatedTokens()
+
+            listOf(null, "", " ", "-", "many", "1.5", "1e9", "0x10", "NaN").forEach { assertNull(stated.read("tokens", it), it) }
+            assertNull(stated.violation)
+        }
+    }
+
+    @Nested
+    inner class `a request to a model engine with a number out of range` {
+        @Test
+        fun `is refused with the field and the range before it reaches a server, guarding against work for tokens that no server holds`() {
+            val response = exchange("/chat/1", "X-Tokens: 2000000000,1")
+
+            assertTrue(response.startsWith("HTTP/1.1 400"), response)
+            assertEquals("X-Tokens: numbers of tokens must be from 0 to 16777216, also in total", body(response))
+            assertEquals(0, first.requests.size)
+            assertEquals(0, ledger.bills.size)
+        }
+    }
+}
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
@@ -15,7 +15,8 @@
  */
 internal object TestDialect : RequestDialect {
     override fun readMetadata(headers: Headers): RequestMetadata {
-        val tokens = headers["X-Tokens"]?.split(',')?.map { it.toInt() }
+        val stated = StatedTokens()
+        val tokens = headers["X-Tokens"]?.split(',')?.map { stated.read("X-Tokens", it) }
         val segments = headers["X-Segments"]?.split(',').orEmpty().map { PromptSegment(it.toLong(), tokens = 1) }
         return RequestMetadata(
             requestId = headers["X-Id"],
@@ -27,6 +28,7 @@
             resumesStream = headers.contains("Last-Event-Id"),
             attemptId = headers["X-Id"]?.ifEmpty { null }?.let(::CallerAttemptId),
             resumedAttemptId = headers["Resumes"]?.let(::CallerAttemptId),
+            violation = stated.violation,
         )
     }
 
