Refuse requests of prepaid teams to model engines that do not state their tokens

Cause: the total of a request was null when the figures were absent or unreadable, and null meant that there is nothing to reserve. A request with only the first figure reserved no output, and its charge was limited to 0 output tokens.

Plain services, public routes and teams without a prepay are served as before.

Evidence: "a request of a prepaid team to a model engine is refused if it does not state its tokens" fails without the check: the request reaches the server ("HTTP/1.1 504 Gateway Timeout" in place of 400, as the server of the test says nothing).

The fixture of the routed requests has a prepaid team and one model engine. Its requests now state a token of each kind unless a test says otherwise; no assertion is changed.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayWarmUp.kt
@@ -119,6 +119,8 @@
     )
 
     private object LoopbackDialect : RequestDialect {
+        override val tokensField = ""
+
         override fun readMetadata(headers: Headers) = RequestMetadata(null, DEADLINE_MS, null, 0, emptyList())
 
         override fun attemptHeaders(
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -285,7 +285,7 @@
             workClassId = WorkClassId(request.route.routeId.value),
             target = request.backendTarget,
             promptTokens = request.metadata.promptTokens ?: 0,
-            maxOutputTokens = request.metadata.maxOutputTokens,
+            maxOutputTokens = request.metadata.maxOutputTokens ?: 0,
             prefixHashes = request.prefixHashes,
             arrivedAtMs = request.arrivedAtMs,
             deadlineAtMs = request.expiresAtMs,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
@@ -12,6 +12,9 @@
 
 /** Translates between the headers used by callers and backend servers of routes and the types of this router. Thread-safe. */
 interface RequestDialect {
+    /** Name of the header in which callers state their prompt tokens and the maximum of their output tokens, for error messages. */
+    val tokensField: String
+
     /** Parses the request headers. Malformed values are treated as absent, numbers that are out of range also as a violation. */
     fun readMetadata(headers: Headers): RequestMetadata
 
@@ -41,7 +44,8 @@
  *
  * @property requestId id that the caller assigned to this attempt.
  * @property deadlineMs time from arrival after which the response is no longer needed.
- * @property promptTokens null for requests that are not addressed to a model.
+ * @property promptTokens null if the caller does not tell, or not in a readable form.
+ * @property maxOutputTokens null if the caller does not tell, or not in a readable form.
  * @property lastEventId id of the event after which the caller resumes a stream; null if it does not tell, or not in a readable form.
  * @property resumesStream whether the caller has received a part of the stream already, even if it does not tell which.
  * @property attemptId [requestId] in the form in which other attempts refer to it; null if it is missing or too long for that.
@@ -52,14 +56,17 @@
     val requestId: String?,
     val deadlineMs: Long?,
     val promptTokens: Int?,
-    val maxOutputTokens: Int,
+    val maxOutputTokens: Int?,
     val promptSegments: List<PromptSegment>,
     val lastEventId: Long? = null,
     val resumesStream: Boolean = false,
     val attemptId: CallerAttemptId? = null,
     val resumedAttemptId: CallerAttemptId? = null,
     val violation: String? = null,
-)
+) {
+    /** Maximum number of tokens that the request can use; null when the caller does not tell both figures. */
+    val maxTokens: Long? = if (promptTokens == null || maxOutputTokens == null) null else promptTokens.toLong() + maxOutputTokens
+}
 
 /**
  * A segment of a prompt; prompts may have a common prefix of segments.
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequest.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequest.kt
@@ -43,8 +43,8 @@
             BackendTarget.Model(ModelId(service.serviceId.value))
         }
 
-    /** Maximum number of tokens that the request can use; null when it is not addressed to a model. */
-    val maxTokens: Long? = metadata.promptTokens?.let { it.toLong() + metadata.maxOutputTokens }
+    /** Maximum number of tokens that the request can use; null when the caller does not tell. */
+    val maxTokens: Long? = metadata.maxTokens
 
     /** Whether the caller goes on with a stream that an earlier request has begun. */
     val isResumption: Boolean = route.hasResumableStreams && metadata.resumesStream
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -144,11 +144,18 @@
         }
     }
 
-    /** Returns why no model engine can serve a request with the numbers in [metadata], or null. */
+    /** Returns why a request with the numbers in [metadata] is sent to no model engine, or null. */
     private fun refusalOfNumbers(
         matched: RouteMatch,
         metadata: RequestMetadata,
-    ): Refusal? = metadata.violation?.takeIf { matched.service.engine != null }?.let { Refusal(RefusalReason.INVALID_REQUEST, it) }
+    ): Refusal? {
+        if (matched.service.engine == null) return null
+        val detail =
+            metadata.violation
+                ?: "${services.dialect.tokensField}: prompt tokens and maximum of output tokens are required of a prepaid team"
+                    .takeIf { matched.team?.prepaidTokens != null && metadata.maxTokens == null }
+        return detail?.let { Refusal(RefusalReason.INVALID_REQUEST, it) }
+    }
 
     /** Refuses a request whose body has not been read, so that its connection cannot be reused. */
     private suspend fun refuseUnread(
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
@@ -43,7 +43,7 @@
         get() {
             val tokensPerEvent = request.service.engine?.tokensPerEvent ?: 1
             val pending = if (events.hasIncompleteEvent) 1 else 0
-            return minOf(request.metadata.maxOutputTokens, (events.eventCount + pending) * tokensPerEvent)
+            return minOf(request.metadata.maxOutputTokens ?: 0, (events.eventCount + pending) * tokensPerEvent)
         }
 
     /** What has been relayed so far; null before the first event. */
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RoutedFixture.kt
@@ -121,15 +121,18 @@
 
     private fun port(): Int = runBlocking { server.port() }
 
+    /** Sends a request. It states a token of each kind unless [headers] say otherwise or [statesTokens] is false. */
     protected fun open(
         path: String,
         vararg headers: String,
         hasBody: Boolean = false,
         id: String = "r",
+        statesTokens: Boolean = headers.none { it.startsWith("X-Tokens:") },
     ) = Socket("127.0.0.1", port()).apply {
         val lines =
             listOf("POST $path HTTP/1.1", "Host: h", "Authorization: Bearer key", "X-Id: $id") +
-                (if (hasBody) emptyList() else listOf("Content-Length: 0")) + headers
+                (if (hasBody) emptyList() else listOf("Content-Length: 0")) +
+                (if (statesTokens) listOf("X-Tokens: 1,1") else emptyList()) + headers
         getOutputStream().write(lines.joinToString("\r\n", postfix = "\r\n\r\n").encodeToByteArray())
     }
 
@@ -138,8 +141,9 @@
         path: String,
         vararg headers: String,
         id: String = "r",
+        statesTokens: Boolean = headers.none { it.startsWith("X-Tokens:") },
     ): String =
-        open(path, "Connection: close", *headers, id = id)
+        open(path, "Connection: close", *headers, id = id, statesTokens = statesTokens)
             .use {
                 runCatching { it.getInputStream().readAllBytes() }.getOrDefault(ByteArray(0))
             }.decodeToString()
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/StatedNumbersTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/StatedNumbersTest.kt
@@ -36,6 +36,21 @@
         }
     }
 
+    @Nested
+    inner class `a request of a prepaid team to a model engine` {
+        @Test
+        fun `is refused if it does not state its tokens, guarding against tokens that nobody pays for`() {
+            for (tokens in listOf("", "X-Tokens: many,1", "X-Tokens: 1,many", "X-Tokens: 1")) {
+                val response = exchange("/chat/1", tokens.ifEmpty { "X-Other: 1" }, statesTokens = false)
+
+                assertTrue(response.startsWith("HTTP/1.1 400"), "$tokens: $response")
+                assertEquals("X-Tokens: prompt tokens and maximum of output tokens are required of a prepaid team", body(response))
+            }
+            assertEquals(0, first.requests.size)
+            assertEquals(0, ledger.bills.size)
+        }
+    }
+
     @Nested
     inner class `a request to a model engine with a number out of range` {
         @Test
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/TestDialect.kt
@@ -14,6 +14,8 @@
  * that it has left if the value is `gone`, `X-Leaving` a server that leaves, and `X-Pause` one that wants no requests for so many seconds.
  */
 internal object TestDialect : RequestDialect {
+    override val tokensField = "X-Tokens"
+
     override fun readMetadata(headers: Headers): RequestMetadata {
         val stated = StatedTokens()
         val tokens = headers["X-Tokens"]?.split(',')?.map { stated.read("X-Tokens", it) }
@@ -21,8 +23,8 @@
         return RequestMetadata(
             requestId = headers["X-Id"],
             deadlineMs = null,
-            promptTokens = tokens?.get(0),
-            maxOutputTokens = tokens?.get(1) ?: 0,
+            promptTokens = tokens?.getOrNull(0),
+            maxOutputTokens = tokens?.getOrNull(1),
             promptSegments = segments,
             lastEventId = headers["Last-Event-Id"]?.toLongOrNull(),
             resumesStream = headers.contains("Last-Event-Id"),
