Test stated sizes of bodies and numbers of the product's own interface

Each of these numbers has a bound where it is read: Content-Length and chunk sizes out of range get 400 or 413 before a server sees the request, and max_tokens, n and x-lycheemount-deadline-ms out of range get 400 as not run. No test said so. The tests passed in their first run; nothing in the product is changed for them.

--- a/request/caller/src/test/kotlin/org/lycheemount/caller/AdmissionTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/AdmissionTest.kt
@@ -2,6 +2,7 @@
 
 import io.ktor.client.request.bearerAuth
 import io.ktor.client.request.get
+import io.ktor.client.request.header
 import io.ktor.client.request.post
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.bodyAsChannel
@@ -124,6 +125,25 @@
                 assertContains(responses[2].bodyAsText(), "max_tokens: accepted are 1 or more")
             }
 
+        @Test
+        fun `with a number out of range is refused as not run, guarding against work for a number that nobody sent`() =
+            runBlocking<Unit> {
+                val start = """{"model":"m1","messages":[{"role":"user"}],"""
+                val numbers =
+                    listOf(
+                        """"max_tokens":-1""",
+                        """"max_tokens":99999999999""",
+                        """"max_tokens":1e400""",
+                        """"n":2""",
+                        """"n":2000000000""",
+                    )
+                val deadlines = listOf("0", "-1", "86400001", "99999999999999999999", "1e300", "soon")
+
+                val responses = numbers.map { post("$start$it}") } + deadlines.map { post("$start\"n\":1}", deadlineMs = it) }
+
+                responses.forEach { assertEquals(400 to "not-run", it.status.value to it.headers[OUTCOME_HEADER], it.bodyAsText()) }
+            }
+
         @Test
         fun `generated at random is refused as not run and leaves no request in progress`() =
             runBlocking<Unit> {
@@ -189,11 +209,14 @@
             }
     }
 
-    private suspend fun post(body: String) =
-        router.client.post(router.url(RouterFixture.CHAT)) {
-            bearerAuth("key1")
-            setBody(body)
-        }
+    private suspend fun post(
+        body: String,
+        deadlineMs: String? = null,
+    ) = router.client.post(router.url(RouterFixture.CHAT)) {
+        bearerAuth("key1")
+        deadlineMs?.let { header("x-lycheemount-deadline-ms", it) }
+        setBody(body)
+    }
 
     private companion object {
         private const val SEED = 7
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/StatedNumbersTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/StatedNumbersTest.kt
@@ -36,6 +36,25 @@
         }
     }
 
+    @Nested
+    inner class `a body with a stated size` {
+        @Test
+        fun `out of range is refused before it reaches a server, guarding against a buffer of the stated size`() {
+            val sizes =
+                listOf("Content-Length: 99999999999999999999", "Content-Length: 9223372036854775807", "Content-Length: -1") +
+                    listOf("7FFFFFFFFFFFFFFF", "FFFFFFFFFFFFFFFF", "-1").map { "Transfer-Encoding: chunked\r\n\r\n$it" }
+            for (size in sizes) {
+                val response = open("/order/1", "Connection: close", size, hasBody = true).use { it.getInputStream().readAllBytes() }
+
+                assertTrue(
+                    response.decodeToString().substringAfter(' ').take(3) in setOf("400", "413"),
+                    "$size: ${response.decodeToString()}",
+                )
+            }
+            assertEquals(0, first.requests.size)
+        }
+    }
+
     @Nested
     inner class `a request of a prepaid team to a model engine` {
         @Test
