Bound the ids of callers in log lines

What an operator sees: X-Request-Id of a caller was written to each log line about the request, up to the size of a head. 4,096 lines wait for the output, so that a slow output could hold some 64 MB of ids of 16 KB (calculated, not measured).

Cause: values that a client chooses had no bound in log lines. The id itself is still compared and forwarded whole.

Change: log lines have the first 200 characters, as many as an id may have that names an attempt.

Evidence: "a request with a long id is logged with the beginning of its id" fails on the code before: all 4,000 characters are logged.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -231,7 +231,7 @@
             currentCoroutineContext().ensureActive()
             services.eventLog.info(
                 "response_body_truncated",
-                "request_id" to request.metadata.requestId,
+                "request_id" to request.metadata.loggedId,
                 "server" to lastServerId?.value,
                 "error" to failure.message,
             )
@@ -252,7 +252,7 @@
         }
         services.eventLog.warn(
             "attempt_failed",
-            "request_id" to request.metadata.requestId,
+            "request_id" to request.metadata.loggedId,
             "route" to request.route.routeId.value,
             "server" to server.backendServerId.value,
             "attempt" to count,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
@@ -66,6 +66,13 @@
 ) {
     /** Maximum number of tokens that the request can use; null when the caller does not tell both figures. */
     val maxTokens: Long? = if (promptTokens == null || maxOutputTokens == null) null else promptTokens.toLong() + maxOutputTokens
+
+    /** Beginning of [requestId], for log lines of bounded length. */
+    val loggedId: String? get() = requestId?.take(MAX_LOGGED_ID_CHARS)
+
+    private companion object {
+        private const val MAX_LOGGED_ID_CHARS = 200
+    }
 }
 
 /**
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -105,7 +105,7 @@
             }
         } catch (exception: CancellationException) {
             if (!isExecuting) {
-                services.eventLog.warn("request_ended", "request_id" to metadata.requestId, "attempts" to 0, "outcome" to CALLER_GONE)
+                services.eventLog.warn("request_ended", "request_id" to metadata.loggedId, "attempts" to 0, "outcome" to CALLER_GONE)
             }
             throw exception
         }
@@ -245,7 +245,7 @@
         routedMetrics.onEnd(request.route.kind, outcomeText.substringBefore(':'), elapsedMs, execution.firstResponseMs)
         val fields =
             arrayOf(
-                "request_id" to request.metadata.requestId,
+                "request_id" to request.metadata.loggedId,
                 "route" to request.route.routeId.value,
                 "team" to request.teamId?.value,
                 "config" to request.configurationSequence,
@@ -303,7 +303,7 @@
         metrics.requests.labelValues(KIND, outcome.wireName, refusal.reason.wireName).inc()
         services.eventLog.warn(
             "request_refused",
-            "request_id" to metadata.requestId,
+            "request_id" to metadata.loggedId,
             "route" to request?.route?.routeId?.value,
             "reason" to refusal.reason.wireName,
             "detail" to refusal.detail,
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/StatedNumbersTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/StatedNumbersTest.kt
@@ -55,6 +55,21 @@
         }
     }
 
+    @Nested
+    inner class `a request with a long id` {
+        @Test
+        fun `is logged with the beginning of its id, guarding against a full log output of lines as long as a head`() {
+            val id = "i".repeat(4_000)
+            first.enqueue(completeResponse("done", id = id))
+
+            val response = exchange("/read/1", id = id)
+
+            assertTrue(response.startsWith("HTTP/1.1 200"), response)
+            awaitLoggedOutcome()
+            assertEquals(setOf<Any?>("i".repeat(200)), log.events.mapNotNullTo(HashSet()) { (_, fields) -> fields["request_id"] })
+        }
+    }
+
     @Nested
     inner class `a request of a prepaid team to a model engine` {
         @Test
