--- a/version/config/src/test/kotlin/org/lycheemount/config/RouteTableTest.kt
+++ b/version/config/src/test/kotlin/org/lycheemount/config/RouteTableTest.kt
@@ -1,8 +1,11 @@
 package org.lycheemount.config
 
 import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Timeout
 import org.lycheemount.common.ServiceId
 import org.lycheemount.testing.FakeEventLog
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -35,6 +38,27 @@
 
         @Test
         fun `for an unknown host has no route`() = assertNull(table.find("c.example", "/x/"))
+
+        @Test
+        fun `matches as if each part of its path were looked up, whatever the length of the path`() {
+            val random = Random(1)
+            val prefixes = listOf("/", "/x/", "/x/y/", "/xy/x/", "/y/y/y/y/")
+            val routes = RouteTable(prefixes.drop(1).map { route(it, it) })
+            repeat(2_000) {
+                val path = "/" + String(CharArray(random.nextInt(14)) { "xy/"[random.nextInt(3)] })
+
+                val expected = prefixes.drop(1).filter { path.startsWith(it) }.maxByOrNull { it.length }
+                assertEquals(expected, routes.find("a.example", path)?.routeId?.value, path)
+            }
+        }
+
+        // Looking up each part copies 500 GB. The timeout only guards against that, it is no bound of time.
+        @Test
+        @Timeout(value = 2, unit = TimeUnit.MINUTES, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+        fun `with many slashes is matched in proportion to its length, guarding against work that grows with the square of it`() {
+            assertEquals("long", table.find("a.example", "/x/y/" + "/".repeat(1_000_000))?.routeId?.value)
+            assertNull(table.find("b.example", "/".repeat(1_000_000)))
+        }
     }
 
     @Nested
