Bound the prompt segments in a report of a crash

What an operator sees: a report of a crash holds the prompts of up to 200 requests, each with as many parts as fit into a head. It is one row of the store, and 1,000 reports are kept in memory.

Cause: the bound counted prompts, not their segments: 200 prompts of 1,500 segments are 300,000 (some 6 MB of JSON, calculated).

--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
@@ -146,11 +146,8 @@
     ) {
         synchronized(lock) {
             val attempts = brokenByRun[server.vmId]
-            if (attempts != null) {
-                if (attempts.prompts.size < MAX_SUSPECTS) attempts.prompts += prompt
-                return
-            }
-            brokenByRun[server.vmId] = BrokenAttempts(server, tableTimeMs(), mutableListOf(prompt))
+            if (attempts != null) return attempts.suspects.add(prompt)
+            brokenByRun[server.vmId] = BrokenAttempts(server, tableTimeMs()).apply { suspects.add(prompt) }
         }
         brokenRuns.trySend(server.vmId)
     }
@@ -166,10 +163,10 @@
                 "attempts_broken",
                 "server" to server.backendServerId.value,
                 "server_ended" to ended,
-                "suspects" to attempts.prompts.joinToString(";") { it.all.joinToString(",") },
+                "suspects" to attempts.suspects.prompts.joinToString(";") { it.all.joinToString(",") },
             )
             if (!ended) return
-            val report = CrashReport(run, self.routerId, attempts.atTableTimeMs, attempts.prompts)
+            val report = CrashReport(run, self.routerId, attempts.atTableTimeMs, attempts.suspects.prompts)
             // A busy router may notice further broken connections of the same crash later, which make a second report.
             val key = "$CRASH_PREFIX${run.value}/${self.routerId.value}/${self.incarnation}/${reportCount++}"
             evidence.add(key, report)
@@ -242,8 +239,9 @@
     private class BrokenAttempts(
         val server: BackendServer,
         val atTableTimeMs: Long,
-        val prompts: MutableList<PromptSegments>,
-    )
+    ) {
+        val suspects = Suspects()
+    }
 
     private companion object {
         private const val CRASH_PREFIX = "crash/"
@@ -258,9 +256,6 @@
         private const val RETENTION_MS = 3_600_000L
         private const val MAX_REMOVED_ROWS = 50
 
-        /** A report must fit into a row of the store. */
-        private const val MAX_SUSPECTS = 200
-
         /** A row that the table refuses must not hold back the ones after it for longer than reports matter. */
         private const val MAX_WRITE_ATTEMPTS = 150
         private const val MAX_PENDING_WRITES = 200
