--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RequestDialect.kt
@@ -12,7 +12,10 @@
 
 /** Translates between the headers used by callers and backend servers of routes and the types of this router. Thread-safe. */
 interface RequestDialect {
-    /** Parses the request headers. Malformed values are treated as absent. */
+    /** Name of the header in which callers state their prompt tokens and the maximum of their output tokens, for error messages. */
+    val tokensField: String
+
+    /** Parses the request headers. Malformed values are treated as absent, numbers that are out of range also as a violation. */
     fun readMetadata(headers: Headers): RequestMetadata
 
     /** Returns the headers of one attempt: the caller's headers that may be forwarded, and those set by the router. */
@@ -41,25 +44,42 @@
  *
  * @property requestId id that the caller assigned to this attempt.
  * @property deadlineMs time from arrival after which the response is no longer needed.
- * @property promptTokens null for requests that are not addressed to a model.
+ * @property promptTokens null if the caller does not tell, or not in a readable form.
+ * @property maxOutputTokens null if the caller does not tell, or not in a readable form.
  * @property lastEventId id of the event after which the caller resumes a stream; null if it does not tell, or not in a readable form.
  * @property resumesStream whether the caller has received a part of the stream already, even if it does not tell which.
  * @property attemptId [requestId] in the form in which other attempts refer to it; null if it is missing or too long for that.
  * @property resumedAttemptId the attempt that brought the first event of the stream that the caller resumes; null if it does not tell.
+ * @property violation names a number of tokens that is out of range, and the accepted range; null if there is none.
  */
 class RequestMetadata(
     val requestId: String?,
     val deadlineMs: Long?,
     val promptTokens: Int?,
-    val maxOutputTokens: Int,
+    val maxOutputTokens: Int?,
     val promptSegments: List<PromptSegment>,
     val lastEventId: Long? = null,
     val resumesStream: Boolean = false,
     val attemptId: CallerAttemptId? = null,
     val resumedAttemptId: CallerAttemptId? = null,
-)
+    val violation: String? = null,
+) {
+    /** Maximum number of tokens that the request can use; null when the caller does not tell both figures. */
+    val maxTokens: Long? = if (promptTokens == null || maxOutputTokens == null) null else promptTokens.toLong() + maxOutputTokens
+
+    /** Beginning of [requestId], for log lines of bounded length. */
+    val loggedId: String? get() = requestId?.take(MAX_LOGGED_ID_CHARS)
+
+    private companion object {
+        private const val MAX_LOGGED_ID_CHARS = 200
+    }
+}
 
-/** A segment of a prompt; prompts may have a common prefix of segments. */
+/**
+ * A segment of a prompt; prompts may have a common prefix of segments.
+ *
+ * @property tokens within [StatedTokens.ACCEPTED], also the total of all segments of a prompt.
+ */
 class PromptSegment(
     val id: Long,
     val tokens: Int,
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -106,7 +106,7 @@
             }
         } catch (exception: CancellationException) {
             if (!isExecuting) {
-                services.eventLog.warn("request_ended", "request_id" to metadata.requestId, "attempts" to 0, "outcome" to CALLER_GONE)
+                services.eventLog.warn("request_ended", "request_id" to metadata.loggedId, "attempts" to 0, "outcome" to CALLER_GONE)
             }
             throw exception
         }
@@ -124,6 +124,7 @@
         val arrivedAtMs = enteredAtMs - OverloadPolicy.waitBeforeHandlerMs(queueDelayMs)
         if (services.drain.isDraining) writer.closeConnection()
         val matched = routeMatcher.match(call, metadata).getOrElse { return refuse(writer, metadata, null, it) }
+        refusalOfNumbers(matched, metadata)?.let { return refuse(writer, metadata, null, it) }
         val expiresAtMs = expiresAtMs(matched.route, metadata, arrivedAtMs)
         OverloadPolicy
             .refusalFor(queueDelayMs, matched.route.targetLatencyMs, expiresAtMs - services.clock.monotonicMs())
@@ -144,6 +145,19 @@
         }
     }
 
+    /** Returns why a request with the numbers in [metadata] is sent to no model engine, or null. */
+    private fun refusalOfNumbers(
+        matched: RouteMatch,
+        metadata: RequestMetadata,
+    ): Refusal? {
+        if (matched.service.engine == null) return null
+        val detail =
+            metadata.violation
+                ?: "${services.dialect.tokensField}: prompt tokens and maximum of output tokens are required of a prepaid team"
+                    .takeIf { matched.team?.prepaidTokens != null && metadata.maxTokens == null }
+        return detail?.let { Refusal(RefusalReason.INVALID_REQUEST, it) }
+    }
+
     /** Refuses a request whose body has not been read, so that its connection cannot be reused. */
     private suspend fun refuseUnread(
         writer: ResponseWriter,
@@ -232,7 +246,7 @@
         routedMetrics.onEnd(request.route.kind, outcomeText.substringBefore(':'), elapsedMs, execution.firstResponseMs)
         val fields =
             arrayOf(
-                "request_id" to request.metadata.requestId,
+                "request_id" to request.metadata.loggedId,
                 "route" to request.route.routeId.value,
                 "team" to request.teamId?.value,
                 "config" to request.configurationSequence,
@@ -290,7 +304,7 @@
         metrics.requests.labelValues(KIND, outcome.wireName, refusal.reason.wireName).inc()
         services.eventLog.warn(
             "request_refused",
-            "request_id" to metadata.requestId,
+            "request_id" to metadata.loggedId,
             "route" to request?.route?.routeId?.value,
             "reason" to refusal.reason.wireName,
             "detail" to refusal.detail,
