Write the limits of budgets again after the store was restored

Cause: BudgetLimitUpdater compares the limits of the configuration with those that it has written, and counts on the store to keep them.

Fix: the limits belong to the era of the store in which they were written. When the era changes, all limits of the configuration in force are written again, also if it changes while they are written. Before the first configuration, and while the store states no era, nothing is written that was not written before.

BudgetLimitUpdaterTest on the code before: 3 of 5 tests fail; after a new era the writes are [] instead of [({budget=900}, 7)], and 1 instead of 3 after two eras. Now 5 of 5 pass.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
@@ -20,6 +20,7 @@
 import org.lycheemount.config.ConfigurationView
 import org.lycheemount.config.PublishedConfiguration
 import org.lycheemount.platform.RowListener
+import org.lycheemount.platform.StoreEra
 import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.StoreRow
 import org.lycheemount.platform.adapter.CONFIGURATION_KEY
@@ -198,16 +199,24 @@
     }
 }
 
-/** Writes the teams' prepaid tokens from the configuration into the budgets. Every router tries to; the first write takes effect. */
+/**
+ * Writes the teams' prepaid tokens from the configuration into the budgets, and again when the store comes back from an older copy. Every
+ * router tries to; the first write takes effect.
+ */
 internal class BudgetLimitUpdater(
     private val writer: BudgetLimitWriter,
     private val maintenance: BudgetMaintenance,
     private val configuration: ConfigurationView,
+    private val eras: StoreEras,
     private val eventLog: EventLog,
 ) {
     private val configurationChanges = Channel<Unit>(Channel.CONFLATED)
     private var appliedLimits = emptyMap<BudgetId, Long>()
 
+    /** Era of the store in which [appliedLimits] were written; a store that came back from an older copy may lack them. */
+    @Volatile
+    private var appliedEra: StoreEra? = null
+
     /** Whether the prepaid tokens of any configuration have been written to the table. */
     @Volatile
     var isApplied = false
@@ -220,9 +229,12 @@
 
     fun start(scope: CoroutineScope) {
         scope.launch { for (change in configurationChanges) apply(configuration.current()) }
+        scope.launch { eras.current.collect { if (isApplied && it != appliedEra) configurationChanges.trySend(Unit) } }
     }
 
     private suspend fun apply(snapshot: ConfigurationSnapshot) {
+        val era = eras.current.value
+        if (era != appliedEra) appliedLimits = emptyMap()
         val limits =
             snapshot.teams.values
                 .mapNotNull { team -> team.prepaidTokens?.let { team.budgetId to it } }
@@ -232,7 +244,9 @@
             if (!applyBatch(batch.associate { it.key to it.value }, snapshot.sequence)) return
         }
         appliedLimits = limits
+        appliedEra = era
         isApplied = true
+        if (eras.current.value != era) configurationChanges.trySend(Unit)
         if (changedLimits.isNotEmpty()) {
             maintenance.onLimitsChanged(changedLimits.keys)
             maintenance.prefetchGrants(changedLimits.keys)
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -103,7 +103,13 @@
             routerCount = { peers.routerCount },
         )
     private val budgetLimits =
-        BudgetLimitUpdater(createBudgetLimitWriter(table) { "limits-${UUID.randomUUID()}" }, budgets.maintenance, configuration, eventLog)
+        BudgetLimitUpdater(
+            createBudgetLimitWriter(table) { "limits-${UUID.randomUUID()}" },
+            budgets.maintenance,
+            configuration,
+            store.eras,
+            eventLog,
+        )
     private val configurationListener = ConfigurationRowListener(configuration, clock, eventLog, store.eras, ::onConfigurationChanged)
 
     // Evacuations come first: a router is ready once it has the configuration.
