--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/BudgetMetrics.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/BudgetMetrics.kt
@@ -16,4 +16,11 @@
         .labelNames("budget")
         .callback { gauge -> budgets.unbilledTokens().forEach { (budgetId, tokens) -> gauge.call(tokens.toDouble(), budgetId.value) } }
         .register(registry)
+    GaugeWithCallback
+        .builder()
+        .name("lycheemount_budget_set_aside_tokens")
+        .help("Tokens that routers may still claim since the store came back from an older copy; part of the unbilled tokens.")
+        .labelNames("budget")
+        .callback { gauge -> budgets.setAsideTokens().forEach { (budgetId, tokens) -> gauge.call(tokens.toDouble(), budgetId.value) } }
+        .register(registry)
 }
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -101,10 +101,11 @@
             createGatewayBudgetOptions(),
             startedAtMs = startedAtMs,
             routerCount = { peers.routerCount },
+            eras = store.eras,
         )
     private val budgetLimits =
         BudgetLimitUpdater(
-            createBudgetLimitWriter(table) { "limits-${UUID.randomUUID()}" },
+            createBudgetLimitWriter(table, store.eras) { "limits-${UUID.randomUUID()}" },
             budgets.maintenance,
             configuration,
             store.eras,
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccount.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccount.kt
@@ -14,6 +14,12 @@
     val closedGrants = mutableListOf<Grant>()
     val waiters = mutableListOf<Waiter>()
 
+    /** Grants that this router has closed lately, oldest first: its own and those of ended processes. An older copy does not show it. */
+    val closings = ArrayDeque<Closing>()
+
+    /** Era of the store in which all grants of this account were last claimed after a change; 0 for none. */
+    var claimedEra = 0L
+
     /** Last known row of the budget; null before the first read, and when the row must be read again. */
     var budgetRow: BudgetRow? = null
     var budgetVersion = 0L
@@ -34,6 +40,9 @@
     /** True while the outcome of a transaction that returns the whole grant is unknown. */
     var closing = false
 
+    /** Latest transaction that returns the whole grant. */
+    var closingTransactionId = ""
+
     /** Number of transfers to peers that were not acknowledged. */
     var unackedTransfers = 0
 
@@ -119,6 +128,16 @@
     /** All grants that may still have unwritten bills. */
     fun allGrants(): List<Grant> = closedGrants + listOfNotNull(grant)
 
+    /** Remembers the final [row] of a grant, which this router has closed in [transactionId]. */
+    fun recordClosing(
+        row: GrantRow,
+        transactionId: String,
+        nowMs: Long,
+    ) {
+        while (closings.isNotEmpty() && nowMs - closings.first().closedAtMs > CLOSING_RETENTION_MS) closings.removeFirst()
+        closings += Closing(row, transactionId, nowMs)
+    }
+
     /** Moves a closed grant to [closedGrants], so that the next refill starts a new one. */
     fun retireClosedGrant() {
         val current = grant ?: return
@@ -132,7 +151,16 @@
         val granted: CompletableDeferred<Boolean>,
     )
 
+    /** A grant with its final [row], which [transactionId] has closed or deleted. */
+    class Closing(
+        val row: GrantRow,
+        val transactionId: String,
+        val closedAtMs: Long,
+    )
+
     private companion object {
+        /** Longer than a copy of the store is old when the store comes back from it. */
+        private const val CLOSING_RETENTION_MS = 60_000L
         private const val PEER_REQUEST_DELAY_MS = 20L
         private const val PEER_REQUEST_DELAY_MAX_MS = 640L
         private const val NEW_DEMAND_DELAY_MS = 40L
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetComponents.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetComponents.kt
@@ -13,6 +13,8 @@
     val replicator: BillReplicator,
     val replicas: ReplicaWriter,
     val signals: WorkSignals,
+    val recovery: GrantRecovery,
+    val settlement: BudgetSettlement,
 ) {
     /** True when a ceiling holds back tokens that a request or a peer is waiting for; a flush raises the ceiling. */
     fun needsFlush(nowMs: Long): Boolean =
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetMaintenance.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetMaintenance.kt
@@ -11,6 +11,7 @@
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
+import org.lycheemount.platform.StoreEras
 
 /** Background work of the ledger: refills, flushes, transfers, replication and returns. Runs from [start] to [drain]. */
 class BudgetMaintenance internal constructor(
@@ -19,6 +20,7 @@
     private val clock: Clock,
     private val options: BudgetOptions,
     private val log: EventLog,
+    private val eras: StoreEras,
     private val hasConnectedPeers: () -> Boolean,
 ) : BudgetReplenisher {
     private var job: Job? = null
@@ -29,6 +31,7 @@
         job =
             scope.launch {
                 launch { tableLoop() }
+                launch { eras.current.collect { components.signals.signalTableWork() } }
                 launch { replicationLoop() }
                 launch { transferLoop() }
                 launch { peerRequestLoop() }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
@@ -5,6 +5,7 @@
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.StateDumpSource
 import org.lycheemount.peer.PeerMessenger
+import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.TableService
 import org.lycheemount.platform.VmDirectory
 import kotlin.random.Random
@@ -25,10 +26,18 @@
      * Tokens that stay charged without a bill, for the budgets that this router has read and that have any. Ended processes may have used
      * them, but nothing shows that they did.
      */
-    fun unbilledTokens(): Map<BudgetId, Long> =
+    fun unbilledTokens(): Map<BudgetId, Long> = tokensOfBudgets { it.unbilledTokens }
+
+    /**
+     * Tokens that are set aside since the store came back from an older copy, for the budgets that this router has read and that have any.
+     * They are part of [unbilledTokens] until all routers that may have held some of them have claimed them.
+     */
+    fun setAsideTokens(): Map<BudgetId, Long> = tokensOfBudgets { it.setAsideTokens }
+
+    private fun tokensOfBudgets(tokens: (BudgetRow) -> Long): Map<BudgetId, Long> =
         components.accounts
             .all()
-            .mapNotNull { account -> synchronized(account) { account.budgetRow?.unbilledTokens }?.let { account.budgetId to it } }
+            .mapNotNull { account -> synchronized(account) { account.budgetRow }?.let { account.budgetId to tokens(it) } }
             .filter { (_, tokens) -> tokens > 0 }
             .toMap()
 }
@@ -39,6 +48,7 @@
  * @param startedAtMs monotonic time at which this process was already running. The earlier it is, the more of the grants of an
  *   earlier process on this VM can be reclaimed.
  * @param routerCount number of routers that may draw on a budget, including this one.
+ * @param eras eras of the store that keeps [table].
  */
 fun createBudgetLedgerModule(
     table: TableService,
@@ -50,28 +60,45 @@
     random: Random = Random.Default,
     startedAtMs: Long = clock.monotonicMs(),
     routerCount: () -> Int = { peers.connectedPeers().size + 1 },
+    eras: StoreEras = UnstatedEras,
 ): BudgetModule {
     val self = peers.self
     val accounts = BudgetAccounts(options.rateWindowMs)
     val bills = BillQueue()
     val signals = WorkSignals()
-    val session = TableSession(table, clock, "budget-${self.routerId.value}-${self.incarnation}", startedAtMs)
+    val session = TableSession(table, clock, "budget-${self.routerId.value}-${self.incarnation}", startedAtMs, eras)
     val writer = TableWriter(self, session, clock, options, log, routerCount)
     val allocator = GrantAllocator(writer, session, clock, options, log, random, routerCount)
     val flusher = BillFlusher(accounts, bills, writer, session, clock, options, log)
-    val reclaimer = GrantReclaimer(vmDirectory, writer, session, clock, options, log)
+    val reclaimer = GrantReclaimer(accounts, vmDirectory, writer, session, clock, options, log)
     val ledger = DefaultBudgetLedger(self.routerId, accounts, bills, clock, signals, options.unavailableRetryMs)
     val transfers = TransferExchange(peers, accounts, clock, options, signals, allocator::newGrant, log, random)
     val replicator = BillReplicator(peers, bills, options)
+    val recovery = GrantRecovery(accounts, reclaimer, writer, session, peers, clock, log, random)
+    val settlement = BudgetSettlement(recovery, writer, session, clock, log)
     val replicas = ReplicaWriter(peers, writer, session, reclaimer, clock, options, log)
     flusher.onWritten = replicator::recordWritten
     transfers.register()
     replicas.register()
     val components =
-        BudgetComponents(accounts, bills, ledger, writer, allocator, flusher, reclaimer, transfers, replicator, replicas, signals)
+        BudgetComponents(
+            accounts,
+            bills,
+            ledger,
+            writer,
+            allocator,
+            flusher,
+            reclaimer,
+            transfers,
+            replicator,
+            replicas,
+            signals,
+            recovery,
+            settlement,
+        )
     return BudgetModule(
         ledger,
-        BudgetMaintenance(components, TableMaintenance(components, clock, options, random), clock, options, log) {
+        BudgetMaintenance(components, TableMaintenance(components, clock, options, random), clock, options, log, eras) {
             peers.connectedPeers().isNotEmpty()
         },
         BudgetStateDump(components, session, clock),
@@ -82,11 +109,13 @@
 /** Creates the administration of budgets. [newTransactionId] returns a unique id on each call. */
 fun createBudgetAdministration(
     table: TableService,
+    eras: StoreEras = UnstatedEras,
     newTransactionId: () -> String,
-): BudgetAdministration = DefaultBudgetAdministration(table, newTransactionId)
+): BudgetAdministration = DefaultBudgetAdministration(table, eras, newTransactionId)
 
 /** Creates the writer of limits. [newTransactionId] returns a unique id on each call. */
 fun createBudgetLimitWriter(
     table: TableService,
+    eras: StoreEras = UnstatedEras,
     newTransactionId: () -> String,
-): BudgetLimitWriter = DefaultBudgetAdministration(table, newTransactionId)
+): BudgetLimitWriter = DefaultBudgetAdministration(table, eras, newTransactionId)
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetRows.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetRows.kt
@@ -13,7 +13,13 @@
  * @property closedTokens tokens charged to grants that are closed.
  * @property transferTokens tokens that closed grants sent to peers, minus those that closed grants received.
  * @property limitSequence sequence of the configuration change that set the limit; 0 for a budget funded by top-ups.
- * @property unbilledTokens part of [closedTokens] for which there is no bill: what grants of ended processes may have used at most.
+ * @property unbilledTokens part of [closedTokens] for which there is no bill: what grants of ended processes may have used at most, and
+ *   [setAsideTokens].
+ * @property era era of the store in which the routers last agreed on this row; 0 while the store states none. A row of an earlier era was
+ *   restored from a copy and is opened with [openedIn] before tokens are taken from it.
+ * @property setAsideTokens tokens that were unallocated in the restored row. Routers that held more than their restored rows show claim
+ *   them from here; nobody else may use them while [settled] is false.
+ * @property settled whether all routers that may hold tokens of an earlier era have claimed them.
  */
 @Serializable
 internal data class BudgetRow(
@@ -23,6 +29,9 @@
     val transferTokens: Long = 0,
     val limitSequence: Long = 0,
     val unbilledTokens: Long = 0,
+    val era: Long = 0,
+    val setAsideTokens: Long = 0,
+    val settled: Boolean = true,
 )
 
 /**
@@ -38,6 +47,8 @@
  * @property lastAckedTableTimeMs table time of the last response that the holder had received when it wrote this row.
  * @property holderListed true once the holder has seen its own VM in the VM list; before that, its absence proves nothing.
  * @property holderTransactionId last transaction of the holder that wrote this row; distinguishes a lost response from a conflict.
+ * @property era era of the store in which the holder wrote this row; 0 while the store states none. The holder may have used more than
+ *   the ceiling of a row of an earlier era, whose later changes are lost.
  * @property closed true once the grant was reclaimed or written off; [chargedTokens] then stays charged to the budget.
  */
 @Serializable
@@ -59,10 +70,14 @@
     val lateCeilingTokensPerMs: Double? = null,
     val usedTokens: Long = 0,
     val graceEndTokens: Long = 0,
+    val era: Long = 0,
 ) {
     /** Tokens that this open grant holds, used or not, but for those whose bills are written. */
     val heldTokens: Long get() = grantedTokens + receivedTokens - sentTokens - settledTokens
 
+    /** Tokens of the budget that this grant takes up. */
+    val allocatedTokens: Long get() = if (closed) chargedTokens + sentTokens - receivedTokens else grantedTokens
+
     /** Tokens charged to this closed grant for which there is no bill. */
     val unbilledTokens: Long get() = chargedTokens - settledTokens
 
--- /dev/null
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetSettlement.kt
@@ -0,0 +1,132 @@
+package org.lycheemount.budget
+
+import org.lycheemount.common.Clock
+import org.lycheemount.common.EventLog
+import org.lycheemount.common.RouterIdentity
+import org.lycheemount.platform.RowCheck
+import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.TableTransaction
+
+/**
+ * Makes the tokens of restored budgets available again once every router that may hold some has claimed its grants: those with a grant in
+ * the restored rows, and those to which a router that has claimed its own was connected. If one of them has ended, the tokens that are
+ * set aside stay charged, since nothing shows how many of them it had used.
+ */
+internal class BudgetSettlement(
+    private val recovery: GrantRecovery,
+    private val writer: TableWriter,
+    private val session: TableSession,
+    private val clock: Clock,
+    private val log: EventLog,
+) {
+    private var nextAttemptAtMs = 0L
+    private var attemptDelayMs = MIN_ATTEMPT_DELAY_MS
+    private var attemptedEra = 0L
+
+    /** Opens and settles the budgets of [accounts] that were restored. Returns false when the table did not respond. */
+    suspend fun settle(accounts: List<BudgetAccount>): Boolean {
+        val restored = accounts.filter { synchronized(it) { isRestored(it) } }
+        val nowMs = clock.monotonicMs()
+        if (restored.isEmpty()) return true
+        if (attemptedEra != session.eraNumber) restartAttempts()
+        if (nowMs < nextAttemptAtMs) return true
+        nextAttemptAtMs = nowMs + attemptDelayMs
+        attemptDelayMs = minOf(attemptDelayMs * 2, MAX_ATTEMPT_DELAY_MS)
+        if (!recovery.report()) return false
+        val missing = missingReports() ?: return false
+        for (account in restored) if (!settle(account, missing)) return false
+        return true
+    }
+
+    private fun restartAttempts() {
+        attemptedEra = session.eraNumber
+        attemptDelayMs = MIN_ATTEMPT_DELAY_MS
+        nextAttemptAtMs = 0
+    }
+
+    private fun isRestored(account: BudgetAccount): Boolean {
+        val row = account.budgetRow ?: return false
+        if (account.budgetVersion == 0L) return false
+        return !session.isCurrent(row.era) || (!row.settled && row.setAsideTokens != 0L)
+    }
+
+    /** Reports without which a budget is not settled; null when the table did not respond. */
+    private suspend fun missingReports(): MissingReports? {
+        val grants = session.scanAll(GRANT_PREFIX)?.map { decodeRow<GrantRow>(it.value) } ?: return null
+        val holdings = session.scanAll(HOLDINGS_PREFIX)?.map { decodeRow<HoldingsRow>(it.value) } ?: return null
+        val reports = holdings.filter { it.era == session.eraNumber }
+        val holders = grants.filter { !it.closed && it.era != session.eraNumber }.map { it.holder }
+        val unaccounted = (holders + reports.flatMap { it.peers }).toSet().filterNot { isAccounted(it, reports) }
+        return MissingReports(unaccounted, hasWitness = reports.any { it.isWitness })
+    }
+
+    private fun isAccounted(
+        router: RouterIdentity,
+        reports: List<HoldingsRow>,
+    ): Boolean =
+        reports.any {
+            val isSuccessor = it.router.vmId == router.vmId && it.router.incarnation > router.incarnation
+            it.router == router || (isSuccessor && it.standsForPredecessors)
+        }
+
+    private suspend fun settle(
+        account: BudgetAccount,
+        missing: MissingReports,
+    ): Boolean {
+        val key = budgetKey(account.budgetId)
+        val row = session.read(listOf(key))?.find(key) ?: return false
+        val restored = decodeRow<BudgetRow>(row.value)
+        val opened = restored.openedIn(session.eraNumber)
+        val changed = if (missing.isNone) opened.settledWithUnclaimed() else opened
+        logSettlement(account, opened, missing)
+        if (changed == restored) {
+            synchronized(account) { adopt(account, changed, row.version) }
+            return true
+        }
+        val writes: List<RowWrite> = listOf(writeRow(key, changed))
+        val attempt =
+            WriteAttempt(
+                TableTransaction(session.nextTransactionId(), listOf(RowCheck(key, row.version)), writes),
+                grants = emptyList(),
+                onCommitted = { versions -> synchronized(account) { adopt(account, changed, versions.getValue(key)) } },
+                onFailed = { synchronized(account) { account.budgetRow = null } },
+            )
+        return writer.run(attempt) != WriteAttemptResult.NO_RESPONSE
+    }
+
+    private fun adopt(
+        account: BudgetAccount,
+        row: BudgetRow,
+        version: Long,
+    ) {
+        account.budgetRow = row
+        account.budgetVersion = version
+        account.budgetReadAtMs = clock.monotonicMs()
+    }
+
+    private fun logSettlement(
+        account: BudgetAccount,
+        opened: BudgetRow,
+        missing: MissingReports,
+    ) = log.info(
+        if (missing.isNone) "budget_settled" else "budget_set_aside",
+        "budget" to account.budgetId.value,
+        "era" to opened.era,
+        "tokens" to opened.setAsideTokens,
+        "missingReports" to missing.routers.joinToString(",") { "${it.routerId.value}/${it.incarnation}" },
+        "hasWitness" to missing.hasWitness,
+    )
+
+    /** @property hasWitness whether a router that was running when the copy was made has reported. */
+    private class MissingReports(
+        val routers: List<RouterIdentity>,
+        val hasWitness: Boolean,
+    ) {
+        val isNone: Boolean get() = hasWitness && routers.isEmpty()
+    }
+
+    private companion object {
+        private const val MIN_ATTEMPT_DELAY_MS = 250L
+        private const val MAX_ATTEMPT_DELAY_MS = 30_000L
+    }
+}
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetShares.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetShares.kt
@@ -5,6 +5,7 @@
  *
  * @property billedTokens tokens of written bills.
  * @property unbilledTokens tokens charged to grants of ended processes without a bill.
+ * @property setAsideTokens tokens that routers may still claim after the store has come back from an older copy.
  * @property inTransferTokens tokens recorded as sent and not as received. Negative if the receiver's row is newer than the sender's, and
  *   for good if the sender ended before it recorded the transfer: its charge then includes tokens that the receiver holds.
  */
@@ -15,9 +16,12 @@
     val unbilledTokens: Long,
     val inTransferTokens: Long,
     val openGrants: List<GrantRow>,
+    val setAsideTokens: Long = 0,
 ) {
-    /** Tokens that some router may still use: those that are unallocated, held, or on their way to a router. */
-    val remainingTokens: Long get() = unallocatedTokens + openGrants.sumOf { it.heldTokens } + inTransferTokens.coerceAtLeast(0)
+    /** Tokens that some router may still use: those that are unallocated, set aside, held, or on their way to a router. */
+    val remainingTokens: Long get() =
+        unallocatedTokens + setAsideTokens + openGrants.sumOf { it.heldTokens } +
+            inTransferTokens.coerceAtLeast(0)
 }
 
 /** Shares of a budget with the row [budget] and all of its [grants], open and closed. */
@@ -30,9 +34,10 @@
     return BudgetShares(
         limitTokens = budget.limitTokens,
         unallocatedTokens = budget.unallocatedTokens,
-        billedTokens = budget.closedTokens - unbilledTokens + open.sumOf { it.settledTokens },
+        billedTokens = budget.closedTokens - unbilledTokens - budget.setAsideTokens + open.sumOf { it.settledTokens },
         unbilledTokens = unbilledTokens,
         inTransferTokens = budget.transferTokens + open.sumOf { it.sentTokens - it.receivedTokens },
         openGrants = open,
+        setAsideTokens = budget.setAsideTokens,
     )
 }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetAdministration.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetAdministration.kt
@@ -4,6 +4,8 @@
 import org.lycheemount.platform.CommitOutcome
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.StoreEra
+import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.TableRow
 import org.lycheemount.platform.TableService
@@ -12,9 +14,14 @@
 /** Stateless implementation on the rows of the table. */
 internal class DefaultBudgetAdministration(
     private val table: TableService,
+    private val eras: StoreEras,
     private val newTransactionId: () -> String,
 ) : BudgetAdministration,
     BudgetLimitWriter {
+    /** First era in which this process has changed a budget; null while the store has stated none. */
+    @Volatile
+    private var firstEra: Long? = null
+
     override suspend fun create(budgetId: BudgetId): BudgetChange {
         invalidId("budgetId", budgetId.value)?.let { return it }
         val key = budgetKey(budgetId)
@@ -26,7 +33,7 @@
                 return@change Decided(BudgetChange.Applied(decodeRow<BudgetRow>(existing.value).limitTokens, repeated = true))
             }
             Write(
-                TableTransaction(newTransactionId(), listOf(RowCheck(key, 0)), listOf(writeRow(key, BudgetRow(0, 0)))),
+                TableTransaction(newTransactionId(), listOf(RowCheck(key, 0)), listOf(writeRow(key, newBudget(rows)))),
                 BudgetChange.Applied(0, repeated = false),
             )
         }
@@ -60,7 +67,7 @@
         if (earlier != null && earlier.tokens != tokens) return Decided(BudgetChange.IdReused(earlier.tokens))
         if (earlier != null) return Decided(BudgetChange.Applied(budget.limitTokens, repeated = true))
         if (budget.limitTokens > Long.MAX_VALUE / 4) return Decided(BudgetChange.Invalid("tokens", "limit reached"))
-        val changed = budget.copy(limitTokens = budget.limitTokens + tokens, unallocatedTokens = budget.unallocatedTokens + tokens)
+        val changed = budget.withLimit(budget.limitTokens + tokens)
         return Write(
             TableTransaction(
                 newTransactionId(),
@@ -80,7 +87,7 @@
         return change(limits.keys.map(::budgetKey)) { rows ->
             val changed =
                 limits.mapNotNull { (budgetId, tokens) ->
-                    planLimit(budgetKey(budgetId), rows[budgetKey(budgetId)], tokens, sequence)
+                    planLimit(budgetKey(budgetId), rows, tokens, sequence)
                 }
             if (changed.isEmpty()) return@change Decided(BudgetChange.Applied(total, repeated = true))
             val transaction = TableTransaction(newTransactionId(), changed.map { it.first }, changed.map { it.second })
@@ -91,17 +98,33 @@
     /** Returns null when the limit is already set or was set by a later change. */
     private fun planLimit(
         key: String,
-        row: TableRow?,
+        rows: Map<String, TableRow>,
         tokens: Long,
         sequence: Long,
     ): Pair<RowCheck, RowWrite>? {
-        val budget = row?.let { decodeRow<BudgetRow>(it.value) } ?: BudgetRow(0, 0)
+        val row = rows[key]
+        val budget = row?.let { decodeRow<BudgetRow>(it.value) } ?: newBudget(rows)
         if (row != null && (budget.limitSequence >= sequence || budget.limitTokens == tokens)) return null
-        val unallocated = budget.unallocatedTokens + tokens - budget.limitTokens
-        val changed = budget.copy(limitTokens = tokens, unallocatedTokens = unallocated, limitSequence = sequence)
+        val changed = budget.withLimit(tokens).copy(limitSequence = sequence)
         return RowCheck(key, row?.version ?: 0) to writeRow(key, changed)
     }
 
+    /**
+     * A budget without tokens. After a change of the era, its row may be among those that were lost, and routers may hold some of its
+     * tokens.
+     */
+    private fun newBudget(rows: Map<String, TableRow>): BudgetRow {
+        val era = eras.current.value?.value ?: return BudgetRow(0, 0)
+        return BudgetRow(0, 0, era = era, settled = endedEraKey(era - 1) !in rows && era == firstEra)
+    }
+
+    /** This budget with [limitTokens]. What is added to a restored budget is set aside, as routers may have taken it since the copy. */
+    private fun BudgetRow.withLimit(limitTokens: Long): BudgetRow {
+        val addedTokens = limitTokens - this.limitTokens
+        val changed = copy(limitTokens = limitTokens, unallocatedTokens = unallocatedTokens + addedTokens)
+        return if (settled || addedTokens <= 0) changed else changed.setAside(addedTokens)
+    }
+
     override suspend fun writeOff(
         budgetId: BudgetId,
         grantId: String,
@@ -216,28 +239,38 @@
         plan: (Map<String, TableRow>) -> ChangePlan,
     ): BudgetChange {
         repeat(MAX_COMMIT_ATTEMPTS) {
-            val snapshot = table.read(keys)
+            if (firstEra == null) firstEra = eras.current.value?.value
+            val era = eras.current.value
+            val snapshot = table.read(if (era == null) keys else keys + endedEraKey(era.value - 1))
             if (snapshot !is TableResult.Response) return BudgetChange.Unavailable("the table did not respond")
+            if (eras.current.value != era) return@repeat
             when (val step = plan(snapshot.value.rows.associateBy { it.key })) {
                 is Decided -> return step.change
-                is Write -> commit(step)?.let { return it }
+                is Write -> commit(step, era)?.let { return it }
             }
         }
         return BudgetChange.Unavailable("$MAX_COMMIT_ATTEMPTS attempts conflicted with other changes of the budget")
     }
 
-    /** Returns null after a conflict. */
-    private suspend fun commit(step: Write): BudgetChange? =
-        when (val result = table.commit(step.transaction)) {
+    /** Returns null after a conflict, and after a change of the era, which may have undone the change of the budget. */
+    private suspend fun commit(
+        step: Write,
+        era: StoreEra?,
+    ): BudgetChange? {
+        val transaction = step.transaction.checkedInEra(era)
+        val result = table.commit(transaction)
+        if (eras.current.value != era) return null
+        return when (result) {
             is TableResult.Response -> step.applied.takeIf { result.value is CommitOutcome.Committed }
             is TableResult.Unavailable -> BudgetChange.Unavailable(result.detail)
             is TableResult.Unknown ->
-                when (resolveCommitted(step.transaction)) {
+                when (resolveCommitted(transaction)) {
                     true -> step.applied
                     false -> null
                     null -> BudgetChange.Unknown(result.detail)
                 }
         }
+    }
 
     /** Returns null when the outcome stays unknown. A transaction that the table does not know is sent again under the same id. */
     private suspend fun resolveCommitted(transaction: TableTransaction): Boolean? {
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/Grant.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/Grant.kt
@@ -145,6 +145,10 @@
         rowVersion = version
     }
 
+    /** Closed row that charges what this grant has spent; null without a row. */
+    fun returnedRow(): GrantRow? =
+        row?.copy(sentTokens = sentTokens, receivedTokens = receivedTokens, closed = true, chargedTokens = spentTokens)
+
     fun owns(transactionId: String): Boolean = pending?.row?.holderTransactionId == transactionId
 
     private class PendingRow(
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantAllocator.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantAllocator.kt
@@ -119,6 +119,7 @@
             "unallocatedTokens" to shares.unallocatedTokens,
             "chargedTokens" to shares.billedTokens,
             "unbilledTokens" to shares.unbilledTokens,
+            "setAsideTokens" to shares.setAsideTokens,
             "inTransferTokens" to shares.inTransferTokens,
             "heldHereTokens" to own.sumOf { it.heldTokens },
             "heldByOthersTokens" to others.sumOf { it.heldTokens },
@@ -174,7 +175,12 @@
             synchronized(account) {
                 val row = snapshot.find(grantKey(account.budgetId, grant.grantId))
                 account.closing = false
-                if (row == null) account.grant = null else grant.adopt(decodeRow(row.value), row.version)
+                if (row == null) {
+                    grant.returnedRow()?.let { account.recordClosing(it, account.closingTransactionId, clock.monotonicMs()) }
+                    account.grant = null
+                } else {
+                    grant.adopt(decodeRow(row.value), row.version)
+                }
                 account.retireClosedGrant()
             }
         }
@@ -235,7 +241,7 @@
     ): WriteAttempt? =
         synchronized(account) {
             account.retireClosedGrant()
-            val budget = account.budgetRow ?: return null
+            val budget = session.currentBudget(account) ?: return null
             val tokens = refillTokens(account.demand(routers), budget.unallocatedTokens, options)
             if (tokens <= 0) return null
             val grant = account.grant ?: newGrant(account.budgetId).also { account.grant = it }
@@ -253,7 +259,7 @@
         amount: (BudgetAccount) -> Long,
     ): WriteAttempt? {
         val grant = account.grant ?: return null
-        val budget = account.budgetRow ?: return null
+        val budget = session.currentBudget(account) ?: return null
         val row = grant.row ?: return null
         if (grant.closed || grant.hasPendingRow || account.closing) return null
         val tokens = minOf(amount(account), grant.freeTokens, row.grantedTokens)
@@ -270,7 +276,7 @@
         transactionId: String,
     ): WriteAttempt? {
         val grant = account.grant ?: return null
-        val budget = account.budgetRow ?: return null
+        val budget = session.currentBudget(account) ?: return null
         val row = grant.row ?: return null
         val isInUse = grant.inUse || account.unackedTransfers > 0
         if (grant.closed || grant.hasPendingRow || account.closing || isInUse) return null
@@ -278,6 +284,7 @@
             "grant ${grant.grantId} has written bills for ${row.settledTokens} of ${grant.spentTokens} spent tokens"
         }
         account.closing = true
+        account.closingTransactionId = transactionId
         val changed =
             budget.copy(
                 unallocatedTokens = budget.unallocatedTokens + grant.freeTokens,
@@ -293,7 +300,7 @@
                     listOf(writeRow(budgetKey(account.budgetId), changed), RowWrite(key, null)),
                 ),
             grants = emptyList(),
-            onCommitted = { versions -> applyClose(account, grant, changed, versions) },
+            onCommitted = { versions -> applyClose(account, grant, transactionId, changed, versions) },
             onFailed = { current ->
                 synchronized(account) {
                     adoptBudgetRow(account, current.orEmpty())
@@ -306,10 +313,12 @@
     private fun applyClose(
         account: BudgetAccount,
         grant: Grant,
+        transactionId: String,
         changed: BudgetRow,
         versions: Map<String, Long>,
     ) = synchronized(account) {
         account.closing = false
+        grant.returnedRow()?.let { account.recordClosing(it, transactionId, clock.monotonicMs()) }
         account.grant = null
         recordBudgetRow(account, changed, versions[budgetKey(account.budgetId)])
         log.info("grant_returned", "budget" to account.budgetId.value, "grant" to grant.grantId, "spentTokens" to grant.spentTokens)
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantReclaimer.kt
@@ -15,6 +15,7 @@
 
 /** Reclaims tokens that routers whose VM is gone cannot have spent. */
 internal class GrantReclaimer(
+    private val accounts: BudgetAccounts,
     private val vmDirectory: VmDirectory,
     private val writer: TableWriter,
     private val session: TableSession,
@@ -26,6 +27,10 @@
     private var scanDueAtMs: Long? = null
     private var initialScanPlanned = false
     private var predecessorsReclaimed = false
+    private var hasStrandedPredecessor = false
+
+    /** Whether this router knows the final rows of all grants of earlier processes on this VM, and has closed them. */
+    val hasClosedPredecessors: Boolean get() = predecessorsReclaimed && !hasStrandedPredecessor
 
     fun isGone(vmId: VmId): Boolean = evidence.goneSinceTableTimeMs(vmId) != null
 
@@ -57,6 +62,7 @@
         val predecessorGrants = openGrants.filter { (_, grant) -> isPredecessor(grant.holder) }
         val (reclaimable, unreclaimable) = predecessorGrants.partition { (_, grant) -> isReclaimable(grant) }
         for ((_, grant) in unreclaimable) logUnreclaimable(grant)
+        hasStrandedPredecessor = hasStrandedPredecessor || unreclaimable.isNotEmpty()
         if (!reclaimAll(reclaimable)) return false
         // The next pass retries grants whose reclaim failed with conflicts.
         predecessorsReclaimed = reclaimable.isEmpty()
@@ -87,8 +93,10 @@
     /**
      * Upper bound on the tokens that the holder has used, or null when only the whole grant bounds them: the ceiling of its row at the
      * time when it was gone. Both times are table times; the drift margin covers a holder whose clock runs faster than that of the table.
+     * The ceiling of a row of an earlier era bounds nothing, as later rows may be lost.
      */
     private fun maxUsedTokens(grant: GrantRow): Long? {
+        if (!session.isCurrent(grant.era)) return null
         val goneAfterMs = goneAfterMs(grant) ?: return null
         val driftMs = options.driftMarginMs * maxOf(1.0, goneAfterMs.toDouble() / options.outageGraceMs)
         return grant.ceilingAfterTokens(goneAfterMs + driftMs.toLong(), options.outageGraceMs)
@@ -132,6 +140,7 @@
         val budget = snapshot.find(budgetKey(budgetId)) ?: return null
         val grant = decodeRow<GrantRow>(current.value)
         val usedBoundTokens = maxUsedTokens(grant)
+        if (!session.isCurrent(decodeRow<BudgetRow>(budget.value).era)) return null
         return if (grant.closed || usedBoundTokens == null) null else reclaimAttempt(budget, current, grant, usedBoundTokens, transactionId)
     }
 
@@ -144,7 +153,7 @@
     ): WriteAttempt {
         val budget = decodeRow<BudgetRow>(budgetRow.value)
         val reclaimed = (grant.grantedTokens + grant.receivedTokens - maxUsedTokens).coerceAtLeast(0)
-        val (changed, closed) = closeGrant(budget, grant, reclaimed)
+        val (changed, closed) = closeGrant(budget.copy(era = session.eraNumber), grant.copy(era = session.eraNumber), reclaimed)
         return WriteAttempt(
             TableTransaction(
                 transactionId,
@@ -153,6 +162,8 @@
             ),
             grants = emptyList(),
             onCommitted = {
+                val account = accounts.getOrCreate(grant.budgetId)
+                synchronized(account) { account.recordClosing(closed, transactionId, clock.monotonicMs()) }
                 log.info(
                     "grant_reclaimed",
                     "budget" to grant.budgetId.value,
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableMaintenance.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableMaintenance.kt
@@ -33,6 +33,7 @@
         if (isSweepDue) {
             nextSweepAtMs = nowMs + SWEEP_INTERVAL_MS
             for (account in components.accounts.all()) synchronized(account) { account.meter.tick(nowMs) }
+            components.recovery.observePeers(nowMs)
             components.ledger.evictWritten(nowMs)
         }
         if (nowMs >= nextVmListAtMs) {
@@ -64,7 +65,7 @@
         nowMs: Long,
         isSweepDue: Boolean,
     ): Boolean {
-        if (!components.writer.resolvePending()) return false
+        if (!components.recovery.recover() || !components.writer.resolvePending()) return false
         val accounts = if (isSweepDue) components.accounts.all() else components.accounts.needingAttention()
         if (!refillAll(accounts, nowMs)) return false
         if (!components.reclaimer.reclaimPredecessors()) return false
@@ -87,6 +88,7 @@
         nowMs: Long,
     ): Boolean {
         if (draining) return true
+        if (!components.settlement.settle(accounts)) return false
         // Accounts with waiting requests take precedence over refills ahead of need.
         val (waiting, others) = accounts.partition { synchronized(it) { it.waiters.isNotEmpty() } }
         if (!waiting.all { components.allocator.refillWaiting(it) }) return false
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
@@ -6,12 +6,19 @@
 import kotlinx.coroutines.delay
 import org.lycheemount.common.Clock
 import org.lycheemount.platform.CommitOutcome
+import org.lycheemount.platform.StoreEra
+import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.TableRow
 import org.lycheemount.platform.TableService
 import org.lycheemount.platform.TableSnapshot
 import org.lycheemount.platform.TableTransaction
 
+/** Outcome of a transaction in the rows of one era; [committed] is null if they do not contain its effect. */
+internal class FoundOutcome(
+    val committed: CommitOutcome.Committed?,
+)
+
 /** Result of a commit after all attempts to determine its outcome. */
 internal sealed interface CommitResult {
     data class Committed(
@@ -39,6 +46,7 @@
     private val clock: Clock,
     transactionPrefix: String,
     private val startedAtMs: Long = clock.monotonicMs(),
+    private val eras: StoreEras = UnstatedEras,
 ) {
     private val prefix = "$transactionPrefix-"
     private var transactionCount = 0L
@@ -56,6 +64,38 @@
     var startedBeforeTableTimeMs: Long? = null
         private set
 
+    /**
+     * Era of the rows that this router knows; null while the store has stated none. Responses of another era count as missing until the
+     * router [enters][enterLatestEra] it.
+     */
+    @Volatile
+    var era: StoreEra? = eras.current.value
+        private set
+
+    private var hasCommitted = false
+
+    private var hasChangedEra = false
+
+    /** Number of [era] for rows; 0 for none. */
+    val eraNumber: Long get() = era?.value ?: 0
+
+    /** Whether the latest response of the store is of the session's era. The first one is entered if nothing was written before. */
+    fun isInLatestEra(): Boolean {
+        if (era == null && !hasCommitted) era = eras.current.value
+        return era == eras.current.value
+    }
+
+    fun enterLatestEra() {
+        hasChangedEra = true
+        era = eras.current.value
+    }
+
+    /**
+     * Whether a row of [rowEra] was not restored from a copy since. Rows without an era were written before the store stated one; they
+     * count as restored once this process has seen a change.
+     */
+    fun isCurrent(rowEra: Long): Boolean = rowEra == eraNumber || (rowEra == 0L && !hasChangedEra)
+
     fun nextTransactionId(): String = prefix + transactionCount++
 
     suspend fun read(keys: List<String>): TableSnapshot? {
@@ -90,12 +130,24 @@
         }
     }
 
-    suspend fun commit(transaction: TableTransaction): CommitResult =
-        when (val result = table.commit(transaction)) {
+    /** Commits [transaction]. Its outcome is unknown if the store changes its era meanwhile: what it has written may be gone. */
+    suspend fun commit(transaction: TableTransaction): CommitResult {
+        hasCommitted = true
+        val result = table.commit(transaction.checkedInEra(era))
+        if (!isInLatestEra()) return CommitResult.Unresolved
+        return when (result) {
             is TableResult.Response -> toCommitResult(result.value)
             is TableResult.Unavailable -> CommitResult.NoEffect
             is TableResult.Unknown -> resolve(transaction)
         }
+    }
+
+    /** Returns whether the rows of this era contain the effect of [transactionId], and null when the table did not respond. */
+    suspend fun findOutcome(transactionId: String): FoundOutcome? {
+        val found = table.findTransaction(transactionId)
+        if (found !is TableResult.Response || !isInLatestEra()) return null
+        return FoundOutcome(found.value.outcome as? CommitOutcome.Committed)
+    }
 
     /**
      * Determines the outcome of [transaction] after a lost response. If the table does not know its id, the transaction is sent again
@@ -105,10 +157,12 @@
         repeat(RESOLVE_ATTEMPTS) { attempt ->
             if (attempt > 0) delay(RESOLVE_DELAY_MS)
             val found = table.findTransaction(transaction.transactionId)
+            if (!isInLatestEra()) return CommitResult.Unresolved
             if (found is TableResult.Response) {
                 recordContact(found.value.tableTimeMs)
                 found.value.outcome?.let { return toCommitResult(it) }
-                val retried = table.commit(transaction)
+                val retried = table.commit(transaction.checkedInEra(era))
+                if (!isInLatestEra()) return CommitResult.Unresolved
                 if (retried is TableResult.Response) return toCommitResult(retried.value)
             }
         }
@@ -122,7 +176,7 @@
         }
 
     private fun TableResult<TableSnapshot>.snapshot(sentAtMs: Long): TableSnapshot? {
-        if (this !is TableResult.Response) return null
+        if (this !is TableResult.Response || !isInLatestEra()) return null
         if (startedBeforeTableTimeMs == null) startedBeforeTableTimeMs = value.tableTimeMs - (sentAtMs - startedAtMs)
         recordContact(value.tableTimeMs)
         return value
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableWriter.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableWriter.kt
@@ -74,6 +74,18 @@
         return unresolved == null
     }
 
+    /**
+     * Ends the transaction in doubt after a change of the era, by what the restored rows show. No late attempt of it can take effect, as
+     * the row of its ended era is written. Returns false when the table did not respond.
+     */
+    suspend fun endInterrupted(): Boolean {
+        val attempt = unresolved ?: return true
+        val found = session.findOutcome(attempt.transaction.transactionId) ?: return false
+        unresolved = null
+        if (found.committed != null) applyCommit(attempt, found.committed.versions) else applyFailure(attempt, null)
+        return true
+    }
+
     /** Commits [attempt]. If its outcome stays unknown, it remains in doubt. */
     suspend fun run(attempt: WriteAttempt): WriteAttemptResult {
         check(unresolved == null) { "a transaction is in doubt" }
@@ -116,6 +128,7 @@
                 lastAckedTableTimeMs = contact.tableTimeMs,
                 holderListed = ownVmListed,
                 holderTransactionId = transactionId,
+                era = session.eraNumber,
             )
         if (!base.closed) grant.propose(proposed, contact.receivedAtMs, options.outageGraceMs)
         return GrantWrite(account, grant, proposed)
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
@@ -88,7 +88,7 @@
         val dispatcher = PausableDispatcher(dispatcherOf(scope))
         private val routerScope = scope + job + dispatcher
         val messenger = FaultyMessenger(network.join(identity), scope, routerScope, Random(seed + identity.hashCode()))
-        val tableLink = FakeTableLink(servedTable, scope, random = Random(seed + identity.incarnation.toInt()))
+        val tableLink = FakeTableLink(servedTable, scope, random = Random(seed + identity.incarnation.toInt())) { table.era }
         private val module =
             createBudgetLedgerModule(
                 tableLink,
@@ -98,6 +98,7 @@
                 DiscardingEventLog,
                 options,
                 Random(seed + identity.hashCode()),
+                eras = tableLink,
             )
         val components = module.components
         val ledger = module.ledger
--- /dev/null
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/RestoredTableTest.kt
@@ -0,0 +1,272 @@
+package org.lycheemount.budget
+
+import kotlinx.coroutines.delay
+import org.junit.jupiter.api.Nested
+import org.lycheemount.platform.CommitOutcome
+import org.lycheemount.platform.RowCheck
+import org.lycheemount.platform.StoreEra
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.TableSnapshot
+import org.lycheemount.platform.TableTransaction
+import org.lycheemount.testing.FakeTableService
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+/** A table that comes back from an older copy, beside routers that hold more than the restored rows show. */
+class RestoredTableTest {
+    private val options = createGatewayBudgetOptions()
+    private var requestCount = 0
+
+    private suspend fun startRouters(
+        fleet: BudgetFleet,
+        count: Int,
+        tokens: Long = PREPAY,
+    ) {
+        fleet.table.beginEra()
+        fleet.createFundedBudget(tokens)
+        repeat(count) { fleet.start("r$it").maintenance.prefetchGrants(setOf(BUDGET)) }
+        delay(3_000)
+    }
+
+    /** Spends at all routers in turn until none has served a request for 5 s. Returns the tokens used. */
+    private suspend fun spendAll(
+        fleet: BudgetFleet,
+        routers: List<BudgetFleet.Router> = fleet.routers.values.toList(),
+    ): Long {
+        var used = 0L
+        var idleMs = 0L
+        while (idleMs < 5_000) {
+            val served = routers.count { it.spendNow(REQUEST_TOKENS) }
+            used += served * REQUEST_TOKENS
+            delay(PACE_MS)
+            idleMs = if (served > 0) 0 else idleMs + PACE_MS
+        }
+        return used
+    }
+
+    /** Serves up to [count] requests and returns the tokens used. */
+    private suspend fun spend(
+        router: BudgetFleet.Router,
+        count: Int,
+    ): Long {
+        var used = 0L
+        repeat(count) {
+            if (router.spendNow(REQUEST_TOKENS)) used += REQUEST_TOKENS
+            delay(PACE_MS)
+        }
+        return used
+    }
+
+    private fun BudgetFleet.Router.spendNow(tokens: Long): Boolean {
+        val id = "request${requestCount++}"
+        if (reserve(id, tokens) !is ReservationOutcome.Reserved) return false
+        settle(id, tokens)
+        return true
+    }
+
+    private suspend fun comeBackFrom(
+        fleet: BudgetFleet,
+        copy: FakeTableService.Copy,
+        awayMs: Long = 1_000,
+    ) {
+        fleet.table.isAvailable = false
+        delay(awayMs)
+        fleet.table.comeBackFrom(copy)
+        fleet.table.isAvailable = true
+    }
+
+    private suspend fun assertAddsUp(fleet: BudgetFleet) {
+        val status = fleet.status()
+        val sum = status.unallocatedTokens + status.closedTokens + status.transferTokens + status.grantedTokens
+        assertEquals(status.limitTokens, sum)
+    }
+
+    @Nested
+    inner class `a router that took its grant after the copy was made` {
+        @Test
+        fun `claims it again, guarding against tokens that others are granted a second time`() =
+            fleetTest(options) { fleet ->
+                startRouters(fleet, 3)
+                val copy = fleet.table.copy()
+                val added = fleet.start("added")
+                added.maintenance.prefetchGrants(setOf(BUDGET))
+                delay(1_000)
+                var used = spend(added, 80)
+                comeBackFrom(fleet, copy)
+                used += spendAll(fleet)
+                assertTrue(used <= PREPAY, "$used of $PREPAY tokens used")
+                assertTrue(used >= PREPAY * 9 / 10, "only $used of $PREPAY tokens used")
+                assertAddsUp(fleet)
+            }
+
+        @Test
+        fun `keeps the rest of the budget from being granted while it is cut off from the table`() =
+            fleetTest(options) { fleet ->
+                startRouters(fleet, 3)
+                val copy = fleet.table.copy()
+                val added = fleet.start("added")
+                added.maintenance.prefetchGrants(setOf(BUDGET))
+                delay(1_000)
+                added.tableLink.isPartitioned = true
+                comeBackFrom(fleet, copy)
+                var used = spendAll(fleet)
+                assertTrue(used <= PREPAY, "$used of $PREPAY tokens used")
+                added.tableLink.isPartitioned = false
+                delay(40_000)
+                used += spendAll(fleet)
+                assertTrue(used <= PREPAY, "$used of $PREPAY tokens used")
+                assertTrue(used >= PREPAY * 9 / 10, "only $used of $PREPAY tokens used")
+            }
+
+        @Test
+        fun `keeps its tokens charged if it has ended when the table comes back`() =
+            fleetTest(options) { fleet ->
+                startRouters(fleet, 3)
+                val copy = fleet.table.copy()
+                val added = fleet.start("added")
+                added.maintenance.prefetchGrants(setOf(BUDGET))
+                delay(1_000)
+                var used = spend(added, 80)
+                added.kill()
+                comeBackFrom(fleet, copy)
+                used += spendAll(fleet)
+                assertTrue(used <= PREPAY, "$used of $PREPAY tokens used")
+                assertAddsUp(fleet)
+            }
+    }
+
+    @Nested
+    inner class `a router that returned its grant after the copy was made` {
+        @Test
+        fun `returns it again, guarding against tokens that stay charged to a grant that nobody holds`() =
+            fleetTest(options.copy(idleReturnMs = 4_000)) { fleet ->
+                startRouters(fleet, 2)
+                val idle = fleet.routers.getValue("r0")
+                var used = spend(idle, 10)
+                val copy = fleet.table.copy()
+                // The other router keeps its grant in use.
+                used += spend(fleet.routers.getValue("r1"), 120)
+                assertTrue(
+                    idle.components.accounts
+                        .find(BUDGET)
+                        ?.grant == null,
+                    "the grant was not returned",
+                )
+                comeBackFrom(fleet, copy)
+                used += spendAll(fleet)
+                assertTrue(used <= PREPAY, "$used of $PREPAY tokens used")
+                assertTrue(used >= PREPAY * 9 / 10, "only $used of $PREPAY tokens used")
+                assertAddsUp(fleet)
+            }
+    }
+
+    @Nested
+    inner class `a process that was restarted after the copy was made` {
+        @Test
+        fun `reclaims the grants of its predecessor again, guarding against a budget that stays set aside`() =
+            fleetTest(options) { fleet ->
+                startRouters(fleet, 3)
+                val copy = fleet.table.copy()
+                val first = fleet.routers.getValue("r0")
+                var used = spend(first, 20)
+                first.kill()
+                delay(1_000)
+                fleet.start("r0", incarnation = 2, vmName = first.identity.vmId.value).maintenance.prefetchGrants(setOf(BUDGET))
+                delay(3_000)
+                comeBackFrom(fleet, copy)
+                delay(5_000)
+                used += spendAll(fleet)
+                assertTrue(used <= PREPAY, "$used of $PREPAY tokens used")
+                assertEquals(0, setAsideTokens(fleet))
+                assertAddsUp(fleet)
+            }
+    }
+
+    @Nested
+    inner class `a table that comes back several times` {
+        @Test
+        fun `is not overspent when a router misses an era`() =
+            fleetTest(options) { fleet ->
+                startRouters(fleet, 3)
+                val copy = fleet.table.copy()
+                val added = fleet.start("added")
+                added.maintenance.prefetchGrants(setOf(BUDGET))
+                delay(1_000)
+                var used = spend(added, 40)
+                added.tableLink.isPartitioned = true
+                comeBackFrom(fleet, copy)
+                used += spend(fleet.routers.getValue("r1"), 20)
+                val second = fleet.table.copy()
+                used += spend(fleet.routers.getValue("r2"), 20)
+                comeBackFrom(fleet, second)
+                delay(2_000)
+                added.tableLink.isPartitioned = false
+                delay(40_000)
+                used += spendAll(fleet)
+                assertTrue(used <= PREPAY, "$used of $PREPAY tokens used")
+                assertTrue(used >= PREPAY * 9 / 10, "only $used of $PREPAY tokens used")
+                assertAddsUp(fleet)
+            }
+    }
+
+    @Nested
+    inner class `a transaction of an earlier era` {
+        @Test
+        fun `does not take effect after the change is known, guarding against versions that are given out again`() =
+            fleetTest(options) { fleet ->
+                startRouters(fleet, 2)
+                val copy = fleet.table.copy()
+                comeBackFrom(fleet, copy)
+                delay(2_000)
+                val late =
+                    TableTransaction("late", listOf(RowCheck("other", 0)), listOf(writeRow("other", 1)))
+                        .checkedInEra(StoreEra(1))
+                val outcome = assertIs<TableResult.Response<*>>(fleet.table.commit(late)).value
+                assertIs<CommitOutcome.Conflict>(outcome)
+            }
+    }
+
+    @Nested
+    inner class `a table without a change of its era` {
+        @Test
+        fun `is called as often as one that states no era, guarding against a price in calm`() {
+            val calls = listOf(false, true).map { statesEra -> callsInCalm(statesEra) }
+            assertEquals(calls[0], calls[1])
+        }
+
+        private fun callsInCalm(statesEra: Boolean): List<Int> {
+            var calls = emptyList<Int>()
+            fleetTest(options) { fleet ->
+                if (statesEra) fleet.table.beginEra()
+                fleet.createFundedBudget(PREPAY)
+                repeat(3) { fleet.start("r$it").maintenance.prefetchGrants(setOf(BUDGET)) }
+                repeat(300) {
+                    fleet.routers.values.forEach { router -> router.spendNow(REQUEST_TOKENS) }
+                    delay(PACE_MS)
+                }
+                calls = fleet.routers.values.map { it.tableLink.callCount }
+            }
+            return calls
+        }
+    }
+
+    private suspend fun setAsideTokens(fleet: BudgetFleet): Long {
+        val read =
+            assertIs<TableResult.Response<TableSnapshot>>(
+                fleet.table.read(listOf(budgetKey(BUDGET))),
+            )
+        return decodeRow<BudgetRow>(
+            read.value.rows
+                .single()
+                .value,
+        ).setAsideTokens
+    }
+
+    private companion object {
+        private const val PREPAY = 120_000L
+        private const val REQUEST_TOKENS = 500L
+        private const val PACE_MS = 50L
+    }
+}
--- a/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableLink.kt
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableLink.kt
@@ -2,8 +2,13 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.coroutines.launch
 import org.lycheemount.platform.CommitOutcome
+import org.lycheemount.platform.StoreEra
+import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.TableService
 import org.lycheemount.platform.TableSnapshot
@@ -22,7 +27,17 @@
     private val scope: CoroutineScope,
     private val latencyMs: Long = 2,
     private val random: Random = Random(1),
-) : TableService {
+    private val eraOfTable: () -> StoreEra? = { null },
+) : TableService,
+    StoreEras {
+    private val latestEra = MutableStateFlow<StoreEra?>(null)
+
+    override val current: StateFlow<StoreEra?> = latestEra.asStateFlow()
+
+    /** Number of calls, with or without a response. */
+    var callCount: Int = 0
+        private set
+
     /** While true, no call reaches the table. */
     var isPartitioned: Boolean = false
 
@@ -44,6 +59,7 @@
         exchange { table.findTransaction(transactionId) }
 
     override suspend fun commit(transaction: TableTransaction): TableResult<CommitOutcome> {
+        callCount++
         if (isPartitioned) return TableResult.Unavailable("connection to the table is partitioned")
         if (random.nextDouble() < lateCommitShare) {
             scope.launch {
@@ -54,17 +70,24 @@
         }
         delay(latencyMs)
         val result = table.commit(transaction)
+        val era = eraOfTable()
         delay(latencyMs)
         val isDropped = isPartitioned || random.nextDouble() < droppedResponseShare
-        return if (isDropped && result is TableResult.Response) TableResult.Unknown("response dropped") else result
+        if (isDropped && result is TableResult.Response) return TableResult.Unknown("response dropped")
+        if (result is TableResult.Response) latestEra.value = era
+        return result
     }
 
     private suspend fun <T> exchange(call: suspend () -> TableResult<T>): TableResult<T> {
+        callCount++
         if (isPartitioned) return TableResult.Unavailable("connection to the table is partitioned")
         delay(latencyMs)
         val result = call()
+        val era = eraOfTable()
         delay(latencyMs)
-        return if (isPartitioned) TableResult.Unavailable("connection to the table is partitioned") else result
+        if (isPartitioned) return TableResult.Unavailable("connection to the table is partitioned")
+        if (result is TableResult.Response) latestEra.value = era
+        return result
     }
 
     private companion object {
--- a/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableService.kt
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableService.kt
@@ -2,6 +2,7 @@
 
 import org.lycheemount.common.Clock
 import org.lycheemount.platform.CommitOutcome
+import org.lycheemount.platform.StoreEra
 import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.TableRow
 import org.lycheemount.platform.TableService
@@ -17,6 +18,10 @@
     private val outcomes = mutableMapOf<String, CommitOutcome>()
     private var lastVersion = 0L
 
+    /** Era that responses state; null for none. */
+    var era: StoreEra? = null
+        private set
+
     /** While false, every call returns [TableResult.Unavailable]. */
     var isAvailable: Boolean = true
 
@@ -72,6 +77,29 @@
         changeCount++
     }
 
+    /** State of the table at one moment, with all transactions that it knows. */
+    class Copy internal constructor(
+        internal val rows: List<TableRow>,
+        internal val outcomes: Map<String, CommitOutcome>,
+        internal val lastVersion: Long,
+    )
+
+    fun copy(): Copy = Copy(copyRows(), outcomes.toMap(), lastVersion)
+
+    /** Begins the first era, or a new one. */
+    fun beginEra() {
+        era = StoreEra((era?.value ?: 0) + 1)
+    }
+
+    /** Comes back from [copy] in a new era. Later transactions are gone, and their versions are given out again. */
+    fun comeBackFrom(copy: Copy) {
+        restore(copy.rows)
+        outcomes.clear()
+        outcomes.putAll(copy.outcomes)
+        lastVersion = copy.lastVersion
+        beginEra()
+    }
+
     private fun decide(transaction: TableTransaction): CommitOutcome {
         val failed = transaction.checks.filter { (rows[it.key]?.version ?: 0L) != it.expectedVersion }
         if (failed.isNotEmpty()) return CommitOutcome.Conflict(failed.mapNotNull { rows[it.key] }, now())
