Claim grants of large fleets, untouched budgets and many closings

A claim without a change of the totals now leaves that row alone, reads take no transaction, and a conflict is followed by a random delay. One that has run for longer than a copy is old counts now. - After a router had ended in the lost time, tokens added to the budget later were set aside as well (0 of 120,000 usable). After a minute without its report the budget is settled without the tokens that are set aside. - Closing 90 grants again took a transaction with 185 entries; the store takes 100. They are now written 20 at a time. A router that drains opens restored budgets as well, so that it can return its grants.

--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccount.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetAccount.kt
@@ -156,7 +156,10 @@
         val row: GrantRow,
         val transactionId: String,
         val closedAtMs: Long,
-    )
+    ) {
+        /** Era of the store in which the row was last written again; 0 for none. */
+        var writtenEra = 0L
+    }
 
     private companion object {
         /** Longer than a copy of the store is old when the store comes back from it. */
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetSettlement.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetSettlement.kt
@@ -10,7 +10,7 @@
 /**
  * Makes the tokens of restored budgets available again once every router that may hold some has claimed its grants: those with a grant in
  * the restored rows, and those to which a router that has claimed its own was connected. If one of them has ended, the tokens that are
- * set aside stay charged, since nothing shows how many of them it had used.
+ * set aside stay charged, since nothing shows how many of them it had used; the budget is settled without them after some time.
  */
 internal class BudgetSettlement(
     private val recovery: GrantRecovery,
@@ -22,13 +22,14 @@
     private var nextAttemptAtMs = 0L
     private var attemptDelayMs = MIN_ATTEMPT_DELAY_MS
     private var attemptedEra = 0L
+    private var firstAttemptAtMs = 0L
 
     /** Opens and settles the budgets of [accounts] that were restored. Returns false when the table did not respond. */
     suspend fun settle(accounts: List<BudgetAccount>): Boolean {
         val restored = accounts.filter { synchronized(it) { isRestored(it) } }
         val nowMs = clock.monotonicMs()
         if (restored.isEmpty()) return true
-        if (attemptedEra != session.eraNumber) restartAttempts()
+        if (attemptedEra != session.eraNumber) restartAttempts(nowMs)
         if (nowMs < nextAttemptAtMs) return true
         nextAttemptAtMs = nowMs + attemptDelayMs
         attemptDelayMs = minOf(attemptDelayMs * 2, MAX_ATTEMPT_DELAY_MS)
@@ -38,7 +39,8 @@
         return true
     }
 
-    private fun restartAttempts() {
+    private fun restartAttempts(nowMs: Long) {
+        firstAttemptAtMs = nowMs
         attemptedEra = session.eraNumber
         attemptDelayMs = MIN_ATTEMPT_DELAY_MS
         nextAttemptAtMs = 0
@@ -47,7 +49,7 @@
     private fun isRestored(account: BudgetAccount): Boolean {
         val row = account.budgetRow ?: return false
         if (account.budgetVersion == 0L) return false
-        return !session.isCurrent(row.era) || (!row.settled && row.setAsideTokens != 0L)
+        return !session.isCurrent(row.era) || !row.settled || row.setAsideTokens != 0L
     }
 
     /** Reports without which a budget is not settled; null when the table did not respond. */
@@ -77,7 +79,8 @@
         val row = session.read(listOf(key))?.find(key) ?: return false
         val restored = decodeRow<BudgetRow>(row.value)
         val opened = restored.openedIn(session.eraNumber)
-        val changed = if (missing.isNone) opened.settledWithUnclaimed() else opened
+        val isOverdue = clock.monotonicMs() - firstAttemptAtMs >= MAX_SETTLING_MS
+        val changed = if (missing.isNone) opened.settledWithUnclaimed() else opened.copy(settled = opened.settled || isOverdue)
         logSettlement(account, opened, missing)
         if (changed == restored) {
             synchronized(account) { adopt(account, changed, row.version) }
@@ -126,6 +129,8 @@
     }
 
     private companion object {
+        /** Time after which tokens that are added to a budget are granted although the report of an ended router is missing. */
+        private const val MAX_SETTLING_MS = 60_000L
         private const val MIN_ATTEMPT_DELAY_MS = 250L
         private const val MAX_ATTEMPT_DELAY_MS = 30_000L
     }
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantClaim.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantClaim.kt
@@ -21,25 +21,40 @@
 ) {
     private val budgetKey = budgetKey(account.budgetId)
     private val foundBudget = snapshot.find(budgetKey)
-    private var budget = (foundBudget?.let { decodeRow<BudgetRow>(it.value) } ?: BudgetRow(0, 0)).openedIn(era)
+    private val openedBudget = (foundBudget?.let { decodeRow<BudgetRow>(it.value) } ?: BudgetRow(0, 0)).openedIn(era)
+    private var budget = openedBudget
     private val rows = mutableListOf<GrantRow>()
     private val proposed = mutableListOf<Grant>()
     private var reducedTokens = 0L
 
-    /** Claims [grants] and writes [lostClosings] again. Returns null if no row can be proposed yet. */
+    /**
+     * Claims [grants] and writes [lostClosings] again; with [isLast], nothing of the account is left to be claimed. Returns null if no row
+     * can be proposed yet.
+     */
     fun plan(
         grants: List<Grant>,
         lostClosings: List<BudgetAccount.Closing>,
+        isLast: Boolean,
     ): WriteAttempt? {
         account.closing = false
         for (closing in lostClosings) replace(closing.row.copy(era = era))
         for (grant in grants) replace(heldRow(grant) ?: return cancel())
-        val checks = listOf(RowCheck(budgetKey, foundBudget?.version ?: 0)) + rows.map { RowCheck(keyOf(it), versionOf(keyOf(it))) }
-        val writes = listOf(writeRow(budgetKey, budget)) + rows.map { writeRow(keyOf(it), it) }
+        val checks = rows.map { RowCheck(keyOf(it), versionOf(keyOf(it))) }
+        val writes = rows.map { writeRow(keyOf(it), it) }
+        // Without a change of the totals, the row of the budget is left alone: all routers claim at the same time.
+        val isBudgetChanged = budget != openedBudget
+        val budgetChecks = if (isBudgetChanged) listOf(RowCheck(budgetKey, foundBudget?.version ?: 0)) else emptyList()
+        val budgetWrites = if (isBudgetChanged) listOf(writeRow(budgetKey, budget)) else emptyList()
         return WriteAttempt(
-            TableTransaction(transactionId, checks, writes),
+            TableTransaction(transactionId, budgetChecks + checks, budgetWrites + writes),
             grants = emptyList(),
-            onCommitted = { versions -> onCommitted(grants, versions) },
+            onCommitted = { versions ->
+                synchronized(account) {
+                    for (closing in lostClosings) closing.writtenEra = era
+                    if (isLast) account.claimedEra = era
+                    onCommitted(grants, versions)
+                }
+            },
             onFailed = { cancel() },
         )
     }
@@ -69,14 +84,13 @@
     private fun onCommitted(
         grants: List<Grant>,
         versions: Map<String, Long>,
-    ) = synchronized(account) {
+    ) {
         val nowMs = clock.monotonicMs()
         for (grant in grants) {
             val key = grantKey(account.budgetId, grant.grantId)
             val version = versions.getValue(key)
             if (grant in proposed) grant.confirm(version, nowMs) else grant.adopt(rows.first { keyOf(it) == key }, version)
         }
-        account.claimedEra = era
         account.retireClosedGrant()
         account.wakeWaiters(nowMs)
         log.info(
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/GrantRecovery.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/GrantRecovery.kt
@@ -1,5 +1,6 @@
 package org.lycheemount.budget
 
+import kotlinx.coroutines.delay
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.RouterIdentity
@@ -22,6 +23,7 @@
     private val log: EventLog,
     private val random: Random,
 ) {
+    private val startedAtMs = clock.monotonicMs()
     private val peersSeenAtMs = HashMap<RouterIdentity, Long>()
     private var recovering = false
 
@@ -73,7 +75,7 @@
         session.enterLatestEra()
         recovering = true
         isPendingInterrupted = true
-        isWitness = false
+        isWitness = clock.monotonicMs() - startedAtMs > MAX_COPY_AGE_MS
         standsForPredecessors = reclaimer.hasClosedPredecessors
         for (account in accounts.all()) {
             synchronized(account) {
@@ -97,7 +99,7 @@
         val era = session.eraNumber
         if (endedEraWritten == era) return true
         val keys = (1..ENDED_ERAS).map { endedEraKey(era - it) }
-        val snapshot = session.read(keys) ?: return false
+        val snapshot = session.readEach(keys) ?: return false
         val missing = keys.filter { snapshot.find(it) == null }
         if (missing.isNotEmpty()) {
             val writes = missing.map { writeRow(it, era) }
@@ -115,7 +117,11 @@
         repeat(MAX_COMMIT_ATTEMPTS) {
             if (account.claimedEra == session.eraNumber) return true
             val attempt = planClaim(account) ?: return account.claimedEra == session.eraNumber
-            if (writer.run(attempt) == WriteAttemptResult.NO_RESPONSE) return false
+            when (writer.run(attempt)) {
+                WriteAttemptResult.COMMITTED -> Unit
+                WriteAttemptResult.CONFLICT -> delay(random.nextLong(MAX_CONFLICT_DELAY_MS))
+                WriteAttemptResult.NO_RESPONSE -> return false
+            }
         }
         return account.claimedEra == session.eraNumber
     }
@@ -129,21 +135,26 @@
             account.claimedEra = session.eraNumber
             return null
         }
-        val keys = (grants.map { it.grantId } + lostClosings.map { it.row.grantId }).map { grantKey(account.budgetId, it) }
-        val snapshot = session.read(listOf(budgetKey(account.budgetId)) + keys) ?: return null
+        val batch = lostClosings.take(MAX_CLOSINGS)
+        val keys = (grants.map { it.grantId } + batch.map { it.row.grantId }).map { grantKey(account.budgetId, it) }
+        val snapshot = session.readEach(listOf(budgetKey(account.budgetId)) + keys) ?: return null
         isWitness = isWitness || grants.any { snapshot.find(grantKey(account.budgetId, it.grantId)) != null }
         val claim = GrantClaim(account, snapshot, session.nextTransactionId(), session.eraNumber, writer, clock, log)
-        return synchronized(account) { claim.plan(grants, lostClosings) }
+        return synchronized(account) { claim.plan(grants, batch, isLast = batch.size == lostClosings.size) }
     }
 
     /** Grants that this router has closed and the restored rows do not show as closed; null when the table did not respond. */
     private suspend fun lostClosings(account: BudgetAccount): List<BudgetAccount.Closing>? {
-        val closings = synchronized(account) { account.closings.toList() }
+        val closings = synchronized(account) { account.closings.filter { it.writtenEra != session.eraNumber } }
         return closings.filter { (session.findOutcome(it.transactionId) ?: return null).committed == null }
     }
 
     private companion object {
         private const val MAX_COMMIT_ATTEMPTS = 8
+        private const val MAX_CONFLICT_DELAY_MS = 200L
+
+        /** Limit of closed grants in a transaction, each with a check and a write. */
+        private const val MAX_CLOSINGS = 20
 
         /** Longer than a copy is old when the store comes back from it. */
         private const val MAX_COPY_AGE_MS = 15_000L
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/StoreEraRows.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/StoreEraRows.kt
@@ -79,7 +79,7 @@
     held: GrantRow,
 ): BudgetRow {
     val tokens = held.allocatedTokens - (found?.allocatedTokens ?: 0)
-    val fromSetAside = if (settled) 0 else minOf(tokens, setAsideTokens)
+    val fromSetAside = if (settled && tokens < 0) 0 else minOf(tokens, setAsideTokens)
     val chargedTokens = held.chargedIfClosed - (found?.chargedIfClosed ?: 0)
     val settledTokens = held.settledIfClosed - (found?.settledIfClosed ?: 0)
     val openTokens = held.grantedIfOpen - (found?.grantedIfOpen ?: 0)
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableMaintenance.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableMaintenance.kt
@@ -87,8 +87,8 @@
         accounts: List<BudgetAccount>,
         nowMs: Long,
     ): Boolean {
-        if (draining) return true
         if (!components.settlement.settle(accounts)) return false
+        if (draining) return true
         // Accounts with waiting requests take precedence over refills ahead of need.
         val (waiting, others) = accounts.partition { synchronized(it) { it.waiters.isNotEmpty() } }
         if (!waiting.all { components.allocator.refillWaiting(it) }) return false
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/RestoredTableTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/RestoredTableTest.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.delay
 import org.junit.jupiter.api.Nested
+import org.lycheemount.common.BudgetId
 import org.lycheemount.platform.CommitOutcome
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.StoreEra
@@ -9,6 +10,7 @@
 import org.lycheemount.platform.TableSnapshot
 import org.lycheemount.platform.TableTransaction
 import org.lycheemount.testing.FakeTableService
+import org.lycheemount.testing.SerialPartitionTable
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -162,6 +164,92 @@
             }
     }
 
+    @Nested
+    inner class `a budget of which no router held tokens when the copy was made` {
+        @Test
+        fun `is granted again, guarding against tokens that stay set aside because nobody was seen to hold any`() =
+            fleetTest(options) { fleet ->
+                fleet.table.beginEra()
+                fleet.createFundedBudget(PREPAY)
+                repeat(2) { fleet.start("r$it") }
+                delay(20_000)
+                comeBackFrom(fleet, fleet.table.copy())
+                delay(5_000)
+                fleet.routers.values.forEach { it.maintenance.prefetchGrants(setOf(BUDGET)) }
+                delay(5_000)
+                val used = spendAll(fleet)
+                assertTrue(used in PREPAY * 9 / 10..PREPAY, "$used of $PREPAY tokens used")
+            }
+    }
+
+    @Nested
+    inner class `a budget whose tokens stay set aside` {
+        @Test
+        fun `grants what is added to it later, guarding against a raised prepay that nobody can use`() =
+            fleetTest(options) { fleet ->
+                startRouters(fleet, 3)
+                val copy = fleet.table.copy()
+                val added = fleet.start("added")
+                added.maintenance.prefetchGrants(setOf(BUDGET))
+                delay(1_000)
+                var used = spend(added, 80)
+                added.kill()
+                comeBackFrom(fleet, copy)
+                used += spendAll(fleet)
+                delay(100_000)
+                fleet.administration.topUp(BUDGET, "later", PREPAY)
+                val usedLater = spendAll(fleet)
+                assertTrue(usedLater >= PREPAY * 9 / 10, "only $usedLater of $PREPAY added tokens used")
+                assertTrue(used + usedLater <= PREPAY * 2, "${used + usedLater} of ${PREPAY * 2} tokens used")
+            }
+    }
+
+    @Nested
+    inner class `a router that has closed the grants of many ended routers` {
+        @Test
+        fun `closes them again, guarding against a transaction with more entries than the table takes`() =
+            fleetTest(options) { fleet ->
+                startRouters(fleet, 1)
+                val holder = fleet.routers.getValue("r0")
+                val copy = fleet.table.copy()
+                val account = holder.components.accounts.getOrCreate(BUDGET)
+                repeat(CLOSING_COUNT) {
+                    val row = GrantRow("ended$it", BUDGET, holder.identity, grantedTokens = 10, closed = true, chargedTokens = 10)
+                    account.recordClosing(row, "closing$it", fleet.clock.monotonicMs())
+                }
+                comeBackFrom(fleet, copy)
+                delay(5_000)
+                assertEquals(CLOSING_COUNT, fleet.status().holders.count { it.grantId.startsWith("ended") })
+                assertTrue(fleet.table.largestTransaction <= MAX_ENTRIES, "a transaction has ${fleet.table.largestTransaction} entries")
+                assertAddsUp(fleet)
+            }
+    }
+
+    @Nested
+    inner class `a fleet of 95 routers` {
+        @Test
+        fun `has claimed all grants some seconds after the return, guarding against routers that keep each other from committing`() =
+            fleetTest(options, serveTable = { table, clock -> SerialPartitionTable(table, clock, PARTITION_PER_SECOND) }) { fleet ->
+                fleet.table.beginEra()
+                val budgets = (0 until BUDGET_COUNT).map { BudgetId("b$it") }
+                for (budget in budgets) fleet.createFundedBudget(10_000_000, budgetId = budget)
+                repeat(95) {
+                    fleet.start("r$it").maintenance.prefetchGrants(budgets.toSet())
+                    delay(100)
+                }
+                delay(20_000)
+                comeBackFrom(fleet, fleet.table.copy())
+                delay(RECOVERY_MS)
+                val unclaimed =
+                    fleet.routers.values.sumOf {
+                        it.components.accounts
+                            .all()
+                            .count { account -> account.claimedEra != 2L }
+                    }
+                assertEquals(0, unclaimed, "budgets that a router has not claimed yet")
+            }
+    }
+
     @Nested
     inner class `a process that was restarted after the copy was made` {
         @Test
@@ -268,5 +356,16 @@
         private const val PREPAY = 120_000L
         private const val REQUEST_TOKENS = 500L
         private const val PACE_MS = 50L
+        private const val BUDGET_COUNT = 10
+
+        /** Transactions that a partition of the platform's store handles. */
+        private const val PARTITION_PER_SECOND = 300
+
+        /** Time after an outage from which what is owed is served as before. */
+        private const val RECOVERY_MS = 12_000L
+        private const val CLOSING_COUNT = 90
+
+        /** Entries that a transaction of the platform's store may have, less one for the id of the transaction as check and write. */
+        private const val MAX_ENTRIES = 98
     }
 }
--- a/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableService.kt
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableService.kt
@@ -36,6 +36,10 @@
     var commitCount: Int = 0
         private set
 
+    /** Largest number of checks and writes in a transaction so far. */
+    var largestTransaction: Int = 0
+        private set
+
     override suspend fun read(keys: List<String>): TableResult<TableSnapshot> = respond { TableSnapshot(keys.mapNotNull(rows::get), now()) }
 
     override suspend fun scan(
@@ -56,6 +60,7 @@
 
     override suspend fun commit(transaction: TableTransaction): TableResult<CommitOutcome> {
         if (!isAvailable) return TableResult.Unavailable("table is down")
+        largestTransaction = maxOf(largestTransaction, transaction.checks.size + transaction.writes.size)
         val outcome = outcomes.getOrPut(transaction.transactionId) { decide(transaction) }
         if (dropNextResponses > 0) {
             dropNextResponses--
