--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -101,9 +101,16 @@
             createGatewayBudgetOptions(),
             startedAtMs = startedAtMs,
             routerCount = { peers.routerCount },
+            eras = store.eras,
         )
     private val budgetLimits =
-        BudgetLimitUpdater(createBudgetLimitWriter(table) { "limits-${UUID.randomUUID()}" }, budgets.maintenance, configuration, eventLog)
+        BudgetLimitUpdater(
+            createBudgetLimitWriter(table, store.eras) { "limits-${UUID.randomUUID()}" },
+            budgets.maintenance,
+            configuration,
+            store.eras,
+            eventLog,
+        )
     private val configurationListener = ConfigurationRowListener(configuration, clock, eventLog, store.eras, ::onConfigurationChanged)
 
     // Evacuations come first: a router is ready once it has the configuration.
