Keep origins of streams apart when the store comes back from an older copy

Callers got streams with events of two software versions: a store that came back from a copy older than a release no longer had the row that opened the new version, nor the records of streams since then.

A row of versions now carries the era of the store in which it was written. One of another era proves nothing. Routers write it again, with the versions that they had seen in the table and their earlier opening, and the records of the streams that they began in the last 60 s. For 120 s, in which streams of the lost time can be resumed, only a record or the router's own memory tells an origin; a stream of a router that was killed before it wrote again is refused. That holds for a router that has just started too, since the era stands in the row, and for a transaction of the earlier era that takes effect late.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -118,7 +118,7 @@
             backendHttp::refusesConnections,
         )
     private val streamOrigins =
-        SharedStreamOrigins(createRowTableService(store, ORIGINS_TABLE_NAME, ORIGINS_PARTITION), identity, clock, eventLog) {
+        SharedStreamOrigins(createRowTableService(store, ORIGINS_TABLE_NAME, ORIGINS_PARTITION), identity, clock, eventLog, store.eras) {
             peers.routerCount
         }
     private val operatorRowWatcher = createOperatorRowWatcher(store)
--- a/process/origins/src/main/kotlin/org/lycheemount/origins/OriginBook.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/OriginBook.kt
@@ -4,6 +4,7 @@
 import org.lycheemount.common.BackendTarget
 import org.lycheemount.common.ServiceId
 import org.lycheemount.common.SoftwareVersion
+import org.lycheemount.platform.StoreEra
 import org.lycheemount.platform.TableRow
 import kotlin.random.Random
 
@@ -27,6 +28,9 @@
     /** Streams that this router began, of services that have needed no records so far. */
     private val heldOrigins = HashMap<ServiceId, ArrayDeque<WaitingOrigin>>()
 
+    /** Era of the store; null before that has stated one. */
+    private var storeEra: StoreEra? = null
+
     private var servicesWithUnusable = emptySet<ServiceId>()
 
     /** Table time less monotonic time at the last response of the table; null before the first. */
@@ -55,6 +59,22 @@
         tableTimeOffsetMs = tableTimeMs - nowMs
     }
 
+    /**
+     * The store has stated [era]. Returns whether it has come back from an older copy since the last call: then all rows that this router
+     * has read or written may be gone.
+     */
+    fun onStoreEra(
+        era: StoreEra,
+        nowMs: Long,
+    ): Boolean {
+        val previous = storeEra
+        storeEra = era
+        if (previous == null || previous == era) return false
+        services.values.forEach { it.onStoreRestored(tableTimeMs(nowMs) ?: 0) }
+        journal.writeAgain()
+        return true
+    }
+
     /** The platform lists [servers] from [nowMs] on. */
     fun onListed(
         servers: Collection<BackendServer>,
@@ -207,7 +227,7 @@
     ) = OriginLookup(StreamOrigin.Unknown(reason), LookupOutcome.UNKNOWN, mayBeRecordedLater = mayBeRecordedLater)
 
     private fun versionsOf(serviceId: ServiceId): ServiceVersions =
-        services.getOrPut(serviceId) { ServiceVersions(serviceId, CLOSE_AFTER_MS + random.nextLong(CLOSE_SPREAD_MS)) }
+        services.getOrPut(serviceId) { ServiceVersions(serviceId, CLOSE_AFTER_MS + random.nextLong(CLOSE_SPREAD_MS)) { storeEra?.value } }
 
     private companion object {
         private const val MAX_ORIGINS = 50_000
--- a/process/origins/src/main/kotlin/org/lycheemount/origins/OriginJournal.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/OriginJournal.kt
@@ -49,14 +49,15 @@
             if (row !in rows && rows.size == MAX_ROWS) break
             rows += row
             val origin = waiting.removeFirst()
-            row.streams.getOrPut(origin.version, ::ArrayList) += origin.key
-            row.size++
+            row.origins += origin
             origins += origin
         }
         if (isOld(currentRow, tableTimeMs)) retireCurrentRow()
         val deleted = writtenRows.filter { tableTimeMs - it.begunAtTableTimeMs >= DELETE_AFTER_MS }.take(MAX_DELETED_ROWS)
         if (rows.isEmpty() && deleted.isEmpty()) return null
-        val writes = rows.map { RowWrite(it.key, encodeStreams(it.streams)) } + deleted.map { RowWrite(it.key, null) }
+        val writes =
+            rows.map { RowWrite(it.key, encodeStreams(it.origins.groupBy(WaitingOrigin::version, WaitingOrigin::key))) } +
+                deleted.map { RowWrite(it.key, null) }
         return OriginBatch(writes, origins, rows, deleted)
     }
 
@@ -77,9 +78,21 @@
         waiting.addAll(0, batch.origins)
     }
 
+    /**
+     * Rows that were written may be gone. Their origins are to be written once more, in new rows: other routers may have read the table up
+     * to a time after that of the old ones.
+     */
+    fun writeAgain() {
+        retireCurrentRow()
+        val again = writtenRows.flatMap { it.origins }
+        writtenRows.forEach { it.origins.clear() }
+        waiting.addAll(0, again)
+        repeat(waiting.size - MAX_WAITING) { waiting.removeFirst() }
+    }
+
     private fun rowForNext(tableTimeMs: Long): StreamRow {
         val current = currentRow
-        if (current != null && current.size < MAX_STREAMS_PER_ROW && !isOld(current, tableTimeMs)) return current
+        if (current != null && current.origins.size < MAX_STREAMS_PER_ROW && !isOld(current, tableTimeMs)) return current
         retireCurrentRow()
         val row = StreamRow("${OriginKeys.streams(tableTimeMs)}/$runId/${rowCount++}", tableTimeMs)
         currentRow = row
@@ -131,7 +144,6 @@
     val key: String,
     val begunAtTableTimeMs: Long,
 ) {
-    val streams = LinkedHashMap<SoftwareVersion, MutableList<StreamKey>>()
-    var size = 0
+    val origins = ArrayList<WaitingOrigin>()
     var isWritten = false
 }
--- a/process/origins/src/main/kotlin/org/lycheemount/origins/ServiceVersions.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/ServiceVersions.kt
@@ -11,10 +11,16 @@
  * listed. If there is another version to begin on, they begin [BEGIN_DELAY_MS] after a version was opened. Until then, the origins of
  * streams are as clear as before, and routers record those that began earlier. A version without listed servers is closed after
  * [closeAfterMs].
+ *
+ * After the store has come back from an older copy, what this router had seen there still counts, and is written again. Until streams of
+ * that time can no longer be resumed, only records tell on which version one began: another router may have opened a version and ended.
+ *
+ * @param storeEra era of the store; null if that states none.
  */
 internal class ServiceVersions(
     private val serviceId: ServiceId,
     private val closeAfterMs: Long,
+    private val storeEra: () -> Long? = { null },
 ) {
     private val listed = HashSet<SoftwareVersion>()
 
@@ -29,6 +35,16 @@
     private var readAtMs = 0L
     private var hasList = false
 
+    /** What the table had before the store came back, until it has that again. */
+    private var lostUses = emptyMap<SoftwareVersion, VersionUse>()
+
+    /** Table time until which streams may be resumed whose versions the store may have lost while this router ran. */
+    private var lossEndsAtTableTimeMs = 0L
+    private var isReadDue = false
+
+    /** Whether [history] has what the row lacks, or the row was written in an earlier era. */
+    private var isWriteDue = false
+
     /** Versions on which streams may begin at [tableTimeMs]; null if any may be used, because no server states one. */
     fun usable(tableTimeMs: Long): Set<SoftwareVersion>? =
         if (isUnversioned) null else confirmed.filterTo(HashSet()) { history?.isPending(it, tableTimeMs) == false }
@@ -77,9 +93,11 @@
         nowMs: Long,
     ) {
         // Calls overlap, so the response of one may be older than what another has brought.
-        if (history != null && version < rowVersion && calledAtMs < readAtMs) return
-        history = current ?: VersionHistory(serviceId, incompleteUntilTableTimeMs = tableTimeMs + VersionHistory.RETENTION_MS)
+        if (history != null && !isReadDue && version < rowVersion && calledAtMs < readAtMs) return
+        val row = current ?: VersionHistory(serviceId, incompleteUntilTableTimeMs = tableTimeMs + VersionHistory.RETENTION_MS)
+        history = withLostUses(row, tableTimeMs)
         rowVersion = version
+        isReadDue = false
         readAtMs = nowMs
         confirmed.clear()
         // What replaces an unreadable row has to be written before streams begin.
@@ -87,12 +105,38 @@
         noteUnlisted(nowMs)
     }
 
+    /** The store has come back from an older copy: versions go back, and the row may lack what this router has seen there. */
+    fun onStoreRestored(tableTimeMs: Long) {
+        val before = history ?: return
+        lostUses = before.uses.filterValues { it.isKept(tableTimeMs) }
+        lossEndsAtTableTimeMs = tableTimeMs + VersionHistory.RETENTION_MS
+        isReadDue = true
+    }
+
+    /** Returns [row] with the versions that it lacks or had opened later, and notes whether it has to be written. */
+    private fun withLostUses(
+        row: VersionHistory,
+        tableTimeMs: Long,
+    ): VersionHistory {
+        val isOfEarlierEra = !row.isEmpty && row.storeEra != storeEra()
+        // A transaction of the earlier era may take effect after rows of this one were written.
+        if (isOfEarlierEra) lostUses = history?.uses.orEmpty() + lostUses
+        lostUses =
+            lostUses.filter { (version, use) ->
+                use.isKept(tableTimeMs) && if (isOfEarlierEra) row.uses[version] != use else !use.isCoveredBy(row.uses[version])
+            }
+        isWriteDue = isOfEarlierEra || lostUses.isNotEmpty()
+        if (!isWriteDue) return row
+        val incompleteUntilMs = maxOf(row.incompleteUntilTableTimeMs, tableTimeMs + VersionHistory.RETENTION_MS)
+        return row.copy(uses = row.uses + lostUses, incompleteUntilTableTimeMs = incompleteUntilMs)
+    }
+
     /** Versions on which a stream that is resumed now may have begun; null if that is not known. */
     fun candidates(
         tableTimeMs: Long,
         nowMs: Long,
     ): Set<SoftwareVersion>? {
-        val current = history?.takeIf { it.isComplete(tableTimeMs) } ?: return null
+        val current = history?.takeIf { it.isComplete(tableTimeMs) && tableTimeMs >= lossEndsAtTableTimeMs } ?: return null
         val known = listed + unlistedSinceMs.filterValues { nowMs - it < VersionHistory.RETENTION_MS }.keys
         return current.candidates(tableTimeMs) + known.filterNot { current.isPending(it, tableTimeMs) }
     }
@@ -109,15 +153,16 @@
         tableTimeMs: Long,
     ): VersionStep {
         if (!hasList || isUnversioned) return VersionStep.Wait(null)
-        val current = history ?: return VersionStep.Read
+        val current = history?.takeUnless { isReadDue } ?: return VersionStep.Read
         val opened = versionsToOpen(current, tableTimeMs)
         val unlistedOpen = current.uses.keys.filter { current.isOpen(it) && it !in listed }
         val dueAtMs = unlistedOpen.associateWith { unlistedSinceMs.getOrPut(it) { nowMs } + closeAfterMs }
         val closed = dueAtMs.filterValues { it <= nowMs }.keys
         // Versions that only this router has seen in use are added as closed.
-        val unknown = if (opened.isEmpty()) emptyList() else unlistedSinceMs.keys.filter { it !in current.uses }
-        if (opened.isNotEmpty() || closed.isNotEmpty()) {
-            return VersionStep.Write(current.with(opened, closed + unknown, tableTimeMs), rowVersion)
+        val unknown = if (opened.isEmpty() && !isWriteDue) emptyList() else unlistedSinceMs.keys.filter { it !in current.uses }
+        if (isWriteDue || opened.isNotEmpty() || closed.isNotEmpty()) {
+            val next = current.with(opened, closed + unknown, tableTimeMs).copy(storeEra = storeEra())
+            return VersionStep.Write(next, rowVersion)
         }
         if (open.any { it in listed && it !in confirmed }) return VersionStep.Read
         return VersionStep.Wait(dueAtMs.values.minOrNull())
@@ -130,6 +175,8 @@
         val spareVersions = (MAX_VERSIONS - current.uses.values.count { it.isKept(tableTimeMs) }).coerceAtLeast(0)
         val missing = listed.filter { !current.isOpen(it) }.take(spareVersions)
         val pending = listed.filter { current.isPending(it, tableTimeMs) }
+        // A store that has come back may have lost versions on which streams have begun.
+        if (isWriteDue) return missing.associateWith { VersionUse() }
         val hasUsable = accepting.any { current.isOpen(it) && it !in pending }
         if (!hasUsable) return (missing + pending).associateWith { VersionUse() }
         val candidates = current.candidates(tableTimeMs)
--- a/process/origins/src/main/kotlin/org/lycheemount/origins/SharedStreamOrigins.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/SharedStreamOrigins.kt
@@ -16,6 +16,7 @@
 import org.lycheemount.platform.CommitOutcome
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.TableRow
 import org.lycheemount.platform.TableService
@@ -31,7 +32,11 @@
  * If there are several, the records of streams tell which. They are written in batches after the streams have begun, and only while they
  * are needed: the first event of a stream does not wait for the table, and the origin of a stream whose record was lost is unknown.
  *
+ * When the store has come back from an older copy, each router writes again what it knows: the versions in use and the records of streams
+ * that it began. For [VersionHistory.RETENTION_MS] after that, a stream goes on only if there is a record of it, at any router.
+ *
  * @param table table that holds origins and nothing else.
+ * @param eras eras of the store that holds [table].
  * @param routerCount number of routers, which share the rate of writes.
  */
 class SharedStreamOrigins(
@@ -39,6 +44,7 @@
     private val self: RouterIdentity,
     private val clock: Clock,
     private val log: EventLog,
+    private val eras: StoreEras,
     private val routerCount: () -> Int,
 ) : StreamOrigins {
     private val lock = Any()
@@ -63,6 +69,7 @@
     private var failedCalls = 0L
     private var transactionCount = 0L
     private var isTableReachable = true
+    private var restoredAtMs: Long? = null
 
     /** Table time of the last complete read; null before the first. */
     private var readAtTableTimeMs: Long? = null
@@ -83,8 +90,27 @@
         scope.launch { maintainVersions() }
         scope.launch { writeOrigins() }
         scope.launch { removeObsoleteRows() }
+        scope.launch { eras.current.collect { noteEra() } }
     }
 
+    /** Must be called before anything is concluded from a response of the table. */
+    private fun noteEra(): Unit =
+        synchronized(lock) {
+            val era = eras.current.value ?: return
+            if (!book.onStoreEra(era, clock.monotonicMs())) return
+            restoredAtMs = clock.monotonicMs()
+            readAtTableTimeMs = null
+            recordIfNeeded()
+            newOrigins.trySend(Unit)
+            versionChanges.trySend(Unit)
+            log.warn(
+                "stream_origins_lost",
+                "era" to era.value,
+                "written_again" to book.journal.waitingCount,
+                "versions" to book.openVersions,
+            )
+        }
+
     /** The platform lists [servers] now. */
     fun onBackendServers(servers: Collection<BackendServer>) {
         synchronized(lock) {
@@ -144,13 +170,15 @@
             while (true) {
                 if (!reads.await()) continue
                 latest = synchronized(lock) { book.findRead(key, serviceId, readAtTableTimeMs ?: 0, clock.monotonicMs()) }
-                if (!latest.mayBeRecordedLater || clock.monotonicMs() >= recordedByMs) break
+                if (!latest.mayBeRecordedLater || clock.monotonicMs() >= maxOf(recordedByMs, writtenAgainByMs())) break
                 delay(REREAD_DELAY_MS)
             }
         }
         return latest
     }
 
+    private fun writtenAgainByMs(): Long = synchronized(lock) { restoredAtMs }?.plus(WRITTEN_AGAIN_MS) ?: 0
+
     private fun recordIfNeeded() {
         if (book.recordIfNeeded(clock.monotonicMs())) newOrigins.trySend(Unit)
     }
@@ -174,11 +202,19 @@
             val due = steps.firstOrNull { (_, step) -> step !is VersionStep.Wait }
             if (due == null) return steps.mapNotNull { (_, step) -> (step as VersionStep.Wait).untilMs }.minOrNull()
             val (serviceId, step) = due
-            val isDone = if (step is VersionStep.Write) writeVersions(serviceId, step) else reads.await()
+            val isDone = if (step is VersionStep.Write) writeVersions(serviceId, step) else readAgain()
             if (!isDone) delay(retryDelayMs())
         }
     }
 
+    /** Reads the table. After a return of the store, the routers do so one after the other, so that most find what others have written. */
+    private suspend fun readAgain(): Boolean {
+        val spreadMs = routerCount() * WRITE_INTERVAL_PER_ROUTER_MS
+        val restored = synchronized(lock) { restoredAtMs }
+        if (restored != null && clock.monotonicMs() - restored < spreadMs) delay(synchronized(lock) { random.nextLong(spreadMs) })
+        return reads.await()
+    }
+
     /** Writes the row of [serviceId], or takes over what another router has written. Returns false if nothing was learned. */
     private suspend fun writeVersions(
         serviceId: ServiceId,
@@ -187,7 +223,7 @@
         val key = OriginKeys.versions(serviceId)
         val value = encodeHistory(step.history)
         val transaction = TableTransaction(nextTransactionId(), listOf(RowCheck(key, step.expectedVersion)), listOf(RowWrite(key, value)))
-        while (true) {
+        while (eras.current.value?.value == step.history.storeEra) {
             val calledAtMs = clock.monotonicMs()
             when (val result = table.commit(transaction)) {
                 is TableResult.Response -> {
@@ -203,6 +239,8 @@
             }
             delay(retryDelayMs())
         }
+        noteEra()
+        return true
     }
 
     private fun onVersionsDecided(
@@ -242,6 +280,7 @@
     /** Reads all rows that may have changed since the last read. Returns false if the table did not respond. */
     private suspend fun readTable(): Boolean {
         val calledAtMs = clock.monotonicMs()
+        val era = eras.current.value
         val readSinceMs = synchronized(lock) { readAtTableTimeMs }?.let { it - OriginJournal.ROW_DURATION_MS - MAX_WRITE_DELAY_MS }
         val absent = synchronized(lock) { book.serviceIds }.toMutableSet()
         var afterKey = readSinceMs?.let(OriginKeys::streams)
@@ -254,6 +293,7 @@
                 }
             synchronized(lock) {
                 onResponse(page.tableTimeMs)
+                if (era != null && era != eras.current.value) return false
                 for (row in page.rows) book.onRow(row, page.tableTimeMs, calledAtMs, clock.monotonicMs())?.let(absent::remove)
                 if (readSinceMs == null) obsoleteRows += page.rows.map { it.key }.filter { isObsolete(it, page.tableTimeMs) }
             }
@@ -350,6 +390,7 @@
     }
 
     private fun onResponse(tableTimeMs: Long) {
+        noteEra()
         book.onResponse(tableTimeMs, clock.monotonicMs())
         if (!isTableReachable) log.info("stream_origins_reachable", "waiting" to book.journal.waitingCount)
         isTableReachable = true
@@ -380,6 +421,9 @@
 
         /** Time after its write interval in which the record of another router is in the table. */
         private const val RECORD_DELAY_MS = 100L
+
+        /** Time in which all routers that reach the store notice that it has come back, and write their records again. */
+        private const val WRITTEN_AGAIN_MS = 2_000L
         private const val RETRY_DELAY_MS = 300L
         private const val RETRY_SPREAD_MS = 200L
 
--- a/process/origins/src/main/kotlin/org/lycheemount/origins/VersionHistory.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/VersionHistory.kt
@@ -8,13 +8,15 @@
  * Software versions of a service on which streams have begun lately or may begin now, as the table has them.
  *
  * @property incompleteUntilTableTimeMs table time until which streams may exist that began on a version that is missing here, because an
- * earlier history was unreadable.
+ * earlier history was unreadable or is lost.
+ * @property storeEra era of the store in which this was written; null if the store stated none, or by a release without the field.
  */
 @Serializable
 internal data class VersionHistory(
     val serviceId: ServiceId,
     val uses: Map<SoftwareVersion, VersionUse> = emptyMap(),
     val incompleteUntilTableTimeMs: Long = 0,
+    val storeEra: Long? = null,
 ) {
     /** Whether the service has had no versions. */
     val isEmpty: Boolean get() = uses.isEmpty() && incompleteUntilTableTimeMs == 0L
@@ -68,4 +70,9 @@
 ) {
     /** Whether streams that began on the version may still be resumed at [tableTimeMs], or may begin. */
     fun isKept(tableTimeMs: Long): Boolean = closedAtTableTimeMs == null || tableTimeMs - closedAtTableTimeMs < VersionHistory.RETENTION_MS
+
+    /** Whether [other] makes the version count for streams that are resumed as early as this does, and since then. */
+    fun isCoveredBy(other: VersionUse?): Boolean =
+        other != null &&
+            (other.closedAtTableTimeMs != null || closedAtTableTimeMs != null || other.beginsAtTableTimeMs <= beginsAtTableTimeMs)
 }
--- a/process/origins/src/test/kotlin/org/lycheemount/origins/FaultyTable.kt
+++ b/process/origins/src/test/kotlin/org/lycheemount/origins/FaultyTable.kt
@@ -7,17 +7,22 @@
 import org.lycheemount.platform.TableService
 import org.lycheemount.platform.TableSnapshot
 import org.lycheemount.platform.TableTransaction
+import org.lycheemount.testing.FakeStoreEras
 import org.lycheemount.testing.FakeTableLink
+import org.lycheemount.testing.FakeTableService
 import kotlin.random.Random
 
 /** One router's connection to a shared table, which may be slow, and which counts calls and bytes in [usage]. */
 internal class FaultyTable(
-    table: TableService,
+    private val table: FakeTableService,
     scope: CoroutineScope,
     random: Random,
     private val usage: TableUsage,
     private val link: FakeTableLink = FakeTableLink(table, scope, latencyMs = 2, random),
 ) : TableService by link {
+    /** Eras that the router has noticed in responses over this connection. */
+    val eras = FakeStoreEras()
+
     /** While true, no call reaches the table. */
     var isPartitioned: Boolean by link::isPartitioned
 
@@ -43,10 +48,15 @@
     ): TableResult<TableSnapshot> {
         usage.scans++
         delay(delayMs)
+        val era = table.era
         val result = link.scan(prefix, afterKey, limit)
+        if (table.era != era) return TableResult.Unavailable("the connection broke")
         delay(responseDelayMs)
         if (losesResponses) return TableResult.Unavailable("the response is lost")
-        if (result is TableResult.Response) usage.bytesRead += result.value.rows.sumOf { it.key.length + it.value.length }
+        if (result is TableResult.Response) {
+            eras.notice(era)
+            usage.bytesRead += result.value.rows.sumOf { it.key.length + it.value.length }
+        }
         return result
     }
 
@@ -56,10 +66,17 @@
         usage.maxEntries = maxOf(usage.maxEntries, transaction.writes.size + transaction.checks.size)
         usage.maxRowBytes = maxOf(usage.maxRowBytes, transaction.writes.maxOfOrNull { it.value?.length ?: 0 } ?: 0)
         delay(delayMs)
+        val era = table.era
         val result = link.commit(transaction)
+        if (table.era != era) return TableResult.Unknown("the connection broke")
         delay(responseDelayMs)
-        return if (losesResponses) TableResult.Unknown("the response is lost") else result
+        if (losesResponses) return TableResult.Unknown("the response is lost")
+        if (result is TableResult.Response) eras.notice(era)
+        return result
     }
+
+    /** The router has got a response of the store to a call of another part of it. */
+    fun noticeEra() = eras.notice(table.era)
 }
 
 /** Use of a table by a fleet. */
--- a/process/origins/src/test/kotlin/org/lycheemount/origins/SharedStreamOriginsTest.kt
+++ b/process/origins/src/test/kotlin/org/lycheemount/origins/SharedStreamOriginsTest.kt
@@ -55,7 +55,7 @@
         delay(3_000)
         val traffic = launch { fleet.sendStreams(STREAMS_PER_S, TRAFFIC_MS) }
         val disturbances = launch { faults(fleet) }
-        delay(5_000)
+        delay(BEFORE_RELEASE_MS)
         release(fleet, V1, V2)
         delay(5_000)
         release(fleet, V2, V3)
@@ -93,6 +93,21 @@
             fleet.breakStreams(0.5)
         }
 
+    /** The first copy is made just before the second version is opened. */
+    private suspend fun restoreTable(fleet: VersionedTrafficFleet) =
+        repeat(5) { round ->
+            delay(if (round == 0) BEFORE_RELEASE_MS else fleet.random.nextLong(500, 2_000))
+            val copy = fleet.table.copy()
+            delay(fleet.random.nextLong(2_500, 7_000))
+            fleet.restoreTable(copy, awayMs = fleet.random.nextLong(200, 1_500))
+            delay(fleet.random.nextLong(1, 2_000))
+            val killed = fleet.routers.filter { fleet.random.nextDouble() < 0.35 }
+            fleet.restart(killed, forMs = fleet.random.nextLong(200, 1_500))
+            fleet.breakStreams(0.3)
+            delay(CONTACT_MS + fleet.random.nextLong(100, 1_000))
+            fleet.breakStreams(0.3)
+        }
+
     private suspend fun disturbLinks(fleet: VersionedTrafficFleet) =
         repeat(6) {
             val disturbed = fleet.routers.filter { fleet.random.nextDouble() < 0.6 }
@@ -178,6 +193,10 @@
         @Test
         fun `when the table is down for seconds`() = checkFleets("table down", ::failTable)
 
+        @Test
+        fun `when the table comes back from an older copy and routers are killed`() =
+            checkFleets("table restored", ::restoreTable, resumed = { it.resumedRecordable })
+
         @Test
         fun `when routers are cut off from the table, or it is slow or loses responses`() = checkFleets("links disturbed", ::disturbLinks)
 
@@ -211,6 +230,10 @@
         private val V3 = SoftwareVersion("v3")
         private val SEEDS_BY_ROUTERS = mapOf(1 to 6, 7 to 8, 95 to 3)
         private const val SERVERS = 6
+        private const val BEFORE_RELEASE_MS = 5_000L
+
+        /** A router counts as in touch when the table has been sound for this long. */
+        private const val CONTACT_MS = 3_000L
         private const val STREAMS_PER_S = 30
         private const val TRAFFIC_MS = 45_000L
         private const val MIN_RESUMED = 12
--- a/process/origins/src/test/kotlin/org/lycheemount/origins/StreamOriginCasesTest.kt
+++ b/process/origins/src/test/kotlin/org/lycheemount/origins/StreamOriginCasesTest.kt
@@ -1,28 +1,12 @@
 package org.lycheemount.origins
 
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Job
-import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
-import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
 import org.lycheemount.common.BackendTarget
 import org.lycheemount.common.CallerAttemptId
-import org.lycheemount.common.Clock
-import org.lycheemount.common.RegionId
-import org.lycheemount.common.RouterId
-import org.lycheemount.common.RouterIdentity
 import org.lycheemount.common.ServiceId
 import org.lycheemount.common.SoftwareVersion
-import org.lycheemount.common.VmId
-import org.lycheemount.common.ZoneId
-import org.lycheemount.platform.RowWrite
-import org.lycheemount.platform.TableTransaction
-import org.lycheemount.testing.FakeEventLog
-import org.lycheemount.testing.FakeTableService
-import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -31,79 +15,11 @@
 class StreamOriginCasesTest {
     private val attempt = CallerAttemptId("attempt")
 
-    private class Fleet(
-        val test: TestScope,
-    ) {
-        val clock =
-            object : Clock {
-                override fun monotonicMs() = test.testScheduler.currentTime
-
-                override fun wallClockMs() = 1_700_000_000_000 + test.testScheduler.currentTime
-            }
-        val table = FakeTableService(clock)
-        val usage = TableUsage()
-        val log = FakeEventLog()
-        private val jobs = ArrayList<CoroutineScope>()
-
-        /** Starts a router that lists servers of [versions], and waits until it has read the table. */
-        suspend fun start(
-            id: String,
-            versions: Set<SoftwareVersion>,
-        ): Router {
-            val scope = CoroutineScope(test.coroutineContext + Job())
-            jobs += scope
-            val link = FaultyTable(table, scope, Random(1), usage)
-            val identity = RouterIdentity(RouterId(id), VmId(id), RegionId("g"), ZoneId("z"), clock.wallClockMs())
-            val origins = SharedStreamOrigins(link, identity, clock, log) { 7 }
-            origins.start(scope)
-            return Router(origins, link, scope).also {
-                it.list(versions)
-                delay(SETTLE_MS)
-            }
-        }
-
-        suspend fun writeRow(
-            key: String,
-            value: String,
-        ) = table.commit(TableTransaction("foreign-$key", emptyList(), listOf(RowWrite(key, value))))
-
-        fun rowKeys(prefix: String) = table.copyRows().map { it.key }.filter { it.startsWith(prefix) }
-
-        fun stop() = jobs.forEach { it.cancel() }
-    }
-
-    private class Router(
-        val origins: SharedStreamOrigins,
-        val link: FaultyTable,
-        private val scope: CoroutineScope,
-    ) {
-        fun list(versions: Set<SoftwareVersion>) = origins.onBackendServers(versions.map { serverOf(it) })
-
-        fun begin(
-            attemptId: CallerAttemptId,
-            version: SoftwareVersion,
-        ) = origins.onStreamBegun(attemptId, SERVICE, version)
-
-        suspend fun originOf(attemptId: CallerAttemptId?) = origins.originOf(attemptId, SERVICE, PATIENCE_MS)
-
-        fun kill() = scope.cancel()
-    }
-
-    private fun fleetTest(body: suspend Fleet.() -> Unit) =
-        runTest {
-            val fleet = Fleet(this)
-            try {
-                fleet.body()
-            } finally {
-                fleet.stop()
-            }
-        }
-
     @Nested
     inner class `a stream that is resumed after all routers lost power` {
         @Test
         fun `goes on at the only version in use, without a record`() =
-            fleetTest {
+            originCaseTest {
                 val first = start("r1", setOf(V1))
                 first.begin(attempt, V1)
                 first.kill()
@@ -115,7 +31,7 @@
 
         @Test
         fun `goes on at the version that its record names while several are in use`() =
-            fleetTest {
+            originCaseTest {
                 val first = start("r1", setOf(V1, V2))
                 first.begin(attempt, V1)
                 delay(SETTLE_MS)
@@ -128,7 +44,7 @@
 
         @Test
         fun `goes on if it began before a second version came, guarding against records of new streams only`() =
-            fleetTest {
+            originCaseTest {
                 val first = start("r1", setOf(V1))
                 first.begin(attempt, V1)
                 delay(5_000)
@@ -143,7 +59,7 @@
 
         @Test
         fun `is refused if its record was lost while several versions are in use`() =
-            fleetTest {
+            originCaseTest {
                 val first = start("r1", setOf(V1, V2))
                 first.link.isPartitioned = true
                 first.begin(attempt, V1)
@@ -157,7 +73,7 @@
 
         @Test
         fun `is refused if the servers of its version have left and its record was lost`() =
-            fleetTest {
+            originCaseTest {
                 val first = start("r1", setOf(V1))
                 first.begin(attempt, V1)
                 first.kill()
@@ -172,7 +88,7 @@
     inner class `a router that has not heard of a version yet` {
         @Test
         fun `does not take the one that it knows for the only one, guarding against an old server list`() =
-            fleetTest {
+            originCaseTest {
                 val late = start("r1", setOf(V1))
                 val early = start("r2", setOf(V1))
                 early.list(setOf(V1, V2))
@@ -186,7 +102,7 @@
 
         @Test
         fun `refuses a stream without a record, guarding against an old server list`() =
-            fleetTest {
+            originCaseTest {
                 val late = start("r1", setOf(V1))
                 val early = start("r2", setOf(V1, V2))
                 early.link.isPartitioned = true
@@ -197,7 +113,7 @@
 
         @Test
         fun `refuses streams of others while it cannot reach the table, and resumes its own`() =
-            fleetTest {
+            originCaseTest {
                 val cutOff = start("r1", setOf(V1))
                 cutOff.begin(CallerAttemptId("own"), V1)
                 cutOff.link.isPartitioned = true
@@ -211,7 +127,7 @@
     inner class `a stream without a known attempt` {
         @Test
         fun `goes on if there is only one version, and is refused without waiting if there are several`() =
-            fleetTest {
+            originCaseTest {
                 val router = start("r1", setOf(V1))
                 assertEquals(StreamOrigin.Known(V1), router.originOf(null))
 
@@ -225,7 +141,7 @@
 
         @Test
         fun `is refused if the same attempt id began streams on two versions`() =
-            fleetTest {
+            originCaseTest {
                 val first = start("r1", setOf(V1, V2))
                 val second = start("r2", setOf(V1, V2))
                 first.begin(attempt, V1)
@@ -240,7 +156,7 @@
     inner class `streams begin` {
         @Test
         fun `on a new version only after the table has it, guarding against versions that others cannot know of`() =
-            fleetTest {
+            originCaseTest {
                 val router = start("r1", setOf(V1))
                 router.link.isPartitioned = true
                 router.list(setOf(V1, V2))
@@ -255,7 +171,7 @@
 
         @Test
         fun `on a version that has left and come back only after the table has it again`() =
-            fleetTest {
+            originCaseTest {
                 val router = start("r1", setOf(V1, V2))
                 val other = start("r2", setOf(V1, V2))
                 listOf(router, other).forEach { it.list(setOf(V1)) }
@@ -270,7 +186,7 @@
 
         @Test
         fun `on no more versions than a row holds, while those of other services are not affected`() =
-            fleetTest {
+            originCaseTest {
                 val odd = List(200) { SoftwareVersion("$it") } + SoftwareVersion("x".repeat(60_000))
                 val router = start("r1", emptySet())
                 val other = serverOf(V1).copy(targets = setOf(BackendTarget.Service(ServiceId("other"))))
@@ -286,7 +202,7 @@
 
         @Test
         fun `on no version before the table has been read`() =
-            fleetTest {
+            originCaseTest {
                 table.isAvailable = false
 
                 val router = start("r1", setOf(V1))
@@ -299,7 +215,7 @@
     inner class `a version that has just come` {
         @Test
         fun `is not used for a moment, in which streams of routers that are gone still go on at the other one`() =
-            fleetTest {
+            originCaseTest {
                 val first = start("r1", setOf(V1))
                 first.begin(attempt, V1)
                 first.kill()
@@ -314,7 +230,7 @@
 
         @Test
         fun `is used at once if the other one has left, guarding against a service without servers to use`() =
-            fleetTest {
+            originCaseTest {
                 val router = start("r1", setOf(V1))
 
                 router.list(setOf(V1, V2))
@@ -331,7 +247,7 @@
     inner class `a new version beside servers that are all about to leave` {
         @Test
         fun `is used at once, guarding against a service without servers that take new streams`() =
-            fleetTest {
+            originCaseTest {
                 val router = start("r1", setOf(V1))
 
                 router.origins.onBackendServers(listOf(serverOf(V1).copy(leaving = true), serverOf(V2)))
@@ -345,7 +261,7 @@
     inner class `a version that has left` {
         @Test
         fun `counts for resumptions until its streams have ended, and then no more`() =
-            fleetTest {
+            originCaseTest {
                 val router = start("r1", setOf(V1, V2))
                 router.list(setOf(V2))
                 delay(60_000)
@@ -361,7 +277,7 @@
     inner class `servers that state no versions` {
         @Test
         fun `get any stream, and the table gets nothing`() =
-            fleetTest {
+            originCaseTest {
                 val router = start("r1", setOf(SoftwareVersion.UNSTATED))
                 router.begin(attempt, SoftwareVersion.UNSTATED)
                 delay(SETTLE_MS)
@@ -373,7 +289,7 @@
 
         @Test
         fun `are a version of their own beside others`() =
-            fleetTest {
+            originCaseTest {
                 val router = start("r1", setOf(SoftwareVersion.UNSTATED))
                 router.begin(CallerAttemptId("other"), SoftwareVersion.UNSTATED)
 
@@ -389,7 +305,7 @@
     inner class `bad rows` {
         @Test
         fun `of versions make origins unknown for the time in which streams of lost versions may be resumed`() =
-            fleetTest {
+            originCaseTest {
                 start("r1", setOf(V1))
                 writeRow(OriginKeys.versions(SERVICE), "no history")
 
@@ -403,7 +319,7 @@
 
         @Test
         fun `of streams are passed over`() =
-            fleetTest {
+            originCaseTest {
                 val first = start("r1", setOf(V1, V2))
                 first.begin(attempt, V1)
                 delay(SETTLE_MS)
@@ -419,7 +335,7 @@
 
         @Test
         fun `with fields of a later release are read`() =
-            fleetTest {
+            originCaseTest {
                 start("r1", setOf(V1))
                 val row = table.copyRows().single { it.key == OriginKeys.versions(SERVICE) }
                 writeRow(row.key, row.value.dropLast(1) + ""","later":{"a":[1]}}""")
@@ -434,7 +350,7 @@
     inner class `the table` {
         @Test
         fun `gets no call in calm times, however many streams begin`() =
-            fleetTest {
+            originCaseTest {
                 val routers = List(7) { start("r$it", setOf(V1)) }
                 val callsAtStart = usage.calls
 
@@ -449,7 +365,7 @@
 
         @Test
         fun `keeps no rows of streams that can no longer be resumed, nor those of earlier runs`() =
-            fleetTest {
+            originCaseTest {
                 val first = start("r1", setOf(V1, V2))
                 first.begin(attempt, V1)
                 delay(SETTLE_MS)
@@ -466,7 +382,7 @@
 
         @Test
         fun `gets the records of an outage when it is back, guarding against records that are given up`() =
-            fleetTest {
+            originCaseTest {
                 val first = start("r1", setOf(V1, V2))
                 table.isAvailable = false
                 first.begin(attempt, V1)
@@ -480,8 +396,6 @@
     }
 
     private companion object {
-        private const val SETTLE_MS = 3_000L
-        private const val PATIENCE_MS = 2_000L
         private const val CALM_STREAMS = 6_000
     }
 }
--- a/process/origins/src/test/kotlin/org/lycheemount/origins/VersionedTrafficFleet.kt
+++ b/process/origins/src/test/kotlin/org/lycheemount/origins/VersionedTrafficFleet.kt
@@ -140,6 +140,18 @@
         tableUnstableAtMs = clock.monotonicMs()
     }
 
+    /** Lets the table be away for [awayMs] and come back from [copy]. */
+    suspend fun restoreTable(
+        copy: FakeTableService.Copy,
+        awayMs: Long,
+    ) {
+        table.isAvailable = false
+        delay(awayMs)
+        table.comeBackFrom(copy)
+        table.isAvailable = true
+        tableUnstableAtMs = clock.monotonicMs()
+    }
+
     /** Notes that the table is disturbed now. */
     fun onTableDisturbed() {
         tableUnstableAtMs = clock.monotonicMs()
@@ -288,7 +300,7 @@
             link = runLink
             val identity = RouterIdentity(RouterId("r$index"), VmId("r$index"), RegionId("g"), ZoneId("z"), clock.wallClockMs())
             val remote = if (isFreezable) RemoteTable(runLink, scope) else runLink
-            val shared = SharedStreamOrigins(remote, identity, clock, log) { routers.size }
+            val shared = SharedStreamOrigins(remote, identity, clock, log, runLink.eras) { routers.size }
             if (isEnabled) {
                 origins = shared
                 shared.start(runScope)
@@ -297,6 +309,7 @@
                 delay(random.nextLong(1, 100))
                 while (true) {
                     if (table.isAvailable && !runLink.isPartitioned) {
+                        runLink.noticeEra()
                         listed = servers.filter { it.isListed }
                         shared.onBackendServers(listed.map { serverOf(it.version, it.id) })
                     }
--- a/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableService.kt
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableService.kt
@@ -27,6 +27,10 @@
     var changeCount: Int = 0
         private set
 
+    /** Era of the store, which rises by one with each [comeBackFrom]. */
+    var era: Long = 1
+        private set
+
     /** Commits that took effect. */
     var commitCount: Int = 0
         private set
@@ -72,6 +76,25 @@
         changeCount++
     }
 
+    /** Copies all rows, the version counter and the outcomes of transactions. */
+    fun copy(): Copy = Copy(copyRows(), lastVersion, outcomes.toMap())
+
+    /** Comes back from [copy]: later changes are gone, their versions are given out again, and a new era begins. */
+    fun comeBackFrom(copy: Copy) {
+        restore(copy.rows)
+        lastVersion = copy.lastVersion
+        outcomes.clear()
+        outcomes += copy.outcomes
+        era++
+    }
+
+    /** State of the table at one moment. */
+    class Copy internal constructor(
+        val rows: List<TableRow>,
+        internal val lastVersion: Long,
+        internal val outcomes: Map<String, CommitOutcome>,
+    )
+
     private fun decide(transaction: TableTransaction): CommitOutcome {
         val failed = transaction.checks.filter { (rows[it.key]?.version ?: 0L) != it.expectedVersion }
         if (failed.isNotEmpty()) return CommitOutcome.Conflict(failed.mapNotNull { rows[it.key] }, now())
