Register a router again when the store has come back from an older copy

Routers that started after the store had come back did not find those that had started shortly before: their rows in the list of routers were lost, and a router wrote its row once only.

Test, before (the comparison of eras taken out): "has a router whose row was lost", expected: <[vm1, vm2]> but was: <[vm2]>. After: passes. FakeRowFeed reads all rows anew in a new era, as the feed of the platform does.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
@@ -44,6 +44,7 @@
         TableVmDirectory(
             createRowTableService(store, VM_TABLE_NAME),
             createRowFeed(store, VM_TABLE_NAME),
+            store.eras,
             self,
             identity.incarnation,
             eventLog,
--- a/process/membership/src/main/kotlin/org/lycheemount/membership/TableVmDirectory.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/TableVmDirectory.kt
@@ -11,6 +11,8 @@
 import org.lycheemount.platform.RowFeed
 import org.lycheemount.platform.RowListener
 import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.StoreEra
+import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.StoreRow
 import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.TableService
@@ -19,24 +21,30 @@
 import org.lycheemount.platform.VmList
 
 /**
- * VM directory for platforms without a VM list: each router writes a row to the table when it starts.
+ * VM directory for platforms without a VM list: each router writes a row to the table when it starts, and again if the store may have lost
+ * it. The rows that a router has read count for as long as it runs, also those that the store has lost.
  *
  * Rows are never removed, because a VM that is missing from a list counts as gone for good, and nothing proves that a VM will not
  * return. The list is used to find and to count routers; the count includes replaced VMs.
  *
  * @param table table that holds the rows of VMs and nothing else that changes often, since each router follows all of its changes.
  * @param feed feed of the rows of [table].
+ * @param eras eras of the store that holds [table].
  * @param incarnation incarnation of this process, part of the id of its transaction.
  */
 class TableVmDirectory(
     private val table: TableService,
     private val feed: RowFeed,
+    private val eras: StoreEras,
     private val self: RouterVm,
     private val incarnation: Long,
     private val eventLog: EventLog,
 ) : VmDirectory {
     private val key = "$PREFIX${self.vmId.value}"
     private var isRegistered = false
+
+    /** Era of the store in which the row of this router was there. */
+    private var registeredEra: StoreEra? = null
     private val mutex = Mutex()
     private val routersByKey = sortedMapOf<String, RouterVm>()
     private var failureDetail = ""
@@ -58,11 +66,20 @@
 
     override suspend fun list(): TableResult<VmList> =
         mutex.withLock {
-            if (!isRegistered) isRegistered = register()
+            registerIfNeeded()
             if (!feed.poll(rowListener)) return TableResult.Unavailable(failureDetail)
             TableResult.Response(VmList(routersByKey.values.toList(), emptyList(), checkNotNull(feed.lastResponseTableTimeMs)))
         }
 
+    private suspend fun registerIfNeeded() {
+        val era = eras.current.value
+        if (isRegistered && era == registeredEra) return
+        if (isRegistered) eventLog.info("router_row_checked", "key" to key, "era" to era?.value)
+        isRegistered = register()
+        // No era is known before the first response of the store.
+        registeredEra = era ?: eras.current.value
+    }
+
     private suspend fun register(): Boolean {
         val current = table.read(listOf(key))
         if (current !is TableResult.Response) return false
@@ -71,7 +88,7 @@
         if (existing?.value == value) return true
         val transaction =
             TableTransaction(
-                "vm-${self.vmId.value}-$incarnation-${existing?.version ?: 0}",
+                "vm-${self.vmId.value}-$incarnation-${existing?.version ?: 0}-${eras.current.value?.value ?: 0}",
                 listOf(RowCheck(key, existing?.version ?: 0)),
                 listOf(RowWrite(key, value)),
             )
--- /dev/null
+++ b/process/membership/src/test/kotlin/org/lycheemount/membership/RestoredStoreTest.kt
@@ -0,0 +1,84 @@
+package org.lycheemount.membership
+
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Nested
+import org.lycheemount.common.DiscardingEventLog
+import org.lycheemount.common.RegionId
+import org.lycheemount.common.RouterId
+import org.lycheemount.common.VmId
+import org.lycheemount.common.ZoneId
+import org.lycheemount.platform.RouterVm
+import org.lycheemount.platform.TableResult
+import org.lycheemount.platform.VmList
+import org.lycheemount.testing.FakeClock
+import org.lycheemount.testing.FakeRowFeed
+import org.lycheemount.testing.FakeStoreEras
+import org.lycheemount.testing.FakeTableService
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+/** The store comes back from a copy that is older than the start of the routers. */
+class RestoredStoreTest {
+    private val clock = FakeClock()
+    private val table = FakeTableService(clock)
+    private val eras = FakeStoreEras().also { it.notice(table.era) }
+
+    private fun comeBackFrom(copy: FakeTableService.Copy) {
+        table.comeBackFrom(copy)
+        eras.notice(table.era)
+    }
+
+    @Nested
+    inner class `the list of routers` {
+        private fun directory(number: Int) =
+            TableVmDirectory(
+                table,
+                FakeRowFeed(table, clock::wallClockMs),
+                eras,
+                RouterVm(VmId("vm$number"), RouterId("r$number"), RegionId("r"), ZoneId("z"), "127.0.0.1", number),
+                incarnation = 1,
+                DiscardingEventLog,
+            )
+
+        private suspend fun TableVmDirectory.vms(): List<String> =
+            assertIs<TableResult.Response<*>>(list()).let { listed ->
+                (listed.value as VmList).routers.map { it.vmId.value }
+            }
+
+        @Test
+        fun `has a router whose row was lost, guarding against routers that start later and never find it`() =
+            runTest {
+                val copy = table.copy()
+                val first = directory(1)
+                first.vms()
+                comeBackFrom(copy)
+
+                first.vms()
+
+                assertEquals(listOf("vm1", "vm2"), directory(2).vms())
+            }
+
+        @Test
+        fun `keeps routers whose rows were lost, guarding against a fleet that counts too few routers`() =
+            runTest {
+                val copy = table.copy()
+                val first = directory(1)
+                val second = directory(2)
+                second.vms()
+                first.vms()
+                comeBackFrom(copy)
+
+                assertEquals(listOf("vm1", "vm2"), first.vms())
+            }
+
+        @Test
+        fun `gets no further write of a router in calm times`() =
+            runTest {
+                val first = directory(1)
+                repeat(3) { first.vms() }
+
+                assertEquals(1, table.commitCount)
+            }
+    }
+}
--- a/process/testing/src/main/kotlin/org/lycheemount/testing/FakeRowFeed.kt
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakeRowFeed.kt
@@ -18,6 +18,7 @@
 ) : RowFeed {
     private var known: Map<String, TableRow>? = null
     private var knownChangeCount = 0
+    private var knownEra = 0L
 
     override var lastResponseTableTimeMs: Long? = null
         private set
@@ -35,7 +36,8 @@
     }
 
     private fun deliverChanges(listener: RowListener): Boolean {
-        val before = known
+        val before = known.takeIf { table.era == knownEra }
+        knownEra = table.era
         lastResponseTableTimeMs = tableTimeMs()
         if (before != null && table.changeCount == knownChangeCount) return false
         knownChangeCount = table.changeCount
