Write the shared secret of the fleet again after the store has lost it

A router that started after the store had come back without the secret's row made another one, and had no links to its peers until those restarted. Routers that have the secret now write it again in each new era of the store, if the row is missing. If the table has another one by then, of a router that has started since the return, that one holds for all: the table stays the one place that decides, no router that starts later has to be told, and existing links go on. A router without the store keeps the earlier secret, and its existing links, until it reaches the store.

Tests, before (no reaction to the era): "is the same for a router that starts when the row was lost", "is written again once a silent table responds" and "is replaced by the one that a router has written since" fail: "Array elements differ at index 0", with random bytes. After: they pass.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
@@ -13,6 +13,7 @@
 import org.lycheemount.membership.MembershipSettings
 import org.lycheemount.membership.TableVmDirectory
 import org.lycheemount.membership.awaitFleetSecret
+import org.lycheemount.membership.keepFleetSecret
 import org.lycheemount.peer.socket.DefaultPeerMessenger
 import org.lycheemount.peer.socket.PeerEndpoint
 import org.lycheemount.peer.socket.PeerLinkSettings
@@ -28,15 +29,16 @@
 /** Peer links to the other routers, which are discovered through the rows that they keep in the table. */
 internal class GatewayPeers(
     private val table: TableService,
-    store: StoreClient,
+    private val store: StoreClient,
     private val self: RouterVm,
     identity: RouterIdentity,
     private val clock: Clock,
-    eventLog: EventLog,
+    private val eventLog: EventLog,
     configuration: ConfigurationView,
     private val configurationLag: ConfigurationLag,
     private val dispatcher: WorkDispatcher,
 ) : MembershipListener {
+    @Volatile
     private lateinit var fleetSecret: PeerSecret
 
     val messenger = DefaultPeerMessenger(identity, { fleetSecret }, eventLog, PEER_LINK_SETTINGS)
@@ -63,9 +65,11 @@
     /** Starts the peer links in [scope] as soon as the shared secret has been read from the table. */
     fun start(scope: CoroutineScope) {
         scope.launch {
-            fleetSecret = PeerSecret(awaitFleetSecret(table))
+            val secret = awaitFleetSecret(table)
+            fleetSecret = PeerSecret(secret)
             messenger.start(scope, self.host, self.peerPort)
             membership.start(scope)
+            scope.launch { keepFleetSecret(table, store.eras, secret, eventLog) { fleetSecret = PeerSecret(it) } }
         }
     }
 
--- a/process/membership/src/main/kotlin/org/lycheemount/membership/FleetSecret.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/FleetSecret.kt
@@ -1,8 +1,11 @@
 package org.lycheemount.membership
 
 import kotlinx.coroutines.delay
+import org.lycheemount.common.EventLog
+import org.lycheemount.platform.CommitOutcome
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.TableService
 import org.lycheemount.platform.TableTransaction
@@ -29,6 +32,39 @@
     }
 }
 
+/**
+ * Writes [secret] to [table] again each time the store has come back from an older copy without it. If the table has another secret by
+ * then, of a router that started since the return, that one holds: [onReplaced] gets it. Runs until it is cancelled.
+ */
+suspend fun keepFleetSecret(
+    table: TableService,
+    eras: StoreEras,
+    secret: ByteArray,
+    eventLog: EventLog,
+    onReplaced: (ByteArray) -> Unit,
+): Nothing {
+    var held = secret
+    eras.forEachReturn { era ->
+        val current = table.read(listOf(KEY)) as? TableResult.Response ?: return@forEachReturn false
+        val row = current.value.find(KEY)
+        if (row != null) {
+            val stored = Base64.getDecoder().decode(row.value)
+            if (!stored.contentEquals(held)) {
+                eventLog.warn("fleet_secret_replaced", "era" to era.value)
+                held = stored
+                onReplaced(stored)
+            }
+            return@forEachReturn true
+        }
+        val write = RowWrite(KEY, Base64.getEncoder().encodeToString(held))
+        val transaction = TableTransaction("fleet-secret-${UUID.randomUUID()}", listOf(RowCheck(KEY, 0)), listOf(write))
+        val outcome = table.commit(transaction)
+        val isWritten = outcome is TableResult.Response && outcome.value is CommitOutcome.Committed
+        if (isWritten) eventLog.info("fleet_secret_written_again", "era" to era.value)
+        isWritten
+    }
+}
+
 private const val KEY = "fleet-secret"
 private const val SECRET_BYTES = 32
 private const val RETRY_MS = 300L
--- a/process/membership/src/test/kotlin/org/lycheemount/membership/RestoredStoreTest.kt
+++ b/process/membership/src/test/kotlin/org/lycheemount/membership/RestoredStoreTest.kt
@@ -1,5 +1,11 @@
 package org.lycheemount.membership
 
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
 import org.lycheemount.common.DiscardingEventLog
@@ -15,6 +21,7 @@
 import org.lycheemount.testing.FakeStoreEras
 import org.lycheemount.testing.FakeTableService
 import kotlin.test.Test
+import kotlin.test.assertContentEquals
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 
@@ -24,6 +31,16 @@
     private val table = FakeTableService(clock)
     private val eras = FakeStoreEras().also { it.notice(table.era) }
 
+    private fun restoredTest(body: suspend TestScope.(CoroutineScope) -> Unit) =
+        runTest {
+            val scope = CoroutineScope(coroutineContext + Job())
+            try {
+                body(scope)
+            } finally {
+                scope.cancel()
+            }
+        }
+
     private fun comeBackFrom(copy: FakeTableService.Copy) {
         table.comeBackFrom(copy)
         eras.notice(table.era)
@@ -81,4 +98,58 @@
                 assertEquals(1, table.commitCount)
             }
     }
+
+    @Nested
+    inner class `the shared secret` {
+        private fun CoroutineScope.keep(
+            secret: ByteArray,
+            onReplaced: (ByteArray) -> Unit = {},
+        ) = launch { keepFleetSecret(table, eras, secret, DiscardingEventLog, onReplaced) }
+
+        @Test
+        fun `is the same for a router that starts when the row was lost, guarding against a fleet that finds no peers`() =
+            restoredTest { scope ->
+                val copy = table.copy()
+                val secret = awaitFleetSecret(table)
+                scope.keep(secret)
+                delay(1)
+                comeBackFrom(copy)
+                delay(1)
+
+                assertContentEquals(secret, awaitFleetSecret(table))
+            }
+
+        @Test
+        fun `is written again once a silent table responds`() =
+            restoredTest { scope ->
+                val copy = table.copy()
+                val secret = awaitFleetSecret(table)
+                scope.keep(secret)
+                delay(1)
+                comeBackFrom(copy)
+                table.isAvailable = false
+                delay(5_000)
+                table.isAvailable = true
+                delay(1_000)
+
+                assertContentEquals(secret, awaitFleetSecret(table))
+            }
+
+        @Test
+        fun `is replaced by the one that a router has written since, guarding against a fleet in two parts`() =
+            restoredTest { scope ->
+                val copy = table.copy()
+                val secret = awaitFleetSecret(table)
+                var held = secret
+                scope.keep(secret) { held = it }
+                delay(1)
+                table.comeBackFrom(copy)
+                val other = awaitFleetSecret(table)
+                eras.notice(table.era)
+                delay(1)
+
+                assertContentEquals(other, held)
+                assertContentEquals(other, awaitFleetSecret(table))
+            }
+    }
 }
