Write the incarnation of a process again after the store has lost it

The row that makes the next process on a VM take a greater incarnation, also after a step of the clock, is lost when the store comes back from a copy older than the start of the process. With both, peers ignore the next process as outdated. A process now writes its incarnation again in each new era of the store, if the row has a lower one. Still possible: the process ends before it has noticed the return, and the clock was stepped back as well.

Test, before (no reaction to the era): "is lower than that of the next one after a step of the clock", "Expected value to be true". After: passes.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
@@ -14,6 +14,7 @@
 import org.lycheemount.membership.TableVmDirectory
 import org.lycheemount.membership.awaitFleetSecret
 import org.lycheemount.membership.keepFleetSecret
+import org.lycheemount.membership.keepIncarnation
 import org.lycheemount.peer.socket.DefaultPeerMessenger
 import org.lycheemount.peer.socket.PeerEndpoint
 import org.lycheemount.peer.socket.PeerLinkSettings
@@ -31,7 +32,7 @@
     private val table: TableService,
     private val store: StoreClient,
     private val self: RouterVm,
-    identity: RouterIdentity,
+    private val identity: RouterIdentity,
     private val clock: Clock,
     private val eventLog: EventLog,
     configuration: ConfigurationView,
@@ -71,6 +72,7 @@
             membership.start(scope)
             scope.launch { keepFleetSecret(table, store.eras, secret, eventLog) { fleetSecret = PeerSecret(it) } }
         }
+        scope.launch { keepIncarnation(table, store.eras, self.vmId, identity.incarnation, eventLog) }
     }
 
     override fun onPeers(
--- a/process/membership/src/main/kotlin/org/lycheemount/membership/Incarnation.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/Incarnation.kt
@@ -6,6 +6,7 @@
 import org.lycheemount.platform.CommitOutcome
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.TableRow
 import org.lycheemount.platform.TableService
@@ -46,6 +47,31 @@
     }
 }
 
+/**
+ * Writes [incarnation] of the process that runs on the VM [vmId] to [table] again each time the store has come back from an older copy
+ * without it, so that the next process on the VM has a greater one. Runs until it is cancelled.
+ */
+suspend fun keepIncarnation(
+    table: TableService,
+    eras: StoreEras,
+    vmId: VmId,
+    incarnation: Long,
+    eventLog: EventLog,
+): Nothing {
+    eras.forEachReturn { era ->
+        val key = "$PREFIX${vmId.value}"
+        val current = table.read(listOf(key)) as? TableResult.Response ?: return@forEachReturn false
+        val row = current.value.find(key)
+        if (predecessorOf(row, eventLog) >= incarnation) return@forEachReturn true
+        val write = RowWrite(key, incarnation.toString())
+        val transaction = TableTransaction("incarnation-${UUID.randomUUID()}", listOf(RowCheck(key, row?.version ?: 0)), listOf(write))
+        val outcome = table.commit(transaction)
+        val isWritten = outcome is TableResult.Response && outcome.value is CommitOutcome.Committed
+        if (isWritten) eventLog.info("incarnation_written_again", "key" to key, "era" to era.value)
+        isWritten
+    }
+}
+
 private fun predecessorOf(
     row: TableRow?,
     eventLog: EventLog,
--- a/process/membership/src/test/kotlin/org/lycheemount/membership/RestoredStoreTest.kt
+++ b/process/membership/src/test/kotlin/org/lycheemount/membership/RestoredStoreTest.kt
@@ -24,6 +24,7 @@
 import kotlin.test.assertContentEquals
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
 
 /** The store comes back from a copy that is older than the start of the routers. */
 class RestoredStoreTest {
@@ -152,4 +153,24 @@
                 assertContentEquals(other, awaitFleetSecret(table))
             }
     }
+
+    @Nested
+    inner class `the incarnation of a process` {
+        @Test
+        fun `is lower than that of the next one after a step of the clock, guarding against peers that ignore the next one`() =
+            restoredTest { scope ->
+                val copy = table.copy()
+                val incarnation = awaitIncarnation(table, VM, wallClockMs = 50_000, DiscardingEventLog)
+                scope.launch { keepIncarnation(table, eras, VM, incarnation, DiscardingEventLog) }
+                delay(1)
+                comeBackFrom(copy)
+                delay(1)
+
+                assertTrue(awaitIncarnation(table, VM, wallClockMs = 45_000, DiscardingEventLog) > incarnation)
+            }
+    }
+
+    private companion object {
+        private val VM = VmId("vm")
+    }
 }
