Take no permits for a doubtful prompt while permits that the store has lost may count

Requests with a segment on which servers have crashed are sent one at a time, 3 s apart, by a row that a router replaces under a check of its version. After the store has come back from an older copy, that row is gone, so a second router may send such a request within the interval; and its version may stand on the permit of another router, so that the check of one who knows an earlier row passes.

A router now takes no permit for one interval, 3 s, after it has noticed a new era: by then every lost permit is past. It counts the rows that it knows as absent, so a check fails if there is one; and a permit whose response came from another era than the request is none. The same holds from the first response of the store on: a router that has just started cannot know of a return. The price is that a caller with a doubtful prompt is refused for up to 3 s after a start, with Retry-After.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -111,6 +111,7 @@
     private val quarantine =
         SharedPromptQuarantine(
             createRowTableService(store, QUARANTINE_TABLE_NAME),
+            store.eras,
             createRowFeed(store, QUARANTINE_TABLE_NAME, QUARANTINE_LONG_POLL_MS),
             identity,
             clock,
--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/ProbePermits.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/ProbePermits.kt
@@ -3,11 +3,14 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.platform.CommitOutcome
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.StoreEra
+import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.TableRow
 import org.lycheemount.platform.TableService
@@ -17,12 +20,18 @@
  * Lets the fleet send requests with a doubtful segment one at a time, [INTERVAL_MS] apart. The request that is to be sent takes the permit
  * from the table itself, so that a caller who comes alone is served. Without the table there are no permits. Thread-safe.
  *
+ * A store that has come back from an older copy has lost the permits of its last seconds, so none are taken for [INTERVAL_MS] after a
+ * router has noticed that, nor after it has heard from the store for the first time.
+ *
+ * @param eras eras of the store that holds [table].
  * @param tableTimeMs estimated time of the table.
  */
 internal class ProbePermits(
     private val table: TableService,
     private val self: RouterIdentity,
+    private val clock: Clock,
     private val log: EventLog,
+    private val eras: StoreEras,
     private val tableTimeMs: () -> Long,
 ) {
     private val lock = Any()
@@ -33,6 +42,21 @@
     /** The row of the last permit for a segment, as far as this router knows. */
     private val knownRows = HashMap<SegmentId, TableRow>()
     private var transactionCount = 0L
+    private var knownEra: StoreEra? = null
+
+    /** Monotonic time until which permits that the store has lost may count. */
+    private var lossEndsAtMs = Long.MIN_VALUE
+
+    /** Takes note of the era of the store. */
+    fun onStoreEra() =
+        synchronized(lock) {
+            val era = eras.current.value
+            if (era == knownEra) return@synchronized
+            knownEra = era
+            lossEndsAtMs = clock.monotonicMs() + INTERVAL_MS
+            // The same version may stand on another permit now, so the next check is that there is none.
+            knownRows.replaceAll { _, row -> row.copy(version = 0) }
+        }
 
     /** Whether [take] may return a permit for a request with [segment], as far as this router knows. */
     fun mayTake(segment: SegmentId): Boolean = synchronized(lock) { segment !in pending && isDue(segment) }
@@ -43,6 +67,7 @@
      */
     suspend fun take(segments: Set<SegmentId>): SegmentId? {
         if (segments.isEmpty()) return null
+        onStoreEra()
         synchronized(lock) {
             segments.firstOrNull { it in pending || !isDue(it) }?.let { return it }
             pending += segments
@@ -73,7 +98,9 @@
 
     private suspend fun commit(segments: Set<SegmentId>): CommitOutcome? {
         val transaction = synchronized(lock) { transactionFor(segments) }
+        val era = eras.current.value
         val outcome = (table.commit(transaction) as? TableResult.Response)?.value
+        if (era != null && eras.current.value != era) return null
         synchronized(lock) {
             when (outcome) {
                 is CommitOutcome.Committed ->
@@ -104,6 +131,7 @@
     }
 
     private fun isDue(segment: SegmentId): Boolean {
+        if (clock.monotonicMs() < lossEndsAtMs) return false
         val lastTakenAtMs = knownRows[segment]?.let(::takenAtTableTimeMs) ?: return true
         return tableTimeMs() - lastTakenAtMs >= INTERVAL_MS
     }
--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
@@ -17,6 +17,7 @@
 import org.lycheemount.platform.RowFeed
 import org.lycheemount.platform.RowListener
 import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.StoreRow
 import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.TableService
@@ -27,11 +28,13 @@
  * table, and a router that starts reads all of it. While the table does not respond, a router goes on with what it knows.
  *
  * @param table table that holds reports and clearances and nothing else.
+ * @param eras eras of the store that holds [table].
  * @param feed long-polling feed of the rows of [table].
  * @param hasEnded whether a server refuses connections, which tells a crash from a connection that was lost for another reason.
  */
 class SharedPromptQuarantine(
     private val table: TableService,
+    private val eras: StoreEras,
     private val feed: RowFeed,
     private val self: RouterIdentity,
     private val clock: Clock,
@@ -59,7 +62,7 @@
 
     @Volatile
     private var doubtful = emptySet<SegmentId>()
-    private val probes = ProbePermits(table, self, log) { synchronized(lock) { tableTimeMs() } }
+    private val probes = ProbePermits(table, self, clock, log, eras) { synchronized(lock) { tableTimeMs() } }
 
     override val quarantinedCount: Int
         get() {
@@ -90,6 +93,7 @@
         scope.launch { while (true) if (!feed.poll(rowListener)) delay(RETRY_DELAY_MS) }
         scope.launch { for (write in writes) commit(write) }
         scope.launch { for (run in brokenRuns) scope.launch { reportIfEnded(run) } }
+        scope.launch { eras.current.collect { probes.onStoreEra() } }
     }
 
     override fun refusalFor(prompt: PromptSegments): Refusal? =
--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/HarmfulTrafficFleet.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/HarmfulTrafficFleet.kt
@@ -21,6 +21,7 @@
 import org.lycheemount.common.ZoneId
 import org.lycheemount.testing.FakeEventLog
 import org.lycheemount.testing.FakeRowFeed
+import org.lycheemount.testing.FakeStoreEras
 import org.lycheemount.testing.FakeTableService
 import kotlin.random.Random
 
@@ -69,6 +70,7 @@
             override fun wallClockMs() = TABLE_EPOCH_MS + scheduler.currentTime
         }
     val table = FakeTableService(clock)
+    private val eras = FakeStoreEras()
     private val random = Random(seed)
     private val servers = List(pattern.serverCount) { Server(it) }
     private var routerScope = scope + Job(scope.coroutineContext[Job])
@@ -85,10 +87,13 @@
         if (!isEnabled) return DisabledPromptQuarantine
         val identity = RouterIdentity(RouterId("r$index"), VmId("r$index"), RegionId("g"), ZoneId("z"), clock.wallClockMs())
         val hasEnded = { server: BackendServer -> servers.none { it.isUp && it.describe() == server } }
-        return SharedPromptQuarantine(table, FakeRowFeed(table, clock::wallClockMs), identity, clock, FakeEventLog()) { hasEnded(it) }
+        return SharedPromptQuarantine(table, eras, FakeRowFeed(table, clock::wallClockMs), identity, clock, FakeEventLog()) { hasEnded(it) }
             .also { it.start(routerScope) }
     }
 
+    /** All routers get a response of the store. */
+    fun noticeEra() = eras.notice(table.era)
+
     /** Ends all routers and starts as many, which know only what the table holds. */
     fun restartRouters() {
         routerScope.cancel()
--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/ProbePermitsTest.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/ProbePermitsTest.kt
@@ -9,6 +9,7 @@
 import org.lycheemount.common.ZoneId
 import org.lycheemount.testing.FakeClock
 import org.lycheemount.testing.FakeEventLog
+import org.lycheemount.testing.FakeStoreEras
 import org.lycheemount.testing.FakeTableService
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -18,9 +19,11 @@
     private val clock = FakeClock()
     private val table = FakeTableService(clock)
 
+    private val eras = FakeStoreEras()
+
     private fun permits(number: Int): ProbePermits {
         val identity = RouterIdentity(RouterId("r$number"), VmId("vm$number"), RegionId("r"), ZoneId("z"), incarnation = 1)
-        return ProbePermits(table, identity, FakeEventLog()) { clock.monotonicMs() }
+        return ProbePermits(table, identity, clock, FakeEventLog(), eras) { clock.monotonicMs() }
     }
 
     @Nested
@@ -63,6 +66,58 @@
             }
     }
 
+    @Nested
+    inner class `after the store has come back from an older copy` {
+        @Test
+        fun `nothing is sent on a permit that another router took in the lost time, guarding against two requests in one interval`() =
+            runTest {
+                eras.notice(table.era)
+                val ownPermits = permits(1)
+                val otherPermits = permits(2)
+                listOf(ownPermits, otherPermits).forEach { it.onStoreEra() }
+                clock.nowMs += ProbePermits.INTERVAL_MS
+                val copy = table.copy()
+                assertNull(otherPermits.take(setOf(FIRST)))
+                clock.nowMs += 100
+                table.comeBackFrom(copy)
+                eras.notice(table.era)
+
+                assertEquals(FIRST, ownPermits.take(setOf(FIRST)))
+                clock.nowMs += ProbePermits.INTERVAL_MS
+                assertNull(ownPermits.take(setOf(FIRST)))
+            }
+
+        @Test
+        fun `nothing is sent on a version that was given out again, guarding against a check that another permit passes`() =
+            runTest {
+                eras.notice(table.era)
+                val ownPermits = permits(1)
+                val otherPermits = permits(2)
+                listOf(ownPermits, otherPermits).forEach { it.onStoreEra() }
+                clock.nowMs += ProbePermits.INTERVAL_MS
+                val copy = table.copy()
+                assertNull(ownPermits.take(setOf(FIRST)))
+                table.comeBackFrom(copy)
+                eras.notice(table.era)
+                listOf(ownPermits, otherPermits).forEach { it.onStoreEra() }
+                clock.nowMs += ProbePermits.INTERVAL_MS
+                assertNull(otherPermits.take(setOf(FIRST)))
+
+                assertEquals(FIRST, ownPermits.take(setOf(FIRST)))
+            }
+
+        @Test
+        fun `nothing is sent by a router that has just started, guarding against lost permits that it cannot know of`() =
+            runTest {
+                eras.notice(table.era)
+                val permits = permits(1)
+
+                assertEquals(FIRST, permits.take(setOf(FIRST)))
+                clock.nowMs += ProbePermits.INTERVAL_MS
+                assertNull(permits.take(setOf(FIRST)))
+            }
+    }
+
     private companion object {
         private val FIRST = SegmentId(1)
         private val SECOND = SegmentId(2)
