Write reports of crashes again after the store has lost them

Routers that started after the store had come back from an older copy did not know the crashes of the lost seconds, and sent requests that crash servers until these had crashed as often again. The other routers keep what they know, also what the store lacks.

Each router now writes again, in each new era of the store, the reports and clearances that it wrote in the last 120 s, 200 at most. Older ones were in the copy, or were written again after an earlier return. Reports of a router that has ended before it noticed the return are lost to those that start later.

Test, before (no reaction to the era): SharedPromptQuarantineTest, "are refused by a router that starts when the store has lost the reports": "expected: not <null>". After: all of SharedPromptQuarantineTest, ProbePermitsTest and CrashEvidenceTest pass.

--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.filterNotNull
 import kotlinx.coroutines.launch
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -17,6 +18,7 @@
 import org.lycheemount.platform.RowFeed
 import org.lycheemount.platform.RowListener
 import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.StoreEra
 import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.StoreRow
 import org.lycheemount.platform.TableResult
@@ -25,7 +27,8 @@
 
 /**
  * Quarantine that all routers share through a table of their own. What one of them learns reaches the others by the change feed of that
- * table, and a router that starts reads all of it. While the table does not respond, a router goes on with what it knows.
+ * table, and a router that starts reads all of it. While the table does not respond, a router goes on with what it knows. When the store
+ * has come back from an older copy, each router writes again what it wrote lately.
  *
  * @param table table that holds reports and clearances and nothing else.
  * @param eras eras of the store that holds [table].
@@ -48,6 +51,9 @@
     private val brokenRuns = Channel<VmId>(Channel.UNLIMITED)
     private val writes =
         Channel<RowWrite>(MAX_PENDING_WRITES, BufferOverflow.DROP_OLDEST) { log.warn("quarantine_row_not_written", "key" to it.key) }
+
+    /** The latest writes of this router, oldest first, with their monotonic times. */
+    private val recentWrites = ArrayDeque<Pair<Long, RowWrite>>()
     private var writeCount = 0L
     private var reportCount = 0L
 
@@ -93,7 +99,30 @@
         scope.launch { while (true) if (!feed.poll(rowListener)) delay(RETRY_DELAY_MS) }
         scope.launch { for (write in writes) commit(write) }
         scope.launch { for (run in brokenRuns) scope.launch { reportIfEnded(run) } }
-        scope.launch { eras.current.collect { probes.onStoreEra() } }
+        scope.launch { followEras() }
+    }
+
+    private suspend fun followEras() {
+        var known = eras.current.value
+        eras.current.filterNotNull().collect { era ->
+            probes.onStoreEra()
+            if (known != null && known != era) writeAgain(era)
+            known = era
+        }
+    }
+
+    private fun writeAgain(era: StoreEra) =
+        synchronized(lock) {
+            val oldestMs = clock.monotonicMs() - MAX_LOST_MS
+            recentWrites.removeIf { (atMs, _) -> atMs < oldestMs }
+            recentWrites.forEach { (_, write) -> writes.trySend(write) }
+            log.info("quarantine_rows_written_again", "era" to era.value, "rows" to recentWrites.size)
+        }
+
+    private fun write(row: RowWrite) {
+        recentWrites += clock.monotonicMs() to row
+        if (recentWrites.size > MAX_PENDING_WRITES) recentWrites.removeFirst()
+        writes.trySend(row)
     }
 
     override fun refusalFor(prompt: PromptSegments): Refusal? =
@@ -177,7 +206,7 @@
             // A busy router may notice further broken connections of the same crash later, which make a second report.
             val key = "$CRASH_PREFIX${run.value}/${self.routerId.value}/${self.incarnation}/${reportCount++}"
             evidence.add(key, report)
-            writes.trySend(RowWrite(key, Json.encodeToString(CrashReport.serializer(), report)))
+            write(RowWrite(key, Json.encodeToString(CrashReport.serializer(), report)))
             evaluate()
         }
     }
@@ -185,7 +214,7 @@
     private fun clear(segment: SegmentId) {
         val clearance = SegmentClearance(tableTimeMs())
         evidence.clear(segment, clearance.atTableTimeMs)
-        writes.trySend(RowWrite("$CLEARED_PREFIX$segment", Json.encodeToString(SegmentClearance.serializer(), clearance)))
+        write(RowWrite("$CLEARED_PREFIX$segment", Json.encodeToString(SegmentClearance.serializer(), clearance)))
         // A segment that explains no crashes changes nothing for the others, and many are cleared after a crash.
         if (segment in doubtful || responsible.any { segment in it.segments }) evaluate() else suspected -= segment
     }
@@ -268,6 +297,9 @@
         /** A row that the table refuses must not hold back the ones after it for longer than reports matter. */
         private const val MAX_WRITE_ATTEMPTS = 150
         private const val MAX_PENDING_WRITES = 200
+
+        /** The store comes back from a copy that is some seconds old. Rows that it has lost before were written again then. */
+        private const val MAX_LOST_MS = 120_000L
         private const val MAX_WORKING_SEGMENTS = 10_000
     }
 }
--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/SharedPromptQuarantineTest.kt
@@ -174,6 +174,23 @@
             }
         }
 
+        @Test
+        fun `are refused by a router that starts when the store has lost the reports, guarding against reports written once only`() {
+            fleetTest { fleet ->
+                fleet.noticeEra()
+                val copy = fleet.table.copy()
+                fleet.run(harmfulShare = 0.25)
+                fleet.table.comeBackFrom(copy)
+                fleet.noticeEra()
+                delay(CONTACT_MS)
+                val restarted = fleet.startRouter(0)
+                delay(CONTACT_MS)
+
+                assertNotNull(restarted.refusalFor(PromptSegments(listOf(SegmentId(1), HARMFUL), SegmentId(7))))
+                assertNull(restarted.refusalFor(PromptSegments(listOf(SegmentId(1), SegmentId(100)), SegmentId(7))))
+            }
+        }
+
         @Test
         fun `are refused by routers that have learned of them while the table does not respond`() {
             fleetTest { fleet ->
