Order evacuations of zones by the era of the store before its version

After the store had come back from an older copy, an operator's order to evacuate a zone, or to end that, has a lower version than orders of before. Routers took it for an old one and told each other so: requests went on into the zone, or the zone stayed without requests.

A statement now has the era of the store as well, which goes before the version. An evacuation that the store has lost holds for 5 s after its rows were read, in which the operator writes it again, also at routers that learn of it from a peer only then; that it is kept too long costs capacity, and a request into the zone breaks the order. An evacuation that ended in the lost time counts again until the operator ends it again. Messages between routers have the era in an optional field: routers of the release before ignore it, and a statement of theirs counts as one of the receiver's era.

Tests, before (order by version only): four of the six new cases of ZoneEvacuationsTest fail ("Expected value to be true", "expected: <[false]> but was: <[]>"), PeerEvacuationExchangeTest "agree on an evacuation with a lower version": "expected: <[[z1], [z1], [z1]]> but was: <[[], [], []]>", ZoneEvacuationRowListenerTest "expected: <[z1]> but was: <[]>". After: they pass, with the other tests of evacuations. PeerEvacuationExchangeTest exchanges messages with the form of the release before in both directions.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -107,7 +107,8 @@
     private val configurationListener = ConfigurationRowListener(configuration, clock, eventLog, store.eras, ::onConfigurationChanged)
 
     // Evacuations come first: a router is ready once it has the configuration.
-    private val operatorRowListener = CombinedRowListener(ZoneEvacuationRowListener(evacuations, eventLog), configurationListener)
+    private val operatorRowListener =
+        CombinedRowListener(ZoneEvacuationRowListener(evacuations, eventLog, store.eras), configurationListener)
     private val quarantine =
         SharedPromptQuarantine(
             createRowTableService(store, QUARANTINE_TABLE_NAME),
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/PeerEvacuationExchange.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/PeerEvacuationExchange.kt
@@ -66,10 +66,10 @@
         }
     }
 
-    private fun ZoneStatement.toEntry() = EvacuationEntry(zoneId.value, isEvacuated, version, clock.monotonicMs() - asOfMs)
+    private fun ZoneStatement.toEntry() = EvacuationEntry(zoneId.value, isEvacuated, version, clock.monotonicMs() - asOfMs, era)
 
     private fun EvacuationEntry.toStatement() =
-        ZoneStatement(ZoneId(zone), isEvacuated, version, asOfMs = clock.monotonicMs() - maxOf(0, ageMs))
+        ZoneStatement(ZoneId(zone), isEvacuated, version, asOfMs = clock.monotonicMs() - maxOf(0, ageMs), era)
 
     private fun decode(
         from: RouterIdentity,
@@ -111,11 +111,12 @@
     @SerialName("e") val entries: List<EvacuationEntry>,
 )
 
-/** Carries an age instead of a time, since the clocks of routers differ. */
+/** Carries an age instead of a time, since the clocks of routers differ. Routers of earlier releases send no era and ignore it. */
 @Serializable
 private data class EvacuationEntry(
     @SerialName("z") val zone: String,
     @SerialName("e") val isEvacuated: Boolean,
     @SerialName("v") val version: Long,
     @SerialName("a") val ageMs: Long,
+    @SerialName("s") val era: Long? = null,
 )
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ZoneEvacuationRowListener.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ZoneEvacuationRowListener.kt
@@ -5,6 +5,7 @@
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.ZoneId
 import org.lycheemount.platform.RowListener
+import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.StoreRow
 import org.lycheemount.platform.adapter.checkEvacuationValue
 import org.lycheemount.platform.adapter.decodeEvacuationKey
@@ -14,7 +15,11 @@
 internal class ZoneEvacuationRowListener(
     private val evacuations: ZoneEvacuationState,
     private val eventLog: EventLog,
+    private val eras: StoreEras,
 ) : RowListener {
+    /** Era of the store in which the whole table was last read, to which later changes belong. */
+    private var era: Long? = null
+
     /** Zones of all rows, between the read of the whole table and the version that it has; null otherwise. */
     private var listed: Set<ZoneId>? = null
 
@@ -23,6 +28,7 @@
 
     override fun onAllRows(rows: List<StoreRow>) {
         invalidKeys.retainAll(rows.mapTo(HashSet()) { it.key })
+        era = eras.current.value?.value
         listed = rows.filter { it.value != null }.mapNotNullTo(HashSet()) { zoneOf(it) }
         onChangedRows(rows)
     }
@@ -31,12 +37,12 @@
         for (row in rows) {
             val zoneId = zoneOf(row) ?: continue
             row.value?.let { checkValue(row.key, it) } ?: invalidKeys.remove(row.key)
-            evacuations.onRow(zoneId, isEvacuated = row.value != null, row.version)
+            evacuations.onRow(zoneId, isEvacuated = row.value != null, row.version, era)
         }
     }
 
     override fun onCurrent(version: Long) {
-        evacuations.onCurrent(version, listed)
+        evacuations.onCurrent(version, listed, era)
         listed = null
     }
 
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ZoneEvacuationState.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ZoneEvacuationState.kt
@@ -30,24 +30,26 @@
     @Synchronized
     fun statements(): List<ZoneStatement> = evacuations.statements
 
-    /** A row of the store as of [version] says whether [zoneId] is evacuated. */
+    /** A row of the store as of [version] in [era] says whether [zoneId] is evacuated. */
     @Synchronized
     fun onRow(
         zoneId: ZoneId,
         isEvacuated: Boolean,
         version: Long,
+        era: Long? = null,
     ) {
-        val statement = ZoneStatement(zoneId, isEvacuated, version, clock.monotonicMs())
+        val statement = ZoneStatement(zoneId, isEvacuated, version, clock.monotonicMs(), era)
         if (evacuations.onRow(statement)) apply(listOf(statement), SOURCE_STORE)
     }
 
-    /** All rows as of [version] have been passed on; [listed] are their zones, or null if only changes were read. */
+    /** All rows as of [version] in [era] have been passed on; [listed] are their zones, or null if only changes were read. */
     @Synchronized
     fun onCurrent(
         version: Long,
         listed: Set<ZoneId>?,
+        era: Long? = null,
     ) {
-        val ended = evacuations.onCurrent(version, listed, clock.monotonicMs())
+        val ended = evacuations.onCurrent(version, listed, clock.monotonicMs(), era)
         if (ended.isNotEmpty()) apply(ended, SOURCE_STORE)
     }
 
@@ -90,6 +92,7 @@
         if (statement.isEvacuated) "zone_evacuated" else "zone_restored",
         "zone" to statement.zoneId.value,
         "version" to statement.version,
+        "era" to statement.era,
         "source" to source,
         "age_ms" to clock.monotonicMs() - statement.asOfMs,
     )
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/PeerEvacuationExchangeTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/PeerEvacuationExchangeTest.kt
@@ -3,6 +3,9 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.Cbor
 import org.junit.jupiter.api.Nested
 import org.lycheemount.caller.WorkDispatcher
 import org.lycheemount.common.RegionId
@@ -42,7 +45,8 @@
             zone: String,
             isEvacuated: Boolean,
             version: Long,
-        ) = state.onRow(ZoneId(zone), isEvacuated, version)
+            era: Long? = null,
+        ) = state.onRow(ZoneId(zone), isEvacuated, version, era)
     }
 
     private fun runFleet(steps: suspend TestScope.(List<Router>, FakePeerNetwork) -> Unit) =
@@ -100,6 +104,70 @@
             }
     }
 
+    @Nested
+    inner class `routers of which one has noticed that the store came back from an older copy` {
+        @Test
+        fun `agree on an evacuation with a lower version, guarding against an order that is taken for an old one`() =
+            runFleet { routers, _ ->
+                routers.forEach { it.read("z1", isEvacuated = false, version = 9, era = 1) }
+
+                routers[0].read("z1", isEvacuated = true, version = 5, era = 2)
+                delay(50)
+
+                assertEquals(List(3) { listOf("z1") }, routers.map { it.evacuated })
+            }
+    }
+
+    @Nested
+    inner class `a router of the release without eras` {
+        private val channel = PeerChannel("evacuation")
+        private val cbor = Cbor { ignoreUnknownKeys = true }
+
+        private fun FakePeerNetwork.joinEarlierRelease() =
+            join(RouterIdentity(RouterId("old"), VmId("old"), RegionId("region"), ZoneId("z"), incarnation = 1))
+
+        @Test
+        fun `reads what others tell`() =
+            runFleet { routers, network ->
+                val received = ArrayList<EarlierMessage>()
+                network.joinEarlierRelease().register(channel) { _, payload ->
+                    received += cbor.decodeFromByteArray(EarlierMessage.serializer(), payload)
+                    null
+                }
+
+                routers[0].read("z1", isEvacuated = true, version = 5, era = 2)
+                delay(1_000)
+
+                val entry = received.flatMap { it.entries }.first()
+                assertEquals(listOf("z1", true, 5L), listOf(entry.zone, entry.isEvacuated, entry.version))
+            }
+
+        @Test
+        fun `is believed`() =
+            runFleet { routers, network ->
+                val messenger = network.joinEarlierRelease()
+                val message = EarlierMessage(listOf(EarlierEntry("z1", isEvacuated = true, version = 5, ageMs = 0)))
+
+                messenger.send(routers[0].id, channel, cbor.encodeToByteArray(EarlierMessage.serializer(), message))
+                delay(50)
+
+                assertEquals(listOf("z1"), routers[0].evacuated)
+            }
+    }
+
+    @Serializable
+    private class EarlierMessage(
+        @SerialName("e") val entries: List<EarlierEntry>,
+    )
+
+    @Serializable
+    private class EarlierEntry(
+        @SerialName("z") val zone: String,
+        @SerialName("e") val isEvacuated: Boolean,
+        @SerialName("v") val version: Long,
+        @SerialName("a") val ageMs: Long,
+    )
+
     @Nested
     inner class `a message that cannot be read` {
         @Test
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ZoneEvacuationRowListenerTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ZoneEvacuationRowListenerTest.kt
@@ -10,11 +10,13 @@
 import org.lycheemount.platform.StoreRow
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.testing.FakeEventLog
+import org.lycheemount.testing.FakeStoreEras
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
 class ZoneEvacuationRowListenerTest {
     private val eventLog = FakeEventLog()
+    private val eras = FakeStoreEras()
     private val clock =
         object : Clock {
             override fun monotonicMs() = 0L
@@ -23,7 +25,7 @@
         }
     private val dispatcher = WorkDispatcher(createRequestScheduler(ZoneId("z"), seed = 1), clock)
     private val evacuations = ZoneEvacuationState(dispatcher, clock, eventLog)
-    private val listener = ZoneEvacuationRowListener(evacuations, eventLog)
+    private val listener = ZoneEvacuationRowListener(evacuations, eventLog, eras)
     private var version = 0L
 
     private val events get() = eventLog.events.map { it.first }
@@ -63,6 +65,22 @@
             assertEquals(listOf("zone_evacuated", "zone_restored"), events)
         }
 
+        @Test
+        fun `evacuates its zone though it has a lower version since the store came back from an older copy`() {
+            eras.notice(1)
+            version = 100
+            readAll(row("evacuate/z1", "{}"))
+            listener.onChangedRows(listOf(row("evacuate/z1", null)))
+
+            eras.notice(2)
+            version = 50
+            readAll()
+            listener.onChangedRows(listOf(row("evacuate/z1", "{}")))
+
+            assertEquals(listOf("z1"), evacuated)
+            assertEquals(listOf("zone_evacuated", "zone_restored", "zone_evacuated"), events)
+        }
+
         @Test
         fun `evacuates its zone although its value cannot be read, which is logged once`() {
             repeat(2) { listener.onChangedRows(listOf(row("evacuate/z1", "no JSON"))) }
--- a/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/ZoneEvacuationsTest.kt
+++ b/request/scheduling/src/test/kotlin/org/lycheemount/scheduling/ZoneEvacuationsTest.kt
@@ -12,9 +12,15 @@
     private val zone = ZoneId("z1")
     private val evacuations = ZoneEvacuations()
 
-    private fun evacuated(version: Long) = ZoneStatement(zone, isEvacuated = true, version, asOfMs = 0)
+    private fun evacuated(
+        version: Long,
+        era: Long? = null,
+    ) = ZoneStatement(zone, isEvacuated = true, version, asOfMs = 0, era)
 
-    private fun ended(version: Long) = ZoneStatement(zone, isEvacuated = false, version, asOfMs = 0)
+    private fun ended(
+        version: Long,
+        era: Long? = null,
+    ) = ZoneStatement(zone, isEvacuated = false, version, asOfMs = 0, era)
 
     @Nested
     inner class `rows of the store` {
@@ -72,6 +78,67 @@
         }
     }
 
+    @Nested
+    inner class `after the store has come back from an older copy` {
+        @Test
+        fun `an evacuation and its end hold with lower versions, guarding against an order that is taken for an old one`() {
+            evacuations.onRow(ended(9, era = 1))
+
+            assertTrue(evacuations.onRow(evacuated(5, era = 2)))
+            assertEquals(setOf(zone), evacuations.evacuatedZones)
+            assertTrue(evacuations.onRow(ended(6, era = 2)))
+            assertEquals(emptySet(), evacuations.evacuatedZones)
+        }
+
+        @Test
+        fun `an evacuation that is lost holds until the operator had time to write it again, and no longer`() {
+            evacuations.onRow(evacuated(9, era = 1))
+
+            assertEquals(emptyList(), evacuations.onCurrent(5, listed = emptySet(), nowMs = 0, era = 2))
+            assertEquals(emptyList(), evacuations.onCurrent(6, listed = null, nowMs = 4_000, era = 2))
+            assertEquals(setOf(zone), evacuations.evacuatedZones)
+
+            assertEquals(listOf(false), evacuations.onCurrent(7, listed = null, nowMs = 6_000, era = 2).map { it.isEvacuated })
+            assertEquals(emptySet(), evacuations.evacuatedZones)
+        }
+
+        @Test
+        fun `an evacuation that was written again has no end`() {
+            evacuations.onRow(evacuated(9, era = 1))
+            evacuations.onCurrent(5, listed = emptySet(), nowMs = 0, era = 2)
+
+            evacuations.onRow(evacuated(6, era = 2))
+
+            assertEquals(emptyList(), evacuations.onCurrent(7, listed = null, nowMs = 60_000, era = 2))
+            assertEquals(setOf(zone), evacuations.evacuatedZones)
+        }
+
+        @Test
+        fun `a peer that has not noticed it gets the newer statement, and one that has is believed`() {
+            evacuations.onRow(evacuated(9, era = 2))
+
+            assertEquals(PeerStatementOutcome.Outdated(evacuated(9, era = 2)), evacuations.onPeerStatement(ended(20, era = 1), nowMs = 0))
+            assertEquals(PeerStatementOutcome.Applied, evacuations.onPeerStatement(ended(4, era = 3), nowMs = 0))
+        }
+
+        @Test
+        fun `a router that starts learns of a lost evacuation from a peer, guarding against an end that spreads from it`() {
+            evacuations.onCurrent(5, listed = emptySet(), nowMs = 0, era = 2)
+
+            assertEquals(PeerStatementOutcome.Applied, evacuations.onPeerStatement(evacuated(9, era = 1), nowMs = 1_000))
+            assertEquals(setOf(zone), evacuations.evacuatedZones)
+            assertEquals(1, evacuations.onCurrent(7, listed = null, nowMs = 6_000, era = 2).size)
+        }
+
+        @Test
+        fun `a statement of a router that tells no era counts as one of this era`() {
+            evacuations.onCurrent(9, listed = emptySet(), nowMs = 0, era = 2)
+
+            assertEquals(PeerStatementOutcome.Applied, evacuations.onPeerStatement(evacuated(10), nowMs = 0))
+            assertEquals(setOf(zone), evacuations.evacuatedZones)
+        }
+    }
+
     @Nested
     inner class `a statement of a peer` {
         @Test
