--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -114,10 +114,12 @@
     private val configurationListener = ConfigurationRowListener(configuration, clock, eventLog, store.eras, ::onConfigurationChanged)
 
     // Evacuations come first: a router is ready once it has the configuration.
-    private val operatorRowListener = CombinedRowListener(ZoneEvacuationRowListener(evacuations, eventLog), configurationListener)
+    private val operatorRowListener =
+        CombinedRowListener(ZoneEvacuationRowListener(evacuations, eventLog, store.eras), configurationListener)
     private val quarantine =
         SharedPromptQuarantine(
             createRowTableService(store, QUARANTINE_TABLE_NAME),
+            store.eras,
             createRowFeed(store, QUARANTINE_TABLE_NAME, QUARANTINE_LONG_POLL_MS),
             identity,
             clock,
@@ -125,7 +127,7 @@
             backendHttp::refusesConnections,
         )
     private val streamOrigins =
-        SharedStreamOrigins(createRowTableService(store, ORIGINS_TABLE_NAME, ORIGINS_PARTITION), identity, clock, eventLog) {
+        SharedStreamOrigins(createRowTableService(store, ORIGINS_TABLE_NAME, ORIGINS_PARTITION), identity, clock, eventLog, store.eras) {
             peers.routerCount
         }
     private val operatorRowWatcher = createOperatorRowWatcher(store)
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
@@ -47,7 +47,7 @@
 
             override fun wallClockMs() = TABLE_EPOCH_MS + scheduler.currentTime
         }
-    val table = FakeTableService(clock)
+    val table = FakeTableService(clock, firstEra = null)
     private val servedTable = serveTable(table, clock)
     val vmDirectory = FakeVmDirectory(clock)
     val network = FakePeerNetwork(scope, seed = seed)
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/RestoredLimitTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/RestoredLimitTest.kt
@@ -19,7 +19,7 @@
 
 /** Limits of budgets in a table that comes back from an older copy. */
 class RestoredLimitTest {
-    private val table = FakeTableService(FakeClock())
+    private val table = FakeTableService(FakeClock(), firstEra = null)
     private val eras =
         object : StoreEras {
             override val current = MutableStateFlow<StoreEra?>(null)
--- a/process/testing/src/main/kotlin/org/lycheemount/testing/FakeRowFeed.kt
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakeRowFeed.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.delay
 import org.lycheemount.platform.RowFeed
 import org.lycheemount.platform.RowListener
+import org.lycheemount.platform.StoreEra
 import org.lycheemount.platform.StoreRow
 import org.lycheemount.platform.TableRow
 
@@ -18,6 +19,7 @@
 ) : RowFeed {
     private var known: Map<String, TableRow>? = null
     private var knownChangeCount = 0
+    private var knownEra: StoreEra? = null
 
     override var lastResponseTableTimeMs: Long? = null
         private set
@@ -35,7 +37,8 @@
     }
 
     private fun deliverChanges(listener: RowListener): Boolean {
-        val before = known
+        val before = known.takeIf { table.era == knownEra }
+        knownEra = table.era
         lastResponseTableTimeMs = tableTimeMs()
         if (before != null && table.changeCount == knownChangeCount) return false
         knownChangeCount = table.changeCount
--- a/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableService.kt
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableService.kt
@@ -10,16 +10,21 @@
 import org.lycheemount.platform.TableTransaction
 import org.lycheemount.platform.TransactionStatus
 
-/** In-memory table with configurable platform faults. */
+/**
+ * In-memory table with configurable platform faults.
+ *
+ * @param firstEra era that responses state first; null for none.
+ */
 class FakeTableService(
     private val clock: Clock,
+    firstEra: StoreEra? = StoreEra(1),
 ) : TableService {
     private val rows = sortedMapOf<String, TableRow>()
     private val outcomes = mutableMapOf<String, CommitOutcome>()
     private var lastVersion = 0L
 
-    /** Era that responses state; null for none. */
-    var era: StoreEra? = null
+    /** Era that responses state, which rises by one with each [comeBackFrom]; null for none. */
+    var era: StoreEra? = firstEra
         private set
 
     /** While false, every call returns [TableResult.Unavailable]. */
@@ -84,7 +89,7 @@
 
     /** State of the table at one moment, with all transactions that it knows. */
     class Copy internal constructor(
-        internal val rows: List<TableRow>,
+        val rows: List<TableRow>,
         internal val outcomes: Map<String, CommitOutcome>,
         internal val lastVersion: Long,
     )
