Test stated event ids beyond all events of a stream

A stream that is resumed after a stated id lets only the next id pass; nothing is skipped to or kept for it.

--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerSentEventBufferTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ServerSentEventBufferTest.kt
@@ -43,6 +43,21 @@
         }
     }
 
+    @Nested
+    inner class `a stated last event id` {
+        @Test
+        fun `beyond all events lets none of them pass, guarding against a stream that goes on anywhere`() {
+            for (stated in listOf(Long.MAX_VALUE, 1_000_000_000L, Long.MIN_VALUE)) {
+                val resumed = ServerSentEventBuffer(resumedAfterEventId = stated, isResumable = true)
+                resumed.startAttempt(isResumed = false)
+
+                assertEquals("", append("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", resumed), "$stated")
+                assertTrue(resumed.isOutOfOrder, "$stated")
+                assertEquals(0, resumed.eventCount, "$stated")
+            }
+        }
+    }
+
     @Nested
     inner class `the start of another attempt` {
         @Test
