Bound the fields of a head, and charge heads to the memory budget

Cause: the limits of a head were in bytes, and a field of three bytes costs about 100 bytes of objects. The memory budget opened its account in the handler of the request, after the head had been decoded, and counted the body only. Heads that never end were decoded field by field as well.

A head and trailers now have at most 256 fields (431 beyond it, also before the head is complete). An account is opened with the first byte of a head and charged with the fields and characters that have been decoded. It is released when the response has been written and the handler has ended. When the budget is used up, the accounts without progress for the longest time (a second at least) are dropped first, and otherwise the new head: 503 as not run with Retry-After, and the connection closes. The last eighth of the budget is for heads that cost at most 16 KB.

--- a/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/UntrustedTraffic.kt
+++ b/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/UntrustedTraffic.kt
@@ -52,6 +52,23 @@
 fun CrowdConnection.sendLargeHeads(headBytes: Int) =
     repeat(LARGE_HEADS) { send(requestHead("GET", "/working/", *Array(headBytes / LINE_BYTES, ::headerLine))) }
 
+/** Sends a head of about [headBytes] that consists of the shortest fields there are, and a body that stops short of its end. */
+fun CrowdConnection.sendShortFields(headBytes: Int) =
+    send(requestHead("POST", "/working/", "Transfer-Encoding: chunked", *shortFields(headBytes)) + UNFINISHED_BODY)
+
+/** Sends a head of about [headBytes] that consists of the shortest fields there are, and does not end it. */
+fun CrowdConnection.sendShortFieldsWithoutEnd(headBytes: Int) =
+    send(requestHead("POST", "/working/", *shortFields(headBytes)).removeSuffix("\r\n"))
+
+/** Sends a head with a request line of [lineBytes] and ordinary fields of [headBytes] together, and a body that stops short of its end. */
+fun CrowdConnection.sendLargeFields(
+    lineBytes: Int,
+    headBytes: Int,
+) = send(
+    requestHead("POST", "/working/" + "p".repeat(lineBytes), "Transfer-Encoding: chunked", *Array(headBytes / FIELD_BYTES, ::field)) +
+        UNFINISHED_BODY,
+)
+
 /** Sends a body of [LARGE_BODY_BYTES] in chunks of 64 KB without the last chunk. */
 fun CrowdConnection.sendBodyWithoutEnd() {
     send(requestHead("POST", "/working/", "Transfer-Encoding: chunked"))
@@ -72,6 +89,10 @@
         if (readResponse() == null) return
     }
 
+private fun shortFields(bytes: Int) = Array(bytes / SHORT_FIELD.length) { SHORT_FIELD.trim() }
+
+private fun field(number: Int) = "X-F-$number: ".let { it + "v".repeat(FIELD_BYTES - it.length - 2) }
+
 private fun headerLine(number: Int) = "X-Line-$number: ${"v".repeat(LINE_BYTES)}"
 
 private const val PART_BYTES = 65_536
@@ -79,5 +100,8 @@
 private const val LINE_BYTES = 4_096
 private const val LINES_PER_PART = 16
 private const val LARGE_HEADS = 10
+private const val SHORT_FIELD = "a:\r\n"
+private const val FIELD_BYTES = 100
+private const val UNFINISHED_BODY = "4\r\nbody\r\n"
 private const val CHUNKS_PER_PART = 1_024
 private val LARGE_CHUNK = "10000\r\n${"b".repeat(PART_BYTES)}\r\n".encodeToByteArray()
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/HttpListener.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/HttpListener.kt
@@ -3,6 +3,7 @@
 import io.ktor.server.application.Application
 import io.netty.handler.ssl.SslHandler
 import org.lycheemount.common.EventLog
+import org.lycheemount.common.MemoryBudget
 import org.lycheemount.listener.CallerServer
 import org.lycheemount.listener.ConnectionLimits
 import org.lycheemount.listener.ConnectionRefusal
@@ -30,6 +31,7 @@
     listener: ListenerSettings,
     eventLog: EventLog,
     bounds: ListenerBounds = ListenerBounds(),
+    memory: MemoryBudget? = null,
     limits: () -> ConnectionLimits = { ConnectionLimits() },
     onRefused: (ConnectionRefusal) -> Unit = {},
     module: Application.() -> Unit,
@@ -39,6 +41,7 @@
         listener.host,
         listener.port,
         bounds = bounds,
+        memory = memory,
         limits = limits,
         onRefused = onRefused,
         // Ktor's TLS connector builds its context only once. A handler per connection picks up replaced certificates.
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -85,7 +85,7 @@
         CallerBoundsReport(metricsRegistry, memory, clock, eventLog) { callerServer.openConnections }
     private val callers = CallerApi(callerServices())
     private val callerServer: CallerServer =
-        createHttpServer(settings.callers, eventLog, settings.limits.listenerBounds(), {
+        createHttpServer(settings.callers, eventLog, settings.limits.listenerBounds(), memory, {
             CONNECTION_LIMITS
         }, boundsReport::onConnectionRefused) { callers.installInto(this) }
     private val admin = adminListener()
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -145,6 +145,7 @@
                 hostOf(address),
                 portOf(address),
                 bounds = settings.limits.listenerBounds(),
+                memory = memory,
                 limits = ::connectionLimits,
                 onRefused = boundsReport::onConnectionRefused,
             ) { routedInterface.installInto(this) }
@@ -320,7 +321,13 @@
 
     /** Limits of the operator's configuration, which may change at any time. */
     private fun connectionLimits() =
-        configuration.current().listenerLimits.run { ConnectionLimits(maxHeaderBytes, headerTimeoutMs, initialBodyBytes = 0) }
+        configuration.current().listenerLimits.run {
+            ConnectionLimits(
+                maxHeaderBytes,
+                headerTimeoutMs = headerTimeoutMs,
+                initialBodyBytes = 0,
+            )
+        }
 
     private fun cannotServeReasons(): List<String> =
         listOfNotNull(
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnection.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnection.kt
@@ -6,6 +6,7 @@
 import io.ktor.server.routing.RoutingCall
 import io.netty.channel.Channel
 import kotlinx.coroutines.suspendCancellableCoroutine
+import org.lycheemount.common.MemoryAccount
 import java.util.concurrent.TimeUnit
 import kotlin.coroutines.resume
 
@@ -20,6 +21,17 @@
     /** Whether a body on this connection is malformed, or the connection ended within it. No other request follows it then. */
     val hasBrokenBody: Boolean get() = channel.attr(CallerConnectionHandler.BROKEN_BODY).get() == true
 
+    /**
+     * Returns the account to which the connection charges the request of the call. It must be released once the request has been handled.
+     * Null if the connection charges nothing.
+     */
+    fun retainMemory(): MemoryAccount? =
+        channel
+            .attr(CallerConnectionHandler.CONNECTION)
+            .get()
+            ?.memory
+            ?.retain()
+
     /** Permits the connection to read another [bytes] bytes of the body of the call, beyond [ConnectionLimits.initialBodyBytes]. */
     fun permitBody(bytes: Long) {
         channel.attr(CallerConnectionHandler.CONNECTION).get()?.permitBody(bytes)
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -24,6 +24,8 @@
 internal class CallerConnectionHandler(
     private val idleTimeoutS: Long,
     private val limits: () -> ConnectionLimits,
+    /** Memory of the current request. */
+    val memory: RequestMemory,
     private val onOpened: (CallerConnectionHandler) -> Unit,
     private val onClosed: (CallerConnectionHandler) -> Unit,
 ) : ChannelDuplexHandler() {
@@ -82,6 +84,7 @@
         message: Any,
     ) {
         if (message is HttpRequest) {
+            memory.onHead(message)
             requestsInProgress++
             isReadingBody = true
             permittedBodyBytes = limits().initialBodyBytes
@@ -101,6 +104,7 @@
         // A check that is due long after the end of its connection would keep it in memory.
         idleCheck?.cancel(false)
         markBrokenBody()
+        memory.release()
         context.fireChannelInactive()
     }
 
@@ -195,6 +199,7 @@
 
     private fun completeRequest() {
         requestsInProgress--
+        memory.release()
         idleSinceNs = System.nanoTime()
         when {
             !closesOnceIdle || isInProgress -> onReadPermitted()
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnections.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnections.kt
@@ -7,16 +7,19 @@
 import io.netty.util.concurrent.Future
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.suspendCancellableCoroutine
+import org.lycheemount.common.MemoryBudget
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.coroutines.resume
 
 /**
  * Listeners and open connections of one [CallerServer]. Thread-safe.
  *
+ * @param memory budget to which requests are charged; null if they are not.
  * @param onReplaced called when a connection is closed in favour of a new one.
  */
 internal class CallerConnections(
     private val maxConnections: Int,
+    private val memory: MemoryBudget?,
     private val onReplaced: () -> Unit,
 ) {
     private val listeners = ConcurrentHashMap.newKeySet<Channel>()
@@ -39,7 +42,7 @@
     fun connectionHandler(
         idleTimeoutS: Long,
         limits: () -> ConnectionLimits,
-    ) = CallerConnectionHandler(idleTimeoutS, limits, ::onOpened, ::onClosed)
+    ) = CallerConnectionHandler(idleTimeoutS, limits, RequestMemory(memory), ::onOpened, ::onClosed)
 
     /** Stops accepting connections. */
     suspend fun closeListeners() {
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
@@ -15,7 +15,8 @@
  *
  * - A request is decoded once the response to the one before it has been written. Until then, its bytes are held undecoded, and the
  *   connection is read only while few bytes are held. It is read up to that bound because the close of a connection is noticed by reading.
- * - A caller is refused if it sends too many bytes that complete no message: a head, empty lines, trailers or chunk extensions.
+ * - A caller is refused if it sends too many bytes or lines that complete no message: a head, empty lines, trailers or chunk extensions.
+ * - Heads are charged to the memory budget from their first byte on. A caller is refused if its memory is needed for others.
  * - A caller is refused if its head is malformed, or is not complete in time.
  *
  * Used by the thread of the connection.
@@ -28,7 +29,7 @@
     private lateinit var context: ChannelHandlerContext
 
     /** Handler that is placed behind the decoder. */
-    val decoded = DecodedMessageHandler(onMessage = ::onMessage, onFailure = ::onDecoderFailure)
+    val decoded = DecodedMessageHandler({ limits().maxHeaderFields }, onMessage = ::onMessage, onFailure = ::onDecoderFailure)
 
     /** Bytes that have not been passed to the decoder. */
     private var held: ByteBuf? = null
@@ -41,7 +42,7 @@
 
     /** Whether the decoder has returned a message since it was last called, so that it may return another one without more bytes. */
     private var mayHaveMessage = false
-    private var undecodedBytes = 0
+    private val undecoded = UndecodedInput()
 
     /** Whether nothing more is decoded on this connection. */
     private var isStopped = false
@@ -108,12 +109,6 @@
         }
     }
 
-    private fun ByteBuf.take(bytes: ByteBuf): ByteBuf {
-        writeBytes(bytes)
-        bytes.release()
-        return this
-    }
-
     private fun readIfFewHeld() {
         if (isReading || heldBytes >= MAX_HELD_BYTES || !context.channel().isOpen) return
         isReading = true
@@ -153,12 +148,17 @@
 
     private fun decode(bytes: ByteBuf) {
         isPartWanted = false
-        undecodedBytes += bytes.readableBytes()
+        val part = InputSize.of(bytes)
+        undecoded.add(part)
         if (!connection.isReadingBody && !headTimer.isRunning && bytes.forEachByte { it <= SPACE } >= 0) headTimer.start(nowMs())
         context.fireChannelRead(bytes)
-        if (undecodedBytes > limits().maxUndecodedBytes) {
-            refuse(ConnectionRefusal.HEAD_TOO_LARGE, TooLongHttpHeaderException("more than ${limits().maxUndecodedBytes} bytes"))
+        val limits = limits()
+        if (undecoded.exceeds(limits)) {
+            val detail = "more than ${limits.maxUndecodedBytes} bytes or ${limits.maxUndecodedLines} lines"
+            refuse(ConnectionRefusal.HEAD_TOO_LARGE, TooLongHttpHeaderException(detail))
         }
+        if (headTimer.isRunning) connection.memory.onPartOfHead(part)
+        refuseIfDropped()
         decodeRest()
     }
 
@@ -172,9 +172,14 @@
         context.fireChannelReadComplete()
     }
 
+    /** Refuses an incomplete head whose memory is needed for others. The handler of a request refuses it after that. */
+    private fun refuseIfDropped() {
+        if (headTimer.isRunning && connection.memory.isDropped) refuse(ConnectionRefusal.MEMORY_EXHAUSTED)
+    }
+
     private fun onMessage() {
         mayHaveMessage = true
-        undecodedBytes = 0
+        undecoded.clear()
         headTimer.stop()
     }
 
@@ -229,6 +234,7 @@
 
     private fun checkHead() {
         isTiming = false
+        refuseIfDropped()
         if (isStopped || !headTimer.isRunning) return
         if (headTimer.isExpired(nowMs(), limits().headerTimeoutMs)) refuseUnlessRead(READS_BEFORE_TIMEOUT) else timeHead()
     }
@@ -241,15 +247,12 @@
         context.executor().schedule({ refuseUnlessRead(turns - 1) }, 0, TimeUnit.NANOSECONDS)
     }
 
-    private fun nowMs() = System.nanoTime() / NS_PER_MS
-
     private companion object {
         private const val READ_BYTES = 4_096
 
         // With the buffer that is being read, a connection holds at most twice as much.
         private const val MAX_HELD_BYTES = 4_096
         private const val SPACE = ' '.code.toByte()
-        private const val NS_PER_MS = 1_000_000L
         private const val LINGER_MS = 500L
         private const val MAX_DISCARDED_BYTES = 262_144
 
@@ -257,3 +260,14 @@
         private const val READS_BEFORE_TIMEOUT = 10
     }
 }
+
+/** Adds [bytes] to this buffer and releases them. */
+private fun ByteBuf.take(bytes: ByteBuf): ByteBuf {
+    writeBytes(bytes)
+    bytes.release()
+    return this
+}
+
+private fun nowMs() = System.nanoTime() / NS_PER_MS
+
+private const val NS_PER_MS = 1_000_000L
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerServer.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerServer.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.ChannelPipeline
 import kotlinx.coroutines.withTimeoutOrNull
+import org.lycheemount.common.MemoryBudget
 
 /** HTTP server that accepts the connections of callers. */
 class CallerServer internal constructor(
@@ -56,6 +57,7 @@
  * @param port 0 for a free port.
  * @param idleTimeoutS time in seconds after which a connection without a request in progress is closed.
  * @param bounds bounds of all connections together.
+ * @param memory budget to which requests are charged from the first byte of their heads; null if they are not.
  * @param limits limits on connections, asked for whenever they are applied.
  * @param onRefused called when a connection is refused for what the caller sent before a request was handled.
  * @param configurePipeline changes the handlers of a new connection, for example adds TLS.
@@ -65,12 +67,13 @@
     port: Int,
     idleTimeoutS: Long = IDLE_TIMEOUT_S,
     bounds: ListenerBounds = ListenerBounds(),
+    memory: MemoryBudget? = null,
     limits: () -> ConnectionLimits = { ConnectionLimits() },
     onRefused: (ConnectionRefusal) -> Unit = {},
     configurePipeline: ChannelPipeline.() -> Unit = {},
     module: Application.() -> Unit,
 ): CallerServer {
-    val connections = CallerConnections(bounds.maxConnections) { onRefused(ConnectionRefusal.TOO_MANY_CONNECTIONS) }
+    val connections = CallerConnections(bounds.maxConnections, memory) { onRefused(ConnectionRefusal.TOO_MANY_CONNECTIONS) }
     val server =
         embeddedServer(
             Netty,
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/ConnectionLimits.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/ConnectionLimits.kt
@@ -4,28 +4,37 @@
  * Limits on what a caller may send on one connection.
  *
  * @property maxHeaderBytes maximum size of the header fields of a request. The request line may take another [REQUEST_LINE_BYTES].
+ * @property maxHeaderFields maximum number of header fields of a request, and of trailers.
  * @property headerTimeoutMs time in milliseconds within which a head that has begun must be complete.
  * @property initialBodyBytes size of the part of a body that is read before the handler of its request permits more, by
  *   [CallerConnection.permitBody].
  */
 data class ConnectionLimits(
     val maxHeaderBytes: Int = 16_384,
+    val maxHeaderFields: Int = 256,
     val headerTimeoutMs: Long = 3_000,
     val initialBodyBytes: Long = Long.MAX_VALUE,
 ) {
     /** Maximum number of consecutive bytes that complete no message or part of a body. */
     internal val maxUndecodedBytes: Int get() = maxHeaderBytes + REQUEST_LINE_BYTES
 
+    /** Maximum number of ends of lines in [maxUndecodedBytes]. */
+    internal val maxUndecodedLines: Int get() = maxHeaderFields + OTHER_LINES
+
     private companion object {
         private const val REQUEST_LINE_BYTES = 16_384
+
+        // The request line, and empty lines around the head.
+        private const val OTHER_LINES = 16
     }
 }
 
 /** Why a connection is closed for what its caller sent. */
 enum class ConnectionRefusal(
     status: String?,
+    retryAfterS: Int? = null,
 ) {
-    /** A head, the trailers or a chunk extension exceed the limit. */
+    /** A head, the trailers or a chunk extension exceed the limit, or the head or the trailers have too many fields. */
     HEAD_TOO_LARGE("431 Request Header Fields Too Large"),
 
     /** A head or the framing of a body is not valid HTTP. */
@@ -34,10 +43,19 @@
     /** A head was not complete within its timeout. */
     HEAD_TIMEOUT("408 Request Timeout"),
 
+    /** The memory of the process is needed for other requests. */
+    MEMORY_EXHAUSTED("503 Service Unavailable", retryAfterS = 1),
+
     /** The listener has too many connections; this one had no request in progress. It is closed without a response. */
     TOO_MANY_CONNECTIONS(null),
     ;
 
     /** Response that is sent before the connection is closed. */
-    internal val response = if (status == null) "" else "HTTP/1.1 $status\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+    internal val response =
+        if (status == null) {
+            ""
+        } else {
+            val retryAfter = if (retryAfterS == null) "" else "Retry-After: $retryAfterS\r\n"
+            "HTTP/1.1 $status\r\n${retryAfter}Connection: close\r\nContent-Length: 0\r\n\r\n"
+        }
 }
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/DecodedMessageHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/DecodedMessageHandler.kt
@@ -7,18 +7,22 @@
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ReferenceCountUtil
 
 /**
  * Receives the messages of the HTTP decoder. Joins small parts of a body, so that a body in one-byte chunks does not cost objects for each
- * chunk, and keeps malformed heads from the handlers of requests.
+ * chunk, and keeps heads that are malformed or have too many fields from the handlers of requests.
  *
+ * @param maxFields current maximum number of fields of a head, and of trailers.
  * @param onMessage called for each decoded message.
  * @param onFailure called for a message that cannot be decoded.
  */
 internal class DecodedMessageHandler(
+    private val maxFields: () -> Int,
     private val onMessage: () -> Unit,
     private val onFailure: (cause: Throwable, isHead: Boolean) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
@@ -34,6 +38,7 @@
         message: Any,
     ) {
         onMessage()
+        boundFields(message)
         when {
             message is HttpRequest && message.decoderResult().isFailure -> {
                 ReferenceCountUtil.release(message)
@@ -77,6 +82,17 @@
         context.fireChannelRead(end)
     }
 
+    private fun boundFields(message: Any) {
+        val fields =
+            when (message) {
+                is HttpRequest -> message.headers()
+                is LastHttpContent -> message.trailingHeaders()
+                else -> return
+            }
+        if (fields.size() <= maxFields()) return
+        (message as HttpObject).setDecoderResult(DecoderResult.failure(TooLongHttpHeaderException("more than ${maxFields()} fields")))
+    }
+
     private fun join(part: HttpContent) {
         val content = part.content()
         if (content.readableBytes() >= JOINED_BYTES) {
--- a/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerInputTest.kt
+++ b/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerInputTest.kt
@@ -45,7 +45,7 @@
         createCallerServer(
             "127.0.0.1",
             port = 0,
-            limits = { ConnectionLimits(MAX_HEADER_BYTES, HEADER_TIMEOUT_MS, initialBodyBytes = 0) },
+            limits = { ConnectionLimits(MAX_HEADER_BYTES, headerTimeoutMs = HEADER_TIMEOUT_MS, initialBodyBytes = 0) },
             onRefused = refusals::add,
         ) {
             module()
--- a/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerServerTest.kt
+++ b/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerServerTest.kt
@@ -219,7 +219,7 @@
 
         @Test
         fun `is forgotten once it is closed, guarding against short connections that fill the memory until their idle timeout`() {
-            val channel = EmbeddedChannel(CallerConnectionHandler(IDLE_TIMEOUT_S, { ConnectionLimits() }, {}, {}))
+            val channel = EmbeddedChannel(CallerConnectionHandler(IDLE_TIMEOUT_S, { ConnectionLimits() }, RequestMemory(null), {}, {}))
 
             channel.pipeline().fireChannelInactive()
 
@@ -238,7 +238,8 @@
         @Test
         fun `carries nothing after a response that is cut, guarding against the response to a pipelined request in place of its rest`() {
             val socket = SlowSocket()
-            val channel = EmbeddedChannel(socket, CallerConnectionHandler(IDLE_TIMEOUT_S, { ConnectionLimits() }, {}, {}))
+            val channel =
+                EmbeddedChannel(socket, CallerConnectionHandler(IDLE_TIMEOUT_S, { ConnectionLimits() }, RequestMemory(null), {}, {}))
             val id = channel.attr(CallerConnectionHandler.RESPONSES).get().add(CallerResponse())
             val head = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK)
             head.headers().set(CallerConnectionHandler.RESPONSE_HEADER, id)
--- a/process/common/src/main/kotlin/org/lycheemount/common/MemoryBudget.kt
+++ b/process/common/src/main/kotlin/org/lycheemount/common/MemoryBudget.kt
@@ -13,8 +13,8 @@
 }
 
 /**
- * Bounds the memory that the requests of a process hold together, for many callers that send large bodies at once, or stop sending short
- * of their end. Thread-safe; does no I/O. Times are monotonic milliseconds.
+ * Bounds the memory that the requests of a process hold together, for many callers that send large heads or bodies at once, or stop
+ * sending short of their end. Thread-safe; does no I/O. Times are monotonic milliseconds.
  *
  * Accounts that hold little are served before the others, which cannot use the last [SMALL_SHARE] of the budget. If an account has to wait,
  * accounts are dropped until it can go on: first those that have not progressed for the longest time, then the youngest if all of them wait
@@ -34,7 +34,7 @@
         @Synchronized
         get() = MemoryUsage(usedBytes, accounts.count { it.waitingSinceMs != null }, droppedCount)
 
-    /** Opens an account of one request, which must be released at its end. */
+    /** Opens an account of one request, which must be released by each of its holders. */
     @Synchronized
     fun open(nowMs: Long): MemoryAccount = MemoryAccount(this, nowMs).also { accounts += it }
 
@@ -59,6 +59,25 @@
         return MemoryGrant.GRANTED
     }
 
+    /**
+     * Adds [bytes] that [account] holds already. Beyond the budget, drops the accounts that have not progressed for the longest time, or
+     * [account] itself if there are none.
+     */
+    @Synchronized
+    internal fun charge(
+        account: MemoryAccount,
+        bytes: Long,
+        nowMs: Long,
+    ) {
+        if (account !in accounts) return
+        take(account, bytes)
+        account.lastProgressMs = nowMs
+        val limitBytes = if (account.heldBytes <= ORDINARY_BYTES) capacityBytes else capacityBytes - (capacityBytes * SMALL_SHARE).toLong()
+        while (!account.isDropped && usedBytes > account.heldBytes && usedBytes - returningBytes() > limitBytes) {
+            drop(stalledAccount(nowMs) ?: account)
+        }
+    }
+
     /** Reserves [bytes] more for [account] if they are available, without waiting. */
     @Synchronized
     internal fun tryTake(
@@ -81,9 +100,14 @@
         account.heldBytes -= returned
     }
 
+    @Synchronized
+    internal fun retain(account: MemoryAccount) {
+        account.holders++
+    }
+
     @Synchronized
     internal fun release(account: MemoryAccount) {
-        if (!accounts.remove(account)) return
+        if (--account.holders > 0 || !accounts.remove(account)) return
         giveBack(account, account.heldBytes)
     }
 
@@ -113,13 +137,9 @@
         nowMs: Long,
     ) {
         val open = accounts.filter { !it.isDropped }
-        val stalled =
-            open
-                .filter {
-                    it.isReceiving && nowMs - it.lastProgressMs >= MIN_STALL_MS && it.heldBytes > 0
-                }.minByOrNull { it.lastProgressMs }
+        val stalled = stalledAccount(nowMs)
         // Memory of a dropped account is on its way back, so that one account is dropped at a time.
-        val isReturning = accounts.any { it.isDropped && it.heldBytes > 0 }
+        val isReturning = returningBytes() > 0
         val holding = open.filter { it.heldBytes > 0 }
         val victim =
             when {
@@ -129,11 +149,24 @@
                 holding.isNotEmpty() && holding.all { it.waitingSinceMs != null } -> holding.maxByOrNull { it.openedAtMs }
                 else -> null
             } ?: return
-        victim.isDropped = true
-        victim.waitingSinceMs = null
+        drop(victim)
+    }
+
+    private fun drop(account: MemoryAccount) {
+        account.isDropped = true
+        account.waitingSinceMs = null
         droppedCount++
     }
 
+    /** Bytes of dropped accounts whose holders have not ended yet. */
+    private fun returningBytes(): Long = accounts.sumOf { if (it.isDropped) it.heldBytes else 0L }
+
+    /** The account without progress for the longest time, if that is long enough to drop it. */
+    private fun stalledAccount(nowMs: Long): MemoryAccount? =
+        accounts
+            .filter { !it.isDropped && it.isReceiving && nowMs - it.lastProgressMs >= MIN_STALL_MS && it.heldBytes > 0 }
+            .minByOrNull { it.lastProgressMs }
+
     /** Bounds of the policy. */
     companion object {
         /** Share of the budget that only accounts that hold little can use. */
@@ -147,6 +180,9 @@
 
         /** Size up to which an account counts as small. */
         const val SMALL_BYTES = 131_072L
+
+        /** Size up to which what has been charged may use all of the budget. The head of an ordinary request costs less. */
+        const val ORDINARY_BYTES = 16_384L
     }
 }
 
@@ -179,6 +215,7 @@
     internal var waitingBytes = 0L
     internal var waitingSinceMs: Long? = null
     internal var isComplete = false
+    internal var holders = 1
 
     @Volatile
     internal var lastProgressMs = openedAtMs
@@ -197,6 +234,12 @@
         nowMs: Long,
     ): MemoryGrant = budget.request(this, bytes, nowMs)
 
+    /** Adds [bytes] that are held already, and cannot be refused. May drop this account or others. */
+    fun charge(
+        bytes: Long,
+        nowMs: Long,
+    ) = budget.charge(this, bytes, nowMs)
+
     /** Reserves [bytes] more if they are available, without waiting. */
     fun tryTake(bytes: Long): Boolean = budget.tryTake(this, bytes)
 
@@ -211,6 +254,9 @@
     /** All of the body has arrived. From now on the account is not dropped. */
     fun complete() = synchronized(budget) { isComplete = true }
 
-    /** Returns all bytes; idempotent. */
+    /** Adds a holder, who must release the account as well. */
+    fun retain(): MemoryAccount = also { budget.retain(it) }
+
+    /** Returns all bytes once all holders have released the account. */
     fun release() = budget.release(this)
 }
--- a/process/common/src/test/kotlin/org/lycheemount/common/MemoryBudgetTest.kt
+++ b/process/common/src/test/kotlin/org/lycheemount/common/MemoryBudgetTest.kt
@@ -108,6 +108,58 @@
         }
     }
 
+    @Nested
+    inner class `what is charged` {
+        @Test
+        fun `drops as many stalled accounts as it needs, oldest first, guarding against heads that nothing takes the place of`() {
+            val stalled = List(4) { holding(1_500_000, it.toLong()) }
+            val charged = budget.open(5_000)
+
+            charged.charge(3_000_000, 5_000)
+
+            assertEquals(listOf(true, true, false, false), stalled.map { it.isDropped })
+            assertFalse(charged.isDropped)
+        }
+
+        @Test
+        fun `is dropped itself if no other account has stalled, and counts until it is released`() {
+            holding(7_000_000).complete()
+            val charged = budget.open(5_000)
+
+            charged.charge(2_000_000, 5_000)
+
+            assertTrue(charged.isDropped)
+            assertEquals(9_000_000, budget.usage.usedBytes)
+            charged.release()
+            assertEquals(7_000_000, budget.usage.usedBytes)
+        }
+
+        @Test
+        fun `uses the last part of the budget only if it is small, guarding against ordinary callers that are shut out by large heads`() {
+            holding(7 * CAPACITY / 8).complete()
+            val large = budget.open(0)
+            val ordinary = budget.open(0)
+
+            large.charge(MemoryBudget.ORDINARY_BYTES + 1, 0)
+            ordinary.charge(MemoryBudget.ORDINARY_BYTES, 0)
+
+            assertTrue(large.isDropped)
+            assertFalse(ordinary.isDropped)
+        }
+
+        @Test
+        fun `is not given back before the last holder releases it`() {
+            val account = budget.open(0)
+            account.charge(1_000, 0)
+            account.retain()
+
+            account.release()
+            assertEquals(1_000, budget.usage.usedBytes)
+            account.release()
+            assertEquals(0, budget.usage.usedBytes)
+        }
+    }
+
     @Nested
     inner class `an account that is complete` {
         @Test
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/BodyReader.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/BodyReader.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lycheemount.common.Clock
 import org.lycheemount.common.MemoryAccount
+import org.lycheemount.common.MemoryBudget
 import org.lycheemount.common.MemoryGrant
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.RefusalReason
@@ -34,6 +35,7 @@
         memory: MemoryAccount,
     ): Result<ByteArray, Refusal> {
         val maxBytes = maxBodyBytes()
+        if (memory.isDropped) return Err(MEMORY_REFUSAL)
         val lengthBytes = call.request.contentLength()
         if ((lengthBytes ?: 0) > maxBytes) return tooLarge(maxBytes)
         if (lengthBytes == 0L || (lengthBytes == null && call.request.headers[HttpHeaders.TransferEncoding] == null)) {
@@ -45,7 +47,7 @@
             withTimeoutOrNull(timeoutMs) { parts.readAll() }?.not()
                 ?: return Err(Refusal(RefusalReason.REQUEST_TIMEOUT, "the body did not arrive within $timeoutMs ms"))
         return when {
-            isDropped -> Err(Refusal(RefusalReason.MEMORY_EXHAUSTED, "this router holds too many request bodies", RETRY_AFTER_MS))
+            isDropped -> Err(MEMORY_REFUSAL)
             parts.size > maxBytes -> tooLarge(maxBytes)
             call.callerConnection?.hasBrokenBody == true ->
                 Err(Refusal(RefusalReason.INVALID_REQUEST, "body: broken off after ${parts.size} bytes, or malformed"))
@@ -144,6 +146,12 @@
         private const val MAX_PART_BYTES = 32_768
         private const val WAIT_POLL_MS = 20L
         private const val DROP_POLL_MS = 200L
-        private const val RETRY_AFTER_MS = 1_000L
+        private val MEMORY_REFUSAL = Refusal(RefusalReason.MEMORY_EXHAUSTED, "this router holds too many requests", retryAfterMs = 1_000)
     }
 }
+
+/** Returns the memory account of this call, which must be released at its end. It is of [budget] unless the connection has opened one. */
+internal fun ApplicationCall.openMemory(
+    budget: MemoryBudget,
+    clock: Clock,
+): MemoryAccount = callerConnection?.retainMemory() ?: budget.open(clock.monotonicMs())
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ChatHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ChatHandler.kt
@@ -26,7 +26,7 @@
     private val canceller = EngineCanceller(services.engine, services.dispatcher::isGone, services.scope, services.eventLog)
 
     suspend fun handle(call: ApplicationCall) {
-        val memory = services.memory.open(services.clock.monotonicMs())
+        val memory = call.openMemory(services.memory, services.clock)
         try {
             handle(call, memory)
         } finally {
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceHandler.kt
@@ -24,7 +24,7 @@
     private val context: HandlerContext,
 ) {
     suspend fun handle(call: ApplicationCall) {
-        val memory = services.memory.open(services.clock.monotonicMs())
+        val memory = call.openMemory(services.memory, services.clock)
         try {
             handle(call, memory)
         } finally {
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -22,6 +22,7 @@
 import org.lycheemount.caller.TokenReserver
 import org.lycheemount.caller.WireOutcome
 import org.lycheemount.caller.cancelOnDisconnect
+import org.lycheemount.caller.openMemory
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.RefusalReason
@@ -131,7 +132,7 @@
             admissionController
                 .admit(matched.team ?: PUBLIC_TEAM, matched.route.routeId.value, expiresAtMs)
                 .getOrElse { return refuse(writer, metadata, null, it) }
-        val memory = services.memory.open(services.clock.monotonicMs())
+        val memory = call.openMemory(services.memory, services.clock)
         try {
             val body = bodyReader.read(call, memory).getOrElse { return refuseUnread(writer, metadata, it) }
             val request = requestOf(call, metadata, matched, admission, ReceivedBody(body, memory), arrivedAtMs)
