Stop reading from servers whose responses callers do not read

Cause: between the two connections the bytes pass two channels of Ktor, whose writers wait at 1 MB each, and the output buffer of the caller's connection. None of it was charged to the memory budget, and the account was released before a complete response had been sent. The kernel's buffers grow to megabytes as well.

ReceiveBuffer makes the reader of a server's connection wait at 32 KB. PacedChannel lets the writer of a response wait while the connection has not taken more than 64 KB of it, and charges what waits. A response whose caller reads nothing for a second may be dropped when others need the memory: its connection closes (unread_response). After 50 s without progress the response is broken off, with that reason in request_ended. The send buffer of a caller's connection and the receive buffer of a server's connection are 65,536 bytes.

--- a/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/IsolatedFixture.kt
+++ b/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/IsolatedFixture.kt
@@ -151,6 +151,8 @@
                 FakeRoute("events", "streaming", TIMEOUT_MS),
                 FakeRoute("flood", "streaming", TIMEOUT_MS),
                 FakeRoute("unending-event", "streaming", TIMEOUT_MS),
+                FakeRoute("unending-failure", "idempotent", TIMEOUT_MS),
+                FakeRoute("large", "idempotent", TIMEOUT_MS),
             )
 
         /** A request with a key and a body, for the server that serves nothing else. */
--- a/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/StubServer.kt
+++ b/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/StubServer.kt
@@ -1,12 +1,14 @@
 package org.lycheemount.app.isolated
 
 import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.cio.CIO
 import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.request.receiveChannel
 import io.ktor.server.response.header
+import io.ktor.server.response.respondBytes
 import io.ktor.server.response.respondBytesWriter
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.route
@@ -25,7 +27,7 @@
 class StubServer : AutoCloseable {
     private val sentParts = AtomicLong()
 
-    /** Number of parts of events without end that have been sent. */
+    /** Number of parts of events and bodies without end that have been sent. */
     val sentPartCount: Long get() = sentParts.get()
 
     private val server =
@@ -48,6 +50,8 @@
                 route("/events/") { handle { respond(call) { stream(call) { writeEvents(EVENT_INTERVAL_MS) } } } }
                 route("/flood/") { handle { respond(call) { stream(call) { writeEvents(intervalMs = 0) } } } }
                 route("/unending-event/") { handle { respond(call) { stream(call) { writeUnendingEvent() } } } }
+                route("/unending-failure/") { handle { respond(call) { failWithoutEnd(call) } } }
+                route("/large/") { handle { respond(call) { call.respondBytes(ByteArray(LARGE_RESPONSE_BYTES)) } } }
             }
         }.start(wait = false)
 
@@ -69,6 +73,16 @@
         write: suspend ByteWriteChannel.() -> Unit,
     ) = call.respondBytesWriter(ContentType.Text.EventStream, producer = write)
 
+    private suspend fun failWithoutEnd(call: ApplicationCall) =
+        call.respondBytesWriter(ContentType.Text.Plain, HttpStatusCode.InternalServerError) {
+            val bytes = ByteArray(PART_BYTES)
+            while (true) {
+                writeFully(bytes)
+                flush()
+                sentParts.incrementAndGet()
+            }
+        }
+
     private suspend fun ByteWriteChannel.writeEvents(intervalMs: Long) {
         var eventId = 0
         while (true) {
@@ -101,5 +115,8 @@
 
         // Just below the size at which the router breaks off an event today, so that it holds all streams at once.
         private const val UNENDING_EVENT_BYTES = 1_000_000
+
+        // Just below the size up to which the router buffers a response.
+        private const val LARGE_RESPONSE_BYTES = 250_000
     }
 }
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -5,12 +5,10 @@
 import io.ktor.http.cio.parseResponse
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.aSocket
-import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.availableForRead
 import io.ktor.utils.io.charsets.TooLongLineException
 import io.ktor.utils.io.readLineStrict
-import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writer
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -75,7 +73,11 @@
     /** Opens a connection to [server]. Throws [ConnectException] on failure, which has no effect at the server. */
     suspend fun open(server: BackendServer): BackendConnection =
         withTimeoutOrNull(connectTimeoutMs) {
-            val socket = aSocket(selector).tcp().connect(server.host, server.port) { noDelay = true }
+            val socket =
+                aSocket(selector).tcp().connect(server.host, server.port) {
+                    noDelay = true
+                    receiveBufferSize = RECEIVE_BUFFER_BYTES
+                }
             BackendConnection(SelectedSocket(socket, selector), scope)
         } ?: throw ConnectException("no connection within $connectTimeoutMs ms")
 
@@ -134,6 +136,9 @@
         /** Shorter than the idle timeout of common HTTP servers, so that the server has rarely closed an idle connection. */
         const val DEFAULT_KEEP_ALIVE_MS = 10_000L
         private const val NS_PER_MS = 1_000_000L
+
+        // What the kernel has received counts as memory of the process, and a size of its own choice grows to megabytes.
+        private const val RECEIVE_BUFFER_BYTES = 65_536
         private const val DEFAULT_SWEEP_INTERVAL_MS = 5_000L
         private const val MAX_IDLE_CONNECTIONS = 128
     }
@@ -149,7 +154,7 @@
     private val socket: BackendSocket,
     private val scope: CoroutineScope,
 ) : AutoCloseable {
-    private val input = ByteChannel()
+    private val input = ReceiveBuffer(MAX_UNREAD_BYTES)
     private var sending: Job? = null
 
     @Volatile
@@ -243,8 +248,7 @@
         var failure: IOException? = IOException("the connection was closed")
         try {
             while (socket.read(bytes.clear()) >= 0) {
-                input.writeFully(bytes.array(), 0, bytes.position())
-                input.flush()
+                input.write(bytes.array(), bytes.position())
             }
             failure = null
         } catch (exception: IOException) {
@@ -252,7 +256,7 @@
         } finally {
             receiveFailure = failure
             // What arrived before a failure can still be read, since it may hold a whole response.
-            if (currentCoroutineContext().isActive) input.flushAndClose() else input.cancel(failure)
+            if (currentCoroutineContext().isActive) input.end() else input.cancel(failure)
         }
     }
 
@@ -335,6 +339,9 @@
         // Ktor's parser accepts each status from 100 on and leading zeros.
         private val STATUS_LINE = Regex("^HTTP/1\\.[01][ \\t]+[1-5][0-9][0-9](?:[ \\t]|$)")
         private const val RECEIVE_BYTES = 8_192
+
+        // A server that sends faster than a caller reads has to wait.
+        private const val MAX_UNREAD_BYTES = 32_768L
         private const val MAX_RECENT_IDS = 32
     }
 }
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
@@ -59,6 +59,7 @@
         // One call reads one buffer, as Ktor disables automatic reading.
         context.channel().config().setRecvByteBufAllocator(FixedRecvByteBufAllocator(READ_BYTES))
         connection.onClosedInBody = ::discardAndClose
+        connection.memory.onUnreadDropped = { context.executor().execute { closeUnread() } }
         connection.onReadPermitted = { context.executor().execute { onReadPermitted() } }
     }
 
@@ -177,6 +178,12 @@
         if (headTimer.isRunning && connection.memory.isDropped) refuse(ConnectionRefusal.MEMORY_EXHAUSTED)
     }
 
+    private fun closeUnread() {
+        if (!connection.memory.isDropped) return
+        onRefused(ConnectionRefusal.UNREAD_RESPONSE)
+        context.close()
+    }
+
     private fun onMessage() {
         mayHaveMessage = true
         undecoded.clear()
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerResponse.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerResponse.kt
@@ -1,5 +1,7 @@
 package org.lycheemount.listener
 
+import kotlinx.coroutines.channels.Channel
+
 /**
  * A response whose body is written in parts.
  *
@@ -10,7 +12,10 @@
     // May overflow. The engine holds back far fewer bytes than would make two counts equal.
     @Volatile
     private var completeBytes: Int? = null
+
+    @Volatile
     private var sentBytes = 0
+    private val progress = Channel<Unit>(Channel.CONFLATED)
 
     /** Whether all bytes of the complete body have been sent. */
     internal val isSent: Boolean get() = completeBytes == sentBytes
@@ -20,8 +25,15 @@
         completeBytes = bodyBytes.toInt()
     }
 
+    /** Number of bytes of the body that the connection has not taken yet, if [writtenBytes] bytes have been written. */
+    fun unsentBytes(writtenBytes: Long): Int = writtenBytes.toInt() - sentBytes
+
+    /** Waits until the connection has taken more bytes of the body. */
+    suspend fun awaitProgress() = progress.receive()
+
     /** Another [bytes] bytes are sent. Called by the thread of the connection. */
     internal fun onSent(bytes: Int) {
         sentBytes += bytes
+        progress.trySend(Unit)
     }
 }
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerServer.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerServer.kt
@@ -88,6 +88,7 @@
                     handler(connections.listenerHandler())
                     // Accepted sockets have the buffer size of the listener.
                     option(ChannelOption.SO_RCVBUF, bounds.receiveBufferBytes)
+                    childOption(ChannelOption.SO_SNDBUF, bounds.sendBufferBytes)
                 }
                 channelPipelineConfig = {
                     val connection = connections.connectionHandler(idleTimeoutS, limits)
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/ConnectionLimits.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/ConnectionLimits.kt
@@ -46,6 +46,9 @@
     /** The memory of the process is needed for other requests. */
     MEMORY_EXHAUSTED("503 Service Unavailable", retryAfterS = 1),
 
+    /** The caller does not read its response, and the memory is needed for other requests. */
+    UNREAD_RESPONSE(null),
+
     /** The listener has too many connections; this one had no request in progress. It is closed without a response. */
     TOO_MANY_CONNECTIONS(null),
     ;
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/RequestMemory.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/RequestMemory.kt
@@ -19,6 +19,9 @@
     private var account: MemoryAccount? = null
     private var chargedBytes = 0L
 
+    /** Called by any thread when the memory of a response that its caller does not read is needed for others. */
+    var onUnreadDropped: () -> Unit = {}
+
     /** Whether the memory of the current request is needed for others. */
     val isDropped: Boolean get() = account?.isDropped == true
 
@@ -45,7 +48,7 @@
     private fun charge(totalBytes: Long) {
         if (budget == null) return
         val nowMs = System.nanoTime() / NS_PER_MS
-        val open = account ?: budget.open(nowMs).also { account = it }
+        val open = account ?: budget.open(nowMs, onUnreadDropped).also { account = it }
         // A part of a head is estimated, and may have held the beginning of a body.
         if (totalBytes < chargedBytes) open.giveBack(chargedBytes - totalBytes) else open.charge(totalBytes - chargedBytes, nowMs)
         chargedBytes = totalBytes
--- a/process/common/src/main/kotlin/org/lycheemount/common/MemoryBudget.kt
+++ b/process/common/src/main/kotlin/org/lycheemount/common/MemoryBudget.kt
@@ -34,9 +34,16 @@
         @Synchronized
         get() = MemoryUsage(usedBytes, accounts.count { it.waitingSinceMs != null }, droppedCount)
 
-    /** Opens an account of one request, which must be released by each of its holders. */
+    /**
+     * Opens an account of one request, which must be released by each of its holders.
+     *
+     * @param onUnreadDropped called if the account is dropped while the caller does not read the response; must not block.
+     */
     @Synchronized
-    fun open(nowMs: Long): MemoryAccount = MemoryAccount(this, nowMs).also { accounts += it }
+    fun open(
+        nowMs: Long,
+        onUnreadDropped: () -> Unit = {},
+    ): MemoryAccount = MemoryAccount(this, nowMs, onUnreadDropped).also { accounts += it }
 
     /** Reserves [bytes] more for [account], or lets it wait. */
     @Synchronized
@@ -74,7 +81,9 @@
         account.lastProgressMs = nowMs
         val limitBytes = if (account.heldBytes <= ORDINARY_BYTES) capacityBytes else capacityBytes - (capacityBytes * SMALL_SHARE).toLong()
         while (!account.isDropped && usedBytes > account.heldBytes && usedBytes - returningBytes() > limitBytes) {
-            drop(stalledAccount(nowMs) ?: account)
+            // A small response to a request that has run is not lost for others.
+            val isSpared = account.isComplete && account.heldBytes <= ORDINARY_BYTES
+            drop(stalledAccount(nowMs) ?: if (isSpared) return else account)
         }
     }
 
@@ -156,6 +165,7 @@
         account.isDropped = true
         account.waitingSinceMs = null
         droppedCount++
+        if (account.isUnread) account.onUnreadDropped()
     }
 
     /** Bytes of dropped accounts whose holders have not ended yet. */
@@ -164,7 +174,7 @@
     /** The account without progress for the longest time, if that is long enough to drop it. */
     private fun stalledAccount(nowMs: Long): MemoryAccount? =
         accounts
-            .filter { !it.isDropped && it.isReceiving && nowMs - it.lastProgressMs >= MIN_STALL_MS && it.heldBytes > 0 }
+            .filter { !it.isDropped && (it.isReceiving || it.isUnread) && nowMs - it.lastProgressMs >= MIN_STALL_MS && it.heldBytes > 0 }
             .minByOrNull { it.lastProgressMs }
 
     /** Bounds of the policy. */
@@ -210,11 +220,13 @@
 class MemoryAccount internal constructor(
     private val budget: MemoryBudget,
     internal val openedAtMs: Long,
+    internal val onUnreadDropped: () -> Unit,
 ) {
     internal var heldBytes = 0L
     internal var waitingBytes = 0L
     internal var waitingSinceMs: Long? = null
     internal var isComplete = false
+    internal var isUnread = false
     internal var holders = 1
 
     @Volatile
@@ -251,7 +263,20 @@
         lastProgressMs = nowMs
     }
 
-    /** All of the body has arrived. From now on the account is not dropped. */
+    /**
+     * Whether the caller has not read a part of the response yet. The account may be dropped while this is [isUnread] and nothing of the
+     * response is sent, since the caller may read it never.
+     */
+    fun setUnread(
+        isUnread: Boolean,
+        nowMs: Long,
+    ) = synchronized(budget) {
+        this.isUnread = isUnread
+        lastProgressMs = nowMs
+        if (isUnread && isDropped) onUnreadDropped()
+    }
+
+    /** All of the body has arrived. From now on the account is not dropped before its response. */
     fun complete() = synchronized(budget) { isComplete = true }
 
     /** Adds a holder, who must release the account as well. */
--- a/process/common/src/test/kotlin/org/lycheemount/common/MemoryBudgetTest.kt
+++ b/process/common/src/test/kotlin/org/lycheemount/common/MemoryBudgetTest.kt
@@ -147,6 +147,33 @@
             assertFalse(ordinary.isDropped)
         }
 
+        @Test
+        fun `takes the place of responses that callers do not read, guarding against ordinary callers that are shut out by them`() {
+            var closed = 0
+            val unread = budget.open(0) { closed++ }
+            unread.complete()
+            unread.charge(CAPACITY, 0)
+            unread.setUnread(true, 0)
+
+            budget.open(5_000).charge(1_000, 5_000)
+
+            assertTrue(unread.isDropped)
+            assertEquals(1, closed)
+        }
+
+        @Test
+        fun `closes a response that was dropped before it became unread, guarding against memory that never returns`() {
+            var closed = 0
+            holding(CAPACITY).complete()
+            val response = budget.open(0) { closed++ }
+            response.complete()
+
+            response.charge(MemoryBudget.ORDINARY_BYTES + 1, 0)
+            response.setUnread(true, 0)
+
+            assertEquals(1, closed)
+        }
+
         @Test
         fun `is not given back before the last holder releases it`() {
             val account = budget.open(0)
--- /dev/null
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/PacedChannel.kt
@@ -0,0 +1,85 @@
+package org.lycheemount.caller.routed
+
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.CountedByteWriteChannel
+import io.ktor.utils.io.InternalAPI
+import kotlinx.coroutines.withTimeoutOrNull
+import org.lycheemount.common.Clock
+import org.lycheemount.common.MemoryAccount
+import org.lycheemount.listener.CallerResponse
+
+/**
+ * Body of a response, which [flush] passes on as fast as the caller reads it. What waits for the caller is charged to the memory of the
+ * request.
+ *
+ * @param response null if it is not known what the connection has taken.
+ */
+@OptIn(InternalAPI::class)
+internal class PacedChannel(
+    private val channel: CountedByteWriteChannel,
+    private val response: CallerResponse?,
+    private val memory: ResponseMemory?,
+) : ByteWriteChannel by channel {
+    /** Passes on what has been written. Throws [TruncatedResponseException] if the caller does not read. */
+    override suspend fun flush() {
+        channel.flush()
+        memory?.charge(unsentBytes())
+        if (memory?.isDropped == true) throw TruncatedResponseException("the memory is needed for other requests")
+        if (unsentBytes() > MAX_UNSENT_BYTES) awaitSent(response ?: return)
+    }
+
+    /** Passes on what has been written, without waiting for the caller. */
+    suspend fun flushWithoutPace() = channel.flush()
+
+    private fun unsentBytes(): Int = response?.unsentBytes(channel.totalBytesWritten.toLong()) ?: 0
+
+    private suspend fun awaitSent(response: CallerResponse) {
+        memory?.setUnread(true)
+        while (unsentBytes() > MAX_UNSENT_BYTES) {
+            withTimeoutOrNull(MAX_STALL_MS) { response.awaitProgress() }
+                ?: throw TruncatedResponseException("the caller has read nothing for $MAX_STALL_MS ms")
+            memory?.setUnread(true)
+        }
+        memory?.setUnread(false)
+    }
+
+    companion object {
+        /** The HTTP engine collects a body up to this size before it sends any of it. */
+        const val MAX_UNSENT_BYTES: Int = 65_536
+
+        // Below the time after which the connection closes without a reason in the log.
+        private const val MAX_STALL_MS = 50_000L
+    }
+}
+
+/** Charges a response that waits for its caller to [account]. Used by one coroutine at a time. */
+internal class ResponseMemory(
+    private val account: MemoryAccount,
+    private val clock: Clock,
+) {
+    private var chargedBytes = 0L
+
+    /** Charges [unsentBytes], and what the connection and the connection to the server hold behind and before them. */
+    fun charge(unsentBytes: Int) {
+        val neededBytes = if (unsentBytes > PacedChannel.MAX_UNSENT_BYTES) FULL_BYTES else UNSENT_COPIES * unsentBytes
+        if (neededBytes < chargedBytes + STEP_BYTES) return
+        account.charge(neededBytes - chargedBytes, clock.monotonicMs())
+        chargedBytes = neededBytes
+    }
+
+    /** Whether the memory of the request is needed for others. */
+    val isDropped: Boolean get() = account.isDropped
+
+    /** Whether the response waits for its caller. */
+    fun setUnread(isUnread: Boolean) = account.setUnread(isUnread, clock.monotonicMs())
+
+    private companion object {
+        private const val STEP_BYTES = 4_096L
+
+        // In the channel of the response and in the output buffer of the connection.
+        private const val UNSENT_COPIES = 2L
+
+        // Both of these, and the receive buffer of the connection to the server.
+        private const val FULL_BYTES = 3L * PacedChannel.MAX_UNSENT_BYTES
+    }
+}
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ResponseWriter.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ResponseWriter.kt
@@ -31,11 +31,19 @@
     var isComplete = false
         private set
 
+    /** Memory of the request, to which the response is charged while it waits for its caller; null if it is not charged. */
+    var memory: ResponseMemory? = null
+
     /** Sends [head] with the complete [body]. */
     suspend fun writeComplete(
         head: ResponseHead,
         body: ByteArray,
-    ) = send(head, body.size.toLong()) { it.writeFully(body) }
+    ) = send(head, body.size.toLong()) { channel ->
+        for (start in body.indices step PART_BYTES) {
+            channel.writeFully(body, start, minOf(start + PART_BYTES, body.size))
+            if (body.size > PacedChannel.MAX_UNSENT_BYTES) channel.flush()
+        }
+    }
 
     /** Sends [head] and the output of [write]. The connection is aborted when [write] throws, so that the response is never mistaken
      * for a complete one. */
@@ -47,7 +55,7 @@
             write(channel)
         } catch (failure: TruncatedResponseException) {
             // The HTTP server discards what it has not passed on to the socket once this function throws.
-            channel.flush()
+            channel.flushWithoutPace()
             delay(ABORT_DELAY_MS)
             throw failure
         }
@@ -59,7 +67,7 @@
     private suspend fun send(
         head: ResponseHead,
         length: Long?,
-        write: suspend (ByteWriteChannel) -> Unit,
+        write: suspend (PacedChannel) -> Unit,
     ) {
         isCommitted = true
         val response = call.callerConnection?.beginResponse()
@@ -69,9 +77,12 @@
             call.respond(
                 PassThroughContent(head, length) { channel ->
                     val counted = channel.counted()
-                    write(counted)
+                    write(PacedChannel(counted, response, memory))
                     response?.complete(counted.totalBytesWritten)
+                    memory?.charge(response?.unsentBytes(counted.totalBytesWritten) ?: 0)
                     isComplete = true
+                    // Until the connection has sent the end, which releases the memory.
+                    memory?.setUnread(true)
                 },
             )
         } catch (failure: TruncatedResponseException) {
@@ -102,5 +113,6 @@
     private companion object {
         // Passing events on to the socket takes a few hops between coroutines. The caller of a truncated stream loses little by this wait.
         private const val ABORT_DELAY_MS = 100L
+        private const val PART_BYTES = 16_384
     }
 }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
@@ -169,6 +169,7 @@
         } else {
             writer.writeStream(response.head) { channel ->
                 channel.writeFully(body)
+                channel.flush()
                 relayRemainder(response, channel)
             }
         }
@@ -203,6 +204,7 @@
                 }
             if (count < 0) break
             channel.writeFully(bytes, 0, count)
+            channel.flush()
         }
     }
 
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -133,6 +133,7 @@
                 .admit(matched.team ?: PUBLIC_TEAM, matched.route.routeId.value, expiresAtMs)
                 .getOrElse { return refuse(writer, metadata, null, it) }
         val memory = call.openMemory(services.memory, services.clock)
+        writer.memory = ResponseMemory(memory, services.clock)
         try {
             val body = bodyReader.read(call, memory).getOrElse { return refuseUnread(writer, metadata, it) }
             val request = requestOf(call, metadata, matched, admission, ReceivedBody(body, memory), arrivedAtMs)
--- /dev/null
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/UnreadResponseTest.kt
@@ -0,0 +1,149 @@
+package org.lycheemount.caller.routed
+
+import io.ktor.server.routing.get
+import io.ktor.server.routing.routing
+import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.lycheemount.backend.ResponseHead
+import org.lycheemount.caller.cancelOnDisconnect
+import org.lycheemount.caller.openMemory
+import org.lycheemount.common.DefaultClock
+import org.lycheemount.common.MemoryBudget
+import org.lycheemount.listener.ConnectionRefusal
+import org.lycheemount.listener.createCallerServer
+import java.net.Socket
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Responses over real sockets to callers that do not read, or read late. */
+internal class UnreadResponseTest {
+    private val clock = DefaultClock()
+    private val budget = MemoryBudget(CAPACITY_BYTES)
+    private val refusals = ConcurrentLinkedQueue<ConnectionRefusal>()
+    private val writtenBytes = AtomicLong()
+    private val head = ResponseHead(200, listOf("Content-Type" to "text/plain"))
+    private val server =
+        createCallerServer("127.0.0.1", port = 0, memory = budget, onRefused = refusals::add) {
+            routing {
+                cancelOnDisconnect {
+                    get("/endless") { respond { it.writeStream(head) { channel -> while (true) channel.writePart() } } }
+                    get("/large") { respond { it.writeComplete(head, ByteArray(LARGE_BYTES)) } }
+                    get("/small") { respond { it.writeComplete(head, ByteArray(SMALL_BYTES)) } }
+                }
+            }
+        }.apply { start() }
+
+    private suspend fun io.ktor.server.routing.RoutingContext.respond(write: suspend (ResponseWriter) -> Unit) {
+        val memory = call.openMemory(budget, clock)
+        try {
+            memory.complete()
+            val writer = ResponseWriter(call).also { it.memory = ResponseMemory(memory, clock) }
+            withContext(Dispatchers.Default) { write(writer) }
+        } finally {
+            memory.release()
+        }
+    }
+
+    private suspend fun io.ktor.utils.io.ByteWriteChannel.writePart() {
+        writeFully(ByteArray(PART_BYTES))
+        flush()
+        writtenBytes.addAndGet(PART_BYTES.toLong())
+    }
+
+    @AfterEach
+    fun stop() = runBlocking { server.stop(graceMs = 0, lingerMs = 0) }
+
+    private fun request(path: String) =
+        Socket().apply {
+            receiveBufferSize = RECEIVE_BUFFER_BYTES
+            connect(java.net.InetSocketAddress("127.0.0.1", runBlocking { server.port() }))
+            soTimeout = READ_TIMEOUT_MS
+            getOutputStream().write("GET $path HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".encodeToByteArray())
+        }
+
+    @Nested
+    inner class `a response that its caller does not read` {
+        @Test
+        fun `is charged and not written on, guarding against bodies without end that fill the heap`() {
+            request("/endless").use {
+                awaitWrittenPart()
+                Thread.sleep(QUIET_MS)
+
+                assertTrue(writtenBytes.get() < SOCKET_BUFFERS_BYTES, "$writtenBytes bytes written")
+                assertTrue(budget.usage.usedBytes >= PacedChannel.MAX_UNSENT_BYTES, "${budget.usage}")
+            }
+            await { budget.usage.usedBytes == 0L }
+        }
+
+        @Test
+        fun `is charged until it is sent although its handler has ended, guarding against small responses that add up`() {
+            val sockets = List(FEW) { request("/small") }
+            await { budget.usage.usedBytes > 0 }
+            sockets.forEach { it.getInputStream().readAllBytes() }
+
+            await { budget.usage.usedBytes == 0L }
+            sockets.forEach { it.close() }
+        }
+
+        @Test
+        fun `is closed with its connection if others need the memory, guarding against ordinary callers that are shut out`() {
+            request("/endless").use { socket ->
+                awaitWrittenPart()
+                await { budget.usage.usedBytes >= PacedChannel.MAX_UNSENT_BYTES }
+                Thread.sleep(MemoryBudget.MIN_STALL_MS + QUIET_MS)
+                budget.open(clock.monotonicMs()).charge(CAPACITY_BYTES, clock.monotonicMs())
+
+                await { refusals.toList() == listOf(ConnectionRefusal.UNREAD_RESPONSE) }
+                runCatching { socket.getInputStream().readAllBytes() }
+            }
+        }
+    }
+
+    @Nested
+    inner class `a response that its caller reads` {
+        @Test
+        fun `arrives whole although the caller reads late`() {
+            request("/large").use {
+                Thread.sleep(QUIET_MS)
+                val response = it.getInputStream().readAllBytes()
+
+                assertEquals(LARGE_BYTES, response.size - response.decodeToString().indexOf("\r\n\r\n") - HEAD_END_BYTES)
+            }
+            await { budget.usage.usedBytes == 0L }
+        }
+    }
+
+    private fun awaitWrittenPart() = await { writtenBytes.get() > 0 }
+
+    private fun await(condition: () -> Boolean) {
+        val deadlineNs = System.nanoTime() + READ_TIMEOUT_MS * NS_PER_MS
+        while (!condition()) {
+            assertTrue(System.nanoTime() < deadlineNs, "timed out: ${budget.usage}, $refusals")
+            Thread.sleep(POLL_MS)
+        }
+    }
+
+    private companion object {
+        private const val CAPACITY_BYTES = 10_000_000L
+        private const val LARGE_BYTES = 1_000_000
+        private const val SMALL_BYTES = 60_000
+        private const val PART_BYTES = 8_192
+        private const val FEW = 5
+        private const val RECEIVE_BUFFER_BYTES = 8_192
+        private const val READ_TIMEOUT_MS = 10_000
+        private const val QUIET_MS = 500L
+        private const val POLL_MS = 5L
+        private const val NS_PER_MS = 1_000_000L
+        private const val HEAD_END_BYTES = 4
+
+        // Send buffer of the connection, output buffer, and what waits for them.
+        private const val SOCKET_BUFFERS_BYTES = 1_000_000
+    }
+}
