Keep servers out of use that a restored store lists as ready although they had left

After the store has come back from an older copy, the entry of a server that was draining, or gone, is back as ready until the server writes it anew; one that has ended never does. Requests were sent to it again, later than drain_ms after its leaving had been read.

A router remembers the runs of servers (id and start time) that it knew to be leaving or gone, 1,000 at most. In the first list of a new era these count as leaving until their entries change again, as those of live servers do at their next heartbeat.

Tests, before: ServerRowListenerTest, "does not make a leaving server take requests": "expected: <[leaving, gone]> but was: <[]>". After: it passes, and "makes a server take requests once it has written its entry again" as before.

--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ServerRowListenerTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ServerRowListenerTest.kt
@@ -19,6 +19,7 @@
 import org.lycheemount.platform.follow
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.testing.FakeEventLog
+import org.lycheemount.testing.FakeStoreEras
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
@@ -40,7 +41,21 @@
     ) {
         private val clock = scope.virtualClock()
         private val dispatcher = WorkDispatcher(createRequestScheduler(ZoneId("z"), seed = 1), clock)
-        val listener = ServerRowListener(dispatcher::onBackendServers, clock, FakeEventLog(), ::decodeEntry)
+        val listener =
+            ServerRowListener(
+                dispatcher::onBackendServers,
+                clock,
+                FakeEventLog(),
+                ::decodeEntry,
+                currentEra = { rows.eras.current.value },
+            )
+
+        val leavingServerIds
+            get() =
+                dispatcher.backendServers
+                    .filter { it.leaving }
+                    .map { it.backendServerId.value }
+                    .toSet()
 
         val usedServerIds get() = dispatcher.backendServers.map { it.backendServerId.value }.toSet()
 
@@ -195,10 +210,50 @@
             }
     }
 
+    @Nested
+    inner class `a store that comes back from an older copy` {
+        @Test
+        fun `does not make a leaving server take requests, guarding against a request that reaches a server that has left`() =
+            runRouter {
+                rows.register("leaving", "gone", "live")
+                advanceTo(3_000)
+                val copy = rows.copy()
+                rows.announceShutdown("leaving")
+                rows.remove("gone")
+                advanceBy(3_000)
+                assertEquals(setOf("leaving", "live"), usedServerIds)
+
+                rows.comeBackFrom(copy)
+                rows.awaitResponse()
+
+                assertEquals(setOf("leaving", "gone"), leavingServerIds)
+            }
+
+        @Test
+        fun `makes a server take requests once it has written its entry again, guarding against a live server that is never used`() =
+            runRouter {
+                rows.register("lapsed", "live")
+                advanceTo(3_000)
+                val copy = rows.copy()
+                rows.remove("lapsed")
+                advanceBy(3_000)
+                rows.comeBackFrom(copy)
+                rows.awaitResponse()
+
+                rows.register("lapsed")
+                rows.awaitResponse()
+
+                assertEquals(emptySet(), leavingServerIds)
+                assertEquals(setOf("lapsed", "live"), usedServerIds)
+            }
+    }
+
     /** Rows of servers in a store that takes [LATENCY_MS] to respond and does not respond while it is unreachable. */
     private class ServerRows : RowFeed {
         private val entries = HashMap<String, String>()
         private val changes = ArrayList<StoreRow>()
+        val eras = FakeStoreEras().also { it.notice(1) }
+        private var era = 1L
         private var deliveredChanges: Int? = null
         private var responses = 0
         private var failures = 0
@@ -216,6 +271,17 @@
             changes += StoreRow(id, null, changes.size + 1L)
         }
 
+        fun copy(): Map<String, String> = entries.toMap()
+
+        /** Comes back from [copy] in a new era, so that the next poll reads all rows. */
+        fun comeBackFrom(copy: Map<String, String>) {
+            entries.clear()
+            entries += copy
+            changes.clear()
+            deliveredChanges = null
+            eras.notice(++era)
+        }
+
         /** Waits for the next response. */
         suspend fun awaitResponse() {
             val before = responses
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/ServerDirectory.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/ServerDirectory.kt
@@ -2,6 +2,7 @@
 
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.VmId
 
 /**
  * Backend servers that are registered in the platform's store. Performs no I/O; not thread-safe.
@@ -9,6 +10,9 @@
  * Entries expire while the store is unavailable, and live servers register again soon after it recovers. Until then, a
  * removed entry is no evidence that its server is gone. Removing all servers at once would cause every request to be rejected.
  *
+ * A store that has come back from an older copy lists runs of servers as ready again that were leaving or gone. They count as leaving until
+ * they write their entries again.
+ *
  * @param expiryGraceMs time after the recovery of the store in which live servers write their entries again.
  * @param minOutageMs length of an outage of the store after which entries of live servers may have expired.
  */
@@ -18,6 +22,10 @@
 ) {
     private val listedServers = LinkedHashMap<BackendServerId, BackendServer>()
     private val expiredServers = LinkedHashMap<BackendServerId, BackendServer>()
+
+    /** The latest runs of servers that were leaving or gone, the oldest first. */
+    private val leftRuns = LinkedHashSet<VmId>()
+    private var isListRestored = false
     private var isStoreUnavailable = false
     private var storeRespondedAtMs: Long? = null
     private var storeFailedAtMs: Long? = null
@@ -54,6 +62,7 @@
     /** The store has come back from an older copy, as was noticed at [nowMs]: entries that were written since that copy was made are missing. */
     fun onStoreRestored(nowMs: Long) {
         storeRecoveredAtMs = nowMs
+        isListRestored = true
     }
 
     /** Replaces all entries with [current], the list read at [nowMs]. */
@@ -63,13 +72,15 @@
     ) {
         val ids = current.mapTo(HashSet()) { it.backendServerId }
         (listedServers.keys - ids).forEach { onRemoved(it, nowMs) }
-        current.forEach(::onEntry)
+        current.forEach { onEntry(if (isListRestored && it.vmId in leftRuns) it.copy(leaving = true) else it) }
+        isListRestored = false
     }
 
     /** Adds or updates one entry. */
     fun onEntry(server: BackendServer) {
         expiredServers.remove(server.backendServerId)
         listedServers[server.backendServerId] = server
+        if (server.leaving) noteLeft(server) else leftRuns -= server.vmId
     }
 
     /** The entry of [id] was removed from the store at [nowMs]. */
@@ -78,12 +89,18 @@
         nowMs: Long,
     ) {
         val server = listedServers.remove(id) ?: return
-        if (!server.leaving && nowMs < storeRecoveredAtMs + expiryGraceMs) expiredServers[id] = server
+        if (!server.leaving && nowMs < storeRecoveredAtMs + expiryGraceMs) expiredServers[id] = server else noteLeft(server)
+    }
+
+    private fun noteLeft(server: BackendServer) {
+        leftRuns += server.vmId
+        if (leftRuns.size > MAX_LEFT_RUNS) leftRuns.remove(leftRuns.first())
     }
 
     /** Removes servers whose expired entries were not written again in time; returns whether there were any. */
     fun removeExpired(nowMs: Long): Boolean {
         if (expiredServers.isEmpty() || nowMs < storeRecoveredAtMs + expiryGraceMs) return false
+        expiredServers.values.forEach(::noteLeft)
         expiredServers.clear()
         return true
     }
@@ -92,6 +109,8 @@
         // Live servers write their entries about every 1.2 s and reappear within about two seconds of the store's recovery.
         private const val DEFAULT_EXPIRY_GRACE_MS = 2_200L
 
+        private const val MAX_LEFT_RUNS = 1_000
+
         // An entry expires after three such intervals without a write, of which one may have passed before the outage.
         private const val DEFAULT_MIN_OUTAGE_MS = 2_400L
     }
