--- a/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerConnectionsTest.kt
+++ b/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerConnectionsTest.kt
@@ -19,7 +19,7 @@
 /** Each connection has a thread of its own, which runs its tasks when the test says so. */
 class CallerConnectionsTest {
     private var replacedCount = 0
-    private val connections = CallerConnections(MAX_CONNECTIONS) { replacedCount++ }
+    private val connections = CallerConnections(MAX_CONNECTIONS, memory = null) { replacedCount++ }
     private val listener = EmbeddedChannel(connections.listenerHandler())
     private val accepted = ArrayList<EmbeddedChannel>()
 
