--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ServerRowListenerTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ServerRowListenerTest.kt
@@ -15,6 +15,7 @@
 import org.lycheemount.common.ZoneId
 import org.lycheemount.platform.RowFeed
 import org.lycheemount.platform.RowListener
+import org.lycheemount.platform.StoreEra
 import org.lycheemount.platform.StoreRow
 import org.lycheemount.platform.follow
 import org.lycheemount.scheduling.createRequestScheduler
@@ -252,7 +253,7 @@
     private class ServerRows : RowFeed {
         private val entries = HashMap<String, String>()
         private val changes = ArrayList<StoreRow>()
-        val eras = FakeStoreEras().also { it.notice(1) }
+        val eras = FakeStoreEras().also { it.notice(StoreEra(1L)) }
         private var era = 1L
         private var deliveredChanges: Int? = null
         private var responses = 0
@@ -279,7 +280,7 @@
             entries += copy
             changes.clear()
             deliveredChanges = null
-            eras.notice(++era)
+            eras.notice(StoreEra(++era))
         }
 
         /** Waits for the next response. */
