Close idle connections of callers after the operator's idle_timeout_ms

Connections without a request stayed open for 60 s whatever the operator's configuration said, so that they held descriptors and buffers for longer than asked for. The listener had a fixed time.

The limits of a connection now state the idle timeout, which is read at each check, and the gateway passes on the configured value. Less than 1 s is applied as 1 s. Callers reuse connections that have been idle for up to four fifths of it; the test checks that none is closed before.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -325,6 +325,7 @@
             ConnectionLimits(
                 maxHeaderBytes,
                 headerTimeoutMs = headerTimeoutMs,
+                idleTimeoutMs = idleTimeoutMs,
                 initialBodyBytes = 0,
             )
         }
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -218,11 +218,17 @@
         if (remainingNs > 0) checkIdleIn(remainingNs) else context.close()
     }
 
-    private val idleTimeoutNs: Long get() = TimeUnit.SECONDS.toNanos(idleTimeoutS)
+    private val idleTimeoutNs: Long
+        get() =
+            limits().idleTimeoutMs?.coerceAtLeast(MIN_IDLE_TIMEOUT_MS)?.let(TimeUnit.MILLISECONDS::toNanos)
+                ?: TimeUnit.SECONDS.toNanos(idleTimeoutS)
 
     companion object {
         private const val FIRST_FINAL_STATUS = 200
 
+        // A caller needs some time between its connection and its first request.
+        private const val MIN_IDLE_TIMEOUT_MS = 1_000L
+
         /** Set on a connection on which a body is malformed, or that ended within a body. */
         val BROKEN_BODY: AttributeKey<Boolean> = AttributeKey.valueOf("brokenBody")
 
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerServer.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerServer.kt
@@ -55,7 +55,7 @@
  * Creates a server that listens on [host] and [port], and handles requests as [module] sets up.
  *
  * @param port 0 for a free port.
- * @param idleTimeoutS time in seconds after which a connection without a request in progress is closed.
+ * @param idleTimeoutS time in seconds after which a connection without a request in progress is closed, unless [limits] state one.
  * @param bounds bounds of all connections together.
  * @param memory budget to which requests are charged from the first byte of their heads; null if they are not.
  * @param limits limits on connections, asked for whenever they are applied.
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/ConnectionLimits.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/ConnectionLimits.kt
@@ -6,6 +6,8 @@
  * @property maxHeaderBytes maximum size of the header fields of a request. The request line may take another [REQUEST_LINE_BYTES].
  * @property maxHeaderFields maximum number of header fields of a request, and of trailers.
  * @property headerTimeoutMs time in milliseconds within which a head that has begun must be complete.
+ * @property idleTimeoutMs time in milliseconds after which a connection without a request in progress is closed; null for that of the
+ *   server.
  * @property initialBodyBytes size of the part of a body that is read before the handler of its request permits more, by
  *   [CallerConnection.permitBody].
  */
@@ -13,6 +15,7 @@
     val maxHeaderBytes: Int = 16_384,
     val maxHeaderFields: Int = 256,
     val headerTimeoutMs: Long = 3_000,
+    val idleTimeoutMs: Long? = null,
     val initialBodyBytes: Long = Long.MAX_VALUE,
 ) {
     /** Maximum number of consecutive bytes that complete no message or part of a body. */
