--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -336,6 +336,7 @@
             ConnectionLimits(
                 maxHeaderBytes,
                 headerTimeoutMs = headerTimeoutMs,
+                idleTimeoutMs = idleTimeoutMs,
                 initialBodyBytes = 0,
             )
         }
