--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/ServerDirectory.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/ServerDirectory.kt
@@ -59,7 +59,7 @@
         storeRespondedAtMs = nowMs
     }
 
-    /** The store has come back from an older copy, as was noticed at [nowMs]: entries that were written since that copy was made are missing. */
+    /** The store has come back from an older copy, as was noticed at [nowMs]: entries that were written since that copy are missing. */
     fun onStoreRestored(nowMs: Long) {
         storeRecoveredAtMs = nowMs
         isListRestored = true
--- a/process/origins/src/main/kotlin/org/lycheemount/origins/SharedStreamOrigins.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/SharedStreamOrigins.kt
@@ -170,15 +170,14 @@
             while (true) {
                 if (!reads.await()) continue
                 latest = synchronized(lock) { book.findRead(key, serviceId, readAtTableTimeMs ?: 0, clock.monotonicMs()) }
-                if (!latest.mayBeRecordedLater || clock.monotonicMs() >= maxOf(recordedByMs, writtenAgainByMs())) break
+                val writtenAgainByMs = synchronized(lock) { restoredAtMs }?.plus(WRITTEN_AGAIN_MS) ?: 0
+                if (!latest.mayBeRecordedLater || clock.monotonicMs() >= maxOf(recordedByMs, writtenAgainByMs)) break
                 delay(REREAD_DELAY_MS)
             }
         }
         return latest
     }
 
-    private fun writtenAgainByMs(): Long = synchronized(lock) { restoredAtMs }?.plus(WRITTEN_AGAIN_MS) ?: 0
-
     private fun recordIfNeeded() {
         if (book.recordIfNeeded(clock.monotonicMs())) newOrigins.trySend(Unit)
     }
@@ -295,7 +294,11 @@
                 onResponse(page.tableTimeMs)
                 if (era != null && era != eras.current.value) return false
                 for (row in page.rows) book.onRow(row, page.tableTimeMs, calledAtMs, clock.monotonicMs())?.let(absent::remove)
-                if (readSinceMs == null) obsoleteRows += page.rows.map { it.key }.filter { isObsolete(it, page.tableTimeMs) }
+                if (readSinceMs ==
+                    null
+                ) {
+                    obsoleteRows += page.rows.map { it.key }.filter { isObsolete(it, page.tableTimeMs, self.routerId.value, runId) }
+                }
             }
             if (page.isLast()) {
                 synchronized(lock) { onRead(absent, page.tableTimeMs, calledAtMs) }
@@ -319,16 +322,6 @@
         }
     }
 
-    private fun isObsolete(
-        key: String,
-        tableTimeMs: Long,
-    ): Boolean {
-        if (!key.startsWith(OriginKeys.STREAMS)) return false
-        val begunAtTableTimeMs = OriginKeys.tableTimeMs(key) ?: return true
-        val isOfEarlierRun = "/${self.routerId.value}/" in key && "/$runId/" !in key
-        return isOfEarlierRun || tableTimeMs - begunAtTableTimeMs > ABANDONED_AFTER_MS
-    }
-
     /** Removes the rows that earlier runs of this router have left, once they are of no more use. */
     private suspend fun removeObsoleteRows() {
         firstRead.await()
@@ -429,7 +422,6 @@
 
         /** A row may be written for so long after it was begun and filled, if the table is slow. */
         private const val MAX_WRITE_DELAY_MS = 5_000L
-        private const val ABANDONED_AFTER_MS = 600_000L
         private const val MAX_REMOVED_ROWS = 80
     }
 }
@@ -439,3 +431,18 @@
 
 private const val PAGE_ROWS = 200
 private const val PAGE_CHARS = 300_000
+
+/** Whether the row of streams under [key] is of no more use once the last streams of its time have ended. */
+private fun isObsolete(
+    key: String,
+    tableTimeMs: Long,
+    routerId: String,
+    runId: String,
+): Boolean {
+    if (!key.startsWith(OriginKeys.STREAMS)) return false
+    val begunAtTableTimeMs = OriginKeys.tableTimeMs(key) ?: return true
+    val isOfEarlierRun = "/$routerId/" in key && "/$runId/" !in key
+    return isOfEarlierRun || tableTimeMs - begunAtTableTimeMs > ABANDONED_AFTER_MS
+}
+
+private const val ABANDONED_AFTER_MS = 600_000L
