Limit the checks of the configuration while a peer has a newer one

What an operator would see: a router that knows from its peers that it is behind calls the store for every refusal of an unknown route or key. Callers with wrong keys could use up the store's rate of reads.

Cause: the interval between two checks was kept by the time of the last confirmation, which was not set while the router is behind.

Change: the time of the last answered check is kept apart from the verdict.

Evidence: ConfigurationRefresherTest, "is shared while a peer has a newer version": 100 checks for 100 refreshes before, 1 after.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ConfigurationRefresher.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ConfigurationRefresher.kt
@@ -22,7 +22,7 @@
     private val awaitCurrent: suspend () -> Boolean,
 ) {
     @Volatile
-    private var currentAsOfMs = Long.MIN_VALUE / 2
+    private var confirmedAsOfMs = Long.MIN_VALUE / 2
 
     /**
      * Returns true if the active configuration was current within the last [MIN_CHECK_INTERVAL_MS].
@@ -31,10 +31,11 @@
      */
     suspend fun refresh(patienceMs: Long): Boolean {
         val startedAtMs = clock.monotonicMs()
-        if (startedAtMs - currentAsOfMs < MIN_CHECK_INTERVAL_MS) return true
-        val isCurrent = check(startedAtMs + patienceMs) && !isBehind()
-        if (isCurrent) currentAsOfMs = maxOf(currentAsOfMs, startedAtMs)
-        return isCurrent
+        if (startedAtMs - confirmedAsOfMs >= MIN_CHECK_INTERVAL_MS) {
+            if (!check(startedAtMs + patienceMs)) return false
+            confirmedAsOfMs = maxOf(confirmedAsOfMs, startedAtMs)
+        }
+        return !isBehind()
     }
 
     private suspend fun check(untilMs: Long): Boolean =
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ConfigurationRefresherTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ConfigurationRefresherTest.kt
@@ -12,8 +12,9 @@
     private val clock = FakeClock()
     private var checks = 0
     private var isStoreAvailable = true
+    private var isBehind = false
     private val refresher =
-        ConfigurationRefresher(clock) {
+        ConfigurationRefresher(clock, isBehind = { isBehind }) {
             checks++
             isStoreAvailable
         }
@@ -34,6 +35,18 @@
                 assertEquals(2, checks)
             }
 
+        @Test
+        fun `is shared while a peer has a newer version, so that callers with wrong keys do not exhaust the store's rate limit`() =
+            runTest {
+                isBehind = true
+                repeat(100) { assertFalse(refresh()) }
+                assertEquals(1, checks)
+
+                isBehind = false
+                assertTrue(refresh())
+                assertEquals(1, checks)
+            }
+
         @Test
         fun `fails while the store does not respond, so that a new key is not refused with 401`() =
             runTest {
