Pass the era of a table's rows on with the rows

What callers could see: servers that registered since the copy was made drop out at once, if the table of servers was being read in full while another call showed the new era; an evacuation could be ordered by the wrong era.

Cause: listeners asked for the era of the latest response to any call, which may be newer than that of the rows which they get.

Change: RowListener.onEra names the era of the rows before they are passed on; the listeners of servers and of evacuations use that.

RestoredStoreTest, ServerRowListenerTest and ZoneEvacuationRowListenerTest pass with the rows' own era.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
@@ -82,7 +82,6 @@
  * @param onServers receives the servers after each change.
  * @param decodeEntry decodes the row of a server, given its id and value, or returns what is wrong with it.
  * @param onRow receives each decoded server with the value of its row, before [onServers] gets it.
- * @param currentEra era of the store; null if it has not stated one.
  */
 internal class ServerRowListener(
     private val onServers: (List<BackendServer>) -> Unit,
@@ -90,12 +89,11 @@
     private val eventLog: EventLog,
     private val decodeEntry: (String, ByteArray) -> Result<BackendServer, String> = ::decodeServerEntry,
     private val onRow: (BackendServer, ByteArray) -> Unit = { _, _ -> },
-    private val currentEra: () -> StoreEra? = { null },
 ) : RowListener {
     private val directory = ServerDirectory()
     private val reachabilityLog = StoreReachabilityLog("servers", eventLog)
     private val unreadableServerIds = HashSet<String>()
-    private var listEra: StoreEra? = null
+    private var era: StoreEra? = null
 
     /** Whether the rows have been read at least once. */
     @Volatile
@@ -104,11 +102,13 @@
 
     override val nextCallWithinMs: Long? get() = directory.graceEndsAtMs?.let { maxOf(0, it - clock.monotonicMs()) }
 
+    override fun onEra(era: StoreEra?) {
+        if (this.era != null && era != this.era) directory.onStoreRestored(clock.monotonicMs())
+        this.era = era
+    }
+
     override fun onAllRows(rows: List<StoreRow>) {
         directory.onStoreResponded(clock.monotonicMs())
-        val era = currentEra()
-        if (listEra != null && era != listEra) directory.onStoreRestored(clock.monotonicMs())
-        listEra = era
         directory.onList(rows.mapNotNull { row -> row.value?.let { decode(row.key, it) } }, clock.monotonicMs())
         hasServerList = true
         publish()
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -115,7 +115,7 @@
 
     // Evacuations come first: a router is ready once it has the configuration.
     private val operatorRowListener =
-        CombinedRowListener(ZoneEvacuationRowListener(evacuations, eventLog, store.eras), configurationListener)
+        CombinedRowListener(ZoneEvacuationRowListener(evacuations, eventLog), configurationListener)
     private val quarantine =
         SharedPromptQuarantine(
             createRowTableService(store, QUARANTINE_TABLE_NAME),
@@ -134,7 +134,7 @@
     private val configurationRefresher =
         ConfigurationRefresher(clock, operatorRowWatcher::isReceiving, configurationLag::isBehind, operatorRowWatcher::awaitCurrent)
     private val serverListener =
-        ServerRowListener(::onBackendServers, clock, eventLog, onRow = coldServers::onRow, currentEra = { store.eras.current.value })
+        ServerRowListener(::onBackendServers, clock, eventLog, onRow = coldServers::onRow)
     private val drain = DrainState()
     private val metricsRegistry =
         PrometheusRegistry().also {
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ZoneEvacuationRowListener.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ZoneEvacuationRowListener.kt
@@ -5,7 +5,7 @@
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.ZoneId
 import org.lycheemount.platform.RowListener
-import org.lycheemount.platform.StoreEras
+import org.lycheemount.platform.StoreEra
 import org.lycheemount.platform.StoreRow
 import org.lycheemount.platform.adapter.checkEvacuationValue
 import org.lycheemount.platform.adapter.decodeEvacuationKey
@@ -15,7 +15,6 @@
 internal class ZoneEvacuationRowListener(
     private val evacuations: ZoneEvacuationState,
     private val eventLog: EventLog,
-    private val eras: StoreEras,
 ) : RowListener {
     /** Era of the store in which the whole table was last read, to which later changes belong. */
     private var era: Long? = null
@@ -26,9 +25,12 @@
     /** Keys of rows that have been logged as invalid. */
     private val invalidKeys = HashSet<String>()
 
+    override fun onEra(era: StoreEra?) {
+        this.era = era?.value
+    }
+
     override fun onAllRows(rows: List<StoreRow>) {
         invalidKeys.retainAll(rows.mapTo(HashSet()) { it.key })
-        era = eras.current.value?.value
         listed = rows.filter { it.value != null }.mapNotNullTo(HashSet()) { zoneOf(it) }
         onChangedRows(rows)
     }
@@ -85,6 +87,8 @@
 internal class CombinedRowListener(
     private vararg val listeners: RowListener,
 ) : RowListener {
+    override fun onEra(era: StoreEra?) = listeners.forEach { it.onEra(era) }
+
     override fun onAllRows(rows: List<StoreRow>) = listeners.forEach { it.onAllRows(rows) }
 
     override fun onChangedRows(rows: List<StoreRow>) = listeners.forEach { it.onChangedRows(rows) }
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/EvacuatedZoneFleet.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/EvacuatedZoneFleet.kt
@@ -30,7 +30,6 @@
 import org.lycheemount.stream.AttemptPermit
 import org.lycheemount.testing.FakeEventLog
 import org.lycheemount.testing.FakePeerNetwork
-import org.lycheemount.testing.FakeStoreEras
 import kotlin.random.Random
 
 /**
@@ -110,7 +109,7 @@
             evacuations.onBackendServers(servers)
             if (followsEvacuations) exchange.start(processScope(), evacuations)
             val listener =
-                if (followsEvacuations) ZoneEvacuationRowListener(evacuations, eventLog, FakeStoreEras()) else CombinedRowListener()
+                if (followsEvacuations) ZoneEvacuationRowListener(evacuations, eventLog) else CombinedRowListener()
             val readyListener = ReadyListener { isReady = true }
             val feed = rows.Feed(latencyMs = 1L + index % MAX_LATENCY_MS) { isStoreUp && reachesStore }
             processScope().launch { feed.follow(CombinedRowListener(listener, readyListener), pollIntervalMs = 0, RETRY_INTERVAL_MS) }
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
@@ -155,7 +155,6 @@
                         clock,
                         FakeEventLog(),
                         ::decodeServer,
-                        currentEra = { client.eras.current.value },
                     )
                 backgroundScope.launch { createServerRowWatcher(client).watch(listener) }
                 store.put("servers", "i-1", "{}")
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ServerRowListenerTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ServerRowListenerTest.kt
@@ -20,7 +20,6 @@
 import org.lycheemount.platform.follow
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.testing.FakeEventLog
-import org.lycheemount.testing.FakeStoreEras
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
@@ -42,14 +41,7 @@
     ) {
         private val clock = scope.virtualClock()
         private val dispatcher = WorkDispatcher(createRequestScheduler(ZoneId("z"), seed = 1), clock)
-        val listener =
-            ServerRowListener(
-                dispatcher::onBackendServers,
-                clock,
-                FakeEventLog(),
-                ::decodeEntry,
-                currentEra = { rows.eras.current.value },
-            )
+        val listener = ServerRowListener(dispatcher::onBackendServers, clock, FakeEventLog(), ::decodeEntry)
 
         val leavingServerIds
             get() =
@@ -253,7 +245,6 @@
     private class ServerRows : RowFeed {
         private val entries = HashMap<String, String>()
         private val changes = ArrayList<StoreRow>()
-        val eras = FakeStoreEras().also { it.notice(StoreEra(1L)) }
         private var era = 1L
         private var deliveredChanges: Int? = null
         private var responses = 0
@@ -280,7 +271,7 @@
             entries += copy
             changes.clear()
             deliveredChanges = null
-            eras.notice(StoreEra(++era))
+            era++
         }
 
         /** Waits for the next response. */
@@ -312,10 +303,10 @@
             delay(LATENCY_MS)
             val delivered = deliveredChanges
             when {
-                delivered == null ->
-                    listener.onAllRows(
-                        entries.map { StoreRow(it.key, it.value.encodeToByteArray(), changes.size.toLong()) },
-                    )
+                delivered == null -> {
+                    listener.onEra(StoreEra(era))
+                    listener.onAllRows(entries.map { StoreRow(it.key, it.value.encodeToByteArray(), changes.size.toLong()) })
+                }
                 delivered < changes.size -> listener.onChangedRows(changes.subList(delivered, changes.size).toList())
             }
             deliveredChanges = changes.size
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ZoneEvacuationRowListenerTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ZoneEvacuationRowListenerTest.kt
@@ -11,13 +11,11 @@
 import org.lycheemount.platform.StoreRow
 import org.lycheemount.scheduling.createRequestScheduler
 import org.lycheemount.testing.FakeEventLog
-import org.lycheemount.testing.FakeStoreEras
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
 class ZoneEvacuationRowListenerTest {
     private val eventLog = FakeEventLog()
-    private val eras = FakeStoreEras()
     private val clock =
         object : Clock {
             override fun monotonicMs() = 0L
@@ -26,7 +24,7 @@
         }
     private val dispatcher = WorkDispatcher(createRequestScheduler(ZoneId("z"), seed = 1), clock)
     private val evacuations = ZoneEvacuationState(dispatcher, clock, eventLog)
-    private val listener = ZoneEvacuationRowListener(evacuations, eventLog, eras)
+    private val listener = ZoneEvacuationRowListener(evacuations, eventLog)
     private var version = 0L
 
     private val events get() = eventLog.events.map { it.first }
@@ -68,12 +66,12 @@
 
         @Test
         fun `evacuates its zone though it has a lower version since the store came back from an older copy`() {
-            eras.notice(StoreEra(1))
+            listener.onEra(StoreEra(1))
             version = 100
             readAll(row("evacuate/z1", "{}"))
             listener.onChangedRows(listOf(row("evacuate/z1", null)))
 
-            eras.notice(StoreEra(2))
+            listener.onEra(StoreEra(2))
             version = 50
             readAll()
             listener.onChangedRows(listOf(row("evacuate/z1", "{}")))
--- a/process/platform/src/main/kotlin/org/lycheemount/platform/RowListener.kt
+++ b/process/platform/src/main/kotlin/org/lycheemount/platform/RowListener.kt
@@ -2,6 +2,9 @@
 
 /** Receives the rows of one table of the platform's store and their changes. Called by one coroutine. */
 interface RowListener {
+    /** Called before [onAllRows] with the era of the store to which its rows and later changes belong; null if it has not stated one. */
+    fun onEra(era: StoreEra?) {}
+
     /** Called with all rows of the table, at the start and after a gap in the change history. */
     fun onAllRows(rows: List<StoreRow>)
 
