Move the store of virtual-time tests to the folder of the platform's format

RestorableStore speaks the wire format of the platform, which no other folder does. No check is changed: RowWatcherTest, RestoredStoreTest, StoreEraTrackerTest, ConfigurationRefresherTest and ServerRowListenerTest pass.

--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
@@ -17,6 +17,7 @@
 import org.lycheemount.config.PublishedConfiguration
 import org.lycheemount.platform.adapter.createOperatorRowWatcher
 import org.lycheemount.platform.adapter.createServerRowWatcher
+import org.lycheemount.platform.adapter.testing.RestorableStore
 import org.lycheemount.testing.FakeEventLog
 import kotlin.random.Random
 import kotlin.test.Test
