Close connections of callers that stall when too many are open

When all connections that the bound allows had a request in progress, a new one was closed without a response, also if the callers had stopped short of the end of their bodies or did not read their responses.

Cause: the choice at the bound left out every connection with a request in progress, whoever it waits for.

A request counts as stalled if its caller has neither sent a permitted part of the body nor taken a part of the response for a second. At the bound, its connection is closed for a new one. One whose request waits for this process stays open.

Three of the new cases of CallerConnectionsTest failed before as well. All pass now.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -19,7 +19,8 @@
 
 /**
  * Counts the requests in progress on one connection, closes the connection while it has none, and marks it when a body cannot be
- * read to its end. Used by the thread of the connection, except for [closeOnceIdle].
+ * read to its end. Used by the thread of the connection, except for [isInProgress], [isStalled], [idleSinceNs], [lastProgressNs],
+ * [closeOnceIdle], [closeIfInactive] and [permitBody].
  */
 internal class CallerConnectionHandler(
     private val idleTimeoutS: Long,
@@ -30,6 +31,8 @@
     private val onClosed: (CallerConnectionHandler) -> Unit,
     /** Called when no request is in progress any more. */
     private val onIdle: () -> Unit = {},
+    /** Monotonic time in nanoseconds. */
+    private val nowNs: () -> Long = System::nanoTime,
 ) : ChannelDuplexHandler() {
     private lateinit var context: ChannelHandlerContext
     private val announcedResponses = AnnouncedResponses()
@@ -44,9 +47,19 @@
     private var requestsInProgress = 0
 
     /** Whether the body of a request has not been read to its end. */
+    @Volatile
     var isReadingBody = false
         private set
 
+    /** Number of parts of responses that have been written and not sent, since the caller has not read what was sent before. */
+    @Volatile
+    private var unsentParts = 0
+
+    /** Time at which the caller last sent a part of a request or took a part of a response. */
+    @Volatile
+    var lastProgressNs = nowNs()
+        private set
+
     /** Called when more may be read: a response has been written, or more of a body is permitted. */
     var onReadPermitted: () -> Unit = {}
 
@@ -54,6 +67,7 @@
     var onClosedInBody: () -> Unit = {}
 
     /** Number of bytes of the current body that may still be passed on. May be exceeded by one buffer. */
+    @Volatile
     private var permittedBodyBytes = 0L
 
     /** Whether the handler of the request in progress must permit the rest of its body. */
@@ -68,7 +82,7 @@
 
     /** Time at which the last response was written, or the connection was accepted. */
     @Volatile
-    var idleSinceNs = System.nanoTime()
+    var idleSinceNs = nowNs()
         private set
     private var idleCheck: Future<*>? = null
 
@@ -96,6 +110,7 @@
             isReadingBody = true
             permittedBodyBytes = limits().initialBodyBytes
         }
+        lastProgressNs = nowNs()
         if (message is HttpContent) permittedBodyBytes -= message.content().readableBytes()
         if (message is HttpContent && message.decoderResult().isFailure) {
             markBrokenBody()
@@ -144,9 +159,16 @@
             if (message !is HttpResponse && currentResponse?.isSent == false) return closeInPlaceOf(message, promise)
             promise.unvoid().addListener { completeRequest() }
         }
+        unsentParts++
+        promise.unvoid().addListener { onPartSent() }
         context.write(message, promise)
     }
 
+    private fun onPartSent() {
+        unsentParts--
+        lastProgressNs = nowNs()
+    }
+
     private fun onResponseHead(head: HttpResponse) {
         currentResponse = takeResponse(head)
         // The engine closes the connection only if the request asks for it.
@@ -166,12 +188,21 @@
             if (requestsInProgress == 0) context.close()
         }
 
-    /** Closes the connection unless a request is in progress, and tells [onResult] whether it was closed. */
-    fun closeIfIdle(onResult: (Boolean) -> Unit) =
+    /**
+     * Whether a request in progress has waited for its caller for [MIN_STALL_NS] at [nowNs], to send the rest of its body or to read its
+     * response.
+     */
+    fun isStalled(nowNs: Long): Boolean {
+        val isWaitingForCaller = unsentParts > 0 || (isReadingBody && permittedBodyBytes > 0)
+        return isInProgress && isWaitingForCaller && nowNs - lastProgressNs >= MIN_STALL_NS
+    }
+
+    /** Closes the connection unless a request is in progress that is not stalled, and tells [onResult] whether it was closed. */
+    fun closeIfInactive(onResult: (Boolean) -> Unit) =
         context.executor().execute {
-            val isIdle = requestsInProgress == 0
-            if (isIdle) context.close()
-            onResult(isIdle)
+            val isInactive = !isInProgress || isStalled(nowNs())
+            if (isInactive) context.close()
+            onResult(isInactive)
         }
 
     /** Permits another [bytes] bytes of the body of the request in progress. */
@@ -207,7 +238,7 @@
     private fun completeRequest() {
         requestsInProgress--
         memory.release()
-        idleSinceNs = System.nanoTime()
+        idleSinceNs = nowNs()
         when {
             !closesOnceIdle || isInProgress -> onReadPermitted()
             isReadingBody -> onClosedInBody()
@@ -222,7 +253,7 @@
 
     private fun closeIfIdleForLong() {
         if (!context.channel().isOpen) return
-        val remainingNs = if (requestsInProgress > 0) idleTimeoutNs else idleTimeoutNs - (System.nanoTime() - idleSinceNs)
+        val remainingNs = if (requestsInProgress > 0) idleTimeoutNs else idleTimeoutNs - (nowNs() - idleSinceNs)
         if (remainingNs > 0) checkIdleIn(remainingNs) else context.close()
     }
 
@@ -237,6 +268,9 @@
         // A caller needs some time between its connection and its first request.
         private const val MIN_IDLE_TIMEOUT_MS = 1_000L
 
+        /** Time in nanoseconds after which a request that waits for its caller is stalled. */
+        const val MIN_STALL_NS = 1_000_000_000L
+
         /** Set on a connection on which a body is malformed, or that ended within a body. */
         val BROKEN_BODY: AttributeKey<Boolean> = AttributeKey.valueOf("brokenBody")
 
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnections.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnections.kt
@@ -13,11 +13,13 @@
  * Listeners and open connections of one [CallerServer]. Thread-safe.
  *
  * @param memory budget to which requests are charged; null if they are not.
+ * @param nowNs monotonic time in nanoseconds.
  * @param onReplaced called when a connection is closed in favour of a new one.
  */
 internal class CallerConnections(
     private val maxConnections: Int,
     private val memory: MemoryBudget?,
+    private val nowNs: () -> Long = System::nanoTime,
     private val onReplaced: () -> Unit,
 ) {
     private val listeners = ConcurrentHashMap.newKeySet<Channel>()
@@ -35,13 +37,13 @@
     private var isClosing = false
 
     /** Returns a handler for a listener. */
-    fun listenerHandler(): ChannelHandler = ListenerHandler(maxConnections + SPARE_CONNECTIONS, onOpened = listeners::add)
+    fun listenerHandler(): ChannelHandler = ListenerHandler(maxConnections + SPARE_CONNECTIONS, nowNs, onOpened = listeners::add)
 
     /** Returns a handler for a new connection, which is closed after [idleTimeoutS] seconds without a request. */
     fun connectionHandler(
         idleTimeoutS: Long,
         limits: () -> ConnectionLimits,
-    ) = CallerConnectionHandler(idleTimeoutS, limits, RequestMemory(memory), ::onOpened, ::onClosed, ::onIdle)
+    ) = CallerConnectionHandler(idleTimeoutS, limits, RequestMemory(memory), ::onOpened, ::onClosed, ::onIdle, nowNs)
 
     /** Stops accepting connections. */
     suspend fun closeListeners() {
@@ -72,21 +74,31 @@
         if (isExceeded) synchronized(this) { replaceExcess() }
     }
 
-    /**
-     * Closes the connections that have been without a request for the longest time, until no more count than the bound allows. A new one is
-     * closed itself if all others have a request in progress.
-     */
+    /** Closes connections until no more count than the bound allows. */
     private fun replaceExcess() {
         while (size > maxConnections) {
             // Set before the search, so that a request that ends during it is noticed by onIdle.
             isExceeded = true
-            val longestIdle = open.filter { it !in replaced && !it.isInProgress }.minByOrNull { it.idleSinceNs } ?: return
-            replaced += longestIdle
-            longestIdle.closeIfIdle { isClosed -> if (isClosed) onReplaced() else onNotReplaced(longestIdle) }
+            val connection = leastActive() ?: return
+            replaced += connection
+            connection.closeIfInactive { isClosed -> if (isClosed) onReplaced() else onNotReplaced(connection) }
         }
         isExceeded = false
     }
 
+    /**
+     * Returns the connection to close: the one without a request for the longest time, but one whose caller stalls its request before one
+     * that was opened just now. Otherwise, callers that stall could keep all others out. A new connection is closed itself if all others
+     * have a request in progress that is not stalled.
+     */
+    private fun leastActive(): CallerConnectionHandler? {
+        val now = nowNs()
+        val candidates = open.filter { it !in replaced }
+        val longestIdle = candidates.filter { !it.isInProgress }.minByOrNull { it.idleSinceNs }
+        if (longestIdle != null && now - longestIdle.idleSinceNs >= CallerConnectionHandler.MIN_STALL_NS) return longestIdle
+        return candidates.filter { it.isStalled(now) }.minByOrNull { it.lastProgressNs } ?: longestIdle
+    }
+
     @Synchronized
     private fun onNotReplaced(connection: CallerConnectionHandler) {
         replaced -= connection
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/ConnectionLimits.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/ConnectionLimits.kt
@@ -52,7 +52,10 @@
     /** The caller does not read its response, and the memory is needed for other requests. */
     UNREAD_RESPONSE(null),
 
-    /** The listener has too many connections; this one had no request in progress. It is closed without a response. */
+    /**
+     * The listener has too many connections; this one had no request in progress, or its caller did not send or read the rest of one. It is
+     * closed without a response.
+     */
     TOO_MANY_CONNECTIONS(null),
     ;
 
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/ListenerBounds.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/ListenerBounds.kt
@@ -7,7 +7,7 @@
  * Bounds of a listener, which are fixed while it is open.
  *
  * @property maxConnections maximum number of open connections. At the bound, a new connection replaces the one that has been without a
- *   request for the longest time.
+ *   request for the longest time, or one whose caller stalls its request.
  * @property receiveBufferBytes size of the receive buffer of a connection, of which Linux allocates twice as much. What the kernel has
  *   received counts as memory of the process, and a size of its own choice grows to megabytes.
  * @property sendBufferBytes size of the send buffer of a connection, of which Linux allocates twice as much. It holds what has been sent
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/ListenerHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/ListenerHandler.kt
@@ -9,10 +9,12 @@
  * their threads are about to close count as well, since they hold descriptors. The operating system queues the connections that are not
  * accepted. The limit may be exceeded by the number of connections that the listener accepts in one turn.
  *
+ * @param nowNs monotonic time in nanoseconds.
  * @param onOpened called when the listener is open.
  */
 internal class ListenerHandler(
     private val maxAccepted: Int,
+    private val nowNs: () -> Long,
     private val onOpened: (Channel) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private var acceptedCount = 0
@@ -35,7 +37,7 @@
         connection: Channel,
     ) {
         // Connections are registered by several threads, in any order.
-        connection.attr(CallerConnectionHandler.ACCEPTED_AT_NS).set(System.nanoTime())
+        connection.attr(CallerConnectionHandler.ACCEPTED_AT_NS).set(nowNs())
         changeCount(listener, 1)
         connection.closeFuture().addListener { changeCount(listener, -1) }
     }
--- a/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerConnectionsTest.kt
+++ b/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerConnectionsTest.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.async
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.yield
@@ -19,7 +20,10 @@
 /** Each connection has a thread of its own, which runs its tasks when the test says so. */
 class CallerConnectionsTest {
     private var replacedCount = 0
-    private val connections = CallerConnections(MAX_CONNECTIONS, memory = null) { replacedCount++ }
+
+    /** Rises with each reading. */
+    private var nowNs = 0L
+    private val connections = CallerConnections(MAX_CONNECTIONS, memory = null, nowNs = { ++nowNs }) { replacedCount++ }
     private val listener = EmbeddedChannel(connections.listenerHandler())
     private val accepted = ArrayList<EmbeddedChannel>()
 
@@ -44,6 +48,15 @@
         pipeline().fireChannelRead(DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"))
     }
 
+    private fun EmbeddedChannel.endRequest() {
+        pipeline().fireChannelRead(LastHttpContent.EMPTY_LAST_CONTENT)
+    }
+
+    private fun EmbeddedChannel.receiveWholeRequest() {
+        receiveRequest()
+        endRequest()
+    }
+
     private fun EmbeddedChannel.sendResponse() {
         writeOutbound(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK))
     }
@@ -93,6 +106,52 @@
             assertTrue(held.all { it.isOpen })
         }
 
+        @Test
+        fun `a connection whose caller does not end its body is closed, guarding against callers that keep all others out`() {
+            val held = List(MAX_CONNECTIONS) { open().apply { receiveRequest() } }
+            nowNs += CallerConnectionHandler.MIN_STALL_NS
+
+            val newest = open()
+            runTasks()
+
+            assertEquals(listOf(false, true, true), (held + newest).map { it.isOpen })
+        }
+
+        @Test
+        fun `a connection whose caller does not read its response is closed, guarding against callers that keep all others out`() {
+            val held = List(MAX_CONNECTIONS) { open().apply { receiveWholeRequest() } }
+            held.last().write(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK))
+            nowNs += CallerConnectionHandler.MIN_STALL_NS
+
+            val newest = open()
+            runTasks()
+
+            assertEquals(listOf(true, false, true), (held + newest).map { it.isOpen })
+        }
+
+        @Test
+        fun `a connection whose request waits for this process is not closed`() {
+            val held = List(MAX_CONNECTIONS) { open().apply { receiveWholeRequest() } }
+            nowNs += CallerConnectionHandler.MIN_STALL_NS
+
+            val newest = open()
+            runTasks()
+
+            assertEquals(listOf(true, true, false), (held + newest).map { it.isOpen })
+        }
+
+        @Test
+        fun `a connection whose caller goes on before it is closed stays open`() {
+            val held = List(MAX_CONNECTIONS) { open().apply { receiveRequest() } }
+            nowNs += CallerConnectionHandler.MIN_STALL_NS
+            val newest = open()
+
+            held.first().endRequest()
+            runTasks()
+
+            assertEquals(listOf(true, false, true), (held + newest).map { it.isOpen })
+        }
+
         @Test
         fun `a new connection makes the bound hold again, guarding against an excess that lasts`() {
             val busy = List(MAX_CONNECTIONS + 1) { open() }
