Split GatewayProcess by role

Cause: the class of 386 lines held, besides the wiring, the steps of a shutdown, the reasons for which a router is not ready, and the settings that are reloaded.

Change: GatewayShutdown, GatewayReadiness and ActiveSettings, one file each. GatewayProcess (315 lines) creates, starts and stops the components in the same order as before. Expressions that fit one line are no longer wrapped, and unused imports are removed.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -1,7 +1,6 @@
 package org.lycheemount.app.router.gateway
 
 import io.ktor.server.cio.CIO
-import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.routing.get
 import io.ktor.server.routing.routing
@@ -10,10 +9,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancelAndJoin
-import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lycheemount.app.router.CallerBoundsReport
@@ -69,9 +64,7 @@
 ) {
     private val eventLog = DefaultEventLog("gateway")
 
-    /** [settings] with the reloadable values that have changed in the file since the start. */
-    @Volatile
-    private var activeSettings = settings
+    private val activeSettings = ActiveSettings(settings, eventLog)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val identity = settings.run { RouterIdentity(routerId, vmId, regionId, zoneId, incarnation) }
     private val backendHttp = BackendHttp(connectTimeoutMs = CONNECT_TIMEOUT_MS)
@@ -114,8 +107,7 @@
     private val configurationListener = ConfigurationRowListener(configuration, clock, eventLog, store.eras, ::onConfigurationChanged)
 
     // Evacuations come first: a router is ready once it has the configuration.
-    private val operatorRowListener =
-        CombinedRowListener(ZoneEvacuationRowListener(evacuations, eventLog), configurationListener)
+    private val operatorRowListener = CombinedRowListener(ZoneEvacuationRowListener(evacuations, eventLog), configurationListener)
     private val quarantine =
         SharedPromptQuarantine(
             createRowTableService(store, QUARANTINE_TABLE_NAME),
@@ -133,8 +125,15 @@
     private val operatorRowWatcher = createOperatorRowWatcher(store)
     private val configurationRefresher =
         ConfigurationRefresher(clock, operatorRowWatcher::isReceiving, configurationLag::isBehind, operatorRowWatcher::awaitCurrent)
-    private val serverListener =
-        ServerRowListener(::onBackendServers, clock, eventLog, onRow = coldServers::onRow)
+    private val serverListener = ServerRowListener(::onBackendServers, clock, eventLog, onRow = coldServers::onRow)
+    private val readiness =
+        GatewayReadiness(
+            hasConfiguration = configuration::isLoaded,
+            hasServers = serverListener::hasServerList,
+            isWarmedUp = { warmUpFinished.isCompleted },
+            hasBudgets = budgetLimits::isApplied,
+            hasStreamOrigins = streamOrigins::isRead,
+        )
     private val drain = DrainState()
     private val metricsRegistry =
         PrometheusRegistry().also {
@@ -205,19 +204,7 @@
     }
 
     /** Applies the retry budget and the drain grace of [changed]. All other settings need a restart. */
-    fun onSettingsChanged(changed: GatewaySettings) {
-        activeSettings = settings.copy(retryBudget = changed.retryBudget, drainGraceS = changed.drainGraceS)
-        eventLog.info("settings_reloaded", "retry_budget" to activeSettings.retryBudget, "drain_grace_s" to activeSettings.drainGraceS)
-        if (activeSettings !=
-            changed.copy(isFirstStart = activeSettings.isFirstStart)
-        ) {
-            eventLog.warn(
-                "settings_need_restart",
-                "in_force" to activeSettings,
-                "in_file" to changed,
-            )
-        }
-    }
+    fun onSettingsChanged(changed: GatewaySettings) = activeSettings.onChanged(changed)
 
     private suspend fun runWarmUp() {
         val startedAtMs = clock.monotonicMs()
@@ -236,52 +223,9 @@
      */
     suspend fun stop() {
         withTimeoutOrNull(START_TIMEOUT_MS) { started.await() } ?: return
-        val startedAtMs = clock.monotonicMs()
-        val schedule = createShutdownSchedule((activeSettings.drainGraceS * MS_PER_SECOND).toLong())
-
-        fun untilMs(stepMs: Long) = startedAtMs + stepMs - clock.monotonicMs()
-
-        fun log(
-            event: String,
-            vararg fields: Pair<String, Any?>,
-        ) = eventLog.info(
-            event,
-            "elapsed_ms" to clock.monotonicMs() - startedAtMs,
-            "requests_in_progress" to drain.requestsInProgress,
-            *fields,
-        )
-        log("drain_started")
-        drain.announceShutdown()
-        delay(untilMs(schedule.noticeEndsMs))
-        drain.startDraining(admittedUntilMs = startedAtMs + schedule.responsesEndMs)
-        log("drain_refusing")
-        withTimeoutOrNull(untilMs(schedule.listenerClosesMs)) { drain.awaitIdle() }
-        log("listener_closing")
-        val requestsCut =
-            coroutineScope {
-                launch { closeCallersServer(schedule.connectionLingerMs, untilMs(schedule.connectionsCloseMs)) }
-                launch { withTimeoutOrNull(untilMs(schedule.exitMs)) { budgets.maintenance.drain() } }
-                withTimeoutOrNull(untilMs(schedule.responsesEndMs)) { drain.awaitIdle() }
-                log("drain_ended")
-                drain.endRequests()
-            }
-        operationsServer.stopSuspend(0, 0)
-        backendHttp.close()
-        // A selector that still waits for sockets would delay the exit of the JVM.
-        withTimeoutOrNull(maxOf(untilMs(schedule.exitMs), MIN_CLOSE_MS)) { scope.coroutineContext.job.cancelAndJoin() }
-        log("router_stopped", "router" to identity.routerId.value, "requests_cut" to requestsCut)
-    }
-
-    /**
-     * Closes the listener, and the connections once they are idle, but at the latest after [lingerMs], or after [requestsLingerMs] if
-     * requests are in progress. Until then, requests on open connections get a response.
-     */
-    private suspend fun closeCallersServer(
-        lingerMs: Long,
-        requestsLingerMs: Long,
-    ) {
-        val graceMs = if (drain.requestsInProgress > 0) maxOf(requestsLingerMs, lingerMs) else lingerMs
-        callersServer.stop(graceMs, lingerMs)
+        val graceMs = (activeSettings.current.drainGraceS * MS_PER_SECOND).toLong()
+        GatewayShutdown(identity, drain, callersServer, operationsServer, budgets.maintenance, backendHttp, scope, clock, eventLog)
+            .run(graceMs)
     }
 
     private fun onConfigurationChanged() {
@@ -298,10 +242,7 @@
         evacuations.onBackendServers(servers)
     }
 
-    private fun routerVm() =
-        settings.run {
-            RouterVm(vmId, routerId, regionId, zoneId, hostOf(peersAddress), portOf(peersAddress))
-        }
+    private fun routerVm() = settings.run { RouterVm(vmId, routerId, regionId, zoneId, hostOf(peersAddress), portOf(peersAddress)) }
 
     private fun routedServices() =
         RoutedServices(
@@ -315,10 +256,10 @@
             dialect = PlatformRequestDialect(),
             eventLog = eventLog,
             metricsRegistry = metricsRegistry,
-            retryBudgetPolicy = { activeSettings.retryBudget.run { RetryBudgetPolicy(ratio, slack, (windowS * MS_PER_SECOND).toLong()) } },
+            retryBudgetPolicy = ::retryBudgetPolicy,
             routerCount = { peers.routerCount },
-            notReadyReasons = ::notReadyReasons,
-            cannotServeReasons = ::cannotServeReasons,
+            notReadyReasons = readiness::notReadyReasons,
+            cannotServeReasons = readiness::cannotServeReasons,
             refreshConfiguration = configurationRefresher::refresh,
             serverStatements = serverStatements,
             streamOrigins = streamOrigins,
@@ -330,31 +271,15 @@
             onEventDiscarded = boundsReport::onEventDiscarded,
         )
 
+    private fun retryBudgetPolicy() =
+        activeSettings.current.retryBudget.run { RetryBudgetPolicy(ratio, slack, (windowS * MS_PER_SECOND).toLong()) }
+
     /** Limits of the operator's configuration, which may change at any time. */
     private fun connectionLimits() =
         configuration.current().listenerLimits.run {
-            ConnectionLimits(
-                maxHeaderBytes,
-                headerTimeoutMs = headerTimeoutMs,
-                idleTimeoutMs = idleTimeoutMs,
-                initialBodyBytes = 0,
-            )
+            ConnectionLimits(maxHeaderBytes, headerTimeoutMs = headerTimeoutMs, idleTimeoutMs = idleTimeoutMs, initialBodyBytes = 0)
         }
 
-    private fun cannotServeReasons(): List<String> =
-        listOfNotNull(
-            "no_configuration".takeIf { !configuration.isLoaded },
-            "no_servers".takeIf { !serverListener.hasServerList },
-        )
-
-    private fun notReadyReasons(): List<String> =
-        cannotServeReasons() +
-            listOfNotNull(
-                "warming_up".takeIf { !warmUpFinished.isCompleted },
-                "no_budgets".takeIf { !budgetLimits.isApplied },
-                "no_stream_origins".takeIf { !streamOrigins.isRead },
-            )
-
     private companion object {
         private const val QUARANTINE_TABLE_NAME = "lycheemount-quarantine"
         private const val ORIGINS_TABLE_NAME = "lycheemount-origins"
@@ -368,7 +293,6 @@
         // Servers are a few milliseconds away at most. A lost SYN packet would be retransmitted only after a second.
         private const val CONNECT_TIMEOUT_MS = 400L
         private const val MS_PER_SECOND = 1_000.0
-        private const val MIN_CLOSE_MS = 100L
 
         // A start takes a few hundred milliseconds.
         private const val START_TIMEOUT_MS = 2_000L
