Share the monotonic time of the caller listener

Cause: CallerInputHandler and RequestMemory each computed it, with a constant each. Tests: HeadMemoryTest, CallerInputTest and ConnectionBoundTest of connection/caller (30 tests) pass; formatter and linter pass. The other tests of the module were not run.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
@@ -151,7 +151,7 @@
         isPartWanted = false
         val part = InputSize.of(bytes)
         undecoded.add(part)
-        if (!connection.isReadingBody && !headTimer.isRunning && bytes.forEachByte { it <= SPACE } >= 0) headTimer.start(nowMs())
+        if (!connection.isReadingBody && !headTimer.isRunning && bytes.forEachByte { it <= SPACE } >= 0) headTimer.start(monotonicMs())
         context.fireChannelRead(bytes)
         val limits = limits()
         if (undecoded.exceeds(limits)) {
@@ -243,7 +243,7 @@
         isTiming = false
         refuseIfDropped()
         if (isStopped || !headTimer.isRunning) return
-        if (headTimer.isExpired(nowMs(), limits().headerTimeoutMs)) refuseUnlessRead(READS_BEFORE_TIMEOUT) else timeHead()
+        if (headTimer.isExpired(monotonicMs(), limits().headerTimeoutMs)) refuseUnlessRead(READS_BEFORE_TIMEOUT) else timeHead()
     }
 
     /** Reads what has arrived, [turns] times, before a caller is refused because of its time. */
@@ -274,7 +274,3 @@
     bytes.release()
     return this
 }
-
-private fun nowMs() = System.nanoTime() / NS_PER_MS
-
-private const val NS_PER_MS = 1_000_000L
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/RequestMemory.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/RequestMemory.kt
@@ -47,7 +47,7 @@
 
     private fun charge(totalBytes: Long) {
         if (budget == null) return
-        val nowMs = System.nanoTime() / NS_PER_MS
+        val nowMs = monotonicMs()
         val open = account ?: budget.open(nowMs, onUnreadDropped).also { account = it }
         // A part of a head is estimated, and may have held the beginning of a body.
         if (totalBytes < chargedBytes) open.giveBack(chargedBytes - totalBytes) else open.charge(totalBytes - chargedBytes, nowMs)
@@ -63,7 +63,6 @@
 
         /** Copies of each character: what was decoded, and what is sent to a server. */
         const val CHARACTER_COPIES = 2L
-        private const val NS_PER_MS = 1_000_000L
 
         private fun costOf(
             fields: Int,
