Share the check for a committed transaction in membership

Cause: four functions each tested whether a commit got a response and no conflict. Change: TableService.tryCommit, which they call.

--- a/process/membership/src/main/kotlin/org/lycheemount/membership/FleetSecret.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/FleetSecret.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.delay
 import org.lycheemount.common.EventLog
-import org.lycheemount.platform.CommitOutcome
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.RowWrite
 import org.lycheemount.platform.StoreEras
@@ -58,8 +57,7 @@
         }
         val write = RowWrite(KEY, Base64.getEncoder().encodeToString(held))
         val transaction = TableTransaction("fleet-secret-${UUID.randomUUID()}", listOf(RowCheck(KEY, 0)), listOf(write))
-        val outcome = table.commit(transaction)
-        val isWritten = outcome is TableResult.Response && outcome.value is CommitOutcome.Committed
+        val isWritten = table.tryCommit(transaction)
         if (isWritten) eventLog.info("fleet_secret_written_again", "era" to era.value)
         isWritten
     }
--- a/process/membership/src/main/kotlin/org/lycheemount/membership/Incarnation.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/Incarnation.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.delay
 import org.lycheemount.common.EventLog
 import org.lycheemount.common.VmId
-import org.lycheemount.platform.CommitOutcome
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.RowWrite
 import org.lycheemount.platform.StoreEras
@@ -36,9 +35,8 @@
             val incarnation = maxOf(wallClockMs, 1 + predecessorOf(row, eventLog))
             val check = RowCheck(key, row?.version ?: 0)
             val write = RowWrite(key, incarnation.toString())
-            val outcome = table.commit(TableTransaction("incarnation-${UUID.randomUUID()}", listOf(check), listOf(write)))
             // A write without a response may have taken effect; the next read shows it, and the next incarnation is greater.
-            if (outcome is TableResult.Response && outcome.value is CommitOutcome.Committed) return incarnation
+            if (table.tryCommit(TableTransaction("incarnation-${UUID.randomUUID()}", listOf(check), listOf(write)))) return incarnation
         } else if (!hasLogged) {
             eventLog.warn("incarnation_awaited", "key" to key, "error" to current)
             hasLogged = true
@@ -65,8 +63,7 @@
         if (predecessorOf(row, eventLog) >= incarnation) return@forEachReturn true
         val write = RowWrite(key, incarnation.toString())
         val transaction = TableTransaction("incarnation-${UUID.randomUUID()}", listOf(RowCheck(key, row?.version ?: 0)), listOf(write))
-        val outcome = table.commit(transaction)
-        val isWritten = outcome is TableResult.Response && outcome.value is CommitOutcome.Committed
+        val isWritten = table.tryCommit(transaction)
         if (isWritten) eventLog.info("incarnation_written_again", "key" to key, "era" to era.value)
         isWritten
     }
--- a/process/membership/src/main/kotlin/org/lycheemount/membership/TableVmDirectory.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/TableVmDirectory.kt
@@ -5,7 +5,6 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.lycheemount.common.EventLog
-import org.lycheemount.platform.CommitOutcome
 import org.lycheemount.platform.RouterVm
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.RowFeed
@@ -92,8 +91,7 @@
                 listOf(RowCheck(key, existing?.version ?: 0)),
                 listOf(RowWrite(key, value)),
             )
-        val outcome = table.commit(transaction)
-        return outcome is TableResult.Response && outcome.value is CommitOutcome.Committed
+        return table.tryCommit(transaction)
     }
 
     private fun decode(row: StoreRow): RouterVm? {
