Add builder functions to ProbePermitsTest

Cause: two tests repeated the set-up of two routers in the first era of the store. Change: permitsInFirstEra and passInterval. Each assertion is as before. Tests: all 42 tests of process/quarantine pass; formatter and linter pass.

--- a/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/ProbePermitsTest.kt
+++ b/process/quarantine/src/test/kotlin/org/lycheemount/quarantine/ProbePermitsTest.kt
@@ -26,6 +26,19 @@
         return ProbePermits(table, identity, clock, FakeEventLog(), eras) { clock.monotonicMs() }
     }
 
+    private fun passInterval() {
+        clock.nowMs += ProbePermits.INTERVAL_MS
+    }
+
+    /** Permits of two routers that have been running for an interval since the first era of the store began. */
+    private fun permitsInFirstEra(): Pair<ProbePermits, ProbePermits> {
+        eras.notice(table.era)
+        val permits = permits(1) to permits(2)
+        permits.toList().forEach { it.onStoreEra() }
+        passInterval()
+        return permits
+    }
+
     @Nested
     inner class `a request with two doubtful segments` {
         @Test
@@ -45,9 +58,9 @@
                 val ownPermits = permits(1)
                 val otherPermits = permits(2)
                 assertNull(otherPermits.take(setOf(FIRST)))
-                clock.nowMs += ProbePermits.INTERVAL_MS
+                passInterval()
                 assertNull(otherPermits.take(setOf(SECOND)))
-                clock.nowMs += ProbePermits.INTERVAL_MS
+                passInterval()
 
                 assertNull(ownPermits.take(setOf(FIRST, SECOND)))
                 assertEquals(FIRST, otherPermits.take(setOf(FIRST)))
@@ -60,7 +73,7 @@
                 val rows = table.copyRows()
                 assertNull(permits.take(setOf(FIRST, SECOND)))
                 table.restore(rows)
-                clock.nowMs += ProbePermits.INTERVAL_MS
+                passInterval()
 
                 assertNull(permits.take(setOf(FIRST, SECOND)))
             }
@@ -71,11 +84,7 @@
         @Test
         fun `nothing is sent on a permit that another router took in the lost time, guarding against two requests in one interval`() =
             runTest {
-                eras.notice(table.era)
-                val ownPermits = permits(1)
-                val otherPermits = permits(2)
-                listOf(ownPermits, otherPermits).forEach { it.onStoreEra() }
-                clock.nowMs += ProbePermits.INTERVAL_MS
+                val (ownPermits, otherPermits) = permitsInFirstEra()
                 val copy = table.copy()
                 assertNull(otherPermits.take(setOf(FIRST)))
                 clock.nowMs += 100
@@ -83,24 +92,20 @@
                 eras.notice(table.era)
 
                 assertEquals(FIRST, ownPermits.take(setOf(FIRST)))
-                clock.nowMs += ProbePermits.INTERVAL_MS
+                passInterval()
                 assertNull(ownPermits.take(setOf(FIRST)))
             }
 
         @Test
         fun `nothing is sent on a version that was given out again, guarding against a check that another permit passes`() =
             runTest {
-                eras.notice(table.era)
-                val ownPermits = permits(1)
-                val otherPermits = permits(2)
-                listOf(ownPermits, otherPermits).forEach { it.onStoreEra() }
-                clock.nowMs += ProbePermits.INTERVAL_MS
+                val (ownPermits, otherPermits) = permitsInFirstEra()
                 val copy = table.copy()
                 assertNull(ownPermits.take(setOf(FIRST)))
                 table.comeBackFrom(copy)
                 eras.notice(table.era)
                 listOf(ownPermits, otherPermits).forEach { it.onStoreEra() }
-                clock.nowMs += ProbePermits.INTERVAL_MS
+                passInterval()
                 assertNull(otherPermits.take(setOf(FIRST)))
 
                 assertEquals(FIRST, ownPermits.take(setOf(FIRST)))
@@ -113,7 +118,7 @@
                 val permits = permits(1)
 
                 assertEquals(FIRST, permits.take(setOf(FIRST)))
-                clock.nowMs += ProbePermits.INTERVAL_MS
+                passInterval()
                 assertNull(permits.take(setOf(FIRST)))
             }
     }
