Clarify comments on lost permits, recent writes and unread responses

Cause: two comments did not say what they are a reason for, and the KDoc of MemoryAccount.setUnread was not a plain sentence. Change: wording only. Tests: all 42 tests of process/quarantine and MemoryBudgetTest (15 tests) pass; formatter and linter pass.

--- a/process/common/src/main/kotlin/org/lycheemount/common/MemoryBudget.kt
+++ b/process/common/src/main/kotlin/org/lycheemount/common/MemoryBudget.kt
@@ -264,8 +264,8 @@
     }
 
     /**
-     * Whether the caller has not read a part of the response yet. The account may be dropped while this is [isUnread] and nothing of the
-     * response is sent, since the caller may read it never.
+     * States whether a part of the response waits for the caller to read it. While it does and nothing more of it is sent, the account may
+     * be dropped, since the caller may never read it.
      */
     fun setUnread(
         isUnread: Boolean,
--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/ProbePermits.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/ProbePermits.kt
@@ -54,7 +54,7 @@
             if (era == knownEra) return@synchronized
             knownEra = era
             lossEndsAtMs = clock.monotonicMs() + INTERVAL_MS
-            // The same version may stand on another permit now, so the next check is that there is none.
+            // Versions are given out again, so another permit may have the known one. The next transaction checks that there is none.
             knownRows.replaceAll { _, row -> row.copy(version = 0) }
         }
 
--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
@@ -293,7 +293,7 @@
         private const val MAX_WRITE_ATTEMPTS = 150
         private const val MAX_PENDING_WRITES = 200
 
-        /** The store comes back from a copy that is some seconds old. Rows that it has lost before were written again then. */
+        /** Longer than a copy is old when the store comes back from it. */
         private const val MAX_LOST_MS = 120_000L
         private const val MAX_WORKING_SEGMENTS = 10_000
     }
