Pace and charge the responses of the product's own router

The own router (CallerApi) wrote whole responses into the HTTP engine, which kept what the connection had not taken. It was not charged to the memory of requests, so callers that do not read, also those without a key on /state, /metrics and /v1/models, could fill the heap. The connection closed only after the write timeout of 60 s.

installPacedResponses replaces each response of an application by PacedContent, which ResponseWriter of the gateway uses as well. PacedContent, PacedChannel, ResponseWriter and TruncatedResponseException are moved to the package that both interfaces share. A body that is held as a whole is charged until it is written.

A writer now also ends when its connection closes: handlers that are not cancelled with their connection, as those of /state, waited for up to 50 s and kept their response.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/AnnouncedResponses.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/AnnouncedResponses.kt
@@ -17,4 +17,7 @@
 
     /** Removes the response with this [id]. */
     fun take(id: String): CallerResponse? = responses.remove(id)
+
+    /** The connection has closed. */
+    fun onClosed() = responses.values.forEach { it.onClosed() }
 }
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnection.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnection.kt
@@ -4,6 +4,7 @@
 import io.ktor.server.netty.NettyApplicationCall
 import io.ktor.server.response.header
 import io.ktor.server.routing.RoutingCall
+import io.ktor.server.routing.RoutingPipelineCall
 import io.netty.channel.Channel
 import kotlinx.coroutines.suspendCancellableCoroutine
 import org.lycheemount.common.MemoryAccount
@@ -46,6 +47,8 @@
         val announced = channel.attr(CallerConnectionHandler.RESPONSES).get() ?: return response
         // The HTTP engine passes nothing but messages on to the handler of the connection, which removes this header.
         call.response.header(CallerConnectionHandler.RESPONSE_HEADER, announced.add(response))
+        // The handler of the connection informs only what was announced before it closed.
+        if (!channel.isActive) response.onClosed()
         return response
     }
 
@@ -60,6 +63,7 @@
 /** Returns the connection of this call, or null if it was not accepted by a [CallerServer]. */
 val ApplicationCall.callerConnection: CallerConnection?
     get() {
-        val engineCall = (this as? RoutingCall)?.pipelineCall?.engineCall ?: this
+        val pipelineCall = (this as? RoutingCall)?.pipelineCall ?: this
+        val engineCall = (pipelineCall as? RoutingPipelineCall)?.engineCall ?: pipelineCall
         return (engineCall as? NettyApplicationCall)?.let { CallerConnection(it.context.channel(), this) }
     }
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -110,6 +110,8 @@
         idleCheck?.cancel(false)
         markBrokenBody()
         memory.release()
+        currentResponse?.onClosed()
+        announcedResponses.onClosed()
         context.fireChannelInactive()
     }
 
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerResponse.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerResponse.kt
@@ -1,6 +1,7 @@
 package org.lycheemount.listener
 
 import kotlinx.coroutines.channels.Channel
+import java.nio.channels.ClosedChannelException
 
 /**
  * A response whose body is written in parts.
@@ -28,9 +29,14 @@
     /** Number of bytes of the body that the connection has not taken yet, if [writtenBytes] bytes have been written. */
     fun unsentBytes(writtenBytes: Long): Int = writtenBytes.toInt() - sentBytes
 
-    /** Waits until the connection has taken more bytes of the body. */
+    /** Waits until the connection has taken more bytes of the body. Throws [ClosedChannelException] once the connection has closed. */
     suspend fun awaitProgress() = progress.receive()
 
+    /** The connection has closed. */
+    internal fun onClosed() {
+        progress.close(ClosedChannelException())
+    }
+
     /** Another [bytes] bytes are sent. Called by the thread of the connection. */
     internal fun onSent(bytes: Int) {
         sentBytes += bytes
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/CallerApi.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/CallerApi.kt
@@ -34,6 +34,7 @@
 
     /** Adds the routes to [application], which a caller server must run. */
     fun installInto(application: Application) {
+        application.installPacedResponses(services.memory, services.clock)
         application.routing {
             cancelOnDisconnect {
                 post("/v1/chat/completions") { handlingErrors(call) { chatHandler.handle(call) } }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/PacedChannel.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/PacedChannel.kt
@@ -1,4 +1,4 @@
-package org.lycheemount.caller.routed
+package org.lycheemount.caller
 
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.CountedByteWriteChannel
@@ -7,6 +7,7 @@
 import org.lycheemount.common.Clock
 import org.lycheemount.common.MemoryAccount
 import org.lycheemount.listener.CallerResponse
+import java.io.IOException
 
 /**
  * Body of a response, which [flush] passes on as fast as the caller reads it. What waits for the caller is charged to the memory of the
@@ -20,7 +21,7 @@
     private val response: CallerResponse?,
     private val memory: ResponseMemory?,
 ) : ByteWriteChannel by channel {
-    /** Passes on what has been written. Throws [TruncatedResponseException] if the caller does not read. */
+    /** Passes on what has been written. Throws [IOException] if the caller does not read, or is gone. */
     override suspend fun flush() {
         channel.flush()
         memory?.charge(unsentBytes())
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/ResponseWriter.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ResponseWriter.kt
@@ -1,20 +1,16 @@
-package org.lycheemount.caller.routed
+package org.lycheemount.caller
 
 import io.ktor.http.ContentType
 import io.ktor.http.Headers
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
-import io.ktor.http.content.OutgoingContent
 import io.ktor.http.headers
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.response.header
 import io.ktor.server.response.respond
 import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.counted
-import io.ktor.utils.io.writeFully
 import kotlinx.coroutines.delay
 import org.lycheemount.backend.ResponseHead
-import org.lycheemount.listener.callerConnection
 import java.io.IOException
 
 /** Writes the response to one request. */
@@ -38,12 +34,7 @@
     suspend fun writeComplete(
         head: ResponseHead,
         body: ByteArray,
-    ) = send(head, body.size.toLong()) { channel ->
-        for (start in body.indices step PART_BYTES) {
-            channel.writeFully(body, start, minOf(start + PART_BYTES, body.size))
-            if (body.size > PacedChannel.MAX_UNSENT_BYTES) channel.flush()
-        }
-    }
+    ) = send(head, body.size.toLong()) { it.writePaced(body) }
 
     /** Sends [head] and the output of [write]. The connection is aborted when [write] throws, so that the response is never mistaken
      * for a complete one. */
@@ -70,21 +61,14 @@
         write: suspend (PacedChannel) -> Unit,
     ) {
         isCommitted = true
-        val response = call.callerConnection?.beginResponse()
-        // The engine ends a response without bytes before it calls the function that writes the body.
-        if (length != null) response?.complete(length)
+        val contentType = head.header(HttpHeaders.ContentType)?.let(ContentType::parse)
+        val content =
+            PacedContent(call, HttpStatusCode.fromValue(head.httpStatus), contentType, length, otherHeaders(head), memory) { channel ->
+                write(channel)
+                isComplete = true
+            }
         try {
-            call.respond(
-                PassThroughContent(head, length) { channel ->
-                    val counted = channel.counted()
-                    write(PacedChannel(counted, response, memory))
-                    response?.complete(counted.totalBytesWritten)
-                    memory?.charge(response?.unsentBytes(counted.totalBytesWritten) ?: 0)
-                    isComplete = true
-                    // Until the connection has sent the end, which releases the memory.
-                    memory?.setUnread(true)
-                },
-            )
+            call.respond(content)
         } catch (failure: TruncatedResponseException) {
             throw failure
         } catch (failure: IOException) {
@@ -93,26 +77,14 @@
         }
     }
 
-    private class PassThroughContent(
-        private val head: ResponseHead,
-        override val contentLength: Long?,
-        private val write: suspend (ByteWriteChannel) -> Unit,
-    ) : OutgoingContent.WriteChannelContent() {
-        override val status: HttpStatusCode = HttpStatusCode.fromValue(head.httpStatus)
-
-        override val contentType: ContentType? = head.header(HttpHeaders.ContentType)?.let(ContentType::parse)
-
-        override val headers: Headers =
-            headers {
-                for ((name, value) in head.headers) if (!name.equals(HttpHeaders.ContentType, ignoreCase = true)) append(name, value)
-            }
-
-        override suspend fun writeTo(channel: ByteWriteChannel) = write(channel)
-    }
+    /** Returns the headers of [head] except for the content type, which Ktor sets. */
+    private fun otherHeaders(head: ResponseHead): Headers =
+        headers {
+            for ((name, value) in head.headers) if (!name.equals(HttpHeaders.ContentType, ignoreCase = true)) append(name, value)
+        }
 
     private companion object {
         // Passing events on to the socket takes a few hops between coroutines. The caller of a truncated stream loses little by this wait.
         private const val ABORT_DELAY_MS = 100L
-        private const val PART_BYTES = 16_384
     }
 }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/AttemptRunner.kt
@@ -9,6 +9,7 @@
 import org.lycheemount.backend.PassThroughResponse
 import org.lycheemount.backend.ResponseHead
 import org.lycheemount.backend.ResponseOwner
+import org.lycheemount.caller.TruncatedResponseException
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.Refusal
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedExecution.kt
@@ -12,8 +12,10 @@
 import org.lycheemount.backend.ResponseBody
 import org.lycheemount.backend.ResponseHead
 import org.lycheemount.budget.Charge
+import org.lycheemount.caller.ResponseWriter
 import org.lycheemount.caller.ShutdownException
 import org.lycheemount.caller.TokenReserver
+import org.lycheemount.caller.TruncatedResponseException
 import org.lycheemount.caller.drainingRefusal
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/RoutedRequestHandler.kt
@@ -19,7 +19,10 @@
 import org.lycheemount.caller.BodyReader
 import org.lycheemount.caller.CallerMetrics
 import org.lycheemount.caller.RequestIdFactory
+import org.lycheemount.caller.ResponseMemory
+import org.lycheemount.caller.ResponseWriter
 import org.lycheemount.caller.TokenReserver
+import org.lycheemount.caller.TruncatedResponseException
 import org.lycheemount.caller.WireOutcome
 import org.lycheemount.caller.cancelOnDisconnect
 import org.lycheemount.caller.openMemory
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/routed/StreamRelay.kt
@@ -7,6 +7,8 @@
 import org.lycheemount.backend.AttemptFailure
 import org.lycheemount.backend.BodyFraming
 import org.lycheemount.backend.PassThroughResponse
+import org.lycheemount.caller.ResponseWriter
+import org.lycheemount.caller.TruncatedResponseException
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.SoftwareVersion
@@ -14,11 +16,6 @@
 import org.lycheemount.stream.AttemptPermit
 import java.io.IOException
 
-/** Aborts a truncated response: the caller's connection is closed without the end of the response. */
-internal class TruncatedResponseException(
-    reason: String,
-) : IOException(reason)
-
 /** Relays an event stream to the caller and resumes it at other servers on failure. Used by one coroutine at a time. */
 internal class StreamRelay(
     private val services: RoutedServices,
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/ResponseWriterTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/ResponseWriterTest.kt
@@ -1,4 +1,4 @@
-package org.lycheemount.caller.routed
+package org.lycheemount.caller
 
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.netty.NettyApplicationCall
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/RouterFixture.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/RouterFixture.kt
@@ -21,21 +21,25 @@
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.common.DefaultEventLog
+import org.lycheemount.common.MemoryBudget
 import org.lycheemount.common.ModelId
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.common.ServiceId
+import org.lycheemount.common.StateDumpSource
 import org.lycheemount.common.TeamId
 import org.lycheemount.common.VmId
 import org.lycheemount.common.WorkClassId
 import org.lycheemount.common.ZoneId
+import org.lycheemount.common.createMemoryBudget
 import org.lycheemount.config.ConfigurationSnapshot
 import org.lycheemount.config.Model
 import org.lycheemount.config.PlainService
 import org.lycheemount.config.Team
 import org.lycheemount.config.TeamLimits
 import org.lycheemount.config.WorkClass
+import org.lycheemount.listener.ConnectionRefusal
 import org.lycheemount.listener.createCallerServer
 import org.lycheemount.peer.PeerMessenger
 import org.lycheemount.stream.StreamTimeouts
@@ -51,6 +55,9 @@
     limits: CallerLimits = CallerLimits(streamTimeouts = StreamTimeouts(firstChunkMs = 5_000, nextChunkMs = 300)),
     network: (CoroutineScope) -> FakePeerNetwork = { FakePeerNetwork(it, latencyMs = 0) },
     idleTimeoutS: Long = 60,
+    memory: MemoryBudget = createMemoryBudget(),
+    stateSources: List<StateDumpSource> = emptyList(),
+    onRefused: (ConnectionRefusal) -> Unit = {},
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val backendHttp = BackendHttp()
@@ -91,9 +98,13 @@
             scope,
             drain,
             limits,
+            memory,
+            stateSources,
         )
     private val api = CallerApi(services)
-    private val server = createCallerServer("127.0.0.1", port = 0, idleTimeoutS) { api.installInto(this) }.apply { start() }
+    private val server =
+        createCallerServer("127.0.0.1", port = 0, idleTimeoutS, memory = memory, onRefused = onRefused) { api.installInto(this) }
+            .apply { start() }
 
     suspend fun port(): Int = server.port()
 
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/UnreadResponseTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/UnreadResponseTest.kt
@@ -1,4 +1,4 @@
-package org.lycheemount.caller.routed
+package org.lycheemount.caller
 
 import io.ktor.server.routing.get
 import io.ktor.server.routing.routing
@@ -9,8 +9,6 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import org.lycheemount.backend.ResponseHead
-import org.lycheemount.caller.cancelOnDisconnect
-import org.lycheemount.caller.openMemory
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.common.MemoryBudget
 import org.lycheemount.listener.ConnectionRefusal
