Let an engine wait for a caller that does not read its chat stream

The events of an engine were collected in a channel without bound, and written without a flush while more were buffered. A caller that did not read made the router hold the whole output of the engine.

At most 64 events are buffered, and the stream is flushed at least every 16 KB. The connection to the engine is then read no further.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ChatHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ChatHandler.kt
@@ -187,9 +187,13 @@
         markSucceeded(call)
         call.respondBytesWriter(ContentType.Text.EventStream) {
             var step = first
+            var unflushedBytes = 0
             while (step is CompletionStep.Tokens) {
-                write(writer.tokens(step.tokens), recorder)
-                if (!execution.stream.hasBufferedEvent) flush()
+                unflushedBytes += write(writer.tokens(step.tokens), recorder)
+                if (!execution.stream.hasBufferedEvent || unflushedBytes >= MAX_UNFLUSHED_BYTES) {
+                    flush()
+                    unflushedBytes = 0
+                }
                 step = execution.stream.next()
             }
             val end = step as CompletionStep.End
@@ -211,13 +215,15 @@
             is CompletionStep.Broken -> writer.streamError(end.refusal)
         }
 
+    /** Writes [event] and returns its size in bytes. */
     private suspend fun ByteWriteChannel.write(
         event: String,
         recorder: ResponseRecorder?,
-    ) {
+    ): Int {
         val bytes = event.encodeToByteArray()
         recorder?.append(bytes)
         writeFully(bytes)
+        return bytes.size
     }
 
     private suspend fun refuseCompletion(
@@ -264,5 +270,6 @@
         private const val ROUTE_PREFIX = "model:"
         private const val MS_PER_SECOND = 1_000L
         private const val JSON_TYPE = "application/json"
+        private const val MAX_UNFLUSHED_BYTES = 16_384
     }
 }
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/UnreadCallerApiResponseTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/UnreadCallerApiResponseTest.kt
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress
 import java.net.Socket
 import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -21,7 +22,8 @@
     private val clock = DefaultClock()
     private val budget = MemoryBudget(CAPACITY_BYTES)
     private val refusals = ConcurrentLinkedQueue<ConnectionRefusal>()
-    private val engine = ScriptedEngine("e1") { emptyList() }
+    private val chunksSent = AtomicInteger()
+    private val engine = ScriptedEngine("e1") { CountedChunks() }
     private val router = RouterFixture(memory = budget, stateSources = listOf(LargeState()), onRefused = refusals::add)
 
     init {
@@ -67,6 +69,17 @@
         await { budget.usage.usedBytes == 0L }
     }
 
+    @Test
+    fun `a chat stream that its caller does not read stops the engine`() {
+        open(CHAT_REQUEST).use {
+            await { chunksSent.get() > 0 }
+            awaitQuiet()
+
+            assertTrue(chunksSent.get() < MAX_CHUNKS, "$chunksSent chunks of $CHUNK_COUNT sent, ${budget.usage}")
+            assertTrue(budget.usage.usedBytes >= UNREAD_BYTES, "${budget.usage}")
+        }
+    }
+
     private fun assertCharged(request: String) {
         val sockets = List(FEW) { open(request) }
         await { budget.usage.usedBytes >= FEW * LARGE_BYTES }
@@ -83,6 +96,15 @@
             getOutputStream().write(request.encodeToByteArray())
         }
 
+    /** Waits until the engine has sent nothing for a while. */
+    private fun awaitQuiet() {
+        var last = -1
+        while (last != chunksSent.get()) {
+            last = chunksSent.get()
+            Thread.sleep(QUIET_MS)
+        }
+    }
+
     private fun await(condition: () -> Boolean) {
         val deadlineNs = System.nanoTime() + TIMEOUT_MS * NS_PER_MS
         while (!condition()) {
@@ -91,6 +113,15 @@
         }
     }
 
+    private inner class CountedChunks : AbstractList<ScriptStep>() {
+        override val size = CHUNK_COUNT
+
+        override fun get(index: Int): ScriptStep {
+            chunksSent.accumulateAndGet(index, ::maxOf)
+            return ScriptStep.Send(index * CHUNK_TOKENS, (index + 1) * CHUNK_TOKENS)
+        }
+    }
+
     private class LargeState : StateDumpSource {
         override val name = "large"
 
@@ -102,6 +133,11 @@
         private const val LARGE_BYTES = 1_000_000
         private const val UNREAD_BYTES = 65_536L
         private const val FEW = 5
+        private const val CHUNK_TOKENS = 1_000
+
+        // A chunk has about 10 KB, and the sockets to and from the router hold a few MB.
+        private const val CHUNK_COUNT = 4_000
+        private const val MAX_CHUNKS = 1_000
         private const val RECEIVE_BUFFER_BYTES = 8_192
         private const val TIMEOUT_MS = 10_000
         private const val QUIET_MS = 500L
@@ -111,5 +147,9 @@
         private const val HEADERS = "Host: h\r\nAuthorization: Bearer key1\r\nConnection: close\r\n"
         private const val SERVICE_REQUEST = "GET /services/s1/x HTTP/1.1\r\n$HEADERS\r\n"
         private const val STATE_REQUEST = "GET /state HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+        private const val CHAT_BODY =
+            """{"model":"m1","stream":true,"max_tokens":4000000,"messages":[{"role":"user","content":"hello"}]}"""
+        private const val CHAT_HEADERS = "${HEADERS}Content-Length: ${CHAT_BODY.length}\r\n"
+        private const val CHAT_REQUEST = "POST /v1/chat/completions HTTP/1.1\r\n$CHAT_HEADERS\r\n$CHAT_BODY"
     }
 }
--- a/request/stream/src/main/kotlin/org/lycheemount/stream/CompletionStream.kt
+++ b/request/stream/src/main/kotlin/org/lycheemount/stream/CompletionStream.kt
@@ -1,7 +1,6 @@
 package org.lycheemount.stream
 
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.flow.buffer
 import kotlinx.coroutines.flow.produceIn
@@ -81,7 +80,7 @@
                 assembler.beginAttempt()
                 hasAttemptStarted = false
                 server = permit.server
-                events = engine.generate(permit.server, generateRequest(permit.priority)).buffer(Channel.UNLIMITED).produceIn(scope)
+                events = engine.generate(permit.server, generateRequest(permit.priority)).buffer(MAX_BUFFERED_EVENTS).produceIn(scope)
                 null
             }
         }
@@ -176,5 +175,8 @@
     private companion object {
         private const val FINISH_REASON_LENGTH = "length"
         private const val RETRY_AFTER_MS = 1_000L
+
+        // An engine that sends faster than a caller reads has to wait.
+        private const val MAX_BUFFERED_EVENTS = 64
     }
 }
