Bound what clients of the readiness check and the metrics can hold

These listeners of the gateway had no limit on heads, connections or unread responses: CIO reads a head without end into the heap. Their clients have no credentials.

OperationsListener serves them by the server that callers use, with 128 connections, two threads, the limits on heads, a memory budget of its own (4 MB) and paced responses. A caller server can have further listeners.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/HttpListener.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/HttpListener.kt
@@ -56,3 +56,12 @@
         maxConnections?.let { bounds.copy(maxConnections = it) }
             ?: bounds
     }
+
+/**
+ * Bounds of listeners for operators, load balancers and collectors of metrics, which keep a few connections each. Apart from those of the
+ * listener for callers, so that the connections of both leave descriptors for servers.
+ */
+internal val OPERATIONS_BOUNDS = ListenerBounds(maxConnections = 128, threads = 2)
+
+/** Bytes that the requests on a listener with [OPERATIONS_BOUNDS] may hold together. */
+internal const val OPERATIONS_MEMORY_BYTES = 4_194_304L
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -1,10 +1,6 @@
 package org.lycheemount.app.router.gateway
 
-import io.ktor.server.cio.CIO
-import io.ktor.server.engine.connector
-import io.ktor.server.engine.embeddedServer
 import io.ktor.server.routing.get
-import io.ktor.server.routing.routing
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -164,18 +160,10 @@
     private val warmUp = GatewayWarmUp(identity, clock, budgets.ledger, budgets.maintenance)
     private val warmUpFinished = CompletableDeferred<Unit>()
     private val started = CompletableDeferred<Unit>()
-    private val operationsServer =
-        embeddedServer(
-            CIO,
-            configure = {
-                listenOn(settings.readinessAddress)
-                listenOn(settings.metricsAddress)
-            },
-        ) {
-            routing {
-                get("/metrics") { metricsHandler.respond(call) }
-                get("{...}") { routedInterface.readiness(call) }
-            }
+    private val operationsListener =
+        OperationsListener(listOf(settings.readinessAddress, settings.metricsAddress), clock) {
+            get("/metrics") { metricsHandler.respond(call) }
+            get("{...}") { routedInterface.readiness(call) }
         }
 
     /** Starts all components. The readiness check succeeds once configuration, servers and budgets are known and the warm-up is done. */
@@ -193,7 +181,7 @@
         streamOrigins.start(scope)
         budgets.maintenance.start(scope)
         callersServer.start()
-        operationsServer.start(wait = false)
+        operationsListener.start()
         scope.launch { runWarmUp() }
         eventLog.info(
             "router_started",
@@ -265,7 +253,7 @@
                 log("drain_ended")
                 drain.endRequests()
             }
-        operationsServer.stopSuspend(0, 0)
+        operationsListener.stop()
         backendHttp.close()
         // A selector that still waits for sockets would delay the exit of the JVM.
         withTimeoutOrNull(maxOf(untilMs(schedule.exitMs), MIN_CLOSE_MS)) { scope.coroutineContext.job.cancelAndJoin() }
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
@@ -64,7 +64,7 @@
         val requestCount = AtomicInteger()
 
         private val server =
-            embeddedServer(CIO, configure = { listenOn("127.0.0.1:0") }) {
+            embeddedServer(CIO, host = "127.0.0.1", port = 0) {
                 routing {
                     get("/plain/") {
                         requestCount.incrementAndGet()
@@ -92,7 +92,7 @@
     private val additionalServers = ArrayList<AdditionalServer>()
     private val versionedServers = ArrayList<VersionedStreamServer>()
     private val backendServer =
-        embeddedServer(CIO, configure = { listenOn("127.0.0.1:0") }) {
+        embeddedServer(CIO, host = "127.0.0.1", port = 0) {
             routing {
                 get("/plain/") {
                     plainArrivalTimesMs += System.nanoTime() / NANOS_PER_MS
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerServer.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerServer.kt
@@ -6,10 +6,14 @@
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.netty.Netty
 import io.ktor.server.netty.NettyApplicationEngine
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandler
+import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.ChannelPipeline
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lycheemount.common.MemoryBudget
+import java.net.InetSocketAddress
 
 /** HTTP server that accepts the connections of callers. */
 class CallerServer internal constructor(
@@ -19,12 +23,12 @@
     /** Number of open connections. */
     val openConnections: Int get() = connections.size
 
-    /** Opens the listener. */
+    /** Opens the listeners. */
     fun start() {
         server.start(wait = false)
     }
 
-    /** Returns the port of the listener once it is open. */
+    /** Returns the port of the first listener once it is open. */
     suspend fun port(): Int =
         server.engine
             .resolvedConnectors()
@@ -32,7 +36,7 @@
             .port
 
     /**
-     * Closes the listener and waits until the callers have closed their connections. After [graceMs] it closes those without a request in
+     * Closes the listeners and waits until the callers have closed their connections. After [graceMs] it closes those without a request in
      * progress, and after another [lingerMs] all of them. Until then, requests on open connections are served.
      */
     suspend fun stop(
@@ -55,6 +59,7 @@
  * Creates a server that listens on [host] and [port], and handles requests as [module] sets up.
  *
  * @param port 0 for a free port.
+ * @param furtherAddresses addresses of further listeners, which serve the same requests.
  * @param idleTimeoutS time in seconds after which a connection without a request in progress is closed, unless [limits] state one.
  * @param bounds bounds of all connections together.
  * @param memory budget to which requests are charged from the first byte of their heads; null if they are not.
@@ -66,6 +71,7 @@
     host: String,
     port: Int,
     idleTimeoutS: Long = IDLE_TIMEOUT_S,
+    furtherAddresses: List<InetSocketAddress> = emptyList(),
     bounds: ListenerBounds = ListenerBounds(),
     memory: MemoryBudget? = null,
     limits: () -> ConnectionLimits = { ConnectionLimits() },
@@ -78,14 +84,22 @@
         embeddedServer(
             Netty,
             configure = {
-                connector {
-                    this.host = host
-                    this.port = port
+                for (address in listOf(InetSocketAddress.createUnresolved(host, port)) + furtherAddresses) {
+                    connector {
+                        this.host = address.hostString
+                        this.port = address.port
+                    }
                 }
                 shareWorkGroup = true
+                bounds.threads?.let {
+                    connectionGroupSize = 1
+                    workerGroupSize = 1
+                    callGroupSize = it - 1
+                }
                 responseWriteTimeoutSeconds = WRITE_TIMEOUT_S
                 configureBootstrap = {
-                    handler(connections.listenerHandler())
+                    // Ktor configures one bootstrap for all listeners.
+                    handler(listenerInitializer { connections.listenerHandler() })
                     // Accepted sockets have the buffer size of the listener.
                     option(ChannelOption.SO_RCVBUF, bounds.receiveBufferBytes)
                     childOption(ChannelOption.SO_SNDBUF, bounds.sendBufferBytes)
@@ -105,6 +119,13 @@
     return CallerServer(server, connections)
 }
 
+private fun listenerInitializer(handler: () -> ChannelHandler) =
+    object : ChannelInitializer<Channel>() {
+        override fun initChannel(listener: Channel) {
+            listener.pipeline().addLast(handler())
+        }
+    }
+
 /** Name of Ktor's handler of HTTP messages, which starts the handler of a request. */
 private const val KTOR_HANDLER_NAME = "http1"
 
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/ListenerBounds.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/ListenerBounds.kt
@@ -12,11 +12,13 @@
  *   received counts as memory of the process, and a size of its own choice grows to megabytes.
  * @property sendBufferBytes size of the send buffer of a connection, of which Linux allocates twice as much. It holds what has been sent
  *   and the caller has not read.
+ * @property threads number of threads that serve connections; null for as many as suit the processors.
  */
 data class ListenerBounds(
     val maxConnections: Int = defaultMaxConnections(),
     val receiveBufferBytes: Int = 16_384,
     val sendBufferBytes: Int = 65_536,
+    val threads: Int? = null,
 )
 
 /** Half of the file descriptors of this process beyond those that are kept for files. The other half is for connections to servers. */
