Bound the connections and the memory of the administration API

Its listener could have as many connections as that for callers: half of the descriptors each, so that none were left for servers. What its clients send before they are authenticated was not charged, nor were its responses.

It now has the bounds of the gateway's operations listeners.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/AdminListener.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/AdminListener.kt
@@ -5,7 +5,10 @@
 import org.lycheemount.admin.AdminRole
 import org.lycheemount.admin.AdminServices
 import org.lycheemount.budget.BudgetAdministration
+import org.lycheemount.caller.installPacedResponses
+import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
+import org.lycheemount.common.MemoryBudget
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.common.StateDumpSource
 import org.lycheemount.config.ConfigurationService
@@ -15,6 +18,7 @@
 internal class AdminListener(
     settings: RouterSettings,
     identity: RouterIdentity,
+    clock: Clock,
     configuration: ConfigurationService,
     budgets: BudgetAdministration,
     stateSources: List<StateDumpSource>,
@@ -27,7 +31,12 @@
         AdminInterface(
             AdminServices(identity, configuration, budgets, keys, stateSources, eventLog, notReadyReasons, startDrain),
         )
-    private val server = createHttpServer(settings.admin, eventLog) { admin.installInto(this) }
+    private val memory = MemoryBudget(OPERATIONS_MEMORY_BYTES)
+    private val server =
+        createHttpServer(settings.admin, eventLog, OPERATIONS_BOUNDS, memory) {
+            installPacedResponses(memory, clock)
+            admin.installInto(this)
+        }
 
     /** Starts the listener and returns its port. */
     suspend fun start(): Int {
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -178,6 +178,7 @@
         AdminListener(
             settings = settings,
             identity = identity,
+            clock = clock,
             configuration = controlPlane.configurationService,
             budgets = createBudgetAdministration(platform.table) { "admin-${UUID.randomUUID()}" },
             stateSources = controlPlane.stateSources + budgets.stateDump,
--- /dev/null
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/AdminListenerTest.kt
@@ -0,0 +1,31 @@
+package org.lycheemount.app.router
+
+import org.junit.jupiter.api.AfterEach
+import java.net.InetSocketAddress
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Clients without a key on the listener of the administration API. */
+class AdminListenerTest {
+    private val fleet = RouterFleetFixture()
+    private val address = InetSocketAddress("127.0.0.1", fleet.adminPorts.first())
+
+    @AfterEach
+    fun close() = fleet.close()
+
+    @Test
+    fun `connections without a request are closed for new ones, guarding against a process without descriptors`() {
+        val sockets = List(MANY) { openConnection(address) }
+
+        assertEquals(401, fetchStatus(address, "/admin/v1/status"))
+        val openCount = sockets.count { !it.isClosedByServer() }
+        assertTrue(openCount <= MAX_OPEN, "$openCount of $MANY connections are open")
+        sockets.forEach { it.close() }
+    }
+
+    private companion object {
+        private const val MANY = 300
+        private const val MAX_OPEN = 200
+    }
+}
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/RouterFleetFixture.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/RouterFleetFixture.kt
@@ -63,6 +63,9 @@
             EngineStandInSettings(models = mapOf(modelId to "1"), parameters = EngineParameters(stepBaseUs = 500, prefillPerTokenUs = 0)),
         )
     private val peerPorts = List(2) { ServerSocket(0).use { it.localPort } }
+
+    /** Ports of the administration API. */
+    val adminPorts = List(2) { ServerSocket(0).use { it.localPort } }
     val platform = startPlatformStandIn(PlatformStandInSettings(vms = vmList()))
     private val clients = platform.clients()
     private val administration = createBudgetAdministration(clients.table) { UUID.randomUUID().toString() }
@@ -121,7 +124,7 @@
             regionId = RegionId("g"),
             zoneId = zoneId,
             callers = ListenerSettings("127.0.0.1", port = 0),
-            admin = ListenerSettings("127.0.0.1", port = 0),
+            admin = ListenerSettings("127.0.0.1", adminPorts[index]),
             peers = ListenerSettings("127.0.0.1", peerPorts[index]),
             platform = PlatformSettings("$url/table", "$url/objects", "$url/vms", "$url/weights"),
             peerSecretFile = directory.resolve("secret").apply { writeText("a secret of the tests only") }.toString(),
