Bound the response of a plain service in the product's own router

The response was read as a whole, without a limit or a charge, before the first byte was sent on. A response without end filled the heap.

At most 16 MB are read, as far as the memory of requests permits. Beyond that, the connection to the server is closed, and the caller gets 502 as unknown, charged once and not retried.

ServiceCallTest, a response of 20 MB: before 200, read as a whole after 502, unknown

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultPlainServiceClient.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultPlainServiceClient.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import org.lycheemount.common.BackendServer
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 
 /** Plain service client over HTTP. Sends the request id in the `x-request-id` header. */
@@ -39,7 +40,7 @@
         server: BackendServer,
         call: ServiceCall,
     ): ServiceCallOutcome =
-        when (val outcome = client.exchange(server, toPassThroughCall(call), ::readResponse)) {
+        when (val outcome = client.exchange(server, toPassThroughCall(call)) { readResponse(it, call) }) {
             is PassThroughOutcome.Completed -> outcome.result
             is PassThroughOutcome.Failed -> ServiceCallOutcome.Failed(outcome.failure)
         }
@@ -55,16 +56,32 @@
         )
     }
 
-    private suspend fun readResponse(response: PassThroughResponse): ServiceCallOutcome {
+    private suspend fun readResponse(
+        response: PassThroughResponse,
+        call: ServiceCall,
+    ): ServiceCallOutcome {
         val head = response.head
         parseRefusal(head.header(REFUSED_HEADER))?.let { return ServiceCallOutcome.Failed(it) }
-        return ServiceCallOutcome.Response(head.httpStatus, head.header(HttpHeaders.ContentType), response.body.readUpTo(Int.MAX_VALUE))
+        val content = ByteArrayOutputStream()
+        val bytes = ByteArray(READ_BYTES)
+        while (true) {
+            val count = response.body.read(bytes)
+            if (count < 0) break
+            val isPermitted = count <= call.maxResponseBytes - content.size() && call.reserveResponse(BUFFER_COPIES * count)
+            if (!isPermitted) return ServiceCallOutcome.TooLarge(content.size() + count)
+            content.write(bytes, 0, count)
+        }
+        return ServiceCallOutcome.Response(head.httpStatus, head.header(HttpHeaders.ContentType), content.toByteArray())
     }
 
     /** Header names. */
     companion object {
         /** Header with the request id. */
         const val REQUEST_ID_HEADER: String = "x-request-id"
+        private const val READ_BYTES = 8_192
+
+        // The buffer and its copy exist at the same time.
+        private const val BUFFER_COPIES = 2L
 
         private val CONNECTION_HEADERS =
             setOf(
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/ServiceCall.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/ServiceCall.kt
@@ -2,7 +2,12 @@
 
 import org.lycheemount.common.RequestId
 
-/** A call to a plain service; [pathAndQuery] starts with a slash. */
+/**
+ * A call to a plain service; [pathAndQuery] starts with a slash.
+ *
+ * @property maxResponseBytes maximum size of the body of the response.
+ * @property reserveResponse reserves memory, in bytes, for a part of the response before it is kept; returns false if there is none.
+ */
 class ServiceCall(
     val requestId: RequestId,
     val method: String,
@@ -10,6 +15,8 @@
     val headers: List<Pair<String, String>>,
     val body: ByteArray,
     val timeoutMs: Long,
+    val maxResponseBytes: Int = Int.MAX_VALUE,
+    val reserveResponse: (Long) -> Boolean = { true },
 )
 
 /** Outcome of one call to a plain service. */
@@ -21,6 +28,11 @@
         val body: ByteArray,
     ) : ServiceCallOutcome
 
+    /** The response is larger than permitted, or there is no memory for it. It was not read to its end. */
+    data class TooLarge(
+        val readBytes: Int,
+    ) : ServiceCallOutcome
+
     /** No complete response was received. */
     data class Failed(
         val failure: AttemptFailure,
--- a/connection/backend/src/test/kotlin/org/lycheemount/backend/PlainServiceResponseTest.kt
+++ b/connection/backend/src/test/kotlin/org/lycheemount/backend/PlainServiceResponseTest.kt
@@ -41,6 +41,7 @@
         val call = ServiceCall(RequestId("r"), method, "/path?query=%20", headers, ByteArray(0), TIMEOUT_MS)
         return when (val outcome = runBlocking { client.call(server.describe(), call) }) {
             is ServiceCallOutcome.Response -> outcome.httpStatus to outcome.body.decodeToString()
+            is ServiceCallOutcome.TooLarge -> outcome
             is ServiceCallOutcome.Failed -> outcome.failure
         }
     }
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/CallerLimits.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/CallerLimits.kt
@@ -10,6 +10,7 @@
  * @property serviceTimeoutMs timeout of a call to a plain service without a deadline.
  * @property reservationStepTokens output tokens reserved per step when the budget does not cover the maximum output.
  * @property streamTimeouts timeouts of completion streams.
+ * @property maxResponseBytes maximum size of the response of a plain service; a larger one is replaced by an error.
  */
 data class CallerLimits(
     val maxBodyBytes: Int = 4 * 1024 * 1024,
@@ -17,4 +18,5 @@
     val serviceTimeoutMs: Long = 30_000,
     val reservationStepTokens: Int = 256,
     val streamTimeouts: StreamTimeouts = StreamTimeouts(),
+    val maxResponseBytes: Int = 16 * 1024 * 1024,
 )
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceExecution.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceExecution.kt
@@ -11,6 +11,7 @@
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
 import org.lycheemount.common.BackendTarget
+import org.lycheemount.common.MemoryAccount
 import org.lycheemount.common.Refusal
 import org.lycheemount.common.RefusalReason
 import org.lycheemount.common.RequestId
@@ -41,11 +42,15 @@
     private val metrics: CallerMetrics,
     private val reserver: TokenReserver,
     private val call: AdmittedServiceCall,
+    private val memory: MemoryAccount,
 ) : OpenRequest {
     private val target = BackendTarget.Service(call.service.serviceId)
     private val excluded = mutableSetOf<BackendServerId>()
     private var mayHaveRun = false
 
+    /** Memory that is reserved for the response while it is read. */
+    private var responseBytes = 0L
+
     override val requestId: RequestId get() = call.requestId
     override val teamId: TeamId get() = call.admission.team.teamId
 
@@ -83,7 +88,8 @@
                     is AttemptPermit.Granted -> permit
                     is AttemptPermit.Refused -> return endWith(permit.refusal)
                 }
-            when (val outcome = services.plainServices.call(permit.server, serviceCall())) {
+            when (val outcome = callReserving(permit.server)) {
+                is ServiceCallOutcome.TooLarge -> return RunOutcome.Unknown(tooLargeRefusal(outcome)).also { onResponded() }
                 is ServiceCallOutcome.Response -> return RunOutcome.Ran(outcome).also { onResponded() }
                 is ServiceCallOutcome.Failed ->
                     if (!recordFailureAndTryRetry(
@@ -97,6 +103,22 @@
         }
     }
 
+    private suspend fun callReserving(server: BackendServer): ServiceCallOutcome =
+        try {
+            services.plainServices.call(server, serviceCall())
+        } finally {
+            memory.giveBack(responseBytes)
+            responseBytes = 0
+        }
+
+    private fun reserveResponse(bytes: Long): Boolean = memory.tryTake(bytes).also { if (it) responseBytes += bytes }
+
+    private fun tooLargeRefusal(outcome: ServiceCallOutcome.TooLarge): Refusal {
+        val maxBytes = services.limits.maxResponseBytes
+        val detail = "response: at least ${outcome.readBytes} bytes; at most $maxBytes, and the memory that is available, are permitted"
+        return Refusal(RefusalReason.BACKEND_FAILED, detail)
+    }
+
     private fun onResponded() {
         services.dispatcher.onServiceEvent(requestId, ServiceEvent.FirstToken)
         services.dispatcher.onServiceEvent(requestId, ServiceEvent.Completed(outputTokens = 0))
@@ -131,7 +153,16 @@
     private fun serviceCall(): ServiceCall {
         val untilDeadlineMs = call.options.deadlineAtMs?.let { it - services.clock.monotonicMs() }
         val timeoutMs = (untilDeadlineMs ?: services.limits.serviceTimeoutMs).coerceAtLeast(1)
-        return ServiceCall(requestId, call.method, call.pathAndQuery, call.headers, call.body, timeoutMs)
+        return ServiceCall(
+            requestId,
+            call.method,
+            call.pathAndQuery,
+            call.headers,
+            call.body,
+            timeoutMs,
+            services.limits.maxResponseBytes,
+            ::reserveResponse,
+        )
     }
 
     private fun workItem() =
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceHandler.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ServiceHandler.kt
@@ -75,7 +75,7 @@
                 body,
             )
         try {
-            runOnce(call, admitted)
+            runOnce(call, admitted, memory)
         } finally {
             admission.release()
         }
@@ -84,8 +84,9 @@
     private suspend fun runOnce(
         call: ApplicationCall,
         admitted: AdmittedServiceCall,
+        memory: MemoryAccount,
     ) {
-        val key = admitted.options.idempotencyKey ?: return respond(call, execute(admitted))
+        val key = admitted.options.idempotencyKey ?: return respond(call, execute(admitted, memory))
         val fingerprint = requestFingerprint(admitted.method, call.request.uri, admitted.body)
         when (
             val decision =
@@ -99,14 +100,18 @@
         ) {
             is ClaimDecision.Refuse -> refuse(call, decision.refusal, decision.outcome)
             is ClaimDecision.Replay -> call.replay(decision.outcome)
-            ClaimDecision.Run -> respond(call, execute(admitted))
+            ClaimDecision.Run -> respond(call, execute(admitted, memory))
         }
     }
 
     /** Runs the call in the process scope, so that a caller that disconnects does not make the outcome of a started call unknown. */
-    private suspend fun execute(admitted: AdmittedServiceCall): RunOutcome<ServiceCallOutcome.Response> {
-        val execution = ServiceExecution(services, context.metrics, context.reserver, admitted)
+    private suspend fun execute(
+        admitted: AdmittedServiceCall,
+        memory: MemoryAccount,
+    ): RunOutcome<ServiceCallOutcome.Response> {
+        val execution = ServiceExecution(services, context.metrics, context.reserver, admitted, memory)
         context.openRequests.add(execution)
+        memory.retain()
         services.drain.retain()
         val running =
             services.scope.async {
@@ -124,6 +129,7 @@
                 } finally {
                     context.openRequests.remove(admitted.requestId)
                     services.drain.release()
+                    memory.release()
                 }
             }
         try {
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/ServiceCallTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/ServiceCallTest.kt
@@ -67,6 +67,22 @@
             }
     }
 
+    @Nested
+    inner class `a response above the limit` {
+        @Test
+        fun `is not read to its end, guarding against responses without end that fill the heap`() =
+            runBlocking<Unit> {
+                router.setBackendServers(first)
+                first.serviceResponse = "x".repeat(20_000_000)
+
+                val response = call("GET", "/records/1")
+
+                assertEquals(502 to "unknown", response.status.value to response.headers[OUTCOME_HEADER])
+                assertEquals(7L to false, bill().let { it.totalTokens to it.outcomeKnown })
+                assertEquals(1, first.serviceCalls.size)
+            }
+    }
+
     @Nested
     inner class `a call that has certainly not run` {
         @Test
