Accept peer links again after a lack of descriptors

The first connection that could not be accepted, as when all descriptors are in use, ended the loop that accepts peer links. That closed the listener, all links and their selector until a restart of the process.

--- a/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
@@ -2,7 +2,6 @@
 
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
-import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.CancellationException
@@ -76,7 +75,7 @@
     ): Int {
         this.scope = scope
         val server = aSocket(selector).tcp().bind(InetSocketAddress(host, port)) { reuseAddress = true }
-        scope.launch { acceptLoop(server) }.invokeOnCompletion {
+        scope.launch { acceptAll(log, server::accept, ::onAccepted) }.invokeOnCompletion {
             server.close()
             links.all().forEach { it.close() }
             selector.close()
@@ -152,16 +151,10 @@
             }
         }
 
-    private suspend fun acceptLoop(server: ServerSocket) {
-        while (true) {
-            val socket = server.accept()
-            if (pendingHandshakes.get() >= settings.maxPendingHandshakes) {
-                socket.close()
-                continue
-            }
-            pendingHandshakes.incrementAndGet()
-            scope.launch { acceptLink(socket) }
-        }
+    private fun onAccepted(socket: Socket) {
+        if (pendingHandshakes.get() >= settings.maxPendingHandshakes) return socket.close()
+        pendingHandshakes.incrementAndGet()
+        scope.launch { acceptLink(socket) }
     }
 
     private suspend fun acceptLink(socket: Socket) {
