Let refusals reach callers whose memory was needed for others

When the memory of a request was needed for others, its connection was to be closed once its response waited for the caller. That was also applied to the refusal itself, which had not been passed to the socket yet: such callers got the end of the connection in place of 503.

Responses of at most 4 KB to a request whose memory has been dropped are not charged.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/PacedContent.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/PacedContent.kt
@@ -23,11 +23,14 @@
     override val contentType: ContentType?,
     override val contentLength: Long?,
     override val headers: Headers,
-    private val memory: ResponseMemory?,
+    memory: ResponseMemory?,
     private val write: suspend (PacedChannel) -> Unit,
 ) : OutgoingContent.WriteChannelContent() {
     private val response = call.callerConnection?.beginResponse()
 
+    // A refusal because of the memory must reach its caller, so its connection is not closed for the memory.
+    private val memory = memory?.takeUnless { it.isDropped && contentLength.let { size -> size != null && size <= MAX_REFUSAL_BYTES } }
+
     init {
         // The engine ends a response without bytes before it calls the function that writes the body.
         contentLength?.let { response?.complete(it) }
@@ -41,6 +44,10 @@
         // Until the connection has sent the end, which releases the memory.
         memory?.setUnread(true)
     }
+
+    private companion object {
+        private const val MAX_REFUSAL_BYTES = 4_096L
+    }
 }
 
 /** Writes all of [body], in parts if it is larger than what may wait for the caller. */
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/PacedResponses.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/PacedResponses.kt
@@ -43,8 +43,13 @@
             is OutgoingContent.WriteChannelContent -> { channel -> content.writeTo(channel) }
             else -> return content
         }
-    // A refusal because of the memory is not dropped itself.
-    val isSmall = (content.contentLength ?: Long.MAX_VALUE) <= PacedChannel.MAX_UNSENT_BYTES
-    val responseMemory = if (memory.isDropped && isSmall) null else ResponseMemory(memory, clock)
-    return PacedContent(call, content.status, content.contentType, content.contentLength, content.headers, responseMemory, write)
+    return PacedContent(
+        call,
+        content.status,
+        content.contentType,
+        content.contentLength,
+        content.headers,
+        ResponseMemory(memory, clock),
+        write,
+    )
 }
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/UnreadResponseTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/UnreadResponseTest.kt
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Nested
 import org.lycheemount.backend.ResponseHead
 import org.lycheemount.common.DefaultClock
+import org.lycheemount.common.MemoryAccount
 import org.lycheemount.common.MemoryBudget
 import org.lycheemount.listener.ConnectionRefusal
 import org.lycheemount.listener.createCallerServer
@@ -34,6 +35,10 @@
                     get("/endless") { respond { it.writeStream(head) { channel -> while (true) channel.writePart() } } }
                     get("/large") { respond { it.writeComplete(head, ByteArray(LARGE_BYTES)) } }
                     get("/small") { respond { it.writeComplete(head, ByteArray(SMALL_BYTES)) } }
+                    get("/dropped") {
+                        drop(call.openMemory(budget, clock))
+                        respond { it.writeComplete(head, ByteArray(REFUSAL_BYTES)) }
+                    }
                 }
             }
         }.apply { start() }
@@ -49,6 +54,16 @@
         }
     }
 
+    /** Lets [memory] be dropped, as the last one of a request whose memory is needed for others, and releases it. */
+    private fun drop(memory: MemoryAccount) {
+        val other = budget.open(clock.monotonicMs()).apply { charge(1, clock.monotonicMs()) }
+        memory.charge(CAPACITY_BYTES, clock.monotonicMs())
+        check(memory.isDropped)
+        memory.giveBack(CAPACITY_BYTES)
+        memory.release()
+        other.release()
+    }
+
     private suspend fun io.ktor.utils.io.ByteWriteChannel.writePart() {
         writeFully(ByteArray(PART_BYTES))
         flush()
@@ -104,20 +119,37 @@
         }
     }
 
+    @Nested
+    inner class `a response to a request whose memory is needed for others` {
+        @Test
+        fun `arrives whole if it is small, guarding against refusals that are lost`() {
+            val sizes =
+                List(MANY) {
+                    request("/dropped").use { socket -> bodyBytes(socket.getInputStream().readAllBytes()) }
+                }
+
+            assertEquals(List(MANY) { REFUSAL_BYTES }, sizes)
+        }
+    }
+
     @Nested
     inner class `a response that its caller reads` {
         @Test
         fun `arrives whole although the caller reads late`() {
             request("/large").use {
                 Thread.sleep(QUIET_MS)
-                val response = it.getInputStream().readAllBytes()
-
-                assertEquals(LARGE_BYTES, response.size - response.decodeToString().indexOf("\r\n\r\n") - HEAD_END_BYTES)
+                assertEquals(LARGE_BYTES, bodyBytes(it.getInputStream().readAllBytes()))
             }
             await { budget.usage.usedBytes == 0L }
         }
     }
 
+    /** Size of the body of [response]; negative if the head is not complete. */
+    private fun bodyBytes(response: ByteArray): Int {
+        val headBytes = response.decodeToString().indexOf("\r\n\r\n")
+        return if (headBytes < 0) -1 else response.size - headBytes - HEAD_END_BYTES
+    }
+
     private fun awaitWrittenPart() = await { writtenBytes.get() > 0 }
 
     private fun await(condition: () -> Boolean) {
@@ -133,7 +165,9 @@
         private const val LARGE_BYTES = 1_000_000
         private const val SMALL_BYTES = 60_000
         private const val PART_BYTES = 8_192
+        private const val REFUSAL_BYTES = 100
         private const val FEW = 5
+        private const val MANY = 50
         private const val RECEIVE_BUFFER_BYTES = 8_192
         private const val READ_TIMEOUT_MS = 10_000
         private const val QUIET_MS = 500L
