--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayShutdown.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayShutdown.kt
@@ -1,6 +1,5 @@
 package org.lycheemount.app.router.gateway
 
-import io.ktor.server.engine.EmbeddedServer
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
@@ -25,7 +24,7 @@
     private val identity: RouterIdentity,
     private val drain: DrainState,
     private val callersServer: CallerServer,
-    private val operationsServer: EmbeddedServer<*, *>,
+    private val operationsListener: OperationsListener,
     private val budgets: BudgetMaintenance,
     private val backendHttp: BackendHttp,
     private val scope: CoroutineScope,
@@ -63,7 +62,7 @@
                 log("drain_ended")
                 drain.endRequests()
             }
-        operationsServer.stopSuspend(0, 0)
+        operationsListener.stop()
         backendHttp.close()
         // A selector that still waits for sockets would delay the exit of the JVM.
         withTimeoutOrNull(maxOf(untilMs(schedule.exitMs), MIN_CLOSE_MS)) { scope.coroutineContext.job.cancelAndJoin() }
