Add builder functions to RestoredTableTest of budgets

Cause: five tests repeated the set-up of a router that takes its grant after the copy. Change: startOneAfterCopy and startWithGrant, with defaults. Each assertion is as before. The other tests of the module were not run on this change.

--- a/process/budget/src/test/kotlin/org/lycheemount/budget/RestoredTableTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/RestoredTableTest.kt
@@ -28,10 +28,29 @@
     ) {
         fleet.table.beginEra()
         fleet.createFundedBudget(tokens)
-        repeat(count) { fleet.start("r$it").maintenance.prefetchGrants(setOf(BUDGET)) }
+        repeat(count) { startWithGrant(fleet, "r$it") }
         delay(3_000)
     }
 
+    private fun startWithGrant(
+        fleet: BudgetFleet,
+        name: String,
+        incarnation: Long = 1,
+        vmName: String = "vm-$name-$incarnation",
+    ): BudgetFleet.Router = fleet.start(name, incarnation, vmName).also { it.maintenance.prefetchGrants(setOf(BUDGET)) }
+
+    /** Starts [countBefore] routers, copies the table, and starts another router that takes its grant after the copy. */
+    private suspend fun startOneAfterCopy(
+        fleet: BudgetFleet,
+        countBefore: Int = 3,
+    ): Pair<FakeTableService.Copy, BudgetFleet.Router> {
+        startRouters(fleet, countBefore)
+        val copy = fleet.table.copy()
+        val added = startWithGrant(fleet, "added")
+        delay(1_000)
+        return copy to added
+    }
+
     /** Spends at all routers in turn until none has served a request for 5 s. Returns the tokens used. */
     private suspend fun spendAll(
         fleet: BudgetFleet,
@@ -90,11 +109,7 @@
         @Test
         fun `claims it again, guarding against tokens that others are granted a second time`() =
             fleetTest(options) { fleet ->
-                startRouters(fleet, 3)
-                val copy = fleet.table.copy()
-                val added = fleet.start("added")
-                added.maintenance.prefetchGrants(setOf(BUDGET))
-                delay(1_000)
+                val (copy, added) = startOneAfterCopy(fleet)
                 var used = spend(added, 80)
                 comeBackFrom(fleet, copy)
                 used += spendAll(fleet)
@@ -106,11 +121,7 @@
         @Test
         fun `keeps the rest of the budget from being granted while it is cut off from the table`() =
             fleetTest(options) { fleet ->
-                startRouters(fleet, 3)
-                val copy = fleet.table.copy()
-                val added = fleet.start("added")
-                added.maintenance.prefetchGrants(setOf(BUDGET))
-                delay(1_000)
+                val (copy, added) = startOneAfterCopy(fleet)
                 added.tableLink.isPartitioned = true
                 comeBackFrom(fleet, copy)
                 var used = spendAll(fleet)
@@ -125,11 +136,7 @@
         @Test
         fun `keeps its tokens charged if it has ended when the table comes back`() =
             fleetTest(options) { fleet ->
-                startRouters(fleet, 3)
-                val copy = fleet.table.copy()
-                val added = fleet.start("added")
-                added.maintenance.prefetchGrants(setOf(BUDGET))
-                delay(1_000)
+                val (copy, added) = startOneAfterCopy(fleet)
                 var used = spend(added, 80)
                 added.kill()
                 comeBackFrom(fleet, copy)
@@ -187,11 +194,7 @@
         @Test
         fun `grants what is added to it later, guarding against a raised prepay that nobody can use`() =
             fleetTest(options) { fleet ->
-                startRouters(fleet, 3)
-                val copy = fleet.table.copy()
-                val added = fleet.start("added")
-                added.maintenance.prefetchGrants(setOf(BUDGET))
-                delay(1_000)
+                val (copy, added) = startOneAfterCopy(fleet)
                 var used = spend(added, 80)
                 added.kill()
                 comeBackFrom(fleet, copy)
@@ -261,7 +264,7 @@
                 var used = spend(first, 20)
                 first.kill()
                 delay(1_000)
-                fleet.start("r0", incarnation = 2, vmName = first.identity.vmId.value).maintenance.prefetchGrants(setOf(BUDGET))
+                startWithGrant(fleet, "r0", incarnation = 2, vmName = first.identity.vmId.value)
                 delay(3_000)
                 comeBackFrom(fleet, copy)
                 delay(5_000)
@@ -277,11 +280,7 @@
         @Test
         fun `is not overspent when a router misses an era`() =
             fleetTest(options) { fleet ->
-                startRouters(fleet, 3)
-                val copy = fleet.table.copy()
-                val added = fleet.start("added")
-                added.maintenance.prefetchGrants(setOf(BUDGET))
-                delay(1_000)
+                val (copy, added) = startOneAfterCopy(fleet)
                 var used = spend(added, 40)
                 added.tableLink.isPartitioned = true
                 comeBackFrom(fleet, copy)
@@ -329,7 +328,7 @@
             fleetTest(options) { fleet ->
                 if (statesEra) fleet.table.beginEra()
                 fleet.createFundedBudget(PREPAY)
-                repeat(3) { fleet.start("r$it").maintenance.prefetchGrants(setOf(BUDGET)) }
+                repeat(3) { startWithGrant(fleet, "r$it") }
                 repeat(300) {
                     fleet.routers.values.forEach { router -> router.spendNow(REQUEST_TOKENS) }
                     delay(PACE_MS)
