--- a/process/budget/src/main/kotlin/org/lycheemount/budget/StoreEraRows.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/StoreEraRows.kt
@@ -1,19 +1,9 @@
 package org.lycheemount.budget
 
-import kotlinx.coroutines.flow.MutableStateFlow
-import kotlinx.coroutines.flow.StateFlow
-import kotlinx.serialization.Serializable
-import org.lycheemount.common.RouterIdentity
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.StoreEra
-import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.TableTransaction
 
-/** Eras of a table that never comes back from a copy. */
-internal object UnstatedEras : StoreEras {
-    override val current: StateFlow<StoreEra?> = MutableStateFlow(null)
-}
-
 /**
  * Key of the row that shows that [era] has ended. Versions are given out again in a later era, so a transaction also checks that this row
  * is absent: one that arrives late cannot match rows of a later era.
@@ -24,24 +14,6 @@
 internal fun TableTransaction.checkedInEra(era: StoreEra?): TableTransaction =
     if (era == null) this else copy(checks = checks + RowCheck(endedEraKey(era.value), 0))
 
-/**
- * Row by which a router states that it has written all that it held in earlier eras.
- *
- * @property peers routers to which it was connected since the copy was made, or shortly before.
- * @property isWitness whether it was running when the copy was made.
- * @property standsForPredecessors whether it has written the final rows of all grants of earlier processes on its VM as well.
- */
-@Serializable
-internal data class HoldingsRow(
-    val router: RouterIdentity,
-    val era: Long,
-    val peers: Set<RouterIdentity>,
-    val isWitness: Boolean,
-    val standsForPredecessors: Boolean,
-)
-
-internal fun holdingsKey(router: RouterIdentity) = "$HOLDINGS_PREFIX${router.routerId.value}/${router.incarnation}"
-
 /** Sets aside the tokens that this row, restored from a copy, shows as unallocated: other routers may have taken them since the copy. */
 internal fun BudgetRow.openedIn(era: Long): BudgetRow {
     if (this.era == era) return this
@@ -100,5 +72,4 @@
 internal fun TableSession.currentBudget(account: BudgetAccount): BudgetRow? =
     account.budgetRow?.takeIf { isCurrent(it.era) }?.copy(era = eraNumber)
 
-internal const val HOLDINGS_PREFIX = "holdings/"
 private const val ENDED_ERA_PREFIX = "era-ended/"
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
@@ -73,7 +73,6 @@
         private set
 
     private var hasCommitted = false
-
     private var hasChangedEra = false
 
     /** Number of [era] for rows; 0 for none. */
@@ -85,6 +84,7 @@
         return era == eras.current.value
     }
 
+    /** Enters the era of the latest response of the store. Rows of earlier eras count as restored from a copy from then on. */
     fun enterLatestEra() {
         hasChangedEra = true
         era = eras.current.value
@@ -142,7 +142,7 @@
         }
     }
 
-    /** Returns whether the rows of this era contain the effect of [transactionId], and null when the table did not respond. */
+    /** Returns the outcome of [transactionId] in the rows of this era, or null when the table did not respond in it. */
     suspend fun findOutcome(transactionId: String): FoundOutcome? {
         val found = table.findTransaction(transactionId)
         if (found !is TableResult.Response || !isInLatestEra()) return null
