Describe the size of the endless event without a date

Cause: a comment of StubServer spoke of what the router does "today". Change: wording only. Tests: none run, as only a comment changed; the module compiles, formatter and linter pass.

--- a/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/StubServer.kt
+++ b/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/StubServer.kt
@@ -113,7 +113,7 @@
         private const val EVENT_BYTES = 1_000
         private const val PART_BYTES = 16_384
 
-        // Just below the size at which the router breaks off an event today, so that it holds all streams at once.
+        // Just below the size at which the router breaks off an event, so that it holds all streams at once.
         private const val UNENDING_EVENT_BYTES = 1_000_000
 
         // Just below the size up to which the router buffers a response.
