--- a/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/Acceptor.kt
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/Acceptor.kt
@@ -6,8 +6,8 @@
 import java.nio.channels.ClosedChannelException
 
 /**
- * Passes the connections that [accept] returns to [onAccepted], until it is cancelled or the listener is closed. A connection that cannot be
- * accepted, for example for lack of file descriptors, is tried again.
+ * Passes the connections that [accept] returns to [onAccepted], until it is cancelled or the listener is closed. Tries again if a
+ * connection cannot be accepted, for example for lack of file descriptors.
  */
 internal suspend fun <C> acceptAll(
     log: EventLog,
