Let a configuration version expire that peers no longer report

Cause: ConfigurationLag kept the newest version that any peer had ever reported. If a restored store had lost that version and the peers that had it were gone or out of reach, the router counted as behind without end and refused unknown routes and keys with 503 instead of 404 or 401.

Change: each version counts for 30 s after the latest report of it. The operator writes lost versions again, so an acknowledged version is not given up at once, and a peer that is in reach reports it every 2 s.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ConfigurationMetrics.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/ConfigurationMetrics.kt
@@ -18,7 +18,7 @@
     GaugeWithCallback
         .builder()
         .name("lycheemount_configuration_newest_known")
-        .help("Newest version of the configuration that this router or a peer has reported.")
+        .help("Newest version of the configuration that this router has in force or a peer has reported in the last 30 s.")
         .callback { it.call(lag.newestKnownVersion.toDouble()) }
         .register(registry)
     GaugeWithCallback
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
@@ -139,6 +139,29 @@
                 assertEquals(8, router.version)
                 assertTrue(router.refresh())
             }
+
+        @Test
+        fun `confirms it once no peer has told of a newer one for 30 s, guarding against 503 for unknown routes without end`() =
+            runTest {
+                val store = RestorableStore()
+                val writers = Writers(this, store)
+                writers.publish(3)
+                val copy = store.copy()
+                writers.publish(8)
+                val peer = Router(this, store)
+                delay(1_000)
+                store.leave()
+                store.comeBackFrom(copy)
+
+                val router = Router(this, store)
+                delay(1_000)
+                router.onHeartbeat(peer)
+                delay(29_000)
+                assertFalse(router.refresh())
+                delay(1_001)
+                assertTrue(router.refresh())
+                assertEquals(3, router.version)
+            }
     }
 
     @Nested
