Read the configuration from a peer if the store has an older one

Cause: peers told each other only the version of their configuration. A router that started after the store had come back from an older copy ran known routes by the older configuration until the operator had written again, although its peers had the acknowledged one.

Change: a router that has heard of a newer version, and does not find it in the store, requests the configuration from the peer (decision 0049). The reply is bounded, is decoded and checked as a row of the store is, and is taken only if its version is higher. Loading a configuration moves from the listener of the operator's rows to ConfigurationLoader, which both use.

The router and the operator in RestoredStoreTest move to StoreFollower.kt unchanged in what they check.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
@@ -18,23 +18,20 @@
 import org.lycheemount.common.SoftwareVersion
 import org.lycheemount.config.ConfigurationSnapshot
 import org.lycheemount.config.ConfigurationView
-import org.lycheemount.config.PublishedConfiguration
 import org.lycheemount.platform.RowListener
 import org.lycheemount.platform.StoreEra
 import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.StoreRow
 import org.lycheemount.platform.adapter.CONFIGURATION_KEY
-import org.lycheemount.platform.adapter.decodeConfiguration
 import org.lycheemount.platform.adapter.decodeServerEntry
 import org.lycheemount.platform.adapter.statesSoftwareVersion
 
 /** Activates the operator's configuration when its row changes. */
 internal class ConfigurationRowListener(
-    private val configuration: PublishedConfiguration,
+    private val loader: ConfigurationLoader,
     private val clock: Clock,
-    private val eventLog: EventLog,
+    eventLog: EventLog,
     private val eras: StoreEras,
-    private val onAccepted: () -> Unit,
 ) : RowListener {
     private val reachabilityLog = StoreReachabilityLog("operator", eventLog)
     private val startedAtMs = clock.monotonicMs()
@@ -50,22 +47,7 @@
     override fun onChangedRows(rows: List<StoreRow>) {
         val row = rows.lastOrNull { it.key == CONFIGURATION_KEY } ?: return
         val value = row.value ?: return
-        val decodeStartedAtMs = clock.monotonicMs()
-        decodeConfiguration(value).fold(
-            {
-                eventLog.info(
-                    "configuration_read",
-                    "version" to it.sequence,
-                    "in_force" to configuration.current().sequence,
-                    "bytes" to value.size,
-                    "decode_ms" to clock.monotonicMs() - decodeStartedAtMs,
-                    "store_version" to row.version,
-                    "store_era" to eras.current.value?.value,
-                )
-                if (configuration.accept(it)) onAccepted()
-            },
-            { eventLog.warn("configuration_unreadable", "error" to it, "in_force" to configuration.current().sequence) },
-        )
+        loader.load(value, "store_version" to row.version, "store_era" to eras.current.value?.value)
     }
 
     override fun onResponded() {
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
@@ -27,7 +27,11 @@
 import org.lycheemount.platform.adapter.createRowTableService
 import org.lycheemount.scheduling.RouterFleet
 
-/** Peer links to the other routers, which are discovered through the rows that they keep in the table. */
+/**
+ * Peer links to the other routers, which are discovered through the rows that they keep in the table.
+ *
+ * @param onPeerConfiguration receives the version of the configuration that a peer has reported.
+ */
 internal class GatewayPeers(
     private val table: TableService,
     private val store: StoreClient,
@@ -36,8 +40,8 @@
     private val clock: Clock,
     private val eventLog: EventLog,
     configuration: ConfigurationView,
-    private val configurationLag: ConfigurationLag,
     private val dispatcher: WorkDispatcher,
+    private val onPeerConfiguration: (RouterId, Long) -> Unit,
 ) : MembershipListener {
     @Volatile
     private lateinit var fleetSecret: PeerSecret
@@ -89,7 +93,7 @@
     override fun onConfigurationSequence(
         from: RouterId,
         sequence: Long,
-    ) = configurationLag.onPeerVersion(from, sequence)
+    ) = onPeerConfiguration(from, sequence)
 
     private companion object {
         private const val VM_TABLE_NAME = "lycheemount-vms"
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -82,7 +82,10 @@
     private val configurationLag = ConfigurationLag(configuration, clock, eventLog)
     private val dispatcher =
         WorkDispatcher(createRequestScheduler(settings.zoneId, seed = identity.incarnation, INITIAL_SPEEDS, FULL_ENGINE_SLOWDOWN), clock)
-    private val peers = GatewayPeers(table, store, routerVm(), identity, clock, eventLog, configuration, configurationLag, dispatcher)
+    private val peers =
+        GatewayPeers(table, store, routerVm(), identity, clock, eventLog, configuration, dispatcher) { from, version ->
+            configurationRecovery.onPeerVersion(from, version)
+        }
     private val statementExchange = PeerStatementExchange(peers.messenger, clock, eventLog, peers::tableTimeOffsetMs)
     private val serverStatements =
         ServerStatements(dispatcher, clock, eventLog, statementExchange::announce, statementExchange::announceLeaving)
@@ -111,7 +114,9 @@
             store.eras,
             eventLog,
         )
-    private val configurationListener = ConfigurationRowListener(configuration, clock, eventLog, store.eras, ::onConfigurationChanged)
+    private val configurationLoader = ConfigurationLoader(configuration, clock, eventLog, ::onConfigurationChanged)
+    private val configurationListener = ConfigurationRowListener(configurationLoader, clock, eventLog, store.eras)
+    private val configurationExchange = PeerConfigurationExchange(peers.messenger, eventLog, configurationLoader::document)
 
     // Evacuations come first: a router is ready once it has the configuration.
     private val operatorRowListener =
@@ -133,6 +138,13 @@
     private val operatorRowWatcher = createOperatorRowWatcher(store)
     private val configurationRefresher =
         ConfigurationRefresher(clock, operatorRowWatcher::isReceiving, configurationLag::isBehind, operatorRowWatcher::awaitCurrent)
+    private val configurationRecovery: ConfigurationRecovery =
+        ConfigurationRecovery(configuration, configurationLag, operatorRowWatcher::awaitCurrent, configurationExchange::request) {
+            value,
+            peer,
+            ->
+            configurationLoader.load(value, "peer" to peer.value)
+        }
     private val serverListener =
         ServerRowListener(::onBackendServers, clock, eventLog, onRow = coldServers::onRow)
     private val drain = DrainState()
@@ -187,6 +199,8 @@
         statementExchange.start(scope, serverStatements)
         evacuationExchange.start(scope, evacuations)
         coldServerExchange.start(scope, coldServers)
+        configurationExchange.start()
+        scope.launch { configurationRecovery.run() }
         coldServers.start(scope)
         peers.start(scope)
         quarantine.start(scope)
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
@@ -28,7 +28,8 @@
         val link = SlowStoreLink(scope.backgroundScope, bytesPerMs)
         private val configuration = PublishedConfiguration(FakeEventLog())
         private val store = createStoreClient(link, "127.0.0.1:1", clock, FakeEventLog())
-        private val listener = ConfigurationRowListener(configuration, clock, FakeEventLog(), store.eras) {}
+        private val listener =
+            ConfigurationRowListener(ConfigurationLoader(configuration, clock, FakeEventLog()) {}, clock, FakeEventLog(), store.eras)
         private val watcher = createOperatorRowWatcher(store)
         val refresher = ConfigurationRefresher(clock, watcher::isReceiving, awaitCurrent = watcher::awaitCurrent)
         val nowMs get() = scope.currentTime
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
@@ -14,11 +14,10 @@
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
-import org.lycheemount.config.PublishedConfiguration
-import org.lycheemount.platform.adapter.createOperatorRowWatcher
 import org.lycheemount.platform.adapter.createServerRowWatcher
 import org.lycheemount.platform.adapter.testing.RestorableStore
 import org.lycheemount.testing.FakeEventLog
+import org.lycheemount.testing.FakePeerNetwork
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -31,59 +30,6 @@
  */
 @OptIn(ExperimentalCoroutinesApi::class)
 class RestoredStoreTest {
-    private class Router(
-        scope: TestScope,
-        store: RestorableStore,
-    ) {
-        private val clock = scope.virtualClock()
-        private val configuration = PublishedConfiguration(FakeEventLog())
-        val link = store.Link()
-        private val client = createStoreClient(link, "127.0.0.1:1", clock, FakeEventLog())
-        private val watcher = createOperatorRowWatcher(client)
-        private val lag = ConfigurationLag(configuration, clock, FakeEventLog())
-        private val refresher = ConfigurationRefresher(clock, watcher::isReceiving, lag::isBehind, watcher::awaitCurrent)
-        val version get() = configuration.current().sequence
-
-        init {
-            val listener = ConfigurationRowListener(configuration, clock, FakeEventLog(), client.eras) {}
-            scope.backgroundScope.launch { watcher.watch(listener) }
-        }
-
-        /** A heartbeat of [peer] arrives. */
-        fun onHeartbeat(peer: Router) = lag.onPeerVersion(RouterId("peer"), peer.version)
-
-        suspend fun refresh() = refresher.refresh(patienceMs = 500)
-    }
-
-    /** The operator and the servers, which write again what a restored store has lost. */
-    private class Writers(
-        private val scope: TestScope,
-        private val store: RestorableStore,
-    ) {
-        private var writtenVersion = 0L
-
-        /** Newest version that the store has acknowledged, each with the time of its latest write. */
-        val acknowledgedAtMs = sortedMapOf<Long, Long>()
-
-        suspend fun publish(version: Long) {
-            while (!store.put("op", "config", """{"version":$version,"services":[],"routes":[]}""")) delay(RETRY_MS)
-            writtenVersion = version
-            acknowledgedAtMs[version] = scope.currentTime
-        }
-
-        suspend fun publishAgain() {
-            if (writtenVersion > 0) publish(writtenVersion)
-        }
-
-        fun registerServers(count: Int) = repeat(count) { store.put("servers", "i-$it", "{}") }
-
-        /** Newest version that is due on a router that has been in touch with the store since [sinceMs]. */
-        fun dueVersion(sinceMs: Long): Long {
-            val dueAtMs = scope.currentTime - CONFIGURATION_APPLY_MS
-            return acknowledgedAtMs.entries.lastOrNull { maxOf(it.value, sinceMs) <= dueAtMs }?.key ?: 0
-        }
-    }
-
     private val seeds: IntRange
         get() {
             val (first, last) = System.getProperty("restored.store.seeds", "1-100").split('-').map { it.toInt() }
@@ -96,9 +42,9 @@
         fun `is in force on each router, guarding against feeds that go on from a version of before`() =
             runTest {
                 val store = RestorableStore()
-                val writers = Writers(this, store)
+                val writers = StoreWriters(this, store)
                 writers.publish(3)
-                val routers = List(3) { Router(this, store) }
+                val routers = List(3) { StoreFollower(this, store) }
                 val copy = store.copy()
                 writers.registerServers(10)
                 delay(1_000)
@@ -119,16 +65,16 @@
         fun `does not confirm the older one, guarding against 404 for routes that peers serve`() =
             runTest {
                 val store = RestorableStore()
-                val writers = Writers(this, store)
+                val writers = StoreWriters(this, store)
                 writers.publish(3)
                 val copy = store.copy()
                 writers.publish(8)
-                val peer = Router(this, store)
+                val peer = StoreFollower(this, store)
                 delay(1_000)
                 store.leave()
                 store.comeBackFrom(copy)
 
-                val router = Router(this, store)
+                val router = StoreFollower(this, store)
                 delay(1_000)
                 router.onHeartbeat(peer)
                 assertEquals(3, router.version)
@@ -144,16 +90,16 @@
         fun `confirms it once no peer has told of a newer one for 30 s, guarding against 503 for unknown routes without end`() =
             runTest {
                 val store = RestorableStore()
-                val writers = Writers(this, store)
+                val writers = StoreWriters(this, store)
                 writers.publish(3)
                 val copy = store.copy()
                 writers.publish(8)
-                val peer = Router(this, store)
+                val peer = StoreFollower(this, store)
                 delay(1_000)
                 store.leave()
                 store.comeBackFrom(copy)
 
-                val router = Router(this, store)
+                val router = StoreFollower(this, store)
                 delay(1_000)
                 router.onHeartbeat(peer)
                 delay(29_000)
@@ -164,6 +110,93 @@
             }
     }
 
+    @Nested
+    inner class `a router that starts before the operator has written again, with a link to a peer` {
+        private val store = RestorableStore()
+
+        /** Passes a peer that has version 8 in force to [steps]. The store has come back with version 3. */
+        private fun runRestart(steps: suspend TestScope.(StoreWriters, FakePeerNetwork, peer: StoreFollower) -> Unit) =
+            runTest {
+                val network = FakePeerNetwork(backgroundScope)
+                val writers = StoreWriters(this, store)
+                writers.publish(3)
+                val copy = store.copy()
+                writers.publish(8)
+                val peer = StoreFollower(this, store, network, "r1")
+                delay(1_000)
+                store.leave()
+                store.comeBackFrom(copy)
+                steps(writers, network, peer)
+            }
+
+        @Test
+        fun `reads it from the peer, guarding against known routes that are run as an older version says`() =
+            runRestart { _, network, _ ->
+                val router = StoreFollower(this, store, network, "r2")
+                delay(PEER_APPLY_MS)
+                assertEquals(8, router.version)
+                assertTrue(router.refresh())
+            }
+
+        @Test
+        fun `reads it once there is a link`() =
+            runRestart { _, network, peer ->
+                network.partition(listOf(peer.routerId), listOf(RouterId("r2")))
+                val router = StoreFollower(this, store, network, "r2")
+                delay(10_000)
+                assertEquals(3, router.version)
+                network.heal()
+                delay(PEER_APPLY_MS)
+                assertEquals(8, router.version)
+            }
+
+        @Test
+        fun `has the version that the operator writes later, if it is higher`() =
+            runRestart { writers, network, peer ->
+                val router = StoreFollower(this, store, network, "r2")
+                delay(PEER_APPLY_MS)
+                writers.publish(5)
+                delay(CONFIGURATION_APPLY_MS)
+                assertEquals(listOf(8L, 8L), listOf(router, peer).map { it.version })
+                writers.publish(9)
+                delay(CONFIGURATION_APPLY_MS)
+                assertEquals(listOf(9L, 9L), listOf(router, peer).map { it.version })
+            }
+
+        @Test
+        fun `has the older version after a restart of all routers, until the operator writes again`() =
+            runRestart { writers, network, peer ->
+                peer.stop()
+                val routers = listOf("r1", "r2").map { StoreFollower(this, store, network, it) }
+                delay(PEER_APPLY_MS)
+                assertEquals(listOf(3L, 3L), routers.map { it.version })
+                writers.publishAgain()
+                delay(CONFIGURATION_APPLY_MS)
+                assertEquals(listOf(8L, 8L), routers.map { it.version })
+            }
+    }
+
+    @Nested
+    inner class `routers that follow a store that loses nothing` {
+        @Test
+        fun `read no configuration from peers, guarding against documents sent between zones`() =
+            runTest {
+                val store = RestorableStore()
+                val network = FakePeerNetwork(backgroundScope)
+                val writers = StoreWriters(this, store)
+                writers.publish(1)
+                val routers = List(7) { StoreFollower(this, store, network, "r$it") }
+                val random = Random(1)
+                for (version in 2L..200L) {
+                    delay(random.nextLong(50, 1_000))
+                    writers.publish(version)
+                }
+                delay(1_000)
+                assertEquals(List(7) { 200L }, routers.map { it.version })
+                assertEquals(List(7) { 0 }, routers.map { it.configurationsFromPeers })
+            }
+    }
+
     @Nested
     inner class `a server that registered after the copy was made` {
         private val store = RestorableStore()
@@ -229,6 +262,28 @@
         }
     }
 
+    @Nested
+    inner class `routers that restart while the store comes back from older copies at random` {
+        @Test
+        fun `have what their peers have in force, also before the operator writes again, with 3 and 7 routers`() {
+            val results = listOf(3, 7).flatMap { routerCount -> seeds.map { seed -> playRestarts(seed, routerCount) } }
+            assertEquals(emptyList(), results.mapNotNull { it.failure })
+            assertTrue(results.sumOf { it.configurationsFromPeers } > results.size, "hardly any configuration was read from a peer")
+        }
+
+        private fun playRestarts(
+            seed: Int,
+            routerCount: Int,
+        ): RestartHistory {
+            lateinit var history: RestartHistory
+            runTest {
+                history = RestartHistory(this, seed, routerCount)
+                history.play(HISTORY_MS)
+            }
+            return history
+        }
+    }
+
     /** Returns what is wrong first in the history of [seed]; null if nothing is. */
     private fun firstFailure(
         seed: Int,
@@ -245,9 +300,9 @@
     ): String? {
         val random = Random(seed)
         val store = RestorableStore()
-        val writers = Writers(this, store)
+        val writers = StoreWriters(this, store)
         writers.publish(1)
-        val routers = List(routerCount) { Router(this, store) }
+        val routers = List(routerCount) { StoreFollower(this, store) }
         val touchedSinceMs = LongArray(routerCount)
         var isStoreTroubled = false
         backgroundScope.launch {
@@ -310,10 +365,11 @@
     private companion object {
         private const val HISTORY_MS = 60_000L
         private const val CHECK_INTERVAL_MS = 250L
-        private const val CONFIGURATION_APPLY_MS = 2_000L
 
         // Bounds hold on routers that have reached the store for so long.
         private const val CONTACT_MS = 3_000L
-        private const val RETRY_MS = 100L
+
+        // Time in which a router has the newest configuration of its peers: a heartbeat takes up to 2.5 s, a check of the store 0.5 s.
+        private const val PEER_APPLY_MS = 4_000L
     }
 }
