Log the era of the configuration's row instead of the latest response

Cause: ConfigurationRowListener took store_era for configuration_read from the latest response of the store to any call. Rows that were read before the store came back from an older copy, and passed on after another call had shown it, were logged with the new era.

Change: the listener takes the era from RowListener.onEra, which comes with the rows.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayControlPlane.kt
@@ -31,9 +31,9 @@
     private val loader: ConfigurationLoader,
     private val clock: Clock,
     eventLog: EventLog,
-    private val eras: StoreEras,
 ) : RowListener {
     private val reachabilityLog = StoreReachabilityLog("operator", eventLog)
+    private var era: StoreEra? = null
     private val startedAtMs = clock.monotonicMs()
 
     @Volatile
@@ -42,12 +42,16 @@
     /** Time since the store last confirmed that the configuration has been read up to its newest change, or since the start. */
     val confirmedAgeMs: Long get() = clock.monotonicMs() - (confirmedAtMs ?: startedAtMs)
 
+    override fun onEra(era: StoreEra?) {
+        this.era = era
+    }
+
     override fun onAllRows(rows: List<StoreRow>) = onChangedRows(rows)
 
     override fun onChangedRows(rows: List<StoreRow>) {
         val row = rows.lastOrNull { it.key == CONFIGURATION_KEY } ?: return
         val value = row.value ?: return
-        loader.load(value, "store_version" to row.version, "store_era" to eras.current.value?.value)
+        loader.load(value, "store_version" to row.version, "store_era" to era?.value)
     }
 
     override fun onResponded() {
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -115,7 +115,7 @@
             eventLog,
         )
     private val configurationLoader = ConfigurationLoader(configuration, clock, eventLog, ::onConfigurationChanged)
-    private val configurationListener = ConfigurationRowListener(configurationLoader, clock, eventLog, store.eras)
+    private val configurationListener = ConfigurationRowListener(configurationLoader, clock, eventLog)
     private val configurationExchange = PeerConfigurationExchange(peers.messenger, eventLog, configurationLoader::document)
 
     // Evacuations come first: a router is ready once it has the configuration.
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LargeConfigurationTest.kt
@@ -29,7 +29,7 @@
         private val configuration = PublishedConfiguration(FakeEventLog())
         private val store = createStoreClient(link, "127.0.0.1:1", clock, FakeEventLog())
         private val listener =
-            ConfigurationRowListener(ConfigurationLoader(configuration, clock, FakeEventLog()) {}, clock, FakeEventLog(), store.eras)
+            ConfigurationRowListener(ConfigurationLoader(configuration, clock, FakeEventLog()) {}, clock, FakeEventLog())
         private val watcher = createOperatorRowWatcher(store)
         val refresher = ConfigurationRefresher(clock, watcher::isReceiving, awaitCurrent = watcher::awaitCurrent)
         val nowMs get() = scope.currentTime
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/StoreFollower.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/StoreFollower.kt
@@ -54,7 +54,7 @@
     val configurationsFromPeers get() = eventLog.events.count { (event, fields) -> event == "configuration_read" && "peer" in fields }
 
     init {
-        val listener = ConfigurationRowListener(loader, clock, FakeEventLog(), client.eras)
+        val listener = ConfigurationRowListener(loader, clock, FakeEventLog())
         this.scope.launch { watcher.watch(listener) }
         network?.let { join(it.join(RouterIdentity(routerId, VmId(name), RegionId("region"), ZoneId("z"), incarnation = 1))) }
     }
