Share reading and conditional writing of a single row

keepFleetSecret, keepIncarnation and TableVmDirectory.register each read a row, compared it and committed a new value on the condition that the row had not changed. updateRow does that for all three.

The id of the transaction that registers a router ends in a random part now, as those of the other two do. It was made of the incarnation, the version of the row and the era; a repeated registration reads the row first, so nothing depends on equal ids, and TableVmDirectory needs no incarnation.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
@@ -53,7 +53,6 @@
             createRowFeed(store, VM_TABLE_NAME),
             store.eras,
             self,
-            identity.incarnation,
             eventLog,
         )
     private val membership =
--- a/process/membership/src/main/kotlin/org/lycheemount/membership/FleetSecret.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/FleetSecret.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.delay
 import org.lycheemount.common.EventLog
-import org.lycheemount.platform.CommitOutcome
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.RowWrite
 import org.lycheemount.platform.StoreEras
@@ -25,7 +24,7 @@
             val secret = ByteArray(SECRET_BYTES).also(SecureRandom()::nextBytes)
             val write = RowWrite(KEY, Base64.getEncoder().encodeToString(secret))
             // The next read returns the secret of the router that wrote first.
-            table.commit(TableTransaction("fleet-secret-${UUID.randomUUID()}", listOf(RowCheck(KEY, 0)), listOf(write)))
+            table.commit(TableTransaction("$TRANSACTION_NAME-${UUID.randomUUID()}", listOf(RowCheck(KEY, 0)), listOf(write)))
         } else {
             delay(RETRY_MS)
         }
@@ -45,26 +44,23 @@
 ): Nothing {
     var held = secret
     eras.forEachReturn { era ->
-        val current = table.read(listOf(KEY)) as? TableResult.Response ?: return@forEachReturn false
-        val row = current.value.find(KEY)
-        if (row != null) {
-            val stored = Base64.getDecoder().decode(row.value)
-            if (!stored.contentEquals(held)) {
-                eventLog.warn("fleet_secret_replaced", "era" to era.value)
-                held = stored
-                onReplaced(stored)
+        var stored: ByteArray? = null
+        val update =
+            table.updateRow(KEY, TRANSACTION_NAME) { row ->
+                stored = row?.let { Base64.getDecoder().decode(it.value) }
+                if (row == null) Base64.getEncoder().encodeToString(held) else null
             }
-            return@forEachReturn true
+        stored?.takeUnless { it.contentEquals(held) }?.let {
+            eventLog.warn("fleet_secret_replaced", "era" to era.value)
+            held = it
+            onReplaced(it)
         }
-        val write = RowWrite(KEY, Base64.getEncoder().encodeToString(held))
-        val transaction = TableTransaction("fleet-secret-${UUID.randomUUID()}", listOf(RowCheck(KEY, 0)), listOf(write))
-        val outcome = table.commit(transaction)
-        val isWritten = outcome is TableResult.Response && outcome.value is CommitOutcome.Committed
-        if (isWritten) eventLog.info("fleet_secret_written_again", "era" to era.value)
-        isWritten
+        if (update == RowUpdate.WRITTEN) eventLog.info("fleet_secret_written_again", "era" to era.value)
+        update != RowUpdate.FAILED
     }
 }
 
 private const val KEY = "fleet-secret"
+private const val TRANSACTION_NAME = "fleet-secret"
 private const val SECRET_BYTES = 32
 private const val RETRY_MS = 300L
--- a/process/membership/src/main/kotlin/org/lycheemount/membership/Incarnation.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/Incarnation.kt
@@ -36,7 +36,7 @@
             val incarnation = maxOf(wallClockMs, 1 + predecessorOf(row, eventLog))
             val check = RowCheck(key, row?.version ?: 0)
             val write = RowWrite(key, incarnation.toString())
-            val outcome = table.commit(TableTransaction("incarnation-${UUID.randomUUID()}", listOf(check), listOf(write)))
+            val outcome = table.commit(TableTransaction("$TRANSACTION_NAME-${UUID.randomUUID()}", listOf(check), listOf(write)))
             // A write without a response may have taken effect; the next read shows it, and the next incarnation is greater.
             if (outcome is TableResult.Response && outcome.value is CommitOutcome.Committed) return incarnation
         } else if (!hasLogged) {
@@ -58,17 +58,14 @@
     incarnation: Long,
     eventLog: EventLog,
 ): Nothing {
+    val key = "$PREFIX${vmId.value}"
     eras.forEachReturn { era ->
-        val key = "$PREFIX${vmId.value}"
-        val current = table.read(listOf(key)) as? TableResult.Response ?: return@forEachReturn false
-        val row = current.value.find(key)
-        if (predecessorOf(row, eventLog) >= incarnation) return@forEachReturn true
-        val write = RowWrite(key, incarnation.toString())
-        val transaction = TableTransaction("incarnation-${UUID.randomUUID()}", listOf(RowCheck(key, row?.version ?: 0)), listOf(write))
-        val outcome = table.commit(transaction)
-        val isWritten = outcome is TableResult.Response && outcome.value is CommitOutcome.Committed
-        if (isWritten) eventLog.info("incarnation_written_again", "key" to key, "era" to era.value)
-        isWritten
+        val update =
+            table.updateRow(key, TRANSACTION_NAME) { row ->
+                incarnation.toString().takeIf { predecessorOf(row, eventLog) < incarnation }
+            }
+        if (update == RowUpdate.WRITTEN) eventLog.info("incarnation_written_again", "key" to key, "era" to era.value)
+        update != RowUpdate.FAILED
     }
 }
 
@@ -83,4 +80,5 @@
 }
 
 private const val PREFIX = "incarnation/"
+private const val TRANSACTION_NAME = "incarnation"
 private const val RETRY_MS = 300L
--- a/process/membership/src/main/kotlin/org/lycheemount/membership/TableVmDirectory.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/TableVmDirectory.kt
@@ -5,18 +5,14 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.lycheemount.common.EventLog
-import org.lycheemount.platform.CommitOutcome
 import org.lycheemount.platform.RouterVm
-import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.RowFeed
 import org.lycheemount.platform.RowListener
-import org.lycheemount.platform.RowWrite
 import org.lycheemount.platform.StoreEra
 import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.StoreRow
 import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.TableService
-import org.lycheemount.platform.TableTransaction
 import org.lycheemount.platform.VmDirectory
 import org.lycheemount.platform.VmList
 
@@ -30,14 +26,12 @@
  * @param table table that holds the rows of VMs and nothing else that changes often, since each router follows all of its changes.
  * @param feed feed of the rows of [table].
  * @param eras eras of the store that holds [table].
- * @param incarnation incarnation of this process, part of the id of its transaction.
  */
 class TableVmDirectory(
     private val table: TableService,
     private val feed: RowFeed,
     private val eras: StoreEras,
     private val self: RouterVm,
-    private val incarnation: Long,
     private val eventLog: EventLog,
 ) : VmDirectory {
     private val key = "$PREFIX${self.vmId.value}"
@@ -81,19 +75,9 @@
     }
 
     private suspend fun register(): Boolean {
-        val current = table.read(listOf(key))
-        if (current !is TableResult.Response) return false
-        val existing = current.value.find(key)
         val value = Json.encodeToString(RouterVm.serializer(), self)
-        if (existing?.value == value) return true
-        val transaction =
-            TableTransaction(
-                "vm-${self.vmId.value}-$incarnation-${existing?.version ?: 0}-${eras.current.value?.value ?: 0}",
-                listOf(RowCheck(key, existing?.version ?: 0)),
-                listOf(RowWrite(key, value)),
-            )
-        val outcome = table.commit(transaction)
-        return outcome is TableResult.Response && outcome.value is CommitOutcome.Committed
+        val update = table.updateRow(key, "vm-${self.vmId.value}") { row -> value.takeIf { row?.value != value } }
+        return update != RowUpdate.FAILED
     }
 
     private fun decode(row: StoreRow): RouterVm? {
--- a/process/membership/src/test/kotlin/org/lycheemount/membership/RestoredStoreTest.kt
+++ b/process/membership/src/test/kotlin/org/lycheemount/membership/RestoredStoreTest.kt
@@ -55,7 +55,6 @@
                 FakeRowFeed(table, clock::wallClockMs),
                 eras,
                 RouterVm(VmId("vm$number"), RouterId("r$number"), RegionId("r"), ZoneId("z"), "127.0.0.1", number),
-                incarnation = 1,
                 DiscardingEventLog,
             )
 
