--- a/process/membership/src/main/kotlin/org/lycheemount/membership/Incarnation.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/Incarnation.kt
@@ -36,7 +36,12 @@
             val check = RowCheck(key, row?.version ?: 0)
             val write = RowWrite(key, incarnation.toString())
             // A write without a response may have taken effect; the next read shows it, and the next incarnation is greater.
-            if (table.tryCommit(TableTransaction("incarnation-${UUID.randomUUID()}", listOf(check), listOf(write)))) return incarnation
+            if (table.tryCommit(
+                    TableTransaction("$TRANSACTION_NAME-${UUID.randomUUID()}", listOf(check), listOf(write)),
+                )
+            ) {
+                return incarnation
+            }
         } else if (!hasLogged) {
             eventLog.warn("incarnation_awaited", "key" to key, "error" to current)
             hasLogged = true
@@ -56,16 +61,14 @@
     incarnation: Long,
     eventLog: EventLog,
 ): Nothing {
+    val key = "$PREFIX${vmId.value}"
     eras.forEachReturn { era ->
-        val key = "$PREFIX${vmId.value}"
-        val current = table.read(listOf(key)) as? TableResult.Response ?: return@forEachReturn false
-        val row = current.value.find(key)
-        if (predecessorOf(row, eventLog) >= incarnation) return@forEachReturn true
-        val write = RowWrite(key, incarnation.toString())
-        val transaction = TableTransaction("incarnation-${UUID.randomUUID()}", listOf(RowCheck(key, row?.version ?: 0)), listOf(write))
-        val isWritten = table.tryCommit(transaction)
-        if (isWritten) eventLog.info("incarnation_written_again", "key" to key, "era" to era.value)
-        isWritten
+        val update =
+            table.updateRow(key, TRANSACTION_NAME) { row ->
+                incarnation.toString().takeIf { predecessorOf(row, eventLog) < incarnation }
+            }
+        if (update == RowUpdate.WRITTEN) eventLog.info("incarnation_written_again", "key" to key, "era" to era.value)
+        update != RowUpdate.FAILED
     }
 }
 
@@ -80,4 +83,5 @@
 }
 
 private const val PREFIX = "incarnation/"
+private const val TRANSACTION_NAME = "incarnation"
 private const val RETRY_MS = 300L
