Count only a refused connection as evidence that a server has ended

Cause: in a shortage of file descriptors, connecting throws a SocketException ("Too many open files"). areRefusedBy returned true for each IOException, so a connection that broke at that time counted as a crash of the server, and its prompts went to the shared quarantine. In DefaultModelEngineClient only a ConnectException counted as a failure to connect, so the outcome of the request was unknown although nothing had been sent.

Change: areRefusedBy returns true only for a ConnectException. BackendConnections.open throws ConnectFailedException for any failure, which is CONNECT_FAILED. The function that opens a socket is a parameter, so that tests can make it fail.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -4,6 +4,7 @@
 import io.ktor.http.cio.parseHttpBody
 import io.ktor.http.cio.parseResponse
 import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.availableForRead
@@ -38,10 +39,12 @@
  * first token.
  *
  * @param sweepIntervalMs least time between two searches for expired idle connections.
+ * @param connect opens a socket.
  */
 internal class BackendConnections(
     private val connectTimeoutMs: Long,
     private val sweepIntervalMs: Long = DEFAULT_SWEEP_INTERVAL_MS,
+    private val connect: suspend (SelectorManager, BackendServer) -> Socket = ::connectTo,
 ) : AutoCloseable {
     private val selectorThread = createSelectorThread("backend-selector")
     private val selector = SelectorManager(selectorThread)
@@ -70,26 +73,27 @@
         }
     }
 
-    /** Opens a connection to [server]. Throws [ConnectException] on failure, which has no effect at the server. */
+    /** Opens a connection to [server]. Throws [ConnectFailedException] on failure, which has no effect at the server. */
     suspend fun open(server: BackendServer): BackendConnection =
-        withTimeoutOrNull(connectTimeoutMs) {
-            val socket =
-                aSocket(selector).tcp().connect(server.host, server.port) {
-                    noDelay = true
-                    receiveBufferSize = RECEIVE_BUFFER_BYTES
-                }
-            BackendConnection(SelectedSocket(socket, selector), scope)
-        } ?: throw ConnectException("no connection within $connectTimeoutMs ms")
+        try {
+            withTimeoutOrNull(connectTimeoutMs) { BackendConnection(SelectedSocket(connect(selector, server), selector), scope) }
+        } catch (failure: Exception) {
+            currentCoroutineContext().ensureActive()
+            throw ConnectFailedException(failure.message ?: failure.javaClass.simpleName, failure)
+        } ?: throw ConnectFailedException("no connection within $connectTimeoutMs ms")
 
-    /** Whether [server] refuses a new connection. False if it does not respond within the connect timeout. */
+    /**
+     * Whether [server] refuses a new connection. False if it does not respond within the connect timeout, or if the connection fails for
+     * another reason, such as a shortage of file descriptors in this process.
+     */
     suspend fun areRefusedBy(server: BackendServer): Boolean =
         withTimeoutOrNull(connectTimeoutMs) {
             try {
-                aSocket(selector).tcp().connect(server.host, server.port).close()
+                connect(selector, server).close()
                 false
-            } catch (failure: IOException) {
+            } catch (failure: Exception) {
                 currentCoroutineContext().ensureActive()
-                true
+                failure is ConnectException
             }
         } ?: false
 
@@ -136,14 +140,23 @@
         /** Shorter than the idle timeout of common HTTP servers, so that the server has rarely closed an idle connection. */
         const val DEFAULT_KEEP_ALIVE_MS = 10_000L
         private const val NS_PER_MS = 1_000_000L
-
-        // What the kernel has received counts as memory of the process, and a size of its own choice grows to megabytes.
-        private const val RECEIVE_BUFFER_BYTES = 65_536
         private const val DEFAULT_SWEEP_INTERVAL_MS = 5_000L
         private const val MAX_IDLE_CONNECTIONS = 128
     }
 }
 
+// What the kernel has received counts as memory of the process, and a size of its own choice grows to megabytes.
+private const val RECEIVE_BUFFER_BYTES = 65_536
+
+private suspend fun connectTo(
+    selector: SelectorManager,
+    server: BackendServer,
+): Socket =
+    aSocket(selector).tcp().connect(server.host, server.port) {
+        noDelay = true
+        receiveBufferSize = RECEIVE_BUFFER_BYTES
+    }
+
 /**
  * Connection to a backend server; used by one coroutine at a time. A request is sent while its response is read, since a server may respond
  * before it has read a long body.
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendHttp.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendHttp.kt
@@ -9,19 +9,21 @@
 import kotlinx.serialization.json.Json
 import org.lycheemount.common.BackendServer
 import java.io.IOException
-import java.net.ConnectException
-import java.nio.channels.UnresolvedAddressException
 
 /** HTTP client for backend servers. It never retries a request. */
-class BackendHttp(
-    connectTimeoutMs: Long = DEFAULT_CONNECT_TIMEOUT_MS,
+class BackendHttp internal constructor(
+    internal val connections: BackendConnections,
     private val controlTimeoutMs: Long = DEFAULT_CONTROL_TIMEOUT_MS,
 ) : AutoCloseable {
     internal val json = Json { ignoreUnknownKeys = true }
-    internal val connections = BackendConnections(connectTimeoutMs)
 
     private val client = DefaultPassThroughClient(this)
 
+    constructor(
+        connectTimeoutMs: Long = DEFAULT_CONNECT_TIMEOUT_MS,
+        controlTimeoutMs: Long = DEFAULT_CONTROL_TIMEOUT_MS,
+    ) : this(BackendConnections(connectTimeoutMs), controlTimeoutMs)
+
     /** Sends a control request; returns the body of a successful response, or null. */
     internal suspend fun sendControlRequest(
         server: BackendServer,
@@ -61,7 +63,7 @@
         needsNewConnection = true,
     )
 
-    /** Whether [server] refuses connections, as it does while no process listens on its port. False if it does not respond at all. */
+    /** Whether [server] refuses connections, as it does while no process listens on its port. False if it does not respond. */
     suspend fun refusesConnections(server: BackendServer): Boolean = connections.areRefusedBy(server)
 
     override fun close() = connections.close()
@@ -74,11 +76,8 @@
     }
 }
 
-internal fun toAttemptFailure(failure: Throwable): AttemptFailure {
-    val causes = generateSequence(failure) { it.cause }.take(MAX_CAUSE_DEPTH)
-    val connectFailed = causes.any { it is ConnectException || it is UnresolvedAddressException }
-    return if (connectFailed) AttemptFailure.CONNECT_FAILED else AttemptFailure.BROKEN_CONNECTION
-}
+internal fun toAttemptFailure(failure: Throwable): AttemptFailure =
+    if (failure is ConnectFailedException) AttemptFailure.CONNECT_FAILED else AttemptFailure.BROKEN_CONNECTION
 
 /** Header that a backend server sends if it rejected a request before running it. */
 const val REFUSED_HEADER: String = "x-refused"
@@ -96,5 +95,3 @@
         REFUSED_LEAVING -> AttemptFailure.REFUSED_LEAVING
         else -> AttemptFailure.REFUSED_BUSY
     }
-
-private const val MAX_CAUSE_DEPTH = 8
