Mark refusals that wait for their caller as unread

Only the ResponseWriter of a request with memory marked its response as unread. A refusal that is written before the handler opens the memory, for example for an unknown route, was not marked. If its account was dropped, its connection stayed open until the write timeout of 60 s and kept the memory. Any caller can cause this with requests for unknown routes sent ahead.

CallerConnectionHandler now marks each response whose end is written and still not sent after a flush. The responses of CallerInputHandler itself (431, 408, 400, 503) are marked in the same way; no test covers those. A connection is no longer reported twice as closed for an unread response.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -35,6 +35,9 @@
     /** Response that is being sent, if it has been announced. */
     private var currentResponse: CallerResponse? = null
 
+    /** Completed when the end of the current response is sent; null before it has been written, and once it has been marked as unread. */
+    private var sentEnd: ChannelPromise? = null
+
     /** Whether a response was cut, so that the connection is closed once what was written before is sent. */
     private var isCut = false
 
@@ -138,6 +141,7 @@
         if (message is HttpResponse && !isInterim(message)) onResponseHead(message)
         if (message is HttpContent) currentResponse?.onSent(message.content().readableBytes())
         if (message is LastHttpContent && !isInterim(message)) {
+            sentEnd = promise.unvoid()
             // The engine creates a message that is a whole response by itself, for example for an error before the head is sent.
             if (message !is HttpResponse && currentResponse?.isSent == false) return closeInPlaceOf(message, promise)
             promise.unvoid().addListener { completeRequest() }
@@ -145,6 +149,13 @@
         context.write(message, promise)
     }
 
+    override fun flush(context: ChannelHandlerContext) {
+        context.flush()
+        val end = sentEnd ?: return
+        sentEnd = null
+        if (!end.isDone) memory.onUnread()
+    }
+
     private fun onResponseHead(head: HttpResponse) {
         currentResponse = takeResponse(head)
         // The engine closes the connection only if the request asks for it.
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
@@ -179,7 +179,7 @@
     }
 
     private fun closeUnread() {
-        if (!connection.memory.isDropped) return
+        if (!connection.memory.isDropped || !context.channel().isOpen) return
         onRefused(ConnectionRefusal.UNREAD_RESPONSE)
         context.close()
     }
@@ -213,7 +213,9 @@
         if (connection.isReadingBody && cause != null) decoded.failBody(cause)
         if (connection.isInProgress) return connection.closeOnceIdle()
         val response = Unpooled.copiedBuffer(refusal.response, Charsets.US_ASCII)
-        context.writeAndFlush(response).addListener { discardAndClose() }
+        val written = context.writeAndFlush(response)
+        if (!written.isDone) connection.memory.onUnread()
+        written.addListener { discardAndClose() }
     }
 
     /** Closes the connection so that the caller can read the response first: bytes that are not read would reset the connection. */
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/RequestMemory.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/RequestMemory.kt
@@ -35,6 +35,11 @@
         charge(REQUEST_BYTES + costOf(headers.size(), fieldBytes + request.uri().length))
     }
 
+    /** The whole response has been written, but the connection cannot send it before the caller reads. */
+    fun onUnread() {
+        account?.setUnread(true, nowMs())
+    }
+
     /** Returns the account of the current request for another holder, or null if nothing is charged. */
     fun retain(): MemoryAccount? = account?.retain()
 
@@ -47,13 +52,15 @@
 
     private fun charge(totalBytes: Long) {
         if (budget == null) return
-        val nowMs = System.nanoTime() / NS_PER_MS
+        val nowMs = nowMs()
         val open = account ?: budget.open(nowMs, onUnreadDropped).also { account = it }
         // A part of a head is estimated, and may have held the beginning of a body.
         if (totalBytes < chargedBytes) open.giveBack(chargedBytes - totalBytes) else open.charge(totalBytes - chargedBytes, nowMs)
         chargedBytes = totalBytes
     }
 
+    private fun nowMs() = System.nanoTime() / NS_PER_MS
+
     internal companion object {
         /** Heap in bytes that a request costs besides its fields and their characters. */
         const val REQUEST_BYTES = 4_096L
--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/UnreadResponseTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/UnreadResponseTest.kt
@@ -18,6 +18,7 @@
 import java.net.Socket
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -29,12 +30,14 @@
     private val refusals = ConcurrentLinkedQueue<ConnectionRefusal>()
     private val writtenBytes = AtomicLong()
     private val head = ResponseHead(200, listOf("Content-Type" to "text/plain"))
+    private val refusalHead = ResponseHead(404, listOf("Content-Type" to "text/plain"))
     private val server =
         createCallerServer("127.0.0.1", port = 0, memory = budget, onRefused = refusals::add) {
             routing {
                 cancelOnDisconnect {
                     get("/endless") { respond { it.writeStream(head) { channel -> while (true) channel.writePart() } } }
                     get("/large") { respond { it.writeComplete(head, ByteArray(LARGE_BYTES)) } }
+                    get("/refused") { ResponseWriter(call).writeComplete(refusalHead, ByteArray(REFUSAL_BYTES)) }
                     get("/small") { respond { it.writeComplete(head, ByteArray(SMALL_BYTES)) } }
                 }
             }
@@ -60,13 +63,15 @@
     @AfterEach
     fun stop() = runBlocking { server.stop(graceMs = 0, lingerMs = 0) }
 
-    private fun request(path: String) =
-        Socket().apply {
-            receiveBufferSize = RECEIVE_BUFFER_BYTES
-            connect(java.net.InetSocketAddress("127.0.0.1", runBlocking { server.port() }))
-            soTimeout = READ_TIMEOUT_MS
-            getOutputStream().write("GET $path HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".encodeToByteArray())
-        }
+    private fun request(
+        path: String,
+        connection: String = "close",
+    ) = Socket().apply {
+        receiveBufferSize = RECEIVE_BUFFER_BYTES
+        connect(java.net.InetSocketAddress("127.0.0.1", runBlocking { server.port() }))
+        soTimeout = READ_TIMEOUT_MS
+        getOutputStream().write("GET $path HTTP/1.1\r\nHost: h\r\nConnection: $connection\r\n\r\n".encodeToByteArray())
+    }
 
     @Nested
     inner class `a response that its caller does not read` {
@@ -106,6 +111,27 @@
         }
     }
 
+    @Nested
+    inner class `refusals that are written before the handler opens the memory of their request` {
+        @Test
+        fun `close with their connection too, guarding against callers without a key that read none of them`() {
+            request("/refused", connection = "keep-alive").use { socket ->
+                val requests = "GET /refused HTTP/1.1\r\nHost: h\r\n\r\n".repeat(AHEAD).encodeToByteArray()
+                thread(isDaemon = true) { runCatching { while (true) socket.getOutputStream().write(requests) } }
+
+                await {
+                    val other = budget.open(clock.monotonicMs())
+                    other.charge(CAPACITY_BYTES, clock.monotonicMs())
+                    other.release()
+                    refusals.isNotEmpty()
+                }
+                await { server.openConnections == 0 && budget.usage.usedBytes == 0L }
+
+                assertEquals(listOf(ConnectionRefusal.UNREAD_RESPONSE), refusals.toList())
+            }
+        }
+    }
+
     @Nested
     inner class `a response that its caller reads` {
         @Test
@@ -135,6 +161,8 @@
         private const val LARGE_BYTES = 1_000_000
         private const val SMALL_BYTES = 60_000
         private const val PART_BYTES = 8_192
+        private const val REFUSAL_BYTES = 100
+        private const val AHEAD = 100
         private const val FEW = 5
         private const val RECEIVE_BUFFER_BYTES = 8_192
         private const val READ_TIMEOUT_MS = 10_000
