--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/RequestMemory.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/RequestMemory.kt
@@ -35,6 +35,11 @@
         charge(REQUEST_BYTES + costOf(headers.size(), fieldBytes + request.uri().length))
     }
 
+    /** The whole response has been written, but the connection cannot send it before the caller reads. */
+    fun onUnread() {
+        account?.setUnread(true, monotonicMs())
+    }
+
     /** Returns the account of the current request for another holder, or null if nothing is charged. */
     fun retain(): MemoryAccount? = account?.retain()
 
