--- a/app/isolated-tests/src/test/kotlin/org/lycheemount/app/isolated/HeadsOfManyFieldsTest.kt
+++ b/app/isolated-tests/src/test/kotlin/org/lycheemount/app/isolated/HeadsOfManyFieldsTest.kt
@@ -1,7 +1,6 @@
 package org.lycheemount.app.isolated
 
 import org.junit.jupiter.api.Nested
-import org.junit.jupiter.api.Tag
 import org.junit.jupiter.api.Test
 
 /** Heads inside the limits in bytes that cost a multiple of their size in the heap. */
@@ -32,7 +31,6 @@
     @Nested
     inner class `a gateway whose callers send heads just inside the limits` : IsolatedGatewayTest() {
         // 700 heads of 31 KB are 22 MB on the wire, and several times as much as objects.
-        @Tag("known-red")
         @Test
         fun `holds a bounded part of them together, guarding against heads that no budget counts`() =
             assertWithstands("large-heads", IsolatedFixture(), MANY_DESCRIPTORS) {
