Drop further accounts if a dropped one keeps its memory

The memory of a dropped account counted as returning until the account ended. Meanwhile shed() dropped no other account, so that all others waited and were refused after 2 s each, and charge() subtracted the bytes as if they had been returned.

Memory of a dropped account now counts as returning for 1 s (MIN_STALL_MS). An account that waits and is the only other holder is not dropped before its own wait has ended (MAX_WAIT_MS).

Two of the three new tests of MemoryBudgetTest failed without the change; the third fails without the exception for the only holder (6000 in place of 7000).

--- a/process/common/src/main/kotlin/org/lycheemount/common/MemoryBudget.kt
+++ b/process/common/src/main/kotlin/org/lycheemount/common/MemoryBudget.kt
@@ -19,6 +19,7 @@
  * Accounts that hold little are served before the others, which cannot use the last [SMALL_SHARE] of the budget. If an account has to wait,
  * accounts are dropped until it can go on: first those that have not progressed for the longest time, then the youngest if all of them wait
  * for each other, and at last an account that has waited for [MAX_WAIT_MS] itself. An account that is alone is granted what it asks for.
+ * The memory of a dropped account is expected back for [MIN_STALL_MS]; after that, others are dropped in its place.
  *
  * @property capacityBytes bytes that all accounts may hold together.
  */
@@ -80,10 +81,10 @@
         take(account, bytes)
         account.lastProgressMs = nowMs
         val limitBytes = if (account.heldBytes <= ORDINARY_BYTES) capacityBytes else capacityBytes - (capacityBytes * SMALL_SHARE).toLong()
-        while (!account.isDropped && usedBytes > account.heldBytes && usedBytes - returningBytes() > limitBytes) {
+        while (!account.isDropped && usedBytes > account.heldBytes && usedBytes - returningBytes(nowMs) > limitBytes) {
             // A small response to a request that has run is not lost for others.
             val isSpared = account.isComplete && account.heldBytes <= ORDINARY_BYTES
-            drop(stalledAccount(nowMs) ?: if (isSpared) return else account)
+            drop(stalledAccount(nowMs) ?: if (isSpared) return else account, nowMs)
         }
     }
 
@@ -148,28 +149,34 @@
         val open = accounts.filter { !it.isDropped }
         val stalled = stalledAccount(nowMs)
         // Memory of a dropped account is on its way back, so that one account is dropped at a time.
-        val isReturning = returningBytes() > 0
+        val isReturning = returningBytes(nowMs) > 0
         val holding = open.filter { it.heldBytes > 0 }
+        val isOnlyHolder = holding.singleOrNull() === waiting
         val victim =
             when {
                 nowMs - (waiting.waitingSinceMs ?: nowMs) >= MAX_WAIT_MS -> waiting
                 isReturning -> null
                 stalled != null -> stalled
-                holding.isNotEmpty() && holding.all { it.waitingSinceMs != null } -> holding.maxByOrNull { it.openedAtMs }
+                !isOnlyHolder && holding.isNotEmpty() && holding.all { it.waitingSinceMs != null } -> holding.maxByOrNull { it.openedAtMs }
                 else -> null
             } ?: return
-        drop(victim)
+        drop(victim, nowMs)
     }
 
-    private fun drop(account: MemoryAccount) {
+    private fun drop(
+        account: MemoryAccount,
+        nowMs: Long,
+    ) {
         account.isDropped = true
+        account.droppedAtMs = nowMs
         account.waitingSinceMs = null
         droppedCount++
         if (account.isUnread) account.onUnreadDropped()
     }
 
-    /** Bytes of dropped accounts whose holders have not ended yet. */
-    private fun returningBytes(): Long = accounts.sumOf { if (it.isDropped) it.heldBytes else 0L }
+    /** Bytes of dropped accounts whose holders have not ended yet, except for those that should have ended by now. */
+    private fun returningBytes(nowMs: Long): Long =
+        accounts.sumOf { if (it.isDropped && nowMs - it.droppedAtMs < MIN_STALL_MS) it.heldBytes else 0L }
 
     /** The account without progress for the longest time, if that is long enough to drop it. */
     private fun stalledAccount(nowMs: Long): MemoryAccount? =
@@ -182,7 +189,10 @@
         /** Share of the budget that only accounts that hold little can use. */
         const val SMALL_SHARE = 0.125
 
-        /** Time without progress in milliseconds after which an incomplete body may be dropped. */
+        /**
+         * Time without progress in milliseconds after which an incomplete body may be dropped, and after which the memory of a dropped
+         * account no longer counts as returning.
+         */
         const val MIN_STALL_MS = 1_000L
 
         /** Time in milliseconds after which an account that waits is dropped itself. */
@@ -227,6 +237,7 @@
     internal var waitingSinceMs: Long? = null
     internal var isComplete = false
     internal var isUnread = false
+    internal var droppedAtMs = 0L
     internal var holders = 1
 
     @Volatile
--- a/process/common/src/test/kotlin/org/lycheemount/common/MemoryBudgetTest.kt
+++ b/process/common/src/test/kotlin/org/lycheemount/common/MemoryBudgetTest.kt
@@ -187,6 +187,48 @@
         }
     }
 
+    @Nested
+    inner class `an account that was dropped and does not end` {
+        @Test
+        fun `is replaced by the next one that has stalled, guarding against one holder that keeps all others waiting`() {
+            val stuck = holding(3_000_000)
+            val stalled = holding(3_500_000, 1)
+            val waiting = budget.open(5_000)
+
+            assertEquals(MemoryGrant.WAITING, waiting.request(2_000_000, 5_000))
+            assertEquals(MemoryGrant.WAITING, waiting.request(2_000_000, 5_000 + MemoryBudget.MIN_STALL_MS - 1))
+            assertEquals(listOf(true, false), listOf(stuck, stalled).map { it.isDropped })
+            assertEquals(MemoryGrant.WAITING, waiting.request(2_000_000, 5_000 + MemoryBudget.MIN_STALL_MS))
+            assertTrue(stalled.isDropped)
+            stalled.release()
+            assertEquals(MemoryGrant.GRANTED, waiting.request(2_000_000, 5_000 + MemoryBudget.MIN_STALL_MS + 10))
+        }
+
+        @Test
+        fun `counts as held by it for what is charged, guarding against heads beyond the budget`() {
+            holding(CAPACITY)
+            budget.open(5_000).charge(1_000, 5_000)
+            val early = budget.open(5_000)
+            val late = budget.open(5_000)
+
+            early.charge(1_000, 5_000 + MemoryBudget.MIN_STALL_MS - 1)
+            late.charge(1_000, 5_000 + MemoryBudget.MIN_STALL_MS)
+
+            assertFalse(early.isDropped)
+            assertTrue(late.isDropped)
+        }
+
+        @Test
+        fun `does not shorten the wait of the only other account`() {
+            holding(6_500_000)
+            val waiting = holding(500_000, 5_000)
+
+            val droppedAtMs = (5_000L..15_000L step 10).first { waiting.request(1_000_000, it) == MemoryGrant.DROPPED }
+
+            assertEquals(5_000 + MemoryBudget.MAX_WAIT_MS, droppedAtMs)
+        }
+    }
+
     @Nested
     inner class `an account that is complete` {
         @Test
