Separate a refused connection from other failures by catch blocks

The linter reports a check of the type of an exception inside a catch block (InstanceOfCheckForException).

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -91,9 +91,12 @@
             try {
                 connect(selector, server).close()
                 false
+            } catch (refusal: ConnectException) {
+                currentCoroutineContext().ensureActive()
+                true
             } catch (failure: Exception) {
                 currentCoroutineContext().ensureActive()
-                failure is ConnectException
+                false
             }
         } ?: false
 
