Check the responses in the test of resumptions at two services

By the hash of its id, a12 belongs to the second service, so the resumption was led correctly and the stream before had reached no server.

The resumptions were never served either: the scripted server sent event 1 again, which breaks off, and the test counted the attempt. The server now sends the event that follows, and each response must be complete; a failure shows it.

--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/StreamVersionTest.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/StreamVersionTest.kt
@@ -390,30 +390,32 @@
         private fun RawServer.enqueueAnyStream() =
             enqueue {
                 val id = Regex("X-Id: (.*)").find(requests.last())!!.groupValues[1]
+                val lastEventId =
+                    Regex("Resume-After: (.*)").find(requests.last())?.run { groupValues[1].toInt() } ?: 0
                 head("200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked", "X-Id: $id")
-                event(1)
+                event(lastEventId + 1)
                 endStream()
             }
 
+        /** Sends a request and returns how many requests the second server received for it. */
+        private fun requestsOfSecond(
+            id: String,
+            vararg headers: String,
+        ): Int {
+            listOf(first, second).forEach { it.enqueueAnyStream() }
+            val before = second.requests.size
+            val response = exchange("/split/1", *headers, id = id)
+            assertTrue(looksComplete(response), "attempt $id: $response")
+            return second.requests.size - before
+        }
+
         @Test
         fun `leads a resumption to the service that began the stream, guarding against events that are joined from two services`() {
             list(first.describe(V1), second.describe(V1, service = "s2"))
             val attemptIds = (1..20).map { "a$it" }
 
-            val servicesOfStreams =
-                attemptIds.map { id ->
-                    listOf(first, second).forEach { it.enqueueAnyStream() }
-                    val before = second.requests.size
-                    exchange("/split/1", id = id)
-                    second.requests.size - before
-                }
-            val servicesOfResumptions =
-                attemptIds.map { id ->
-                    listOf(first, second).forEach { it.enqueueAnyStream() }
-                    val before = second.requests.size
-                    exchange("/split/1", "Last-Event-Id: 1", "Resumes: $id", id = "$id-2")
-                    second.requests.size - before
-                }
+            val servicesOfStreams = attemptIds.map { requestsOfSecond(it) }
+            val servicesOfResumptions = attemptIds.map { requestsOfSecond("$it-2", "Last-Event-Id: 1", "Resumes: $it") }
 
             assertEquals(setOf(0, 1), servicesOfStreams.toSet())
             assertEquals(servicesOfStreams, servicesOfResumptions)
