Test a gateway whose callers do not read refusals

40 connections send 1 MB of requests for an unknown route each and read nothing; the gateway has to stay within its memory and serve an ordinary request afterwards.

--- a/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/UntrustedTraffic.kt
+++ b/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/UntrustedTraffic.kt
@@ -24,6 +24,12 @@
         send(requests.toString())
     }
 
+/** Sends 1 MB of complete requests for an unknown route without reading a response. */
+fun CrowdConnection.sendUnknownRoutesAhead() {
+    val request = requestHead("GET", "/unknown/")
+    repeat(PARTS_PER_MB) { send(request.repeat(PART_BYTES / request.length + 1)) }
+}
+
 /** Sends a body of [bodyBytes] in one-byte chunks and does not end it. */
 fun CrowdConnection.sendOneByteChunks(bodyBytes: Int) {
     send(requestHead("POST", "/working/", "Transfer-Encoding: chunked"))
--- a/app/isolated-tests/src/test/kotlin/org/lycheemount/app/isolated/UntrustedCallersTest.kt
+++ b/app/isolated-tests/src/test/kotlin/org/lycheemount/app/isolated/UntrustedCallersTest.kt
@@ -28,6 +28,16 @@
             }
     }
 
+    // The refusals of 1 MB of requests on each connection exceed its socket buffers.
+    @Nested
+    inner class `a gateway whose callers send requests for unknown routes ahead` : IsolatedGatewayTest() {
+        @Test
+        fun `serves others, guarding against refusals that are not read and hold the memory of their requests`() =
+            assertWithstands("unread-refusals") {
+                open(CONNECTIONS) { sendUnknownRoutesAhead() }
+            }
+    }
+
     @Nested
     inner class `a gateway whose callers send bodies in one-byte chunks` : IsolatedGatewayTest() {
         // Each caller sends one and a half times the limit of bodies, so that none may stay open.
