--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -21,17 +21,18 @@
  * Counts the requests in progress on one connection, closes the connection while it has none, and marks it when a body cannot be
  * read to its end. Used by the thread of the connection, except for [isInProgress], [isStalled], [idleSinceNs], [lastProgressNs],
  * [closeOnceIdle], [closeIfInactive] and [permitBody].
+ *
+ * @property memory memory of the current request.
+ * @param onIdle called when no request is in progress any more.
+ * @param nowNs monotonic time in nanoseconds.
  */
 internal class CallerConnectionHandler(
     private val idleTimeoutS: Long,
     private val limits: () -> ConnectionLimits,
-    /** Memory of the current request. */
     val memory: RequestMemory,
     private val onOpened: (CallerConnectionHandler) -> Unit,
     private val onClosed: (CallerConnectionHandler) -> Unit,
-    /** Called when no request is in progress any more. */
     private val onIdle: () -> Unit = {},
-    /** Monotonic time in nanoseconds. */
     private val nowNs: () -> Long = System::nanoTime,
 ) : ChannelDuplexHandler() {
     private lateinit var context: ChannelHandlerContext
--- a/request/caller/src/main/kotlin/org/lycheemount/caller/ResponseWriter.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/ResponseWriter.kt
@@ -36,8 +36,10 @@
         body: ByteArray,
     ) = send(head, body.size.toLong()) { it.writePaced(body) }
 
-    /** Sends [head] and the output of [write]. The connection is aborted when [write] throws, so that the response is never mistaken
-     * for a complete one. */
+    /**
+     * Sends [head] and the output of [write]. The connection is aborted when [write] throws, so that the response is never mistaken for a
+     * complete one.
+     */
     suspend fun writeStream(
         head: ResponseHead,
         write: suspend (ByteWriteChannel) -> Unit,
