--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/ListenerHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/ListenerHandler.kt
@@ -5,9 +5,9 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 
 /**
- * Records when connections are accepted, and accepts no more while [maxAccepted] of them are open. Those that are not registered yet or that
- * their threads are about to close count as well, since they hold descriptors. The operating system queues the connections that are not
- * accepted. The limit may be exceeded by the number of connections that the listener accepts in one turn.
+ * Records when connections are accepted, and accepts no more while [maxAccepted] of them are open. Those that are not registered yet or
+ * that their threads are about to close count as well, since they hold descriptors. The operating system queues the connections that are
+ * not accepted. The limit may be exceeded by the number of connections that the listener accepts in one turn.
  *
  * @param nowNs monotonic time in nanoseconds.
  * @param onOpened called when the listener is open.
