Read the monotonic time of the listener from DefaultClock

MonotonicTime.kt computed what DefaultClock.monotonicMs returns. It now calls it; no change of behaviour.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/MonotonicTime.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/MonotonicTime.kt
@@ -1,6 +1,8 @@
 package org.lycheemount.listener
 
+import org.lycheemount.common.DefaultClock
+
 /** Returns the monotonic time of this process in milliseconds. */
-internal fun monotonicMs(): Long = System.nanoTime() / NS_PER_MS
+internal fun monotonicMs(): Long = clock.monotonicMs()
 
-private const val NS_PER_MS = 1_000_000L
+private val clock = DefaultClock()
