Open listeners of the router tests on an address of their own

RouterProcessTest failed with "Address already in use": RouterFleetFixture chose the ports of the peer and administration listeners by opening and closing a socket on the wildcard address. Until the router opened its listener, an outgoing connection or another test process could get the same port.

These listeners now use a loopback address that differs for each test process and that no outgoing connection gets.

--- a/app/router/src/test/kotlin/org/lycheemount/app/router/AdminListenerTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/AdminListenerTest.kt
@@ -1,6 +1,7 @@
 package org.lycheemount.app.router
 
 import org.junit.jupiter.api.AfterEach
+import org.lycheemount.platform.adapter.testing.LISTENER_HOST
 import java.net.InetSocketAddress
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -9,7 +10,7 @@
 /** Clients without a key on the listener of the administration API. */
 class AdminListenerTest {
     private val fleet = RouterFleetFixture()
-    private val address = InetSocketAddress("127.0.0.1", fleet.adminPorts.first())
+    private val address = InetSocketAddress(LISTENER_HOST, fleet.adminPorts.first())
 
     @AfterEach
     fun close() = fleet.close()
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/RouterFleetFixture.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/RouterFleetFixture.kt
@@ -32,6 +32,8 @@
 import org.lycheemount.config.WorkClass
 import org.lycheemount.platform.RouterVm
 import org.lycheemount.platform.VmList
+import org.lycheemount.platform.adapter.testing.LISTENER_HOST
+import org.lycheemount.platform.adapter.testing.freeListenerPort
 import org.lycheemount.settings.ListenerSettings
 import org.lycheemount.settings.PlatformSettings
 import org.lycheemount.settings.RequestSettings
@@ -42,7 +44,6 @@
 import org.lycheemount.standin.startEngineStandIn
 import org.lycheemount.standin.startPlatformStandIn
 import org.lycheemount.testing.sha256Hex
-import java.net.ServerSocket
 import java.nio.file.Files
 import java.util.UUID
 import java.util.concurrent.atomic.AtomicInteger
@@ -62,10 +63,10 @@
         startEngineStandIn(
             EngineStandInSettings(models = mapOf(modelId to "1"), parameters = EngineParameters(stepBaseUs = 500, prefillPerTokenUs = 0)),
         )
-    private val peerPorts = List(2) { ServerSocket(0).use { it.localPort } }
+    private val peerPorts = List(2) { freeListenerPort() }
 
-    /** Ports of the administration API. */
-    val adminPorts = List(2) { ServerSocket(0).use { it.localPort } }
+    /** Ports of the administration API, on [LISTENER_HOST]. */
+    val adminPorts = List(2) { freeListenerPort() }
     val platform = startPlatformStandIn(PlatformStandInSettings(vms = vmList()))
     private val clients = platform.clients()
     private val administration = createBudgetAdministration(clients.table) { UUID.randomUUID().toString() }
@@ -110,7 +111,7 @@
     private fun vmList() =
         VmList(
             peerPorts.mapIndexed { index, port ->
-                RouterVm(VmId("vm-r$index"), RouterId("r$index"), RegionId("g"), zoneId, "127.0.0.1", port)
+                RouterVm(VmId("vm-r$index"), RouterId("r$index"), RegionId("g"), zoneId, LISTENER_HOST, port)
             },
             listOf(engine.describe(zoneId)),
             0,
@@ -124,8 +125,8 @@
             regionId = RegionId("g"),
             zoneId = zoneId,
             callers = ListenerSettings("127.0.0.1", port = 0),
-            admin = ListenerSettings("127.0.0.1", adminPorts[index]),
-            peers = ListenerSettings("127.0.0.1", peerPorts[index]),
+            admin = ListenerSettings(LISTENER_HOST, adminPorts[index]),
+            peers = ListenerSettings(LISTENER_HOST, peerPorts[index]),
             platform = PlatformSettings("$url/table", "$url/objects", "$url/vms", "$url/weights"),
             peerSecretFile = directory.resolve("secret").apply { writeText("a secret of the tests only") }.toString(),
             configurationFile =
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/KeepAlivePlatformTransportTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/KeepAlivePlatformTransportTest.kt
@@ -7,6 +7,7 @@
 import org.lycheemount.backend.BackendHttp
 import org.lycheemount.backend.DefaultPassThroughClient
 import org.lycheemount.common.DefaultClock
+import org.lycheemount.platform.adapter.testing.freeListenerAddress
 import org.lycheemount.platform.http.PlatformExchange
 import org.lycheemount.testing.FakeEventLog
 import java.net.InetAddress
@@ -71,8 +72,8 @@
             Thread.sleep(2 * CALL_TIMEOUT_MS / SLOW_PARTS)
         }
 
-    private fun exchange(port: Int = listener.localPort) =
-        runBlocking { transport.exchange(HttpMethod.Get, "http://127.0.0.1:$port/-/rows?table=a%20b") }
+    private fun exchange(address: String = "127.0.0.1:${listener.localPort}") =
+        runBlocking { transport.exchange(HttpMethod.Get, "http://$address/-/rows?table=a%20b") }
 
     @Nested
     inner class `consecutive calls` {
@@ -110,10 +111,8 @@
 
         @Test
         fun `to a port without a listener is reported as not sent`() {
-            // A closed listener may still accept a connection while a thread is blocked in accept, so a new socket supplies the port.
-            val freePort = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress()).use { it.localPort }
-
-            assertIs<PlatformExchange.NotSent>(exchange(freePort))
+            // A closed listener may still accept a connection while a thread is blocked in accept, so another address is used.
+            assertIs<PlatformExchange.NotSent>(exchange(freeListenerAddress()))
         }
     }
 
