Keep a replaced run of a server replaced after a restored store

What callers saw: if a store came back from a copy that still listed an earlier run of a server, that run counted as ready, with its software version, in place of the later one, until the later run had registered again. Requests and resumed streams were sent to a process that had ended.

Cause: only runs that left or were removed were noted as gone, not runs that another run had replaced under the same server id.

Replaced runs are noted as well, and a restored list does not put one in the place of a later run, which stays in use for the usual grace.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/ServerDirectory.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/ServerDirectory.kt
@@ -11,7 +11,7 @@
  * removed entry is no evidence that its server is gone. Removing all servers at once would cause every request to be rejected.
  *
  * A store that has come back from an older copy lists runs of servers as ready again that were leaving or gone. They count as leaving until
- * they write their entries again.
+ * they write their entries again. A run that another one of the same server had replaced does not replace that one.
  *
  * @param expiryGraceMs time after the recovery of the store in which live servers write their entries again.
  * @param minOutageMs length of an outage of the store after which entries of live servers may have expired.
@@ -70,16 +70,23 @@
         current: List<BackendServer>,
         nowMs: Long,
     ) {
-        val ids = current.mapTo(HashSet()) { it.backendServerId }
+        val listed = if (isListRestored) current.filterNot(::isReplaced) else current
+        val ids = listed.mapTo(HashSet()) { it.backendServerId }
         (listedServers.keys - ids).forEach { onRemoved(it, nowMs) }
-        current.forEach { onEntry(if (isListRestored && it.vmId in leftRuns) it.copy(leaving = true) else it) }
+        listed.forEach { onEntry(if (isListRestored && it.vmId in leftRuns) it.copy(leaving = true) else it) }
         isListRestored = false
     }
 
+    private fun isReplaced(server: BackendServer): Boolean {
+        val known = listedServers[server.backendServerId] ?: return false
+        return known.vmId != server.vmId && server.vmId in leftRuns
+    }
+
     /** Adds or updates one entry. */
     fun onEntry(server: BackendServer) {
-        expiredServers.remove(server.backendServerId)
-        listedServers[server.backendServerId] = server
+        val expired = expiredServers.remove(server.backendServerId)
+        val replaced = listedServers.put(server.backendServerId, server) ?: expired
+        if (replaced != null && replaced.vmId != server.vmId) noteLeft(replaced)
         if (server.leaving) noteLeft(server) else leftRuns -= server.vmId
     }
 
