Keep only hashes of request ids in connections to servers

Callers choose the ids, and no account of the memory budget covers them.

Cause: a connection remembers the ids of its last requests, which outlive the requests and their accounts.

A connection now keeps their hashes. A second id with the same hash only causes the use of another connection.

The new test of BackendConnectionTest found all 8 ids in memory before, and none with the change.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -188,7 +188,7 @@
     var usableUntilNs: Long = 0
 
     private val receiving = scope.launch { receive() }
-    private val recentRequestIds = ArrayDeque<String>()
+    private val recentIdHashes = ArrayDeque<Int>()
 
     /** Number of requests sent on this connection. */
     var requestCount = 0
@@ -198,12 +198,13 @@
     fun onRequest(requestId: String?) {
         requestCount++
         if (requestId == null) return
-        if (recentRequestIds.size == MAX_RECENT_IDS) recentRequestIds.removeFirst()
-        recentRequestIds.addLast(requestId)
+        if (recentIdHashes.size == MAX_RECENT_IDS) recentIdHashes.removeFirst()
+        // Callers choose the ids, which may be long, and the connection outlives their requests.
+        recentIdHashes.addLast(requestId.hashCode())
     }
 
-    /** Whether a request with the id [requestId] is among the last ones on this connection. */
-    fun hasCarried(requestId: String): Boolean = requestId in recentRequestIds
+    /** Whether a request with the id [requestId], or another one with the same hash, is among the last ones on this connection. */
+    fun hasCarried(requestId: String): Boolean = requestId.hashCode() in recentIdHashes
 
     /** True if the server has sent bytes that belong to no response read so far. */
     val hasUnexpectedBytes: Boolean get() = input.availableForRead > 0
--- a/connection/backend/src/test/kotlin/org/lycheemount/backend/BackendConnectionTest.kt
+++ b/connection/backend/src/test/kotlin/org/lycheemount/backend/BackendConnectionTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
 import java.io.IOException
+import java.lang.ref.WeakReference
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFailsWith
@@ -204,7 +205,34 @@
             }
     }
 
+    @Nested
+    inner class `an idle connection` {
+        private fun recordRequest(
+            connection: BackendConnection,
+            number: Int,
+        ): WeakReference<String> {
+            val id = number.toString().repeat(ID_CHARS)
+            connection.onRequest(id)
+            return WeakReference(id)
+        }
+
+        @Test
+        fun `does not keep the ids of its requests, so that long ones do not fill the memory`() =
+            runTest {
+                val connection = connect(FakeBackendSocket())
+                val ids = List(REQUESTS) { recordRequest(connection, it) }
+
+                System.gc()
+
+                assertEquals(0, ids.count { it.get() != null })
+                assertTrue(connection.hasCarried("3".repeat(ID_CHARS)))
+                assertFalse(connection.hasCarried("other"))
+            }
+    }
+
     private companion object {
+        private const val REQUESTS = 8
+        private const val ID_CHARS = 15_000
         private const val SMALL_BYTES = 1_000
         private const val LARGE_BYTES = 1_000_000
     }
