Bound the responses to control requests of servers

Cause: the response was read as a whole, limited only by the timeout of one second.

At most 16 MiB are read.

ControlResponseTest: the response of 17 MiB was returned before and is discarded now; one of 16 MiB is returned. The 77 tests of connection/backend pass.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendHttp.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendHttp.kt
@@ -24,7 +24,7 @@
         controlTimeoutMs: Long = DEFAULT_CONTROL_TIMEOUT_MS,
     ) : this(BackendConnections(connectTimeoutMs), controlTimeoutMs)
 
-    /** Sends a control request; returns the body of a successful response, or null. */
+    /** Sends a control request; returns the body of a successful response of up to [MAX_CONTROL_RESPONSE_BYTES], or null. */
     internal suspend fun sendControlRequest(
         server: BackendServer,
         httpMethod: HttpMethod,
@@ -45,8 +45,9 @@
     ): String? {
         val outcome =
             client.exchange(server, call) { response ->
-                val text = response.body.readUpTo(Int.MAX_VALUE).decodeToString()
-                text.takeIf { response.head.httpStatus in SUCCESS_STATUSES }
+                val bytes = response.body.readUpTo(MAX_CONTROL_RESPONSE_BYTES + 1)
+                val isValid = response.head.httpStatus in SUCCESS_STATUSES && bytes.size <= MAX_CONTROL_RESPONSE_BYTES
+                if (isValid) bytes.decodeToString() else null
             }
         return (outcome as? PassThroughOutcome.Completed)?.result
     }
@@ -72,6 +73,7 @@
     companion object {
         private const val DEFAULT_CONNECT_TIMEOUT_MS = 1_000L
         private const val DEFAULT_CONTROL_TIMEOUT_MS = 1_000L
+        private const val MAX_CONTROL_RESPONSE_BYTES = 16_777_216
         private val SUCCESS_STATUSES = 200..299
     }
 }
