Count each sent part of a response as progress

When another request needed the memory budget, the connection was closed after 24,663 bytes, although the request had run.

Cause: at its end, a response is marked as unread once. Parts that are sent later moved the progress of the connection, but not that of its account in the memory budget, which counted as stalled after a second. A part could also be 64 KB, and is sent only when the caller has read almost all of it.

Each part now moves the progress of the account, and large parts are written as parts of 4 KB.

Two of the three tests of ResponseProgressTest fail without the change. The tests of connection/caller and request/caller that were selected (71) pass.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -166,14 +166,34 @@
             if (message !is HttpResponse && currentResponse?.isSent == false) return closeInPlaceOf(message, promise)
             promise.unvoid().addListener { completeRequest() }
         }
+        if (message is HttpContent && message !is LastHttpContent) writeParts(message, promise) else writePart(message, promise)
+    }
+
+    /** Writes [content] in parts, as the connection reports progress only at the end of a part. */
+    private fun writeParts(
+        content: HttpContent,
+        promise: ChannelPromise,
+    ) {
+        val bytes = content.content()
+        while (bytes.readableBytes() > MAX_PART_BYTES) {
+            writePart(content.replace(bytes.readRetainedSlice(MAX_PART_BYTES)), context.newPromise())
+        }
+        writePart(content, promise)
+    }
+
+    private fun writePart(
+        part: Any,
+        promise: ChannelPromise,
+    ) {
         unsentParts++
         promise.unvoid().addListener { onPartSent() }
-        context.write(message, promise)
+        context.write(part, promise)
     }
 
     private fun onPartSent() {
         unsentParts--
         lastProgressNs = nowNs()
+        memory.onPartSent()
     }
 
     override fun flush(context: ChannelHandlerContext) {
@@ -278,6 +298,7 @@
 
     companion object {
         private const val FIRST_FINAL_STATUS = 200
+        private const val MAX_PART_BYTES = 4_096
 
         // A caller needs some time between its connection and its first request.
         private const val MIN_IDLE_TIMEOUT_MS = 1_000L
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/RequestMemory.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/RequestMemory.kt
@@ -40,6 +40,11 @@
         account?.setUnread(true, monotonicMs())
     }
 
+    /** The connection has sent a part of the response. */
+    fun onPartSent() {
+        account?.onProgress(monotonicMs())
+    }
+
     /** Returns the account of the current request for another holder, or null if nothing is charged. */
     fun retain(): MemoryAccount? = account?.retain()
 
