Keep the port of a closed SocketServer unused

ConnectFailureTest and PlainServiceResponseTest expect that the port of a closed server refuses connections. It was a port of 127.0.0.1, which the system may give to the next listener of any test process that asks for a free port, and the connection would then have been accepted.

SocketServer now listens on LISTENER_HOST, an address of its own for each test process. The address moves to process/testing, which SocketServer belongs to.

Found by reading; not seen in a run.

--- a/app/router/src/test/kotlin/org/lycheemount/app/router/AdminListenerTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/AdminListenerTest.kt
@@ -1,7 +1,7 @@
 package org.lycheemount.app.router
 
 import org.junit.jupiter.api.AfterEach
-import org.lycheemount.platform.adapter.testing.LISTENER_HOST
+import org.lycheemount.testing.LISTENER_HOST
 import java.net.InetSocketAddress
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/RouterFleetFixture.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/RouterFleetFixture.kt
@@ -32,7 +32,6 @@
 import org.lycheemount.config.WorkClass
 import org.lycheemount.platform.RouterVm
 import org.lycheemount.platform.VmList
-import org.lycheemount.platform.adapter.testing.LISTENER_HOST
 import org.lycheemount.platform.adapter.testing.freeListenerPort
 import org.lycheemount.settings.ListenerSettings
 import org.lycheemount.settings.PlatformSettings
@@ -43,6 +42,7 @@
 import org.lycheemount.standin.enginemodel.EngineParameters
 import org.lycheemount.standin.startEngineStandIn
 import org.lycheemount.standin.startPlatformStandIn
+import org.lycheemount.testing.LISTENER_HOST
 import org.lycheemount.testing.sha256Hex
 import java.nio.file.Files
 import java.util.UUID
--- a/connection/platform/src/test/kotlin/org/lycheemount/platform/http/PlatformHttpTest.kt
+++ b/connection/platform/src/test/kotlin/org/lycheemount/platform/http/PlatformHttpTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
+import org.lycheemount.testing.LISTENER_HOST
 import org.lycheemount.testing.SocketServer
 import java.util.concurrent.LinkedBlockingQueue
 import kotlin.test.Test
@@ -32,7 +33,7 @@
     /** Sends a request to a server that sends [response] and closes the connection. Returns status and body, or null if they are lost. */
     private fun exchange(response: String): Pair<Int, String>? {
         responses += response
-        return when (val exchange = runBlocking { http.exchange(HttpMethod.Get, "http://127.0.0.1:${server.port}/objects/a") }) {
+        return when (val exchange = runBlocking { http.exchange(HttpMethod.Get, "http://$LISTENER_HOST:${server.port}/objects/a") }) {
             is PlatformExchange.Response -> exchange.httpStatus to exchange.body.decodeToString()
             else -> null.also { assertIs<PlatformExchange.Lost>(exchange) }
         }
--- a/process/testing/src/main/kotlin/org/lycheemount/testing/SocketServer.kt
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/SocketServer.kt
@@ -11,11 +11,11 @@
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
-/** A server on loopback that runs [serve] on each connection, in a thread of its own, and then closes the connection. */
+/** A server on [LISTENER_HOST] that runs [serve] on each connection, in a thread of its own, and then closes the connection. */
 class SocketServer(
     private val serve: Connection.() -> Unit,
 ) : AutoCloseable {
-    private val listener = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    private val listener = ServerSocket(0, 50, InetAddress.getByName(LISTENER_HOST))
 
     /** Number of accepted connections. */
     val connectionCount = AtomicInteger()
@@ -33,7 +33,7 @@
         }
 
     /** Describes this server as a backend server without targets. */
-    fun describe() = BackendServer(BackendServerId("s"), VmId("s"), ZoneId("z"), "127.0.0.1", port, targets = emptySet())
+    fun describe() = BackendServer(BackendServerId("s"), VmId("s"), ZoneId("z"), LISTENER_HOST, port, targets = emptySet())
 
     /** Refuses connections from its return on. The port stays open until the thread that accepts connections has noticed. */
     override fun close() {
