Let the grace period in CallerServerTest pass in virtual time

"refuses new connections and serves open ones until its grace ends" had 500 ms for its steps: close the listener, be refused, and send another request. On a busy machine the grace period ended before the request was sent, and the test failed with "closed before late". Other tests of the class that are not about the idle timeout had 1 s of it between two steps.

The grace period and the linger time now pass in virtual time, which the test advances between the same checks. The idle timeout of 1 s applies only to the tests that are about it. The listener uses an address on which no other process gets its port once it has closed. Reads are limited to 60 s, as a guard.

--- a/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerServerTest.kt
+++ b/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerServerTest.kt
@@ -24,12 +24,20 @@
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestCoroutineScheduler
 import kotlinx.coroutines.withTimeout
 import kotlinx.io.readByteArray
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
+import org.lycheemount.testing.LISTENER_HOST
 import java.io.IOException
 import java.io.InputStream
 import java.net.ConnectException
@@ -51,7 +59,14 @@
     private val waitingRequest = CompletableDeferred<Unit>()
     private val heldResponse = CompletableDeferred<Unit>()
     private val cancelledRequest = CompletableDeferred<Unit>()
-    private val server = createCallerServer("127.0.0.1", port = 0, IDLE_TIMEOUT_S) { module() }.apply { start() }
+
+    /** Idle timeout of the limits; null for that of the server. */
+    @Volatile
+    private var idleTimeoutMs: Long? = LONG_IDLE_TIMEOUT_MS
+    private val server =
+        createCallerServer(LISTENER_HOST, port = 0, IDLE_TIMEOUT_S, limits = { ConnectionLimits(idleTimeoutMs = idleTimeoutMs) }) {
+            module()
+        }.apply { start() }
     private val port = runBlocking { server.port() }
 
     private fun Application.module() {
@@ -180,6 +195,8 @@
 
         @Test
         fun `that arrives slowly is cut off at the idle timeout, guarding against callers that hold connections for nothing`() {
+            idleTimeoutMs = null
+
             open("GET /ping/1 HTTP/1.1\r\n").use { socket ->
                 val sender =
                     thread {
@@ -203,11 +220,15 @@
     inner class `a connection` {
         @Test
         fun `is closed by the server once it has been idle for the timeout`() {
+            idleTimeoutMs = null
+
             open("GET /ping/1 HTTP/1.1\r\nHost: h\r\n\r\n").use { assertContains(it.readToEnd(), "HTTP/1.1 200") }
         }
 
         @Test
         fun `stays open for longer than the idle timeout while its request is in progress`() {
+            idleTimeoutMs = null
+
             open("GET /held HTTP/1.1\r\nHost: h\r\n\r\n").use { socket ->
                 Thread.sleep((IDLE_TIMEOUT_S + 1) * 1_000)
                 heldResponse.complete(Unit)
@@ -227,7 +248,7 @@
 
         @Test
         fun `carries pipelined requests, whose responses keep their order`() {
-            val requests = (1..20).joinToString("") { "GET /ping/p$it HTTP/1.1\r\nHost: h\r\n\r\n" }
+            val requests = (1..20).joinToString("") { "GET /ping/p$it HTTP/1.1\r\nHost: h\r\n${if (it == 20) CLOSE else ""}\r\n" }
 
             val response = open(requests).use { it.readToEnd() }
 
@@ -292,20 +313,39 @@
         }
     }
 
+    /** Its grace period and linger time pass in virtual time, so that what callers do in them may take any time. */
+    @OptIn(ExperimentalCoroutinesApi::class)
     @Nested
     inner class `a server that stops` {
+        private val scheduler = TestCoroutineScheduler()
+
+        private fun stopServer() =
+            CoroutineScope(StandardTestDispatcher(scheduler)).launch { server.stop(graceMs = GRACE_MS, lingerMs = LINGER_MS) }
+
+        private fun endGracePeriod() {
+            scheduler.advanceTimeBy(GRACE_MS)
+            scheduler.runCurrent()
+        }
+
+        private fun awaitStopped(stopped: Job) =
+            await {
+                scheduler.runCurrent()
+                stopped.isCompleted
+            }
+
         @Test
         fun `refuses new connections and serves open ones until its grace ends`() {
             open("GET /ping/first HTTP/1.1\r\nHost: h\r\n\r\n").use { socket ->
                 val input = socket.getInputStream()
                 input.readUntil("first")
-                val stopped = thread { runBlocking { server.stop(graceMs = 500, lingerMs = 500) } }
+                val stopped = stopServer()
                 awaitRefused()
                 socket.send("GET /ping/late HTTP/1.1\r\nHost: h\r\n\r\n")
 
                 assertContains(input.readUntil("late"), "HTTP/1.1 200")
+                endGracePeriod()
                 assertEquals(-1, input.read())
-                stopped.join()
+                awaitStopped(stopped)
             }
         }
 
@@ -313,25 +353,22 @@
         fun `sends the response to a request that is in progress at the end of its grace`() {
             open("GET /held HTTP/1.1\r\nHost: h\r\n\r\n").use { socket ->
                 await(waitingRequest)
-                val stopped = thread { runBlocking { server.stop(graceMs = 100, lingerMs = 5_000) } }
+                val stopped = stopServer()
                 awaitRefused()
-                Thread.sleep(200)
+                endGracePeriod()
                 heldResponse.complete(Unit)
 
                 assertContains(socket.readToEnd(), "held")
-                stopped.join()
+                awaitStopped(stopped)
             }
         }
 
         // A connection that waits to be accepted when the listener closes is reset. Those after it are refused.
-        private fun awaitRefused() {
-            val attempts =
-                generateSequence {
-                    Thread.sleep(5)
-                    runCatching { Socket("127.0.0.1", port).close() }
-                }
-            assertTrue(attempts.take(1_000).any { it.exceptionOrNull() is ConnectException })
-        }
+        private fun awaitRefused() =
+            await {
+                scheduler.runCurrent()
+                runCatching { Socket(LISTENER_HOST, port).close() }.exceptionOrNull() is ConnectException
+            }
     }
 
     /** Keeps what is written until it [accepts] it, and then sends all of it in one write, as the socket of a caller that reads slowly. */
@@ -360,7 +397,7 @@
     private fun chunkedUpload(body: String) = "POST /upload HTTP/1.1\r\nHost: h\r\n${CLOSE}Transfer-Encoding: chunked\r\n\r\n$body"
 
     private fun open(request: String) =
-        Socket("127.0.0.1", port).apply {
+        Socket(LISTENER_HOST, port).apply {
             soTimeout = READ_TIMEOUT_MS
             send(request)
         }
@@ -385,13 +422,20 @@
 
     private fun await(signal: CompletableDeferred<Unit>) = runBlocking { withTimeout(READ_TIMEOUT_MS.toLong()) { signal.await() } }
 
+    private fun await(condition: () -> Boolean) =
+        runBlocking { withTimeout(READ_TIMEOUT_MS.toLong()) { while (!condition()) delay(POLL_INTERVAL_MS) } }
+
     private companion object {
         private const val CLOSE = "Connection: close\r\n"
         private const val IDLE_TIMEOUT_S = 1L
+        private const val LONG_IDLE_TIMEOUT_MS = 600_000L
 
         // What Netty's test channel returns if nothing is scheduled.
         private const val NO_SCHEDULED_TASK = -1L
-        private const val READ_TIMEOUT_MS = 10_000
+        private const val READ_TIMEOUT_MS = 60_000
+        private const val POLL_INTERVAL_MS = 5L
+        private const val GRACE_MS = 500L
+        private const val LINGER_MS = 5_000L
         private const val PART_BYTES = 65_536
 
         // More than the buffers of both sockets hold.
