Use a short header timeout only in the tests that are about it

In CallerInputTest, heads had to be complete within 500 ms in all tests. Those that arrive in parts, or whose sender is a thread of its own, were refused with 408 if the machine was busy.

The timeout is 500 ms in the two tests that are about it, and 60 s in the others. Reads are limited to 60 s, as a guard.

--- a/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerInputTest.kt
+++ b/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerInputTest.kt
@@ -41,11 +41,15 @@
     private val connection = AtomicReference<CallerConnection>()
     private val heldResponse = CompletableDeferred<Unit>()
     private val cancelledRequest = CompletableDeferred<Unit>()
+
+    /** No head takes so long but one that never ends. */
+    @Volatile
+    private var headerTimeoutMs = LONG_HEADER_TIMEOUT_MS
     private val server =
         createCallerServer(
             "127.0.0.1",
             port = 0,
-            limits = { ConnectionLimits(MAX_HEADER_BYTES, headerTimeoutMs = HEADER_TIMEOUT_MS, initialBodyBytes = 0) },
+            limits = { ConnectionLimits(MAX_HEADER_BYTES, headerTimeoutMs = headerTimeoutMs, initialBodyBytes = 0) },
             onRefused = refusals::add,
         ) {
             module()
@@ -144,6 +148,8 @@
 
         @Test
         fun `that is not complete in time is refused as not run, guarding against callers that hold connections for nothing`() {
+            headerTimeoutMs = SHORT_HEADER_TIMEOUT_MS
+
             val response = open("GET /ping HTTP/1.1\r\n").use { it.readToEnd() }
 
             assertTrue(response.startsWith("HTTP/1.1 408"), response)
@@ -164,8 +170,11 @@
 
         @Test
         fun `does not begin with an empty line, guarding against the close of a connection that waits for its next request`() {
+            headerTimeoutMs = SHORT_HEADER_TIMEOUT_MS
+
             open("GET /ping HTTP/1.1\r\nHost: h\r\n\r\n\r\n").use { socket ->
-                Thread.sleep(2 * HEADER_TIMEOUT_MS)
+                Thread.sleep(2 * SHORT_HEADER_TIMEOUT_MS)
+                headerTimeoutMs = LONG_HEADER_TIMEOUT_MS
                 socket.send("GET /ping HTTP/1.1\r\nHost: h\r\n$CLOSE\r\n")
 
                 assertEquals(2, "pong".toRegex().findAll(socket.readToEnd()).count())
@@ -345,7 +354,8 @@
         private const val CLOSE = "Connection: close\r\n"
         private const val CHUNKED_UPLOAD = "POST /upload HTTP/1.1\r\nHost: h\r\n${CLOSE}Transfer-Encoding: chunked\r\n\r\n"
         private const val MAX_HEADER_BYTES = 16_384
-        private const val HEADER_TIMEOUT_MS = 500L
-        private const val READ_TIMEOUT_MS = 10_000
+        private const val SHORT_HEADER_TIMEOUT_MS = 500L
+        private const val LONG_HEADER_TIMEOUT_MS = 60_000L
+        private const val READ_TIMEOUT_MS = 60_000
     }
 }
