Cancel the request in EarlyResponseTest before the server reads on

In "a request that is cancelled while it is being sent", the server read while the test cancelled the request. If the thread of the test was late, all 64 MB had arrived before.

The server now reads the rest after the cancellation. The check is the same: it must not receive the whole request.

Trial: with a pause of 3 s before the cancellation, the test failed before this change and passes after it.

--- a/connection/backend/src/test/kotlin/org/lycheemount/backend/EarlyResponseTest.kt
+++ b/connection/backend/src/test/kotlin/org/lycheemount/backend/EarlyResponseTest.kt
@@ -134,11 +134,13 @@
         @Test
         fun `closes the connection, which makes the server drop it`() {
             val isStarted = CountDownLatch(1)
+            val isCancelled = CountDownLatch(1)
             val receivedBytes = CompletableFuture<Int>()
             val server =
                 serve {
                     readHead()
                     isStarted.countDown()
+                    isCancelled.await(TIMEOUT_S, TimeUnit.SECONDS)
                     var count = 0
                     runCatching { while (input.read() >= 0) count++ }
                     receivedBytes.complete(count)
@@ -149,6 +151,7 @@
                 withContext(Dispatchers.IO) { isStarted.await(TIMEOUT_S, TimeUnit.SECONDS) }
                 exchange.cancelAndJoin()
             }
+            isCancelled.countDown()
 
             assertTrue(receivedBytes.get(TIMEOUT_S, TimeUnit.SECONDS) < HUGE_BYTES)
         }
