End the start of a router whose listener is in use

Callers saw routers that served requests without links to their peers, and routers of the product's own form that ran on without a listener for callers or administrators.

Cause: a gateway opened its listener for peers in a coroutine of its own, once the shared secret had been read. The exception ended that coroutine only. The product's own router had no handler for a failed start: the main thread ended and other threads kept the process alive.

Change: the listener for peers is opened at the beginning of a start and accepts connections once the secret is known (DefaultPeerMessenger.bind and start). Both forms log start_failed with the purpose and the address of the listener, and end with exit code 1.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterMain.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterMain.kt
@@ -5,6 +5,8 @@
 import org.lycheemount.app.router.gateway.loadGatewayClasses
 import org.lycheemount.app.router.gateway.runGateway
 import org.lycheemount.app.router.logging.flushLogOutput
+import org.lycheemount.common.DefaultEventLog
+import org.lycheemount.common.EventLog
 import org.lycheemount.settings.SettingsError
 import org.lycheemount.settings.loadRouterSettings
 import java.nio.file.Path
@@ -31,7 +33,7 @@
     val file = arguments.singleOrNull() ?: exitWithError("usage: lycheemount SETTINGS_FILE | lycheemount gateway [SETTINGS_FILE]")
     val settings = loadRouterSettings(Path.of(file)).getOrElse { exitWithError(formatSettingsErrors(it)) }
     val process = RouterProcess(settings, requestShutdown = { thread(name = "drain") { exitProcess(0) } })
-    runBlocking { process.start() }
+    startOrExit(DefaultEventLog("router")) { process.start() }
     addShutdownHook { process.stop() }
     Thread.currentThread().join()
 }
@@ -47,6 +49,28 @@
         },
     )
 
+/** Runs [start]. If it fails, logs the reason and ends the process without a drain. */
+internal fun startOrExit(
+    eventLog: EventLog,
+    start: suspend () -> Unit,
+) = try {
+    runBlocking { start() }
+} catch (failure: ListenerNotOpenedException) {
+    exitAfterFailedStart(eventLog, failure.message)
+} catch (failure: Exception) {
+    exitAfterFailedStart(eventLog, failure.stackTraceToString())
+}
+
+private fun exitAfterFailedStart(
+    eventLog: EventLog,
+    error: String?,
+) {
+    eventLog.warn("start_failed", "error" to error)
+    flushLogOutput()
+    // An orderly exit would run the shutdown hook, which reports success.
+    Runtime.getRuntime().halt(EXIT_CODE_FAILED_START)
+}
+
 internal fun formatSettingsErrors(errors: List<SettingsError>): String =
     errors.joinToString("\n") { """event=invalid_setting field=${it.field} found="${it.found}" accepted="${it.accepted}"""" }
 
@@ -55,6 +79,7 @@
     exitProcess(2)
 }
 
+private const val EXIT_CODE_FAILED_START = 1
 private const val GATEWAY_COMMAND = "gateway"
 
 // Used only by the build, to create the class data sharing archive.
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -32,6 +32,7 @@
 import org.lycheemount.placement.PlacementDependencies
 import org.lycheemount.platform.http.createPlatformClients
 import org.lycheemount.scheduling.createRequestScheduler
+import org.lycheemount.settings.ListenerSettings
 import org.lycheemount.settings.RouterSettings
 import org.lycheemount.stream.StreamTimeouts
 import java.nio.file.Path
@@ -93,18 +94,22 @@
     /** Requests admitted and not yet settled. */
     val requestsInProgress: Int get() = drain.requestsInProgress
 
-    /** Starts all components and returns the port of the caller listener. */
+    /**
+     * Starts all components and returns the port of the caller listener. Throws [java.io.IOException] if a listener cannot be opened; the
+     * process cannot be used then.
+     */
     suspend fun start(): Int {
+        openListener("peers", settings.peers) { peers.bind(scope, it.host, it.port) }
         dispatcher.start(scope)
         observer.start(scope)
-        peers.start(scope, settings.peers.host, settings.peers.port)
+        peers.start()
         controlPlane.start(scope)
         scope.launch { prefetchBudgets() }
         budgets.maintenance.start(scope)
         claims.start(scope)
         placement.start(scope)
-        callerServer.start()
-        val adminPort = admin.start()
+        openListener("callers", settings.callers) { callerServer.start() }
+        val adminPort = openListener("administration", settings.admin) { admin.start() }
         val port = callerServer.port()
         eventLog.info("router_started", "router_id" to identity.routerId.value, "callers_port" to port, "admin_port" to adminPort)
         return port
@@ -127,6 +132,12 @@
         eventLog.info("router_stopped", "router_id" to identity.routerId.value)
     }
 
+    private inline fun <T> openListener(
+        listener: String,
+        address: ListenerSettings,
+        open: (ListenerSettings) -> T,
+    ): T = openListener(listener, "${address.host}:${address.port}") { open(address) }
+
     private fun callerServices() =
         CallerServices(
             clock = clock,
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayMain.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayMain.kt
@@ -5,7 +5,7 @@
 import org.lycheemount.app.router.addShutdownHook
 import org.lycheemount.app.router.exitWithError
 import org.lycheemount.app.router.formatSettingsErrors
-import org.lycheemount.app.router.logging.flushLogOutput
+import org.lycheemount.app.router.startOrExit
 import org.lycheemount.backend.BackendHttp
 import org.lycheemount.backend.DefaultPassThroughClient
 import org.lycheemount.common.Clock
@@ -32,7 +32,7 @@
     val process = GatewayProcess(settings, clock, startedAtMs, incarnation).also(started::set)
     val settingsFile = WatchedSettingsFile(file, settings, eventLog, process::onSettingsChanged)
     settingsFile.reloadOnHangup()
-    startOrExit(process)
+    startOrExit(eventLog) { process.start() }
     // The file may change without a hangup signal.
     while (true) {
         Thread.sleep(SETTINGS_POLL_INTERVAL_MS)
@@ -51,17 +51,5 @@
         awaitIncarnation(createRowTableService(store), settings.vmId, clock.wallClockMs(), eventLog)
     }
 
-private fun startOrExit(process: GatewayProcess) =
-    try {
-        process.start()
-    } catch (failure: Exception) {
-        DefaultEventLog("gateway").warn("start_failed", "error" to failure.stackTraceToString())
-        flushLogOutput()
-        // An orderly exit would run the shutdown hook, which reports success.
-        Runtime.getRuntime().halt(EXIT_CODE_FAILED_START)
-    }
-
-private const val EXIT_CODE_FAILED_START = 1
-
 // A changed retry budget may take effect a few seconds late.
 private const val SETTINGS_POLL_INTERVAL_MS = 2_000L
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
@@ -66,12 +66,17 @@
     var tableTimeOffsetMs: Long? = null
         private set
 
-    /** Starts the peer links in [scope] as soon as the shared secret has been read from the table. */
+    /** Opens the listener for peers, which is closed with [scope]. Throws [java.io.IOException] if its address cannot be bound. */
+    suspend fun bind(scope: CoroutineScope) {
+        messenger.bind(scope, self.host, self.peerPort)
+    }
+
+    /** Starts the peer links in [scope] as soon as the shared secret has been read from the table. To be called after [bind]. */
     fun start(scope: CoroutineScope) {
         scope.launch {
             val secret = awaitFleetSecret(table)
             fleetSecret = PeerSecret(secret)
-            messenger.start(scope, self.host, self.peerPort)
+            messenger.start()
             membership.start(scope)
             scope.launch { keepFleetSecret(table, store.eras, secret, eventLog) { fleetSecret = PeerSecret(it) } }
         }
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -11,6 +11,7 @@
 import org.lycheemount.app.router.CallerBoundsReport
 import org.lycheemount.app.router.listenerBounds
 import org.lycheemount.app.router.logging.registerLogMetrics
+import org.lycheemount.app.router.openListener
 import org.lycheemount.backend.BackendHttp
 import org.lycheemount.backend.DefaultPassThroughClient
 import org.lycheemount.budget.createBudgetLedgerModule
@@ -179,8 +180,12 @@
             get("{...}") { routedInterface.readiness(call) }
         }
 
-    /** Starts all components. The readiness check succeeds once configuration, servers and budgets are known and the warm-up is done. */
-    fun start() {
+    /**
+     * Starts all components. The readiness check succeeds once configuration, servers and budgets are known and the warm-up is done.
+     * Throws [java.io.IOException] if a listener cannot be opened; the process cannot be used then.
+     */
+    suspend fun start() {
+        openListener("peers", settings.peersAddress) { peers.bind(scope) }
         dispatcher.start(scope)
         budgetLimits.start(scope)
         scope.launch { operatorRowWatcher.watch(operatorRowListener) }
@@ -195,8 +200,8 @@
         quarantine.start(scope)
         streamOrigins.start(scope)
         budgets.maintenance.start(scope)
-        callersServer.start()
-        operationsListener.start()
+        openListener("callers", settings.callersAddress) { callersServer.start() }
+        openListener("readiness and metrics", settings.run { "$readinessAddress, $metricsAddress" }) { operationsListener.start() }
         scope.launch { runWarmUp() }
         eventLog.info(
             "router_started",
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ColdServerOverSocketsTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/ColdServerOverSocketsTest.kt
@@ -34,7 +34,7 @@
 
     private fun assertRateKept(coldRemainingMs: Long?) {
         val settings = (1..ROUTERS).map { fixture.settings(drainGraceS = 1.0, index = it) }
-        val processes = settings.map { GatewayProcess(it) }.onEach { it.start() }
+        val processes = settings.map { GatewayProcess(it) }.onEach { runBlocking { it.start() } }
 
         val requests =
             runBlocking {
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/EvacuatedZoneOverSocketsTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/EvacuatedZoneOverSocketsTest.kt
@@ -21,7 +21,7 @@
         val settings = fixture.settings(drainGraceS = 1.0)
         val process = GatewayProcess(settings)
         try {
-            process.start()
+            runBlocking { process.start() }
             steps(settings.callersAddress, settings.metricsAddress)
         } finally {
             runBlocking { process.stop() }
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LeavingServerOverSocketsTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/LeavingServerOverSocketsTest.kt
@@ -23,7 +23,7 @@
         fun `gets no request that a caller sent after such a response, and all callers are served`() {
             val leaving = fixture.AdditionalServer("i-2")
             val settings = fixture.settings(drainGraceS = 1.0)
-            val process = GatewayProcess(settings).apply { start() }
+            val process = GatewayProcess(settings).apply { runBlocking { start() } }
             awaitResponse(settings.callersAddress) { it.startsWith(OK) && leaving.requestCount.get() > 0 }
             fixture.silenceStore()
             leaving.isLeaving = true
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/OperationsListenerTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/OperationsListenerTest.kt
@@ -16,7 +16,7 @@
 class OperationsListenerTest {
     private val fixture = GatewayFixture()
     private val settings = fixture.settings(drainGraceS = 1.0)
-    private val process = GatewayProcess(settings).apply { start() }
+    private val process = GatewayProcess(settings).apply { runBlocking { start() } }
     private val addresses = listOf(settings.readinessAddress, settings.metricsAddress).map(::socketAddressOf)
 
     @AfterEach
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RequestLimitOverSocketsTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RequestLimitOverSocketsTest.kt
@@ -25,7 +25,7 @@
         fun `gets no more than that from all of them, guarding against routers that each send as much as the limit`() {
             fixture.requestLimitText = "$LIMIT_PER_S"
             val settings = (1..ROUTERS).map { fixture.settings(drainGraceS = 1.0, index = it) }
-            val processes = settings.map { GatewayProcess(it) }.onEach { it.start() }
+            val processes = settings.map { GatewayProcess(it) }.onEach { runBlocking { it.start() } }
 
             runBlocking {
                 repeat(DURATION_MS / REQUEST_INTERVAL_MS) { count ->
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/StreamVersionOverSocketsTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/StreamVersionOverSocketsTest.kt
@@ -80,7 +80,7 @@
     /** Starts a gateway and returns its address for callers. */
     private fun startGateway(index: Int): String {
         val settings = fixture.settings(drainGraceS = 1.0, index = index)
-        processes += GatewayProcess(settings).apply { start() }
+        processes += GatewayProcess(settings).apply { runBlocking { start() } }
         return settings.callersAddress
     }
 
--- a/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
@@ -5,6 +5,7 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.currentCoroutineContext
@@ -34,7 +35,7 @@
 import kotlin.random.Random
 
 /**
- * Peer messenger over TCP. [start] binds the listener and runs all links in the given scope.
+ * Peer messenger over TCP. [bind] opens the listener, and [start] accepts and opens links in the given scope.
  *
  * Links to neighbours stay open and are redialed with jittered backoff. A call to any other known router dials on demand.
  *
@@ -58,6 +59,7 @@
     private val neighbourJobs = mutableMapOf<RouterId, Job>()
     private val dialLocks = ConcurrentHashMap<RouterId, Mutex>()
     private val pendingHandshakes = AtomicInteger()
+    private val isStarted = CompletableDeferred<Unit>()
     private val selectorThread = createSelectorThread("peer-selector")
     private val selector = SelectorManager(selectorThread)
     private lateinit var scope: CoroutineScope
@@ -67,23 +69,35 @@
 
     override val name: String = "peer_links"
 
-    /** Binds [host]:[port], starts the background work in [scope] and returns the bound port. Port 0 binds a free port. */
-    suspend fun start(
+    /**
+     * Opens the listener on [host]:[port], which is closed with [scope], and returns its port. Port 0 binds a free port. Connections wait
+     * until [start] is called. Throws [java.io.IOException] if the address cannot be bound.
+     */
+    suspend fun bind(
         scope: CoroutineScope,
         host: String,
         port: Int,
     ): Int {
         this.scope = scope
         val server = aSocket(selector).tcp().bind(InetSocketAddress(host, port)) { reuseAddress = true }
-        scope.launch { acceptAll(log, server::accept, ::onAccepted) }.invokeOnCompletion {
-            server.close()
-            links.all().forEach { it.close() }
-            selector.close()
-            selectorThread.close()
-        }
+        scope
+            .launch {
+                isStarted.await()
+                acceptAll(log, server::accept, ::onAccepted)
+            }.invokeOnCompletion {
+                server.close()
+                links.all().forEach { it.close() }
+                selector.close()
+                selectorThread.close()
+            }
+        return (server.localAddress as InetSocketAddress).port
+    }
+
+    /** Accepts connections of other routers and starts the background work, in the scope that [bind] was given. */
+    fun start() {
         scope.launch { closeUnusedLinks() }
         scope.launch { checkLinks() }
-        return (server.localAddress as InetSocketAddress).port
+        isStarted.complete(Unit)
     }
 
     /**
--- a/connection/peer/src/test/kotlin/org/lycheemount/peer/socket/PeerFixtures.kt
+++ b/connection/peer/src/test/kotlin/org/lycheemount/peer/socket/PeerFixtures.kt
@@ -44,7 +44,8 @@
     ): Pair<DefaultPeerMessenger, PeerEndpoint> {
         val messenger = DefaultPeerMessenger(identity, { PeerSecret(secret) }, DefaultEventLog("peer"), settings, tls)
         messenger.register(echoChannel) { _, payload -> payload }
-        val port = messenger.start(scope, "127.0.0.1", 0)
+        val port = messenger.bind(scope, "127.0.0.1", 0)
+        messenger.start()
         return messenger to PeerEndpoint(identity.routerId, identity.vmId, "127.0.0.1", port)
     }
 }
--- a/measure/src/main/kotlin/org/lycheemount/measure/control/SocketFleet.kt
+++ b/measure/src/main/kotlin/org/lycheemount/measure/control/SocketFleet.kt
@@ -124,7 +124,8 @@
             ConfigurationService(table, messenger, Peers(), clock, DiscardingEventLog, random = Random(100 + index))
 
         suspend fun bind(): RouterVm {
-            val port = messenger.start(scope, "127.0.0.1", 0)
+            val port = messenger.bind(scope, "127.0.0.1", 0)
+            messenger.start()
             return RouterVm(identity.vmId, identity.routerId, identity.regionId, identity.zoneId, "127.0.0.1", port)
         }
 
