Mark unread responses of a connection in one place

CallerConnectionHandler.flush and the refusal that CallerInputHandler writes itself each decided whether a response is unread, and the last part of a response had two listeners. Both decisions are now in onEndFlushed, and one listener records the progress of a part and completes the request. No change of behaviour.

PacedContent still marks a response once its body has been written: the HTTP engine writes the end only when the caller has taken the parts that were flushed before, so the connection cannot mark such a response.

No test was changed.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -160,26 +160,31 @@
         if (isCut) return discard(context, message, promise)
         if (message is HttpResponse && !isInterim(message)) onResponseHead(message)
         if (message is HttpContent) currentResponse?.onSent(message.content().readableBytes())
-        if (message is LastHttpContent && !isInterim(message)) {
-            sentEnd = promise.unvoid()
-            // The engine creates a message that is a whole response by itself, for example for an error before the head is sent.
-            if (message !is HttpResponse && currentResponse?.isSent == false) return closeInPlaceOf(message, promise)
-            promise.unvoid().addListener { completeRequest() }
-        }
+        val isEnd = message is LastHttpContent && !isInterim(message)
+        val sent = promise.unvoid()
+        if (isEnd) sentEnd = sent
+        // The engine creates a message that is a whole response by itself, for example for an error before the head is sent.
+        if (isEnd && message !is HttpResponse && currentResponse?.isSent == false) return closeInPlaceOf(message, sent)
         unsentParts++
-        promise.unvoid().addListener { onPartSent() }
-        context.write(message, promise)
+        sent.addListener { onPartSent(isEnd) }
+        context.write(message, sent)
     }
 
-    private fun onPartSent() {
+    private fun onPartSent(isEnd: Boolean) {
         unsentParts--
         lastProgressNs = nowNs()
+        if (isEnd) completeRequest()
     }
 
     override fun flush(context: ChannelHandlerContext) {
         context.flush()
         val end = sentEnd ?: return
         sentEnd = null
+        onEndFlushed(end)
+    }
+
+    /** Marks the current response as unread if its [end] has been flushed and is not sent, as the connection waits for the caller then. */
+    fun onEndFlushed(end: Future<*>) {
         if (!end.isDone) memory.onUnread()
     }
 
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
@@ -214,7 +214,7 @@
         if (connection.isInProgress) return connection.closeOnceIdle()
         val response = Unpooled.copiedBuffer(refusal.response, Charsets.US_ASCII)
         val written = context.writeAndFlush(response)
-        if (!written.isDone) connection.memory.onUnread()
+        connection.onEndFlushed(written)
         written.addListener { discardAndClose() }
     }
 
