--- a/app/router/src/test/kotlin/org/lycheemount/app/router/ListenerInUseTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/ListenerInUseTest.kt
@@ -13,13 +13,13 @@
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
-import org.lycheemount.platform.adapter.testing.LISTENER_HOST
 import org.lycheemount.platform.adapter.testing.freeListenerAddress
 import org.lycheemount.platform.adapter.testing.freeListenerPort
 import org.lycheemount.settings.GatewaySettings
 import org.lycheemount.settings.ListenerSettings
 import org.lycheemount.settings.PlatformSettings
 import org.lycheemount.settings.RouterSettings
+import org.lycheemount.testing.LISTENER_HOST
 import java.net.ServerSocket
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -160,13 +160,12 @@
         if (isCut) return discard(context, message, promise)
         if (message is HttpResponse && !isInterim(message)) onResponseHead(message)
         if (message is HttpContent) currentResponse?.onSent(message.content().readableBytes())
-        if (message is LastHttpContent && !isInterim(message)) {
-            sentEnd = promise.unvoid()
-            // The engine creates a message that is a whole response by itself, for example for an error before the head is sent.
-            if (message !is HttpResponse && currentResponse?.isSent == false) return closeInPlaceOf(message, promise)
-            promise.unvoid().addListener { completeRequest() }
-        }
-        if (message is HttpContent && message !is LastHttpContent) writeParts(message, promise) else writePart(message, promise)
+        val isEnd = message is LastHttpContent && !isInterim(message)
+        val sent = promise.unvoid()
+        if (isEnd) sentEnd = sent
+        // The engine creates a message that is a whole response by itself, for example for an error before the head is sent.
+        if (isEnd && message !is HttpResponse && currentResponse?.isSent == false) return closeInPlaceOf(message, sent)
+        if (message is HttpContent && !isEnd) writeParts(message, sent) else writePart(message, sent, isEnd)
     }
 
     /** Writes [content] in parts, as the connection reports progress only at the end of a part. */
@@ -184,22 +183,29 @@
     private fun writePart(
         part: Any,
         promise: ChannelPromise,
+        isEnd: Boolean = false,
     ) {
         unsentParts++
-        promise.unvoid().addListener { onPartSent() }
+        promise.addListener { onPartSent(isEnd) }
         context.write(part, promise)
     }
 
-    private fun onPartSent() {
+    private fun onPartSent(isEnd: Boolean) {
         unsentParts--
         lastProgressNs = nowNs()
         memory.onPartSent()
+        if (isEnd) completeRequest()
     }
 
     override fun flush(context: ChannelHandlerContext) {
         context.flush()
         val end = sentEnd ?: return
         sentEnd = null
+        onEndFlushed(end)
+    }
+
+    /** Marks the current response as unread if its [end] has been flushed and is not sent, as the connection waits for the caller then. */
+    fun onEndFlushed(end: Future<*>) {
         if (!end.isDone) memory.onUnread()
     }
 
