Read the input of callers into the heap

With 700 large heads a router had up to 149 MB of the allowed 154 MB resident. In one trial 92 MB of that were beyond the heap, which leaves too little for a full heap of 64 MB.

Undecoded bytes of each connection stayed in direct buffers, which add to the memory beyond the heap. Their freed parts also stayed in the arena of malloc of each thread.

Connections now read into buffers in the heap.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelDuplexHandler
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.FixedRecvByteBufAllocator
 import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
@@ -57,7 +56,7 @@
     override fun handlerAdded(context: ChannelHandlerContext) {
         this.context = context
         // One call reads one buffer, as Ktor disables automatic reading.
-        context.channel().config().setRecvByteBufAllocator(FixedRecvByteBufAllocator(READ_BYTES))
+        context.channel().config().setRecvByteBufAllocator(HeapReceiveBuffers(READ_BYTES))
         connection.onClosedInBody = ::discardAndClose
         connection.memory.onUnreadDropped = { context.executor().execute { closeUnread() } }
         connection.onReadPermitted = { context.executor().execute { onReadPermitted() } }
