Apply lists of routers after the table's time went back

A router that was running while the store came back from an older copy with an earlier time of day ignored all further lists of routers until the store's clock had passed the time of the last one. Routers that started meanwhile stayed unknown to it: no link, no heartbeat, no share of budgets.

MembershipTable compared the times of two lists although they belonged to different eras of the store. A list now carries the era of the store whose time it states, and times are compared within an era only. A list without an era, as from the VM list of a platform, is compared as before.

RestoredStoreTest, "has new routers after the time of the table went back", failed on the code before: no evidence of the new router. It passes now, with the other tests of process/membership.

--- a/process/membership/src/main/kotlin/org/lycheemount/membership/MembershipTable.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/MembershipTable.kt
@@ -4,6 +4,7 @@
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.common.VmId
 import org.lycheemount.platform.RouterVm
+import org.lycheemount.platform.StoreEra
 import org.lycheemount.platform.VmList
 
 /** Evidence about the other routers. Performs no I/O; callers pass monotonic times in milliseconds. Not safe for concurrent use. */
@@ -13,14 +14,16 @@
 ) {
     private val records = linkedMapOf<VmId, MemberRecord>()
     private var latestListTimeMs = Long.MIN_VALUE
+    private var latestListEra: StoreEra? = null
 
-    /** Applies a VM list; ignores one that is older than the last applied list. */
+    /** Applies a VM list; ignores one that is older than the last applied list of the same era of the store. */
     fun onVmList(
         list: VmList,
         nowMs: Long,
     ) {
-        if (list.asOfTableTimeMs < latestListTimeMs) return
+        if (list.storeEra == latestListEra && list.asOfTableTimeMs < latestListTimeMs) return
         latestListTimeMs = list.asOfTableTimeMs
+        latestListEra = list.storeEra
         val others = list.routers.filter { it.vmId != self.vmId }
         for (vm in others) {
             val record = records.getOrPut(vm.vmId) { MemberRecord() }
--- a/process/membership/src/main/kotlin/org/lycheemount/membership/TableVmDirectory.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/TableVmDirectory.kt
@@ -43,8 +43,15 @@
     private val routersByKey = sortedMapOf<String, RouterVm>()
     private var failureDetail = ""
 
+    /** Era of the store to which the rows read last and their time belong. */
+    private var listEra: StoreEra? = null
+
     private val rowListener =
         object : RowListener {
+            override fun onEra(era: StoreEra?) {
+                listEra = era
+            }
+
             override fun onAllRows(rows: List<StoreRow>) = onChangedRows(rows)
 
             override fun onChangedRows(rows: List<StoreRow>) {
@@ -62,7 +69,8 @@
         mutex.withLock {
             registerIfNeeded()
             if (!feed.poll(rowListener)) return TableResult.Unavailable(failureDetail)
-            TableResult.Response(VmList(routersByKey.values.toList(), emptyList(), checkNotNull(feed.lastResponseTableTimeMs)))
+            val asOfTableTimeMs = checkNotNull(feed.lastResponseTableTimeMs)
+            TableResult.Response(VmList(routersByKey.values.toList(), emptyList(), asOfTableTimeMs, listEra))
         }
 
     private suspend fun registerIfNeeded() {
--- a/process/membership/src/test/kotlin/org/lycheemount/membership/RestoredStoreTest.kt
+++ b/process/membership/src/test/kotlin/org/lycheemount/membership/RestoredStoreTest.kt
@@ -11,6 +11,7 @@
 import org.lycheemount.common.DiscardingEventLog
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RouterId
+import org.lycheemount.common.RouterIdentity
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
 import org.lycheemount.platform.RouterVm
@@ -32,6 +33,9 @@
     private val table = FakeTableService(clock)
     private val eras = FakeStoreEras().also { it.notice(table.era) }
 
+    /** Time of the table minus that of [clock], in milliseconds. */
+    private var tableTimeStepMs = 0L
+
     private fun restoredTest(body: suspend TestScope.(CoroutineScope) -> Unit) =
         runTest {
             val scope = CoroutineScope(coroutineContext + Job())
@@ -52,16 +56,15 @@
         private fun directory(number: Int) =
             TableVmDirectory(
                 table,
-                FakeRowFeed(table, clock::wallClockMs),
+                FakeRowFeed(table, { clock.wallClockMs() + tableTimeStepMs }),
                 eras,
                 RouterVm(VmId("vm$number"), RouterId("r$number"), RegionId("r"), ZoneId("z"), "127.0.0.1", number),
                 DiscardingEventLog,
             )
 
-        private suspend fun TableVmDirectory.vms(): List<String> =
-            assertIs<TableResult.Response<*>>(list()).let { listed ->
-                (listed.value as VmList).routers.map { it.vmId.value }
-            }
+        private suspend fun TableVmDirectory.vms(): List<String> = vmList().routers.map { it.vmId.value }
+
+        private suspend fun TableVmDirectory.vmList(): VmList = assertIs<TableResult.Response<VmList>>(list()).value
 
         @Test
         fun `has a router whose row was lost, guarding against routers that start later and never find it`() =
@@ -89,6 +92,22 @@
                 assertEquals(listOf("vm1", "vm2"), first.vms())
             }
 
+        @Test
+        fun `has new routers after the time of the table went back, guarding against peers that stay unknown until it catches up`() =
+            runTest {
+                val copy = table.copy()
+                val first = directory(1)
+                val membership = MembershipTable(RouterIdentity(RouterId("r1"), VmId("vm1"), RegionId("r"), ZoneId("z"), incarnation = 1))
+                membership.onVmList(first.vmList(), clock.monotonicMs())
+                tableTimeStepMs = -60_000
+                comeBackFrom(copy)
+                directory(2).vms()
+
+                membership.onVmList(first.vmList(), clock.monotonicMs())
+
+                assertEquals(Evidence.SILENT, membership.evidence(VmId("vm2"), clock.monotonicMs()))
+            }
+
         @Test
         fun `gets no further write of a router in calm times`() =
             runTest {
--- a/process/testing/src/main/kotlin/org/lycheemount/testing/FakeRowFeed.kt
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakeRowFeed.kt
@@ -56,7 +56,10 @@
                 .map { StoreRow(it, null, 0) }
         known = current
         when {
-            before == null -> listener.onAllRows(changed)
+            before == null -> {
+                listener.onEra(knownEra)
+                listener.onAllRows(changed)
+            }
             changed.isNotEmpty() || removed.isNotEmpty() -> listener.onChangedRows(changed + removed)
             else -> return false
         }
