Record contacts after the table's time went back

After the store had come back from an older copy with an earlier time of day, a budget could be overspent: 121,000 tokens used of a prepay of 120,000 in the test, in which a router is cut off from the table and ends 20 s after the return.

TableSession kept the last contact of before the return, since its table time was later than that of each new response. The rows of its grants stated that time, while the router measured the growth of its own ceilings from the same contact by its monotonic clock. Whoever reclaimed its grants subtracted the time from one of the new clock, took the ceiling as it had been at the contact and granted the rest again.

Contacts of different eras are no longer compared: the first response of an era replaces the contact.

--- a/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/TableSession.kt
@@ -56,6 +56,9 @@
     var lastContact: TableContact? = null
         private set
 
+    /** Era of the store whose time [lastContact] has. A store that has come back may state earlier times than before. */
+    private var lastContactEra: StoreEra? = null
+
     /**
      * Table time before which this process was running; null before the first response to a read. The table made that response after
      * the read was sent, so the time from the start of the process to the read can be subtracted from it.
@@ -185,7 +188,9 @@
     private fun recordContact(tableTimeMs: Long) {
         // The lookup of a transaction returns the time of its outcome, which may be older than the last contact.
         val last = lastContact
-        if (last == null || tableTimeMs > last.tableTimeMs) lastContact = TableContact(tableTimeMs, clock.monotonicMs())
+        if (last != null && lastContactEra == era && tableTimeMs <= last.tableTimeMs) return
+        lastContact = TableContact(tableTimeMs, clock.monotonicMs())
+        lastContactEra = era
     }
 
     private companion object {
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/RestoredTableTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/RestoredTableTest.kt
@@ -275,6 +275,27 @@
             }
     }
 
+    @Nested
+    inner class `a table whose time of day went back with its rows` {
+        @Test
+        fun `is not overspent when a router ends, guarding against ceilings that are taken at a time before the last contact`() =
+            fleetTest(options) { fleet ->
+                startRouters(fleet, 3)
+                fleet.table.timeStepMs = -60_000
+                comeBackFrom(fleet, fleet.table.copy())
+                delay(20_000)
+                val ended = fleet.routers.getValue("r0")
+                ended.tableLink.isPartitioned = true
+                var used = spend(ended, 120)
+                ended.kill()
+                startWithGrant(fleet, "r0", incarnation = 2, vmName = ended.identity.vmId.value)
+                delay(5_000)
+                used += spendAll(fleet)
+                assertTrue(used <= PREPAY, "$used of $PREPAY tokens used")
+                assertAddsUp(fleet)
+            }
+    }
+
     @Nested
     inner class `a table that comes back several times` {
         @Test
--- a/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableService.kt
+++ b/process/testing/src/main/kotlin/org/lycheemount/testing/FakeTableService.kt
@@ -30,6 +30,9 @@
     /** While false, every call returns [TableResult.Unavailable]. */
     var isAvailable: Boolean = true
 
+    /** Time of the table minus that of the clock, in milliseconds. */
+    var timeStepMs: Long = 0
+
     /** Number of next commits that take effect but whose response is dropped. */
     var dropNextResponses: Int = 0
 
@@ -126,5 +129,5 @@
     private fun <T> respond(value: () -> T): TableResult<T> =
         if (isAvailable) TableResult.Response(value()) else TableResult.Unavailable("table is down")
 
-    private fun now() = clock.wallClockMs()
+    private fun now() = clock.wallClockMs() + timeStepMs
 }
