Write rows of a start again if the store came back during it

A gateway writes its incarnation with a client of its own before it creates the other components. If the store came back from an older copy between the two, the row was missing and nobody wrote it again: with a step of the time of day back, the next process on the VM got a lower incarnation, and peers ignored it. The shared secret of the fleet had the same gap between its first read and the start of the coroutine that keeps it.

keepIncarnation and keepFleetSecret took the first era that they saw as the one in which the row had been written. They now check the row in that era too, which costs one read each at a start and no write if the row is there.

Two tests of RestoredStoreTest (process/membership), one for each row, failed on the code before and pass now.

--- a/process/membership/src/main/kotlin/org/lycheemount/membership/FleetSecret.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/FleetSecret.kt
@@ -32,8 +32,9 @@
 }
 
 /**
- * Writes [secret] to [table] again each time the store has come back from an older copy without it. If the table has another secret by
- * then, of a router that started since the return, that one holds: [onReplaced] gets it. Runs until it is cancelled.
+ * Writes [secret] to [table] again if it is missing in the first era that the store states, or each time the store has come back from an
+ * older copy without it. If the table has another secret by then, of a router that started since the return, that one holds: [onReplaced]
+ * gets it. Runs until it is cancelled.
  */
 suspend fun keepFleetSecret(
     table: TableService,
@@ -43,7 +44,7 @@
     onReplaced: (ByteArray) -> Unit,
 ): Nothing {
     var held = secret
-    eras.forEachReturn { era ->
+    eras.forEachEra { era ->
         var stored: ByteArray? = null
         val update =
             table.updateRow(KEY, TRANSACTION_NAME) { row ->
--- a/process/membership/src/main/kotlin/org/lycheemount/membership/Incarnation.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/Incarnation.kt
@@ -51,8 +51,9 @@
 }
 
 /**
- * Writes [incarnation] of the process that runs on the VM [vmId] to [table] again each time the store has come back from an older copy
- * without it, so that the next process on the VM has a greater one. Runs until it is cancelled.
+ * Writes [incarnation] of the process that runs on the VM [vmId] to [table] again if it is missing in the first era that the store states,
+ * or each time the store has come back from an older copy without it, so that the next process on the VM has a greater one. Runs until it
+ * is cancelled.
  */
 suspend fun keepIncarnation(
     table: TableService,
@@ -62,7 +63,7 @@
     eventLog: EventLog,
 ): Nothing {
     val key = "$PREFIX${vmId.value}"
-    eras.forEachReturn { era ->
+    eras.forEachEra { era ->
         val update =
             table.updateRow(key, TRANSACTION_NAME) { row ->
                 incarnation.toString().takeIf { predecessorOf(row, eventLog) < incarnation }
--- a/process/membership/src/main/kotlin/org/lycheemount/membership/StoreReturns.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/StoreReturns.kt
@@ -7,15 +7,12 @@
 import org.lycheemount.platform.StoreEras
 
 /**
- * Runs [restore] each time the store has come back from an older copy, and repeats it until it returns true or the store has come back
- * once more.
+ * Runs [restore] in the first era that the store states and each time it has come back from an older copy, and repeats it until it returns
+ * true or the store has come back once more. A row that was written before this call may be missing in the first era already.
  */
-internal suspend fun StoreEras.forEachReturn(restore: suspend (StoreEra) -> Boolean): Nothing {
-    var known = current.value
+internal suspend fun StoreEras.forEachEra(restore: suspend (StoreEra) -> Boolean): Nothing {
     current.filterNotNull().collectLatest { era ->
-        val isReturn = known != null && known != era
-        known = era
-        while (isReturn && !restore(era)) delay(RETRY_MS)
+        while (!restore(era)) delay(RETRY_MS)
     }
     error("a state flow does not end")
 }
--- a/process/membership/src/test/kotlin/org/lycheemount/membership/RestoredStoreTest.kt
+++ b/process/membership/src/test/kotlin/org/lycheemount/membership/RestoredStoreTest.kt
@@ -170,6 +170,18 @@
                 assertContentEquals(other, held)
                 assertContentEquals(other, awaitFleetSecret(table))
             }
+
+        @Test
+        fun `is written again after a return that was noticed before it is kept, guarding against a row lost during the start`() =
+            restoredTest { scope ->
+                val copy = table.copy()
+                val secret = awaitFleetSecret(table)
+                comeBackFrom(copy)
+                scope.keep(secret)
+                delay(1)
+
+                assertContentEquals(secret, awaitFleetSecret(table))
+            }
     }
 
     @Nested
@@ -184,6 +196,21 @@
                 comeBackFrom(copy)
                 delay(1)
 
+                assertTrue(awaitIncarnation(table, VM, wallClockMs = 45_000, DiscardingEventLog) > incarnation)
+            }
+
+        @Test
+        fun `is written again after a return that only its first response shows, guarding against a row lost during the start`() =
+            restoredTest { scope ->
+                val copy = table.copy()
+                val incarnation = awaitIncarnation(table, VM, wallClockMs = 50_000, DiscardingEventLog)
+                table.comeBackFrom(copy)
+                val erasOfProcess = FakeStoreEras()
+                scope.launch { keepIncarnation(table, erasOfProcess, VM, incarnation, DiscardingEventLog) }
+                delay(1)
+                erasOfProcess.notice(table.era)
+                delay(1)
+
                 assertTrue(awaitIncarnation(table, VM, wallClockMs = 45_000, DiscardingEventLog) > incarnation)
             }
     }
