Take fencing tokens from the table's time after a return

After the table of the product's own router had come back from an older copy, the next holder of a placement lease got the fencing token that a holder of the lost time still had, so that engines accepted the commands of both for up to 14 s.

The token was one more than that in the row, which the return had made older. It is now greater than the table's time in milliseconds as well, so that it exceeds the tokens of the lost time without a trace of them. The platform of the product's own router states no era.

--- a/process/placement/src/main/kotlin/org/lycheemount/placement/PlacementLease.kt
+++ b/process/placement/src/main/kotlin/org/lycheemount/placement/PlacementLease.kt
@@ -28,7 +28,8 @@
 /**
  * Lease on the placement of one model in one zone.
  *
- * The fencing token grows with each change of holder, and when a holder acquires the lease again after its expiry.
+ * The fencing token grows with each change of holder, and when a holder acquires the lease again after its expiry. It is at least the
+ * time of the table in milliseconds, so that it also grows when the row has come back from an older copy.
  */
 internal class PlacementLease(
     private val key: String,
@@ -54,7 +55,7 @@
             return false
         }
         val isRenewal = lease != null && lease.holder == routerId.value && heldToken() == lease.fencingToken
-        val token = if (lease != null && isRenewal) lease.fencingToken else (lease?.fencingToken ?: 0) + 1
+        val token = if (lease != null && isRenewal) lease.fencingToken else nextToken(lease, snapshot.tableTimeMs)
         val next = LeaseRow(routerId.value, token, snapshot.tableTimeMs + LEASE_MS)
         if (!commit(row, next)) return heldToken() != null
         lastToken = token
@@ -68,6 +69,11 @@
         heldUntilMs = Long.MIN_VALUE
     }
 
+    private fun nextToken(
+        lease: LeaseRow?,
+        tableTimeMs: Long,
+    ) = maxOf(lease?.fencingToken ?: 0, lastToken, tableTimeMs) + 1
+
     private suspend fun commit(
         previous: TableRow?,
         next: LeaseRow,
