Replace stalled handshakes of peers by new connections

Routers could not open a link to a router at whose port for peers 64 connections sent nothing, for up to 5 s at a time.

Cause: at the bound of connections without a proof, each new one was closed, whatever the others did.

Change: a new connection replaces the one that has made no progress for the longest time, which is the one that was accepted or sent its hello first (PendingHandshakes). Neither the bound nor the handshake timeout changes.

--- a/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
@@ -31,7 +31,6 @@
 import org.lycheemount.peer.PeerMessenger
 import org.lycheemount.peer.PeerReply
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 
 /**
@@ -58,7 +57,7 @@
     private val endpoints = ConcurrentHashMap<RouterId, PeerEndpoint>()
     private val neighbourJobs = mutableMapOf<RouterId, Job>()
     private val dialLocks = ConcurrentHashMap<RouterId, Mutex>()
-    private val pendingHandshakes = AtomicInteger()
+    private val pendingHandshakes = PendingHandshakes(settings.maxPendingHandshakes)
     private val isStarted = CompletableDeferred<Unit>()
     private val selectorThread = createSelectorThread("peer-selector")
     private val selector = SelectorManager(selectorThread)
@@ -166,8 +165,7 @@
         }
 
     private fun onAccepted(socket: Socket) {
-        if (pendingHandshakes.get() >= settings.maxPendingHandshakes) return socket.close()
-        pendingHandshakes.incrementAndGet()
+        pendingHandshakes.add(socket)
         scope.launch { acceptLink(socket) }
     }
 
@@ -175,7 +173,7 @@
         val link =
             try {
                 openLink(socket, isClient = false) { frames ->
-                    val peer = handshake.accept(frames)
+                    val peer = handshake.accept(frames) { pendingHandshakes.onProgress(socket) }
                     val link = newLink(peer, isOutbound = false, frames)
                     val added =
                         links.add(link) as? AddOutcome.Added ?: throw LinkFailure("another link to ${peer.routerId.value} is preferred")
@@ -184,7 +182,7 @@
                     link
                 }
             } finally {
-                pendingHandshakes.decrementAndGet()
+                pendingHandshakes.remove(socket)
             }
         if (link != null) runLink(link)
     }
--- a/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/Handshake.kt
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/Handshake.kt
@@ -43,12 +43,20 @@
         if (frames.read(MAX_HANDSHAKE_FRAME_BYTES) !is WireFrame.Ready) fail("expected ready")
     }
 
-    /** Runs the handshake as the acceptor until the dialer's proof is verified. The caller then sends [WireFrame.Ready]. */
-    suspend fun accept(frames: FrameStream): RouterIdentity {
+    /**
+     * Runs the handshake as the acceptor until the dialer's proof is verified. The caller then sends [WireFrame.Ready].
+     *
+     * @param onHello called when a valid hello has been read.
+     */
+    suspend fun accept(
+        frames: FrameStream,
+        onHello: () -> Unit,
+    ): RouterIdentity {
         val hello = frames.read(MAX_HANDSHAKE_FRAME_BYTES) as? WireFrame.Hello ?: fail("expected a hello")
         requireVersion(hello.protocolVersion)
         if (hello.to != self.routerId) fail("hello is for ${hello.to.value}")
         if (hello.nonce.size != NONCE_BYTES) fail("nonce of ${hello.nonce.size} bytes")
+        onHello()
         val nonce = newNonce()
         val transcript = Transcript(dialer = hello.from, acceptor = self, dialerNonce = hello.nonce, acceptorNonce = nonce)
         frames.writeAndFlush(WireFrame.Challenge(PROTOCOL_VERSION, self, nonce, transcript.sign(acceptorLabel)))
--- a/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/PeerLinkSettings.kt
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/PeerLinkSettings.kt
@@ -11,7 +11,8 @@
  *   keep-alive interval, since a sound peer may send nothing for two of them.
  * @property unusedLinkTimeoutMs time without a call or message after which an on-demand link is closed; links to neighbours stay open.
  * @property replacedLinkGraceMs time for which a replaced link stays open, so that calls in progress can complete.
- * @property maxPendingHandshakes maximum number of unauthenticated inbound connections.
+ * @property maxPendingHandshakes maximum number of unauthenticated inbound connections. At the bound, a new one replaces the one without
+ *   progress for the longest time.
  */
 data class PeerLinkSettings(
     val maxFrameBytes: Int = 1 shl 20,
