Bound the connections to all servers together

Idle connections to servers were bounded for each server only (128), so that a router with many servers could use up the file descriptors that its callers need. Read in the code, not seen.

Change: BackendConnections counts its open connections. Requests are not refused for this bound. The pool of idle connections is a class of its own now (IdleConnections), with one lock in place of a deque for each server. The default is computed by the function that the listener for callers already used, which has moved to process/common.

BackendConnectionsTest has three new tests.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -23,12 +23,13 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.createSelectorThread
+import org.lycheemount.common.defaultMaxConnections
 import java.io.EOFException
 import java.io.IOException
 import java.net.ConnectException
 import java.nio.ByteBuffer
-import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.ConcurrentLinkedDeque
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
 /**
@@ -38,18 +39,23 @@
  * The HTTP client opens a connection for each request, which accounted for most of the latency that a router added to the
  * first token.
  *
+ * @param maxConnections number of connections to all servers together beyond which none is kept idle. More are opened if requests use them.
  * @param sweepIntervalMs least time between two searches for expired idle connections.
  * @param connect opens a socket.
  */
 internal class BackendConnections(
     private val connectTimeoutMs: Long,
+    private val maxConnections: Int = defaultMaxConnections(),
     private val sweepIntervalMs: Long = DEFAULT_SWEEP_INTERVAL_MS,
     private val connect: suspend (SelectorManager, BackendServer) -> Socket = ::connectTo,
 ) : AutoCloseable {
     private val selectorThread = createSelectorThread("backend-selector")
     private val selector = SelectorManager(selectorThread)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
-    private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<BackendConnection>>()
+    private val idle = IdleConnections()
+
+    /** Number of connections that are open or being opened. */
+    private val openCount = AtomicInteger()
     private val nextSweepAtNs = AtomicLong(System.nanoTime() + sweepIntervalMs * NS_PER_MS)
 
     /** Returns an idle connection to [server] that has not carried [requestId] lately, or null. */
@@ -57,30 +63,36 @@
         server: BackendServer,
         requestId: String? = null,
     ): BackendConnection? {
-        val connections = idle[addressOf(server)] ?: return null
-        val unsuitable = ArrayList<BackendConnection>(0)
+        while (true) {
+            val connection =
+                idle.removeLatest(addressOf(server)) { requestId == null || !it.hasCarried(requestId) } ?: return null
+            if (connection.isUsable(System.nanoTime())) return connection
+            connection.close()
+        }
+    }
+
+    /**
+     * Opens a connection to [server]. If too many are open, the one that has been idle for the longest time is closed. Throws
+     * [ConnectFailedException] on failure, which has no effect at the server.
+     */
+    suspend fun open(server: BackendServer): BackendConnection {
+        if (openCount.incrementAndGet() > maxConnections) idle.removeLongestIdle()?.close()
+        var connection: BackendConnection? = null
         try {
-            while (true) {
-                val connection = connections.pollLast() ?: return null
-                when {
-                    !connection.isUsable(System.nanoTime()) -> connection.close()
-                    requestId != null && connection.hasCarried(requestId) -> unsuitable += connection
-                    else -> return connection
-                }
-            }
+            withTimeoutOrNull(connectTimeoutMs) { connection = connect(server) }
+            return connection ?: throw ConnectFailedException("no connection within $connectTimeoutMs ms")
         } finally {
-            unsuitable.asReversed().forEach(connections::addLast)
+            if (connection == null) openCount.decrementAndGet()
         }
     }
 
-    /** Opens a connection to [server]. Throws [ConnectFailedException] on failure, which has no effect at the server. */
-    suspend fun open(server: BackendServer): BackendConnection =
+    private suspend fun connect(server: BackendServer): BackendConnection =
         try {
-            withTimeoutOrNull(connectTimeoutMs) { BackendConnection(SelectedSocket(connect(selector, server), selector), scope) }
+            BackendConnection(SelectedSocket(connect(selector, server), selector), scope, onClosed = openCount::decrementAndGet)
         } catch (failure: Exception) {
             currentCoroutineContext().ensureActive()
             throw ConnectFailedException(failure.message ?: failure.javaClass.simpleName, failure)
-        } ?: throw ConnectFailedException("no connection within $connectTimeoutMs ms")
+        }
 
     /**
      * Whether [server] refuses a new connection. False if it does not respond within the connect timeout, or if the connection fails for
@@ -100,20 +112,19 @@
             }
         } ?: false
 
-    /** Returns [connection] to the pool for [keepAliveMs] after a complete response. It is closed if its request was not sent in full. */
+    /**
+     * Returns [connection] to the pool for [keepAliveMs] after a complete response. It is closed if its request was not sent in full or if
+     * too many connections are open.
+     */
     fun releaseIdle(
         server: BackendServer,
         connection: BackendConnection,
         keepAliveMs: Long = DEFAULT_KEEP_ALIVE_MS,
     ) {
-        if (!connection.isRequestSent) return connection.close()
+        if (!connection.isRequestSent || openCount.get() > maxConnections) return connection.close()
         val nowNs = System.nanoTime()
         connection.usableUntilNs = nowNs + keepAliveMs * NS_PER_MS
-        idle.compute(addressOf(server)) { _, existing ->
-            val connections = existing ?: ConcurrentLinkedDeque()
-            if (connections.size >= MAX_IDLE_CONNECTIONS) connection.close() else connections.addLast(connection)
-            connections
-        }
+        if (!idle.add(addressOf(server), connection, MAX_IDLE_CONNECTIONS)) connection.close()
         sweepIfDue(nowNs)
     }
 
@@ -121,17 +132,11 @@
     private fun sweepIfDue(nowNs: Long) {
         val dueAtNs = nextSweepAtNs.get()
         if (nowNs - dueAtNs < 0 || !nextSweepAtNs.compareAndSet(dueAtNs, nowNs + sweepIntervalMs * NS_PER_MS)) return
-        for (address in idle.keys) {
-            idle.computeIfPresent(address) { _, connections ->
-                // Only whoever removes a connection may close it, since a request may acquire it meanwhile.
-                connections.filterNot { it.isUsable(nowNs) }.filter(connections::remove).forEach { it.close() }
-                connections.takeIf { it.isNotEmpty() }
-            }
-        }
+        idle.removeAllBut { it.isUsable(nowNs) }.forEach { it.close() }
     }
 
     override fun close() {
-        idle.values.forEach { connections -> connections.forEach { it.close() } }
+        idle.removeAllBut { false }.forEach { it.close() }
         scope.cancel()
         selector.close()
         selectorThread.close()
@@ -165,11 +170,14 @@
  * before it has read a long body.
  *
  * @param scope runs the reading half and the rest of long requests until the connection is closed.
+ * @param onClosed called once when the connection is closed.
  */
 internal class BackendConnection(
     private val socket: BackendSocket,
     private val scope: CoroutineScope,
+    private val onClosed: () -> Unit = {},
 ) : AutoCloseable {
+    private val isClosed = AtomicBoolean()
     private val input = ReceiveBuffer(MAX_UNREAD_BYTES)
     private var sending: Job? = null
 
@@ -344,6 +352,7 @@
         socket.close()
         receiving.cancel()
         sending?.cancel()
+        if (isClosed.compareAndSet(false, true)) onClosed()
     }
 
     private companion object {
--- a/connection/backend/src/test/kotlin/org/lycheemount/backend/BackendConnectionsTest.kt
+++ b/connection/backend/src/test/kotlin/org/lycheemount/backend/BackendConnectionsTest.kt
@@ -11,6 +11,8 @@
 import java.net.ServerSocket
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFailsWith
+import kotlin.test.assertNull
 import kotlin.test.assertSame
 
 class BackendConnectionsTest {
@@ -58,6 +60,55 @@
         }
     }
 
+    @Nested
+    inner class `at the bound of connections to all servers` {
+        private val bounded = BackendConnections(connectTimeoutMs = 5_000, maxConnections = 2)
+
+        @AfterEach
+        fun closeBounded() = bounded.close()
+
+        private fun open(server: BackendServer) = runBlocking { bounded.open(server) }
+
+        private fun openIdle(server: BackendServer) = open(server).also { bounded.releaseIdle(server, it) }
+
+        @Test
+        fun `a new connection replaces the one that has been idle for the longest time, guarding against a lack of descriptors`() {
+            val used = open(live)
+            openIdle(gone)
+            val peer = goneListener.accept().apply { soTimeout = READ_TIMEOUT_MS }
+
+            val newest = openIdle(live)
+
+            assertEquals(-1, peer.getInputStream().read())
+            assertNull(bounded.acquireIdle(gone))
+            assertSame(newest, bounded.acquireIdle(live))
+            bounded.releaseIdle(live, used)
+            assertSame(used, bounded.acquireIdle(live))
+        }
+
+        @Test
+        fun `requests get connections beyond it, which are not kept`() {
+            val used = List(3) { open(live) }
+
+            used.forEach { bounded.releaseIdle(live, it) }
+
+            val kept = List(3) { bounded.acquireIdle(live) }
+            assertEquals(listOf(used[2], used[1], null), kept)
+        }
+
+        @Test
+        fun `connections that have been closed or could not be opened do not count`() {
+            val closed = open(live)
+            repeat(2) { closed.close() }
+            val closedListener = listen().also { it.close() }
+            repeat(3) { assertFailsWith<ConnectFailedException> { open(serverAt(closedListener)) } }
+
+            val idle = List(2) { open(live) }.onEach { bounded.releaseIdle(live, it) }
+
+            assertEquals(idle.asReversed(), List(2) { bounded.acquireIdle(live) })
+        }
+    }
+
     private companion object {
         private const val READ_TIMEOUT_MS = 2_000
     }
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/ListenerBounds.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/ListenerBounds.kt
@@ -1,7 +1,6 @@
 package org.lycheemount.listener
 
-import com.sun.management.UnixOperatingSystemMXBean
-import java.lang.management.ManagementFactory
+import org.lycheemount.common.defaultMaxConnections
 
 /**
  * Bounds of a listener, which are fixed while it is open.
@@ -20,13 +19,3 @@
     val sendBufferBytes: Int = 65_536,
     val threads: Int? = null,
 )
-
-/** Half of the file descriptors of this process beyond those that are kept for files. The other half is for connections to servers. */
-private fun defaultMaxConnections(): Int {
-    val system = ManagementFactory.getOperatingSystemMXBean() as? UnixOperatingSystemMXBean ?: return MAX_CONNECTIONS
-    return ((system.maxFileDescriptorCount - FILE_DESCRIPTORS) / 2).coerceIn(MIN_CONNECTIONS, MAX_CONNECTIONS.toLong()).toInt()
-}
-
-private const val FILE_DESCRIPTORS = 200
-private const val MIN_CONNECTIONS = 16L
-private const val MAX_CONNECTIONS = 65_536
