Bound a body that arrives after the refusal of its request

A refusal with 404 or 401 is written before the body is read.

The connection now counts what arrives of a body after the response to its request, with the framing of chunks, and is closed beyond 8 times the limit of a body and 65,536 bytes. A body inside the limit of bodies does not reach this even in one-byte chunks, which take six bytes each. The limit follows max_body_bytes of the operator and requests.maxBodyBytes of the product's own router. The reason in log and metrics is dropped_body_too_large.

"behind a refusal closes the connection at the limit" of CallerInputTest fails without the check (the connection is read until the test gives up). The second new test shows that bodies within the limit count for their own request only.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/RouterProcess.kt
@@ -84,9 +84,14 @@
     private val boundsReport: CallerBoundsReport =
         CallerBoundsReport(metricsRegistry, memory, clock, eventLog) { callerServer.openConnections }
     private val callers = CallerApi(callerServices())
+    private val connectionLimits =
+        ConnectionLimits(
+            initialBodyBytes = 0,
+            maxDroppedBodyBytes = ConnectionLimits.droppedBodyBytesFor(settings.requests.maxBodyBytes),
+        )
     private val callerServer: CallerServer =
         createHttpServer(settings.callers, eventLog, settings.limits.listenerBounds(), memory, {
-            CONNECTION_LIMITS
+            connectionLimits
         }, boundsReport::onConnectionRefused) { callers.installInto(this) }
     private val admin = adminListener()
 
@@ -202,7 +207,6 @@
         // All requests have finished by then. The grace period only lets the last response bytes be sent.
         private const val STOP_GRACE_MS = 100L
         private const val STOP_LINGER_MS = 900L
-        private val CONNECTION_LIMITS = ConnectionLimits(initialBodyBytes = 0)
         private const val PREFETCH_INTERVAL_MS = 1_000L
     }
 }
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -281,7 +281,13 @@
     /** Limits of the operator's configuration, which may change at any time. */
     private fun connectionLimits() =
         configuration.current().listenerLimits.run {
-            ConnectionLimits(maxHeaderBytes, headerTimeoutMs = headerTimeoutMs, idleTimeoutMs = idleTimeoutMs, initialBodyBytes = 0)
+            ConnectionLimits(
+                maxHeaderBytes,
+                headerTimeoutMs = headerTimeoutMs,
+                idleTimeoutMs = idleTimeoutMs,
+                initialBodyBytes = 0,
+                maxDroppedBodyBytes = ConnectionLimits.droppedBodyBytesFor(maxBodyBytes),
+            )
         }
 
     private companion object {
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerConnectionHandler.kt
@@ -55,6 +55,10 @@
     var isReadingBody = false
         private set
 
+    /** Number of bytes of the current body, with the framing of chunks, that have arrived after the response to its request. */
+    var droppedBodyBytes = 0L
+        private set
+
     /** Number of parts of responses that have been written and not sent, since the caller has not read what was sent before. */
     @Volatile
     private var unsentParts = 0
@@ -113,6 +117,7 @@
             requestsInProgress++
             isReadingBody = true
             permittedBodyBytes = limits().initialBodyBytes
+            droppedBodyBytes = 0
         }
         lastProgressNs = nowNs()
         if (message is HttpContent) permittedBodyBytes -= message.content().readableBytes()
@@ -232,6 +237,11 @@
             onReadPermitted()
         }
 
+    /** Another [bytes] bytes are passed to the decoder. */
+    fun onInput(bytes: Int) {
+        if (isReadingBody && !isInProgress) droppedBodyBytes += bytes
+    }
+
     private fun isInterim(message: Any) = message is HttpResponse && message.status().code() < FIRST_FINAL_STATUS
 
     private fun closeInPlaceOf(
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
@@ -17,6 +17,7 @@
  * - A caller is refused if it sends too many bytes or lines that complete no message: a head, empty lines, trailers or chunk extensions.
  * - Heads are charged to the memory budget from their first byte on. A caller is refused if its memory is needed for others.
  * - A caller is refused if its head is malformed, or is not complete in time.
+ * - A connection is closed if too much of a body arrives after the response to its request.
  *
  * Used by the thread of the connection.
  */
@@ -150,6 +151,7 @@
         isPartWanted = false
         val part = InputSize.of(bytes)
         undecoded.add(part)
+        connection.onInput(part.bytes)
         if (!connection.isReadingBody && !headTimer.isRunning && bytes.forEachByte { it <= SPACE } >= 0) headTimer.start(monotonicMs())
         context.fireChannelRead(bytes)
         val limits = limits()
@@ -157,6 +159,7 @@
             val detail = "more than ${limits.maxUndecodedBytes} bytes or ${limits.maxUndecodedLines} lines"
             refuse(ConnectionRefusal.HEAD_TOO_LARGE, TooLongHttpHeaderException(detail))
         }
+        if (connection.droppedBodyBytes > limits.maxDroppedBodyBytes) refuse(ConnectionRefusal.DROPPED_BODY_TOO_LARGE)
         if (headTimer.isRunning) connection.memory.onPartOfHead(part)
         refuseIfDropped()
         decodeRest()
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/ConnectionLimits.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/ConnectionLimits.kt
@@ -10,6 +10,8 @@
  *   server.
  * @property initialBodyBytes size of the part of a body that is read before the handler of its request permits more, by
  *   [CallerConnection.permitBody].
+ * @property maxDroppedBodyBytes number of bytes, with the framing of chunks, that are read of a body after the response to its request. The
+ *   connection is closed behind them. See [droppedBodyBytesFor].
  */
 data class ConnectionLimits(
     val maxHeaderBytes: Int = 16_384,
@@ -17,6 +19,7 @@
     val headerTimeoutMs: Long = 3_000,
     val idleTimeoutMs: Long? = null,
     val initialBodyBytes: Long = Long.MAX_VALUE,
+    val maxDroppedBodyBytes: Long = droppedBodyBytesFor(DEFAULT_MAX_BODY_BYTES),
 ) {
     /** Maximum number of consecutive bytes that complete no message or part of a body. */
     internal val maxUndecodedBytes: Int get() = maxHeaderBytes + REQUEST_LINE_BYTES
@@ -24,7 +27,17 @@
     /** Maximum number of ends of lines in [maxUndecodedBytes]. */
     internal val maxUndecodedLines: Int get() = maxHeaderFields + OTHER_LINES
 
-    private companion object {
+    /** Values of limits. */
+    companion object {
+        /** Returns a value of [maxDroppedBodyBytes] that a body of at most [maxBodyBytes] does not reach, even in one-byte chunks. */
+        fun droppedBodyBytesFor(maxBodyBytes: Int): Long = BYTES_PER_BODY_BYTE * maxBodyBytes + OTHER_DROPPED_BYTES
+
+        // A chunk of one byte takes six.
+        private const val BYTES_PER_BODY_BYTE = 8L
+
+        // Trailers, and the beginning of the next request.
+        private const val OTHER_DROPPED_BYTES = 65_536L
+        private const val DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
         private const val REQUEST_LINE_BYTES = 16_384
 
         // The request line, and empty lines around the head.
@@ -46,6 +59,9 @@
     /** A head was not complete within its timeout. */
     HEAD_TIMEOUT("408 Request Timeout"),
 
+    /** Too much of a body has arrived after the response to its request. The connection is closed without another response. */
+    DROPPED_BODY_TOO_LARGE(null),
+
     /** The memory of the process is needed for other requests. */
     MEMORY_EXHAUSTED("503 Service Unavailable", retryAfterS = 1),
 
--- a/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerInputTest.kt
+++ b/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerInputTest.kt
@@ -45,7 +45,14 @@
         createCallerServer(
             "127.0.0.1",
             port = 0,
-            limits = { ConnectionLimits(MAX_HEADER_BYTES, headerTimeoutMs = HEADER_TIMEOUT_MS, initialBodyBytes = 0) },
+            limits = {
+                ConnectionLimits(
+                    MAX_HEADER_BYTES,
+                    headerTimeoutMs = HEADER_TIMEOUT_MS,
+                    initialBodyBytes = 0,
+                    maxDroppedBodyBytes = MAX_DROPPED_BODY_BYTES,
+                )
+            },
             onRefused = refusals::add,
         ) {
             module()
@@ -75,6 +82,7 @@
                 call.response.header("Connection", "close")
                 call.respondText("refused", status = HttpStatusCode.PayloadTooLarge)
             }
+            post("/missing") { call.respondText("missing", status = HttpStatusCode.NotFound) }
             post("/counted") {
                 connection.set(call.callerConnection)
                 val bytes = ByteArray(8_192)
@@ -292,6 +300,26 @@
             }
         }
 
+        @Test
+        fun `behind a refusal closes the connection at the limit, guarding against callers that are read for ever`() {
+            open("POST /missing HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n").use { socket ->
+                val response = socket.sendUntilClosed("1\r\nx\r\n".repeat(100))
+
+                assertTrue(response.isEmpty() || response.startsWith("HTTP/1.1 404"), response.take(80))
+                assertEquals(listOf(ConnectionRefusal.DROPPED_BODY_TOO_LARGE), refusals.toList())
+            }
+        }
+
+        @Test
+        fun `behind a refusal is dropped within the limit, and the requests behind it are served`() {
+            val bodyBytes = MAX_DROPPED_BODY_BYTES.toInt() * 3 / 4
+            val refused = "POST /missing HTTP/1.1\r\nHost: h\r\nContent-Length: $bodyBytes\r\n\r\n${"x".repeat(bodyBytes)}"
+            val response = open("$refused${refused}GET /ping HTTP/1.1\r\nHost: h\r\n$CLOSE\r\n").use { it.readToEnd() }
+
+            assertEquals(2, "HTTP/1.1 404".toRegex().findAll(response).count())
+            assertContains(response, "pong")
+        }
+
         @Test
         fun `that nobody reads is not read further than a bound, guarding against bodies that fill the memory`() {
             open("POST /unread HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000000\r\n\r\n").use { socket ->
@@ -346,6 +374,7 @@
         private const val CHUNKED_UPLOAD = "POST /upload HTTP/1.1\r\nHost: h\r\n${CLOSE}Transfer-Encoding: chunked\r\n\r\n"
         private const val MAX_HEADER_BYTES = 16_384
         private const val HEADER_TIMEOUT_MS = 500L
+        private const val MAX_DROPPED_BODY_BYTES = 1_000_000L
         private const val READ_TIMEOUT_MS = 10_000
     }
 }
