--- a/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/GatewayCommand.kt
+++ b/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/GatewayCommand.kt
@@ -62,7 +62,17 @@
         output.deleteIfExists()
     }
 
-    private companion object {
+    /** The packaged gateway. */
+    companion object {
+        /** Command of the gateway that the build has packaged; its archive is created once for all tests of this process. */
+        val packaged: GatewayCommand by lazy {
+            GatewayCommand(
+                Path.of(System.getProperty("repository.root"), "deploy", "system.toml"),
+                Path.of(System.getProperty("gateway.jar")),
+                Path.of(System.getProperty("work.directory")),
+            )
+        }
+
         private const val RUN_KEY = "run = "
         private const val ARCHIVE_TIMEOUT_S = 120L
         private const val LOG_LINES = 20
--- a/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/IsolatedFixture.kt
+++ b/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/IsolatedFixture.kt
@@ -15,7 +15,6 @@
 import org.lycheemount.settings.GatewaySettings
 import org.lycheemount.settings.RetryBudgetSettings
 import java.net.InetSocketAddress
-import java.nio.file.Path
 
 /**
  * One process of the packaged gateway with a small heap, its store, and two backend servers. One of them serves only ordinary requests,
@@ -51,7 +50,7 @@
         )
         store.registerServer("i-1", ordinaryServer.address, ORDINARY_SERVICE, slots = SLOTS)
         store.registerServer("i-2", crowdServer.address, slots = SLOTS)
-        gateway = PackagedGateway.start(settings) { COMMAND.withSettings(it, HEAP_MB, maxDescriptors) }
+        gateway = PackagedGateway.start(settings) { GatewayCommand.packaged.withSettings(it, HEAP_MB, maxDescriptors) }
     }
 
     /** Waits until the gateway serves an ordinary request. */
@@ -162,13 +161,6 @@
         /** A request with a key and a body, for the server that serves nothing else. */
         val ORDINARY_REQUEST: ByteArray =
             (requestHead("POST", "/plain/", "Authorization: Bearer $API_KEY", "Content-Length: 4") + "body").encodeToByteArray()
-
-        private val COMMAND =
-            GatewayCommand(
-                Path.of(System.getProperty("repository.root"), "deploy", "system.toml"),
-                Path.of(System.getProperty("gateway.jar")),
-                Path.of(System.getProperty("work.directory")),
-            )
     }
 }
 
--- a/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/StubServer.kt
+++ b/app/isolated-tests/src/main/kotlin/org/lycheemount/app/isolated/StubServer.kt
@@ -26,10 +26,14 @@
 /** Backend server that reads each body to its end and responds by the path of the request. */
 class StubServer : AutoCloseable {
     private val sentParts = AtomicLong()
+    private val requests = AtomicLong()
 
     /** Number of parts of events and bodies without end that have been sent. */
     val sentPartCount: Long get() = sentParts.get()
 
+    /** Number of requests whose bodies have been read. */
+    val requestCount: Long get() = requests.get()
+
     private val server =
         embeddedServer(CIO, configure = {
             connector {
@@ -39,6 +43,7 @@
         }) {
             routing {
                 route("/plain/") { handle { respond(call) { call.respondText("done") } } }
+                route("/added/") { handle { respond(call) { call.respondText("done") } } }
                 route("/working/") {
                     handle {
                         respond(call) {
@@ -63,6 +68,7 @@
         respondNormally: suspend () -> Unit,
     ) {
         call.receiveChannel().discard()
+        requests.incrementAndGet()
         call.response.header(REQUEST_ID_HEADER, call.request.headers[REQUEST_ID_HEADER].orEmpty())
         call.response.header(SIGNATURE_HEADER, "signature")
         respondNormally()
