Relay responses whose head has a long line

A request whose response had a header of more than 8,192 characters got 502, although a server had run it. A server that repeats a request id of 10,000 characters sends such a header.

Cause: Ktor's parser of response heads rejects lines above 8,192 characters ("Line exceeds limit of 8192 bytes"), and its limit is fixed. The router itself accepts heads of up to 65,536 characters, also from callers.

Change: the lines of a head, which were read one by one for that limit already, are parsed by parseResponseHead. It accepts the same status lines and header names as before. BackendConnection returns a ResponseHead in place of Ktor's type.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -1,8 +1,8 @@
 package org.lycheemount.backend
 
-import io.ktor.http.cio.Response
+import io.ktor.http.HttpHeaders
+import io.ktor.http.cio.ConnectionOptions
 import io.ktor.http.cio.parseHttpBody
-import io.ktor.http.cio.parseResponse
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
@@ -224,7 +224,7 @@
         server: BackendServer,
         path: String,
         body: ByteArray,
-    ): Response? {
+    ): ResponseHead? {
         val head = "POST $path HTTP/1.1\r\nHost: ${server.host}:${server.port}\r\nContent-Type: application/json\r\n"
         send("${head}Content-Length: ${body.size}\r\n\r\n".encodeToByteArray(), body)
         return readHead()
@@ -296,33 +296,32 @@
 
     /**
      * Returns the head of the next response after any interim ones, or null if the server closed the connection. Throws [IOException] if
-     * the head is too large, cut off or has no valid status.
+     * the head is too large, cut off or malformed.
      */
-    suspend fun readHead(): Response? {
+    suspend fun readHead(): ResponseHead? {
         repeat(MAX_INTERIM_RESPONSES + 1) {
             val response = readAnyHead() ?: return null
-            if (response.status !in INTERIM_STATUSES) return response
-            val isProtocolSwitch = response.status == SWITCHING_PROTOCOLS_STATUS
-            response.release()
-            if (isProtocolSwitch) throw IOException("the server switched to another protocol")
+            if (response.httpStatus !in INTERIM_STATUSES) return response
+            if (response.httpStatus == SWITCHING_PROTOCOLS_STATUS) throw IOException("the server switched to another protocol")
         }
         throw IOException("the server sent more than $MAX_INTERIM_RESPONSES interim responses")
     }
 
-    private suspend fun readAnyHead(): Response? {
-        val head = StringBuilder()
+    private suspend fun readAnyHead(): ResponseHead? {
+        val lines = ArrayList<String>()
+        var chars = 0
         while (true) {
             val line =
-                readHeadLine() ?: return if (head.isEmpty()) endWithoutHead() else throw EOFException("the connection closed in a head")
-            if (head.isEmpty() && !STATUS_LINE.containsMatchIn(line)) throw IOException("the server sent no valid status line")
-            head.append(line).append("\r\n")
-            if (line.isEmpty()) return parseResponse(ByteReadChannel(head.toString()))
-            // Ktor's parser keeps reading header lines until memory runs out.
-            if (head.length > MAX_HEAD_CHARS) throw IOException("the response head exceeds $MAX_HEAD_CHARS characters")
+                readHeadLine() ?: return if (lines.isEmpty()) endWithoutHead() else throw EOFException("the connection closed in a head")
+            if (lines.isEmpty() && parseStatus(line) == null) throw IOException("the server sent no valid status line")
+            if (line.isEmpty()) return parseResponseHead(lines)
+            lines += line
+            chars += line.length + LINE_END_CHARS
+            if (chars > MAX_HEAD_CHARS) throw IOException("the response head exceeds $MAX_HEAD_CHARS characters")
         }
     }
 
-    private fun endWithoutHead(): Response? = receiveFailure?.let { throw it }
+    private fun endWithoutHead(): ResponseHead? = receiveFailure?.let { throw it }
 
     private suspend fun readHeadLine(): String? =
         try {
@@ -334,8 +333,15 @@
     /** Decodes the body that follows [response], in [scope]. */
     fun body(
         scope: CoroutineScope,
-        response: Response,
-    ): ByteReadChannel = scope.writer(Dispatchers.Unconfined) { parseHttpBody(response.headers, input, channel) }.channel
+        response: ResponseHead,
+    ): ByteReadChannel =
+        scope
+            .writer(Dispatchers.Unconfined) {
+                val lengthBytes = response.header(HttpHeaders.ContentLength)?.toULong()?.toLong() ?: UNKNOWN_LENGTH
+                val transferEncoding = response.header(HttpHeaders.TransferEncoding)
+                val connectionOptions = ConnectionOptions.parse(response.header(HttpHeaders.Connection))
+                parseHttpBody(null, lengthBytes, transferEncoding, connectionOptions, input, channel)
+            }.channel
 
     /** Returns a response body of [lengthBytes], a chunked one, or one that ends when the connection closes if neither is given. */
     fun responseBody(
@@ -357,12 +363,11 @@
 
     private companion object {
         private const val MAX_HEAD_CHARS = 65_536
+        private const val LINE_END_CHARS = 2
+        private const val UNKNOWN_LENGTH = -1L
         private const val MAX_INTERIM_RESPONSES = 8
         private const val SWITCHING_PROTOCOLS_STATUS = 101
         private val INTERIM_STATUSES = 100..199
-
-        // Ktor's parser accepts each status from 100 on and leading zeros.
-        private val STATUS_LINE = Regex("^HTTP/1\\.[01][ \\t]+[1-5][0-9][0-9](?:[ \\t]|$)")
         private const val RECEIVE_BYTES = 8_192
 
         // A server that sends faster than a caller reads has to wait.
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultModelEngineClient.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultModelEngineClient.kt
@@ -1,7 +1,6 @@
 package org.lycheemount.backend
 
 import io.ktor.http.HttpMethod
-import io.ktor.http.cio.Response
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.discard
 import io.ktor.utils.io.readUTF8Line
@@ -148,7 +147,7 @@
         connection: BackendConnection,
         server: BackendServer,
         body: ByteArray,
-    ): Response? =
+    ): ResponseHead? =
         try {
             connection.post(server, "/v1/generate", body)
         } catch (failure: IOException) {
@@ -157,18 +156,18 @@
         }
 
     private fun failureOf(
-        response: Response,
+        response: ResponseHead,
         requestId: RequestId,
         isReused: Boolean,
     ): GenerateEvent? {
-        val refusal = parseRefusal(response.headers[REFUSED_HEADER]?.toString())
+        val refusal = parseRefusal(response.header(REFUSED_HEADER))
         if (refusal != null) {
-            val respondedId = response.headers[DefaultPlainServiceClient.REQUEST_ID_HEADER]?.toString()
+            val respondedId = response.header(DefaultPlainServiceClient.REQUEST_ID_HEADER)
             // On a reused connection, a refusal without this request's id may be a late copy of an earlier one.
             val isOwn = respondedId == requestId.value || (respondedId == null && !isReused)
             return GenerateEvent.Failed(if (isOwn) refusal else AttemptFailure.BROKEN_CONNECTION)
         }
-        return if (response.status == OK_STATUS) null else GenerateEvent.Failed(AttemptFailure.SERVER_ERROR)
+        return if (response.httpStatus == OK_STATUS) null else GenerateEvent.Failed(AttemptFailure.SERVER_ERROR)
     }
 
     private suspend fun FlowCollector<GenerateEvent>.readLines(channel: ByteReadChannel): GenerateEvent {
@@ -206,7 +205,7 @@
         }
 
     private class OptionalHead(
-        val response: Response?,
+        val response: ResponseHead?,
     )
 
     private class OptionalLine(
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultPassThroughClient.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/DefaultPassThroughClient.kt
@@ -1,6 +1,5 @@
 package org.lycheemount.backend
 
-import io.ktor.http.cio.Response
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.withTimeoutOrNull
@@ -93,14 +92,9 @@
         return body.isComplete
     }
 
-    private fun toReceivedHead(parsed: Response): HeadOutcome.Received {
-        val allHeaders = ArrayList<Pair<String, String>>()
-        parsed.headers.offsets().forEach {
-            allHeaders += parsed.headers.nameAtOffset(it).toString() to parsed.headers.valueAtOffset(it).toString()
-        }
-        val response = ResponseHead(parsed.status, allHeaders.filterNot { it.first.lowercase() in HOP_BY_HOP_HEADERS })
-        parsed.release()
-        return HeadOutcome.Received(response, ResponseHead(response.httpStatus, allHeaders))
+    private fun toReceivedHead(whole: ResponseHead): HeadOutcome.Received {
+        val response = ResponseHead(whole.httpStatus, whole.headers.filterNot { it.first.lowercase() in HOP_BY_HOP_HEADERS })
+        return HeadOutcome.Received(response, whole)
     }
 
     private fun bodyOf(
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/PassThroughClient.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/PassThroughClient.kt
@@ -35,7 +35,7 @@
     UNIDENTIFIED,
 }
 
-/** Status and headers of a response, without connection and body framing headers. */
+/** Status and headers of a response. Clients get it without connection and body framing headers. */
 class ResponseHead(
     val httpStatus: Int,
     val headers: List<Pair<String, String>>,
--- a/connection/backend/src/test/kotlin/org/lycheemount/backend/ResponseHeadTest.kt
+++ b/connection/backend/src/test/kotlin/org/lycheemount/backend/ResponseHeadTest.kt
@@ -56,6 +56,30 @@
         }
     }
 
+    @Nested
+    inner class `a long line of a head` {
+        @Test
+        fun `is passed on up to the limit of the head, guarding against responses that the parser of the library rejects`() {
+            val lengths = listOf(8_000, 8_192, 10_000, 60_000)
+
+            val outcomes = lengths.map { exchange("HTTP/1.1 200 OK\r\nX-Id: ${"r".repeat(it)}\r\n\r\nbody") }
+
+            assertEquals(lengths.map { PassThroughOutcome.Completed(200 to "body") }, outcomes)
+        }
+    }
+
+    @Nested
+    inner class `a malformed header` {
+        @Test
+        fun `is a failure`() {
+            val headers = listOf("X-Id", ": r", " X-Id: r", "X Id: r", "X-Id : r", "X(Id): r", "X-\u0001: r", "X-Id: r\r\n folded")
+
+            val outcomes = headers.associateWith { exchange("HTTP/1.1 200 OK\r\n$it\r\n\r\nbody") }
+
+            assertEquals(emptyMap(), outcomes.filterValues { it !is PassThroughOutcome.Failed })
+        }
+    }
+
     @Nested
     inner class `a head without an end` {
         @Test
