Stop the routers of RouterFleetFixture, and keep its ports unused

AdminListenerTest left two routers behind, which went on calling the closed platform stand-in until the test process ended. The stand-ins used 127.0.0.1, whose ports another process may get while a stand-in is restarted.

"a graceful stop with an open stream" polls every 20 ms for a request that was in progress for 100 ms; a late poll missed it, and the test failed after 60 s.

close() now stops the routers unless the test has. The stand-ins use LISTENER_HOST. The engine is slowed down until the stop has begun.

--- a/app/router/src/test/kotlin/org/lycheemount/app/router/RouterFleetFixture.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/RouterFleetFixture.kt
@@ -38,6 +38,7 @@
 import org.lycheemount.settings.RequestSettings
 import org.lycheemount.settings.RouterSettings
 import org.lycheemount.standin.EngineStandInSettings
+import org.lycheemount.standin.PlatformFaults
 import org.lycheemount.standin.PlatformStandInSettings
 import org.lycheemount.standin.enginemodel.EngineParameters
 import org.lycheemount.standin.startEngineStandIn
@@ -59,20 +60,25 @@
     /** Number of requests that got status 200. */
     val successfulRequests = AtomicInteger()
 
-    private val engine =
+    val engine =
         startEngineStandIn(
-            EngineStandInSettings(models = mapOf(modelId to "1"), parameters = EngineParameters(stepBaseUs = 500, prefillPerTokenUs = 0)),
+            EngineStandInSettings(
+                host = LISTENER_HOST,
+                models = mapOf(modelId to "1"),
+                parameters = EngineParameters(stepBaseUs = 500, prefillPerTokenUs = 0),
+            ),
         )
     private val peerPorts = List(2) { freeListenerPort() }
 
     /** Ports of the administration API, on [LISTENER_HOST]. */
     val adminPorts = List(2) { freeListenerPort() }
-    val platform = startPlatformStandIn(PlatformStandInSettings(vms = vmList()))
+    val platform = startPlatformStandIn(PlatformStandInSettings(LISTENER_HOST, vms = vmList()))
     private val clients = platform.clients()
     private val administration = createBudgetAdministration(clients.table) { UUID.randomUUID().toString() }
     private val client = HttpClient(CIO) { install(HttpTimeout) { requestTimeoutMillis = AWAIT_TIMEOUT_MS } }
     val routers = List(2) { RouterProcess(settings(it)) }
     private val ports = runBlocking { routers.map { it.start() } }
+    private var areRoutersStopped = false
 
     init {
         runBlocking {
@@ -82,7 +88,16 @@
         }
     }
 
+    /** Stops both routers, unless they have been stopped. */
+    suspend fun stopRouters() {
+        if (areRoutersStopped) return
+        areRoutersStopped = true
+        routers.forEach { it.stop() }
+    }
+
     override fun close() {
+        platform.changeFaults { PlatformFaults() }
+        runBlocking { stopRouters() }
         client.close()
         clients.close()
         platform.close()
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/RouterProcessTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/RouterProcessTest.kt
@@ -31,7 +31,7 @@
 
                 assertEquals(emptyList(), refusals)
                 fleet.await { fleet.bills().size == fleet.successfulRequests.get() }
-                stopAll()
+                fleet.stopRouters()
                 assertBudgetBalances()
             }
     }
@@ -48,7 +48,7 @@
                 fleet.platform.changeFaults { copy(droppedResponseShare = 0.0) }
 
                 assertEquals(emptyList(), refusals)
-                stopAll()
+                fleet.stopRouters()
                 assertBudgetBalances()
             }
     }
@@ -58,10 +58,13 @@
         @Test
         fun `delivers the whole response, writes its bill and returns the grant`() =
             runBlocking(Dispatchers.Default) {
+                // The stream lasts for seconds, so that it is in progress when the router stops.
+                fleet.engine.changeFaults { copy(slowdown = SLOWDOWN) }
                 val response = async { fleet.chat(router = 0, tokens = 200, stream = true).bodyAsText() }
                 fleet.await { fleet.routers[0].requestsInProgress == 1 }
 
-                val stop = launch { stopAll() }
+                val stop = launch { fleet.stopRouters() }
+                fleet.engine.changeFaults { copy(slowdown = 1.0) }
 
                 assertContains(response.await(), "data: [DONE]")
                 stop.join()
@@ -83,8 +86,6 @@
             .filter { it.status.value != 200 }
             .map { it.bodyAsText() }
 
-    private suspend fun stopAll() = fleet.routers.forEach { it.stop() }
-
     /** Asserts, after both routers have stopped, that all grants are returned and bills plus unallocated tokens equal the budget. */
     private suspend fun assertBudgetBalances() {
         val billedTokens = fleet.bills().sumOf { it.charge.totalTokens }
@@ -95,6 +96,7 @@
 
     private companion object {
         private const val REQUEST_COUNT = 40
+        private const val SLOWDOWN = 100.0
 
         // Output limit plus prompt of one request.
         private const val RESERVATION_TOKENS = 210L
