Measure rates over sockets once all routers serve

ColdServerOverSocketsTest and RequestLimitOverSocketsTest gave the routers 5 and 2 s to start and to learn the limit, and bounded the number of requests for a run of 10 s. If a machine takes longer for the start or for the run, the cold server gets no request, or the limit counts requests of routers that do not know it yet.

Both now wait until each router has served a request.

Found by reading; not seen to fail in a run.

--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/GatewayFixture.kt
@@ -29,8 +29,11 @@
 import org.lycheemount.platform.adapter.testing.registerServer
 import org.lycheemount.settings.GatewaySettings
 import org.lycheemount.settings.RetryBudgetSettings
+import java.io.IOException
 import java.net.InetSocketAddress
+import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 
 /**
@@ -193,3 +196,30 @@
 
 /** A request for [path] as a caller of the platform sends it. */
 internal fun callerRequest(path: String): ByteArray = "GET $path HTTP/1.1\r\nHost: h\r\n$REQUEST_ID_HEADER: 1\r\n\r\n".encodeToByteArray()
+
+/** Sends a request for `/plain/` to the router at [address] and returns the status line, or nothing unless the router listens. */
+internal fun send(address: String): String =
+    try {
+        Socket().use { socket ->
+            socket.connect(socketAddressOf(address))
+            socket.getOutputStream().write(callerRequest("/plain/"))
+            socket
+                .getInputStream()
+                .bufferedReader()
+                .readLine()
+                .orEmpty()
+        }
+    } catch (_: IOException) {
+        ""
+    }
+
+/** Waits until the router at [address] has served a request, and fails if it does not for a minute. */
+internal fun awaitServed(address: String) {
+    val endsAtNs = System.nanoTime() + TimeUnit.MINUTES.toNanos(1)
+    while (" 200 " !in send(address)) {
+        check(System.nanoTime() < endsAtNs) { "the router at $address served no request in time" }
+        Thread.sleep(SERVED_POLL_INTERVAL_MS)
+    }
+}
+
+private const val SERVED_POLL_INTERVAL_MS = 25L
