Keep no trailers, and charge the incomplete framing of bodies

Cause: incomplete heads are charged to the memory budget, but the same decoder also keeps trailers as objects before their end has arrived, and buffers an incomplete chunk extension. Behind the response to a request there is no account at all.

Trailers are counted and not kept, as nothing reads them. Twice the bytes of a body that complete no part of it are charged to the request. Behind the response to a request, at most 8,192 such bytes are read.

The three new tests of HeadMemoryTest failed before: the decoder kept 100 of 100 trailers, a chunk extension of 10,000 bytes was not charged, and the connection behind a refusal was read up to 32 KB. They pass now, with the 38 selected tests of connection/caller.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
@@ -159,10 +159,18 @@
             val detail = "more than ${limits.maxUndecodedBytes} bytes or ${limits.maxUndecodedLines} lines"
             refuse(ConnectionRefusal.HEAD_TOO_LARGE, TooLongHttpHeaderException(detail))
         }
-        if (connection.droppedBodyBytes > limits.maxDroppedBodyBytes) refuse(ConnectionRefusal.DROPPED_BODY_TOO_LARGE)
         if (headTimer.isRunning) connection.memory.onPartOfHead(part)
         refuseIfDropped()
         decodeRest()
+        checkRestOfBody(limits)
+    }
+
+    /** Charges what a request in progress has sent of its body's framing. Behind the response to a request, little of it may follow. */
+    private fun checkRestOfBody(limits: ConnectionLimits) {
+        if (!connection.isReadingBody) return
+        if (connection.isInProgress) return connection.memory.onUndecodedBody(undecoded.bytes)
+        val isTooLarge = connection.droppedBodyBytes > limits.maxDroppedBodyBytes || undecoded.bytes > MAX_DROPPED_UNDECODED_BYTES
+        if (isTooLarge) refuse(ConnectionRefusal.DROPPED_BODY_TOO_LARGE)
     }
 
     /** Lets the decoder return the messages of the bytes that it has, up to the end of the current request. */
@@ -260,6 +268,7 @@
 
     private companion object {
         private const val READ_BYTES = 4_096
+        private const val MAX_DROPPED_UNDECODED_BYTES = 2 * READ_BYTES
 
         // With the buffer that is being read, a connection holds at most twice as much.
         private const val MAX_HELD_BYTES = 4_096
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/RequestMemory.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/RequestMemory.kt
@@ -19,6 +19,9 @@
     private var account: MemoryAccount? = null
     private var chargedBytes = 0L
 
+    /** Part of [chargedBytes] for what is not decoded of a body. */
+    private var undecodedBodyBytes = 0L
+
     /** Called by any thread when the memory of a response that its caller does not read is needed for others. */
     var onUnreadDropped: () -> Unit = {}
 
@@ -35,6 +38,15 @@
         charge(REQUEST_BYTES + costOf(headers.size(), fieldBytes + request.uri().length))
     }
 
+    /** The last [bytes] bytes of the body have completed no part of it, for example a chunk extension or trailers. */
+    fun onUndecodedBody(bytes: Int) {
+        val headBytes = chargedBytes - undecodedBodyBytes
+        val totalBytes = BUFFER_GROWTH * bytes
+        if (account == null || totalBytes == undecodedBodyBytes) return
+        undecodedBodyBytes = totalBytes
+        charge(headBytes + undecodedBodyBytes)
+    }
+
     /** The whole response has been written, but the connection cannot send it before the caller reads. */
     fun onUnread() {
         account?.setUnread(true, monotonicMs())
@@ -53,6 +65,7 @@
         account?.release()
         account = null
         chargedBytes = 0
+        undecodedBodyBytes = 0
     }
 
     private fun charge(totalBytes: Long) {
@@ -74,6 +87,9 @@
         /** Copies of each character: what was decoded, and what is sent to a server. */
         const val CHARACTER_COPIES = 2L
 
+        // The decoder doubles the buffer that holds an incomplete line.
+        private const val BUFFER_GROWTH = 2L
+
         private fun costOf(
             fields: Int,
             characters: Int,
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/SingleMessageCodec.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/SingleMessageCodec.kt
@@ -25,7 +25,11 @@
     private var method: HttpMethod? = null
 
     init {
-        val config = HttpDecoderConfig().setMaxInitialLineLength(maxRequestLineBytes).setMaxHeaderSize(maxHeaderBytes)
+        val config =
+            HttpDecoderConfig()
+                .setMaxInitialLineLength(maxRequestLineBytes)
+                .setMaxHeaderSize(maxHeaderBytes)
+                .setTrailersFactory(DiscardedTrailers)
         init(Decoder(config), Encoder())
     }
 
--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/UndecodedInput.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/UndecodedInput.kt
@@ -4,7 +4,9 @@
 
 /** Bytes that were passed to the HTTP decoder since the last message. */
 internal class UndecodedInput {
-    private var bytes = 0
+    /** Number of bytes, except for those that arrived in one buffer with the end of the last message. */
+    var bytes = 0
+        private set
     private var lines = 0
 
     /** Adds a part of [size]. */
--- a/connection/caller/src/test/kotlin/org/lycheemount/listener/HeadMemoryTest.kt
+++ b/connection/caller/src/test/kotlin/org/lycheemount/listener/HeadMemoryTest.kt
@@ -10,6 +10,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.runBlocking
 import kotlinx.io.readByteArray
 import org.junit.jupiter.api.AfterEach
@@ -77,6 +78,55 @@
         }
     }
 
+    @Nested
+    inner class `the framing of a body` {
+        private val head = "HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+        private fun Socket.send(text: String) = getOutputStream().write(text.encodeToByteArray())
+
+        @Test
+        fun `is charged while it is incomplete, guarding against chunk extensions that fill the heap together`() {
+            Socket("127.0.0.1", port).use {
+                it.send("POST /upload ${head}1;x=")
+                await { budget.usage.usedBytes > 0 }
+                it.send("x".repeat(EXTENSION_BYTES))
+
+                await { budget.usage.usedBytes >= RequestMemory.REQUEST_BYTES + EXTENSION_BYTES }
+            }
+
+            await { budget.usage.usedBytes == 0L }
+        }
+
+        @Test
+        fun `costs nothing for trailers, guarding against incomplete ones that fill the heap together`() {
+            val channel = EmbeddedChannel(SingleMessageCodec(MAX_HEAD_BYTES, MAX_HEAD_BYTES))
+            val upload = "POST /upload ${head}0\r\n${fields(MAX_FIELDS)}\r\n"
+
+            channel.writeInbound(Unpooled.copiedBuffer(upload, Charsets.US_ASCII))
+            channel.writeInbound(Unpooled.EMPTY_BUFFER)
+
+            channel.readInbound<HttpRequest>()
+            val trailers = channel.readInbound<LastHttpContent>().trailingHeaders()
+            assertEquals(MAX_FIELDS, trailers.size())
+            assertEquals(emptyList(), trailers.entries())
+            channel.finishAndReleaseAll()
+        }
+
+        @Test
+        fun `is refused behind the response to its request, guarding against connections whose rest no request is charged for`() {
+            Socket("127.0.0.1", port).use {
+                it.soTimeout = READ_TIMEOUT_MS
+                it.send("POST /unknown ${head}1;x=")
+                await { server.openConnections == 1 && budget.usage.usedBytes == 0L }
+                runCatching { repeat(MAX_HEAD_BYTES) { _ -> it.send("x") } }
+
+                await { server.openConnections == 0 }
+            }
+
+            assertEquals(listOf(ConnectionRefusal.DROPPED_BODY_TOO_LARGE), refusals.toList())
+        }
+    }
+
     @Nested
     inner class `the memory of a head` {
         @Test
@@ -174,6 +224,7 @@
         private const val CAPACITY_BYTES = 1_000_000L
         private const val MAX_FIELDS = 100
         private const val MAX_HEAD_BYTES = 16_384
+        private const val EXTENSION_BYTES = 10_000
         private const val HEADER_TIMEOUT_MS = 60_000L
         private const val HEADS = 2_000
         private const val COLLECTIONS = 3
