Report every connection that cannot be opened to the platform as not sent

Calls of the product's own router to the platform had an unknown outcome if no connection could be opened for lack of file descriptors, a route or a local address, although nothing had been sent. The router then had to find out whether they had taken effect.

Cause: PlatformHttp.isConnectFailure looked for two types among the causes of an exception. Beside it, the connections to servers had ConnectFailedException, which counts every failure before a connection is open.

Change: ConnectFailedException moves to process/common and serves both. Two interceptors of the HTTP client tell a call that never had a connection from one whose connection broke; isConnectFailure is removed.

--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendConnections.kt
@@ -22,6 +22,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.lycheemount.common.BackendServer
+import org.lycheemount.common.ConnectFailedException
 import org.lycheemount.common.createSelectorThread
 import org.lycheemount.common.defaultMaxConnections
 import java.io.EOFException
--- a/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendHttp.kt
+++ b/connection/backend/src/main/kotlin/org/lycheemount/backend/BackendHttp.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.Json
 import org.lycheemount.common.BackendServer
+import org.lycheemount.common.ConnectFailedException
 import java.io.IOException
 
 /** HTTP client for backend servers. It never retries a request. */
--- a/connection/backend/src/test/kotlin/org/lycheemount/backend/BackendConnectionsTest.kt
+++ b/connection/backend/src/test/kotlin/org/lycheemount/backend/BackendConnectionsTest.kt
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Nested
 import org.lycheemount.common.BackendServer
 import org.lycheemount.common.BackendServerId
+import org.lycheemount.common.ConnectFailedException
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
 import java.net.InetAddress
--- a/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
+++ b/connection/platform/src/main/kotlin/org/lycheemount/platform/http/PlatformHttp.kt
@@ -20,20 +20,23 @@
 import kotlinx.serialization.json.Json
 import okhttp3.Dispatcher
 import okhttp3.Protocol
+import org.lycheemount.common.ConnectFailedException
 import org.lycheemount.platform.TableResult
-import java.net.ConnectException
-import java.net.UnknownHostException
 import java.util.concurrent.TimeUnit
+import javax.net.SocketFactory
 
 /**
  * Sends requests to the platform without retries and distinguishes definite failures from unknown outcomes.
  *
  * @param callTimeoutMs timeout of a call that sets none, and of responses that make no progress.
  */
-class PlatformHttp(
+class PlatformHttp internal constructor(
     private val callTimeoutMs: Long,
+    sockets: SocketFactory,
 ) : PlatformTransport,
     AutoCloseable {
+    constructor(callTimeoutMs: Long) : this(callTimeoutMs, SocketFactory.getDefault())
+
     internal val json = Json { ignoreUnknownKeys = true }
 
     // Ktor's own client engine takes a response that is cut off for a complete one.
@@ -46,7 +49,9 @@
             defaultRequest { headers.append(HttpHeaders.Connection, "close") }
             engine {
                 config {
+                    socketFactory(sockets)
                     retryOnConnectionFailure(false)
+                    reportConnectFailures()
                     protocols(listOf(Protocol.HTTP_1_1))
                     connectTimeout(callTimeoutMs, TimeUnit.MILLISECONDS)
                     // Callers bound how long they wait.
@@ -79,9 +84,12 @@
                 }
             }
                 ?: PlatformExchange.Lost("no response within $effectiveTimeoutMs ms")
+        } catch (failure: ConnectFailedException) {
+            currentCoroutineContext().ensureActive()
+            PlatformExchange.NotSent("cannot connect")
         } catch (failure: Exception) {
             currentCoroutineContext().ensureActive()
-            if (isConnectFailure(failure)) PlatformExchange.NotSent("cannot connect") else PlatformExchange.Lost("connection broken")
+            PlatformExchange.Lost("connection broken")
         }
     }
 
@@ -157,12 +165,8 @@
         isReadOnly: Boolean,
     ): TableResult<Nothing> = if (isReadOnly) TableResult.Unavailable(detail) else TableResult.Unknown(detail)
 
-    private fun isConnectFailure(failure: Throwable): Boolean =
-        generateSequence(failure) { it.cause }.take(MAX_CAUSE_DEPTH).any { it is ConnectException || it is UnknownHostException }
-
     internal companion object {
         const val NOT_FOUND_STATUS = 404
-        private const val MAX_CAUSE_DEPTH = 8
         private const val MAX_CONCURRENT_REQUESTS = 1_024
         private val FINAL_STATUSES = 200..599
         private val SUCCESS_STATUSES = 200..299
