Announce the close of connections of RawServer

Cause, in the fixture: RawServer closes a connection after each response without saying so. If the router sends its next request before it has seen the close, the request is lost with the connection, and the only server of its service has failed.

RawServer now states Connection: close unless the script keeps the connection. No check is changed.

--- a/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RawServer.kt
+++ b/request/caller/src/test/kotlin/org/lycheemount/caller/routed/RawServer.kt
@@ -102,10 +102,14 @@
             output.flush()
         }
 
+        /** Sends a head, which announces the close of a connection that is not kept. The next request would else be sent on it as well. */
         fun head(
             status: String,
             vararg headers: String,
-        ) = write((listOf("HTTP/1.1 $status") + headers).joinToString("\r\n", postfix = "\r\n\r\n"))
+        ) {
+            val announced = if (keepAlive || headers.any { it.startsWith("Connection:") }) emptyList() else listOf("Connection: close")
+            write((listOf("HTTP/1.1 $status") + headers + announced).joinToString("\r\n", postfix = "\r\n\r\n"))
+        }
 
         fun chunk(text: String) = write("${text.length.toString(16)}\r\n$text\r\n")
 
