Ask peers for a newer configuration before a router serves

A router that started from a restored store ran known routes by the older configuration for some 3 s: by the old service, or with a key that had been taken away. A peer's first heartbeat, up to 2.5 s after the link opens, told it of the newer version.

InitialConfigurationCheck asks the neighbours directly as soon as the first configuration and the list of routers have been read. Until one has answered, requests get 503 (configuration_unchecked). The wait ends at once if there are no peers or none can be reached, and after a second in any case. A reply says now whether the peer has a configuration that is not newer; peers of an earlier release send none of that and do not end the wait.

RestoredStoreTest (app/router, virtual time), "does not serve by the older one before", failed without the check: versions 3 and 8 served in turn. It passes now, with the other tests of that class, InitialConfigurationCheckTest, PeerConfigurationExchangeTest and GatewayStartTest (39 tests).

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
@@ -30,6 +30,7 @@
 /**
  * Peer links to the other routers, which are discovered through the rows that they keep in the table.
  *
+ * @param onNeighbours receives the routers to which links are kept, after each list of routers.
  * @param onPeerConfiguration receives the version of the configuration that a peer has reported.
  */
 internal class GatewayPeers(
@@ -41,6 +42,7 @@
     private val eventLog: EventLog,
     configuration: ConfigurationView,
     private val dispatcher: WorkDispatcher,
+    private val onNeighbours: (Set<RouterId>) -> Unit,
     private val onPeerConfiguration: (RouterId, Long) -> Unit,
 ) : MembershipListener {
     @Volatile
@@ -81,7 +83,10 @@
     override fun onPeers(
         known: List<RouterVm>,
         neighbours: Set<RouterId>,
-    ) = messenger.setPeers(known.map { PeerEndpoint(it.routerId, it.vmId, it.host, it.peerPort) }, neighbours)
+    ) {
+        messenger.setPeers(known.map { PeerEndpoint(it.routerId, it.vmId, it.host, it.peerPort) }, neighbours)
+        onNeighbours(neighbours)
+    }
 
     override fun onVmList(list: VmList) {
         val offsetMs = list.asOfTableTimeMs - clock.monotonicMs()
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -27,6 +27,7 @@
 import org.lycheemount.common.Clock
 import org.lycheemount.common.DefaultClock
 import org.lycheemount.common.DefaultEventLog
+import org.lycheemount.common.RouterId
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.common.createMemoryBudget
 import org.lycheemount.config.PublishedConfiguration
@@ -73,9 +74,18 @@
     private val dispatcher =
         WorkDispatcher(createRequestScheduler(settings.zoneId, seed = identity.incarnation, INITIAL_SPEEDS, FULL_ENGINE_SLOWDOWN), clock)
     private val peers =
-        GatewayPeers(table, store, routerVm(), identity, clock, eventLog, configuration, dispatcher) { from, version ->
-            configurationRecovery.onPeerVersion(from, version)
-        }
+        GatewayPeers(
+            table,
+            store,
+            routerVm(),
+            identity,
+            clock,
+            eventLog,
+            configuration,
+            dispatcher,
+            onNeighbours = { initialConfigurationCheck.onNeighbours(it) },
+            onPeerConfiguration = { from, version -> configurationRecovery.onPeerVersion(from, version) },
+        )
     private val statementExchange = PeerStatementExchange(peers.messenger, clock, eventLog, peers::tableTimeOffsetMs)
     private val serverStatements =
         ServerStatements(dispatcher, clock, eventLog, statementExchange::announce, statementExchange::announceLeaving)
@@ -133,12 +143,15 @@
             configurationLag,
             operatorRowWatcher::awaitCurrent,
             configurationExchange::request,
-            load = { value, peer -> configurationLoader.load(value, "peer" to peer.value) },
+            load = ::loadFromPeer,
         )
+    private val initialConfigurationCheck: InitialConfigurationCheck =
+        InitialConfigurationCheck(configuration, clock, eventLog, configurationExchange::ask, ::loadFromPeer)
     private val serverListener = ServerRowListener(::onBackendServers, clock, eventLog, onRow = coldServers::onRow)
     private val readiness =
         GatewayReadiness(
             hasConfiguration = configuration::isLoaded,
+            isConfigurationChecked = initialConfigurationCheck::isDone,
             hasServers = serverListener::hasServerList,
             isWarmedUp = { warmUpFinished.isCompleted },
             hasBudgets = budgetLimits::isApplied,
@@ -190,6 +203,7 @@
         coldServerExchange.start(scope, coldServers)
         configurationExchange.start()
         scope.launch { configurationRecovery.run() }
+        scope.launch { initialConfigurationCheck.run() }
         coldServers.start(scope)
         peers.start(scope)
         quarantine.start(scope)
@@ -232,7 +246,13 @@
             .run(graceMs)
     }
 
+    private fun loadFromPeer(
+        value: ByteArray,
+        peer: RouterId,
+    ) = configurationLoader.load(value, "peer" to peer.value)
+
     private fun onConfigurationChanged() {
+        initialConfigurationCheck.onConfigurationChanged()
         coldServers.onConfigurationChanged()
         budgetLimits.onConfigurationChanged()
     }
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayReadiness.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayReadiness.kt
@@ -3,6 +3,7 @@
 /** Whether a router may get requests, by what it has read and done since its start. */
 internal class GatewayReadiness(
     private val hasConfiguration: () -> Boolean,
+    private val isConfigurationChecked: () -> Boolean,
     private val hasServers: () -> Boolean,
     private val isWarmedUp: () -> Boolean,
     private val hasBudgets: () -> Boolean,
@@ -12,6 +13,7 @@
     fun cannotServeReasons(): List<String> =
         listOfNotNull(
             "no_configuration".takeIf { !hasConfiguration() },
+            "configuration_unchecked".takeIf { hasConfiguration() && !isConfigurationChecked() },
             "no_servers".takeIf { !hasServers() },
         )
 
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/PeerConfigurationExchange.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/PeerConfigurationExchange.kt
@@ -16,6 +16,20 @@
 import java.util.zip.GZIPInputStream
 import java.util.zip.GZIPOutputStream
 
+/** Answer of a peer that was asked for its configuration. */
+internal sealed interface PeerConfiguration {
+    /** The peer has a newer configuration, whose row is [value]. */
+    class Newer(
+        val value: ByteArray,
+    ) : PeerConfiguration
+
+    /** The peer has a configuration, which is not newer. */
+    data object NotNewer : PeerConfiguration
+
+    /** The peer has no configuration, has one that is too large, or has not replied in time. */
+    data object Unknown : PeerConfiguration
+}
+
 /**
  * Requests configurations from peers, and hands the active one over to peers that have an older one.
  *
@@ -42,13 +56,29 @@
     suspend fun request(
         peer: RouterId,
         version: Long,
-    ): ByteArray? {
+    ): ByteArray? = (ask(peer, version) as? PeerConfiguration.Newer)?.value
+
+    /** Asks [peer] for its configuration if that is newer than [version]. */
+    suspend fun ask(
+        peer: RouterId,
+        version: Long,
+    ): PeerConfiguration {
         val payload = cbor.encodeToByteArray(ConfigurationRequest.serializer(), ConfigurationRequest(version))
-        val reply = messenger.call(peer, channel, payload, CALL_TIMEOUT_MS) as? PeerReply.Received ?: return null
+        val reply = messenger.call(peer, channel, payload, CALL_TIMEOUT_MS) as? PeerReply.Received ?: return PeerConfiguration.Unknown
         return try {
-            cbor.decodeFromByteArray(ConfigurationReply.serializer(), reply.payload).compressedValue?.let(::decompress)
+            decode(reply.payload)
         } catch (malformed: Exception) {
-            rejected(peer, malformed.message)
+            logUnreadable(peer, malformed.message)
+            PeerConfiguration.Unknown
+        }
+    }
+
+    private fun decode(payload: ByteArray): PeerConfiguration {
+        val reply = cbor.decodeFromByteArray(ConfigurationReply.serializer(), payload)
+        return when {
+            reply.compressedValue != null -> PeerConfiguration.Newer(decompress(reply.compressedValue))
+            reply.isNotNewer -> PeerConfiguration.NotNewer
+            else -> PeerConfiguration.Unknown
         }
     }
 
@@ -60,11 +90,11 @@
             try {
                 cbor.decodeFromByteArray(ConfigurationRequest.serializer(), payload)
             } catch (malformed: Exception) {
-                if (rejectedPeers.add(from)) rejected(from.routerId, malformed.message)
+                if (rejectedPeers.add(from)) logUnreadable(from.routerId, malformed.message)
                 return null
             }
-        val newer = document()?.takeIf { it.version > request.version } ?: return emptyReply
-        return prepareReply(newer)
+        val active = document() ?: return emptyReply
+        return if (active.version > request.version) prepareReply(active) else notNewerReply
     }
 
     @Synchronized
@@ -80,18 +110,15 @@
                 "compressed_bytes" to compressed.size,
             )
         }
-        val payload = if (isSent) encodeReply(compressed) else emptyReply
+        val payload = if (isSent) encodeReply(ConfigurationReply(compressed)) else emptyReply
         preparedReply = PreparedReply(newer.version, payload)
         return payload
     }
 
-    private fun rejected(
+    private fun logUnreadable(
         peer: RouterId,
         error: String?,
-    ): ByteArray? {
-        eventLog.warn("peer_statement_unreadable", "channel" to channel.value, "peer" to peer.value, "error" to error)
-        return null
-    }
+    ) = eventLog.warn("peer_statement_unreadable", "channel" to channel.value, "peer" to peer.value, "error" to error)
 
     private fun compress(value: ByteArray): ByteArray {
         val output = ByteArrayOutputStream()
@@ -118,10 +145,10 @@
         private const val MAX_COMPRESSED_BYTES = 768 shl 10
         private val channel = PeerChannel("configuration")
         private val cbor = Cbor { ignoreUnknownKeys = true }
-        private val emptyReply = encodeReply(null)
+        private val emptyReply = encodeReply(ConfigurationReply())
+        private val notNewerReply = encodeReply(ConfigurationReply(isNotNewer = true))
 
-        private fun encodeReply(compressedValue: ByteArray?) =
-            cbor.encodeToByteArray(ConfigurationReply.serializer(), ConfigurationReply(compressedValue))
+        private fun encodeReply(reply: ConfigurationReply) = cbor.encodeToByteArray(ConfigurationReply.serializer(), reply)
     }
 }
 
@@ -131,8 +158,12 @@
     @SerialName("v") val version: Long,
 )
 
-/** @property compressedValue the row of the configuration, compressed with gzip; null if the peer has none that is newer. */
+/**
+ * @property compressedValue the row of the configuration, compressed with gzip; null if the peer has none that is newer and not too large.
+ * @property isNotNewer whether the peer has a configuration that is not newer. Peers of an earlier release do not say so.
+ */
 @Serializable
 private class ConfigurationReply(
     @SerialName("d") @ByteString val compressedValue: ByteArray? = null,
+    @SerialName("n") val isNotNewer: Boolean = false,
 )
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/RestoredStoreTest.kt
@@ -138,6 +138,18 @@
                 assertTrue(router.refresh())
             }
 
+        @Test
+        fun `does not serve by the older one before, guarding against requests that run by it until the first heartbeat`() =
+            runRestart { _, network, _ ->
+                val router = StoreFollower(this, store, network, "r2")
+                val versions = HashSet<Long?>()
+                repeat(PEER_APPLY_MS.toInt()) {
+                    delay(1)
+                    versions += router.servingVersion
+                }
+                assertEquals(setOf(null, 8L), versions)
+            }
+
         @Test
         fun `reads it once there is a link`() =
             runRestart { _, network, peer ->
--- a/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/StoreFollower.kt
+++ b/app/router/src/test/kotlin/org/lycheemount/app/router/gateway/StoreFollower.kt
@@ -46,10 +46,14 @@
     private val watcher = createOperatorRowWatcher(client)
     private val lag = ConfigurationLag(configuration, clock, FakeEventLog())
     private val refresher = ConfigurationRefresher(clock, watcher::isReceiving, lag::isBehind, watcher::awaitCurrent)
-    private val loader = ConfigurationLoader(configuration, clock, eventLog) {}
+    private val loader = ConfigurationLoader(configuration, clock, eventLog) { initialCheck?.onConfigurationChanged() }
+    private var initialCheck: InitialConfigurationCheck? = null
 
     val version get() = configuration.current().sequence
 
+    /** Version by which requests are served; null while none can be. */
+    val servingVersion get() = version.takeIf { it > 0 && initialCheck?.isDone != false }
+
     /** Number of configurations that were read from peers. */
     val configurationsFromPeers get() = eventLog.events.count { (event, fields) -> event == "configuration_read" && "peer" in fields }
 
@@ -65,6 +69,13 @@
             ConfigurationRecovery(configuration, lag, watcher::awaitCurrent, exchange::request) { value, peer ->
                 loader.load(value, "peer" to peer.value)
             }
+        val check =
+            InitialConfigurationCheck(configuration, clock, eventLog, exchange::ask) { value, peer ->
+                loader.load(value, "peer" to peer.value)
+            }
+        initialCheck = check
+        check.onNeighbours(messenger.connectedPeers().mapTo(HashSet()) { it.routerId })
+        scope.launch { check.run() }
         exchange.start()
         messenger.register(heartbeatChannel) { from, payload ->
             recovery.onPeerVersion(from.routerId, payload.decodeToString().toLong())
