--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
@@ -60,7 +60,12 @@
         context.channel().config().setRecvByteBufAllocator(HeapReceiveBuffers(READ_BYTES))
         connection.onClosedInBody = ::discardAndClose
         connection.memory.onUnreadDropped = { context.executor().execute { closeUnread() } }
-        connection.onReadPermitted = { context.executor().execute { onReadPermitted() } }
+        connection.onReadPermitted = {
+            context.executor().execute {
+                deliver()
+                if (!isStopped) readIfFewHeld()
+            }
+        }
     }
 
     override fun read(context: ChannelHandlerContext) {
@@ -116,11 +121,6 @@
         context.read()
     }
 
-    private fun onReadPermitted() {
-        deliver()
-        if (!isStopped) readIfFewHeld()
-    }
-
     /** Passes bytes to the decoder as far as the request in progress allows it. */
     private fun deliver() {
         if (isDelivering) return
