--- a/connection/platform/src/test/kotlin/org/lycheemount/platform/http/ConnectFailureTest.kt
+++ b/connection/platform/src/test/kotlin/org/lycheemount/platform/http/ConnectFailureTest.kt
@@ -3,6 +3,7 @@
 import io.ktor.http.HttpMethod
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Nested
+import org.lycheemount.testing.LISTENER_HOST
 import org.lycheemount.testing.SocketServer
 import java.io.IOException
 import java.net.BindException
@@ -25,7 +26,7 @@
         sockets: SocketFactory = SocketFactory.getDefault(),
     ): PlatformExchange =
         PlatformHttp(callTimeoutMs = 5_000, sockets).use { http ->
-            runBlocking { http.exchange(HttpMethod.Get, "http://127.0.0.1:$port/objects/a") }
+            runBlocking { http.exchange(HttpMethod.Get, "http://$LISTENER_HOST:$port/objects/a") }
         }
 
     @Nested
@@ -48,7 +49,7 @@
 
         @Test
         fun `has not been sent if nothing listens`() {
-            val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+            val port = ServerSocket(0, 1, InetAddress.getByName(LISTENER_HOST)).use { it.localPort }
 
             assertIs<PlatformExchange.NotSent>(exchange(port))
         }
