Split changes of budget rows and missing reports off their users

Cause: an administration of restored budgets needs the retries of DefaultBudgetAdministration, the missing reports of BudgetSettlement and the rows of router VMs. Change: BudgetChanger and findMissingReports have files of their own, scanAll is an extension of TableService, and readRouterVms reads the VMs without following them. No behaviour changes.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayPeers.kt
@@ -51,8 +51,8 @@
     val messenger = DefaultPeerMessenger(identity, { fleetSecret }, eventLog, PEER_LINK_SETTINGS)
     val directory =
         TableVmDirectory(
-            createRowTableService(store, VM_TABLE_NAME),
-            createRowFeed(store, VM_TABLE_NAME),
+            createRowTableService(store, TableVmDirectory.TABLE_NAME),
+            createRowFeed(store, TableVmDirectory.TABLE_NAME),
             store.eras,
             self,
             eventLog,
@@ -105,8 +105,6 @@
     ) = onPeerConfiguration(from, sequence)
 
     private companion object {
-        private const val VM_TABLE_NAME = "lycheemount-vms"
-
         // A network partition between VMs lasts seconds. Short timeouts keep the links from being down much longer.
         private val PEER_LINK_SETTINGS =
             PeerLinkSettings(handshakeTimeoutMs = 1_500, keepAliveIntervalMs = 1_000, idleTimeoutMs = 3_000, maxRetryDelayMs = 1_000)
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetSettlement.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetSettlement.kt
@@ -2,7 +2,6 @@
 
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
-import org.lycheemount.common.RouterIdentity
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.RowWrite
 import org.lycheemount.platform.TableTransaction
@@ -56,21 +55,9 @@
     private suspend fun missingReports(): MissingReports? {
         val grants = session.scanAll(GRANT_PREFIX)?.map { decodeRow<GrantRow>(it.value) } ?: return null
         val holdings = session.scanAll(HOLDINGS_PREFIX)?.map { decodeRow<HoldingsRow>(it.value) } ?: return null
-        val reports = holdings.filter { it.era == session.eraNumber }
-        val holders = grants.filter { !it.closed && it.era != session.eraNumber }.map { it.holder }
-        val unaccounted = (holders + reports.flatMap { it.peers }).toSet().filterNot { isAccounted(it, reports) }
-        return MissingReports(unaccounted, hasWitness = reports.any { it.isWitness })
+        return findMissingReports(grants, holdings, session.eraNumber)
     }
 
-    private fun isAccounted(
-        router: RouterIdentity,
-        reports: List<HoldingsRow>,
-    ): Boolean =
-        reports.any {
-            val isSuccessor = it.router.vmId == router.vmId && it.router.incarnation > router.incarnation
-            it.router == router || (isSuccessor && it.standsForPredecessors)
-        }
-
     private suspend fun settle(
         account: BudgetAccount,
         missing: MissingReports,
@@ -120,14 +107,6 @@
         "hasWitness" to missing.hasWitness,
     )
 
-    /** @property hasWitness whether a router that was running when the copy was made has reported. */
-    private class MissingReports(
-        val routers: List<RouterIdentity>,
-        val hasWitness: Boolean,
-    ) {
-        val isNone: Boolean get() = hasWitness && routers.isEmpty()
-    }
-
     private companion object {
         /** Time after which tokens that are added to a budget are granted although the report of an ended router is missing. */
         private const val MAX_SETTLING_MS = 60_000L
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetAdministration.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultBudgetAdministration.kt
@@ -1,15 +1,14 @@
 package org.lycheemount.budget
 
 import org.lycheemount.common.BudgetId
-import org.lycheemount.platform.CommitOutcome
 import org.lycheemount.platform.RowCheck
 import org.lycheemount.platform.RowWrite
-import org.lycheemount.platform.StoreEra
 import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.TableResult
 import org.lycheemount.platform.TableRow
 import org.lycheemount.platform.TableService
 import org.lycheemount.platform.TableTransaction
+import org.lycheemount.platform.scanAll
 
 /** Stateless implementation on the rows of the table. */
 internal class DefaultBudgetAdministration(
@@ -18,21 +17,19 @@
     private val newTransactionId: () -> String,
 ) : BudgetAdministration,
     BudgetLimitWriter {
-    /** First era in which this process has changed a budget; null while the store has stated none. */
-    @Volatile
-    private var firstEra: Long? = null
+    private val changer = BudgetChanger(table, eras)
 
     override suspend fun create(budgetId: BudgetId): BudgetChange {
         invalidId("budgetId", budgetId.value)?.let { return it }
         val key = budgetKey(budgetId)
-        return change(listOf(key)) { rows ->
+        return changer.change(listOf(key)) { rows ->
             val existing = rows[key]
             if (existing !=
                 null
             ) {
-                return@change Decided(BudgetChange.Applied(decodeRow<BudgetRow>(existing.value).limitTokens, repeated = true))
+                return@change ChangePlan.Decided(BudgetChange.Applied(decodeRow<BudgetRow>(existing.value).limitTokens, repeated = true))
             }
-            Write(
+            ChangePlan.Write(
                 TableTransaction(newTransactionId(), listOf(RowCheck(key, 0)), listOf(writeRow(key, newBudget(rows)))),
                 BudgetChange.Applied(0, repeated = false),
             )
@@ -51,8 +48,8 @@
         }
         val key = budgetKey(budgetId)
         val topUp = topUpKey(budgetId, topUpId)
-        return change(listOf(key, topUp)) { rows ->
-            val row = rows[key] ?: return@change Decided(BudgetChange.NotFound)
+        return changer.change(listOf(key, topUp)) { rows ->
+            val row = rows[key] ?: return@change ChangePlan.Decided(BudgetChange.NotFound)
             planTopUp(row, decodeRow(row.value), topUp, rows[topUp]?.let { decodeRow<TopUpRow>(it.value) }, tokens)
         }
     }
@@ -64,11 +61,11 @@
         earlier: TopUpRow?,
         tokens: Long,
     ): ChangePlan {
-        if (earlier != null && earlier.tokens != tokens) return Decided(BudgetChange.IdReused(earlier.tokens))
-        if (earlier != null) return Decided(BudgetChange.Applied(budget.limitTokens, repeated = true))
-        if (budget.limitTokens > Long.MAX_VALUE / 4) return Decided(BudgetChange.Invalid("tokens", "limit reached"))
+        if (earlier != null && earlier.tokens != tokens) return ChangePlan.Decided(BudgetChange.IdReused(earlier.tokens))
+        if (earlier != null) return ChangePlan.Decided(BudgetChange.Applied(budget.limitTokens, repeated = true))
+        if (budget.limitTokens > Long.MAX_VALUE / 4) return ChangePlan.Decided(BudgetChange.Invalid("tokens", "limit reached"))
         val changed = budget.withLimit(budget.limitTokens + tokens)
-        return Write(
+        return ChangePlan.Write(
             TableTransaction(
                 newTransactionId(),
                 listOf(RowCheck(row.key, row.version), RowCheck(topUpKey, 0)),
@@ -84,14 +81,14 @@
     ): BudgetChange {
         limits.keys.firstNotNullOfOrNull { invalidId("budgetId", it.value) }?.let { return it }
         val total = limits.values.sum()
-        return change(limits.keys.map(::budgetKey)) { rows ->
+        return changer.change(limits.keys.map(::budgetKey)) { rows ->
             val changed =
                 limits.mapNotNull { (budgetId, tokens) ->
                     planLimit(budgetKey(budgetId), rows, tokens, sequence)
                 }
-            if (changed.isEmpty()) return@change Decided(BudgetChange.Applied(total, repeated = true))
+            if (changed.isEmpty()) return@change ChangePlan.Decided(BudgetChange.Applied(total, repeated = true))
             val transaction = TableTransaction(newTransactionId(), changed.map { it.first }, changed.map { it.second })
-            Write(transaction, BudgetChange.Applied(total, repeated = false))
+            ChangePlan.Write(transaction, BudgetChange.Applied(total, repeated = false))
         }
     }
 
@@ -115,7 +112,7 @@
      */
     private fun newBudget(rows: Map<String, TableRow>): BudgetRow {
         val era = eras.current.value?.value ?: return BudgetRow(0, 0)
-        return BudgetRow(0, 0, era = era, settled = endedEraKey(era - 1) !in rows && era == firstEra)
+        return BudgetRow(0, 0, era = era, settled = endedEraKey(era - 1) !in rows && era == changer.firstEra?.value)
     }
 
     /** This budget with [limitTokens]. What is added to a restored budget is set aside, as routers may have taken it since the copy. */
@@ -133,9 +130,9 @@
         invalidId("grantId", grantId)?.let { return it }
         val budgetKey = budgetKey(budgetId)
         val grantKey = grantKey(budgetId, grantId)
-        return change(listOf(budgetKey, grantKey)) { rows ->
-            val budgetRow = rows[budgetKey] ?: return@change Decided(BudgetChange.NotFound)
-            val grantRow = rows[grantKey] ?: return@change Decided(BudgetChange.NotFound)
+        return changer.change(listOf(budgetKey, grantKey)) { rows ->
+            val budgetRow = rows[budgetKey] ?: return@change ChangePlan.Decided(BudgetChange.NotFound)
+            val grantRow = rows[grantKey] ?: return@change ChangePlan.Decided(BudgetChange.NotFound)
             planWriteOff(budgetRow, grantRow)
         }
     }
@@ -146,9 +143,9 @@
     ): ChangePlan {
         val budget = decodeRow<BudgetRow>(budgetRow.value)
         val grant = decodeRow<GrantRow>(grantRow.value)
-        if (grant.closed) return Decided(BudgetChange.Applied(budget.limitTokens, repeated = true))
+        if (grant.closed) return ChangePlan.Decided(BudgetChange.Applied(budget.limitTokens, repeated = true))
         val (changed, closed) = closeGrant(budget, grant, reclaimedTokens = 0)
-        return Write(
+        return ChangePlan.Write(
             TableTransaction(
                 newTransactionId(),
                 listOf(RowCheck(budgetRow.key, budgetRow.version), RowCheck(grantRow.key, grantRow.version)),
@@ -161,7 +158,7 @@
     override suspend fun status(budgetId: BudgetId): BudgetStatusResult {
         // Scan grants first: a grant taken between the two reads is then missing, so the sum of tokens is never too large.
         val grants =
-            scanAll(grantPrefix(budgetId)) ?: return BudgetStatusResult.Unavailable("the table did not respond")
+            table.scanAll(grantPrefix(budgetId)) ?: return BudgetStatusResult.Unavailable("the table did not respond")
         val result = table.read(listOf(budgetKey(budgetId)) + grants.map { it.key })
         if (result !is TableResult.Response) return BudgetStatusResult.Unavailable("the table did not respond")
         val budget = result.value.find(budgetKey(budgetId)) ?: return BudgetStatusResult.NotFound
@@ -184,16 +181,6 @@
         return BillsResult.Page(rows.take(limit).map { decodeRow<BillRow>(it.value).bill }, rows.size > limit)
     }
 
-    private suspend fun scanAll(prefix: String): List<TableRow>? {
-        val rows = mutableListOf<TableRow>()
-        while (true) {
-            val page = table.scan(prefix, rows.lastOrNull()?.key)
-            if (page !is TableResult.Response) return null
-            rows += page.value.rows
-            if (page.value.rows.size < TableService.DEFAULT_SCAN_LIMIT) return rows
-        }
-    }
-
     private fun statusOf(
         budgetId: BudgetId,
         budget: BudgetRow,
@@ -227,73 +214,4 @@
             reclaimed = row.closed,
             chargedTokens = row.chargedTokens,
         )
-
-    private fun invalidId(
-        field: String,
-        value: String,
-    ): BudgetChange.Invalid? = if (ID_PATTERN.matches(value)) null else BudgetChange.Invalid(field, ID_PATTERN.pattern)
-
-    /** Reads [keys], plans and commits the change, and retries after a conflict. */
-    private suspend fun change(
-        keys: List<String>,
-        plan: (Map<String, TableRow>) -> ChangePlan,
-    ): BudgetChange {
-        repeat(MAX_COMMIT_ATTEMPTS) {
-            if (firstEra == null) firstEra = eras.current.value?.value
-            val era = eras.current.value
-            val snapshot = table.read(if (era == null) keys else keys + endedEraKey(era.value - 1))
-            if (snapshot !is TableResult.Response) return BudgetChange.Unavailable("the table did not respond")
-            if (eras.current.value != era) return@repeat
-            when (val step = plan(snapshot.value.rows.associateBy { it.key })) {
-                is Decided -> return step.change
-                is Write -> commit(step, era)?.let { return it }
-            }
-        }
-        return BudgetChange.Unavailable("$MAX_COMMIT_ATTEMPTS attempts conflicted with other changes of the budget")
-    }
-
-    /** Returns null after a conflict, and after a change of the era, which may have undone the change of the budget. */
-    private suspend fun commit(
-        step: Write,
-        era: StoreEra?,
-    ): BudgetChange? {
-        val transaction = step.transaction.checkedInEra(era)
-        val result = table.commit(transaction)
-        if (eras.current.value != era) return null
-        return when (result) {
-            is TableResult.Response -> step.applied.takeIf { result.value is CommitOutcome.Committed }
-            is TableResult.Unavailable -> BudgetChange.Unavailable(result.detail)
-            is TableResult.Unknown ->
-                when (resolveCommitted(transaction)) {
-                    true -> step.applied
-                    false -> null
-                    null -> BudgetChange.Unknown(result.detail)
-                }
-        }
-    }
-
-    /** Returns null when the outcome stays unknown. A transaction that the table does not know is sent again under the same id. */
-    private suspend fun resolveCommitted(transaction: TableTransaction): Boolean? {
-        val found = table.findTransaction(transaction.transactionId)
-        if (found !is TableResult.Response) return null
-        found.value.outcome?.let { return it is CommitOutcome.Committed }
-        val retried = table.commit(transaction)
-        return if (retried is TableResult.Response) retried.value is CommitOutcome.Committed else null
-    }
-
-    private sealed interface ChangePlan
-
-    private class Decided(
-        val change: BudgetChange,
-    ) : ChangePlan
-
-    private class Write(
-        val transaction: TableTransaction,
-        val applied: BudgetChange,
-    ) : ChangePlan
-
-    private companion object {
-        private const val MAX_COMMIT_ATTEMPTS = 20
-        private val ID_PATTERN = Regex("[A-Za-z0-9._:-]{1,128}")
-    }
 }
--- a/process/membership/src/main/kotlin/org/lycheemount/membership/TableVmDirectory.kt
+++ b/process/membership/src/main/kotlin/org/lycheemount/membership/TableVmDirectory.kt
@@ -15,6 +15,7 @@
 import org.lycheemount.platform.TableService
 import org.lycheemount.platform.VmDirectory
 import org.lycheemount.platform.VmList
+import org.lycheemount.platform.scanAll
 
 /**
  * VM directory for platforms without a VM list: each router writes a row to the table when it starts, and again if the store may have lost
@@ -55,7 +56,7 @@
             override fun onAllRows(rows: List<StoreRow>) = onChangedRows(rows)
 
             override fun onChangedRows(rows: List<StoreRow>) {
-                for (row in rows) if (row.key.startsWith(PREFIX)) decode(row)?.let { routersByKey[row.key] = it }
+                for (row in rows) if (row.key.startsWith(PREFIX)) onRow(row)
             }
 
             override fun onResponded() = Unit
@@ -88,17 +89,33 @@
         return update != RowUpdate.FAILED
     }
 
-    private fun decode(row: StoreRow): RouterVm? {
-        val value = row.value ?: return null
-        return try {
-            Json.decodeFromString(RouterVm.serializer(), value.decodeToString())
-        } catch (exception: SerializationException) {
-            eventLog.warn("router_row_unreadable", "key" to row.key, "error" to exception.message)
-            null
-        }
+    private fun onRow(row: StoreRow) {
+        val value = row.value ?: return
+        decodeRouterVm(row.key, value.decodeToString(), eventLog)?.let { routersByKey[row.key] = it }
     }
 
-    private companion object {
-        private const val PREFIX = "router-vm/"
+    /** Names in the table. */
+    companion object {
+        /** Name of the table that holds the rows. */
+        const val TABLE_NAME: String = "lycheemount-vms"
+        internal const val PREFIX = "router-vm/"
     }
 }
+
+/** Reads the VMs of routers in [table], running or not; null if the table did not respond. Unreadable rows are logged and left out. */
+suspend fun readRouterVms(
+    table: TableService,
+    eventLog: EventLog,
+): List<RouterVm>? = table.scanAll(TableVmDirectory.PREFIX)?.mapNotNull { decodeRouterVm(it.key, it.value, eventLog) }
+
+private fun decodeRouterVm(
+    key: String,
+    value: String,
+    eventLog: EventLog,
+): RouterVm? =
+    try {
+        Json.decodeFromString(RouterVm.serializer(), value)
+    } catch (exception: SerializationException) {
+        eventLog.warn("router_row_unreadable", "key" to key, "error" to exception.message)
+        null
+    }
