Let operators see and release tokens that nobody can use after a return of the store

Cause: when a router ends near a return of the store, the tokens set aside and its restored grant stay charged without end (decision 0046). Callers of the team get 503 for good, and the only remedy was a higher total. Change: lycheectl restored-budgets lists these budgets and the routers whose reports are missing, with what is known of each; lycheectl release-tokens makes the tokens available, less what the operator keeps charged. Both call the store, so they also serve while no router runs. A release is refused if a router without a report is not named, if a named one has reported, or while its VM accepts connections.

--- a/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/CommandLine.kt
+++ b/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/CommandLine.kt
@@ -4,6 +4,7 @@
 import kotlinx.cli.ArgType
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
+import kotlinx.cli.multiple
 import kotlinx.cli.optional
 import kotlinx.cli.required
 import kotlinx.cli.vararg
@@ -12,6 +13,8 @@
 private const val EXIT_CODES =
     "Exit codes: 0 done, 1 refused, 2 wrong usage, 3 conflict with another operator, 4 unavailable or outcome unknown."
 
+private const val STORE_OPTION = "Address of the platform's store, HOST:PORT"
+
 /** Options that all subcommands accept. */
 internal data class CommonOptions(
     val url: String,
@@ -38,7 +41,9 @@
     private var action: Action? = null
 
     fun parse(arguments: Array<String>): Pair<CommonOptions, Action>? {
-        parser.subcommands(*(queryCommands() + changeCommands() + fileCommands() + budgetCommands() + logCommands()).toTypedArray())
+        parser.subcommands(
+            *(queryCommands() + changeCommands() + fileCommands() + budgetCommands() + storeCommands() + logCommands()).toTypedArray(),
+        )
         parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
         return action?.let { CommonOptions(url, keyFile, trustedCertificates, format) to it }
     }
@@ -148,6 +153,30 @@
             },
         )
 
+    /** Commands that call the platform's store instead of a router, and so also serve when no router runs. */
+    private fun storeCommands(): List<Subcommand> =
+        listOf(
+            command("restored-budgets", "Shows tokens that nobody can use since the store came back from an older copy") {
+                val store by option(ArgType.String, "store", description = STORE_OPTION).required();
+                { showRestoredBudgets(openRestoredBudgets(store)) }
+            },
+            command("release-tokens", "Makes such tokens of a budget available, although routers have ended without a report") {
+                val budget by argument(ArgType.String, "budget")
+                val store by option(ArgType.String, "store", description = STORE_OPTION).required()
+                val ended by option(
+                    ArgType.String,
+                    "ended",
+                    description = "Router that has ended for good, as `restored-budgets` shows it; once for each",
+                ).multiple()
+                val keptTokens by option(
+                    ArgType.String,
+                    "keep-tokens",
+                    description = "Tokens that stay charged, for what these routers may have used since the copy was made",
+                ).required();
+                { withNonNegativeInteger(keptTokens) { releaseTokens(openRestoredBudgets(store), budget, ended, it) } }
+            },
+        )
+
     private fun logCommands(): List<Subcommand> =
         listOf(
             command("explain", "Shows the log lines of all routers about one request, ordered by time") {
--- a/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/Commands.kt
+++ b/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/Commands.kt
@@ -7,6 +7,8 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
+import org.lycheemount.budget.RestoredBudgetAdministration
+import org.lycheemount.common.BudgetId
 import org.lycheemount.config.FieldError
 import java.io.BufferedReader
 import java.io.IOException
@@ -131,6 +133,19 @@
         return null
     }
 
+    suspend fun showRestoredBudgets(budgets: RestoredBudgetAdministration): ExitCode = reportResponse(describeStatus(budgets.status()))
+
+    /** Releases tokens of [budget]. Each of [endedRouters] has the form `ROUTER/INCARNATION`. */
+    suspend fun releaseTokens(
+        budgets: RestoredBudgetAdministration,
+        budget: String,
+        endedRouters: List<String>,
+        keptTokens: Long,
+    ): ExitCode {
+        val routers = endedRouters.map { parseEndedRouter(it) ?: return wrongUsage("\"$it\" is not of the form ROUTER/INCARNATION") }
+        return reportResponse(describeRelease(budgets.release(BudgetId(budget), routers.toSet(), keptTokens)))
+    }
+
     fun wrongUsage(detail: String): ExitCode {
         val body = mapOf("reason" to JsonPrimitive("usage"), "detail" to JsonPrimitive(detail))
         output.error(JsonObject(mapOf("error" to JsonObject(body))))
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetModule.kt
@@ -119,3 +119,11 @@
     eras: StoreEras = UnstatedEras,
     newTransactionId: () -> String,
 ): BudgetLimitWriter = DefaultBudgetAdministration(table, eras, newTransactionId)
+
+/** Creates the administration of budgets after a return of the store. [newTransactionId] returns a unique id on each call. */
+fun createRestoredBudgetAdministration(
+    table: TableService,
+    eras: StoreEras,
+    probe: RouterProbe,
+    newTransactionId: () -> String,
+): RestoredBudgetAdministration = DefaultRestoredBudgetAdministration(table, eras, probe, newTransactionId)
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
@@ -53,6 +53,9 @@
     val network = FakePeerNetwork(scope, seed = seed)
     val routers = linkedMapOf<String, Router>()
     private var transactionCount = 0
+
+    /** Scope of calls of the table from outside the routers. */
+    val linkScope: CoroutineScope get() = scope
     val administration = createBudgetAdministration(table) { "admin-${transactionCount++}" }
 
     fun start(
