Warn once of tokens that stay set aside, instead of repeating a line

Cause: each router logged budget_set_aside as an ordinary event every 30 s for each restored budget, for good, so that an operator was not told that something had to be done, and the volume had no bound. Change: the line is written when the state of a budget has changed, and is a warning once reports have been missing for a minute. Result: the tests of process/budget that concern restored budgets pass.

--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetSettlement.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetSettlement.kt
@@ -1,5 +1,6 @@
 package org.lycheemount.budget
 
+import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Clock
 import org.lycheemount.common.EventLog
 import org.lycheemount.platform.RowCheck
@@ -22,6 +23,7 @@
     private var attemptDelayMs = MIN_ATTEMPT_DELAY_MS
     private var attemptedEra = 0L
     private var firstAttemptAtMs = 0L
+    private val loggedStates = HashMap<BudgetId, String>()
 
     /** Opens and settles the budgets of [accounts] that were restored. Returns false when the table did not respond. */
     suspend fun settle(accounts: List<BudgetAccount>): Boolean {
@@ -68,7 +70,7 @@
         val opened = restored.openedIn(session.eraNumber)
         val isOverdue = clock.monotonicMs() - firstAttemptAtMs >= MAX_SETTLING_MS
         val changed = if (missing.isNone) opened.settledWithUnclaimed() else opened.copy(settled = opened.settled || isOverdue)
-        logSettlement(account, opened, missing)
+        logSettlement(account, opened, missing, isOverdue)
         if (changed == restored) {
             synchronized(account) { adopt(account, changed, row.version) }
             return true
@@ -94,18 +96,28 @@
         account.budgetReadAtMs = clock.monotonicMs()
     }
 
+    /** Logs the state of a budget when it has changed; a budget stays restored as long as tokens of it are set aside. */
     private fun logSettlement(
         account: BudgetAccount,
         opened: BudgetRow,
         missing: MissingReports,
-    ) = log.info(
-        if (missing.isNone) "budget_settled" else "budget_set_aside",
-        "budget" to account.budgetId.value,
-        "era" to opened.era,
-        "tokens" to opened.setAsideTokens,
-        "missingReports" to missing.routers.joinToString(",") { "${it.routerId.value}/${it.incarnation}" },
-        "hasWitness" to missing.hasWitness,
-    )
+        isOverdue: Boolean,
+    ) {
+        val isSettled = missing.isNone || (opened.settled && opened.setAsideTokens == 0L)
+        val event = if (isSettled) "budget_settled" else "budget_set_aside"
+        val fields =
+            arrayOf(
+                "budget" to account.budgetId.value,
+                "era" to opened.era,
+                "tokens" to opened.setAsideTokens,
+                "missingReports" to missing.routers.joinToString(",") { "${it.routerId.value}/${it.incarnation}" },
+                "hasWitness" to missing.hasWitness,
+                "overdue" to isOverdue,
+            )
+        val state = "$event ${fields.asList()}"
+        if (loggedStates.put(account.budgetId, state) == state) return
+        if (isOverdue && !isSettled) log.warn(event, *fields) else log.info(event, *fields)
+    }
 
     private companion object {
         /** Time after which tokens that are added to a budget are granted although the report of an ended router is missing. */
