Find the held blocks of a prompt by a search

Cause: for each choice of a server, each block of a prompt was looked up at each server, up to 8,192 for a head of 400 bytes. Change: a block is only held together with all before it, so the first absent one is found by doubling steps and bisection. Evictions that an engine reports may leave gaps, after which the blocks are compared one by one as before.

--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/PrefixIndex.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/PrefixIndex.kt
@@ -16,25 +16,49 @@
 internal class PrefixIndex {
     private val lastUsedAtMs = LinkedHashMap<Long, Long>()
 
+    /**
+     * Whether a block may be absent while a later one of the same prompt is present. Without evictions by events it cannot: a block is
+     * stored with all before it, which count as used later.
+     */
+    private var mayHaveGaps = false
+
     var capacityBlocks: Int = MAX_CAPACITY_BLOCKS
         private set
 
     val size: Int get() = lastUsedAtMs.size
 
+    /** Blocks that the engine is expected to hold. */
+    fun heldBlocks(): Set<Long> = lastUsedAtMs.keys
+
     /** Returns how many leading blocks of [prefixHashes] the engine is expected to hold. */
     fun matchedBlocks(
         prefixHashes: List<Long>,
         nowMs: Long,
     ): Int {
-        var matched = 0
-        for (hash in prefixHashes) {
-            if (!lastUsedAtMs.containsKey(hash)) break
-            matched++
-        }
+        val matched = if (mayHaveGaps) scanMatched(prefixHashes) else searchMatched(prefixHashes)
         if (matched == 0 || isExpired(prefixHashes[matched - 1], nowMs)) return 0
         return matched
     }
 
+    private fun scanMatched(prefixHashes: List<Long>): Int =
+        prefixHashes.indexOfFirst { it !in lastUsedAtMs }.let { if (it < 0) prefixHashes.size else it }
+
+    /** Finds the first absent block with a number of lookups that grows with the logarithm of that of the blocks. */
+    private fun searchMatched(prefixHashes: List<Long>): Int {
+        var low = 0
+        var step = 1
+        while (low + step <= prefixHashes.size && prefixHashes[low + step - 1] in lastUsedAtMs) {
+            low += step
+            step *= 2
+        }
+        var high = minOf(low + step - 1, prefixHashes.size)
+        while (low < high) {
+            val middle = (low + high) / 2
+            if (prefixHashes[middle] in lastUsedAtMs) low = middle + 1 else high = middle
+        }
+        return low
+    }
+
     fun store(
         prefixHashes: List<Long>,
         nowMs: Long,
@@ -48,7 +72,10 @@
         trim()
     }
 
-    fun evict(prefixHashes: List<Long>) = prefixHashes.forEach { lastUsedAtMs.remove(it) }
+    fun evict(prefixHashes: List<Long>) {
+        mayHaveGaps = true
+        prefixHashes.forEach { lastUsedAtMs.remove(it) }
+    }
 
     /** Adjusts the capacity by comparing the blocks that a request found in the cache with the prediction at its start. */
     fun onObserved(
