--- a/process/budget/src/test/kotlin/org/lycheemount/budget/RestoredBudgetAdministrationTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/RestoredBudgetAdministrationTest.kt
@@ -16,8 +16,11 @@
     private val reachableRouters = mutableSetOf<RouterIdentity>()
     private var requestCount = 0
 
-    /** A fleet in which one of four routers took its grant after the copy and ended before the store came back. */
-    private suspend fun endRouterInLostTime(fleet: BudgetFleet): RouterIdentity {
+    /** Runs [loseRouter] with a router that took its grant after the copy of the table was made, which then comes back from that copy. */
+    private suspend fun restoreTable(
+        fleet: BudgetFleet,
+        loseRouter: (BudgetFleet.Router) -> Unit,
+    ): BudgetFleet.Router {
         fleet.table.beginEra()
         fleet.createFundedBudget(PREPAY)
         repeat(3) { startWithGrant(fleet, "r$it") }
@@ -26,15 +29,17 @@
         val added = startWithGrant(fleet, "added")
         delay(1_000)
         spend(added, USED_BY_ENDED)
-        added.kill()
+        loseRouter(added)
         fleet.table.isAvailable = false
         delay(1_000)
         fleet.table.comeBackFrom(copy)
         fleet.table.isAvailable = true
         delay(5_000)
-        return added.identity
+        return added
     }
 
+    private suspend fun endRouterInLostTime(fleet: BudgetFleet): RouterIdentity = restoreTable(fleet) { it.kill() }.identity
+
     private fun startWithGrant(
         fleet: BudgetFleet,
         name: String,
@@ -153,21 +158,11 @@
         @Test
         fun `gives up its unused tokens, guarding against tokens that two routers spend`() =
             fleetTest(options) { fleet ->
-                fleet.table.beginEra()
-                fleet.createFundedBudget(PREPAY)
-                repeat(3) { startWithGrant(fleet, "r$it") }
-                delay(3_000)
-                val copy = fleet.table.copy()
-                val added = startWithGrant(fleet, "added")
-                delay(1_000)
-                spend(added, USED_BY_ENDED)
-                added.tableLink.isPartitioned = true
-                fleet.network.partition(listOf(added.identity.routerId), (fleet.routers.keys - "added").map(::RouterId))
-                fleet.table.isAvailable = false
-                delay(1_000)
-                fleet.table.comeBackFrom(copy)
-                fleet.table.isAvailable = true
-                delay(5_000)
+                val added =
+                    restoreTable(fleet) { lost ->
+                        lost.tableLink.isPartitioned = true
+                        fleet.network.partition(listOf(lost.identity.routerId), (fleet.routers.keys - "added").map(::RouterId))
+                    }
 
                 val release = administration(fleet).release(BUDGET, added.identity.ended(), keptTokens = USED_BY_ENDED)
                 fleet.routers.remove("added")
