Read the rest of a refused body before closing the connection

Cause: after a refusal that leaves a body unread, the router dropped 262,144 bytes at most, for 500 ms at most, and closed the connection. The rest of the body then reset it while the caller was still sending. Fix: LingeringClose drops as much of the body as is dropped on a connection that stays open, as long as parts arrive and for 10 s at most. What follows a refused head keeps the old limits.

--- a/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
+++ b/connection/caller/src/main/kotlin/org/lycheemount/listener/CallerInputHandler.kt
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelDuplexHandler
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import java.util.concurrent.TimeUnit
@@ -47,8 +46,8 @@
     /** Whether nothing more is decoded on this connection. */
     private var isStopped = false
 
-    /** Number of bytes that are read and dropped before the connection is closed, or null. */
-    private var remainingDiscardBytes: Int? = null
+    /** Drops what the caller still sends; null unless the connection is about to be closed. */
+    private var lingeringClose: LingeringClose? = null
     private val headTimer = HeadTimer()
 
     /** Whether a check of [headTimer] is scheduled. */
@@ -58,7 +57,9 @@
         this.context = context
         // One call reads one buffer, as Ktor disables automatic reading.
         context.channel().config().setRecvByteBufAllocator(HeapReceiveBuffers(READ_BYTES))
-        connection.onClosedInBody = ::discardAndClose
+        connection.onClosedInBody = {
+            discardAndClose(LingeringClose(context, limits().maxDroppedBodyBytes, LingeringClose.MAX_BODY_MS))
+        }
         connection.memory.onUnreadDropped = { context.executor().execute { closeUnread() } }
         connection.onReadPermitted = {
             context.executor().execute {
@@ -82,7 +83,7 @@
             context.fireChannelRead(message)
             return
         }
-        if (remainingDiscardBytes == null) hold(message) else discard(message)
+        lingeringClose?.discard(message) ?: hold(message)
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
@@ -225,26 +226,17 @@
         val response = Unpooled.copiedBuffer(refusal.response, Charsets.US_ASCII)
         val written = context.writeAndFlush(response)
         connection.onEndFlushed(written)
-        written.addListener { discardAndClose() }
+        written.addListener { discardAndClose(LingeringClose(context, LingeringClose.MAX_BYTES, LingeringClose.SILENCE_MS)) }
     }
 
-    /** Closes the connection so that the caller can read the response first: bytes that are not read would reset the connection. */
-    private fun discardAndClose() {
+    private fun discardAndClose(close: LingeringClose) {
         isStopped = true
         releaseHeld()
-        remainingDiscardBytes = MAX_DISCARDED_BYTES
-        (context.channel() as? DuplexChannel)?.shutdownOutput()
-        context.executor().schedule({ context.close() }, LINGER_MS, TimeUnit.MILLISECONDS)
+        lingeringClose = close
+        close.start()
         readIfFewHeld()
     }
 
-    private fun discard(bytes: ByteBuf) {
-        val remaining = (remainingDiscardBytes ?: 0) - bytes.readableBytes()
-        bytes.release()
-        remainingDiscardBytes = remaining
-        if (remaining < 0) context.close()
-    }
-
     private fun timeHead() {
         if (!headTimer.isRunning || isTiming) return
         isTiming = true
@@ -273,8 +265,6 @@
         // With the buffer that is being read, a connection holds at most twice as much.
         private const val MAX_HELD_BYTES = 4_096
         private const val SPACE = ' '.code.toByte()
-        private const val LINGER_MS = 500L
-        private const val MAX_DISCARDED_BYTES = 262_144
 
         // The largest head that is accepted is read in fewer turns.
         private const val READS_BEFORE_TIMEOUT = 10
--- a/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerInputTest.kt
+++ b/connection/caller/src/test/kotlin/org/lycheemount/listener/CallerInputTest.kt
@@ -309,6 +309,15 @@
             }
         }
 
+        @Test
+        fun `that is refused before its end is read so far that its caller gets the response, guarding against refusals lost to a reset`() {
+            open("POST /refused HTTP/1.1\r\nHost: h\r\nContent-Length: $LARGE_BODY_BYTES\r\n\r\n", SEND_BUFFER_BYTES).use { socket ->
+                socket.send("x".repeat(LARGE_BODY_BYTES))
+
+                assertContains(socket.readToEnd(), "HTTP/1.1 413")
+            }
+        }
+
         @Test
         fun `behind a refusal closes the connection at the limit, guarding against callers that are read for ever`() {
             open("POST /missing HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n").use { socket ->
@@ -343,11 +352,14 @@
         }
     }
 
-    private fun open(request: String) =
-        Socket("127.0.0.1", port).apply {
-            soTimeout = READ_TIMEOUT_MS
-            send(request)
-        }
+    private fun open(
+        request: String,
+        sendBufferBytes: Int? = null,
+    ) = Socket("127.0.0.1", port).apply {
+        soTimeout = READ_TIMEOUT_MS
+        sendBufferBytes?.let { sendBufferSize = it }
+        send(request)
+    }
 
     private fun Socket.send(text: String) = getOutputStream().write(text.encodeToByteArray())
 
@@ -386,5 +398,9 @@
         private const val LONG_HEADER_TIMEOUT_MS = 60_000L
         private const val READ_TIMEOUT_MS = 60_000
         private const val MAX_DROPPED_BODY_BYTES = 1_000_000L
+        private const val LARGE_BODY_BYTES = 750_000
+
+        // So small that the caller is still sending when the response is written.
+        private const val SEND_BUFFER_BYTES = 16_384
     }
 }
