Split the transaction of a release off its plan

Cause: the lambda that plans a release of tokens read, decided and built the transaction. Change: transactionOf builds it; no behaviour changes.

--- a/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultRestoredBudgetAdministration.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultRestoredBudgetAdministration.kt
@@ -71,19 +71,32 @@
         val change =
             changer.change(listOf(key) + grantKeys) { current ->
                 if (eras.current.value?.value != rows.era) return@change ChangePlan.Decided(BudgetChange.Unavailable(RETURNED_AGAIN))
-                val row = current[key] ?: return@change ChangePlan.Decided(BudgetChange.NotFound)
-                val release = planRelease(decodeRow(row.value), grantKeys.mapNotNull { current[it] }, rows, keptTokens)
+                val budgetRow = current[key] ?: return@change ChangePlan.Decided(BudgetChange.NotFound)
+                val grantRows = grantKeys.mapNotNull { current[it] }
+                val release = planRelease(decodeRow(budgetRow.value), grantRows, rows, keptTokens)
                 outcome = release?.outcome ?: TokenRelease.Refused("the budget has less than $keptTokens tokens to keep")
                 if (release == null || !release.isChange) return@change ChangePlan.Decided(BudgetChange.Applied(0, repeated = true))
-                val reports = rows.missing.routers.map { RowCheck(holdingsKey(it), rows.versionOf(holdingsKey(it))) }
-                val checks = (listOf(row) + grantKeys.mapNotNull { current[it] }).map { RowCheck(it.key, it.version) }
-                val writes = listOf(writeRow(key, release.budget)) + release.grants.map { writeRow(grantKey(budgetId, it.grantId), it) }
-                val transaction = TableTransaction(newTransactionId(), checks + reports, writes)
+                val transaction = transactionOf(release, listOf(budgetRow) + grantRows, rows)
                 ChangePlan.Write(transaction, BudgetChange.Applied(release.budget.limitTokens, repeated = false))
             }
         return if (change is BudgetChange.Applied) outcome else TokenRelease.Failed(change)
     }
 
+    /** Writes [release] if [changedRows] are unchanged and the reports are still missing. */
+    private fun transactionOf(
+        release: PlannedRelease,
+        changedRows: List<TableRow>,
+        rows: RestoredRows,
+    ): TableTransaction {
+        val reports = rows.missing.routers.map { RowCheck(holdingsKey(it), rows.versionOf(holdingsKey(it))) }
+        val grants = release.grants.map { writeRow(grantKey(it.budgetId, it.grantId), it) }
+        return TableTransaction(
+            newTransactionId(),
+            changedRows.map { RowCheck(it.key, it.version) } + reports,
+            listOf(writeRow(changedRows.first().key, release.budget)) + grants,
+        )
+    }
+
     /** Returns null if less than [keptTokens] can be released. */
     private fun planRelease(
         budget: BudgetRow,
