Use the standard binary search in PrefixIndex, and reserve memory before a part

PrefixIndex.searchMatched had a search of its own. The library's does the same with a check of the first block. BodyReader allocated a part of a body (32 KB at most) before its memory was reserved, so a refused reservation had already used it.

No behaviour changes otherwise.

--- a/request/caller/src/main/kotlin/org/lycheemount/caller/BodyReader.kt
+++ b/request/caller/src/main/kotlin/org/lycheemount/caller/BodyReader.kt
@@ -78,12 +78,11 @@
             val channel = call.receiveChannel()
             var partBytes = FIRST_PART_BYTES
             while (size <= maxBytes && size.toLong() != lengthBytes) {
-                val part =
-                    ByteArray(
-                        minOf(lengthBytes?.let { it - size } ?: partBytes.toLong(), maxBytes + 1L - size, MAX_PART_BYTES.toLong()).toInt(),
-                    )
-                if (!reserve(part.size)) return false
-                call.callerConnection?.permitBody(part.size.toLong())
+                val nextBytes =
+                    minOf(lengthBytes?.let { it - size } ?: partBytes.toLong(), maxBytes + 1L - size, MAX_PART_BYTES.toLong()).toInt()
+                if (!reserve(nextBytes)) return false
+                val part = ByteArray(nextBytes)
+                call.callerConnection?.permitBody(nextBytes.toLong())
                 val count = fill(channel, part) ?: return false
                 parts += if (count == part.size) part else part.copyOf(count)
                 size += count
--- a/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/PrefixIndex.kt
+++ b/request/scheduling/src/main/kotlin/org/lycheemount/scheduling/PrefixIndex.kt
@@ -45,18 +45,9 @@
 
     /** Finds the first absent block with a number of lookups that grows with the logarithm of that of the blocks. */
     private fun searchMatched(prefixHashes: List<Long>): Int {
-        var low = 0
-        var step = 1
-        while (low + step <= prefixHashes.size && prefixHashes[low + step - 1] in lastUsedAtMs) {
-            low += step
-            step *= 2
-        }
-        var high = minOf(low + step - 1, prefixHashes.size)
-        while (low < high) {
-            val middle = (low + high) / 2
-            if (prefixHashes[middle] in lastUsedAtMs) low = middle + 1 else high = middle
-        }
-        return low
+        if (prefixHashes.isEmpty() || prefixHashes.first() !in lastUsedAtMs) return 0
+        // No block compares as equal, so the search returns the inverted index of the first absent one.
+        return prefixHashes.binarySearch { if (it in lastUsedAtMs) -1 else 1 }.inv()
     }
 
     fun store(
