--- a/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/RestoredBudgetResponses.kt
+++ b/app/ctl/src/main/kotlin/org/lycheemount/app/ctl/RestoredBudgetResponses.kt
@@ -9,7 +9,6 @@
 import org.lycheemount.budget.EndedRouter
 import org.lycheemount.budget.RestoredBudgetsResult
 import org.lycheemount.budget.TokenRelease
-import org.lycheemount.common.RouterIdentity
 
 private const val OK = 200
 private const val NOT_FOUND = 404
@@ -36,7 +35,7 @@
         putJsonArray("missingRouters") {
             for (router in result.missingRouters) {
                 addJsonObject {
-                    put("router", nameOf(router.identity))
+                    put("router", router.identity.processName)
                     put("vmId", router.identity.vmId.value)
                     put("zoneId", router.identity.zoneId.value)
                     put("state", router.state.name.lowercase())
@@ -71,5 +70,3 @@
         is BudgetChange.Unknown -> errorResponse(UNAVAILABLE, "outcome_unknown", change.detail)
         is BudgetChange.Applied, is BudgetChange.IdReused -> error("$change is no failure of a release")
     }
-
-private fun nameOf(router: RouterIdentity) = "${router.routerId.value}/${router.incarnation}"
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetSettlement.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/BudgetSettlement.kt
@@ -110,7 +110,7 @@
                 "budget" to account.budgetId.value,
                 "era" to opened.era,
                 "tokens" to opened.setAsideTokens,
-                "missingReports" to missing.routers.joinToString(",") { "${it.routerId.value}/${it.incarnation}" },
+                "missingReports" to missing.routers.joinToString(",") { it.processName },
                 "hasWitness" to missing.hasWitness,
                 "overdue" to isOverdue,
             )
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/HoldingsRow.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/HoldingsRow.kt
@@ -20,7 +20,7 @@
 )
 
 /** Key of the row of [router]. */
-internal fun holdingsKey(router: RouterIdentity) = "$HOLDINGS_PREFIX${router.routerId.value}/${router.incarnation}"
+internal fun holdingsKey(router: RouterIdentity) = HOLDINGS_PREFIX + router.processName
 
 /** Prefix of the keys of all such rows. */
 internal const val HOLDINGS_PREFIX = "holdings/"
--- a/process/common/src/main/kotlin/org/lycheemount/common/RouterIdentity.kt
+++ b/process/common/src/main/kotlin/org/lycheemount/common/RouterIdentity.kt
@@ -14,4 +14,7 @@
     val regionId: RegionId,
     val zoneId: ZoneId,
     val incarnation: Long,
-)
+) {
+    /** Name of this process in keys and logs, `ROUTER/INCARNATION`. */
+    val processName: String get() = "${routerId.value}/$incarnation"
+}
--- a/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
+++ b/process/quarantine/src/main/kotlin/org/lycheemount/quarantine/SharedPromptQuarantine.kt
@@ -201,7 +201,7 @@
             if (!ended) return
             val report = CrashReport(run, self.routerId, attempts.atTableTimeMs, attempts.suspects.prompts)
             // A busy router may notice further broken connections of the same crash later, which make a second report.
-            val key = "$CRASH_PREFIX${run.value}/${self.routerId.value}/${self.incarnation}/${reportCount++}"
+            val key = "$CRASH_PREFIX${run.value}/${self.processName}/${reportCount++}"
             evidence.add(key, report)
             write(RowWrite(key, Json.encodeToString(CrashReport.serializer(), report)))
             evaluate()
