Copy the origins of streams to a peer, so that they outlast their router

Cause: the record of such a stream was in the lost rows, or not yet written, and in the memory of the killed router. Nobody else had it.

Change: each router sends the origins of its streams to one peer, which gives them as origins, writes them when it notices a return of the store, and writes them at once for a router that cannot reach the table (decision 0051).

The cases that drove routers without links to each other still do so, unchanged. SharedStreamOriginsTest plays four kinds of trouble also with links. In the row of all faults, streams that began while the table was away are left out in each single run if all routers ended before it was back.

--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/GatewayProcess.kt
@@ -132,9 +132,15 @@
             backendHttp::refusesConnections,
         )
     private val streamOrigins =
-        SharedStreamOrigins(createRowTableService(store, ORIGINS_TABLE_NAME, ORIGINS_PARTITION), identity, clock, eventLog, store.eras) {
-            peers.routerCount
-        }
+        SharedStreamOrigins(
+            createRowTableService(store, ORIGINS_TABLE_NAME, ORIGINS_PARTITION),
+            identity,
+            clock,
+            eventLog,
+            store.eras,
+            peers.messenger,
+            routerCount = { peers.routerCount },
+        )
     private val operatorRowWatcher = createOperatorRowWatcher(store)
     private val configurationRefresher =
         ConfigurationRefresher(clock, operatorRowWatcher::isReceiving, configurationLag::isBehind, operatorRowWatcher::awaitCurrent)
--- a/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/OriginMetrics.kt
+++ b/app/router/src/main/kotlin/org/lycheemount/app/router/gateway/OriginMetrics.kt
@@ -29,6 +29,12 @@
         .help("Streams whose origins have been written to the table.")
         .callback { it.call(origins.statistics.originsWritten.toDouble()) }
         .register(registry)
+    GaugeWithCallback
+        .builder()
+        .name("lycheemount_stream_origin_copies_kept")
+        .help("Streams of other routers whose origins this router keeps.")
+        .callback { it.call(origins.statistics.copiesKept.toDouble()) }
+        .register(registry)
     CounterWithCallback
         .builder()
         .name("lycheemount_stream_origins_failed_calls_total")
--- a/process/origins/src/main/kotlin/org/lycheemount/origins/OriginBook.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/OriginBook.kt
@@ -36,6 +36,9 @@
     /** Table time less monotonic time at the last response of the table; null before the first. */
     private var tableTimeOffsetMs: Long? = null
 
+    /** Copies of origins, of this router's own streams for a peer, and of those of peers. */
+    val copies: OriginCopies = OriginCopies()
+
     /** Origins to be written. */
     val journal: OriginJournal = OriginJournal(runId)
 
@@ -72,6 +75,7 @@
         if (previous == null || previous == era) return false
         services.values.forEach { it.onStoreRestored(tableTimeMs(nowMs) ?: 0) }
         journal.writeAgain()
+        copies.takeKept().filter { nowMs - it.atMs <= OriginJournal.MAX_AGE_MS }.forEach(journal::add)
         return true
     }
 
@@ -119,6 +123,7 @@
     ) {
         if (services[serviceId]?.isUnversioned == true) return
         ownOrigins.add(key, version, nowMs)
+        copies.add(key, version, nowMs)
         val held = heldOrigins.getOrPut(serviceId, ::ArrayDeque)
         held += WaitingOrigin(key, version, nowMs)
         while (held.size > MAX_ORIGINS || nowMs - held.first().atMs > OriginJournal.MAX_AGE_MS) held.removeFirst()
@@ -130,13 +135,36 @@
         var isAnyNew = false
         for ((serviceId, held) in heldOrigins) {
             if (held.isEmpty() || services[serviceId]?.needsRecords(tableTimeMs, nowMs) != true) continue
-            held.forEach { journal.add(it.key, it.version, it.atMs) }
+            held.forEach(journal::add)
             held.clear()
             isAnyNew = true
         }
         return isAnyNew
     }
 
+    /** Whether records of new streams are written. */
+    fun isRecording(nowMs: Long): Boolean = tableTimeMs(nowMs)?.let { at -> services.values.any { it.needsRecords(at, nowMs) } } ?: false
+
+    /** A peer that has none of this router's copies is to get them. */
+    fun copyAllAgain(nowMs: Long) {
+        copies.sendAll(ownOrigins.since(nowMs - OriginJournal.MAX_AGE_MS))
+        journal.onHolderLost()
+    }
+
+    /** A peer has sent [copy]. Returns whether this router is to write the record. */
+    fun onPeerCopy(
+        copy: OriginCopy,
+        nowMs: Long,
+    ): Boolean {
+        recordedOrigins.add(copy.key, copy.version, copy.atMs)
+        if (!copy.isUnwritten) {
+            copies.keep(copy, nowMs)
+            return false
+        }
+        journal.add(WaitingOrigin(copy.key, copy.version, copy.atMs, isOfPeer = true))
+        return true
+    }
+
     /** Returns what has to be done for each service at [nowMs]. */
     fun nextSteps(nowMs: Long): List<Pair<ServiceId, VersionStep>> {
         val tableTimeMs = tableTimeMs(nowMs) ?: return emptyList()
--- a/process/origins/src/main/kotlin/org/lycheemount/origins/OriginJournal.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/OriginJournal.kt
@@ -26,13 +26,12 @@
     val deletionDueAtTableTimeMs: Long?
         get() = (writtenRows.firstOrNull() ?: currentRow?.takeIf { it.isWritten })?.let { it.begunAtTableTimeMs + DELETE_AFTER_MS }
 
-    /** Adds a stream that began at monotonic time [atMs]. */
-    fun add(
-        key: StreamKey,
-        version: SoftwareVersion,
-        atMs: Long,
-    ) {
-        waiting += WaitingOrigin(key, version, atMs)
+    /** Origins of this router's own streams that wait to be written and that no peer has been asked to write. */
+    val notHandedOver: List<WaitingOrigin> get() = waiting.filterNot { it.isOfPeer || it.isHandedOver }
+
+    /** Adds [origin]. */
+    fun add(origin: WaitingOrigin) {
+        waiting += origin
         if (waiting.size > MAX_WAITING) waiting.removeFirst()
     }
 
@@ -61,6 +60,9 @@
         return OriginBatch(writes, origins, rows, deleted)
     }
 
+    /** The peer that was asked to write records is gone. */
+    fun onHolderLost() = waiting.forEach { it.isHandedOver = false }
+
     /** [batch] has taken effect. */
     fun onCommitted(batch: OriginBatch) {
         batch.rows.forEach { it.isWritten = true }
@@ -132,12 +134,21 @@
     val deleted: List<StreamRow>,
 )
 
-/** A stream whose origin has not been written. */
+/**
+ * A stream whose origin has not been written.
+ *
+ * @property atMs monotonic time at which the stream began.
+ * @property isOfPeer whether another router began the stream.
+ */
 internal class WaitingOrigin(
     val key: StreamKey,
     val version: SoftwareVersion,
     val atMs: Long,
-)
+    val isOfPeer: Boolean = false,
+) {
+    /** Whether a peer has been asked to write the record. */
+    var isHandedOver = false
+}
 
 /** A row of streams. */
 internal class StreamRow(
--- a/process/origins/src/main/kotlin/org/lycheemount/origins/OriginState.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/OriginState.kt
@@ -26,7 +26,7 @@
     private val random = Random(self.incarnation + self.routerId.value.hashCode())
 
     /** Identifies this run of this router. */
-    val runId: String = "${self.routerId.value}/${self.incarnation}"
+    val runId: String = self.processName
 
     private val book =
         OriginBook(
@@ -50,6 +50,9 @@
     /** Signals that there are origins to be written. */
     val newOrigins: Channel<Unit> = Channel(Channel.CONFLATED)
 
+    /** Signals that there are origins to be copied to a peer. */
+    val newCopies: Channel<Unit> = Channel(Channel.CONFLATED)
+
     /** Whether the table has been read completely. */
     val isRead: Boolean get() = firstRead.isCompleted
 
@@ -110,6 +113,26 @@
             failedCallCount++
             if (isTableReachable) log.warn("stream_origins_unreachable", "call" to call, "detail" to detail)
             isTableReachable = false
+            newCopies.trySend(Unit)
+        }
+
+    /** Returns up to [limit] origins that a peer is to keep, and as many that it is to write, and counts them as sent. */
+    fun takeCopies(limit: Int): OriginCopyBatch =
+        synchronized(lock) { book.copies.take(limit, if (isTableReachable) emptyList() else book.journal.notHandedOver) }
+
+    /** [batch] has not reached the peer. */
+    fun putBackCopies(batch: OriginCopyBatch): Unit = synchronized(lock) { book.copies.putBack(batch) }
+
+    /** The peer has taken [batch]. */
+    fun onHandedOver(batch: OriginCopyBatch): Unit = synchronized(lock) { batch.unwritten.forEach { it.isHandedOver = true } }
+
+    /** A peer that has none of this router's copies is to get them. */
+    fun copyAllAgain(): Unit = synchronized(lock) { book.copyAllAgain(clock.monotonicMs()) }
+
+    /** A peer has sent [copies] of origins of its streams. */
+    fun onPeerCopies(copies: List<OriginCopy>): Unit =
+        synchronized(lock) {
+            if (copies.count { book.onPeerCopy(it, clock.monotonicMs()) } > 0) newOrigins.trySend(Unit)
         }
 
     /** The table was read completely, up to [tableTimeMs]. */
@@ -132,6 +155,9 @@
     /** Time in which each router may write once, in milliseconds. */
     fun fleetWriteMs(): Long = routerCount() * WRITE_INTERVAL_PER_ROUTER_MS
 
+    /** Least time between two messages with copies of origins, in milliseconds. */
+    fun copyIntervalMs(): Long = withBook { if (it.isRecording(clock.monotonicMs())) MIN_WRITE_INTERVAL_MS else CALM_COPY_INTERVAL_MS }
+
     /** Delay before a failed call is repeated, in milliseconds. */
     fun retryDelayMs(): Long = RETRY_DELAY_MS + randomMs(RETRY_SPREAD_MS)
 
@@ -142,6 +168,7 @@
         /** Bounds the rate of the fleet's writes to 250 a second. */
         private const val WRITE_INTERVAL_PER_ROUTER_MS = 4L
         private const val MIN_WRITE_INTERVAL_MS = 50L
+        private const val CALM_COPY_INTERVAL_MS = 500L
         private const val RETRY_DELAY_MS = 300L
         private const val RETRY_SPREAD_MS = 200L
     }
--- a/process/origins/src/main/kotlin/org/lycheemount/origins/OriginStatistics.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/OriginStatistics.kt
@@ -6,6 +6,7 @@
  * @property openVersions versions on which streams may begin, by service.
  * @property originsWritten streams whose origins are in the table.
  * @property originsWaiting streams whose origins are still to be written.
+ * @property copiesKept streams of other routers whose origins this router keeps.
  * @property failedCalls calls to the table that did not succeed.
  * @property lookups resumptions by outcome.
  */
@@ -13,6 +14,7 @@
     val openVersions: Map<String, Int>,
     val originsWritten: Long,
     val originsWaiting: Int,
+    val copiesKept: Int,
     val failedCalls: Long,
     val lookups: Map<LookupOutcome, Long>,
 )
--- a/process/origins/src/main/kotlin/org/lycheemount/origins/RecentOrigins.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/RecentOrigins.kt
@@ -34,6 +34,10 @@
         if (origins.size > capacity || atMs - oldest.value.atMs > maxAgeMs) origins.remove(oldest.key)
     }
 
+    /** Returns the streams that began at or after [sinceMs] and whose origins are not ambiguous. */
+    fun since(sinceMs: Long): List<OriginCopy> =
+        origins.filterValues { it.atMs >= sinceMs && !it.isAmbiguous }.map { (key, origin) -> OriginCopy(key, origin.version, origin.atMs) }
+
     /** Returns where the stream with [key] began, or null if that is not known. */
     fun find(key: StreamKey): RecentOrigin? = origins[key]
 }
--- a/process/origins/src/main/kotlin/org/lycheemount/origins/SharedStreamOrigins.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/SharedStreamOrigins.kt
@@ -11,6 +11,7 @@
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.common.ServiceId
 import org.lycheemount.common.SoftwareVersion
+import org.lycheemount.peer.PeerMessenger
 import org.lycheemount.platform.StoreEras
 import org.lycheemount.platform.TableService
 
@@ -23,10 +24,12 @@
  * are needed: the first event of a stream does not wait for the table, and the origin of a stream whose record was lost is unknown.
  *
  * When the store has come back from an older copy, each router writes again what it knows: the versions in use and the records of streams
- * that it began. For [VersionHistory.RETENTION_MS] after that, a stream goes on only if there is a record of it, at any router.
+ * that it began, and those that it keeps for peers. For [VersionHistory.RETENTION_MS] after that, a stream goes on only if there is a
+ * record of it, at any router.
  *
  * @param table table that holds origins and nothing else.
  * @param eras eras of the store that holds [table].
+ * @param peers links to the other routers, of which one keeps copies of this router's records.
  * @param routerCount number of routers, which share the rate of writes.
  */
 class SharedStreamOrigins(
@@ -35,6 +38,7 @@
     private val clock: Clock,
     private val log: EventLog,
     private val eras: StoreEras,
+    peers: PeerMessenger,
     routerCount: () -> Int,
 ) : StreamOrigins {
     private val state = OriginState(self, clock, log, eras, routerCount)
@@ -42,6 +46,7 @@
     private val reads = SharedRead(clock, MIN_READ_INTERVAL_MS, OriginTableReader(table, state, obsoleteRows, eras, clock)::read)
     private val versions = VersionMaintainer(table, state, reads, eras, clock, log)
     private val writer = OriginWriter(table, state, clock)
+    private val replicator = OriginReplicator(peers, state, clock, log)
     private val lookups = HashMap<LookupOutcome, Long>()
 
     /** Whether the versions in use have been read; no streams begin before. */
@@ -51,7 +56,14 @@
     val statistics: OriginStatistics
         get() =
             state.withBook { book ->
-                OriginStatistics(book.openVersions, writer.writtenCount, book.journal.waitingCount, state.failedCalls, lookups.toMap())
+                OriginStatistics(
+                    book.openVersions,
+                    writer.writtenCount,
+                    book.journal.waitingCount,
+                    book.copies.keptCount,
+                    state.failedCalls,
+                    lookups.toMap(),
+                )
             }
 
     /** Starts to read and write the table in [scope]. */
@@ -59,6 +71,8 @@
         scope.launch { reads.run() }
         scope.launch { versions.run() }
         scope.launch { writer.run() }
+        replicator.register()
+        scope.launch { replicator.run() }
         scope.launch { obsoleteRows.run() }
         scope.launch { eras.current.collect { state.noteEra() } }
     }
@@ -85,6 +99,7 @@
             book.onStreamBegun(key, serviceId, version, clock.monotonicMs())
             state.recordIfNeeded()
         }
+        state.newCopies.trySend(Unit)
     }
 
     override suspend fun originOf(
--- a/process/origins/src/test/kotlin/org/lycheemount/origins/OriginCaseFleet.kt
+++ b/process/origins/src/test/kotlin/org/lycheemount/origins/OriginCaseFleet.kt
@@ -14,15 +14,24 @@
 import org.lycheemount.common.SoftwareVersion
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
+import org.lycheemount.peer.PeerChannel
+import org.lycheemount.peer.PeerMessenger
+import org.lycheemount.peer.PeerReply
 import org.lycheemount.platform.RowWrite
 import org.lycheemount.platform.TableTransaction
 import org.lycheemount.testing.FakeEventLog
+import org.lycheemount.testing.FakePeerNetwork
 import org.lycheemount.testing.FakeTableService
 import kotlin.random.Random
 
-/** Routers that are driven one by one. */
+/**
+ * Routers that are driven one by one.
+ *
+ * @param hasPeerLinks whether routers reach each other, and not only the table.
+ */
 internal class OriginCaseFleet(
     val test: TestScope,
+    private val hasPeerLinks: Boolean,
 ) {
     val clock =
         object : Clock {
@@ -33,6 +42,11 @@
     val table = FakeTableService(clock)
     val usage = TableUsage()
     val log = FakeEventLog()
+    private val peers = FakePeerNetwork(test)
+
+    /** Number of calls between routers. */
+    var peerCalls = 0
+        private set
     var routerCount = 7
     private val jobs = ArrayList<CoroutineScope>()
 
@@ -45,14 +59,29 @@
         jobs += scope
         val link = FaultyTable(table, scope, Random(1), usage)
         val identity = RouterIdentity(RouterId(id), VmId(id), RegionId("g"), ZoneId("z"), clock.wallClockMs())
-        val origins = SharedStreamOrigins(link, identity, clock, log, link.eras) { routerCount }
+        val origins = SharedStreamOrigins(link, identity, clock, log, link.eras, countingCalls(messengerOf(identity))) { routerCount }
         origins.start(scope)
-        return OriginCaseRouter(origins, link, scope).also {
+        return OriginCaseRouter(origins, link, scope, onKill = { peers.leave(identity.routerId) }).also {
             it.list(versions)
             delay(SETTLE_MS)
         }
     }
 
+    private fun messengerOf(identity: RouterIdentity) = (if (hasPeerLinks) peers else FakePeerNetwork(test)).join(identity)
+
+    private fun countingCalls(messenger: PeerMessenger) =
+        object : PeerMessenger by messenger {
+            override suspend fun call(
+                to: RouterId,
+                channel: PeerChannel,
+                payload: ByteArray,
+                timeoutMs: Long,
+            ): PeerReply {
+                peerCalls++
+                return messenger.call(to, channel, payload, timeoutMs)
+            }
+        }
+
     suspend fun writeRow(
         key: String,
         value: String,
@@ -68,6 +97,7 @@
     val origins: SharedStreamOrigins,
     val link: FaultyTable,
     private val scope: CoroutineScope,
+    private val onKill: () -> Unit,
 ) {
     fun noticeEra() = link.noticeEra()
 
@@ -80,19 +110,24 @@
 
     suspend fun originOf(attemptId: CallerAttemptId?) = origins.originOf(attemptId, SERVICE, PATIENCE_MS)
 
-    fun kill() = scope.cancel()
+    fun kill() {
+        scope.cancel()
+        onKill()
+    }
 }
 
-/** Runs [body] in virtual time. */
-internal fun originCaseTest(body: suspend OriginCaseFleet.() -> Unit) =
-    runTest {
-        val fleet = OriginCaseFleet(this)
-        try {
-            fleet.body()
-        } finally {
-            fleet.stop()
-        }
+/** Runs [body] in virtual time with routers that reach each other if [hasPeerLinks]. */
+internal fun originCaseTest(
+    hasPeerLinks: Boolean = false,
+    body: suspend OriginCaseFleet.() -> Unit,
+) = runTest {
+    val fleet = OriginCaseFleet(this, hasPeerLinks)
+    try {
+        fleet.body()
+    } finally {
+        fleet.stop()
     }
+}
 
 /** Time in which routers read and write what is due. */
 internal const val SETTLE_MS = 3_000L
--- a/process/origins/src/test/kotlin/org/lycheemount/origins/SharedStreamOriginsTest.kt
+++ b/process/origins/src/test/kotlin/org/lycheemount/origins/SharedStreamOriginsTest.kt
@@ -9,7 +9,6 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Nested
-import org.junit.jupiter.api.Tag
 import org.lycheemount.common.SoftwareVersion
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -20,11 +19,12 @@
         seed: Int,
         routerCount: Int,
         isEnabled: Boolean = true,
+        hasPeerLinks: Boolean = false,
         body: suspend TestScope.(VersionedTrafficFleet) -> Unit,
     ) = runTest {
         val scope = CoroutineScope(coroutineContext + Job())
         try {
-            val fleet = VersionedTrafficFleet(scope, testScheduler, seed, routerCount, isEnabled)
+            val fleet = VersionedTrafficFleet(scope, testScheduler, seed, routerCount, isEnabled, hasPeerLinks = hasPeerLinks)
             body(fleet)
         } finally {
             scope.cancel()
@@ -38,7 +38,7 @@
     ) {
         val shares =
             "$context: new ${fleet.newStreams}, resumed in touch ${fleet.resumedInTouch}, recordable ${fleet.resumedRecordable}, " +
-                "anywhere ${fleet.resumedAnywhere}"
+                "knowable ${fleet.resumedKnowable}, anywhere ${fleet.resumedAnywhere}"
         assertEquals(0, fleet.joined, shares)
         if (resumed.total >= MIN_RESUMED) assertTrue(resumed.value >= fleet.newStreams.value * MIN_RELATIVE_SHARE, shares)
         assertTrue(fleet.usage.maxEntries <= MAX_ENTRIES, "${fleet.usage.maxEntries} entries")
@@ -149,14 +149,17 @@
     private fun checkFleets(
         name: String,
         faults: suspend (VersionedTrafficFleet) -> Unit,
+        hasPeerLinks: Boolean = false,
         resumed: (VersionedTrafficFleet) -> VersionedTrafficFleet.Share = { it.resumedInTouch },
     ) {
-        for ((routerCount, seeds) in SEEDS_BY_ROUTERS) {
+        // A single router has no peer.
+        val fleets = if (hasPeerLinks) SEEDS_BY_ROUTERS - 1 else SEEDS_BY_ROUTERS
+        for ((routerCount, seeds) in fleets) {
             val allNew = VersionedTrafficFleet.Share()
             val allResumed = VersionedTrafficFleet.Share()
             val allInTouch = VersionedTrafficFleet.Share()
             for (seed in 1..seeds) {
-                fleetTest(seed, routerCount) { fleet ->
+                fleetTest(seed, routerCount, hasPeerLinks = hasPeerLinks) { fleet ->
                     runReleases(fleet, faults)
 
                     assertKept(fleet, resumed(fleet), "$name, $routerCount routers, seed $seed")
@@ -205,10 +208,27 @@
             checkFleets("all faults", ::causeAllFaults, resumed = { it.resumedRecordable })
     }
 
+    @Nested
+    inner class `streams over two releases, whose routers keep copies of records for each other, are never joined, and most of them go on` {
+        @Test
+        fun `when some routers are killed`() = checkFleets("copies, some routers killed", ::killSomeRouters, hasPeerLinks = true)
+
+        @Test
+        fun `when the table comes back from an older copy and routers are killed`() =
+            checkFleets("copies, table restored", ::restoreTable, hasPeerLinks = true)
+
+        @Test
+        fun `when routers are cut off from the table, or it is slow or loses responses`() =
+            checkFleets("copies, links disturbed", ::disturbLinks, hasPeerLinks = true)
+
+        @Test
+        fun `when all of this happens at once, in each run those that the table or a router could still know`() =
+            checkFleets("copies, all faults", ::causeAllFaults, hasPeerLinks = true, resumed = { it.resumedKnowable })
+    }
+
     @Test
-    @Tag("known-red")
     fun `most streams go on in a run with all faults at once, guarding against streams without a record`() =
-        fleetTest(seed = 60, routerCount = 7) { fleet ->
+        fleetTest(seed = 60, routerCount = 7, hasPeerLinks = true) { fleet ->
             runReleases(fleet, ::causeAllFaults)
 
             assertTrue(fleet.resumedInTouch.total >= MIN_RESUMED)
--- a/process/origins/src/test/kotlin/org/lycheemount/origins/VersionedTrafficFleet.kt
+++ b/process/origins/src/test/kotlin/org/lycheemount/origins/VersionedTrafficFleet.kt
@@ -22,6 +22,7 @@
 import org.lycheemount.common.VmId
 import org.lycheemount.common.ZoneId
 import org.lycheemount.testing.FakeEventLog
+import org.lycheemount.testing.FakePeerNetwork
 import org.lycheemount.testing.FakeTableService
 import org.lycheemount.testing.PausableDispatcher
 import kotlin.coroutines.ContinuationInterceptor
@@ -51,6 +52,7 @@
  *
  * @param isEnabled whether routers tell versions apart.
  * @param isFreezable whether routers can be frozen.
+ * @param hasPeerLinks whether routers reach each other, and not only the table.
  */
 @OptIn(ExperimentalCoroutinesApi::class)
 internal class VersionedTrafficFleet(
@@ -60,6 +62,7 @@
     routerCount: Int,
     private val isEnabled: Boolean = true,
     private val isFreezable: Boolean = false,
+    private val hasPeerLinks: Boolean = false,
 ) {
     val clock =
         object : Clock {
@@ -71,6 +74,7 @@
     val usage = TableUsage()
     val random = Random(seed)
     val log = FakeEventLog()
+    private val peers = FakePeerNetwork(scope)
     val routers = List(routerCount) { Router(it) }
     private val servers = ArrayList<Server>()
     private val streams = LinkedHashSet<Stream>()
@@ -88,6 +92,12 @@
     /** Those of [resumedInTouch] whose streams were in progress at a router in touch until they broke, so that it could record them. */
     val resumedRecordable = Share()
 
+    /** Those of [resumedInTouch] that a router or the table could still know: not all routers ended in the outage of the table they began in. */
+    val resumedKnowable = Share()
+
+    /** Streams that began while the table has been away. */
+    private val begunWithoutTable = ArrayList<Stream>()
+
     /** Attempts to resume a stream at any router while a server of its version serves. */
     val resumedAnywhere = Share()
 
@@ -137,6 +147,7 @@
         table.isAvailable = false
         delay(forMs)
         table.isAvailable = true
+        begunWithoutTable.clear()
         tableUnstableAtMs = clock.monotonicMs()
     }
 
@@ -181,6 +192,7 @@
         if (!server.isUp || !router.isUp || router.run != run) return
         val stream = Stream(CallerAttemptId("a${streamCount++}"), durationMs = random.nextLong(100, MAX_STREAM_MS))
         router.handle { it.onStreamBegun(stream.attemptId, SERVICE, server.version) }
+        if (!table.isAvailable) begunWithoutTable += stream
         if (!router.isUp || router.run != run) return
         run(stream, router, server)
     }
@@ -230,6 +242,7 @@
     ) {
         resumedInTouch.count(goesOn)
         if (stream.wasRecordable) resumedRecordable.count(goesOn)
+        if (!stream.isLost) resumedKnowable.count(goesOn)
     }
 
     /** Returns null if no router took the attempt. */
@@ -300,7 +313,8 @@
             link = runLink
             val identity = RouterIdentity(RouterId("r$index"), VmId("r$index"), RegionId("g"), ZoneId("z"), clock.wallClockMs())
             val remote = if (isFreezable) RemoteTable(runLink, scope) else runLink
-            val shared = SharedStreamOrigins(remote, identity, clock, log, runLink.eras) { routers.size }
+            val messenger = (if (hasPeerLinks) peers else FakePeerNetwork(scope)).join(identity)
+            val shared = SharedStreamOrigins(remote, identity, clock, log, runLink.eras, messenger) { routers.size }
             if (isEnabled) {
                 origins = shared
                 shared.start(runScope)
@@ -321,8 +335,10 @@
         fun kill() {
             if (!isUp) return
             job?.cancel()
+            peers.leave(RouterId("r$index"))
             streams.filter { it.router === this }.forEach(::breakOff)
             isUp = false
+            if (routers.none { it.isUp }) begunWithoutTable.forEach { it.isLost = true }
         }
 
         /** Stops all work of this router, also in its later runs, until [thaw]. Its requests wait. */
@@ -367,6 +383,9 @@
         var server: Server? = null
         var turn = 0
         var wasRecordable = false
+
+        /** Whether all routers ended while the table was away in which it began. */
+        var isLost = false
     }
 
     /** An attempt to resume a stream. It is counted if it was made at a router in touch while two servers of the version served. */
