Report rows of another release in lycheectl, and test the warning of set-aside tokens

restored-budgets and release-tokens decode rows strictly, so a row with a field of a later release ended the command with a stack trace. The warning budget_set_aside had no test.

Tests, both in RestoredBudgetAdministrationTest: a row with an unknown field, and one warning with overdue=true from each of three routers in 180 s.

--- a/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultRestoredBudgetAdministration.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/DefaultRestoredBudgetAdministration.kt
@@ -1,5 +1,6 @@
 package org.lycheemount.budget
 
+import kotlinx.serialization.SerializationException
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.RouterIdentity
 import org.lycheemount.platform.RowCheck
@@ -18,7 +19,14 @@
 ) : RestoredBudgetAdministration {
     private val changer = BudgetChanger(table, eras)
 
-    override suspend fun status(): RestoredBudgetsResult {
+    override suspend fun status(): RestoredBudgetsResult =
+        try {
+            findRestored()
+        } catch (unreadable: SerializationException) {
+            RestoredBudgetsResult.Unavailable(describe(unreadable))
+        }
+
+    private suspend fun findRestored(): RestoredBudgetsResult {
         val rows = readRows() ?: return RestoredBudgetsResult.Unavailable(NO_RESPONSE)
         val budgets = table.scanAll(BUDGET_PREFIX) ?: return RestoredBudgetsResult.Unavailable(NO_RESPONSE)
         val restored =
@@ -37,6 +45,19 @@
     ): TokenRelease {
         invalidId("budget", budgetId.value)?.let { return TokenRelease.Failed(it) }
         if (keptTokens < 0) return TokenRelease.Failed(BudgetChange.Invalid("keptTokens", "0 or more"))
+        return try {
+            releaseFrom(budgetId, endedRouters, keptTokens)
+        } catch (unreadable: SerializationException) {
+            // Rows are read before anything is written.
+            TokenRelease.Failed(BudgetChange.Unavailable(describe(unreadable)))
+        }
+    }
+
+    private suspend fun releaseFrom(
+        budgetId: BudgetId,
+        endedRouters: Set<EndedRouter>,
+        keptTokens: Long,
+    ): TokenRelease {
         val rows = readRows() ?: return TokenRelease.Failed(BudgetChange.Unavailable(NO_RESPONSE))
         if (rows.era == 0L) return TokenRelease.Refused("the store states no era")
         refusal(endedRouters, rows)?.let { return TokenRelease.Refused(it) }
@@ -153,6 +174,9 @@
         return RestoredRows(eras.current.value?.value ?: 0, grants, holdings)
     }
 
+    private fun describe(unreadable: SerializationException) =
+        "a row cannot be read, as one that routers of another release have written: ${unreadable.message?.lineSequence()?.first()}"
+
     private fun describe(routers: Set<EndedRouter>) = routers.joinToString { "${it.routerId}/${it.incarnation}" }
 
     /** Rows of grants and reports, as they were read in [era]. */
--- a/process/budget/src/main/kotlin/org/lycheemount/budget/RestoredBudgetAdministration.kt
+++ b/process/budget/src/main/kotlin/org/lycheemount/budget/RestoredBudgetAdministration.kt
@@ -43,7 +43,7 @@
         val hasWitness: Boolean,
     ) : RestoredBudgetsResult
 
-    /** The table did not respond. */
+    /** The table did not respond, or a row in it is unreadable, as [detail] says. */
     data class Unavailable(
         val detail: String,
     ) : RestoredBudgetsResult
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/BudgetFleet.kt
@@ -12,6 +12,7 @@
 import org.lycheemount.common.BudgetId
 import org.lycheemount.common.Clock
 import org.lycheemount.common.DiscardingEventLog
+import org.lycheemount.common.EventLog
 import org.lycheemount.common.ModelId
 import org.lycheemount.common.RegionId
 import org.lycheemount.common.RequestId
@@ -54,6 +55,18 @@
     val routers = linkedMapOf<String, Router>()
     private var transactionCount = 0
 
+    /** Name and fields of each warning of the routers. */
+    val warnings = ArrayList<Pair<String, Map<String, Any?>>>()
+    private val log =
+        object : EventLog by DiscardingEventLog {
+            override fun warn(
+                event: String,
+                vararg fields: Pair<String, Any?>,
+            ) {
+                warnings += event to fields.toMap()
+            }
+        }
+
     /** Scope of calls of the table from outside the routers. */
     val linkScope: CoroutineScope get() = scope
     val administration = createBudgetAdministration(table) { "admin-${transactionCount++}" }
@@ -98,7 +111,7 @@
                 vmDirectory,
                 messenger,
                 clock,
-                DiscardingEventLog,
+                log,
                 options,
                 Random(seed + identity.hashCode()),
                 eras = tableLink,
--- a/process/budget/src/test/kotlin/org/lycheemount/budget/RestoredBudgetAdministrationTest.kt
+++ b/process/budget/src/test/kotlin/org/lycheemount/budget/RestoredBudgetAdministrationTest.kt
@@ -4,6 +4,8 @@
 import org.junit.jupiter.api.Nested
 import org.lycheemount.common.RouterId
 import org.lycheemount.common.RouterIdentity
+import org.lycheemount.platform.RowWrite
+import org.lycheemount.platform.TableTransaction
 import org.lycheemount.testing.FakeTableLink
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -90,6 +92,17 @@
                 assertTrue(budget.setAsideTokens > 0)
             }
 
+        @Test
+        fun `are warned of once by each router, guarding against a shortage that the log does not show`() =
+            fleetTest(options) { fleet ->
+                endRouterInLostTime(fleet)
+
+                delay(180_000)
+
+                val warnings = fleet.warnings.filter { (event, _) -> event == "budget_set_aside" }.map { it.second }
+                assertEquals(List(3) { true to BUDGET.value }, warnings.map { it["overdue"] to it["budget"] })
+            }
+
         @Test
         fun `can be used again once they are released, guarding against tokens that stay charged to nobody for good`() =
             fleetTest(options) { fleet ->
@@ -122,6 +135,26 @@
             }
     }
 
+    @Nested
+    inner class `a row that routers of another release have written` {
+        @Test
+        fun `is reported and changes nothing, guarding against a command that ends with a stack trace`() =
+            fleetTest(options) { fleet ->
+                fleet.table.beginEra()
+                fleet.createFundedBudget(PREPAY)
+                val row = RowWrite(grantKey(BUDGET, "later"), """{"fieldOfLaterRelease":1}""")
+                fleet.table.commit(TableTransaction("later-release", emptyList(), listOf(row)))
+                val before = fleet.table.copyRows()
+
+                val status = administration(fleet).status()
+                val release = administration(fleet).release(BUDGET, emptySet(), keptTokens = 0)
+
+                assertIs<RestoredBudgetsResult.Unavailable>(status)
+                assertIs<BudgetChange.Unavailable>(assertIs<TokenRelease.Failed>(release).change)
+                assertEquals(before, fleet.table.copyRows())
+            }
+    }
+
     @Nested
     inner class `a release is refused and changes nothing` {
         private fun assertRefused(
