Keep each copy of a stream origin once

A peer gets all origins of the last 60 s again after a link was interrupted, and kept each as one more copy. After a return of the store it would have written all of them.

Change: copies are kept by stream and version.

Test: OriginCopiesTest, copies that are sent again after the links were interrupted.

--- a/process/origins/src/main/kotlin/org/lycheemount/origins/OriginBook.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/OriginBook.kt
@@ -148,7 +148,7 @@
     /** A peer that has none of this router's copies is to get them. */
     fun copyAllAgain(nowMs: Long) {
         copies.sendAll(ownOrigins.since(nowMs - OriginJournal.MAX_AGE_MS))
-        journal.onHolderLost()
+        journal.onReplicaPeerLost()
     }
 
     /** A peer has sent [copy]. Returns whether this router is to write the record. */
--- a/process/origins/src/main/kotlin/org/lycheemount/origins/OriginCopies.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/OriginCopies.kt
@@ -8,7 +8,7 @@
  */
 internal class OriginCopies {
     private val outgoing = ArrayDeque<OriginCopy>()
-    private val kept = ArrayDeque<WaitingOrigin>()
+    private val kept = LinkedHashMap<Pair<StreamKey, SoftwareVersion>, WaitingOrigin>()
 
     /** Number of streams of other routers whose origins this router keeps. */
     val keptCount: Int get() = kept.size
@@ -41,17 +41,19 @@
         repeat(outgoing.size - MAX_COPIES) { outgoing.removeFirst() }
     }
 
-    /** Keeps [copy] for the router that has sent it. */
+    /** Keeps [copy] for the router that has sent it, which may do so again after its link was interrupted. */
     fun keep(
         copy: OriginCopy,
         nowMs: Long,
     ) {
-        kept += WaitingOrigin(copy.key, copy.version, copy.atMs, isOfPeer = true)
-        while (kept.size > MAX_COPIES || kept.isNotEmpty() && nowMs - kept.first().atMs > OriginJournal.MAX_AGE_MS) kept.removeFirst()
+        kept.putIfAbsent(copy.key to copy.version, WaitingOrigin(copy.key, copy.version, copy.atMs, isOfPeer = true))
+        while (kept.size > MAX_COPIES || isOldestExpired(nowMs)) kept.remove(kept.keys.first())
     }
 
+    private fun isOldestExpired(nowMs: Long) = kept.values.firstOrNull()?.let { nowMs - it.atMs > OriginJournal.MAX_AGE_MS } ?: false
+
     /** Removes and returns the copies that are kept for other routers. */
-    fun takeKept(): List<WaitingOrigin> = kept.toList().also { kept.clear() }
+    fun takeKept(): List<WaitingOrigin> = kept.values.toList().also { kept.clear() }
 
     private companion object {
         private const val MAX_COPIES = 20_000
--- a/process/origins/src/main/kotlin/org/lycheemount/origins/OriginJournal.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/OriginJournal.kt
@@ -61,7 +61,7 @@
     }
 
     /** The peer that was asked to write records is gone. */
-    fun onHolderLost() = waiting.forEach { it.isHandedOver = false }
+    fun onReplicaPeerLost() = waiting.forEach { it.isHandedOver = false }
 
     /** [batch] has taken effect. */
     fun onCommitted(batch: OriginBatch) {
--- a/process/origins/src/main/kotlin/org/lycheemount/origins/OriginReplicator.kt
+++ b/process/origins/src/main/kotlin/org/lycheemount/origins/OriginReplicator.kt
@@ -22,7 +22,7 @@
     private val log: EventLog,
 ) {
     /** Peer that has all copies that are not to be sent; null while there is none. */
-    private var holder: RouterIdentity? = null
+    private var replicaPeer: RouterIdentity? = null
 
     /** Keeps what peers send from now on. */
     fun register() =
@@ -40,7 +40,7 @@
     /** Sends copies until it is cancelled. */
     suspend fun run() {
         while (true) {
-            withTimeoutOrNull(HOLDER_CHECK_INTERVAL_MS) { state.newCopies.receive() }
+            withTimeoutOrNull(PEER_CHECK_INTERVAL_MS) { state.newCopies.receive() }
             while (sendBatch()) Unit
             delay(state.copyIntervalMs())
         }
@@ -48,7 +48,7 @@
 
     /** Sends what is due. Returns whether there may be more to send now. */
     private suspend fun sendBatch(): Boolean {
-        val to = chooseHolder() ?: return false
+        val to = chooseReplicaPeer() ?: return false
         val batch = state.takeCopies(MAX_BATCH)
         if (batch.copies.isEmpty()) return false
         return when (peers.call(to.routerId, CHANNEL, encodeCopies(batch.copies, clock.monotonicMs()), TIMEOUT_MS)) {
@@ -61,22 +61,22 @@
                 false
             }
             PeerReply.NotDelivered -> {
-                holder = null
+                replicaPeer = null
                 false
             }
         }
     }
 
-    private fun chooseHolder(): RouterIdentity? {
+    private fun chooseReplicaPeer(): RouterIdentity? {
         val connected = peers.connectedPeers()
-        holder?.takeIf { it in connected }?.let { return it }
+        replicaPeer?.takeIf { it in connected }?.let { return it }
         val self = peers.self
         val preferred =
             connected.minWithOrNull(
                 compareBy({ it.zoneId == self.zoneId }, { hashOf("${it.routerId.value}\u0000${self.routerId.value}") }),
             )
         return preferred.also {
-            holder = it
+            replicaPeer = it
             if (it != null) state.copyAllAgain()
         }
     }
@@ -85,6 +85,6 @@
         private val CHANNEL = PeerChannel("origins")
         private const val MAX_BATCH = 1_000
         private const val TIMEOUT_MS = 1_000L
-        private const val HOLDER_CHECK_INTERVAL_MS = 2_000L
+        private const val PEER_CHECK_INTERVAL_MS = 2_000L
     }
 }
--- a/process/origins/src/test/kotlin/org/lycheemount/origins/OriginCaseFleet.kt
+++ b/process/origins/src/test/kotlin/org/lycheemount/origins/OriginCaseFleet.kt
@@ -49,6 +49,7 @@
         private set
     var routerCount = 7
     private val jobs = ArrayList<CoroutineScope>()
+    private val routerIds = LinkedHashSet<RouterId>()
 
     /** Starts a router that lists servers of [versions], and waits until it has read the table. */
     suspend fun start(
@@ -57,6 +58,7 @@
     ): OriginCaseRouter {
         val scope = CoroutineScope(test.coroutineContext + Job())
         jobs += scope
+        routerIds += RouterId(id)
         val link = FaultyTable(table, scope, Random(1), usage)
         val identity = RouterIdentity(RouterId(id), VmId(id), RegionId("g"), ZoneId("z"), clock.wallClockMs())
         val origins = SharedStreamOrigins(link, identity, clock, log, link.eras, countingCalls(messengerOf(identity))) { routerCount }
@@ -82,6 +84,13 @@
             }
         }
 
+    /** Blocks all messages between routers for [forMs]. */
+    suspend fun interruptPeerLinks(forMs: Long) {
+        peers.partition(routerIds, routerIds)
+        delay(forMs)
+        peers.heal()
+    }
+
     suspend fun writeRow(
         key: String,
         value: String,
--- a/process/origins/src/test/kotlin/org/lycheemount/origins/OriginCopiesTest.kt
+++ b/process/origins/src/test/kotlin/org/lycheemount/origins/OriginCopiesTest.kt
@@ -124,6 +124,32 @@
             }
     }
 
+    @Nested
+    inner class `copies that are sent again after the links were interrupted` {
+        @Test
+        fun `are written once, guarding against rows that grow with each interruption`() =
+            originCaseTest(hasPeerLinks = true) {
+                val (copy, routers) = startAll("r1", "r2")
+                routers.first().begin(attempt, V1)
+                repeat(5) {
+                    delay(SETTLE_MS)
+                    interruptPeerLinks(forMs = SETTLE_MS)
+                }
+                delay(SETTLE_MS)
+
+                table.comeBackFrom(copy)
+                routers.first().kill()
+                routers.last().noticeEra()
+                delay(SETTLE_MS)
+
+                assertEquals(
+                    1,
+                    table.copyRows().filter { it.key.startsWith(OriginKeys.STREAMS) }.sumOf { decodeStreams(it.value).orEmpty().size },
+                )
+                assertEquals(StreamOrigin.Known(V1), routers.last().originOf(attempt))
+            }
+    }
+
     @Nested
     inner class `copies of streams on one version` {
         @Test
