Close refused peer connections in the coroutine of their handshake

A test waited for the end of a connection to the peer port that the router had closed; it was still open 23 minutes later. In a router such a connection keeps its descriptor until the process ends.

Cause: PendingHandshakes closed the socket while the coroutine of the handshake opened its channels. Ktor's socket then keeps its descriptor, and a second close does nothing.

Change: the coroutine of the handshake is cancelled and closes the socket itself. It begins when the connection is accepted. The reads of PendingHandshakesTest have a timeout of 10 s.

Test: PendingHandshakesTest, 1,000 connections of which 996 have to be closed.

--- a/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
+++ b/connection/peer/src/main/kotlin/org/lycheemount/peer/socket/DefaultPeerMessenger.kt
@@ -7,10 +7,13 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
+import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
@@ -82,7 +85,8 @@
         scope
             .launch {
                 isStarted.await()
-                acceptAll(log, server::accept, ::onAccepted)
+                // Starts at once, so that connections count in the order in which they were accepted.
+                acceptAll(log, server::accept) { socket -> scope.launch(start = CoroutineStart.UNDISPATCHED) { acceptLink(socket) } }
             }.invokeOnCompletion {
                 server.close()
                 links.all().forEach { it.close() }
@@ -164,16 +168,19 @@
             }
         }
 
-    private fun onAccepted(socket: Socket) {
-        pendingHandshakes.add(socket)
-        scope.launch { acceptLink(socket) }
-    }
-
     private suspend fun acceptLink(socket: Socket) {
+        val job = currentCoroutineContext().job
+        // Not the socket: if it is closed while its channels are opened, it keeps its descriptor.
+        val connection =
+            AutoCloseable {
+                logRefusal(socket, isClient = false, TOO_MANY_PENDING)
+                job.cancel(TOO_MANY_PENDING)
+            }
+        pendingHandshakes.add(connection)
         val link =
             try {
                 openLink(socket, isClient = false) { frames ->
-                    val peer = handshake.accept(frames) { pendingHandshakes.onProgress(socket) }
+                    val peer = handshake.accept(frames) { pendingHandshakes.onProgress(connection) }
                     val link = newLink(peer, isOutbound = false, frames)
                     val added =
                         links.add(link) as? AddOutcome.Added ?: throw LinkFailure("another link to ${peer.routerId.value} is preferred")
@@ -182,7 +189,7 @@
                     link
                 }
             } finally {
-                pendingHandshakes.remove(socket)
+                pendingHandshakes.remove(connection)
             }
         if (link != null) runLink(link)
     }
@@ -247,10 +254,16 @@
         } catch (failure: Exception) {
             socket.close()
             rethrowIfCancelled(failure)
-            log.info("peer_link_refused", "remote" to remoteAddressOf(socket), "dialed" to isClient, "reason" to failure.message)
+            logRefusal(socket, isClient, failure.message)
             null
         }
 
+    private fun logRefusal(
+        socket: Socket,
+        isClient: Boolean,
+        reason: String?,
+    ) = log.info("peer_link_refused", "remote" to remoteAddressOf(socket), "dialed" to isClient, "reason" to reason)
+
     private fun newLink(
         peer: RouterIdentity,
         isOutbound: Boolean,
@@ -311,6 +324,7 @@
     }
 
     private companion object {
+        private const val TOO_MANY_PENDING = "too many connections without a proof"
         private const val NANOS_PER_MS = 1_000_000L
     }
 }
--- a/connection/peer/src/test/kotlin/org/lycheemount/peer/socket/PendingHandshakesTest.kt
+++ b/connection/peer/src/test/kotlin/org/lycheemount/peer/socket/PendingHandshakesTest.kt
@@ -5,6 +5,7 @@
 import org.lycheemount.peer.PeerReply
 import java.io.DataInputStream
 import java.net.Socket
+import java.net.SocketTimeoutException
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -66,12 +67,42 @@
                 input.readFully(ByteArray(input.readInt()))
             }
 
+        @Test
+        fun `are closed beyond the limit, guarding against descriptors that are lost when a connection is closed while it is set up`() =
+            runPeerTest(PeerLinkSettings(handshakeTimeoutMs = 600_000, maxPendingHandshakes = MAX_PENDING)) {
+                val (_, endpoint) = start(identity("one"))
+
+                val sockets = List(CROWD) { connect(endpoint) }
+
+                try {
+                    assertEquals(
+                        emptyList(),
+                        sockets
+                            .dropLast(MAX_PENDING)
+                            .withIndex()
+                            .filterNot { it.value.isAtEnd() }
+                            .map { it.index },
+                    )
+                } finally {
+                    sockets.forEach { it.close() }
+                }
+            }
+
+        private fun connect(endpoint: PeerEndpoint) = Socket(endpoint.host, endpoint.port).apply { soTimeout = READ_TIMEOUT_MS }
+
+        private fun Socket.isAtEnd(): Boolean =
+            try {
+                getInputStream().read() < 0
+            } catch (open: SocketTimeoutException) {
+                false
+            }
+
         private fun assertOtherRoutersAreServed(send: (Socket) -> Unit) =
             runPeerTest(settings) {
                 val (_, endpointOne) = start(identity("one"))
                 val (two, _) = start(identity("two"))
                 two.setPeers(listOf(endpointOne), emptySet())
-                val stalled = List(MAX_PENDING) { Socket(endpointOne.host, endpointOne.port).also(send) }
+                val stalled = List(MAX_PENDING) { connect(endpointOne).also(send) }
                 try {
                     assertIs<PeerReply.Received>(two.callEcho(endpointOne))
                     assertEquals(-1, stalled.first().getInputStream().read())
@@ -83,5 +114,7 @@
 
     private companion object {
         private const val MAX_PENDING = 4
+        private const val CROWD = 1_000
+        private const val READ_TIMEOUT_MS = 10_000
     }
 }
